--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,108 @@
+// Package call holds the words that every layer on a call's path shares: what
+// is known of an attempt, why a call is refused, and the headers that carry
+// both between nodes.
+package call
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome is what is known about whether an attempt was run by a backend
+// server.
+type Outcome uint8
+
+const (
+	// NotRun means that no byte of the request reached a backend server, or
+	// that the backend server itself said that it did not run it. Any call
+	// may be sent again after it.
+	NotRun Outcome = iota + 1
+	// Ran means that the backend server answered.
+	Ran
+	// Unknown means that the request may have run. Only an idempotent call
+	// may be sent again after it.
+	Unknown
+)
+
+// String returns the outcome in words.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not run"
+	case Ran:
+		return "ran"
+	case Unknown:
+		return "unknown"
+	}
+	return fmt.Sprintf("Outcome(%d)", uint8(o))
+}
+
+// Reason says why a call was refused. A refusal always means NotRun.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	ReasonNoRoute     Reason = "no-route"           // no class of work matches
+	ReasonNotHeld     Reason = "service-not-held"   // this node does not hold the service
+	ReasonNoEndpoint  Reason = "no-endpoint"        // no endpoint of the service is known
+	ReasonOverloaded  Reason = "overloaded"         // the queue is full or would outlast the deadline
+	ReasonOverShare   Reason = "over-share"         // the class holds its share and others wait
+	ReasonOverRate    Reason = "over-rate"          // the class is over its stated rate
+	ReasonExpired     Reason = "deadline-passed"    // the deadline passed before the call was run
+	ReasonDraining    Reason = "draining"           // the endpoint takes no new calls
+	ReasonQuarantined Reason = "quarantined"        // the request has crashed backend servers
+	ReasonNotReady    Reason = "not-ready"          // the node may not carry traffic yet
+	ReasonInternal    Reason = "internal-only"      // the class is not open to outside callers
+	ReasonStoreDown   Reason = "store-down"         // the claim of a keyed request could not be recorded
+	ReasonKeyReused   Reason = "key-reused"         // the key was used before with another request
+	ReasonUnreachable Reason = "unreachable"        // no connection to the endpoint could be made
+	ReasonBackend     Reason = "refused-by-backend" // the backend server said that it did not run it
+	ReasonBadRequest  Reason = "bad-request"        // the request cannot be forwarded at all
+)
+
+// Refusal tells that a call was not run, why, and when to come back. It is the
+// only error type that stands for NotRun.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter tells the caller when to come back; zero means not at all
+	// or that the layer does not know.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return "call not run: " + string(r.Reason)
+	}
+	return "call not run: " + string(r.Reason) + ": " + r.Detail
+}
+
+// Headers between nodes, and towards callers and backend servers.
+const (
+	// HeaderNotRun marks a response as a refusal; its value is a Reason. It
+	// is set in one place, and removed from whatever a backend server sends.
+	HeaderNotRun = "Marlpass-Not-Run"
+	// HeaderDeadline carries the time left for the call, in milliseconds.
+	// Time left is sent rather than a moment, because clocks differ.
+	HeaderDeadline = "Marlpass-Deadline-Ms"
+	// HeaderClass carries the class of work from the entry node to the
+	// destination node.
+	HeaderClass = "Marlpass-Class"
+	// HeaderService carries the service to the destination node.
+	HeaderService = "Marlpass-Service"
+	// HeaderVersion carries the configuration version that the entry node
+	// matched the call with.
+	HeaderVersion = "Marlpass-Version"
+	// HeaderCall carries the identity of the call through all attempts.
+	HeaderCall = "Marlpass-Call"
+	// HeaderAttempt carries a fresh nonce to the backend server.
+	HeaderAttempt = "Marlpass-Attempt"
+	// HeaderRefused is how a backend server says that it did not run the
+	// request: it must repeat the nonce of HeaderAttempt. A header copied
+	// from a deeper call carries another nonce and is not believed.
+	HeaderRefused = "Marlpass-Refused"
+	// HeaderLoad carries the backend server's load back, as "busy/slots".
+	HeaderLoad = "Marlpass-Load"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
--- /dev/null
+++ b/internal/config/object.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"time"
+)
+
+// Kind tells the two sorts of configuration object apart.
+type Kind string
+
+// The kinds of object that a snapshot holds.
+const (
+	KindService Kind = "service"
+	KindTarget  Kind = "target"
+)
+
+// Key names one object. It is unique within a snapshot.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns the key as "kind/name".
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Less orders keys by kind, then by name.
+func (k Key) Less(o Key) bool {
+	if k.Kind != o.Kind {
+		return k.Kind < o.Kind
+	}
+	return k.Name < o.Name
+}
+
+// Object is one configuration object as it is stored, hashed and sent: its key
+// and its canonical JSON encoding. Raw must not be changed once set.
+type Object struct {
+	Key Key    `json:"key"`
+	Raw []byte `json:"raw"`
+}
+
+// Service is a destination that backend servers announce themselves for.
+type Service struct {
+	Name        string `json:"name"`
+	Team        string `json:"team"`
+	Description string `json:"description,omitempty"`
+}
+
+// Audience says which callers may use a class of work.
+type Audience string
+
+const (
+	// AudiencePublic classes are open to callers outside the mesh.
+	AudiencePublic Audience = "public"
+	// AudienceInternal classes are open only to backend servers, through
+	// the internal listener of their own node.
+	AudienceInternal Audience = "internal"
+)
+
+// OnStoreDown says what happens to a keyed non-idempotent request when the
+// platform cannot record its claim.
+type OnStoreDown string
+
+const (
+	// OnStoreDownRefuse answers at once that the request was not run.
+	OnStoreDownRefuse OnStoreDown = "refuse"
+	// OnStoreDownWait keeps trying within the caller's deadline, then
+	// answers that the request was not run.
+	OnStoreDownWait OnStoreDown = "wait"
+	// OnStoreDownLocalGuard runs the request under a claim remembered by one
+	// node only.
+	OnStoreDownLocalGuard OnStoreDown = "local-guard"
+)
+
+// Match selects the calls of a class of work. An empty Host matches every
+// host; an empty Methods matches every method. The longest PathPrefix wins,
+// then an exact Host over an empty one.
+type Match struct {
+	Host       string   `json:"host,omitempty"`
+	PathPrefix string   `json:"path_prefix"`
+	Methods    []string `json:"methods,omitempty"`
+}
+
+// Target is what an operator states for one class of work. The target's name
+// is the name of the class. It holds aims and bounds, never weights or
+// addresses.
+type Target struct {
+	Name    string `json:"name"`
+	Team    string `json:"team"`
+	Service string `json:"service"`
+	Match   Match  `json:"match"`
+	// Idempotent says that running a call twice does no harm.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// AnswerWithinMS is the answer time aimed at, in milliseconds.
+	AnswerWithinMS int64 `json:"answer_within_ms,omitempty"`
+	// Percentile is the share of answers, in percent, that must come within
+	// AnswerWithinMS; zero means 99.
+	Percentile float64 `json:"percentile,omitempty"`
+	// DeadlineMS bounds a call of this class whose caller sent no deadline;
+	// zero means DefaultDeadline.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// Share is the largest part of the service's slots that the class may
+	// hold while other classes wait, in (0,1]; zero means no bound.
+	Share float64 `json:"share,omitempty"`
+	// RatePerSecond bounds the calls of this class over the whole mesh; zero
+	// means no bound.
+	RatePerSecond float64 `json:"rate_per_second,omitempty"`
+	// Priority orders classes under overload, 1 (first to give way) to 9;
+	// zero means DefaultPriority.
+	Priority int `json:"priority,omitempty"`
+	// Audience is AudiencePublic when empty.
+	Audience Audience `json:"audience,omitempty"`
+	// OnStoreDown is OnStoreDownRefuse when empty.
+	OnStoreDown OnStoreDown `json:"on_store_down,omitempty"`
+}
+
+// Defaults for fields that a target leaves out.
+const (
+	DefaultPercentile = 99.0
+	DefaultDeadline   = 30 * time.Second
+	DefaultPriority   = 5
+	MinPriority       = 1
+	MaxPriority       = 9
+)
+
+// AnswerWithin returns the answer time aimed at, or zero for none.
+func (t *Target) AnswerWithin() time.Duration {
+	return time.Duration(t.AnswerWithinMS) * time.Millisecond
+}
+
+// Deadline returns the bound on a call whose caller sent none.
+func (t *Target) Deadline() time.Duration {
+	if t.DeadlineMS == 0 {
+		return DefaultDeadline
+	}
+	return time.Duration(t.DeadlineMS) * time.Millisecond
+}
+
+// PercentileOrDefault returns the percentile aimed at.
+func (t *Target) PercentileOrDefault() float64 {
+	if t.Percentile == 0 {
+		return DefaultPercentile
+	}
+	return t.Percentile
+}
+
+// PriorityOrDefault returns the class's priority.
+func (t *Target) PriorityOrDefault() int {
+	if t.Priority == 0 {
+		return DefaultPriority
+	}
+	return t.Priority
+}
+
+// Internal reports whether only backend servers may call the class.
+func (t *Target) Internal() bool { return t.Audience == AudienceInternal }
+
+// StoreDownRule returns what to do when a claim cannot be recorded.
+func (t *Target) StoreDownRule() OnStoreDown {
+	if t.OnStoreDown == "" {
+		return OnStoreDownRefuse
+	}
+	return t.OnStoreDown
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"sort"
+)
+
+// HashSize is the size of a Hash in bytes.
+const HashSize = sha256.Size
+
+// Hash identifies the content and history of a version.
+type Hash [HashSize]byte
+
+// String returns the hash in hexadecimal.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// Short returns the first eight hexadecimal digits, for people to read.
+func (h Hash) Short() string { return hex.EncodeToString(h[:4]) }
+
+// ParseHash reads a hash in hexadecimal.
+func ParseHash(s string) (Hash, error) {
+	var h Hash
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != HashSize {
+		return h, ErrBadHash
+	}
+	copy(h[:], b)
+	return h, nil
+}
+
+// Version names one snapshot of one history. Number counts up from zero, the
+// empty snapshot; Hash tells histories apart.
+type Version struct {
+	Number uint64
+	Hash   Hash
+}
+
+// Newer reports whether v has a higher number than o. Versions of the same
+// number and another hash belong to another history; neither is newer.
+func (v Version) Newer(o Version) bool { return v.Number > o.Number }
+
+// Snapshot is one immutable version of the whole configuration. Build one with
+// Empty, New or Delta.Apply; never change one after that.
+type Snapshot struct {
+	version  Version
+	parent   Hash
+	objects  []Object // sorted by key
+	services map[string]*Service
+	targets  map[string]*Target
+	// undecoded is why some object could not be decoded, or nil.
+	undecoded error
+}
+
+// Empty returns version zero, which every history starts from.
+func Empty() *Snapshot {
+	s, err := New(0, Hash{}, nil)
+	if err != nil {
+		panic("config: the empty snapshot is not valid: " + err.Error())
+	}
+	return s
+}
+
+// New builds the snapshot with the given number, parent and objects. It
+// returns an error when an object stands twice. An object that cannot be
+// decoded is kept, hashed and passed on; DecodeError then says why the
+// snapshot cannot be put in force here. Check finds the rest.
+func New(number uint64, parent Hash, objects []Object) (*Snapshot, error) {
+	s := &Snapshot{
+		parent:   parent,
+		objects:  slices.Clone(objects),
+		services: make(map[string]*Service),
+		targets:  make(map[string]*Target),
+	}
+	sort.Slice(s.objects, func(i, j int) bool { return s.objects[i].Key.Less(s.objects[j].Key) })
+	for i, o := range s.objects {
+		if i > 0 && s.objects[i-1].Key == o.Key {
+			return nil, &ObjectError{Key: o.Key, Reason: "stands twice"}
+		}
+		if err := s.decode(o); err != nil && s.undecoded == nil {
+			s.undecoded = err
+		}
+	}
+	s.version = Version{Number: number, Hash: hashOf(number, parent, s.objects)}
+	return s, nil
+}
+
+// decode adds the typed form of o. Unknown fields are refused: they come from
+// a newer writer, and running a target without them would not be what its
+// operator stated.
+func (s *Snapshot) decode(o Object) error {
+	switch o.Key.Kind {
+	case KindService:
+		v := new(Service)
+		if err := decodeStrict(o, v); err != nil {
+			return err
+		}
+		s.services[o.Key.Name] = v
+	case KindTarget:
+		v := new(Target)
+		if err := decodeStrict(o, v); err != nil {
+			return err
+		}
+		s.targets[o.Key.Name] = v
+	default:
+		return &ObjectError{Key: o.Key, Reason: "has an unknown kind"}
+	}
+	return nil
+}
+
+func decodeStrict(o Object, into any) error {
+	d := json.NewDecoder(bytes.NewReader(o.Raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return &ObjectError{Key: o.Key, Reason: "cannot be decoded: " + err.Error()}
+	}
+	return nil
+}
+
+// hashOf returns the chain hash: number, parent and each object's key and raw
+// bytes, all length-prefixed so that no two inputs run together.
+func hashOf(number uint64, parent Hash, objects []Object) Hash {
+	d := sha256.New()
+	var n [8]byte
+	put := func(b []byte) {
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		d.Write(n[:])
+		d.Write(b)
+	}
+	binary.BigEndian.PutUint64(n[:], number)
+	d.Write(n[:])
+	d.Write(parent[:])
+	for _, o := range objects {
+		put([]byte(o.Key.Kind))
+		put([]byte(o.Key.Name))
+		put(o.Raw)
+	}
+	var h Hash
+	d.Sum(h[:0])
+	return h
+}
+
+// DecodeError returns why an object of s could not be decoded, or nil. A
+// snapshot with a decode error must not be put in force.
+func (s *Snapshot) DecodeError() error { return s.undecoded }
+
+// Version returns the snapshot's number and hash.
+func (s *Snapshot) Version() Version { return s.version }
+
+// Parent returns the hash of the version before this one.
+func (s *Snapshot) Parent() Hash { return s.parent }
+
+// Objects returns all objects in key order. Callers must not change them.
+func (s *Snapshot) Objects() []Object { return s.objects }
+
+// Object returns the object with the given key.
+func (s *Snapshot) Object(k Key) (Object, bool) {
+	i := sort.Search(len(s.objects), func(i int) bool { return !s.objects[i].Key.Less(k) })
+	if i < len(s.objects) && s.objects[i].Key == k {
+		return s.objects[i], true
+	}
+	return Object{}, false
+}
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Target returns the target of that name, or nil.
+func (s *Snapshot) Target(name string) *Target { return s.targets[name] }
+
+// Services returns the services ordered by name.
+func (s *Snapshot) Services() []*Service { return sorted(s.services) }
+
+// Targets returns the targets ordered by name.
+func (s *Snapshot) Targets() []*Target { return sorted(s.targets) }
+
+func sorted[T any](m map[string]*T) []*T {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	out := make([]*T, len(names))
+	for i, n := range names {
+		out[i] = m[n]
+	}
+	return out
+}
+
+// EncodeService returns the canonical object of v.
+func EncodeService(v Service) Object { return encode(Key{KindService, v.Name}, v) }
+
+// EncodeTarget returns the canonical object of v.
+func EncodeTarget(v Target) Object { return encode(Key{KindTarget, v.Name}, v) }
+
+func encode(k Key, v any) Object {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		// Only finite numbers reach here: Check refuses the others first.
+		panic("config: cannot encode " + k.String() + ": " + err.Error())
+	}
+	return Object{Key: k, Raw: raw}
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// InForce is a snapshot together with what it was compiled into. Readers on
+// the path of a call load it once and use it for the whole call, so no call
+// ever sees parts of two versions.
+type InForce[P any] struct {
+	Snapshot *Snapshot
+	Program  P
+}
+
+// Store holds the version that is in force, and moves it forwards only.
+//
+// It guards against two failures. A late, doubled or crossed update would take
+// the proxy back to an older version: Offer ignores any snapshot that is not
+// newer than the one held. A version that cannot be compiled would leave the
+// proxy half changed: Offer compiles the whole of it first and swaps one
+// pointer after that, or keeps the running version and remembers why.
+type Store[P any] struct {
+	current atomic.Pointer[InForce[P]]
+	refused atomic.Pointer[Refused]
+	compile func(*Snapshot) (P, error)
+	mu      sync.Mutex // serialises writers
+}
+
+// Refused tells of the newest version that could not be put in force.
+type Refused struct {
+	Version Version
+	Err     error
+}
+
+// NewStore returns a store that runs the empty snapshot.
+func NewStore[P any](compile func(*Snapshot) (P, error)) (*Store[P], error) {
+	first := Empty()
+	p, err := compile(first)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store[P]{compile: compile}
+	s.current.Store(&InForce[P]{Snapshot: first, Program: p})
+	return s, nil
+}
+
+// Load returns what is in force.
+func (s *Store[P]) Load() *InForce[P] { return s.current.Load() }
+
+// Refused returns the newest version that could not be put in force and is
+// newer than the running one, or nil.
+func (s *Store[P]) Refused() *Refused {
+	r := s.refused.Load()
+	if r == nil || !r.Version.Newer(s.Load().Snapshot.Version()) {
+		return nil
+	}
+	return r
+}
+
+// Offer puts n in force if it is newer than the running version and compiles.
+// It reports whether n is now the running version.
+func (s *Store[P]) Offer(n *Snapshot) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !n.Version().Newer(s.Load().Snapshot.Version()) {
+		return false, nil
+	}
+	p, err := s.compileWhole(n)
+	if err != nil {
+		s.refused.Store(&Refused{Version: n.Version(), Err: err})
+		return false, err
+	}
+	s.current.Store(&InForce[P]{Snapshot: n, Program: p})
+	return true, nil
+}
+
+func (s *Store[P]) compileWhole(n *Snapshot) (P, error) {
+	var none P
+	if err := n.DecodeError(); err != nil {
+		return none, err
+	}
+	if err := n.Check(); err != nil {
+		return none, err
+	}
+	return s.compile(n)
+}
