--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,278 @@
+// Package settings reads and checks the settings file of a node. A file is
+// decoded strictly and checked whole before anything is started, so a node
+// never runs with half of what its operator wrote.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/settings/strict"
+	"github.com/marlpass/marlpass/internal/telemetry"
+)
+
+// Profiles of spreading configuration.
+const (
+	// ProfileBytes spends fewer control bytes and takes longer.
+	ProfileBytes = "bytes"
+	// ProfileTime spreads at once.
+	ProfileTime = "time"
+)
+
+// Node holds the settings of marlpass-node.
+type Node struct {
+	// Mesh names the mesh; nodes of another mesh are refused.
+	Mesh string `toml:"mesh"`
+	// Profile is ProfileBytes or ProfileTime.
+	Profile   string     `toml:"profile"`
+	VM        VM         `toml:"vm"`
+	Listen    Listen     `toml:"listen"`
+	Platform  Platform   `toml:"platform"`
+	Peers     Peers      `toml:"peers"`
+	TLS       TLS        `toml:"tls"`
+	Operators []Operator `toml:"operator"`
+	Drain     Drain      `toml:"drain"`
+	Log       Log        `toml:"log"`
+	Trace     Trace      `toml:"trace"`
+}
+
+// VM says which machine this is.
+type VM struct {
+	ID         string `toml:"id"`
+	Region     string `toml:"region"`
+	DataCentre string `toml:"data_centre"`
+}
+
+// Listen holds the addresses that the node listens on, each as IP:port.
+type Listen struct {
+	// Callers takes calls from callers outside the mesh.
+	Callers string `toml:"callers"`
+	// Internal takes calls from backend servers on this VM; loopback only.
+	Internal string `toml:"internal"`
+	// Calls takes calls that other nodes send to this VM's backend servers.
+	Calls string `toml:"calls"`
+	// Control takes messages between nodes.
+	Control string `toml:"control"`
+	// Admin serves the admin API.
+	Admin string `toml:"admin"`
+	// Announce takes announcements of backend servers; loopback only.
+	Announce string `toml:"announce"`
+	// Metrics serves /metrics, /healthz and /readyz.
+	Metrics string `toml:"metrics"`
+}
+
+// Platform says where the platform's table and object store are.
+type Platform struct {
+	URL     string          `toml:"url"`
+	Timeout strict.Duration `toml:"timeout"`
+}
+
+// Peers holds what is needed for first contact.
+type Peers struct {
+	// Seeds are control addresses that are tried when the platform is down.
+	Seeds []string `toml:"seeds"`
+	// AloneAfter is how long a starting node that can reach neither the
+	// platform nor any peer waits before it carries traffic with whatever it
+	// holds. Zero means that it never does.
+	AloneAfter strict.Duration `toml:"alone_after"`
+}
+
+// TLS names the certificate files. Empty means plain text, which is only fit
+// for trying marlpass out on one machine.
+type TLS struct {
+	CA        string `toml:"ca"`
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+	AdminCert string `toml:"admin_cert"`
+	AdminKey  string `toml:"admin_key"`
+}
+
+// Operator is one operator's token, kept only as a hash.
+type Operator struct {
+	Name        string `toml:"name"`
+	Team        string `toml:"team"`
+	TokenSHA256 string `toml:"token_sha256"`
+	ReadOnly    bool   `toml:"read_only"`
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	// Limit is how long calls in flight may go on after a stop was asked for.
+	Limit strict.Duration `toml:"limit"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `toml:"level"`
+}
+
+// Trace says where spans are sent; no endpoint means no traces.
+type Trace struct {
+	Endpoint string  `toml:"otlp_endpoint"`
+	Sample   float64 `toml:"sample"`
+}
+
+// Defaults of a node's settings.
+const (
+	DefaultPlatformTimeout = 2 * time.Second
+	DefaultDrainLimit      = 10 * time.Minute
+	maxPlatformTimeout     = time.Minute
+	maxDrainLimit          = 24 * time.Hour
+	maxAloneAfter          = time.Hour
+)
+
+// DefaultNode returns the settings that a file starts from.
+func DefaultNode() Node {
+	return Node{
+		Profile: ProfileTime,
+		Listen: Listen{
+			Internal: "127.0.0.1:7801",
+			Announce: "127.0.0.1:7804",
+			Metrics:  "127.0.0.1:7805",
+		},
+		Platform: Platform{Timeout: strict.Duration{Duration: DefaultPlatformTimeout}},
+		Drain:    Drain{Limit: strict.Duration{Duration: DefaultDrainLimit}},
+		Log:      Log{Level: "info"},
+		Trace:    Trace{Sample: 0.01},
+	}
+}
+
+// LoadNode reads and checks the settings in a file.
+func LoadNode(path string) (Node, error) {
+	n := DefaultNode()
+	if err := strict.Load(path, &n); err != nil {
+		return Node{}, err
+	}
+	if err := n.Check(path); err != nil {
+		return Node{}, err
+	}
+	return n, nil
+}
+
+// name is what meshes, VMs, regions, data centres, operators and teams may be
+// called: it goes into table keys and certificates.
+var name = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 characters of a-z, 0-9, '-' and '.', not at either end"
+
+var tokenHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Check returns the first problem of the settings read from file.
+func (n *Node) Check(file string) error {
+	c := checker{file: file}
+	c.name("mesh", n.Mesh)
+	c.oneOf("profile", n.Profile, ProfileBytes, ProfileTime)
+	c.name("vm.id", n.VM.ID)
+	c.name("vm.region", n.VM.Region)
+	c.name("vm.data_centre", n.VM.DataCentre)
+	n.Listen.check(&c)
+	c.url("platform.url", n.Platform.URL)
+	c.within("platform.timeout", n.Platform.Timeout, time.Millisecond, maxPlatformTimeout)
+	for i, s := range n.Peers.Seeds {
+		c.addr(fmt.Sprintf("peers.seeds[%d]", i), s)
+	}
+	c.within("peers.alone_after", n.Peers.AloneAfter, 0, maxAloneAfter)
+	n.TLS.check(&c)
+	n.checkOperators(&c)
+	c.within("drain.limit", n.Drain.Limit, 0, maxDrainLimit)
+	c.oneOf("log.level", n.Log.Level, telemetry.LogLevels...)
+	if n.Trace.Endpoint != "" {
+		c.url("trace.otlp_endpoint", n.Trace.Endpoint)
+	}
+	if n.Trace.Sample < 0 || n.Trace.Sample > 1 {
+		c.problem("trace.sample", n.Trace.Sample, "a number from 0 to 1")
+	}
+	return c.err
+}
+
+func (l *Listen) check(c *checker) {
+	c.addr("listen.callers", l.Callers)
+	c.loopback("listen.internal", l.Internal)
+	c.addr("listen.calls", l.Calls)
+	c.addr("listen.control", l.Control)
+	c.addr("listen.admin", l.Admin)
+	c.loopback("listen.announce", l.Announce)
+	c.addr("listen.metrics", l.Metrics)
+}
+
+func (t *TLS) check(c *checker) {
+	set := 0
+	for _, f := range []string{t.CA, t.Cert, t.Key} {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		c.problem("tls", t.CA+","+t.Cert+","+t.Key, "ca, cert and key together, or none of them")
+	}
+	if (t.AdminCert == "") != (t.AdminKey == "") {
+		c.problem("tls.admin_cert", t.AdminCert, "admin_cert and admin_key together, or neither")
+	}
+}
+
+func (n *Node) checkOperators(c *checker) {
+	for i, o := range n.Operators {
+		at := fmt.Sprintf("operator[%d].", i)
+		c.name(at+"name", o.Name)
+		c.name(at+"team", o.Team)
+		if !tokenHash.MatchString(o.TokenSHA256) {
+			c.problem(at+"token_sha256", o.TokenSHA256, "the SHA-256 of the token as 64 hexadecimal digits")
+		}
+	}
+}
+
+// checker keeps the first problem found.
+type checker struct {
+	file string
+	err  error
+}
+
+func (c *checker) problem(key string, value any, allowed string) {
+	if c.err == nil {
+		c.err = strict.Problem(c.file, key, value, allowed)
+	}
+}
+
+func (c *checker) name(key, v string) {
+	if !name.MatchString(v) {
+		c.problem(key, v, nameAllowed)
+	}
+}
+
+func (c *checker) oneOf(key, v string, allowed ...string) {
+	if !slices.Contains(allowed, v) {
+		c.problem(key, v, "one of "+strings.Join(allowed, ", "))
+	}
+}
+
+func (c *checker) addr(key, v string) {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		c.problem(key, v, "an IP address and port, such as 10.0.0.7:7800")
+	}
+}
+
+func (c *checker) loopback(key, v string) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || !a.Addr().IsLoopback() {
+		c.problem(key, v, "a loopback address and port, such as 127.0.0.1:7801")
+	}
+}
+
+func (c *checker) url(key, v string) {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.problem(key, v, "an http or https URL, such as http://10.0.0.2:7900")
+	}
+}
+
+func (c *checker) within(key string, v strict.Duration, low, high time.Duration) {
+	d := v.Duration
+	if d < low || d > high {
+		c.problem(key, d, fmt.Sprintf("a duration from %s to %s", low, high))
+	}
+}
--- /dev/null
+++ b/internal/settings/node_test.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestSamplesLoad(t *testing.T) {
+	files, err := filepath.Glob("../../settings/*/*.toml")
+	if err != nil || len(files) != 7 {
+		t.Fatalf("found %d sample files (%v), want one for each of the 7 data centres", len(files), err)
+	}
+	for _, f := range files {
+		n, err := LoadNode(f)
+		if err != nil {
+			t.Error(err)
+		}
+		if want := strings.TrimSuffix(filepath.Base(f), ".toml"); n.VM.DataCentre != want {
+			t.Errorf("%s is for the data centre %s", f, n.VM.DataCentre)
+		}
+	}
+}
+
+func TestLoadNodeNamesTheProblem(t *testing.T) {
+	sample, err := os.ReadFile("../../settings/trust/neg-shed.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ name, old, new, want string }{
+		{"profile", `profile = "bytes"`, `profile = "fast"`, `key profile: value "fast": one of bytes, time`},
+		{"address", `callers = "10.20.1.11:7800"`, `callers = "neg-shed:7800"`, `key listen.callers: value "neg-shed:7800": an IP address and port`},
+		{"not loopback", `announce = "127.0.0.1:7804"`, `announce = "10.20.1.11:7804"`, `key listen.announce: value "10.20.1.11:7804": a loopback address`},
+		{"out of range", `timeout = "2s"`, `timeout = "2h"`, `key platform.timeout: value 2h0m0s: a duration from 1ms to 1m0s`},
+		{"half of TLS", `key = "/etc/marlpass/node.key"`, ``, `key tls: `},
+		{"token", `token_sha256 = "0000`, `token_sha256 = "secret0000`, `key operator[0].token_sha256`},
+		{"unknown key", `[drain]`, "[drain]\nlimits = 3", `key drain.limits: value 3: unknown key`},
+		{"wrong type", `id = "neg-shed-01"`, `id = 7`, `key vm.id: value 7: allowed is a string`},
+		{"name", `id = "neg-shed-01"`, `id = "Neg Shed"`, `key vm.id: value "Neg Shed": 1 to 63 characters`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "node.toml")
+			text := strings.Replace(string(sample), test.old, test.new, 1)
+			if text == string(sample) {
+				t.Fatal("the sample no longer has the line to change")
+			}
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := LoadNode(file)
+			if err == nil {
+				t.Fatal("accepted")
+			}
+			if got := err.Error(); !strings.Contains(got, file) || !strings.Contains(got, test.want) || strings.Contains(got, "\n") {
+				t.Errorf("got  %s\nwant %s", got, test.want)
+			}
+		})
+	}
+}
