--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -25,6 +26,14 @@
 	return &Store{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
 }
 
+// Clone returns an independent copy, revisions included.
+func (s *Store) Clone() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Stored values are never changed in place, so the copies may share them.
+	return &Store{rows: maps.Clone(s.rows), objects: maps.Clone(s.objects), revision: s.revision}
+}
+
 var (
 	_ platform.Table   = (*Store)(nil)
 	_ platform.Objects = Objects{}
