--- a/internal/settings/strict/strict_test.go
+++ b/internal/settings/strict/strict_test.go
@@ -66,3 +66,17 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// FuzzDecode gives the loader files that no one would write: it must answer
+// each with success or with one line.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{"", "wait = 4", "[[peers]]\nport = 70000", "limit.reads = [1]", "a = = 1", "peers = [{port = 'x'}]"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s sample
+		if err := Decode("f.toml", data, &s); err != nil && strings.ContainsAny(err.Error(), "\n\r") {
+			t.Errorf("more than one line: %q", err)
+		}
+	})
+}
