--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,30 +1,148 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"sort"
+)
+
+// DefaultObjectsPerTeam bounds the services and targets of one team, where the
+// settings say nothing else.
+const DefaultObjectsPerTeam = 500
 
 // Check reports every inconsistency of the snapshot as a *CheckError, or nil.
-func (s *Snapshot) Check() error {
+//
+// Check depends on the snapshot alone, so every node comes to the same verdict
+// as the node that accepted the version. Bounds that may differ between nodes
+// are left to CheckTeams, which only the accepting node asks.
+func (s *Snapshot) Check() error { return asCheckError(s.problems()) }
+
+// CheckAfter is Check for a snapshot about to replace parent. A service that
+// was withdrawn while targets need it is reported once, with its dependents, in
+// place of once for each target.
+func (s *Snapshot) CheckAfter(parent *Snapshot) error {
+	withdrawn := make(map[string][]string)
+	var out []Problem
+	for _, p := range s.problems() {
+		if !p.isMissingService() || parent.Service(p.Missing[0]) == nil {
+			out = append(out, p)
+			continue
+		}
+		withdrawn[p.Missing[0]] = append(withdrawn[p.Missing[0]], p.Key.Name)
+	}
+	for name, targets := range withdrawn {
+		out = append(out, Problem{
+			Key: Key{KindService, name}, Dependents: targets,
+			Reason: "cannot be withdrawn while targets need it",
+		})
+	}
+	sortProblems(out)
+	return asCheckError(out)
+}
+
+// CheckTeams reports each team that holds more than limit objects.
+func (s *Snapshot) CheckTeams(limit int) error {
+	counts := make(map[string]int)
+	for _, v := range s.services {
+		counts[v.Team]++
+	}
+	for _, t := range s.targets {
+		counts[t.Team]++
+	}
 	var ps []Problem
-	for _, t := range s.Targets() {
-		ps = append(ps, s.checkTarget(t)...)
+	for team, n := range counts {
+		if n > limit {
+			ps = append(ps, Problem{Field: "team", Reason: fmt.Sprintf(
+				"the team %q would hold %d objects; the bound is %d", team, n, limit)})
+		}
 	}
-	if len(ps) == 0 {
+	sortProblems(ps)
+	return asCheckError(ps)
+}
+
+func (s *Snapshot) problems() []Problem {
+	var ps []Problem
+	if s.undecoded != nil {
+		ps = append(ps, undecodedProblem(s.undecoded))
+	}
+	for name, v := range s.services {
+		ps = append(ps, v.check(name)...)
+	}
+	for name, t := range s.targets {
+		ps = append(ps, t.check(name)...)
+		ps = append(ps, s.checkService(name, t)...)
+	}
+	ps = append(ps, s.checkMatches()...)
+	sortProblems(ps)
+	return ps
+}
+
+func undecodedProblem(err error) Problem {
+	if o, ok := err.(*ObjectError); ok {
+		return Problem{Key: o.Key, Reason: o.Reason}
+	}
+	return Problem{Reason: err.Error()}
+}
+
+func (s *Snapshot) checkService(name string, t *Target) []Problem {
+	if t.Service == "" || s.services[t.Service] != nil {
 		return nil
 	}
-	return &CheckError{Problems: ps}
+	return []Problem{{
+		Key: Key{KindTarget, name}, Field: "service", Missing: []string{t.Service},
+		Reason: fmt.Sprintf("the service %q is not in the mesh", t.Service),
+	}}
 }
 
-func (s *Snapshot) checkTarget(t *Target) []Problem {
+// checkMatches refuses two classes that the rule of Match can't tell apart.
+// Without it, which of the two a call belongs to would depend on the order in
+// which a node compiled them.
+func (s *Snapshot) checkMatches() []Problem {
+	type place struct{ host, prefix string }
+	places := make(map[place][]*Target)
 	var ps []Problem
-	key := Key{KindTarget, t.Name}
-	if s.services[t.Service] == nil {
-		ps = append(ps, Problem{
-			Key: key, Field: "service", Missing: []string{t.Service},
-			Reason: fmt.Sprintf("the service %q is not in the mesh", t.Service),
-		})
-	}
-	if t.Share < 0 || t.Share > 1 {
-		ps = append(ps, Problem{Key: key, Field: "share", Reason: "must be between 0 and 1"})
+	for _, t := range s.Targets() {
+		at := place{t.Match.Host, t.Match.Prefix()}
+		for _, o := range places[at] {
+			if methodsClash(o.Match.Methods, t.Match.Methods) {
+				ps = append(ps, Problem{
+					Key: Key{KindTarget, t.Name}, Field: "match",
+					Reason: fmt.Sprintf("matches the same calls as the target %q", o.Name),
+				})
+			}
+		}
+		places[at] = append(places[at], t)
 	}
 	return ps
 }
+
+// methodsClash reports whether neither list takes precedence over the other
+// for some method.
+func methodsClash(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) == len(b)
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
+
+func (p Problem) isMissingService() bool { return p.Field == "service" && len(p.Missing) == 1 }
+
+func sortProblems(ps []Problem) {
+	sort.SliceStable(ps, func(i, j int) bool {
+		a, b := ps[i], ps[j]
+		if a.Key != b.Key {
+			return a.Key.Less(b.Key)
+		}
+		if a.Field != b.Field {
+			return a.Field < b.Field
+		}
+		return a.Reason < b.Reason
+	})
+}
+
+func asCheckError(ps []Problem) error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return &CheckError{Problems: ps}
+}
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -14,6 +14,13 @@
 	// ErrHashMismatch means that applying a delta gave another hash than it
 	// promises: the delta is damaged or forged.
 	ErrHashMismatch = errors.New("config: the result does not have the promised hash")
+	// ErrOtherHistory means that a snapshot belongs to another history than
+	// the one held, for example that of a restored backup.
+	ErrOtherHistory = errors.New("config: the version belongs to another history")
+	// ErrTooLarge means that decoding would give more bytes than allowed.
+	ErrTooLarge = errors.New("config: larger than allowed")
+	// ErrBadEncoding means that bytes are no encoded snapshot or deltas.
+	ErrBadEncoding = errors.New("config: cannot be decoded")
 )
 
 // ObjectError says what is wrong with one object.
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"encoding/json"
+	"strings"
 	"time"
 )
 
@@ -33,8 +35,32 @@
 // Object is one configuration object as it is stored, hashed and sent: its key
 // and its canonical JSON encoding. Raw must not be changed once set.
 type Object struct {
+	Key Key
+	Raw []byte
+}
+
+// objectJSON is the form of an Object in JSON. Raw is a string, not an inner
+// value or base64: an inner value would be rewritten by encoders, which changes
+// the hash, and base64 compresses worse and can't be read in the platform's
+// rows.
+type objectJSON struct {
 	Key Key    `json:"key"`
-	Raw []byte `json:"raw"`
+	Raw string `json:"raw"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (o Object) MarshalJSON() ([]byte, error) {
+	return json.Marshal(objectJSON{Key: o.Key, Raw: string(o.Raw)})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *Object) UnmarshalJSON(b []byte) error {
+	var v objectJSON
+	if err := json.Unmarshal(b, &v); err != nil {
+		return err
+	}
+	*o = Object{Key: v.Key, Raw: []byte(v.Raw)}
+	return nil
 }
 
 // Service is a destination that backend servers announce themselves for.
@@ -71,14 +97,22 @@
 )
 
 // Match selects the calls of a class of work. An empty Host matches every
-// host; an empty Methods matches every method. The longest PathPrefix wins,
-// then an exact Host over an empty one.
+// host; an empty Methods matches every method. PathPrefix matches whole path
+// segments: "/berths" matches "/berths" and "/berths/7" but not "/berths2"; a
+// slash at its end makes no difference.
+//
+// Of the classes that match a call, the one with the longest PathPrefix is
+// taken, then one with a Host over one without, then one with Methods over one
+// without. Check refuses two classes that this rule can't tell apart.
 type Match struct {
 	Host       string   `json:"host,omitempty"`
 	PathPrefix string   `json:"path_prefix"`
 	Methods    []string `json:"methods,omitempty"`
 }
 
+// Prefix returns PathPrefix without a slash at its end; the root is "".
+func (m Match) Prefix() string { return strings.TrimSuffix(m.PathPrefix, "/") }
+
 // Target is what an operator states for one class of work. The target's name
 // is the name of the class. It holds aims and bounds, never weights or
 // addresses.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -6,8 +6,12 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"slices"
 	"sort"
+	"unicode/utf8"
 )
 
 // HashSize is the size of a Hash in bytes.
@@ -33,13 +37,29 @@
 	return h, nil
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *Hash) UnmarshalText(b []byte) error {
+	parsed, err := ParseHash(string(b))
+	if err != nil {
+		return err
+	}
+	*h = parsed
+	return nil
+}
+
 // Version names one snapshot of one history. Number counts up from zero, the
 // empty snapshot; Hash tells histories apart.
 type Version struct {
-	Number uint64
-	Hash   Hash
+	Number uint64 `json:"number"`
+	Hash   Hash   `json:"hash"`
 }
 
+// String returns the version as "number@hash", with the hash cut short.
+func (v Version) String() string { return fmt.Sprintf("%d@%s", v.Number, v.Hash.Short()) }
+
 // Newer reports whether v has a higher number than o. Versions of the same
 // number and another hash belong to another history; neither is newer.
 func (v Version) Newer(o Version) bool { return v.Number > o.Number }
@@ -66,7 +86,7 @@
 }
 
 // New builds the snapshot with the given number, parent and objects. It
-// returns an error when an object stands twice. An object that cannot be
+// returns an error when an object stands twice or is not UTF-8. An object that cannot be
 // decoded is kept, hashed and passed on; DecodeError then says why the
 // snapshot cannot be put in force here. Check finds the rest.
 func New(number uint64, parent Hash, objects []Object) (*Snapshot, error) {
@@ -81,6 +101,9 @@
 		if i > 0 && s.objects[i-1].Key == o.Key {
 			return nil, &ObjectError{Key: o.Key, Reason: "stands twice"}
 		}
+		if !utf8.Valid(o.Raw) || !utf8.ValidString(o.Key.Name) || !utf8.ValidString(string(o.Key.Kind)) {
+			return nil, &ObjectError{Key: o.Key, Reason: "is not UTF-8"}
+		}
 		if err := s.decode(o); err != nil && s.undecoded == nil {
 			s.undecoded = err
 		}
@@ -118,6 +141,9 @@
 	if err := d.Decode(into); err != nil {
 		return &ObjectError{Key: o.Key, Reason: "cannot be decoded: " + err.Error()}
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return &ObjectError{Key: o.Key, Reason: "has data after its end"}
+	}
 	return nil
 }
 
