Tell versions of another history

Cause: a store offered the same number with another hash ignored it without a word. Change: Store.Offer returns ErrOtherHistory for the same number with another hash and for the next number with another parent, and keeps it for handover. A compile that panics counts as refused. Conclusion: shown by TestStoreTellsOtherHistory and TestStoreNeverGoesBackAndNeverHalf.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 )
@@ -23,6 +24,7 @@
 type Store[P any] struct {
 	current atomic.Pointer[InForce[P]]
 	refused atomic.Pointer[Refused]
+	foreign atomic.Pointer[Refused]
 	compile func(*Snapshot) (P, error)
 	mu      sync.Mutex // serialises writers
 }
@@ -58,12 +60,27 @@
 	return r
 }
 
+// OtherHistory returns the last version offered that belongs to another
+// history than the running one, or nil. It stays until the process ends, since
+// only an operator can say which history is right.
+func (s *Store[P]) OtherHistory() *Refused { return s.foreign.Load() }
+
 // Offer puts n in force if it is newer than the running version and compiles.
 // It reports whether n is now the running version.
+//
+// Offer returns ErrOtherHistory where n alone tells that it does not descend
+// from the running version: the same number with another hash, or the next
+// number with another parent. Over a larger gap only the deltas between the two
+// can tell; Delta.Apply checks each of them.
 func (s *Store[P]) Offer(n *Snapshot) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !n.Version().Newer(s.Load().Snapshot.Version()) {
+	running := s.Load().Snapshot.Version()
+	if otherHistory(running, n) {
+		s.foreign.Store(&Refused{Version: n.Version(), Err: ErrOtherHistory})
+		return false, ErrOtherHistory
+	}
+	if !n.Version().Newer(running) {
 		return false, nil
 	}
 	p, err := s.compileWhole(n)
@@ -75,8 +92,27 @@
 	return true, nil
 }
 
-func (s *Store[P]) compileWhole(n *Snapshot) (P, error) {
+func otherHistory(running Version, n *Snapshot) bool {
+	v := n.Version()
+	switch v.Number {
+	case running.Number:
+		return v.Hash != running.Hash
+	case running.Number + 1:
+		return n.Parent() != running.Hash
+	}
+	return false
+}
+
+// compileWhole checks and compiles n. A version that makes compile panic would
+// otherwise end every node of the mesh within seconds of its acceptance, and
+// each again on its restart; it is refused like any other that can't compile.
+func (s *Store[P]) compileWhole(n *Snapshot) (p P, err error) {
 	var none P
+	defer func() {
+		if r := recover(); r != nil {
+			p, err = none, fmt.Errorf("config: compiling %s panicked: %v", n.Version(), r)
+		}
+	}()
 	if err := n.DecodeError(); err != nil {
 		return none, err
 	}
