--- /dev/null
+++ b/internal/announce/registry.go
@@ -0,0 +1,241 @@
+package announce
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// Defaults of Limits.
+const (
+	DefaultTTL = 3 * time.Second
+	DefaultMax = 64
+)
+
+// renewalsPerTTL is how often a backend server is asked to renew within one
+// TTL, so that two lost renewals in a row don't end its lease.
+const renewalsPerTTL = 3
+
+// Limits bound what a Registry takes in.
+type Limits struct {
+	TTL time.Duration // how long a silent backend server is kept
+	Max int           // backend servers at once
+}
+
+// RenewEvery returns how often a backend server should renew.
+func (l Limits) RenewEvery() time.Duration { return l.TTL / renewalsPerTTL }
+
+// Announcement is what a backend server says about itself.
+type Announcement struct {
+	Instance string
+	Service  string
+	Address  netip.AddrPort
+	Slots    int
+	State    membership.BackendState
+	Load     int // calls that it runs or queues
+}
+
+// Backend is one backend server under a lease.
+type Backend struct {
+	Announcement
+	LoadAt time.Time // when Load was told
+	// ReadySince is when it became ready; zero unless State is BackendReady.
+	ReadySince time.Time
+	Expires    time.Time
+}
+
+// ChangeKind says what happened to a backend server.
+type ChangeKind uint8
+
+// Kinds of change. Renewed is the only one that the mesh need not hear of.
+const (
+	Renewed ChangeKind = iota + 1
+	Added
+	Changed
+	Replaced // another backend server took over the instance or the address
+	Withdrawn
+	Expired
+)
+
+// Change is one change of the registry.
+type Change struct {
+	Kind    ChangeKind
+	Backend Backend // as it is now, or as it last was when it is gone
+}
+
+// Visible reports whether the node's record in the mesh has to be raised.
+func (c Change) Visible() bool { return c.Kind != Renewed }
+
+// Registry holds the backend servers of one VM.
+type Registry struct {
+	limits Limits
+	list   atomic.Pointer[[]Backend] // by instance; never changed once stored
+
+	mu        sync.Mutex // serialises writers
+	lastSweep time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(l Limits) *Registry {
+	r := &Registry{limits: l}
+	r.list.Store(&[]Backend{})
+	return r
+}
+
+// Limits returns what the registry was made with.
+func (r *Registry) Limits() Limits { return r.limits }
+
+// Load returns the backend servers ordered by instance. Callers must not
+// change the list.
+func (r *Registry) Load() []Backend { return *r.list.Load() }
+
+// Put announces a backend server or renews its lease. It returns what changed,
+// which includes any backend server that the new one took the place of.
+func (r *Registry) Put(now time.Time, a Announcement) ([]Change, error) {
+	if err := check(a); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list, changes := r.without(a.Address, a.Instance)
+	b := Backend{Announcement: a, LoadAt: now, Expires: now.Add(r.limits.TTL)}
+	at, known := find(list, a.Instance)
+	if !known {
+		if len(list) >= r.limits.Max {
+			return nil, ErrTooMany
+		}
+		b.ReadySince = readySince(now, nil, a)
+		r.publish(slices.Insert(list, at, b))
+		return append(changes, Change{Added, b}), nil
+	}
+	kind := compare(list[at], a)
+	old := &list[at]
+	if kind == Replaced {
+		old = nil
+	}
+	b.ReadySince = readySince(now, old, a)
+	list[at] = b
+	r.publish(list)
+	return append(changes, Change{kind, b}), nil
+}
+
+// without returns a copy of the list less any other instance at the address.
+//
+// It guards against a backend server that crashed and came back under another
+// instance name before its old lease ran out. Both entries would lead to the
+// same process, and its slots would count twice. Only one process can listen on
+// an address, so the newer announcement is the true one.
+func (r *Registry) without(address netip.AddrPort, instance string) ([]Backend, []Change) {
+	list := make([]Backend, 0, len(r.Load())+1)
+	var gone []Change
+	for _, b := range r.Load() {
+		if b.Address == address && b.Instance != instance {
+			gone = append(gone, Change{Replaced, b})
+			continue
+		}
+		list = append(list, b)
+	}
+	return list, gone
+}
+
+// compare tells how an announcement differs from the one before. Another
+// address or service under the same instance is another backend server: what
+// was known of the old one, such as its being warm, does not hold for it.
+func compare(old Backend, a Announcement) ChangeKind {
+	switch {
+	case old.Address != a.Address || old.Service != a.Service:
+		return Replaced
+	case old.State != a.State || old.Slots != a.Slots:
+		return Changed
+	}
+	return Renewed
+}
+
+func readySince(now time.Time, old *Backend, a Announcement) time.Time {
+	if a.State != membership.BackendReady {
+		return time.Time{}
+	}
+	if old != nil && old.State == membership.BackendReady {
+		return old.ReadySince
+	}
+	return now
+}
+
+// Withdraw removes a backend server. A valid address removes it only while it
+// has that address.
+//
+// The address guards against a late withdrawal: a backend server restarts on
+// another port under the same instance, and the old process withdraws last.
+// Without the address the new one would vanish until its next renewal.
+func (r *Registry) Withdraw(instance string, address netip.AddrPort) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := slices.Clone(r.Load())
+	at, known := find(list, instance)
+	if !known || (address.IsValid() && list[at].Address != address) {
+		return nil
+	}
+	gone := list[at]
+	r.publish(slices.Delete(list, at, at+1))
+	return []Change{{Withdrawn, gone}}
+}
+
+// Expire removes the backend servers whose lease has run out. Call it at least
+// twice within a TTL.
+//
+// It guards against a pause of the node itself. While the node stands still no
+// renewal can arrive, and on its return every lease would seem to have run out
+// although every backend server is well. A long gap between two calls shows the
+// pause; all leases then start anew.
+func (r *Registry) Expire(now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paused := !r.lastSweep.IsZero() && now.Sub(r.lastSweep) > r.limits.TTL/2
+	r.lastSweep = now
+	var kept []Backend
+	var gone []Change
+	for _, b := range r.Load() {
+		if paused {
+			b.Expires = now.Add(r.limits.TTL)
+		}
+		if b.Expires.After(now) {
+			kept = append(kept, b)
+		} else {
+			gone = append(gone, Change{Expired, b})
+		}
+	}
+	if paused || len(gone) > 0 {
+		r.publish(kept)
+	}
+	return gone
+}
+
+func (r *Registry) publish(list []Backend) { r.list.Store(&list) }
+
+func find(list []Backend, instance string) (int, bool) {
+	return slices.BinarySearchFunc(list, instance, func(b Backend, name string) int {
+		return strings.Compare(b.Instance, name)
+	})
+}
+
+// Members returns the backend servers as the node's record tells of them.
+func Members(list []Backend) []membership.Backend {
+	out := make([]membership.Backend, len(list))
+	for i, b := range list {
+		out[i] = membership.Backend{
+			Service:  b.Service,
+			Instance: b.Instance,
+			Slots:    b.Slots,
+			State:    b.State,
+		}
+		if !b.ReadySince.IsZero() {
+			out[i].ReadySince = b.ReadySince.UnixMilli()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/announce/registry_test.go
@@ -0,0 +1,212 @@
+package announce
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+var start = time.Date(2026, 6, 1, 6, 0, 0, 0, time.UTC)
+
+func berth(instance, address string) Announcement {
+	return Announcement{
+		Instance: instance,
+		Service:  "berth",
+		Address:  netip.MustParseAddrPort(address),
+		Slots:    6,
+		State:    membership.BackendReady,
+	}
+}
+
+func put(t *testing.T, r *Registry, now time.Time, a Announcement) []Change {
+	t.Helper()
+	changes, err := r.Put(now, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return changes
+}
+
+func kinds(changes []Change) []ChangeKind {
+	var out []ChangeKind
+	for _, c := range changes {
+		out = append(out, c.Kind)
+	}
+	return out
+}
+
+func wantKinds(t *testing.T, got []Change, want ...ChangeKind) {
+	t.Helper()
+	k := kinds(got)
+	if len(k) != len(want) {
+		t.Fatalf("changes %v, want %v", k, want)
+	}
+	for i := range want {
+		if k[i] != want[i] {
+			t.Fatalf("changes %v, want %v", k, want)
+		}
+	}
+}
+
+func TestPutTellsWhatChanged(t *testing.T) {
+	first := berth("a", "127.0.0.1:1")
+	tests := []struct {
+		name      string
+		next      func(*Announcement)
+		want      ChangeKind
+		keepsWarm bool
+	}{
+		{"the same", func(*Announcement) {}, Renewed, true},
+		{"another load", func(a *Announcement) { a.Load = 5 }, Renewed, true},
+		{"fewer slots", func(a *Announcement) { a.Slots = 3 }, Changed, true},
+		{"draining", func(a *Announcement) { a.State = membership.BackendDraining }, Changed, false},
+		{"another service", func(a *Announcement) { a.Service = "survey" }, Replaced, false},
+		{"another address", func(a *Announcement) { a.Address = netip.MustParseAddrPort("127.0.0.1:2") }, Replaced, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+			wantKinds(t, put(t, r, start, first), Added)
+			next := first
+			test.next(&next)
+			wantKinds(t, put(t, r, start.Add(time.Second), next), test.want)
+			got := r.Load()[0]
+			if got.ReadySince.Equal(start) != test.keepsWarm {
+				t.Errorf("ready since %v, want kept: %v", got.ReadySince, test.keepsWarm)
+			}
+			if got.Announcement != next {
+				t.Errorf("holds %+v, want %+v", got.Announcement, next)
+			}
+		})
+	}
+}
+
+func TestPutRefuses(t *testing.T) {
+	tests := []struct {
+		field  string
+		change func(*Announcement)
+	}{
+		{"instance", func(a *Announcement) { a.Instance = "Not/A/Name" }},
+		{"service", func(a *Announcement) { a.Service = "" }},
+		{"slots", func(a *Announcement) { a.Slots = 0 }},
+		{"load", func(a *Announcement) { a.Load = -1 }},
+		{"state", func(a *Announcement) { a.State = 0 }},
+		{"address", func(a *Announcement) { a.Address = netip.MustParseAddrPort("10.0.0.1:80") }},
+		{"address", func(a *Announcement) { a.Address = netip.MustParseAddrPort("127.0.0.1:0") }},
+		{"address", func(a *Announcement) { a.Address = netip.AddrPort{} }},
+	}
+	for _, test := range tests {
+		r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+		a := berth("a", "127.0.0.1:1")
+		test.change(&a)
+		_, err := r.Put(start, a)
+		var f *FieldError
+		if !errors.As(err, &f) || f.Field != test.field {
+			t.Errorf("%+v: got %v, want a fault of %s", a, err, test.field)
+		}
+		if len(r.Load()) != 0 {
+			t.Errorf("%+v was taken in", a)
+		}
+	}
+}
+
+func TestPutBoundsTheNumber(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: 1})
+	put(t, r, start, berth("a", "127.0.0.1:1"))
+	if _, err := r.Put(start, berth("b", "127.0.0.1:2")); !errors.Is(err, ErrTooMany) {
+		t.Errorf("got %v", err)
+	}
+	wantKinds(t, put(t, r, start, berth("a", "127.0.0.1:1")), Renewed)
+}
+
+// A backend server crashes and returns at once under a new instance name on its
+// old port. Callers would see it get twice its calls until the old lease ends,
+// because both entries lead to the one process.
+func TestSameAddressTakesThePlace(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: 1})
+	put(t, r, start, berth("old", "127.0.0.1:1"))
+	wantKinds(t, put(t, r, start, berth("new", "127.0.0.1:1")), Replaced, Added)
+	if list := r.Load(); len(list) != 1 || list[0].Instance != "new" {
+		t.Errorf("holds %+v", list)
+	}
+}
+
+// A backend server restarts on another port. The old process withdraws after
+// the new one has announced itself, and takes the new one out of the mesh: its
+// callers are refused until the next renewal.
+func TestLateWithdrawalLeavesTheSuccessor(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+	old, successor := berth("a", "127.0.0.1:1"), berth("a", "127.0.0.1:2")
+	put(t, r, start, old)
+	put(t, r, start, successor)
+	wantKinds(t, r.Withdraw("a", old.Address))
+	if len(r.Load()) != 1 {
+		t.Fatal("the successor is gone")
+	}
+	wantKinds(t, r.Withdraw("a", successor.Address), Withdrawn)
+	wantKinds(t, r.Withdraw("a", netip.AddrPort{}))
+}
+
+func TestSilentBackendExpires(t *testing.T) {
+	const step = DefaultTTL / sweepsPerTTL
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+	put(t, r, start, berth("silent", "127.0.0.1:1"))
+	var gone []Change
+	for now := start; now.Before(start.Add(DefaultTTL + step)); now = now.Add(step) {
+		put(t, r, now, berth("renews", "127.0.0.1:2"))
+		gone = append(gone, r.Expire(now)...)
+	}
+	wantKinds(t, gone, Expired)
+	if gone[0].Backend.Instance != "silent" || len(r.Load()) != 1 {
+		t.Errorf("gone %+v, left %+v", gone, r.Load())
+	}
+}
+
+// The VM stands still for a minute and goes on. No renewal could arrive, so
+// every lease has run out: the node takes all its backend servers out of the
+// mesh although all are well, and callers are refused.
+func TestPauseOfTheNodeExpiresNothing(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+	put(t, r, start, berth("a", "127.0.0.1:1"))
+	r.Expire(start)
+	back := start.Add(time.Minute)
+	wantKinds(t, r.Expire(back))
+	if len(r.Load()) != 1 {
+		t.Fatal("expired by the pause")
+	}
+	r.Expire(back.Add(DefaultTTL / 2))
+	wantKinds(t, r.Expire(back.Add(DefaultTTL)), Expired)
+}
+
+func TestLoadedListNeverChanges(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+	put(t, r, start, berth("b", "127.0.0.1:1"))
+	before := r.Load()
+	put(t, r, start, berth("a", "127.0.0.1:2"))
+	changed := berth("b", "127.0.0.1:1")
+	changed.Slots = 1
+	put(t, r, start, changed)
+	r.Withdraw("b", netip.AddrPort{})
+	if len(before) != 1 || before[0].Instance != "b" || before[0].Slots != 6 {
+		t.Errorf("the list changed to %+v", before)
+	}
+}
+
+func TestMembers(t *testing.T) {
+	r := NewRegistry(Limits{TTL: DefaultTTL, Max: DefaultMax})
+	put(t, r, start, berth("a", "127.0.0.1:1"))
+	cold := berth("b", "127.0.0.1:2")
+	cold.State = membership.BackendStarting
+	put(t, r, start, cold)
+	got := Members(r.Load())
+	want := []membership.Backend{
+		{Service: "berth", Instance: "a", Slots: 6, State: membership.BackendReady, ReadySince: start.UnixMilli()},
+		{Service: "berth", Instance: "b", Slots: 6, State: membership.BackendStarting},
+	}
+	if len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/gen/announceapi/oas_client_gen.go
+++ b/internal/gen/announceapi/oas_client_gen.go
@@ -339,6 +339,27 @@
 	}
 	uri.AddPathParts(u, pathParts[:]...)
 
+	stage = "EncodeQueryParams"
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "address" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "address",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Address.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
 	stage = "EncodeRequest"
 	r, err := ht.NewRequest(ctx, "DELETE", u)
 	if err != nil {
--- a/internal/gen/announceapi/oas_handlers_gen.go
+++ b/internal/gen/announceapi/oas_handlers_gen.go
@@ -434,6 +434,10 @@
 			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
+				{
+					Name: "address",
+					In:   "query",
+				}: params.Address,
 				{
 					Name: "instance",
 					In:   "path",
--- a/internal/gen/announceapi/oas_parameters_gen.go
+++ b/internal/gen/announceapi/oas_parameters_gen.go
@@ -97,11 +97,22 @@
 
 // WithdrawBackendParams is parameters of withdrawBackend operation.
 type WithdrawBackendParams struct {
+	// Withdraw only while the backend server is announced at this address.
+	Address OptString `json:",omitempty,omitzero"`
 	// Unique on the VM; chosen by the backend server.
 	Instance Name
 }
 
 func unpackWithdrawBackendParams(packed middleware.Parameters) (params WithdrawBackendParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "address",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Address = v.(OptString)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "instance",
@@ -113,6 +124,75 @@
 }
 
 func decodeWithdrawBackendParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawBackendParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: address.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "address",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotAddressVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotAddressVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Address.SetTo(paramsDotAddressVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Address.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     64,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "address",
+			In:   "query",
+			Err:  err,
+		}
+	}
 	// Decode path: instance.
 	if err := func() error {
 		param := args[0]
