--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,161 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+)
+
+// maxHealth bounds the local health multiplier.
+const maxHealth = 8
+
+// relay is a probe made for another node.
+type relay struct{ asker, target string }
+
+// indirect is a probe through relays under way.
+type indirect struct {
+	deadline time.Time
+	relays   int // asked
+	answered int // relays that took the order
+}
+
+// tickProbe probes the next neighbour.
+func (s *State) tickProbe() {
+	if s.now.Before(s.nextProbe) {
+		return
+	}
+	// A tenth of jitter keeps nodes that started together from probing so.
+	period := s.cfg.ProbeEvery - s.cfg.ProbeEvery/20 + time.Duration(s.rnd.Int64N(int64(s.cfg.ProbeEvery/10)+1))
+	s.nextProbe = s.now.Add(period)
+	if e := s.nextTarget(); e != nil {
+		s.probe(e)
+	}
+}
+
+// nextTarget returns the neighbours in turn, each once in a shuffled round;
+// those that others suspect go first.
+func (s *State) nextTarget() *entry {
+	s.ring()
+	for len(s.first) > 0 {
+		e := s.first[0]
+		s.first = s.first[1:]
+		if !e.dead && slices.Contains(s.fingers, e) {
+			return e
+		}
+	}
+	for range 2 {
+		for len(s.cycle) > 0 {
+			e := s.cycle[0]
+			s.cycle = s.cycle[1:]
+			if slices.Contains(s.fingers, e) {
+				return e
+			}
+		}
+		s.cycle = shuffled(s, s.fingers, len(s.fingers))
+	}
+	return nil
+}
+
+func (s *State) probe(e *entry) {
+	m := &peerpb.Membership{Kind: peerpb.Kind_KIND_PROBE}
+	s.fill(m, e.rec.VM.ID)
+	m.Digest = s.digest()
+	s.stats.Probes++
+	s.send(e, m, s.patience(s.cfg.ProbeTimeout))
+}
+
+// patience widens a timeout while this node itself seems slow.
+func (s *State) patience(d time.Duration) time.Duration {
+	return d * time.Duration(1+s.health)
+}
+
+func (s *State) unwell(by int) {
+	s.health = max(0, min(maxHealth, s.health+by))
+}
+
+func (s *State) probeAnswered(id uint64, target string) {
+	s.unwell(-1)
+	if r, ok := s.relaying[id]; ok {
+		delete(s.relaying, id)
+		s.vouch(r)
+	}
+	delete(s.indirect, target)
+}
+
+// probeFailed asks relays to probe the silent node. The relays are nodes that
+// probe it anyway and so have a connection to it.
+func (s *State) probeFailed(target string) {
+	e := s.entries[target]
+	if e == nil || e.dead || s.indirect[target] != nil || e.centre != s.home {
+		return
+	}
+	s.ring()
+	if !slices.Contains(s.fingers, e) {
+		return // it was probed for another node, which judges it
+	}
+	s.stats.ProbeFailures++
+	s.unwell(1)
+	helpers := slices.DeleteFunc(s.neighbours(e.key, true), func(r *entry) bool {
+		return r == nil || r == e || r.suspicion != nil
+	})
+	helpers = shuffled(s, helpers, s.cfg.Relays)
+	wait := s.patience(s.cfg.IndirectTimeout)
+	s.indirect[target] = &indirect{deadline: s.now.Add(wait), relays: len(helpers)}
+	for _, r := range helpers {
+		m := &peerpb.Membership{Kind: peerpb.Kind_KIND_RELAY, Target: target}
+		s.send(r, m, wait)
+	}
+}
+
+func (s *State) relayAnswered(target string) {
+	if in := s.indirect[target]; in != nil {
+		in.answered++
+	}
+}
+
+// startRelay probes target for asker. Only a success is told.
+func (s *State) startRelay(asker, target string) {
+	e := s.entries[target]
+	if e == nil || e.dead {
+		return
+	}
+	if len(s.relaying) >= s.cfg.Limits.Relays {
+		s.stats.Refused++
+		return
+	}
+	m := &peerpb.Membership{Kind: peerpb.Kind_KIND_PROBE}
+	id := s.send(e, m, s.cfg.ProbeTimeout)
+	s.relaying[id] = relay{asker: asker, target: target}
+}
+
+func (s *State) vouch(r relay) {
+	if e := s.entries[r.asker]; e != nil && !e.dead {
+		m := &peerpb.Membership{Kind: peerpb.Kind_KIND_VOUCH, Target: r.target}
+		s.send(e, m, s.cfg.ProbeTimeout)
+	}
+}
+
+func (s *State) vouched(target string) { delete(s.indirect, target) }
+
+// tickIndirect suspects the nodes that neither we nor the relays reached. When
+// no relay answered either, the fault is as likely ours and nothing is said.
+func (s *State) tickIndirect() {
+	for _, target := range slices.Sorted(maps.Keys(s.indirect)) {
+		in := s.indirect[target]
+		if s.now.Before(in.deadline) {
+			continue
+		}
+		delete(s.indirect, target)
+		e := s.entries[target]
+		if e == nil || e.dead || s.now.Before(s.settled) {
+			continue
+		}
+		if in.relays > 0 && in.answered == 0 {
+			s.unwell(1)
+			continue
+		}
+		s.suspect(e)
+	}
+}
--- /dev/null
+++ b/internal/membership/self.go
@@ -0,0 +1,205 @@
+package membership
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+)
+
+// ErrTooMuch is given for a change to the own record that is over a limit.
+var ErrTooMuch = errors.New("membership: the record would be over a limit")
+
+// own is what this node keeps of its own record.
+type own struct {
+	dirty      bool // a lazy change waits
+	nextRaise  time.Time
+	urgent     bool
+	superseded time.Time
+	joinedAt   time.Time
+}
+
+// Applied is what SetApplied tells of the configuration in force.
+type Applied struct {
+	Version       uint64
+	Hash          [8]byte
+	Refused       uint64
+	RefusedReason string
+}
+
+func (s *State) linkOwn() {
+	s.home.hash ^= hashStamp(s.key, s.self.stamp())
+	s.home.idset ^= hashStamp(s.key, stamp{s.self.VM.Incarnation, 0})
+}
+
+// changeOwn is the only place that raises the own record.
+func (s *State) changeOwn(incarnation uint64, urgent bool) {
+	s.linkOwn() // the digest is a sum by XOR: linking twice unlinks
+	if incarnation > s.self.VM.Incarnation {
+		s.self.VM.Incarnation = incarnation
+	}
+	s.self.Sequence++
+	s.linkOwn()
+	s.own.dirty = false
+	s.own.nextRaise = s.now.Add(s.cfg.RaiseEvery)
+	s.viewDirty = true
+	s.heatOwn(urgent)
+}
+
+func (s *State) heatOwn(urgent bool) {
+	s.hotOwn = s.spread()
+	s.own.urgent = s.own.urgent || urgent
+}
+
+// SetBackends replaces the backend servers beside this node. Taking one out of
+// service is told at once; the rest waits for the next messages.
+func (s *State) SetBackends(now time.Time, list []Backend) error {
+	s.advance(now)
+	if err := s.fits(Record{Backends: list}); err != nil {
+		return err
+	}
+	if slices.Equal(list, s.self.Backends) {
+		return nil
+	}
+	urgent := lessServed(s.self.Backends, list)
+	s.self.Backends = slices.Clone(list)
+	s.changed(urgent)
+	return nil
+}
+
+// lessServed tells whether a backend server that was ready no longer is.
+func lessServed(before, after []Backend) bool {
+	for _, b := range before {
+		ready := func(a Backend) bool {
+			return a.Service == b.Service && a.Instance == b.Instance && a.State == BackendReady
+		}
+		if b.State == BackendReady && !slices.ContainsFunc(after, ready) {
+			return true
+		}
+	}
+	return false
+}
+
+// SetNotices replaces the notices of this node; they are told at once.
+func (s *State) SetNotices(now time.Time, list []Notice) error {
+	s.advance(now)
+	if err := s.fits(Record{Notices: list}); err != nil {
+		return err
+	}
+	if !slices.Equal(list, s.self.Notices) {
+		s.self.Notices = slices.Clone(list)
+		s.changed(true)
+	}
+	return nil
+}
+
+// SetApplied tells which version is in force here. The version alone raises no
+// sequence: it rides on messages as one bit a node (see Held). A refusal is
+// rare and goes into the record.
+func (s *State) SetApplied(now time.Time, a Applied) {
+	s.advance(now)
+	refused := a.Refused != s.self.Refused || a.RefusedReason != s.self.RefusedReason
+	if a.Version != s.self.Applied {
+		s.heatHeld()
+	}
+	s.self.Applied, s.self.AppliedHash = a.Version, a.Hash
+	s.self.Refused = a.Refused
+	s.self.RefusedReason = a.RefusedReason[:min(len(a.RefusedReason), s.cfg.Limits.String)]
+	s.heldDirty = true
+	if refused {
+		s.changed(false)
+	}
+}
+
+// Leave says that this node leaves the mesh; it is told at once. The node may
+// go on answering until its calls are done.
+func (s *State) Leave(now time.Time) {
+	s.advance(now)
+	if s.self.State == VMLeaving {
+		return
+	}
+	s.self.State = VMLeaving
+	s.home.bridges = nil
+	s.changed(true)
+}
+
+func (s *State) fits(r Record) error {
+	r.VM, r.State = s.self.VM, VMAlive
+	if !s.cfg.Limits.allowed(encodeRecord(&r)) {
+		s.stats.Refused++
+		return ErrTooMuch
+	}
+	return nil
+}
+
+// changed raises the record at once or, for a lazy change, at most every
+// RaiseEvery, so that a flapping backend server costs a bounded number of
+// updates.
+func (s *State) changed(urgent bool) {
+	if urgent || !s.now.Before(s.own.nextRaise) {
+		s.changeOwn(0, urgent)
+		return
+	}
+	s.own.dirty = true
+	s.viewDirty = true
+}
+
+func (s *State) tickOwn() {
+	keep := slices.DeleteFunc(slices.Clone(s.self.Notices), func(n Notice) bool { return n.Expires <= s.now.UnixMilli() })
+	if len(keep) != len(s.self.Notices) {
+		s.self.Notices = keep
+		s.own.dirty = true
+	}
+	// Others drop a leaving record after LeavingFor; say that we live on.
+	stay := s.self.State == VMLeaving && s.now.Sub(s.own.nextRaise) > s.cfg.LeavingFor/2
+	if (s.own.dirty || stay) && !s.now.Before(s.own.nextRaise) && s.own.superseded.IsZero() {
+		s.changeOwn(0, false)
+	}
+}
+
+// acceptOwn takes a record under this node's ID. A higher one that we did not
+// make is either our own from before the restart, or that of another process
+// that claims the ID. For the first minute after joining it is taken for the
+// former, and we go above it. After that it is a process that started later:
+// it wins, since a replaced VM must, and this one reports itself superseded
+// and raises its record no more. Both going on would raise each other without
+// end.
+func (s *State) acceptOwn(p *peerpb.Record) {
+	st := stamp{p.GetIncarnation(), p.GetSequence()}
+	if !st.newer(s.self.stamp()) {
+		return
+	}
+	if !s.joined || s.now.Sub(s.own.joinedAt) < s.cfg.LeavingFor {
+		s.changeOwn(st.incarnation+1, false)
+		return
+	}
+	s.stats.Duplicates++
+	if st.incarnation == s.self.VM.Incarnation {
+		// Started in the same millisecond: part the two by chance.
+		s.changeOwn(st.incarnation+1+s.rnd.Uint64N(1000), false)
+		return
+	}
+	if s.own.superseded.IsZero() {
+		s.own.superseded = s.now
+	}
+}
+
+// Superseded tells since when another process is known to claim this node's
+// ID with a later start. The node should stop.
+func (s *State) Superseded() (time.Time, bool) {
+	return s.own.superseded, !s.own.superseded.IsZero()
+}
+
+// refute answers a claim about this node by a higher record.
+func (s *State) refute(about stamp) {
+	if about.incarnation != s.self.VM.Incarnation || s.self.stamp().newer(about) || !s.own.superseded.IsZero() {
+		return
+	}
+	s.stats.Refutations++
+	if about.sequence > s.self.Sequence {
+		s.stats.Refused++ // nobody but us makes sequences
+		return
+	}
+	s.changeOwn(0, false)
+}
