Add the endpoint picker

Cause: an entry node needs one place that picks the endpoint of a call. Change: internal/route picks by two random choices over own outstanding calls, reported load discounted by age, and observed outcomes; it keeps subsets, slow start, ejection with a cap and return by single real calls.

--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,17 @@
+// Package route picks the endpoint that a call is sent to.
+//
+// An entry node keeps one Picker for each service. The Picker learns of
+// endpoints from the membership view (Update) and of how they do from the
+// calls themselves (Choice.Done). It opens no socket, starts no goroutine and
+// sends no probe: a probe would cost a backend server as much as a call.
+//
+// A pick compares two endpoints drawn at random from the node's subset and
+// takes the cheaper one. The cost of an endpoint is its load per slot, made
+// larger when its answers are slower than those of the others, when its calls
+// fail, when it is in its slow start and when the membership suspects its VM.
+// What an endpoint says of its own load counts for less the older it is.
+//
+// Endpoints whose calls fail are ejected, never more than a set share of the
+// service, and return by single real calls. docs/design/picking.md gives the
+// reasons and the figures.
+package route
--- /dev/null
+++ b/internal/route/options.go
@@ -0,0 +1,65 @@
+package route
+
+import "time"
+
+// Defaults of the tunable fields of Options.
+const (
+	DefaultConnections = 130
+	DefaultMinSubset   = 3
+	DefaultSlowStart   = 20 * time.Second
+	DefaultLoadAge     = 500 * time.Millisecond
+	DefaultForget      = 10 * time.Second
+	DefaultMaxEjected  = 0.5
+	DefaultEjectFor    = 5 * time.Second
+	DefaultEjectMax    = time.Minute
+)
+
+// Options sets up a Picker. Zero fields take the defaults above.
+type Options struct {
+	Self       string // the VM of this node
+	DataCentre string
+	Region     string
+	// Seed makes the random choices repeatable; zero takes the runtime's
+	// random source.
+	Seed uint64
+
+	// Connections is how many entry nodes may hold connections to one
+	// endpoint, as far as MinSubset allows.
+	Connections int
+	// MinSubset is the least number of endpoints of its own data centre that
+	// a node uses, if there are as many.
+	MinSubset int
+	// SlowStart is how long an endpoint takes to get its full part of the
+	// calls after a cold start or an ejection.
+	SlowStart time.Duration
+	// LoadAge is the age at which reported load counts half.
+	LoadAge time.Duration
+	// Forget is the time in which observed failures and latency fade to a
+	// half when no new ones come.
+	Forget time.Duration
+	// MaxEjected is the largest share of the service's endpoints that may be
+	// ejected at once.
+	MaxEjected float64
+	// EjectFor is how long the first ejection lasts; each failed trial
+	// doubles it up to EjectMax.
+	EjectFor time.Duration
+	EjectMax time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.MinSubset, DefaultMinSubset)
+	setDefault(&o.SlowStart, DefaultSlowStart)
+	setDefault(&o.LoadAge, DefaultLoadAge)
+	setDefault(&o.Forget, DefaultForget)
+	setDefault(&o.MaxEjected, DefaultMaxEjected)
+	setDefault(&o.EjectFor, DefaultEjectFor)
+	setDefault(&o.EjectMax, DefaultEjectMax)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/route/pick.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Spilling to the next tier begins when the cheaper of two near endpoints
+// costs spillFrom (one is a full endpoint) and is sure to be weighed at
+// spillFull. A farther endpoint must be cheaper by spillMargin.
+const (
+	spillFrom   = 1.0
+	spillFull   = 2.0
+	spillMargin = 0.25
+)
+
+// drawTries bounds the random draws before a scan looks for an open endpoint.
+const drawTries = 4
+
+// overdueFactor is how many trial intervals an ejected endpoint waits for a
+// call that may be repeated before any call may be its trial.
+const overdueFactor = 4
+
+// Pick picks an endpoint for an attempt. Endpoints in tried are avoided as long
+// as there are others. The error is a *call.Refusal when no endpoint takes
+// calls.
+func (p *Picker) Pick(now time.Time, tried []string) (Choice, error) {
+	return p.pick(p.millis(now), tried, overdueFactor)
+}
+
+// PickRepeatable is Pick for a call that may be sent again whatever happens to
+// it, which makes it the better trial for an ejected endpoint.
+func (p *Picker) PickRepeatable(now time.Time, tried []string) (Choice, error) {
+	return p.pick(p.millis(now), tried, 1)
+}
+
+func (p *Picker) pick(now int64, tried []string, overdue int64) (Choice, error) {
+	t := p.table.Load()
+	if len(tried) == 0 {
+		if s := t.dueTrial(now, overdue); s != nil {
+			return p.choose(s, true), nil
+		}
+	}
+	if s := p.pickNear(t, now, tried); s != nil {
+		return p.choose(s, false), nil
+	}
+	if s := p.firstOpen(t, now, tried); s != nil {
+		return p.choose(s, false), nil
+	}
+	if s := p.firstOpen(t, now, nil); s != nil {
+		return p.choose(s, false), nil
+	}
+	return Choice{}, noEndpoint()
+}
+
+func (p *Picker) choose(s *state, trial bool) Choice {
+	s.outstanding.Add(1)
+	return Choice{p: p, s: s, ep: s.ep.Load(), trial: trial}
+}
+
+// pickNear goes through the tiers from near to far and stops at the first that
+// is not short.
+func (p *Picker) pickNear(t *table, now int64, tried []string) *state {
+	var best *state
+	var bestCost float64
+	for _, near := range t.near {
+		if best != nil && !p.spills(bestCost) {
+			return best
+		}
+		s, cost := p.bestOfTwo(near, now, tried)
+		if s == nil {
+			continue
+		}
+		if best == nil || cost+spillMargin < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// spills draws whether the next tier is looked at. The chance grows with the
+// cost, so that the nodes of a data centre which learn together that it is
+// short don't all leave it together.
+func (p *Picker) spills(cost float64) bool {
+	if cost <= spillFrom {
+		return false
+	}
+	return p.randomFloat() < (cost-spillFrom)/(spillFull-spillFrom)
+}
+
+func (p *Picker) bestOfTwo(from []*state, now int64, tried []string) (*state, float64) {
+	a := p.draw(from, now, tried, nil)
+	if a == nil {
+		return nil, 0
+	}
+	costA := p.cost(a, now)
+	b := p.draw(from, now, tried, a)
+	if b == nil {
+		return a, costA
+	}
+	if costB := p.cost(b, now); costB < costA {
+		return b, costB
+	}
+	return a, costA
+}
+
+// draw returns a random open endpoint other than not.
+func (p *Picker) draw(from []*state, now int64, tried []string, not *state) *state {
+	if len(from) == 0 {
+		return nil
+	}
+	for range drawTries {
+		s := from[p.randomN(len(from))]
+		if s != not && usable(s, now, tried) {
+			return s
+		}
+	}
+	start := p.randomN(len(from))
+	for i := range from {
+		s := from[(start+i)%len(from)]
+		if s != not && usable(s, now, tried) {
+			return s
+		}
+	}
+	return nil
+}
+
+func usable(s *state, now int64, tried []string) bool {
+	return s.open(now) && !slices.Contains(tried, s.ep.Load().ID)
+}
+
+// firstOpen looks beyond the subset and at ejected endpoints too: going on
+// with what was last known is better than refusing.
+func (p *Picker) firstOpen(t *table, now int64, tried []string) *state {
+	s, _ := p.bestOfTwo(t.all, now, tried)
+	return s
+}
+
+// dueTrial takes the trial of an ejected endpoint that is due, if there is one.
+func (t *table) dueTrial(now, overdue int64) *state {
+	for _, s := range t.ejected {
+		due := s.nextTrial.Load() + (overdue-1)*s.interval.Load()
+		if now >= due && s.open(now) && s.onTrial.CompareAndSwap(false, true) {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/picker.go
@@ -0,0 +1,115 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Picker picks endpoints of one service for one node. It is safe for
+// concurrent use; Pick and Choice.Done take no lock unless an endpoint is
+// ejected or returns.
+type Picker struct {
+	opt       Options
+	slowStart int64 // milliseconds, as are the next two
+	loadAge   int64
+	forget    int64
+
+	epoch   atomic.Int64 // Unix milliseconds of the first Update, less one
+	seed    atomic.Uint64
+	latency average // mean latency of the service, milliseconds
+	others  average // mean load by other nodes, per slot
+	entries atomic.Int64
+
+	table atomic.Pointer[table]
+
+	mu     sync.Mutex // guards what follows; never held across I/O
+	states map[string]*state
+}
+
+// tier is how far an endpoint is from this node.
+type tier int
+
+const (
+	tierOwn tier = iota // own data centre
+	tierRegion
+	tierFar
+	tiers
+)
+
+// table is the immutable picture that Pick reads.
+type table struct {
+	near    [tiers][]*state // the node's subset, without ejected endpoints
+	ejected []*state
+	all     []*state // every endpoint of the service, in order of preference
+}
+
+// New returns a Picker that knows no endpoints yet.
+func New(o Options) *Picker {
+	o = o.withDefaults()
+	p := &Picker{
+		opt:       o,
+		slowStart: o.SlowStart.Milliseconds(),
+		loadAge:   max(1, o.LoadAge.Milliseconds()),
+		forget:    max(1, o.Forget.Milliseconds()),
+		states:    map[string]*state{},
+	}
+	p.seed.Store(o.Seed)
+	p.table.Store(&table{})
+	return p
+}
+
+// SetEntryNodes tells how many nodes of this node's own data centre may send
+// calls to the service; the size of the subset follows from it. The caller
+// counts the nodes of the data centre in its membership view, for every node
+// may be an entry node. It takes effect with the next Update; until it is
+// told, the node uses every endpoint.
+func (p *Picker) SetEntryNodes(n int) { p.entries.Store(int64(n)) }
+
+// Choice is a picked endpoint. Done must be called once for each.
+type Choice struct {
+	p     *Picker
+	s     *state
+	ep    *Endpoint
+	trial bool
+}
+
+// Endpoint returns the picked endpoint; it must not be changed.
+func (c Choice) Endpoint() *Endpoint { return c.ep }
+
+// Trial reports whether the call is to show if an ejected endpoint is well.
+func (c Choice) Trial() bool { return c.trial }
+
+// millis turns a moment into the Picker's own count; it is at least one.
+func (p *Picker) millis(t time.Time) int64 {
+	return max(1, t.UnixMilli()-p.epoch.Load())
+}
+
+const splitMixStep = 0x9e3779b97f4a7c15
+
+// random returns the next random number. With a seed it is a SplitMix64
+// sequence, which needs one atomic addition and no lock.
+func (p *Picker) random() uint64 {
+	if p.opt.Seed == 0 {
+		return rand.Uint64()
+	}
+	z := p.seed.Add(splitMixStep)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (p *Picker) randomN(n int) int { return int(p.random() % uint64(n)) }
+
+func (p *Picker) randomFloat() float64 { return float64(p.random()>>11) / (1 << 53) }
+
+func noEndpoint() error {
+	return &call.Refusal{Reason: call.ReasonNoEndpoint, RetryAfter: comeBack}
+}
+
+// comeBack is what a caller is told when no endpoint is known: about the time
+// in which a new announcement spreads.
+const comeBack = 2 * time.Second
--- /dev/null
+++ b/internal/route/update.go
@@ -0,0 +1,150 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Update takes in the endpoints of a new membership view. What was observed of
+// an endpoint is kept by its ID, and dropped with the endpoint.
+func (p *Picker) Update(now time.Time, eps []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.epoch.CompareAndSwap(0, now.UnixMilli()-1)
+	ms := p.millis(now)
+	next := make(map[string]*state, len(eps))
+	for i := range eps {
+		e := eps[i]
+		s := p.states[e.ID]
+		if s == nil {
+			s = &state{}
+		}
+		p.startRamp(s, now, ms, &e, first)
+		s.ep.Store(&e)
+		next[e.ID] = s
+	}
+	p.states = next
+	p.rebuild()
+}
+
+// startRamp begins the slow start of an endpoint that became ready.
+//
+// ReadySince is by the clock of another node. A clock ahead of ours would hold
+// the endpoint in its slow start for as long as it is ahead, so the start is
+// never later than the moment this node learned of it.
+func (p *Picker) startRamp(s *state, now time.Time, ms int64, e *Endpoint, first bool) {
+	old := s.ep.Load()
+	if !e.Ready || old == nil && e.ReadySince.IsZero() {
+		return
+	}
+	if old != nil && old.Ready && old.ReadySince.Equal(e.ReadySince) {
+		return
+	}
+	if old != nil {
+		// A restart under the same ID: what was seen before is of another
+		// process.
+		s.failures.clear()
+		s.latency.clear()
+		s.results.Store(0)
+		s.ejected.Store(false)
+	}
+	age := now.Sub(e.ReadySince)
+	if age >= p.opt.SlowStart {
+		return
+	}
+	if !first || age < 0 {
+		age = 0
+	}
+	s.rampFrom.Store(ms - age.Milliseconds())
+}
+
+// rebuild makes the table anew. The caller holds mu.
+func (p *Picker) rebuild() {
+	t := &table{all: make([]*state, 0, len(p.states))}
+	for _, s := range p.states {
+		t.all = append(t.all, s)
+	}
+	slices.SortFunc(t.all, p.byPreference)
+	var byTier [tiers][]*state
+	for _, s := range t.all {
+		e := s.ep.Load()
+		if !e.Ready || e.Draining {
+			continue
+		}
+		n := p.tierOf(e)
+		byTier[n] = append(byTier[n], s)
+	}
+	for n, list := range byTier {
+		t.take(tier(n), list, p.subsetSize(tier(n), len(list)))
+	}
+	p.table.Store(t)
+}
+
+// take puts the first size endpoints that are not ejected in the subset, and
+// the ejected ones that came before them among those to be tried.
+func (t *table) take(n tier, list []*state, size int) {
+	for _, s := range list {
+		if len(t.near[n]) == size {
+			return
+		}
+		if s.ejected.Load() {
+			t.ejected = append(t.ejected, s)
+			continue
+		}
+		t.near[n] = append(t.near[n], s)
+	}
+}
+
+func (p *Picker) tierOf(e *Endpoint) tier {
+	switch {
+	case e.DataCentre == p.opt.DataCentre:
+		return tierOwn
+	case e.Region == p.opt.Region:
+		return tierRegion
+	}
+	return tierFar
+}
+
+// byPreference orders endpoints by this node's rendezvous hash, the ID
+// breaking a tie.
+func (p *Picker) byPreference(a, b *state) int {
+	x, y := a.ep.Load().ID, b.ep.Load().ID
+	if c := cmp.Compare(rank(p.opt.Self, y), rank(p.opt.Self, x)); c != 0 {
+		return c
+	}
+	return cmp.Compare(x, y)
+}
+
+// Endpoints returns what the Picker holds true of every endpoint, ordered by
+// ID.
+func (p *Picker) Endpoints(now time.Time) []EndpointStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ms := p.millis(now)
+	t := p.table.Load()
+	out := make([]EndpointStatus, 0, len(p.states))
+	for _, s := range p.states {
+		out = append(out, p.status(s, t, ms))
+	}
+	slices.SortFunc(out, func(a, b EndpointStatus) int {
+		return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID)
+	})
+	return out
+}
+
+func (p *Picker) status(s *state, t *table, ms int64) EndpointStatus {
+	e := *s.ep.Load()
+	st := EndpointStatus{
+		Endpoint:     e,
+		InSubset:     slices.Contains(t.near[p.tierOf(&e)], s),
+		Ejected:      s.ejected.Load(),
+		SlowStarting: s.ramp(ms, p.slowStart) < 1,
+		Outstanding:  int(s.outstanding.Load()),
+		Failures:     s.failing(ms, p.forget),
+	}
+	if st.Ejected {
+		st.NextTrial = time.UnixMilli(s.nextTrial.Load() + p.epoch.Load())
+	}
+	return st
+}
