--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,84 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// HeadBytes is how much of a body the fingerprint covers. A body streams, so
+// the fingerprint can only cover what is read before the request is sent on.
+const HeadBytes = 4096
+
+// Fingerprint stands for a request and its resends.
+type Fingerprint [16]byte
+
+// coveredHeaders change what a backend server does with a request and stay the
+// same when a caller sends it again. Credentials, cookies, idempotency keys and
+// identities of a request are left out: the same bad request comes from several
+// callers, and with a new identity each time.
+var coveredHeaders = [...]string{
+	"Accept", "Accept-Encoding", "Accept-Language", "Content-Encoding", "Content-Type", "Range",
+}
+
+// second is the seed that makes the upper half of a fingerprint.
+const second = 0x6d61726c70617373
+
+// Of returns the fingerprint of a request. length is that of the body, or -1
+// when not known; head is the body's beginning, of which at most HeadBytes
+// count.
+func Of(method, host, path, query string, h http.Header, length int64, head []byte) Fingerprint {
+	var stack [512]byte
+	b := appendParts(stack[:0], method, host, path, query)
+	for _, name := range coveredHeaders {
+		b = appendParts(b, h[name]...)
+		b = append(b, 0xff)
+	}
+	b = strconv.AppendInt(b, length, 10)
+	head = head[:min(len(head), HeadBytes)]
+	var f Fingerprint
+	binary.BigEndian.PutUint64(f[:8], hash(0, b, head))
+	binary.BigEndian.PutUint64(f[8:], hash(second, b, head))
+	return f
+}
+
+func appendParts(b []byte, parts ...string) []byte {
+	for _, p := range parts {
+		b = append(b, p...)
+		b = append(b, 0)
+	}
+	return b
+}
+
+func hash(seed uint64, meta, head []byte) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(seed)
+	_, _ = d.Write(meta)
+	_, _ = d.Write(head)
+	return d.Sum64()
+}
+
+// Key returns a number for choosing the endpoint that runs the request when it
+// is a suspect.
+func (f Fingerprint) Key() uint64 { return binary.BigEndian.Uint64(f[:8]) }
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ErrFingerprint means that a text is no fingerprint.
+var ErrFingerprint = errors.New("not a fingerprint of 32 hexadecimal digits")
+
+// Parse reads what String wrote.
+func Parse(s string) (Fingerprint, error) {
+	var f Fingerprint
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(f) {
+		return f, ErrFingerprint
+	}
+	copy(f[:], b)
+	return f, nil
+}
--- /dev/null
+++ b/internal/retry/policy.go
@@ -0,0 +1,270 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Headers that keep retries at one level.
+const (
+	// HeaderFinal marks an answer whose call a node gave up on. An entry node
+	// that gets it from a backend server doesn't retry: a node further down
+	// did what could be done. It is passed up unchanged.
+	HeaderFinal = "Marlpass-Final"
+	// HeaderRetried is set to "1" on every attempt after the first. A backend
+	// server that copies it to the calls it makes for the request, as it
+	// copies trace headers, keeps the nodes further down from retrying too.
+	HeaderRetried = "Marlpass-Retried"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxAttempts = 3
+	DefaultBackoff     = 5 * time.Millisecond
+	DefaultBackoffMax  = 100 * time.Millisecond
+	DefaultComeBack    = time.Second
+	DefaultComeBackMax = 8 * time.Second
+)
+
+// minRemaining is the time left below which another attempt is pointless.
+const minRemaining = 2 * time.Millisecond
+
+// waitShare bounds a wait to this part of the time left, so that a call that
+// is going to be given up on gets its answer early.
+const waitShare = 8
+
+// Options sets up a Policy. Zero fields take the defaults.
+type Options struct {
+	MaxAttempts int // attempts in all
+	Backoff     time.Duration
+	BackoffMax  time.Duration
+	ComeBack    time.Duration // the least that a client is told to wait
+	ComeBackMax time.Duration
+	Budget      BudgetOptions
+	// Rand must be safe for concurrent use; nil takes the runtime's source.
+	Rand rand.Source
+}
+
+// Policy decides on retries for one service at one node. It is safe for
+// concurrent use and takes no lock.
+type Policy struct {
+	opt    Options
+	budget Budget
+}
+
+// New returns a Policy with a full budget floor.
+func New(o Options) *Policy {
+	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.Backoff, DefaultBackoff)
+	setDefault(&o.BackoffMax, DefaultBackoffMax)
+	setDefault(&o.ComeBack, DefaultComeBack)
+	setDefault(&o.ComeBackMax, DefaultComeBackMax)
+	if o.Rand == nil {
+		o.Rand = runtimeSource{}
+	}
+	p := &Policy{opt: o}
+	p.budget.init(o.Budget)
+	return p
+}
+
+func setDefault[T int | int64 | float64 | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+type runtimeSource struct{}
+
+func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// Input is what is known when an attempt did not give a good answer.
+type Input struct {
+	Now        time.Time
+	Outcome    call.Outcome
+	Idempotent bool
+	Attempt    int           // attempts made so far, at least one
+	Elapsed    time.Duration // since the call came in
+	Remaining  time.Duration // until its deadline
+	// Refusal is set when the attempt was refused.
+	Refusal *call.Refusal
+	// TriedAll says that every endpoint that takes calls was tried.
+	TriedAll bool
+	// BodyReplayable says that the body can be sent again from its start.
+	BodyReplayable bool
+	// Final says that the answer bore HeaderFinal.
+	Final bool
+	// Below says that the call came in with HeaderRetried.
+	Below bool
+}
+
+// Why says what decided.
+type Why string
+
+// The reasons for a decision.
+const (
+	WhyElsewhere  Why = "retry-elsewhere"   // another endpoint may run it
+	WhyAgain      Why = "retry"             // the same endpoints, after a wait
+	WhyRan        Why = "ran"               // it was run; its answer stands
+	WhyMayHaveRun Why = "may-have-run"      // not idempotent, and may have run
+	WhyBody       Why = "body-gone"         // the body can't be sent again
+	WhyFinal      Why = "final"             // a node further down gave up
+	WhyBelow      Why = "below-a-retry"     // a node further up is retrying
+	WhyUseless    Why = "no-better-later"   // no endpoint would answer otherwise
+	WhyAttempts   Why = "attempts-used-up"  // the bound on attempts
+	WhyDeadline   Why = "deadline-too-near" // no time for another attempt
+	WhyBudget     Why = "budget-empty"      // too many retries as it is
+)
+
+// Decision is what to do next. When Retry is false the caller gets its answer
+// at once.
+type Decision struct {
+	Retry bool
+	After time.Duration // how long to wait before the next attempt
+	Why   Why
+	// ComeBack is what to tell the client in Retry-After; zero when coming
+	// back would not help or might run the call twice.
+	ComeBack time.Duration
+}
+
+// Called counts a call. It fills the budget, so it must be told once for each
+// call that comes in, and not for retries.
+func (p *Policy) Called() { p.budget.deposit() }
+
+// Decide decides whether the call is sent again.
+func (p *Policy) Decide(in Input) Decision {
+	if why, stop := p.stops(in); stop {
+		return p.giveUp(in, why)
+	}
+	after := p.wait(in)
+	if in.Remaining-after < minRemaining {
+		return p.giveUp(in, WhyDeadline)
+	}
+	if !p.budget.withdraw(in.Now, p.price(in)) {
+		return p.giveUp(in, WhyBudget)
+	}
+	why := WhyElsewhere
+	if in.TriedAll {
+		why = WhyAgain
+	}
+	return Decision{Retry: true, After: after, Why: why}
+}
+
+// stops holds the rules that don't depend on time or budget.
+func (p *Policy) stops(in Input) (Why, bool) {
+	switch in.Outcome {
+	case call.NotRun:
+	case call.Unknown:
+		if !in.Idempotent {
+			return WhyMayHaveRun, true
+		}
+	default:
+		return WhyRan, true
+	}
+	switch {
+	case !in.BodyReplayable:
+		return WhyBody, true
+	case in.Final:
+		return WhyFinal, true
+	case in.Below && !p.mayRetryBelow(in):
+		return WhyBelow, true
+	case in.Outcome == call.NotRun && !helps(in):
+		return WhyUseless, true
+	case in.Attempt >= p.opt.MaxAttempts:
+		return WhyAttempts, true
+	}
+	return "", false
+}
+
+// mayRetryBelow allows one retry below another when the endpoint only takes no
+// calls. The node further up would not learn of it: it would get a server
+// error from its own backend server, which stands.
+func (p *Policy) mayRetryBelow(in Input) bool {
+	return in.Attempt <= 1 && p.price(in) == priceGone
+}
+
+// helps reports whether a refusal may turn out otherwise at the next attempt.
+func helps(in Input) bool {
+	if in.Refusal == nil {
+		return true
+	}
+	switch kindOf(in.Refusal.Reason) {
+	case kindGone:
+		return true
+	case kindFull:
+		return !in.TriedAll
+	}
+	return false
+}
+
+// kind sorts refusals by what a retry does to the endpoints.
+type kind int
+
+const (
+	kindCall kind = iota // lies with the call or the whole mesh
+	kindGone             // this endpoint takes no calls; the others do
+	kindFull             // this endpoint has no room; the others may be short too
+)
+
+func kindOf(r call.Reason) kind {
+	switch r {
+	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable:
+		return kindGone
+	case call.ReasonOverloaded, call.ReasonOverShare, call.ReasonBackend:
+		return kindFull
+	}
+	return kindCall
+}
+
+// price is what a retry costs the budget. A refusal by an endpoint that is
+// leaving cost no backend server anything, and a herd of leavers must not use
+// up the budget and so fail calls that others would run.
+func (p *Policy) price(in Input) int64 {
+	if in.Outcome == call.NotRun && in.Refusal != nil && kindOf(in.Refusal.Reason) == kindGone {
+		return priceGone
+	}
+	return priceWhole
+}
+
+// wait returns the full-jitter backoff: a random time up to a bound that
+// doubles. The first retry at another endpoint that has nothing to do with
+// load goes at once.
+func (p *Policy) wait(in Input) time.Duration {
+	if in.Attempt <= 1 && !in.TriedAll && p.price(in) == priceGone {
+		return 0
+	}
+	bound := p.opt.Backoff << min(max(in.Attempt-1, 0), 10)
+	bound = min(bound, p.opt.BackoffMax, max(in.Remaining, 0)/waitShare)
+	return p.jitter(bound)
+}
+
+// jitter returns a random time up to bound.
+func (p *Policy) jitter(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return 0
+	}
+	return time.Duration(p.opt.Rand.Uint64() % uint64(bound+1))
+}
+
+func (p *Policy) giveUp(in Input, why Why) Decision {
+	return Decision{Why: why, ComeBack: p.comeBack(in, why)}
+}
+
+// comeBack returns what a client is told. It is jittered, so that clients
+// refused together don't come back together, and grows as the budget empties,
+// which is the sign that many are refused.
+func (p *Policy) comeBack(in Input, why Why) time.Duration {
+	if in.Outcome != call.NotRun && !in.Idempotent || why == WhyRan {
+		return 0
+	}
+	least := p.opt.ComeBack
+	if in.Refusal != nil {
+		if in.Refusal.RetryAfter == 0 && kindOf(in.Refusal.Reason) == kindCall {
+			return 0
+		}
+		least = max(least, in.Refusal.RetryAfter)
+	}
+	spread := time.Duration(p.budget.emptiness() * float64(p.opt.ComeBackMax-p.opt.ComeBack))
+	return least + p.jitter(max(spread, p.opt.ComeBack))
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -146,3 +146,23 @@
 	}
 	return nil
 }
+
+// PickFixed picks by key alone, so that nodes with the same view pick the same
+// endpoint. It is for requests that must run at one place at a time.
+func (p *Picker) PickFixed(now time.Time, key uint64, tried []string) (Choice, error) {
+	ms := p.millis(now)
+	var best *state
+	var bestRank uint64
+	for _, s := range p.table.Load().all {
+		if !usable(s, ms, tried) {
+			continue
+		}
+		if r := rankKey(key, s.ep.Load().ID); best == nil || r > bestRank {
+			best, bestRank = s, r
+		}
+	}
+	if best == nil {
+		return Choice{}, noEndpoint()
+	}
+	return p.choose(best, false), nil
+}
--- a/internal/route/subset.go
+++ b/internal/route/subset.go
@@ -8,7 +8,11 @@
 // rank is the rendezvous weight of an endpoint for a node. The go-rendezvous
 // module only finds the first endpoint, and a subset needs the first few.
 func rank(node, endpoint string) uint64 {
-	h := xxhash.Sum64String(node) ^ xxhash.Sum64String(endpoint)
+	return rankKey(xxhash.Sum64String(node), endpoint)
+}
+
+func rankKey(key uint64, endpoint string) uint64 {
+	h := key ^ xxhash.Sum64String(endpoint)
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
