Limit the calls that one backend server runs

Cause: A destination node needs to decide which calls its backend server runs, which wait and which are refused. Conclusion: The API that the proxy is written against.

--- /dev/null
+++ b/internal/limit/admit.go
@@ -0,0 +1,131 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Bounds on RetryAfter.
+const (
+	minRetryAfter = 10 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// admit decides whether e may wait; nil means yes.
+func (q *Queue) admit(now time.Time, e *Entry) *call.Refusal {
+	c := e.class
+	if wait := q.predictWait(c); !q.options.NoPrediction && !q.worthWaiting(now, e, wait) {
+		return q.refuse(now, c, q.overReason(c), "the wait would be too long")
+	}
+	if q.waiting < q.cfg.MaxWaiting {
+		return nil
+	}
+	victim := q.givesWay(c)
+	if victim == c {
+		return q.refuse(now, c, q.overReason(c), "the queue is full")
+	}
+	newest := victim.waiting.Back().Value.(*Entry)
+	q.refuseWaiting(now, newest, q.overReason(victim), "gave way to another class")
+	return nil
+}
+
+// worthWaiting reports whether a call that starts after wait is expected to end
+// within its deadline and its class's target. The first in a class's queue may
+// always wait, because a class that is always refused would never be measured
+// again and a wrong estimate would lock it out.
+func (q *Queue) worthWaiting(now time.Time, e *Entry, wait time.Duration) bool {
+	c := e.class
+	if c.waiting.Len() == 0 {
+		return true
+	}
+	end := wait + c.service.duration()
+	if !e.deadline.IsZero() && now.Add(end).After(e.deadline) {
+		return false
+	}
+	if c.AnswerWithin > c.service.duration() && end > c.AnswerWithin {
+		return false
+	}
+	return true
+}
+
+// minGrants is how many intervals between starts a prediction needs.
+const minGrants = 4
+
+// predictWait estimates how long a newcomer of c waits: by the class's own
+// drain rate where it is known, else by all the work that waits.
+func (q *Queue) predictWait(c *classState) time.Duration {
+	ahead := c.waiting.Len() + 1
+	if c.grantEvery.count >= minGrants && c.waiting.Len() > 0 {
+		return time.Duration(ahead) * c.grantEvery.duration()
+	}
+	var work time.Duration
+	for _, o := range q.ordered {
+		work += time.Duration(o.waiting.Len()) * o.service.duration()
+	}
+	return work / time.Duration(q.Limit())
+}
+
+// givesWay returns the class that loses a waiting call when the queue is full:
+// the one furthest inside its target, then the one of lowest priority. The
+// newcomer's class takes part even if nothing of it waits.
+func (q *Queue) givesWay(newcomer *classState) *classState {
+	victim := newcomer
+	for _, c := range q.ordered {
+		if c.waiting.Len() > 0 && givesWayBefore(c, victim) {
+			victim = c
+		}
+	}
+	return victim
+}
+
+// standingBand is how far apart two standings must be to count as different, so
+// that priority decides between classes that stand about equally.
+const standingBand = 0.25
+
+func givesWayBefore(a, b *classState) bool {
+	bandA, bandB := int(a.standing()/standingBand), int(b.standing()/standingBand)
+	if bandA != bandB {
+		return bandA < bandB
+	}
+	return a.Priority < b.Priority
+}
+
+func (q *Queue) overReason(c *classState) call.Reason {
+	if c.Share > 0 && c.overShare(q.Limit()) {
+		return call.ReasonOverShare
+	}
+	return call.ReasonOverloaded
+}
+
+func (q *Queue) refuseWaiting(now time.Time, e *Entry, reason call.Reason, detail string) {
+	q.remove(e)
+	q.events = append(q.events, Event{Entry: e, Refusal: q.refuse(now, e.class, reason, detail)})
+}
+
+func (q *Queue) refuse(now time.Time, c *classState, reason call.Reason, detail string) *call.Refusal {
+	r := &call.Refusal{Reason: reason, Detail: detail}
+	switch reason {
+	case call.ReasonExpired:
+		c.stats.Expired++
+		c.window.refused++
+	case call.ReasonDraining:
+		c.stats.Refused++
+	default:
+		c.stats.Refused++
+		c.window.refused++
+		r.RetryAfter = q.retryAfter(c)
+	}
+	return r
+}
+
+// retryAfter is the time in which the queue drains at its present rate, spread
+// evenly over half to one and a half of it, so that the callers refused in one
+// burst don't come back in one.
+func (q *Queue) retryAfter(c *classState) time.Duration {
+	drain := time.Duration(q.waiting+1) * q.doneEvery.duration()
+	drain = max(drain, q.predictWait(c))
+	spread := 0.5 + q.options.Rand.Float64()
+	d := time.Duration(float64(drain) * spread)
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/limit/gate.go
@@ -0,0 +1,159 @@
+package limit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Options are the parts of a Gate that may be replaced.
+type Options struct {
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+	// Order is the order of the queue; EarliestTarget when nil.
+	Order Order
+	// Rand spreads RetryAfter; seeded at random when nil.
+	Rand *rand.Rand
+}
+
+// Gate limits the calls to one backend server. It is safe for concurrent use.
+type Gate struct {
+	now func() time.Time
+	mu  sync.Mutex // guards queue; never held while waiting
+	q   *Queue
+}
+
+// NewGate returns a Gate of one slot; Configure tells it the rest.
+func NewGate(o Options) *Gate {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Gate{now: o.Now, q: NewQueue(QueueOptions{Order: o.Order, Rand: o.Rand})}
+}
+
+// Configure takes a new configuration. Calls that run or wait are kept.
+func (g *Gate) Configure(now time.Time, c Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.q.Configure(now, c)
+	g.deliver()
+}
+
+// Drain refuses the calls that wait and all that come. Those that run go on.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.q.Drain(g.now())
+	g.deliver()
+}
+
+// Load returns the calls running and the present limit.
+func (g *Gate) Load() (busy, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Load()
+}
+
+// Stats returns the state of each class, by name. The class with an empty name
+// stands for all that the configuration does not name.
+func (g *Gate) Stats(now time.Time) []ClassStats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Stats(now)
+}
+
+// Permit is the right to have one call run by the backend server. Release must
+// be called once; further calls of it do nothing.
+type Permit struct {
+	g *Gate
+	e *Entry
+}
+
+// Acquire waits for a permit. The error is a *call.Refusal, or ctx.Err() when
+// the caller gave up; either way the call was not run. A zero deadline means
+// that only ctx bounds the wait.
+func (g *Gate) Acquire(ctx context.Context, class string, deadline time.Time) (Permit, error) {
+	e := &Entry{}
+	g.mu.Lock()
+	r := g.q.Offer(g.now(), e, class, deadline)
+	if r != nil {
+		g.deliver()
+		g.mu.Unlock()
+		return Permit{}, r
+	}
+	if e.Started() {
+		g.deliver()
+		g.mu.Unlock()
+		return Permit{g, e}, nil
+	}
+	answer := make(chan *call.Refusal, 1)
+	e.notify = func(r *call.Refusal) { answer <- r }
+	g.deliver()
+	g.mu.Unlock()
+	return g.await(ctx, e, answer)
+}
+
+func (g *Gate) await(ctx context.Context, e *Entry, answer <-chan *call.Refusal) (Permit, error) {
+	var expire <-chan time.Time
+	if !e.deadline.IsZero() {
+		t := time.NewTimer(e.deadline.Sub(g.now()))
+		defer t.Stop()
+		expire = t.C
+	}
+	var stopped error
+	select {
+	case r := <-answer:
+		return g.answered(e, r)
+	case <-ctx.Done():
+		stopped = ctx.Err()
+	case <-expire:
+		stopped = &call.Refusal{Reason: call.ReasonExpired, Detail: "waited past its deadline"}
+	}
+	g.mu.Lock()
+	left := g.q.Abandon(g.now(), e)
+	g.deliver()
+	g.mu.Unlock()
+	if left {
+		return Permit{}, stopped
+	}
+	// The call was started or refused between the two events. A slot that
+	// was granted to a caller that has gone must be given back, or it would
+	// be lost for good.
+	if r := <-answer; r != nil {
+		return Permit{}, r
+	}
+	Permit{g, e}.Release(Result{Failed: true})
+	return Permit{}, stopped
+}
+
+func (g *Gate) answered(e *Entry, r *call.Refusal) (Permit, error) {
+	if r != nil {
+		return Permit{}, r
+	}
+	return Permit{g, e}, nil
+}
+
+// Release gives the slot back and tells how the call ended.
+func (p Permit) Release(r Result) {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	p.g.q.Done(p.g.now(), p.e, r)
+	p.g.deliver()
+}
+
+// deliver hands events to those who wait. Each channel holds one answer and
+// each entry gets one event, so no send blocks. An entry that started within
+// its own Offer has no one waiting yet.
+func (g *Gate) deliver() {
+	for _, ev := range g.q.Events() {
+		if ev.Entry.notify != nil {
+			ev.Entry.notify(ev.Refusal)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limit/queue.go
@@ -0,0 +1,330 @@
+package limit
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// otherClass stands for every class that the configuration in force here does
+// not name. An entry node on a newer version may send one.
+const otherClass = ""
+
+type entryState uint8
+
+const (
+	entryNew entryState = iota
+	entryWaiting
+	entryRunning
+	entryEnded
+)
+
+// Entry is one call in a Queue. Its zero value is ready for Offer.
+type Entry struct {
+	class    *classState
+	arrived  time.Time
+	deadline time.Time
+	started  time.Time
+	sequence uint64
+	state    entryState
+	// busy is how many calls ran when this one started, itself included.
+	busy    int
+	element *list.Element
+	notify  func(*call.Refusal)
+}
+
+func (e *Entry) before(o *Entry) bool { return e.sequence < o.sequence }
+
+// Event tells that a waiting call was started or, with a refusal, that it was
+// not and never will be.
+type Event struct {
+	Entry   *Entry
+	Refusal *call.Refusal
+}
+
+// QueueOptions are the parts of a Queue that tests and measurements replace.
+type QueueOptions struct {
+	Order Order      // EarliestTarget when nil
+	Rand  *rand.Rand // spreads RetryAfter; must not be nil
+	// FixedLimit keeps the limit at the announced slots.
+	FixedLimit bool
+	// NoGiveWay keeps every class's cap at the limit.
+	NoGiveWay bool
+	// NoPrediction bounds the queue by number and deadline only, and runs
+	// calls that are late for their class's target in their turn.
+	NoPrediction bool
+}
+
+// Queue decides which calls run. It is not safe for concurrent use.
+type Queue struct {
+	options  QueueOptions
+	cfg      Config
+	classes  map[string]*classState
+	ordered  []*classState // by name, so that decisions don't follow map order
+	adaptive adaptive
+	running  int
+	waiting  int
+	sequence uint64
+	draining bool
+	// doneEvery is the average time between two ends while calls waited.
+	doneEvery   average
+	lastDone    time.Time
+	windowEnd   time.Time
+	candidates  []*classState // scratch
+	events      []Event
+	sinceGiving int
+}
+
+// NewQueue returns a Queue of one slot and no classes.
+func NewQueue(o QueueOptions) *Queue {
+	if o.Order == nil {
+		o.Order = EarliestTarget{}
+	}
+	q := &Queue{options: o, classes: make(map[string]*classState)}
+	q.Configure(time.Time{}, Config{})
+	return q
+}
+
+// Configure takes a new configuration. Calls that run or wait are kept, those
+// of a class that is gone too.
+func (q *Queue) Configure(now time.Time, cfg Config) {
+	cfg = cfg.withDefaults()
+	if q.adaptive.setSlots(cfg.Slots) {
+		for _, c := range q.ordered {
+			c.light = average{}
+		}
+	}
+	q.cfg = cfg
+	named := make(map[string]bool, len(cfg.Classes)+1)
+	for _, c := range cfg.Classes {
+		named[c.Name] = true
+		q.setClass(c)
+	}
+	if !named[otherClass] {
+		named[otherClass] = true
+		q.setClass(Class{Name: otherClass, Priority: config.DefaultPriority})
+	}
+	q.dropClasses(named)
+	q.dispatch(now)
+}
+
+func (q *Queue) setClass(c Class) {
+	st := q.classes[c.Name]
+	if st == nil {
+		st = &classState{cap: q.cfg.Slots}
+		q.classes[c.Name] = st
+	}
+	st.Class = c
+	st.cap = min(max(st.cap, 1), q.cfg.Slots)
+}
+
+func (q *Queue) dropClasses(named map[string]bool) {
+	for name, c := range q.classes {
+		if !named[name] && c.running == 0 && c.waiting.Len() == 0 {
+			delete(q.classes, name)
+		}
+	}
+	q.ordered = q.ordered[:0]
+	for _, c := range q.classes {
+		q.ordered = append(q.ordered, c)
+	}
+	slices.SortFunc(q.ordered, func(a, b *classState) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Limit is how many calls may run at once at present.
+func (q *Queue) Limit() int {
+	if q.options.FixedLimit {
+		return q.cfg.Slots
+	}
+	return q.adaptive.limit()
+}
+
+// Load returns the calls running and the present limit.
+func (q *Queue) Load() (busy, slots int) { return q.running, q.Limit() }
+
+// Drain refuses the calls that wait and all that come.
+func (q *Queue) Drain(now time.Time) {
+	q.draining = true
+	for _, c := range q.ordered {
+		for e := c.head(); e != nil; e = c.head() {
+			q.refuseWaiting(now, e, call.ReasonDraining, "")
+		}
+	}
+}
+
+// Offer brings a call. When it returns nil, e has either started, which
+// e.Started tells, or waits, and an Event will follow.
+func (q *Queue) Offer(now time.Time, e *Entry, class string, deadline time.Time) *call.Refusal {
+	c := q.classes[class]
+	if c == nil {
+		c = q.classes[otherClass]
+	}
+	q.turnWindow(now)
+	q.sequence++
+	e.class, e.arrived, e.deadline, e.sequence = c, now, deadline, q.sequence
+	if q.draining {
+		return q.refuse(now, c, call.ReasonDraining, "")
+	}
+	if c.expired(e, now) {
+		return q.refuse(now, c, call.ReasonExpired, "")
+	}
+	if q.waiting == 0 && q.running < q.Limit() && c.running < c.cap {
+		q.start(now, e)
+		return nil
+	}
+	if r := q.admit(now, e); r != nil {
+		return r
+	}
+	e.state = entryWaiting
+	e.element = c.waiting.PushBack(e)
+	q.waiting++
+	q.dispatch(now)
+	return nil
+}
+
+// Started reports whether the call holds a slot.
+func (e *Entry) Started() bool { return e.state == entryRunning }
+
+// Done takes the slot of a call that has ended.
+func (q *Queue) Done(now time.Time, e *Entry, r Result) {
+	if e.state != entryRunning {
+		return
+	}
+	e.state = entryEnded
+	c := e.class
+	c.running--
+	q.running--
+	q.learn(now, e, r)
+	q.turnWindow(now)
+	q.dispatch(now)
+}
+
+// Abandon removes a call that waits, because its caller gave up or its deadline
+// passed. It reports false if the call has started or ended already.
+func (q *Queue) Abandon(now time.Time, e *Entry) bool {
+	if e.state != entryWaiting {
+		return false
+	}
+	q.remove(e)
+	if e.class.expired(e, now) {
+		e.class.stats.Expired++
+	}
+	q.dispatch(now)
+	return true
+}
+
+// Tick refuses the calls whose deadline has passed.
+func (q *Queue) Tick(now time.Time) {
+	q.turnWindow(now)
+	for _, c := range q.ordered {
+		for el := c.waiting.Front(); el != nil; {
+			e := el.Value.(*Entry)
+			el = el.Next()
+			if c.expired(e, now) {
+				q.refuseWaiting(now, e, call.ReasonExpired, "")
+			}
+		}
+	}
+	q.dispatch(now)
+}
+
+// Events returns what happened to waiting calls since it was last called. The
+// slice is good until the next call of any method.
+func (q *Queue) Events() []Event {
+	ev := q.events
+	q.events = q.events[:0]
+	return ev
+}
+
+// Stats returns the state of each class, by name.
+func (q *Queue) Stats(now time.Time) []ClassStats {
+	out := make([]ClassStats, len(q.ordered))
+	for i, c := range q.ordered {
+		out[i] = c.stats
+		out[i].Class = c.Name
+		out[i].Running = c.running
+		out[i].Waiting = c.waiting.Len()
+		out[i].Cap = min(c.cap, q.Limit())
+		out[i].Standing = c.standing()
+	}
+	return out
+}
+
+func (q *Queue) start(now time.Time, e *Entry) {
+	c := e.class
+	c.running++
+	q.running++
+	c.stats.Started++
+	e.state = entryRunning
+	e.started = now
+	e.busy = q.running
+	if c.waiting.Len() > 0 && !c.lastGrant.IsZero() {
+		c.grantEvery.add(now.Sub(c.lastGrant))
+	}
+	c.lastGrant = now
+}
+
+func (q *Queue) remove(e *Entry) {
+	e.class.waiting.Remove(e.element)
+	e.element = nil
+	e.state = entryEnded
+	q.waiting--
+}
+
+// dispatch starts waiting calls while there is room.
+func (q *Queue) dispatch(now time.Time) {
+	for q.waiting > 0 && q.running < q.Limit() {
+		c := q.next(now)
+		if c == nil {
+			return
+		}
+		q.startHead(now, c)
+	}
+}
+
+// next returns the class to start a call of, or nil if those that wait may not
+// hold more slots now. A class below its share goes before one at or over it,
+// so the share binds only while others wait.
+func (q *Queue) next(now time.Time) *classState {
+	limit := q.Limit()
+	for _, over := range []bool{false, true} {
+		q.candidates = q.candidates[:0]
+		for _, c := range q.ordered {
+			if c.waiting.Len() > 0 && c.running < c.cap && c.overShare(limit) == over {
+				q.candidates = append(q.candidates, c)
+			}
+		}
+		if len(q.candidates) > 0 {
+			return q.options.Order.pick(now, q.candidates)
+		}
+	}
+	return nil
+}
+
+// startHead starts the oldest call of c, or refuses it if starting it would be
+// of no use: its deadline has passed, or it is late for its class's target
+// while a later one of the class is not.
+func (q *Queue) startHead(now time.Time, c *classState) {
+	e := c.head()
+	if c.expired(e, now) {
+		q.refuseWaiting(now, e, call.ReasonExpired, "waited past its deadline")
+		return
+	}
+	newest := c.waiting.Back().Value.(*Entry)
+	if !q.options.NoPrediction && c.late(e, now) && !c.late(newest, now) {
+		q.refuseWaiting(now, e, call.ReasonOverloaded, "waited past the answer time of its class")
+		return
+	}
+	q.remove(e)
+	q.start(now, e)
+	q.events = append(q.events, Event{Entry: e})
+}
