Run keyed requests at most once over their caller's resends

Cause: A caller that lost an answer sends a booking or a price submission again, to any node, while the platform may be down or lose answers. Change: Add once.Keeper: a claim row before the run, the outcome after, group commit of both, the three rules for a platform that is down, and upkeep.

--- /dev/null
+++ b/internal/once/batcher.go
@@ -0,0 +1,217 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/platform"
+)
+
+// Bounds on one transaction.
+const (
+	maxBatchRows  = 64
+	maxBatchBytes = 512 << 10
+	// commitTimeout bounds one transaction. A transaction serves many
+	// requests, so no single one's deadline may end it.
+	commitTimeout = 5 * time.Second
+)
+
+// item is one row to write, on at most one condition on that same row.
+type item struct {
+	condition *platform.Condition
+	write     platform.Write
+	// urgent items are sent at once when no transaction is under way. The
+	// others wait up to the linger time for one to ride on.
+	urgent bool
+	result chan error
+}
+
+// batcher writes the items of one node in groups: one transaction is under way
+// at a time, and what comes meanwhile makes up the next.
+type batcher struct {
+	table  platform.Table
+	linger time.Duration
+	writes atomic.Uint64 // transactions sent
+	// single sends each item in a transaction of its own, at once. It is the
+	// baseline that group commit is measured against.
+	single bool
+
+	mu      sync.Mutex
+	pending []*item
+	busy    bool
+	timer   *time.Timer
+}
+
+func newBatcher(t platform.Table, linger time.Duration) *batcher {
+	return &batcher{table: t, linger: linger}
+}
+
+// errNotSent means that the item was withdrawn before it was sent.
+var errNotSent = fmt.Errorf("%w: the caller left before the write was sent", platform.ErrUnavailable)
+
+// do writes an item. When ctx ends first, the error is platform.ErrUnavailable
+// if the item was not sent and platform.ErrUnknown if it was.
+func (b *batcher) do(ctx context.Context, it *item) error {
+	if ctx.Err() != nil {
+		return errNotSent
+	}
+	it.result = make(chan error, 1)
+	b.mu.Lock()
+	b.pending = append(b.pending, it)
+	b.kick()
+	b.mu.Unlock()
+	select {
+	case err := <-it.result:
+		return err
+	case <-ctx.Done():
+	}
+	if b.withdraw(it) {
+		return errNotSent
+	}
+	select {
+	case err := <-it.result:
+		return err
+	default:
+		return platform.ErrUnknown
+	}
+}
+
+func (b *batcher) withdraw(it *item) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, p := range b.pending {
+		if p == it {
+			b.pending = append(b.pending[:i], b.pending[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// kick sends what is pending, now or after the linger time. b.mu is held.
+func (b *batcher) kick() {
+	if len(b.pending) == 0 || (b.busy && !b.single) {
+		return
+	}
+	if b.anyUrgent() || len(b.pending) >= maxBatchRows || b.linger <= 0 || b.single {
+		b.send()
+		return
+	}
+	if b.timer == nil {
+		b.timer = time.AfterFunc(b.linger, b.lingered)
+	}
+}
+
+func (b *batcher) lingered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.timer = nil
+	if !b.busy && len(b.pending) > 0 {
+		b.send()
+	}
+}
+
+func (b *batcher) anyUrgent() bool {
+	for _, it := range b.pending {
+		if it.urgent {
+			return true
+		}
+	}
+	return false
+}
+
+// send starts a transaction with what is pending. b.mu is held.
+func (b *batcher) send() {
+	if b.timer != nil {
+		b.timer.Stop()
+		b.timer = nil
+	}
+	batch := b.take()
+	b.busy = true
+	go func() {
+		b.commit(batch)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.busy = false
+		b.kick()
+	}()
+}
+
+// take removes the next batch from pending: each row at most once, because two
+// writes to a row in one transaction have no order.
+func (b *batcher) take() []*item {
+	var batch, rest []*item
+	size := 0
+	rows := make(map[string]bool)
+	for _, it := range b.pending {
+		full := len(batch) >= maxBatchRows || (size > 0 && size+len(it.write.Value) > maxBatchBytes)
+		if full || rows[it.write.Key] {
+			rest = append(rest, it)
+			continue
+		}
+		rows[it.write.Key] = true
+		size += len(it.write.Value)
+		batch = append(batch, it)
+	}
+	b.pending = rest
+	return batch
+}
+
+// commit writes the batch. Items whose condition fails are told so and the
+// others are sent again without them, so that one repeat holds up no other.
+func (b *batcher) commit(batch []*item) {
+	for len(batch) > 0 {
+		err := b.transact(batch)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			answer(batch, err)
+			return
+		}
+		failed, rest := split(batch, conflict.Keys)
+		if len(failed) == 0 {
+			answer(batch, fmt.Errorf("%w: conflict on rows not asked for", platform.ErrUnavailable))
+			return
+		}
+		answer(failed, conflict)
+		batch = rest
+	}
+}
+
+func (b *batcher) transact(batch []*item) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	var t platform.Txn
+	for _, it := range batch {
+		if it.condition != nil {
+			t.Conditions = append(t.Conditions, *it.condition)
+		}
+		t.Writes = append(t.Writes, it.write)
+	}
+	b.writes.Add(1)
+	return b.table.Commit(ctx, t)
+}
+
+func answer(items []*item, err error) {
+	for _, it := range items {
+		it.result <- err
+	}
+}
+
+func split(batch []*item, keys []string) (failed, rest []*item) {
+	bad := make(map[string]bool, len(keys))
+	for _, k := range keys {
+		bad[k] = true
+	}
+	for _, it := range batch {
+		if bad[it.write.Key] {
+			failed = append(failed, it)
+			continue
+		}
+		rest = append(rest, it)
+	}
+	return failed, rest
+}
--- /dev/null
+++ b/internal/once/keeper.go
@@ -0,0 +1,204 @@
+// Package once runs a keyed request at most once over its caller's resends.
+//
+// The destination node claims a request in the platform's table before the
+// request runs, and stores its outcome there after. A row is made on condition
+// that there is none, so of several nodes that get the same key one claims it.
+// A claim is never taken over: a claimant that died may have run the request,
+// so those who send it again are told that the outcome is unknown. A claim is
+// given up only by its claimant, and only before the request ran.
+//
+//	(no row) --claim--> claimed --outcome--> done --Keep--> (no row)
+//	             ^-------- given up, not run --'
+//
+// Claims and outcomes of one node are written in groups, one transaction at a
+// time, because the platform does a few hundred writes a second for everything.
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultLease        = 60 * time.Second
+	DefaultKeep         = 24 * time.Hour
+	DefaultClaimTimeout = 2 * time.Second
+	DefaultLinger       = 20 * time.Millisecond
+	DefaultMaxBody      = 16 << 10
+	DefaultMaxGuards    = 8192
+)
+
+// Options are what a Keeper needs.
+type Options struct {
+	Table  platform.Table
+	Holder string // VM ID of this node; shown to operators
+	// Now is the clock; time.Now when nil. It must carry a monotonic
+	// reading, because the lease is measured by it.
+	Now func() time.Time
+	// Lease is how long after its claim a request may still be started, and
+	// how long after it those who wait for the outcome are told "unknown".
+	Lease time.Duration
+	// Keep is how long an outcome is remembered.
+	Keep time.Duration
+	// ClaimTimeout bounds the attempts to claim under the rules refuse and
+	// local-guard.
+	ClaimTimeout time.Duration
+	// Linger is how long an outcome may wait for others to share its
+	// transaction. A claim never waits for that.
+	Linger time.Duration
+	// MaxBody is the largest body that is stored, in bytes.
+	MaxBody int
+	// MaxGuards bounds the keys that are remembered at this node only.
+	MaxGuards int
+	// Nonce makes a nonce; 128 random bits when nil.
+	Nonce func() string
+}
+
+func (o Options) withDefaults() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Nonce == nil {
+		o.Nonce = rand.Text
+	}
+	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.Keep, DefaultKeep)
+	setDefault(&o.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&o.Linger, DefaultLinger)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxGuards, DefaultMaxGuards)
+	return o
+}
+
+func setDefault[T time.Duration | int](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Request is one keyed request.
+type Request struct {
+	Class   string
+	Service string
+	Key     string
+	// Fingerprint is a hash of all that makes the request: method, path and
+	// body. The same key with another fingerprint is refused.
+	Fingerprint [32]byte
+	// Rule says what to do when the claim cannot be recorded.
+	Rule config.OnStoreDown
+	// Deadline bounds the waiting; zero means that only the context does.
+	Deadline time.Time
+}
+
+// Begun is what to do with a request. Exactly one of Run, Replay and Unknown is
+// set.
+type Begun struct {
+	// Run says that this caller is to run the request, under the claim.
+	Run *Claim
+	// Replay is the first outcome, to be given again. It is shared and must
+	// not be changed.
+	Replay *Stored
+	// Unknown says that the request was claimed before and may have run, and
+	// that its outcome is not known. It must not be run.
+	Unknown bool
+}
+
+// Keeper claims requests for one node. It is safe for concurrent use.
+type Keeper struct {
+	o       Options
+	batcher *batcher
+
+	mu      sync.Mutex
+	flights map[string]*flight // by row key
+	// released are the claims that were given up without a run, whose rows
+	// may still stand because the platform did not confirm the removal.
+	released  map[string]released // by row key
+	held      int                 // flights that are kept
+	heldBytes int                 // bodies of those among them that had a row
+	stats     Stats
+}
+
+// Stats counts what a Keeper did.
+type Stats struct {
+	Claims     uint64 // requests that were claimed to run
+	Replays    uint64
+	Unknowns   uint64
+	Joins      uint64 // repeats that waited for a run on this node
+	Refused    uint64
+	Guards     uint64 // requests that ran under a claim of this node only
+	Unstored   uint64 // outcomes that could not be stored
+	Writes     uint64 // transactions sent to the platform
+	GuardsHeld int
+}
+
+// New returns a Keeper.
+func New(o Options) *Keeper {
+	o = o.withDefaults()
+	k := &Keeper{
+		o:        o,
+		flights:  make(map[string]*flight),
+		released: make(map[string]released),
+	}
+	k.batcher = newBatcher(o.Table, o.Linger)
+	return k
+}
+
+// Stats returns the counts so far.
+func (k *Keeper) Stats() Stats {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.stats
+	s.Writes = k.batcher.writes.Load()
+	s.GuardsHeld = k.held
+	return s
+}
+
+// Begin decides what to do with a request. The error is a *call.Refusal, which
+// means that this request was not run, or the context's error, which means the
+// same.
+func (k *Keeper) Begin(ctx context.Context, r Request) (Begun, error) {
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+		defer cancel()
+	}
+	key := rowKey(r.Class, r.Key)
+	f, first := k.enter(key, r)
+	if !first {
+		return k.join(ctx, f, r)
+	}
+	b, err := k.claim(ctx, f, r)
+	if err != nil || b.Run == nil {
+		// Whatever was found lies in the platform's table; those who
+		// joined look there for themselves.
+		k.leave(f)
+	}
+	return k.count(b, err)
+}
+
+func (k *Keeper) count(b Begun, err error) (Begun, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err != nil:
+		k.stats.Refused++
+	case b.Run != nil:
+		k.stats.Claims++
+	case b.Replay != nil:
+		k.stats.Replays++
+	default:
+		k.stats.Unknowns++
+	}
+	return b, err
+}
+
+func refusal(reason call.Reason, detail string) error {
+	return &call.Refusal{Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/internal/once/record.go
@@ -0,0 +1,60 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/platform"
+)
+
+// Stored is the outcome of a request as it is kept for those who send it again.
+type Stored struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	// Truncated says that the body was too large to keep and is gone. The
+	// status and header are whole.
+	Truncated bool `json:"truncated,omitempty"`
+}
+
+// row is the value of a platform row. A row is claimed from when it is made
+// until it has an Outcome, which never changes after.
+type row struct {
+	// Nonce is known to one claimant only. A claimant whose write got no
+	// answer recognises its own row by it.
+	Nonce       string   `json:"nonce"`
+	Holder      string   `json:"holder"`
+	Fingerprint [32]byte `json:"fingerprint"`
+	// ClaimedAt is by the claimant's clock, in Unix milliseconds. Only the
+	// time until a repeat is told "unknown" and the expiry depend on it, and
+	// never whether a request runs.
+	ClaimedAt int64   `json:"claimed_at"`
+	Outcome   *Stored `json:"outcome,omitempty"`
+}
+
+func (r row) encode() ([]byte, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("once: encode the row: %w", err)
+	}
+	return b, nil
+}
+
+func decodeRow(b []byte) (row, error) {
+	var r row
+	if err := json.Unmarshal(b, &r); err != nil {
+		return row{}, fmt.Errorf("once: decode the row: %w", err)
+	}
+	return r, nil
+}
+
+func (r row) claimedAt() time.Time { return time.UnixMilli(r.ClaimedAt) }
+
+// rowKey is the platform key of a request. Both parts are escaped, so that no
+// class and key can be taken for another pair.
+func rowKey(class, key string) string {
+	return platform.OncePrefix + url.PathEscape(class) + "/" + url.PathEscape(key)
+}
--- /dev/null
+++ b/internal/once/upkeep.go
@@ -0,0 +1,142 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/platform"
+)
+
+// releasedFor is how long a given-up claim is remembered after its removal
+// seemed done. A write that was under way, or hidden by a stale read, must have
+// shown by then.
+const releasedFor = 10 * time.Minute
+
+// Flush tries again to store the outcomes that the platform does not have and
+// to remove the claims that were given up. Call it every few seconds.
+func (k *Keeper) Flush(ctx context.Context) error {
+	var errs []error
+	for f, u := range k.unsavedFlights() {
+		err := k.store(ctx, f.key, u, true)
+		if err == nil || errors.Is(err, errTaken) {
+			k.leave(f)
+		}
+		errs = append(errs, err)
+		if ctx.Err() != nil {
+			return errors.Join(errs...)
+		}
+	}
+	for key, r := range k.releasedClaims() {
+		err := k.unclaim(ctx, key, r.nonce)
+		if err == nil && k.o.Now().Sub(r.since) > releasedFor {
+			k.forgetReleased(key, r.nonce)
+		}
+		errs = append(errs, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	k.dropOld()
+	return errors.Join(errs...)
+}
+
+func (k *Keeper) unsavedFlights() map[*flight]*unsavedOutcome {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[*flight]*unsavedOutcome)
+	for _, f := range k.flights {
+		if f.unsaved != nil {
+			out[f] = f.unsaved
+		}
+	}
+	return out
+}
+
+func (k *Keeper) releasedClaims() map[string]released {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[string]released, len(k.released))
+	for key, r := range k.released {
+		out[key] = r
+	}
+	return out
+}
+
+// dropOld forgets what is older than Keep.
+func (k *Keeper) dropOld() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.o.Now()
+	for _, f := range k.flights {
+		if f.kept && now.Sub(f.since) > k.o.Keep {
+			k.drop(f)
+		}
+	}
+}
+
+// Trim removes up to limit rows older than Keep that follow after in key order,
+// in one scan and at most two transactions. It returns where to go on, which is
+// empty at the end of the table. One node at a time should call it, at a slow
+// pace; two that do only meet conflicts.
+func (k *Keeper) Trim(ctx context.Context, after string, limit int) (next string, removed int, err error) {
+	rows, err := k.o.Table.Scan(ctx, platform.OncePrefix, after, limit)
+	if err != nil {
+		return after, 0, err
+	}
+	if len(rows) == limit {
+		next = rows[len(rows)-1].Key
+	}
+	old := k.expired(rows)
+	if len(old) == 0 {
+		return next, 0, nil
+	}
+	err = k.o.Table.Commit(ctx, removal(old))
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		old = without(old, conflict.Keys)
+		if len(old) == 0 {
+			return next, 0, nil
+		}
+		err = k.o.Table.Commit(ctx, removal(old))
+	}
+	if err != nil {
+		return after, 0, err
+	}
+	return next, len(old), nil
+}
+
+func (k *Keeper) expired(rows []platform.Row) []platform.Row {
+	now := k.o.Now()
+	var old []platform.Row
+	for _, r := range rows {
+		v, err := decodeRow(r.Value)
+		if err == nil && now.Sub(v.claimedAt()) > k.o.Keep {
+			old = append(old, r)
+		}
+	}
+	return old
+}
+
+func removal(rows []platform.Row) platform.Txn {
+	var t platform.Txn
+	for _, r := range rows {
+		t.Conditions = append(t.Conditions, platform.Condition{Key: r.Key, Revision: r.Revision})
+		t.Writes = append(t.Writes, platform.Write{Key: r.Key, Delete: true})
+	}
+	return t
+}
+
+func without(rows []platform.Row, keys []string) []platform.Row {
+	gone := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		gone[key] = true
+	}
+	var out []platform.Row
+	for _, r := range rows {
+		if !gone[r.Key] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
