--- /dev/null
+++ b/internal/proxy/baseline.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// The policies in this file are the plain ones that ours are measured against.
+
+// RoundRobin picks the endpoints of each service in turn.
+type RoundRobin struct {
+	next      atomic.Uint64
+	endpoints atomic.Pointer[map[string][]Endpoint]
+}
+
+// Set replaces the endpoints, by service.
+func (p *RoundRobin) Set(byService map[string][]Endpoint) { p.endpoints.Store(&byService) }
+
+// Pick returns the next endpoint that was not tried.
+func (p *RoundRobin) Pick(_ time.Time, t *config.Target, tried []string) (Choice, error) {
+	m := p.endpoints.Load()
+	if m == nil || len((*m)[t.Service]) == 0 {
+		return nil, refuse(call.ReasonNoEndpoint, 0, t.Service)
+	}
+	all := (*m)[t.Service]
+	at := p.next.Add(1)
+	for i := range all {
+		ep := &all[(at+uint64(i))%uint64(len(all))]
+		if !slices.Contains(tried, ep.ID) {
+			return (*plainChoice)(ep), nil
+		}
+	}
+	return nil, ErrTriedAll
+}
+
+type plainChoice Endpoint
+
+// Endpoint returns the endpoint.
+func (c *plainChoice) Endpoint() Endpoint { return Endpoint(*c) }
+
+// Done learns nothing.
+func (c *plainChoice) Done(time.Time, Report) {}
+
+// RetryUpTo sends a call again until it was sent so many times, at once, but
+// never one that is not idempotent and may have run.
+type RetryUpTo int
+
+// Decide tells whether to send the call again.
+func (n RetryUpTo) Decide(a Attempted) (bool, time.Duration) {
+	safe := a.Idempotent || a.Outcome == call.NotRun
+	return safe && a.Attempt < int(n), 0
+}
+
+// FixedLimit runs as many calls at once as a backend server has slots. Others
+// wait first come, first served, until their deadline.
+type FixedLimit struct {
+	mu    sync.Mutex
+	slots map[string]chan struct{}
+}
+
+// Acquire waits for a slot.
+func (f *FixedLimit) Acquire(ctx context.Context, b Backend, _ *config.Target, deadline time.Time) (Permit, error) {
+	slots := f.of(b)
+	select {
+	case slots <- struct{}{}:
+		return fixedPermit{slots}, nil
+	default:
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case slots <- struct{}{}:
+		return fixedPermit{slots}, nil
+	case <-timer.C:
+		return nil, refuse(call.ReasonExpired, 0, "")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (f *FixedLimit) of(b Backend) chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.slots == nil {
+		f.slots = make(map[string]chan struct{})
+	}
+	id := b.Service + "/" + b.Instance
+	if f.slots[id] == nil {
+		f.slots[id] = make(chan struct{}, max(b.Slots, 1))
+	}
+	return f.slots[id]
+}
+
+type fixedPermit struct{ slots chan struct{} }
+
+// Release frees the slot.
+func (p fixedPermit) Release(Result) { <-p.slots }
--- /dev/null
+++ b/internal/proxy/body.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds on request bodies kept for another attempt.
+const (
+	maxKeptBody   = 64 << 10
+	keptBodyTotal = 32 << 20
+)
+
+// keptBodies bounds the memory of all kept bodies of a node.
+type keptBodies struct{ used atomic.Int64 }
+
+func (k *keptBodies) take(n int64) bool {
+	if k.used.Add(n) <= keptBodyTotal {
+		return true
+	}
+	k.used.Add(-n)
+	return false
+}
+
+func (k *keptBodies) give(n int64) { k.used.Add(-n) }
+
+// body is the body of a request on its way. A small one of known length is
+// read whole first, and can be sent again. Another streams, and can be sent
+// again only as long as nothing of it was read.
+type body struct {
+	length int64
+	kept   []byte // nil when it streams
+	stream *streamBody
+	budget *keptBodies
+}
+
+// streamBody is a caller's body that is passed on as it comes. It notes whether
+// anything was asked of it.
+type streamBody struct {
+	io.ReadCloser
+	caller  *http.ResponseController
+	touched atomic.Bool
+	ended   atomic.Bool
+}
+
+// newStreamBody lets the answer begin before the body has ended.
+func newStreamBody(w http.ResponseWriter, r *http.Request) *streamBody {
+	c := http.NewResponseController(w)
+	// HTTP/2 needs no such leave and says so with an error.
+	_ = c.EnableFullDuplex()
+	return &streamBody{ReadCloser: r.Body, caller: c}
+}
+
+// Read marks the body as used before it reads.
+func (s *streamBody) Read(p []byte) (int, error) {
+	s.touched.Store(true)
+	n, err := s.ReadCloser.Read(p)
+	if err != nil {
+		s.ended.Store(true)
+	}
+	return n, err
+}
+
+// abort ends a read that waits for the caller.
+//
+// It guards against a call that hangs: when the connection onwards breaks, the
+// transport's RoundTrip waits for its writer, and that waits for a caller who
+// sends nothing more. The caller would never learn that its call is lost. The
+// end of the connection onwards therefore ends the read too.
+func (s *streamBody) abort() {
+	if s.touched.Load() && !s.ended.Load() {
+		_ = s.caller.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Close leaves the caller's body open: net/http closes it when the handler
+// returns, and another attempt may still need it.
+func (s *streamBody) Close() error { return nil }
+
+// takeBody prepares the body of r. Its error is that of the caller's
+// connection: the body came incomplete.
+func takeBody(w http.ResponseWriter, r *http.Request, budget *keptBodies) (body, error) {
+	switch {
+	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
+		return body{}, nil
+	case r.ContentLength < 0 || r.ContentLength > maxKeptBody || !budget.take(r.ContentLength):
+		return body{length: r.ContentLength, stream: newStreamBody(w, r)}, nil
+	}
+	b := body{length: r.ContentLength, kept: make([]byte, r.ContentLength), budget: budget}
+	if _, err := io.ReadFull(r.Body, b.kept); err != nil {
+		b.release()
+		return body{}, err
+	}
+	return b, nil
+}
+
+// open returns the body for one attempt.
+func (b *body) open() (io.ReadCloser, int64) {
+	switch {
+	case b.stream != nil:
+		return b.stream, b.length
+	case b.kept != nil:
+		return io.NopCloser(bytes.NewReader(b.kept)), b.length
+	}
+	return http.NoBody, 0
+}
+
+// reusable reports whether the body can be sent again.
+func (b *body) reusable() bool { return b.stream == nil || !b.stream.touched.Load() }
+
+// streams reports whether the body is passed on as it comes.
+func (b *body) streams() bool { return b.stream != nil }
+
+// release gives the memory of a kept body back to the budget. The bytes
+// themselves are left to the collector: the transport may still read them.
+func (b *body) release() {
+	if b.budget != nil {
+		b.budget.give(b.length)
+		b.budget = nil
+	}
+}
--- /dev/null
+++ b/internal/proxy/destination.go
@@ -0,0 +1,300 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// DestinationParts are what a Destination is made of. Gates, Keeper and
+// Suspects may be nil; then nothing is queued, claimed or quarantined.
+type DestinationParts struct {
+	Programs  Programs
+	Backends  Backends
+	Gates     Gates
+	Keeper    Keeper
+	Suspects  Suspects
+	Upstreams *Upstreams
+	Meters    *Meters
+	Tracer    *Tracer
+	Now       func() time.Time // time.Now when nil
+}
+
+// Destination passes calls to the backend servers of its own VM.
+type Destination struct {
+	DestinationParts
+	kept     keptBodies
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// NewDestination returns a Destination that takes calls.
+func NewDestination(p DestinationParts) *Destination {
+	if p.Now == nil {
+		p.Now = time.Now
+	}
+	return &Destination{DestinationParts: p}
+}
+
+// Drain makes the Destination refuse new calls. Those that run go on.
+func (d *Destination) Drain() { d.draining.Store(true) }
+
+// InFlight returns how many calls are running.
+func (d *Destination) InFlight() int64 { return d.inFlight.Load() }
+
+// ServeHTTP takes a call from another node.
+func (d *Destination) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := d.Now()
+	h, ok := parseHop(first(r.Header, headerHop))
+	if !ok || wantsUpgrade(r) {
+		writeRefusal(w, refuse(call.ReasonBadRequest, 0, "not a call from a node"))
+		return
+	}
+	body, err := takeBody(w, r, &d.kept)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer body.release()
+	dropHopByHop(r.Header)
+	dropOwn(r.Header)
+	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
+	defer span.end()
+	in := inbound{r: r, header: r.Header, body: &body, hop: h, deadline: now.Add(h.left)}
+	a := d.do(ctx, now, &in)
+	span.outcome(&a)
+	d.finish(w, &a, now)
+}
+
+// finish writes the answer to the entry node.
+func (d *Destination) finish(w http.ResponseWriter, a *answer, start time.Time) {
+	switch {
+	case a.refusal != nil:
+		writeRefusal(w, a.refusal)
+	case a.err != nil:
+		w.Header()[headerUnknown] = []string{"1"}
+		writeUnknown(w, statusOfUnknown(a.err), a.err.Error())
+	default:
+		if a.load.Known {
+			w.Header()[call.HeaderLoad] = []string{a.load.String()}
+		}
+		p := d.pass(w, a)
+		if p.partial || p.gone {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// pass relays the answer and ends the holding.
+func (d *Destination) pass(w http.ResponseWriter, a *answer) (p passed) {
+	defer func() {
+		a.resp.Body.Close()
+		a.held.end(d, p)
+	}()
+	return relay(w, a.resp, a.held.keep())
+}
+
+// inbound is a call as it reached the destination.
+type inbound struct {
+	r        *http.Request
+	header   http.Header // may be changed
+	body     *body
+	hop      hop
+	deadline time.Time
+}
+
+// do runs a call, or refuses it. When it returns a response, the caller must
+// pass it on with relay, close its body, and end the holding.
+func (d *Destination) do(ctx context.Context, now time.Time, in *inbound) answer {
+	b, t, refusal := d.check(now, in)
+	if refusal != nil {
+		return answer{refusal: refusal}
+	}
+	d.inFlight.Add(1)
+	a := d.hold(ctx, now, in, b, t)
+	if a.resp == nil {
+		d.inFlight.Add(-1)
+	}
+	return a
+}
+
+// check refuses what can be refused without waiting.
+func (d *Destination) check(now time.Time, in *inbound) (Backend, *config.Target, *call.Refusal) {
+	var none Backend
+	if d.draining.Load() {
+		return none, nil, refuse(call.ReasonDraining, 0, "")
+	}
+	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
+	switch {
+	case !ok:
+		return none, nil, refuse(call.ReasonNotHeld, 0, in.hop.service)
+	case b.State == membership.BackendDraining:
+		return none, nil, refuse(call.ReasonDraining, 0, "")
+	case b.State != membership.BackendReady:
+		return none, nil, refuse(call.ReasonNotReady, 0, "")
+	case !now.Before(in.deadline):
+		return none, nil, refuse(call.ReasonExpired, 0, "")
+	}
+	return b, d.target(in.hop), nil
+}
+
+// target finds the class here. A node may be a version behind the one that
+// matched the call and not know its class yet: the call then runs by the
+// strictest rules, as not idempotent and with the default priority.
+func (d *Destination) target(h hop) *config.Target {
+	if t := d.Programs.Program().Targets.Target(h.class); t != nil && t.Service == h.service {
+		return t
+	}
+	return &config.Target{Name: h.class, Service: h.service}
+}
+
+// holding is what a call holds at its destination while it runs.
+type holding struct {
+	backend Backend
+	target  *config.Target
+	start   time.Time
+	claim   Claim
+	permit  Permit
+	mark    uint64
+	marked  bool
+	status  int
+	stored  *Stored // what to record for the claim
+	// replayed says that the answer is the stored one of an earlier call.
+	replayed bool
+}
+
+// hold claims, queues and sends the call, in this order: a claim is a write to
+// the platform, and no slot may be held while the platform is slow.
+func (d *Destination) hold(ctx context.Context, now time.Time, in *inbound, b Backend, t *config.Target) answer {
+	h := &holding{backend: b, target: t, start: now}
+	if a, done := d.claim(ctx, in, h); done {
+		return a
+	}
+	refusal, err := d.enter(ctx, now, in, h)
+	if err != nil {
+		// The caller gave up before the call was sent on.
+		refusal = refuse(call.ReasonExpired, 0, "the caller gave up")
+	}
+	if refusal != nil {
+		h.abandon(d)
+		return answer{refusal: refusal}
+	}
+	a := d.forward(ctx, in, h)
+	if a.resp == nil {
+		h.failed(d, &a)
+	}
+	return a
+}
+
+// claim makes sure that a keyed call runs once. done says that a is the answer.
+func (d *Destination) claim(ctx context.Context, in *inbound, h *holding) (a answer, done bool) {
+	key := first(in.header, call.HeaderKey)
+	if key == "" || h.target.Idempotent || d.Keeper == nil {
+		return answer{}, false
+	}
+	if in.body.streams() {
+		return answer{refusal: refuse(call.ReasonBadRequest, 0,
+			"a request with an idempotency key needs a body of known length, of at most 64 KiB")}, true
+	}
+	claim, stored, err := d.Keeper.Begin(ctx, KeyedCall{
+		Target: h.target, Key: key, Fingerprint: fingerprint(in), Deadline: in.deadline,
+	})
+	var r *call.Refusal
+	switch {
+	case errors.As(err, &r):
+		return answer{refusal: r}, true
+	case errors.Is(err, ErrOutcomeUnknown):
+		return answer{err: err}, true
+	case err != nil:
+		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
+	case stored != nil:
+		h.replayed = true
+		return answer{resp: stored.response(in.r), held: h}, true
+	}
+	h.claim = claim
+	h.stored = new(Stored)
+	return answer{}, false
+}
+
+// fingerprint tells one request from another under the same key.
+func fingerprint(in *inbound) [32]byte {
+	s := sha256.New()
+	s.Write([]byte(in.r.Method + " " + in.r.URL.RequestURI() + "\n" + in.hop.service + "\n"))
+	s.Write(in.body.kept)
+	var f [32]byte
+	s.Sum(f[:0])
+	return f
+}
+
+// enter waits for a slot and asks whether the request is suspected.
+func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
+	if d.Gates != nil {
+		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, in.deadline)
+		var r *call.Refusal
+		if errors.As(err, &r) {
+			return r, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		h.permit = permit
+	}
+	if d.Suspects != nil {
+		mark, refusal := d.Suspects.Start(now, h.backend, shape(in))
+		if refusal != nil {
+			return refusal, nil
+		}
+		h.mark, h.marked = mark, true
+	}
+	return nil, nil
+}
+
+func shape(in *inbound) RequestShape {
+	return RequestShape{
+		Class: in.hop.class, Method: in.r.Method, Path: in.r.URL.Path,
+		Query: in.r.URL.RawQuery, Key: first(in.header, call.HeaderKey),
+		Length: in.body.length, Body: in.body.kept,
+	}
+}
+
+// forward sends the call to the backend server.
+func (d *Destination) forward(ctx context.Context, in *inbound, h *holding) answer {
+	now := d.Now()
+	left := in.deadline.Sub(now)
+	if left <= 0 {
+		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
+	}
+	h.start = now
+	nonce := strconv.FormatUint(rand.Uint64(), 16)
+	in.header[call.HeaderAttempt] = []string{nonce}
+	in.header[call.HeaderDeadline] = []string{milliseconds(left)}
+	a := d.Upstreams.send(ctx, now, &outbound{
+		in: in.r, header: in.header, body: in.body,
+		addr: h.backend.Addr, host: in.r.Host, wait: left,
+	})
+	if a.resp == nil {
+		return a
+	}
+	if refusal := refusedByBackend(a.resp.Header, nonce); refusal != nil {
+		a.resp.Body.Close()
+		return answer{refusal: refusal, attempt: a.attempt}
+	}
+	a.load = parseLoad(a.resp.Header)
+	dropHopByHop(a.resp.Header)
+	dropOwn(a.resp.Header)
+	h.status = a.resp.StatusCode
+	if h.stored != nil {
+		h.stored.Status = a.resp.StatusCode
+		h.stored.Header = a.resp.Header.Clone()
+	}
+	a.held = h
+	return a
+}
--- /dev/null
+++ b/internal/proxy/entry.go
@@ -0,0 +1,328 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// ErrTriedAll is returned by Pickers when every endpoint has had the call.
+var ErrTriedAll = errors.New("proxy: every endpoint was tried")
+
+// EntryParts are what an Entry is made of. Admitter may be nil.
+type EntryParts struct {
+	Self      string // this node's VM
+	Programs  Programs
+	Admitter  Admitter
+	Pickers   Pickers
+	Retrier   Retrier
+	Local     *Destination // of this VM; nil sends every call over a socket
+	Upstreams *Upstreams
+	Meters    *Meters // of the calls that enter here; its own when nil
+	Tracer    *Tracer
+	Now       func() time.Time // time.Now when nil
+}
+
+// Entry takes calls from callers and sends them to destination nodes.
+type Entry struct {
+	EntryParts
+	kept keptBodies
+}
+
+// NewEntry returns an Entry.
+func NewEntry(p EntryParts) *Entry {
+	if p.Now == nil {
+		p.Now = time.Now
+	}
+	if p.Meters == nil {
+		p.Meters = NewMeters()
+	}
+	return &Entry{EntryParts: p}
+}
+
+// Public returns the handler for callers outside the mesh.
+func (e *Entry) Public() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, false) })
+}
+
+// Internal returns the handler for the backend servers of this VM.
+func (e *Entry) Internal() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) })
+}
+
+// entering is one call at its entry node.
+type entering struct {
+	r        *http.Request
+	target   *config.Target
+	class    *ClassMeter
+	body     body
+	start    time.Time
+	deadline time.Time
+	tried    []string
+	n        int // attempts made
+	// lost is why an attempt that may have run gave no answer, or nil.
+	lost error
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, internal bool) {
+	c := entering{r: r, start: e.Now()}
+	if refusal := e.match(&c, internal); refusal != nil {
+		e.refuse(w, &c, refusal)
+		return
+	}
+	var err error
+	if c.body, err = takeBody(w, r, &e.kept); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.body.release()
+	dropHopByHop(r.Header)
+	dropOwn(r.Header)
+	addForwarded(r.Header, r.RemoteAddr)
+	dropExpect(&c)
+	ctx, span := e.Tracer.startRemote(r, "entry", c.target.Name)
+	defer span.end()
+	e.run(ctx, w, &c, span)
+}
+
+// dropExpect removes Expect from a request whose body was read already.
+func dropExpect(c *entering) {
+	if !c.body.streams() {
+		delete(c.r.Header, "Expect")
+	}
+}
+
+// match finds the call's class and deadline, and refuses what may not enter.
+func (e *Entry) match(c *entering, internal bool) *call.Refusal {
+	if wantsUpgrade(c.r) {
+		return refuse(call.ReasonBadRequest, 0, "upgrades are not carried")
+	}
+	t, ok := e.Programs.Program().Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
+	if !ok {
+		return refuse(call.ReasonNoRoute, 0, "")
+	}
+	if t.Internal() && !internal {
+		return refuse(call.ReasonInternal, 0, "")
+	}
+	c.target = t
+	c.class = e.Meters.Class(t)
+	left, ok := timeLeft(c.r.Header, t.Deadline())
+	if !ok {
+		return refuse(call.ReasonBadRequest, 0, call.HeaderDeadline+" is not a number of milliseconds")
+	}
+	if left <= 0 {
+		return refuse(call.ReasonExpired, 0, "")
+	}
+	c.deadline = c.start.Add(left)
+	if e.Admitter != nil {
+		return e.Admitter.Admit(c.start, t)
+	}
+	return nil
+}
+
+// refuse tells the caller that its call was not run, unless an earlier attempt
+// may have run. An idempotent call is sent again after such an attempt; when
+// the next one is refused, that refusal speaks for the attempt alone, and a
+// caller told "not run" would believe it of the call.
+func (e *Entry) refuse(w http.ResponseWriter, c *entering, r *call.Refusal) {
+	if c.lost != nil {
+		e.unknown(w, c)
+		return
+	}
+	if c.class != nil {
+		c.class.Refused(e.Now(), r.Reason)
+	}
+	writeRefusal(w, r)
+}
+
+// run makes attempts until one is answered or none may follow.
+func (e *Entry) run(ctx context.Context, w http.ResponseWriter, c *entering, s span) {
+	var last *call.Refusal
+	for {
+		now := e.Now()
+		choice, err := e.Pickers.Pick(now, c.target, c.tried)
+		if err != nil {
+			e.refuse(w, c, pickRefusal(err, last))
+			return
+		}
+		c.n++
+		ep := choice.Endpoint()
+		a := e.attempt(ctx, now, c, ep)
+		s.outcome(&a)
+		if a.resp != nil {
+			e.answer(w, c, choice, &a, now)
+			return
+		}
+		choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
+		c.tried = append(c.tried, ep.ID)
+		last = a.refusal
+		if a.err != nil {
+			c.lost = a.err
+		}
+		if !e.again(ctx, c, &a) {
+			e.giveUp(w, c, &a)
+			return
+		}
+	}
+}
+
+// pickRefusal returns the refusal of a call that no endpoint can take: last,
+// that of the attempt before, if every endpoint was tried.
+func pickRefusal(err error, last *call.Refusal) *call.Refusal {
+	var r *call.Refusal
+	switch {
+	case errors.As(err, &r):
+		return r
+	case last != nil:
+		return last
+	}
+	return refuse(call.ReasonNoEndpoint, 0, "")
+}
+
+// again reports whether to make another attempt, after waiting as told.
+func (e *Entry) again(ctx context.Context, c *entering, a *answer) bool {
+	now := e.Now()
+	left := c.deadline.Sub(now)
+	if left <= 0 || ctx.Err() != nil || !c.body.reusable() {
+		return false
+	}
+	ok, after := e.Retrier.Decide(Attempted{
+		Class: c.target.Name, Outcome: a.outcome(), Idempotent: c.target.Idempotent,
+		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: left,
+		Refusal: a.refusal, Deep: a.refusal != nil && a.refusal.Detail == detailDeep,
+		BodyReusable: true,
+	})
+	return ok && after < left && sleep(ctx, after)
+}
+
+// sleep waits for d and reports whether ctx still holds then.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt sends the call to one endpoint.
+func (e *Entry) attempt(ctx context.Context, now time.Time, c *entering, ep Endpoint) answer {
+	header := c.r.Header
+	if c.n > 1 {
+		// The transport may still be reading the header of the attempt before.
+		header = header.Clone()
+	}
+	h := hop{left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance}
+	if h.left <= 0 {
+		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
+	}
+	if e.Local != nil && ep.VM == e.Self {
+		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+	}
+	header[headerHop] = []string{h.String()}
+	a := e.Upstreams.send(ctx, now, &outbound{
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, host: c.r.Host, wait: h.left,
+	})
+	return readNode(a)
+}
+
+// patience is how long an attempt may take to begin its answer. An idempotent
+// call keeps half of its time for another attempt, so that one connection that
+// went silent does not cost its caller the answer.
+func (e *Entry) patience(c *entering, now time.Time) time.Duration {
+	left := c.deadline.Sub(now)
+	if c.target.Idempotent && c.n == 1 && c.body.reusable() {
+		return left / 2
+	}
+	return left
+}
+
+// readNode takes from a node's answer what is meant for this node.
+func readNode(a answer) answer {
+	if a.resp == nil {
+		return a
+	}
+	if r := refusedByNode(a.resp.Header); r != nil {
+		discard(a.resp)
+		return answer{refusal: r, attempt: a.attempt}
+	}
+	if first(a.resp.Header, headerUnknown) != "" {
+		status := a.resp.StatusCode
+		discard(a.resp)
+		return answer{err: &unknownError{status}, attempt: a.attempt}
+	}
+	a.load = parseLoad(a.resp.Header)
+	dropHopByHop(a.resp.Header)
+	dropOwn(a.resp.Header)
+	return a
+}
+
+// discard reads the short body of a problem document, which keeps the
+// connection for the next call.
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxProblemBody)
+	resp.Body.Close()
+}
+
+const maxProblemBody = 4 << 10
+
+// answer passes the answer on and reports it.
+func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
+	first := e.Now().Sub(sent)
+	var p passed
+	defer func() {
+		now := e.Now()
+		rep := report(a, first)
+		rep.Failed = rep.Failed || p.partial
+		choice.Done(now, rep)
+		c.class.Answered(now, now.Sub(c.start), rep.Failed)
+	}()
+	if a.held != nil {
+		p = e.Local.pass(w, a)
+	} else {
+		p = relay(w, a.resp, nil)
+		a.resp.Body.Close()
+	}
+	if p.partial || p.gone {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// giveUp tells the caller what is known of the last attempt.
+func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer) {
+	if a.refusal != nil {
+		e.refuse(w, c, a.refusal)
+		return
+	}
+	e.unknown(w, c)
+}
+
+// unknown tells the caller that its call may have run.
+func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
+	now := e.Now()
+	c.class.Answered(now, now.Sub(c.start), true)
+	writeUnknown(w, statusOfUnknown(c.lost), c.lost.Error())
+}
+
+// report tells the picker how an attempt went.
+func report(a *answer, latency time.Duration) Report {
+	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load}
+	switch {
+	case a.refusal != nil:
+		r.Refused = a.refusal.Reason
+	case a.err != nil:
+		r.Failed = true
+	default:
+		r.Failed = a.resp.StatusCode >= http.StatusInternalServerError
+	}
+	return r
+}
--- /dev/null
+++ b/internal/proxy/headers.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
+// Expect and Trailer are handled by themselves.
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Transfer-Encoding", "Upgrade",
+}
+
+const prefix = "Marlpass-"
+
+// first returns the first value of a header whose name is canonical. Unlike
+// Header.Get it does not look at the name's spelling.
+func first(h http.Header, canonical string) string {
+	if v := h[canonical]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+// dropHopByHop removes the headers of one connection.
+func dropHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(token))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// dropOwn removes every header that only nodes may set. Whoever else sends
+// one is not believed.
+func dropOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, prefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// wantsUpgrade reports whether the caller asks to leave HTTP on this
+// connection, which a call cannot do.
+func wantsUpgrade(r *http.Request) bool {
+	return r.Method == http.MethodConnect || len(r.Header["Upgrade"]) > 0
+}
+
+// addForwarded appends the caller's address to X-Forwarded-For.
+func addForwarded(h http.Header, remote string) {
+	ip, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	if old := h["X-Forwarded-For"]; len(old) > 0 {
+		ip = strings.Join(old, ", ") + ", " + ip
+	}
+	h["X-Forwarded-For"] = []string{ip}
+}
+
+// timeLeft returns what the caller allows, bounded by max. The last result is
+// false when the caller sent something else than a number.
+func timeLeft(h http.Header, max time.Duration) (time.Duration, bool) {
+	s := first(h, call.HeaderDeadline)
+	if s == "" {
+		return max, true
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	if ms >= int64(maxDeadline/time.Millisecond) {
+		return maxDeadline, true
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// maxDeadline bounds what a caller may ask for.
+const maxDeadline = time.Hour
+
+// milliseconds rounds down, so that a hop never grants more than is left.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(int64(d/time.Millisecond), 10)
+}
+
+// parseLoad reads "busy/slots".
+func parseLoad(h http.Header) Load {
+	busy, slots, ok := strings.Cut(first(h, call.HeaderLoad), "/")
+	if !ok {
+		return Load{}
+	}
+	b, err1 := strconv.ParseUint(busy, 10, 20)
+	s, err2 := strconv.ParseUint(slots, 10, 20)
+	if err1 != nil || err2 != nil {
+		return Load{}
+	}
+	return Load{Busy: int(b), Slots: int(s), Known: true}
+}
+
+// String encodes l as "busy/slots".
+func (l Load) String() string {
+	return strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Slots)
+}
--- /dev/null
+++ b/internal/proxy/holding.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// maxStoredBody bounds the answer that is kept for the resends of a keyed call.
+const maxStoredBody = 64 << 10
+
+// recordBound is how long the outcome of a claim may take to be recorded once
+// the call itself is over, when its own deadline no longer counts.
+const recordBound = 5 * time.Second
+
+// keep returns what collects the answer for the claim, or nil.
+func (h *holding) keep() func([]byte) {
+	if h == nil || h.stored == nil {
+		return nil
+	}
+	return h.stored.add
+}
+
+func (s *Stored) add(p []byte) {
+	if s.TooLarge || len(s.Body)+len(p) > maxStoredBody {
+		s.TooLarge, s.Body = true, nil
+		return
+	}
+	s.Body = append(s.Body, p...)
+}
+
+// response builds the answer to a resend from what was stored.
+func (s *Stored) response(r *http.Request) *http.Response {
+	return &http.Response{
+		StatusCode: s.Status, Header: http.Header(s.Header).Clone(),
+		ContentLength: int64(len(s.Body)),
+		Body:          io.NopCloser(bytes.NewReader(s.Body)), Request: r,
+	}
+}
+
+// abandon ends a call that was not sent on.
+func (h *holding) abandon(d *Destination) {
+	now := d.Now()
+	h.release(now, Result{Failed: true})
+	h.unmark(d, now, false)
+	if h.claim != nil {
+		record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+	}
+}
+
+// failed ends a call that has no answer.
+func (h *holding) failed(d *Destination, a *answer) {
+	now := d.Now()
+	refused := a.refusal != nil && a.refusal.Reason == call.ReasonBackend
+	h.release(now, Result{Latency: now.Sub(h.start), Failed: true, Shed: refused})
+	h.unmark(d, now, a.refusal == nil && !a.attempt.expired())
+	if h.claim == nil {
+		return
+	}
+	if a.refusal != nil {
+		record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+		return
+	}
+	record(func(ctx context.Context) { h.claim.Lost(ctx) })
+}
+
+// end ends a call whose answer was passed on as p tells.
+func (h *holding) end(d *Destination, p passed) {
+	d.inFlight.Add(-1)
+	if h.replayed {
+		return // nothing was held
+	}
+	now := d.Now()
+	failed := p.partial || h.status >= http.StatusInternalServerError
+	h.release(now, Result{Latency: now.Sub(h.start), Failed: failed})
+	h.unmark(d, now, p.partial)
+	if d.Meters != nil {
+		d.Meters.Class(h.target).Answered(now, now.Sub(h.start), failed)
+	}
+	if h.claim == nil {
+		return
+	}
+	if p.partial || p.gone {
+		record(func(ctx context.Context) { h.claim.Lost(ctx) })
+		return
+	}
+	record(func(ctx context.Context) { h.claim.Finish(ctx, *h.stored) })
+}
+
+func (h *holding) release(_ time.Time, r Result) {
+	if h.permit != nil {
+		h.permit.Release(r)
+		h.permit = nil
+	}
+}
+
+func (h *holding) unmark(d *Destination, now time.Time, crashed bool) {
+	if h.marked {
+		h.marked = false
+		d.Suspects.Done(now, h.backend, h.mark, crashed)
+	}
+}
+
+// record writes the outcome of a claim. The caller may have gone by now, and
+// its context with it; the record must be written all the same.
+func record(write func(context.Context)) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordBound)
+	defer cancel()
+	write(ctx)
+}
--- /dev/null
+++ b/internal/proxy/hop.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// headerHop carries from the entry node to the destination node all that the
+// latter needs: the time left in milliseconds, the class, the service and the
+// instance. They share one header because each header costs the receiver two
+// allocations.
+const headerHop = "Marlpass-Hop"
+
+// hop is what the entry node tells the destination node of a call.
+type hop struct {
+	left     time.Duration
+	class    string
+	service  string
+	instance string
+}
+
+// String encodes h. Names hold no spaces: config.Check sees to it.
+func (h hop) String() string {
+	b := make([]byte, 0, 64)
+	b = strconv.AppendInt(b, int64(h.left/time.Millisecond), 10)
+	b = append(b, ' ')
+	b = append(b, h.class...)
+	b = append(b, ' ')
+	b = append(b, h.service...)
+	b = append(b, ' ')
+	b = append(b, h.instance...)
+	return string(b)
+}
+
+// parseHop decodes a hop; ok is false when s is none.
+func parseHop(s string) (h hop, ok bool) {
+	ms, rest, ok1 := strings.Cut(s, " ")
+	class, rest, ok2 := strings.Cut(rest, " ")
+	service, instance, ok3 := strings.Cut(rest, " ")
+	n, err := strconv.ParseInt(ms, 10, 64)
+	if !ok1 || !ok2 || !ok3 || err != nil || class == "" || service == "" {
+		return hop{}, false
+	}
+	if n > int64(maxDeadline/time.Millisecond) {
+		n = int64(maxDeadline / time.Millisecond)
+	}
+	return hop{time.Duration(n) * time.Millisecond, class, service, instance}, true
+}
--- /dev/null
+++ b/internal/proxy/meters.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"math/bits"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// Layout of the histograms: values are microseconds, and each power of two has
+// subBuckets buckets, which bounds the error of a quantile to one in
+// subBuckets. A recording is two atomic additions; HdrHistogram would need a
+// lock for each call.
+const (
+	subBits    = 4
+	subBuckets = 1 << subBits
+	maxPower   = 32 // 2^32 microseconds are more than an hour
+	buckets    = (maxPower - subBits + 1) * subBuckets
+)
+
+// Windows of the meters: the last minute in parts.
+const (
+	windowParts = 6
+	windowPart  = 10 * time.Second
+)
+
+// window holds the counts of one part of the last minute.
+type window struct {
+	part     atomic.Int64 // number of the part since the epoch
+	answered atomic.Uint64
+	failed   atomic.Uint64
+	inTarget atomic.Uint64
+	counts   [buckets]atomic.Uint32
+	mu       sync.Mutex // guards refused
+	refused  map[call.Reason]uint64
+}
+
+// ClassMeter counts the calls of one class at this node. A recording that
+// falls together with the change of a part may be counted in the wrong part or
+// be lost with it; the meters are for people and for sharing of rates, not for
+// accounting.
+type ClassMeter struct {
+	name   string
+	target atomic.Pointer[config.Target]
+	parts  [windowParts]window
+}
+
+// Meters holds the meters of all classes.
+type Meters struct{ byClass sync.Map }
+
+// NewMeters returns empty meters.
+func NewMeters() *Meters { return new(Meters) }
+
+// Class returns the meter of t.
+func (m *Meters) Class(t *config.Target) *ClassMeter {
+	v, ok := m.byClass.Load(t.Name)
+	if !ok {
+		v, _ = m.byClass.LoadOrStore(t.Name, &ClassMeter{name: t.Name})
+	}
+	c := v.(*ClassMeter)
+	if c.target.Load() != t {
+		c.target.Store(t)
+	}
+	return c
+}
+
+// Answered counts a call that was answered.
+func (c *ClassMeter) Answered(now time.Time, latency time.Duration, failed bool) {
+	w := c.window(now)
+	w.answered.Add(1)
+	w.counts[bucketOf(latency)].Add(1)
+	switch {
+	case failed:
+		w.failed.Add(1)
+	case c.within(latency):
+		w.inTarget.Add(1)
+	}
+}
+
+// Refused counts a call that was not run.
+func (c *ClassMeter) Refused(now time.Time, why call.Reason) {
+	w := c.window(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refused == nil {
+		w.refused = make(map[call.Reason]uint64)
+	}
+	w.refused[why]++
+}
+
+func (c *ClassMeter) within(latency time.Duration) bool {
+	t := c.target.Load()
+	return t == nil || t.AnswerWithin() == 0 || latency <= t.AnswerWithin()
+}
+
+// window returns the counts of the present part, emptied if they are of an
+// earlier minute.
+func (c *ClassMeter) window(now time.Time) *window {
+	part := now.UnixNano() / int64(windowPart)
+	w := &c.parts[part%windowParts]
+	if old := w.part.Load(); old != part && w.part.CompareAndSwap(old, part) {
+		w.reset()
+	}
+	return w
+}
+
+func (w *window) reset() {
+	w.answered.Store(0)
+	w.failed.Store(0)
+	w.inTarget.Store(0)
+	for i := range w.counts {
+		w.counts[i].Store(0)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refused = nil
+}
+
+// bucketOf returns the bucket of a latency.
+func bucketOf(d time.Duration) int {
+	us := uint64(max(d.Microseconds(), 0))
+	if us < subBuckets {
+		return int(us)
+	}
+	power := bits.Len64(us) - 1
+	if power >= maxPower {
+		return buckets - 1
+	}
+	sub := us>>(power-subBits) - subBuckets
+	return (power-subBits+1)*subBuckets + int(sub)
+}
+
+// upperBound returns the largest latency of a bucket.
+func upperBound(i int) time.Duration {
+	if i < subBuckets {
+		return time.Duration(i) * time.Microsecond
+	}
+	power := i/subBuckets - 1 + subBits
+	sub := uint64(i%subBuckets) + subBuckets
+	return time.Duration((sub+1)<<(power-subBits)-1) * time.Microsecond
+}
+
+// ClassFigures sum up the last minute of a class.
+type ClassFigures struct {
+	Class    string
+	Answered uint64 // with any status, those that failed included
+	Failed   uint64 // server errors, cut answers and unknown outcomes
+	InTarget uint64 // good answers within the target's time
+	Refused  map[call.Reason]uint64
+	P50, P99 time.Duration
+	// AtPercentile is the latency at the percentile that the target names.
+	AtPercentile time.Duration
+}
+
+// Figures returns the last minute of every class that this node has seen.
+func (m *Meters) Figures(now time.Time) []ClassFigures {
+	var out []ClassFigures
+	m.byClass.Range(func(_, v any) bool {
+		out = append(out, v.(*ClassMeter).figures(now))
+		return true
+	})
+	return out
+}
+
+func (c *ClassMeter) figures(now time.Time) ClassFigures {
+	f := ClassFigures{Class: c.name, Refused: make(map[call.Reason]uint64)}
+	var sum [buckets]uint64
+	part := now.UnixNano() / int64(windowPart)
+	for i := range c.parts {
+		w := &c.parts[i]
+		if part-w.part.Load() < windowParts {
+			w.addTo(&f, &sum)
+		}
+	}
+	f.P50 = quantile(&sum, 0.50)
+	f.P99 = quantile(&sum, 0.99)
+	if t := c.target.Load(); t != nil {
+		f.AtPercentile = quantile(&sum, t.PercentileOrDefault()/100)
+	}
+	return f
+}
+
+func (w *window) addTo(f *ClassFigures, sum *[buckets]uint64) {
+	f.Answered += w.answered.Load()
+	f.Failed += w.failed.Load()
+	f.InTarget += w.inTarget.Load()
+	for i := range w.counts {
+		sum[i] += uint64(w.counts[i].Load())
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for why, n := range w.refused {
+		f.Refused[why] += n
+	}
+}
+
+// quantile returns the latency that the share q of the counts does not exceed.
+func quantile(counts *[buckets]uint64, q float64) time.Duration {
+	var total uint64
+	for _, n := range counts {
+		total += n
+	}
+	if total == 0 {
+		return 0
+	}
+	rank := uint64(q * float64(total))
+	var seen uint64
+	for i, n := range counts {
+		seen += n
+		if n > 0 && seen > rank || seen == total {
+			return upperBound(i)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/proxy/notrun.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// This file alone says that a call was not run. A caller acts on that word: it
+// sends a booking again. If the word were ever wrong, the booking would run
+// twice. So a *call.Refusal is made here only, in one of four ways:
+//
+//   - refuse: this node turned the call away and never sent it on;
+//   - unsent: the connection for the attempt is proved to have carried no
+//     byte, and is closed for writing so that none can follow;
+//   - refusedByBackend: the backend server said so with this attempt's nonce;
+//   - refusedByNode: the destination node said so, in one of the ways above.
+//
+// The interfaces of policy.go may return refusals of their own; they are asked
+// before the call is sent on.
+
+// refuse returns the refusal of a call that this node has not sent on.
+func refuse(why call.Reason, after time.Duration, detail string) *call.Refusal {
+	return &call.Refusal{Reason: why, RetryAfter: after, Detail: detail}
+}
+
+// unsent returns a refusal if it is certain that no byte of the attempt was or
+// will be written, and nil otherwise.
+func (a *attempt) unsent() *call.Refusal {
+	if !a.barConn() {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonUnreachable, RetryAfter: retryAfterUnreachable}
+}
+
+// refusedByBackend returns a refusal if the backend server repeats the nonce
+// of this attempt. A header copied from the answer to a deeper call carries
+// that call's nonce, and is not believed.
+func refusedByBackend(h http.Header, nonce string) *call.Refusal {
+	if nonce == "" || first(h, call.HeaderRefused) != nonce {
+		return nil
+	}
+	r := &call.Refusal{Reason: call.ReasonBackend, RetryAfter: parseRetryAfter(h)}
+	if first(h, call.HeaderNotRun) != "" {
+		// The backend server refused because a call of its own was refused.
+		// That one was already tried again a level below.
+		r.Detail = detailDeep
+	}
+	return r
+}
+
+// refusedByNode returns the refusal that another node marked, or nil.
+func refusedByNode(h http.Header) *call.Refusal {
+	why := first(h, call.HeaderNotRun)
+	if why == "" {
+		return nil
+	}
+	r := &call.Refusal{Reason: call.Reason(why), RetryAfter: parseRetryAfter(h)}
+	if first(h, headerDeep) != "" {
+		r.Detail = detailDeep
+	}
+	return r
+}
+
+// headerDeep marks, between nodes, a refusal that began in a deeper call.
+const headerDeep = "Marlpass-Deep"
+
+const detailDeep = "a call further down was refused"
+
+const (
+	retryAfterUnreachable = time.Second
+	retryAfterDefault     = time.Second
+)
+
+// problem is the body of a refusal, as application/problem+json.
+type problem struct {
+	Title  string      `json:"title"`
+	Status int         `json:"status"`
+	Reason call.Reason `json:"reason,omitempty"`
+	Detail string      `json:"detail,omitempty"`
+	NotRun bool        `json:"not_run"`
+}
+
+// writeRefusal answers that the call was not run.
+func writeRefusal(w http.ResponseWriter, r *call.Refusal) {
+	h := w.Header()
+	h.Set(call.HeaderNotRun, string(r.Reason))
+	if r.Detail == detailDeep {
+		h.Set(headerDeep, "1")
+	}
+	status := statusOf(r.Reason)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		h.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	}
+	writeProblem(w, problem{
+		Title: "the call was not run", Status: status,
+		Reason: r.Reason, Detail: r.Detail, NotRun: true,
+	})
+}
+
+// headerUnknown marks, between nodes, the answer that nobody knows whether the
+// call ran.
+const headerUnknown = "Marlpass-Unknown"
+
+// unknownError is what another node said of a call that may have run.
+type unknownError struct{ status int }
+
+func (e *unknownError) Error() string { return "proxy: the destination lost the call after it was sent" }
+
+// statusOfUnknown returns the HTTP status of a call that may have run.
+func statusOfUnknown(err error) int {
+	var u *unknownError
+	switch {
+	case errors.As(err, &u):
+		return u.status
+	case errors.Is(err, ErrOutcomeUnknown):
+		return http.StatusConflict
+	case errors.Is(err, errWaited):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// writeUnknown answers that the call may or may not have run.
+func writeUnknown(w http.ResponseWriter, status int, detail string) {
+	writeProblem(w, problem{
+		Title: "the call may have run", Status: status, Detail: detail,
+	})
+}
+
+func writeProblem(w http.ResponseWriter, p problem) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(p.Status)
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// statusOf returns the HTTP status that tells of a refusal.
+func statusOf(r call.Reason) int {
+	switch r {
+	case call.ReasonNoRoute:
+		return http.StatusNotFound
+	case call.ReasonInternal:
+		return http.StatusForbidden
+	case call.ReasonNotHeld:
+		return http.StatusMisdirectedRequest
+	case call.ReasonOverRate:
+		return http.StatusTooManyRequests
+	case call.ReasonExpired:
+		return http.StatusGatewayTimeout
+	case call.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case call.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case call.ReasonBadRequest:
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+// retryAfterSeconds rounds up: a caller must not come back too early.
+func retryAfterSeconds(d time.Duration) string {
+	if d <= 0 {
+		d = retryAfterDefault
+	}
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+func parseRetryAfter(h http.Header) time.Duration {
+	n, err := strconv.Atoi(first(h, "Retry-After"))
+	if err != nil || n < 0 || n > maxRetryAfterSeconds {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+const maxRetryAfterSeconds = 3600
--- /dev/null
+++ b/internal/proxy/policy.go
@@ -0,0 +1,178 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// Matcher finds the class of work of a call. It is immutable.
+type Matcher interface {
+	Match(host, path, method string) (*config.Target, bool)
+}
+
+// Program is the configuration in force, as one call sees it.
+type Program struct {
+	Matcher Matcher
+	// Targets finds a class by its name, for calls that another node matched.
+	Targets interface{ Target(name string) *config.Target }
+	Version config.Version
+}
+
+// Programs gives the program in force. It is called once for each call.
+type Programs interface{ Program() *Program }
+
+// Admitter bounds the rate of a class at this node. It returns nil to let the
+// call pass.
+type Admitter interface {
+	Admit(now time.Time, t *config.Target) *call.Refusal
+}
+
+// Endpoint is a backend server as an entry node reaches it.
+type Endpoint struct {
+	ID       string // unique in the mesh
+	VM       string
+	Instance string // names the backend server to its own node
+	Addr     string // the call address of its node
+}
+
+// Load is what a backend server last said of itself.
+type Load struct {
+	Busy, Slots int
+	Known       bool
+}
+
+// Report is what an attempt showed of its endpoint.
+type Report struct {
+	Outcome call.Outcome
+	// Failed says that the attempt gave no good answer: a server error, a
+	// cut answer, or none.
+	Failed  bool
+	Refused call.Reason // why it was not run, or empty
+	Latency time.Duration
+	Load    Load
+}
+
+// Choice is an endpoint picked for one attempt. Done must be called once.
+type Choice interface {
+	Endpoint() Endpoint
+	Done(now time.Time, r Report)
+}
+
+// Pickers picks endpoints. The IDs in tried have had the call already and come
+// last, or not at all when only they are left; then err is ErrTriedAll.
+type Pickers interface {
+	Pick(now time.Time, t *config.Target, tried []string) (Choice, error)
+}
+
+// Attempted is what a Retrier decides on.
+type Attempted struct {
+	Class        string
+	Outcome      call.Outcome
+	Idempotent   bool
+	Attempt      int // counts from one
+	Elapsed      time.Duration
+	Remaining    time.Duration
+	Refusal      *call.Refusal
+	Deep         bool // the refusal comes from a call further down
+	TriedAll     bool
+	BodyReusable bool
+}
+
+// Retrier decides whether a call is sent again, and after what wait.
+type Retrier interface {
+	Decide(a Attempted) (again bool, after time.Duration)
+}
+
+// Result is what a destination node learned from a call that held a slot.
+type Result struct {
+	Latency time.Duration
+	Failed  bool
+	Shed    bool // the backend server refused it
+}
+
+// Permit is the right to use one slot of a backend server.
+type Permit interface{ Release(r Result) }
+
+// Gates queues calls for the slots of this VM's backend servers. Its error is
+// a *call.Refusal, or that of ctx.
+type Gates interface {
+	Acquire(ctx context.Context, b Backend, t *config.Target, deadline time.Time) (Permit, error)
+}
+
+// Backend is a backend server of this VM.
+type Backend struct {
+	Service  string
+	Instance string
+	Addr     string // host:port
+	Slots    int
+	State    membership.BackendState
+}
+
+// Backends knows the backend servers of this VM. An empty instance asks for
+// any of the service.
+type Backends interface {
+	Find(service, instance string) (Backend, bool)
+}
+
+// Stored is the answer of a finished keyed call.
+type Stored struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+	// TooLarge says that the body was larger than what is kept.
+	TooLarge bool
+}
+
+// KeyedCall is a call that must run at most once over all resends.
+type KeyedCall struct {
+	Target      *config.Target
+	Key         string
+	Fingerprint [32]byte // of method, path and body
+	Deadline    time.Time
+}
+
+// Claim is the right to run a keyed call.
+type Claim interface {
+	// Finish records the answer.
+	Finish(ctx context.Context, s Stored)
+	// Abandon records that the call was not run.
+	Abandon(ctx context.Context)
+	// Lost records that nobody knows whether the call ran.
+	Lost(ctx context.Context)
+}
+
+// outcomeUnknownError is the type of ErrOutcomeUnknown.
+type outcomeUnknownError struct{}
+
+func (outcomeUnknownError) Error() string { return "proxy: the outcome of this key is not known" }
+
+// ErrOutcomeUnknown means that the first call of a key may have run, and its
+// answer is lost.
+var ErrOutcomeUnknown error = outcomeUnknownError{}
+
+// Keeper keeps keyed calls from running twice. Begin returns a claim to run
+// the call, or the stored answer of an earlier one, or an error: a
+// *call.Refusal, ErrOutcomeUnknown, or that of ctx.
+type Keeper interface {
+	Begin(ctx context.Context, k KeyedCall) (Claim, *Stored, error)
+}
+
+// Suspects keeps requests that crash backend servers away from them.
+type Suspects interface {
+	// Start returns a mark of the request for Done, or a refusal.
+	Start(now time.Time, b Backend, r RequestShape) (mark uint64, refusal *call.Refusal)
+	// Done takes the request out of flight; crashed says that the backend
+	// server closed its connection with no answer.
+	Done(now time.Time, b Backend, mark uint64, crashed bool)
+}
+
+// RequestShape is what a request is recognised by when it is sent again.
+type RequestShape struct {
+	Class, Method, Path, Query, Key string
+	Length                          int64
+	Body                            []byte // the first part, or nil when it streams
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,184 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// one is a program with a single class.
+type one struct{ t *config.Target }
+
+func (o one) Match(_, path, _ string) (*config.Target, bool) {
+	return o.t, strings.HasPrefix(path, o.t.Match.PathPrefix)
+}
+
+func (o one) Target(name string) *config.Target {
+	if name == o.t.Name {
+		return o.t
+	}
+	return nil
+}
+
+func (o one) Program() *Program { return &Program{Matcher: o, Targets: o} }
+
+// held are the backend servers of one VM.
+type held []Backend
+
+func (h held) Find(service, instance string) (Backend, bool) {
+	for _, b := range h {
+		if b.Service == service && (instance == "" || b.Instance == instance) {
+			return b, true
+		}
+	}
+	return Backend{}, false
+}
+
+// mesh is an entry node, two destination nodes and a backend server on
+// loopback.
+type mesh struct {
+	t       *testing.T
+	entry   *Entry
+	dest    [2]*Destination
+	backend *httptest.Server
+	public  *httptest.Server
+	inside  *httptest.Server
+	picks   *RoundRobin
+	runs    atomic.Int64
+}
+
+const testService = "berths"
+
+// bookings is not idempotent, lookups is.
+func bookings() *config.Target {
+	return &config.Target{Name: "bookings", Service: testService, Match: config.Match{PathPrefix: "/"}}
+}
+
+func lookups() *config.Target {
+	t := bookings()
+	t.Name, t.Idempotent = "lookups", true
+	return t
+}
+
+func newMesh(t *testing.T, target *config.Target, h http.HandlerFunc) *mesh {
+	m := &mesh{t: t, picks: new(RoundRobin)}
+	m.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.runs.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(m.backend.Close)
+	addr := strings.TrimPrefix(m.backend.URL, "http://")
+	var eps []Endpoint
+	for i := range m.dest {
+		ups := NewUpstreams()
+		t.Cleanup(ups.Close)
+		m.dest[i] = NewDestination(DestinationParts{
+			Programs: one{target}, Upstreams: ups, Gates: new(FixedLimit),
+			Backends: held{{Service: testService, Instance: "a", Addr: addr, Slots: 8, State: membership.BackendReady}},
+		})
+		s := httptest.NewServer(m.dest[i])
+		t.Cleanup(s.Close)
+		eps = append(eps, Endpoint{ID: "vm" + string(rune('0'+i)) + "/a", VM: "vm" + string(rune('0'+i)),
+			Instance: "a", Addr: strings.TrimPrefix(s.URL, "http://")})
+	}
+	m.picks.Set(map[string][]Endpoint{testService: eps})
+	ups := NewUpstreams()
+	t.Cleanup(ups.Close)
+	m.entry = NewEntry(EntryParts{
+		Self: "vm9", Programs: one{target}, Pickers: m.picks, Retrier: RetryUpTo(3), Upstreams: ups,
+	})
+	m.public = httptest.NewServer(m.entry.Public())
+	t.Cleanup(m.public.Close)
+	m.inside = httptest.NewServer(m.entry.Internal())
+	t.Cleanup(m.inside.Close)
+	return m
+}
+
+// call makes a call and returns its answer and body.
+func (m *mesh) call(method, path, body string, header ...string) (*http.Response, string, error) {
+	m.t.Helper()
+	u, _ := url.Parse(m.public.URL + path)
+	r := &http.Request{Method: method, URL: u, Header: http.Header{}}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	if body != "" {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	}
+	resp, err := m.public.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func TestForward(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		w.Header().Set("Marlpass-Load", "2/6")
+		w.Header().Set("X-Seen", r.Method+" "+r.URL.RequestURI()+" "+r.Header.Get("X-Forwarded-For"))
+		w.WriteHeader(http.StatusCreated)
+		w.Write(append([]byte("got "), b...))
+	})
+	resp, body, err := m.call("POST", "/book?hull=7", "slip 3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusCreated || body != "got slip 3" || resp.ContentLength != 10 {
+		t.Fatalf("got %d %q, length %d", resp.StatusCode, body, resp.ContentLength)
+	}
+	if s := resp.Header.Get("X-Seen"); s != "POST /book?hull=7 127.0.0.1" {
+		t.Fatalf("the backend server saw %q", s)
+	}
+	if resp.Header.Get("Marlpass-Load") != "" {
+		t.Fatal("a header between nodes reached the caller")
+	}
+}
+
+// A caller follows a bulletin that the backend server sends line by line, and
+// each line must reach it before the next is written, in both directions.
+func TestStreamBothWays(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).EnableFullDuplex()
+		buf := make([]byte, 64)
+		for {
+			n, err := r.Body.Read(buf)
+			w.Write(buf[:n])
+			w.(http.Flusher).Flush()
+			if err != nil {
+				return
+			}
+		}
+	})
+	pr, pw := io.Pipe()
+	req, _ := http.NewRequest("POST", m.public.URL+"/feed", pr)
+	go io.WriteString(pw, "first")
+	resp, err := m.public.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	buf := make([]byte, 64)
+	for _, line := range []string{"first", "second", "third"} {
+		if line != "first" {
+			io.WriteString(pw, line)
+		}
+		n, err := resp.Body.Read(buf)
+		if string(buf[:n]) != line {
+			t.Fatalf("got %q, %v, want %q", buf[:n], err, line)
+		}
+	}
+	pw.Close()
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) != 0 {
+		t.Fatalf("the end: %q, %v", rest, err)
+	}
+}
--- /dev/null
+++ b/internal/proxy/relay.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+const copyBuffer = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// passed is what was passed on of an answer.
+type passed struct {
+	bytes   int64
+	partial bool // the answer did not come whole
+	gone    bool // the reader did not take it
+}
+
+// relay passes an answer on. When it returns with partial set, the caller
+// must abort the connection, so that a cut answer never looks like a whole one.
+// keep sees every part of the body, and may be nil.
+func relay(w http.ResponseWriter, resp *http.Response, keep func([]byte)) passed {
+	h := w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	announceTrailers(h, resp.Trailer)
+	w.WriteHeader(resp.StatusCode)
+	p := relayBody(w, resp, keep)
+	if !p.partial && !p.gone {
+		copyTrailers(h, resp.Trailer)
+	}
+	return p
+}
+
+// relayBody copies the body, and flushes whatever came unless it was the end
+// of it: a caller of a stream sees each part when the backend server sent it,
+// and a short answer leaves in one write.
+func relayBody(w http.ResponseWriter, resp *http.Response, keep func([]byte)) passed {
+	flusher, _ := w.(http.Flusher)
+	if resp.ContentLength < 0 && flusher != nil {
+		flusher.Flush()
+	}
+	buf := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buf)
+	var p passed
+	for {
+		n, err := resp.Body.Read(buf[:])
+		if n > 0 {
+			if keep != nil {
+				keep(buf[:n])
+			}
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				p.gone = true
+				return p
+			}
+			p.bytes += int64(n)
+		}
+		if err == io.EOF {
+			p.partial = resp.ContentLength > 0 && p.bytes < resp.ContentLength && !bodyless(resp)
+			return p
+		}
+		if err != nil {
+			p.partial = true
+			return p
+		}
+		if flusher != nil && p.bytes != resp.ContentLength {
+			flusher.Flush()
+		}
+	}
+}
+
+// bodyless reports whether the length of resp tells of a body that is not sent.
+func bodyless(resp *http.Response) bool {
+	return resp.Request != nil && resp.Request.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNotModified
+}
+
+func announceTrailers(h http.Header, trailer http.Header) {
+	if len(trailer) == 0 {
+		return
+	}
+	names := make([]string, 0, len(trailer))
+	for name := range trailer {
+		names = append(names, name)
+	}
+	h["Trailer"] = []string{strings.Join(names, ", ")}
+}
+
+// copyTrailers sets the trailers that came. Those announced are taken by their
+// name, others need the prefix.
+func copyTrailers(h http.Header, trailer http.Header) {
+	announced := first(h, "Trailer")
+	for name, values := range trailer {
+		if !strings.Contains(announced, name) {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
--- /dev/null
+++ b/internal/proxy/socket_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package proxy
+
+import "syscall"
+
+// boundUnacked does nothing where the kernel has no such bound; keep-alive and
+// the deadline of each call remain.
+func boundUnacked(_, _ string, _ syscall.RawConn) error { return nil }
