Let the proxy speak the decision packages' own types

Cause: the proxy had types of its own for retries, suspects and claims, so each decision would have needed an adapter, and a lapsed claim could still be run.

Change: Retrier, Suspects and Claim take the types of retry, quarantine and once; an entry node asks for suspects, runs them at one place, and marks what it gave up on as final; a claim is asked right before the first byte; outcomes of claims are recorded beside the call and waited for at a stop. internal/node gives the decisions to the proxy.

Conclusion: the proxy's tests pass; the node is not wired yet.

--- /dev/null
+++ b/internal/node/gates.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/limit"
+	"github.com/marlpass/marlpass/internal/proxy"
+)
+
+// gates keeps one limit.Gate for each backend server of this VM.
+type gates struct {
+	mu         sync.Mutex // serialises writers
+	byInstance atomic.Pointer[map[string]*limit.Gate]
+}
+
+func newGates() *gates {
+	g := new(gates)
+	g.byInstance.Store(&map[string]*limit.Gate{})
+	return g
+}
+
+// update makes the gates fit the backend servers and the classes in force.
+// The gate of a backend server that is gone refuses those that wait.
+func (g *gates) update(now time.Time, list []announce.Backend, p *program) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := *g.byInstance.Load()
+	next := make(map[string]*limit.Gate, len(list))
+	for _, b := range list {
+		gate := old[b.Instance]
+		if gate == nil {
+			gate = limit.NewGate(limit.Options{})
+		}
+		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: p.limits[b.Service]})
+		next[b.Instance] = gate
+	}
+	g.byInstance.Store(&next)
+	for instance, gate := range old {
+		if next[instance] == nil {
+			gate.Drain()
+		}
+	}
+}
+
+// Acquire implements proxy.Gates.
+func (g *gates) Acquire(ctx context.Context, b proxy.Backend, t *config.Target, deadline time.Time) (proxy.Permit, error) {
+	gate := (*g.byInstance.Load())[b.Instance]
+	if gate == nil {
+		// The backend server went between the look-up and here.
+		return nil, errNotHeld
+	}
+	p, err := gate.Acquire(ctx, t.Name, deadline)
+	if err != nil {
+		return nil, err
+	}
+	return permit{p}, nil
+}
+
+// stats returns what the gates hold of each class, by instance.
+func (g *gates) stats(now time.Time) map[string][]limit.ClassStats {
+	out := make(map[string][]limit.ClassStats)
+	for instance, gate := range *g.byInstance.Load() {
+		out[instance] = gate.Stats(now)
+	}
+	return out
+}
+
+// permit gives limit.Permit the shape that the proxy asks for.
+type permit struct{ p limit.Permit }
+
+func (p permit) Release(r proxy.Result) {
+	p.p.Release(limit.Result{Latency: r.Latency, Failed: r.Failed, Shed: r.Shed})
+}
--- /dev/null
+++ b/internal/node/keeper.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+
+	"github.com/marlpass/marlpass/internal/once"
+	"github.com/marlpass/marlpass/internal/proxy"
+)
+
+// keeper gives once.Keeper the shape that the proxy asks for.
+type keeper struct{ k *once.Keeper }
+
+// Begin implements proxy.Keeper.
+func (k keeper) Begin(ctx context.Context, c proxy.KeyedCall) (proxy.Claim, *proxy.Stored, error) {
+	b, err := k.k.Begin(ctx, once.Request{
+		Class:       c.Target.Name,
+		Service:     c.Target.Service,
+		Key:         c.Key,
+		Fingerprint: c.Fingerprint,
+		Rule:        c.Target.StoreDownRule(),
+		Deadline:    c.Deadline,
+	})
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case b.Unknown:
+		return nil, nil, proxy.ErrOutcomeUnknown
+	case b.Replay != nil:
+		return nil, storedOf(b.Replay), nil
+	}
+	return claim{b.Run}, nil, nil
+}
+
+func storedOf(s *once.Stored) *proxy.Stored {
+	return &proxy.Stored{Status: s.Status, Header: s.Header, Body: s.Body, TooLarge: s.Truncated}
+}
+
+// claim gives once.Claim the shape that the proxy asks for. Errors of Finish
+// and Abandon are settled later by Keeper.Flush.
+type claim struct{ c *once.Claim }
+
+func (c claim) Started(ctx context.Context) error { return c.c.Started(ctx) }
+
+func (c claim) Finish(ctx context.Context, s proxy.Stored) {
+	_ = c.c.Finish(ctx, once.Stored{Status: s.Status, Header: s.Header, Body: s.Body, Truncated: s.TooLarge})
+}
+
+func (c claim) Abandon(ctx context.Context) { _ = c.c.Abandon(ctx) }
+
+// Lost leaves the claim as it is: nobody knows whether the call ran, so a
+// resend must be told so and must never run.
+func (c claim) Lost(context.Context) {}
--- /dev/null
+++ b/internal/node/pickers.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/route"
+)
+
+// endpointSep joins VM and instance into the ID of an endpoint. Neither may
+// contain it.
+const endpointSep = "/"
+
+// pickers keeps one route.Picker for each service that some node holds, and
+// feeds them from the membership view.
+type pickers struct {
+	self      membership.VM
+	mu        sync.Mutex // serialises writers
+	byService atomic.Pointer[map[string]*route.Picker]
+	none      *route.Picker // of a service that no node holds
+}
+
+func newPickers(self membership.VM) *pickers {
+	p := &pickers{self: self, none: route.New(route.Options{Self: self.ID})}
+	p.byService.Store(&map[string]*route.Picker{})
+	return p
+}
+
+// update takes in a new view. A service that no node holds any more keeps its
+// picker, with no endpoints: its observations are wanted if it comes back.
+func (p *pickers) update(now time.Time, v *membership.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	endpoints := endpointsOf(v)
+	next := make(map[string]*route.Picker, len(endpoints))
+	for service, picker := range *p.byService.Load() {
+		next[service] = picker
+	}
+	for service := range endpoints {
+		if next[service] == nil {
+			next[service] = route.New(route.Options{
+				Self: p.self.ID, DataCentre: p.self.DataCentre, Region: p.self.Region,
+			})
+		}
+	}
+	entries := nodesIn(v, p.self.DataCentre)
+	for service, picker := range next {
+		picker.SetEntryNodes(entries)
+		picker.Update(now, endpoints[service])
+	}
+	p.byService.Store(&next)
+}
+
+// nodesIn counts the nodes of a data centre: each may be an entry node.
+func nodesIn(v *membership.View, dc string) int {
+	n := 0
+	for _, r := range v.Records {
+		if r.VM.DataCentre == dc {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func endpointsOf(v *membership.View) map[string][]route.Endpoint {
+	out := make(map[string][]route.Endpoint)
+	for _, r := range v.Records {
+		for _, b := range r.Backends {
+			out[b.Service] = append(out[b.Service], endpointOf(r, b))
+		}
+	}
+	return out
+}
+
+func endpointOf(r *membership.Seen, b membership.Backend) route.Endpoint {
+	e := route.Endpoint{
+		ID:         r.VM.ID + endpointSep + b.Instance,
+		VM:         r.VM.ID,
+		DataCentre: r.VM.DataCentre,
+		Region:     r.VM.Region,
+		Addr:       r.VM.CallAddr,
+		Slots:      b.Slots,
+		Ready:      b.State == membership.BackendReady,
+		Draining:   b.State == membership.BackendDraining || r.State == membership.VMLeaving,
+		Suspect:    r.State == membership.VMSuspect,
+	}
+	if b.ReadySince != 0 {
+		e.ReadySince = time.UnixMilli(b.ReadySince)
+	}
+	return e
+}
+
+// of returns the picker of a service; it knows no endpoints if no node holds it.
+func (p *pickers) of(service string) *route.Picker {
+	if picker := (*p.byService.Load())[service]; picker != nil {
+		return picker
+	}
+	return p.none
+}
+
+// Pick implements proxy.Pickers.
+func (p *pickers) Pick(now time.Time, t *config.Target, tried []string) (proxy.Choice, error) {
+	picker := p.of(t.Service)
+	pick := picker.Pick
+	if t.Idempotent {
+		pick = picker.PickRepeatable
+	}
+	c, err := pick(now, tried)
+	if err != nil {
+		return nil, err
+	}
+	return choice{c}, nil
+}
+
+// PickFixed implements proxy.Pickers.
+func (p *pickers) PickFixed(now time.Time, t *config.Target, key uint64, tried []string) (proxy.Choice, error) {
+	c, err := p.of(t.Service).PickFixed(now, key, tried)
+	if err != nil {
+		return nil, err
+	}
+	return choice{c}, nil
+}
+
+// status returns what the pickers hold of every endpoint, by service.
+func (p *pickers) status(now time.Time) map[string][]route.EndpointStatus {
+	out := make(map[string][]route.EndpointStatus)
+	for service, picker := range *p.byService.Load() {
+		out[service] = picker.Endpoints(now)
+	}
+	return out
+}
+
+// choice gives route.Choice the shape that the proxy asks for.
+type choice struct{ c route.Choice }
+
+func (c choice) Endpoint() proxy.Endpoint {
+	e := c.c.Endpoint()
+	_, instance, _ := strings.Cut(e.ID, endpointSep)
+	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
+}
+
+func (c choice) Done(now time.Time, r proxy.Report) {
+	c.c.Done(now, route.Report{
+		Outcome: r.Outcome,
+		Failed:  r.Failed,
+		Refused: r.Refused,
+		Latency: r.Latency,
+		Load:    route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
+	})
+}
--- /dev/null
+++ b/internal/node/suspects.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/quarantine"
+)
+
+// Bounds on looking whether a backend server crashed.
+const (
+	crashCheckTimeout = 500 * time.Millisecond
+	alertTimeout      = time.Second
+)
+
+// alerter tells the nodes that hold a service of suspects, without waiting for
+// the membership to spread them.
+type alerter interface {
+	alert(ctx context.Context, service string, ns []membership.Notice)
+}
+
+// suspects gives quarantine.List the shape that the proxy asks for, and finds
+// out whether a backend server whose connection broke has crashed.
+type suspects struct {
+	list    *quarantine.List
+	log     zerolog.Logger
+	alerter alerter
+	// changed is called after this node's own notices changed.
+	changed func([]membership.Notice)
+	checks  sync.Map // backend ID to struct{}, while a check is under way
+	running sync.WaitGroup
+}
+
+func endpointID(b proxy.Backend) string { return b.Service + endpointSep + b.Instance }
+
+// Blocked implements proxy.Suspects.
+func (s *suspects) Blocked(now time.Time, fp quarantine.Fingerprint) *call.Refusal {
+	e, blocked := s.list.Blocked(now, fp)
+	if !blocked {
+		return nil
+	}
+	return e.Refuse(now)
+}
+
+// Isolated implements proxy.Suspects.
+func (s *suspects) Isolated(now time.Time, fp quarantine.Fingerprint) bool {
+	return s.list.Isolated(now, fp)
+}
+
+// Broke implements proxy.Suspects.
+func (s *suspects) Broke(now time.Time, fp quarantine.Fingerprint, endpoint string) {
+	s.list.Broke(now, fp, endpoint)
+}
+
+// Answered implements proxy.Suspects.
+func (s *suspects) Answered(now time.Time, fp quarantine.Fingerprint) { s.list.Answered(now, fp) }
+
+// Start implements proxy.Suspects.
+func (s *suspects) Start(now time.Time, b proxy.Backend, fp quarantine.Fingerprint, what string) (quarantine.Token, error) {
+	return s.list.Start(now, fp, endpointID(b), what)
+}
+
+// Done implements proxy.Suspects.
+func (s *suspects) Done(now time.Time, b proxy.Backend, tok quarantine.Token, end quarantine.End) {
+	s.list.Done(now, tok, end)
+	if end != quarantine.Broken {
+		return
+	}
+	if _, checking := s.checks.LoadOrStore(endpointID(b), struct{}{}); checking {
+		return
+	}
+	s.running.Go(func() {
+		defer s.checks.Delete(endpointID(b))
+		s.check(b)
+	})
+}
+
+// check tries one new connection. A backend server that refuses it has no
+// process that listens any more; one that takes it merely lost a connection.
+func (s *suspects) check(b proxy.Backend) {
+	c, err := net.DialTimeout("tcp", b.Addr, crashCheckTimeout)
+	if err == nil {
+		c.Close()
+		return
+	}
+	evidence := quarantine.Evidence{
+		Broken:         true,
+		ConnectRefused: true,
+		Leaving:        b.State == membership.BackendDraining,
+	}
+	if evidence.Crash() {
+		s.crashed(b)
+	}
+}
+
+// replaced takes in that a backend server announced itself anew, under the same
+// instance: its process came back before anybody could look.
+func (s *suspects) replaced(b proxy.Backend) {
+	evidence := quarantine.Evidence{Broken: true, Restarted: true, Leaving: b.State == membership.BackendDraining}
+	if evidence.Crash() {
+		s.crashed(b)
+	}
+}
+
+func (s *suspects) crashed(b proxy.Backend) {
+	now := time.Now()
+	urgent := s.list.Crashed(now, endpointID(b))
+	s.log.Warn().Str("service", b.Service).Str("instance", b.Instance).Int("suspects", len(urgent)).
+		Msg("quarantine: backend server crashed")
+	s.changed(s.list.Notices(now))
+	if len(urgent) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), alertTimeout)
+	defer cancel()
+	s.alerter.alert(ctx, b.Service, urgent)
+}
+
+// merge takes in what other nodes tell in their records.
+func (s *suspects) merge(now time.Time, v *membership.View) {
+	for id, r := range v.Records {
+		if id != v.Self && len(r.Notices) > 0 {
+			s.list.MergeNotices(now, id, r.Notices)
+		}
+	}
+}
--- a/internal/proxy/baseline.go
+++ b/internal/proxy/baseline.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // The policies in this file are the plain ones that ours are measured against.
@@ -39,6 +40,16 @@
 	return nil, ErrTriedAll
 }
 
+// PickFixed returns the endpoint that the key names.
+func (p *RoundRobin) PickFixed(now time.Time, t *config.Target, key uint64, tried []string) (Choice, error) {
+	m := p.endpoints.Load()
+	if len(tried) > 0 || m == nil || len((*m)[t.Service]) == 0 {
+		return p.Pick(now, t, tried)
+	}
+	all := (*m)[t.Service]
+	return (*plainChoice)(&all[key%uint64(len(all))]), nil
+}
+
 type plainChoice Endpoint
 
 // Endpoint returns the endpoint.
@@ -51,10 +62,13 @@
 // never one that is not idempotent and may have run.
 type RetryUpTo int
 
+// Called counts nothing.
+func (RetryUpTo) Called(string) {}
+
 // Decide tells whether to send the call again.
-func (n RetryUpTo) Decide(a Attempted) (bool, time.Duration) {
-	safe := a.Idempotent || a.Outcome == call.NotRun
-	return safe && a.Attempt < int(n), 0
+func (n RetryUpTo) Decide(_ string, in retry.Input) retry.Decision {
+	safe := in.BodyReplayable && (in.Idempotent || in.Outcome == call.NotRun)
+	return retry.Decision{Retry: safe && in.Attempt < int(n)}
 }
 
 // FixedLimit runs as many calls at once as a backend server has slots. Others
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -7,12 +7,15 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // DestinationParts are what a Destination is made of. Gates, Keeper and
@@ -35,6 +38,7 @@
 	kept     keptBodies
 	draining atomic.Bool
 	inFlight atomic.Int64
+	records  sync.WaitGroup // outcomes of claims being written
 }
 
 // NewDestination returns a Destination that takes calls.
@@ -64,8 +68,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer body.release()
+	retried := r.Header[retry.HeaderRetried]
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
+	if retried != nil {
+		r.Header[retry.HeaderRetried] = retried
+	}
 	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
 	defer span.end()
 	in := inbound{r: r, header: r.Header, body: &body, hop: h, deadline: now.Add(h.left)}
@@ -163,7 +171,7 @@
 	start   time.Time
 	claim   Claim
 	permit  Permit
-	mark    uint64
+	mark    quarantine.Token
 	marked  bool
 	status  int
 	stored  *Stored // what to record for the claim
@@ -248,23 +256,18 @@
 		h.permit = permit
 	}
 	if d.Suspects != nil {
-		mark, refusal := d.Suspects.Start(now, h.backend, shape(in))
-		if refusal != nil {
-			return refusal, nil
+		fp := fingerprintOf(in.r, in.header, in.body)
+		what := in.r.Method + " " + in.r.Host + in.r.URL.Path
+		mark, err := d.Suspects.Start(now, h.backend, fp, what)
+		var r *call.Refusal
+		if errors.As(err, &r) {
+			return r, nil
 		}
 		h.mark, h.marked = mark, true
 	}
 	return nil, nil
 }
 
-func shape(in *inbound) RequestShape {
-	return RequestShape{
-		Class: in.hop.class, Method: in.r.Method, Path: in.r.URL.Path,
-		Query: in.r.URL.RawQuery, Key: first(in.header, call.HeaderKey),
-		Length: in.body.length, Body: in.body.kept,
-	}
-}
-
 // forward sends the call to the backend server.
 func (d *Destination) forward(ctx context.Context, in *inbound, h *holding) answer {
 	now := d.Now()
@@ -272,6 +275,9 @@
 	if left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
+	if h.claim != nil && h.claim.Started(ctx) != nil {
+		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim lapsed before the call was run")}
+	}
 	h.start = now
 	nonce := strconv.FormatUint(rand.Uint64(), 16)
 	in.header[call.HeaderAttempt] = []string{nonce}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -9,18 +9,21 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // ErrTriedAll is returned by Pickers when every endpoint has had the call.
 var ErrTriedAll = errors.New("proxy: every endpoint was tried")
 
-// EntryParts are what an Entry is made of. Admitter may be nil.
+// EntryParts are what an Entry is made of. Admitter and Suspects may be nil.
 type EntryParts struct {
 	Self      string // this node's VM
 	Programs  Programs
 	Admitter  Admitter
 	Pickers   Pickers
 	Retrier   Retrier
+	Suspects  Suspects
 	Local     *Destination // of this VM; nil sends every call over a socket
 	Upstreams *Upstreams
 	Meters    *Meters // of the calls that enter here; its own when nil
@@ -65,6 +68,9 @@
 	deadline time.Time
 	tried    []string
 	n        int // attempts made
+	fp       quarantine.Fingerprint
+	isolated bool // to be run at one place at a time
+	below    bool // the call is part of one that is being retried
 	// lost is why an attempt that may have run gave no answer, or nil.
 	lost error
 }
@@ -80,15 +86,39 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer c.body.release()
+	c.below = first(r.Header, retry.HeaderRetried) != ""
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
 	dropExpect(&c)
 	ctx, span := e.Tracer.startRemote(r, "entry", c.target.Name)
 	defer span.end()
+	if refusal := e.suspect(&c); refusal != nil {
+		e.refuse(w, &c, refusal)
+		return
+	}
+	e.Retrier.Called(c.target.Service)
 	e.run(ctx, w, &c, span)
 }
 
+// suspect finds out whether the request is one that crashes backend servers.
+func (e *Entry) suspect(c *entering) *call.Refusal {
+	if e.Suspects == nil {
+		return nil
+	}
+	c.fp = fingerprintOf(c.r, c.r.Header, &c.body)
+	if refusal := e.Suspects.Blocked(c.start, c.fp); refusal != nil {
+		return refusal
+	}
+	c.isolated = e.Suspects.Isolated(c.start, c.fp)
+	return nil
+}
+
+// fingerprintOf recognises a request when it is sent again.
+func fingerprintOf(r *http.Request, h http.Header, b *body) quarantine.Fingerprint {
+	return quarantine.Of(r.Method, r.Host, r.URL.Path, r.URL.RawQuery, h, b.length, b.kept)
+}
+
 // dropExpect removes Expect from a request whose body was read already.
 func dropExpect(c *entering) {
 	if !c.body.streams() {
@@ -144,7 +174,7 @@
 	var last *call.Refusal
 	for {
 		now := e.Now()
-		choice, err := e.Pickers.Pick(now, c.target, c.tried)
+		choice, err := e.pick(now, c)
 		if err != nil {
 			e.refuse(w, c, pickRefusal(err, last))
 			return
@@ -162,14 +192,33 @@
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
+			e.broke(c, ep)
 		}
-		if !e.again(ctx, c, &a) {
-			e.giveUp(w, c, &a)
+		if d := e.again(ctx, c, &a); !d.Retry {
+			e.giveUp(w, c, &a, d)
 			return
 		}
 	}
 }
 
+func (e *Entry) pick(now time.Time, c *entering) (Choice, error) {
+	if c.isolated {
+		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.tried)
+	}
+	return e.Pickers.Pick(now, c.target, c.tried)
+}
+
+// broke tells the suspects of a call that broke at ep, and asks whether the
+// next attempt has to run isolated.
+func (e *Entry) broke(c *entering, ep Endpoint) {
+	if e.Suspects == nil {
+		return
+	}
+	now := e.Now()
+	e.Suspects.Broke(now, c.fp, ep.ID)
+	c.isolated = e.Suspects.Isolated(now, c.fp)
+}
+
 // pickRefusal returns the refusal of a call that no endpoint can take: last,
 // that of the attempt before, if every endpoint was tried.
 func pickRefusal(err error, last *call.Refusal) *call.Refusal {
@@ -183,26 +232,27 @@
 	return refuse(call.ReasonNoEndpoint, 0, "")
 }
 
-// again reports whether to make another attempt, after waiting as told.
-func (e *Entry) again(ctx context.Context, c *entering, a *answer) bool {
+// again decides on another attempt, and waits for it as told.
+func (e *Entry) again(ctx context.Context, c *entering, a *answer) retry.Decision {
 	now := e.Now()
-	left := c.deadline.Sub(now)
-	if left <= 0 || ctx.Err() != nil || !c.body.reusable() {
-		return false
-	}
-	ok, after := e.Retrier.Decide(Attempted{
-		Class: c.target.Name, Outcome: a.outcome(), Idempotent: c.target.Idempotent,
-		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: left,
-		Refusal: a.refusal, Deep: a.refusal != nil && a.refusal.Detail == detailDeep,
-		BodyReusable: true,
+	d := e.Retrier.Decide(c.target.Service, retry.Input{
+		Now: now, Outcome: a.outcome(), Idempotent: c.target.Idempotent,
+		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: c.deadline.Sub(now),
+		Refusal: a.refusal, BodyReplayable: c.body.reusable(),
+		Final: a.refusal != nil && a.refusal.Detail == detailDeep,
+		Below: c.below,
 	})
-	return ok && after < left && sleep(ctx, after)
+	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
+		d.Retry = false
+	}
+	d.Retry = d.Retry && sleep(ctx, d.After)
+	return d
 }
 
 // sleep waits for d and reports whether ctx still holds then.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return true
+		return ctx.Err() == nil
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -221,6 +271,9 @@
 		// The transport may still be reading the header of the attempt before.
 		header = header.Clone()
 	}
+	if c.n > 1 || c.below {
+		header[retry.HeaderRetried] = []string{"1"}
+	}
 	h := hop{left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance}
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
@@ -285,6 +338,9 @@
 		rep.Failed = rep.Failed || p.partial
 		choice.Done(now, rep)
 		c.class.Answered(now, now.Sub(c.start), rep.Failed)
+		if e.Suspects != nil && !p.partial {
+			e.Suspects.Answered(now, c.fp)
+		}
 	}()
 	if a.held != nil {
 		p = e.Local.pass(w, a)
@@ -297,10 +353,15 @@
 	}
 }
 
-// giveUp tells the caller what is known of the last attempt.
-func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer) {
+// giveUp tells the caller what is known of the last attempt, and when to come
+// back. A backend server that is told so for a call of its own can pass the
+// mark on with its refusal, and no node further up will retry in vain.
+func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer, d retry.Decision) {
+	w.Header()[retry.HeaderFinal] = []string{"1"}
 	if a.refusal != nil {
-		e.refuse(w, c, a.refusal)
+		r := *a.refusal
+		r.RetryAfter = max(r.RetryAfter, d.ComeBack)
+		e.refuse(w, c, &r)
 		return
 	}
 	e.unknown(w, c)
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/quarantine"
 )
 
 // maxStoredBody bounds the answer that is kept for the resends of a keyed call.
@@ -46,9 +48,9 @@
 func (h *holding) abandon(d *Destination) {
 	now := d.Now()
 	h.release(now, Result{Failed: true})
-	h.unmark(d, now, false)
+	h.unmark(d, now, quarantine.Dropped)
 	if h.claim != nil {
-		record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+		d.record(func(ctx context.Context) { h.claim.Abandon(ctx) })
 	}
 }
 
@@ -57,15 +59,15 @@
 	now := d.Now()
 	refused := a.refusal != nil && a.refusal.Reason == call.ReasonBackend
 	h.release(now, Result{Latency: now.Sub(h.start), Failed: true, Shed: refused})
-	h.unmark(d, now, a.refusal == nil && !a.attempt.expired())
+	h.unmark(d, now, endOf(a))
 	if h.claim == nil {
 		return
 	}
 	if a.refusal != nil {
-		record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+		d.record(func(ctx context.Context) { h.claim.Abandon(ctx) })
 		return
 	}
-	record(func(ctx context.Context) { h.claim.Lost(ctx) })
+	d.record(func(ctx context.Context) { h.claim.Lost(ctx) })
 }
 
 // end ends a call whose answer was passed on as p tells.
@@ -77,7 +79,11 @@
 	now := d.Now()
 	failed := p.partial || h.status >= http.StatusInternalServerError
 	h.release(now, Result{Latency: now.Sub(h.start), Failed: failed})
-	h.unmark(d, now, p.partial)
+	end := quarantine.Answered
+	if p.partial {
+		end = quarantine.Broken
+	}
+	h.unmark(d, now, end)
 	if d.Meters != nil {
 		d.Meters.Class(h.target).Answered(now, now.Sub(h.start), failed)
 	}
@@ -85,10 +91,10 @@
 		return
 	}
 	if p.partial || p.gone {
-		record(func(ctx context.Context) { h.claim.Lost(ctx) })
+		d.record(func(ctx context.Context) { h.claim.Lost(ctx) })
 		return
 	}
-	record(func(ctx context.Context) { h.claim.Finish(ctx, *h.stored) })
+	d.record(func(ctx context.Context) { h.claim.Finish(ctx, *h.stored) })
 }
 
 func (h *holding) release(_ time.Time, r Result) {
@@ -98,17 +104,33 @@
 	}
 }
 
-func (h *holding) unmark(d *Destination, now time.Time, crashed bool) {
+// endOf tells how a run without an answer ended. One that this node ended, since
+// its bound passed or its caller left, says nothing of the backend server.
+func endOf(a *answer) quarantine.End {
+	if a.refusal != nil || a.attempt.expired() || errors.Is(a.err, context.Canceled) {
+		return quarantine.Dropped
+	}
+	return quarantine.Broken
+}
+
+func (h *holding) unmark(d *Destination, now time.Time, end quarantine.End) {
 	if h.marked {
 		h.marked = false
-		d.Suspects.Done(now, h.backend, h.mark, crashed)
+		d.Suspects.Done(now, h.backend, h.mark, end)
 	}
 }
 
-// record writes the outcome of a claim. The caller may have gone by now, and
-// its context with it; the record must be written all the same.
-func record(write func(context.Context)) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordBound)
-	defer cancel()
-	write(ctx)
+// record writes the outcome of a claim beside the call, so that no caller waits
+// for the platform once its answer is there. The caller may have gone by now,
+// and its context with it; the record must be written all the same, and Wait
+// keeps a planned stop from cutting it off.
+func (d *Destination) record(write func(context.Context)) {
+	d.records.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recordBound)
+		defer cancel()
+		write(ctx)
+	})
 }
+
+// Wait returns when the outcomes of all calls that have ended are recorded.
+func (d *Destination) Wait() { d.records.Wait() }
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -7,6 +7,8 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // Matcher finds the class of work of a call. It is immutable.
@@ -18,7 +20,9 @@
 type Program struct {
 	Matcher Matcher
 	// Targets finds a class by its name, for calls that another node matched.
-	Targets interface{ Target(name string) *config.Target }
+	Targets interface {
+		Target(name string) *config.Target
+	}
 	Version config.Version
 }
 
@@ -66,25 +70,15 @@
 // last, or not at all when only they are left; then err is ErrTriedAll.
 type Pickers interface {
 	Pick(now time.Time, t *config.Target, tried []string) (Choice, error)
+	// PickFixed picks by key alone, so that every node picks the same.
+	PickFixed(now time.Time, t *config.Target, key uint64, tried []string) (Choice, error)
 }
 
-// Attempted is what a Retrier decides on.
-type Attempted struct {
-	Class        string
-	Outcome      call.Outcome
-	Idempotent   bool
-	Attempt      int // counts from one
-	Elapsed      time.Duration
-	Remaining    time.Duration
-	Refusal      *call.Refusal
-	Deep         bool // the refusal comes from a call further down
-	TriedAll     bool
-	BodyReusable bool
-}
-
-// Retrier decides whether a call is sent again, and after what wait.
+// Retrier decides whether a call is sent again. Called is told of each call
+// once, before its first attempt.
 type Retrier interface {
-	Decide(a Attempted) (again bool, after time.Duration)
+	Called(service string)
+	Decide(service string, in retry.Input) retry.Decision
 }
 
 // Result is what a destination node learned from a call that held a slot.
@@ -137,6 +131,9 @@
 
 // Claim is the right to run a keyed call.
 type Claim interface {
+	// Started is asked right before the first byte goes to the backend
+	// server. An error means that the claim has lapsed and must not run.
+	Started(ctx context.Context) error
 	// Finish records the answer.
 	Finish(ctx context.Context, s Stored)
 	// Abandon records that the call was not run.
@@ -161,18 +158,18 @@
 	Begin(ctx context.Context, k KeyedCall) (Claim, *Stored, error)
 }
 
-// Suspects keeps requests that crash backend servers away from them.
+// Suspects keeps requests that crash backend servers away from them. The first
+// four methods are asked at the entry node, the others at the destination.
 type Suspects interface {
-	// Start returns a mark of the request for Done, or a refusal.
-	Start(now time.Time, b Backend, r RequestShape) (mark uint64, refusal *call.Refusal)
-	// Done takes the request out of flight; crashed says that the backend
-	// server closed its connection with no answer.
-	Done(now time.Time, b Backend, mark uint64, crashed bool)
-}
-
-// RequestShape is what a request is recognised by when it is sent again.
-type RequestShape struct {
-	Class, Method, Path, Query, Key string
-	Length                          int64
-	Body                            []byte // the first part, or nil when it streams
+	// Blocked returns the refusal of a request that must not run, or nil.
+	Blocked(now time.Time, fp quarantine.Fingerprint) *call.Refusal
+	// Isolated reports whether the request must run at one place at a time.
+	Isolated(now time.Time, fp quarantine.Fingerprint) bool
+	Broke(now time.Time, fp quarantine.Fingerprint, endpoint string)
+	Answered(now time.Time, fp quarantine.Fingerprint)
+
+	// Start notes that the request is about to run. Its error is a
+	// *call.Refusal.
+	Start(now time.Time, b Backend, fp quarantine.Fingerprint, what string) (quarantine.Token, error)
+	Done(now time.Time, b Backend, tok quarantine.Token, end quarantine.End)
 }
