Spread versions by a tree per version, with a state machine that never goes back

Cause: every accepted version has to reach every node within seconds, at a platform cost that does not grow with the fleet. Change: distribute.State decides (feeders, tells, pulls, jumps with a witness, readiness after a restart) and distribute.Runner carries out; a harness in virtual time joins many States.

--- /dev/null
+++ b/internal/distribute/event.go
@@ -0,0 +1,160 @@
+package distribute
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// ErrCompacted means that the platform no longer has the deltas asked for. A
+// Platform returns it from Since; the state machine then reads a snapshot.
+var ErrCompacted = errors.New("distribute: the deltas were compacted away")
+
+// ErrBadAnswer marks an answer that could not be decoded or verified.
+var ErrBadAnswer = errors.New("distribute: the answer could not be verified")
+
+// ErrNoWitness means that no second peer knows the version that a peer sent a
+// snapshot of.
+var ErrNoWitness = errors.New("distribute: no second peer knows the version")
+
+// BusyError is a peer's refusal to serve a pull now.
+type BusyError struct{ RetryAfter time.Duration }
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("distribute: the peer is busy, retry after %v", e.RetryAfter)
+}
+
+// Event is one input of the state machine.
+type Event interface{ event() }
+
+// Ticked lets time pass. It is due several times a second.
+type Ticked struct{}
+
+// HeadRead is the outcome of ReadHead.
+type HeadRead struct {
+	Version config.Version
+	Err     error
+}
+
+// PlatformRead is the outcome of ReadSince or ReadSnapshot.
+type PlatformRead struct {
+	Deltas   []*config.Delta
+	Snapshot *config.Snapshot
+	Err      error
+}
+
+// Heard tells of the version that any message of a peer carried. Deltas is set
+// when the message was a tell that carried them.
+type Heard struct {
+	Peer    string
+	Version config.Version
+	// InForce is the number of the version in force at the peer.
+	InForce uint64
+	// Tell is set when the message was sent to tell the version, rather than
+	// for membership.
+	Tell   bool
+	Deltas []*config.Delta
+}
+
+// Answer is a peer's answer to Pull or Ask.
+type Answer struct {
+	Version      config.Version
+	Deltas       []*config.Delta
+	Snapshot     *config.Snapshot
+	YouHeld      uint64
+	Ready        bool
+	OtherHistory bool
+}
+
+// Pulled is the outcome of Pull.
+type Pulled struct {
+	Peer   string
+	Answer Answer
+	Err    error
+}
+
+// Asked is the outcome of Ask.
+type Asked struct {
+	Peer   string
+	Answer Answer
+	Err    error
+}
+
+// Told is the outcome of Tell to one peer.
+type Told struct {
+	Peer    string
+	Version config.Version
+	Err     error
+}
+
+// Accepted tells of a change that this node committed itself.
+type Accepted struct{ Delta *config.Delta }
+
+// Offered is the outcome of Offer: err is why the version is not in force.
+type Offered struct {
+	Version config.Version
+	Err     error
+}
+
+func (Ticked) event()       {}
+func (HeadRead) event()     {}
+func (PlatformRead) event() {}
+func (Heard) event()        {}
+func (Pulled) event()       {}
+func (Asked) event()        {}
+func (Told) event()         {}
+func (Accepted) event()     {}
+func (Offered) event()      {}
+
+// Action is one output of the state machine.
+type Action interface{ action() }
+
+// ReadHead asks the platform for its head; answered by HeadRead.
+type ReadHead struct{}
+
+// ReadSince asks the platform for the deltas after Version; answered by
+// PlatformRead.
+type ReadSince struct{ Version config.Version }
+
+// ReadSnapshot asks the platform for a whole snapshot; answered by
+// PlatformRead.
+type ReadSnapshot struct{ Version config.Version }
+
+// Pull asks a peer for what follows Version; answered by Pulled.
+type Pull struct {
+	Peer    string
+	Version config.Version
+}
+
+// Ask asks a peer for its version and for what it saw this node hold; answered
+// by Asked.
+type Ask struct {
+	Peer    string
+	Version config.Version
+}
+
+// Tell sends Version to the peers, with Deltas if there are any; answered by
+// one Told for each peer.
+type Tell struct {
+	Peers   []string
+	Version config.Version
+	Deltas  []*config.Delta
+}
+
+// Offer hands a verified snapshot to the node's config.Store; answered by
+// Offered.
+type Offer struct{ Snapshot *config.Snapshot }
+
+// Report hands a finding to the log, the metrics and the handover.
+type Report struct{ Finding Finding }
+
+func (ReadHead) action()     {}
+func (ReadSince) action()    {}
+func (ReadSnapshot) action() {}
+func (Pull) action()         {}
+func (Ask) action()          {}
+func (Tell) action()         {}
+func (Offer) action()        {}
+func (Report) action()       {}
--- /dev/null
+++ b/internal/distribute/harness_test.go
@@ -0,0 +1,400 @@
+package distribute
+
+import (
+	"container/heap"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var errLost = errors.New("lost")
+
+// mesh joins several States with an event queue in virtual time. Messages can
+// be lost, doubled and delayed; nodes can die and come back empty.
+type mesh struct {
+	set     func(id, dc string) Settings
+	now     time.Time
+	rng     *rand.Rand
+	queue   events
+	order   uint64
+	nodes   map[string]*node
+	ids     []string
+	view    *membership.View
+	log     []*config.Delta // the platform's
+	head    *config.Snapshot
+	down    bool
+	headLag int // versions by which the platform's answers are old
+	drop    func() bool
+	double  func() bool
+	extra   func() time.Duration
+	cut     func(a, b string) bool
+	fault   string // a broken promise
+	reads   int
+	bytes   int // of spreading alone
+	msgs    int
+	pulls   int
+	probe   time.Duration
+}
+
+type node struct {
+	id, dc  string
+	up      bool
+	life    int
+	state   *State
+	offered config.Version
+	force   map[uint64]time.Time
+	reports []Finding
+	fail    func(*config.Snapshot) error
+}
+
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int      { return len(q) }
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q events) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q *events) Push(x any) { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// httpOverhead stands for what HTTP adds to one exchange, both ways: request
+// line, headers and status line as internal/peer sends them.
+const httpOverhead = 230
+
+func newMesh(n, dcs int, seed uint64, set func(id, dc string) Settings) *mesh {
+	m := &mesh{
+		set: set, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		nodes: make(map[string]*node), head: config.Empty(), probe: time.Second,
+		drop: func() bool { return false }, double: func() bool { return false },
+		extra: func() time.Duration { return 0 }, cut: func(a, b string) bool { return false },
+	}
+	for i := range n {
+		id := fmt.Sprintf("vm%04d", i)
+		m.ids = append(m.ids, id)
+		m.nodes[id] = &node{id: id, dc: fmt.Sprintf("dc%d", i%dcs)}
+	}
+	for _, id := range m.ids {
+		m.startNode(id)
+	}
+	return m
+}
+
+func (m *mesh) after(d time.Duration, f func()) {
+	m.order++
+	heap.Push(&m.queue, event{m.now.Add(d), m.order, f})
+}
+
+func (m *mesh) run(d time.Duration) {
+	end := m.now.Add(d)
+	for len(m.queue) > 0 && !m.queue[0].at.After(end) {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.run()
+	}
+	m.now = end
+}
+
+// refreshView makes a new view of the live nodes, the same for all.
+func (m *mesh) refreshView() {
+	v := &membership.View{Records: make(map[string]*membership.Seen)}
+	for _, n := range m.nodes {
+		if n.up {
+			v.Records[n.id] = &membership.Seen{Record: membership.Record{
+				VM: membership.VM{ID: n.id, DataCentre: n.dc}, State: membership.VMAlive,
+			}}
+		}
+	}
+	m.view = v
+}
+
+func (m *mesh) startNode(id string) {
+	n := m.nodes[id]
+	n.up, n.life = true, n.life+1
+	n.state = New(m.set(id, n.dc), m.now)
+	n.offered, n.force, n.reports = config.Version{}, make(map[uint64]time.Time), nil
+	m.refreshView()
+	life := n.life
+	var tick, probe func()
+	tick = func() {
+		if n.life == life && n.up {
+			m.step(n, Ticked{})
+			m.after(tickEvery, tick)
+		}
+	}
+	probe = func() {
+		if n.life == life && n.up {
+			m.probeFrom(n)
+			m.after(m.probe, probe)
+		}
+	}
+	m.after(time.Duration(m.rng.Int64N(int64(tickEvery))), tick)
+	m.after(time.Duration(m.rng.Int64N(int64(m.probe))), probe)
+}
+
+func (m *mesh) kill(id string) { m.nodes[id].up = false }
+
+// probeFrom stands for the membership's probing: a random node of the own data
+// centre, and once in ten of any.
+func (m *mesh) probeFrom(n *node) {
+	for range 8 {
+		p := m.nodes[m.ids[m.rng.IntN(len(m.ids))]]
+		if p != n && (p.dc == n.dc || m.rng.IntN(10) == 0) {
+			m.exchange(n, p, nil, false, func(error) {})
+			return
+		}
+	}
+}
+
+func (m *mesh) latency(a, b *node) time.Duration {
+	switch {
+	case a.dc == b.dc:
+		return 2 * time.Millisecond
+	case a.dc[len(a.dc)-1]%2 == b.dc[len(b.dc)-1]%2: // same region
+		return 10 * time.Millisecond
+	}
+	return 60 * time.Millisecond
+}
+
+// send delivers f at b unless it is lost; it may be doubled.
+func (m *mesh) send(a, b *node, f func()) bool {
+	if m.drop() || m.cut(a.id, b.id) {
+		return false
+	}
+	life := b.life
+	n := 1
+	if m.double() {
+		n = 2
+	}
+	for range n {
+		m.after(m.latency(a, b)+m.extra(), func() {
+			if b.up && b.life == life {
+				f()
+			}
+		})
+	}
+	return b.up
+}
+
+func (m *mesh) exchange(a, b *node, ds []*config.Delta, tell bool, done func(error)) {
+	aHeld, aForce := a.state.Version(), a.state.InForce()
+	life := a.life
+	ok := m.send(a, b, func() {
+		m.step(b, Heard{Peer: a.id, Version: aHeld, InForce: aForce, Tell: tell, Deltas: ds})
+		v, f := b.state.Version(), b.state.InForce()
+		m.send(b, a, func() {
+			if a.life != life {
+				return
+			}
+			m.step(a, Heard{Peer: b.id, Version: v, InForce: f})
+			done(nil)
+		})
+	})
+	if !ok {
+		m.after(time.Second, func() {
+			if a.up && a.life == life {
+				done(errLost)
+			}
+		})
+	}
+}
+
+func (m *mesh) ask(a, b *node, v config.Version, headOnly bool, done func(Answer, error)) {
+	life := a.life
+	finished := false
+	finish := func(ans Answer, err error) {
+		if !finished && a.up && a.life == life {
+			finished = true
+			done(ans, err)
+		}
+	}
+	m.count(&peerpb.PullRequest{From: a.id, Version: v.Number, Hash: v.Hash[:]}, 0)
+	m.send(a, b, func() {
+		ans := b.state.Serve(m.view, a.id, v, headOnly)
+		packed, err := Pack(ans.Deltas, ans.Snapshot)
+		if err != nil {
+			panic(err)
+		}
+		m.count(&peerpb.PullResponse{Version: 1, Hash: v.Hash[:], Changes: packed}, httpOverhead)
+		m.send(b, a, func() { finish(ans, nil) })
+	})
+	m.after(2*time.Second, func() { finish(Answer{}, errLost) })
+}
+
+func (m *mesh) count(msg proto.Message, overhead int) {
+	m.bytes += proto.Size(msg) + overhead
+	if overhead > 0 {
+		m.msgs++
+	}
+}
+
+// step feeds one event to a node and carries out its actions.
+func (m *mesh) step(n *node, ev Event) {
+	for _, a := range n.state.Step(m.now, m.rng, m.view, ev) {
+		m.perform(n, a)
+	}
+}
+
+func (m *mesh) perform(n *node, a Action) {
+	switch a := a.(type) {
+	case Offer:
+		m.offer(n, a.Snapshot)
+	case Report:
+		n.reports = append(n.reports, a.Finding)
+	case Tell:
+		packed, err := Pack(a.Deltas, nil)
+		if err != nil {
+			panic(err)
+		}
+		for _, p := range a.Peers {
+			m.count(&peerpb.Envelope{From: n.id, Version: 1, Hash: a.Version.Hash[:], Changes: packed}, httpOverhead)
+			m.count(&peerpb.Envelope{From: n.id, Version: 1, Hash: a.Version.Hash[:]}, 0)
+			m.exchange(n, m.nodes[p], a.Deltas, true, func(err error) {
+				m.step(n, Told{Peer: p, Version: a.Version, Err: err})
+			})
+		}
+	case Pull:
+		m.pulls++
+		m.ask(n, m.nodes[a.Peer], a.Version, false, func(ans Answer, err error) {
+			m.step(n, Pulled{Peer: a.Peer, Answer: ans, Err: err})
+		})
+	case Ask:
+		m.ask(n, m.nodes[a.Peer], a.Version, true, func(ans Answer, err error) {
+			m.step(n, Asked{Peer: a.Peer, Answer: ans, Err: err})
+		})
+	default:
+		m.platform(n, a)
+	}
+}
+
+const platformLatency = 5 * time.Millisecond
+
+func (m *mesh) platform(n *node, a Action) {
+	m.reads++
+	life := n.life
+	reply := func(ev Event) {
+		m.after(platformLatency, func() {
+			if n.up && n.life == life {
+				m.step(n, ev)
+			}
+		})
+	}
+	switch a := a.(type) {
+	case ReadHead:
+		if m.down {
+			reply(HeadRead{Err: errLost})
+			return
+		}
+		reply(HeadRead{Version: m.platformHead()})
+	case ReadSince:
+		if m.down {
+			reply(PlatformRead{Err: errLost})
+			return
+		}
+		from := min(int(a.Version.Number), len(m.log))
+		reply(PlatformRead{Deltas: m.log[from:]})
+	case ReadSnapshot:
+		if m.down {
+			reply(PlatformRead{Err: errLost})
+			return
+		}
+		reply(PlatformRead{Snapshot: m.head})
+	}
+}
+
+func (m *mesh) platformHead() config.Version {
+	i := len(m.log) - m.headLag
+	if i <= 0 {
+		return config.Empty().Version()
+	}
+	return m.log[i-1].To
+}
+
+// offer puts a snapshot in force and checks the promises.
+func (m *mesh) offer(n *node, s *config.Snapshot) {
+	v := s.Version()
+	if v.Number <= n.offered.Number {
+		m.fault = fmt.Sprintf("%s was offered version %d after %d", n.id, v.Number, n.offered.Number)
+	}
+	if int(v.Number) > len(m.log) || m.log[v.Number-1].To != v {
+		m.fault = fmt.Sprintf("%s was offered version %d (%s), which is not in the log", n.id, v.Number, v.Hash.Short())
+	}
+	n.offered = v
+	if n.fail != nil {
+		if err := n.fail(s); err != nil {
+			m.step(n, Offered{Version: v, Err: err})
+			return
+		}
+	}
+	n.force[v.Number] = m.now
+	m.step(n, Offered{Version: v})
+}
+
+// change commits the next version on the platform, as node n accepted it.
+func (m *mesh) change(n *node) *config.Delta {
+	i := len(m.log)
+	target := config.Target{
+		Name: fmt.Sprintf("class-%03d", i%100), Team: "berths", Service: "booking",
+		Match: config.Match{PathPrefix: fmt.Sprintf("/v%d/", i)}, AnswerWithinMS: 200, Share: 0.2,
+	}
+	next, d, err := m.head.Next([]config.Object{config.EncodeTarget(target)}, nil)
+	if err != nil {
+		panic(err)
+	}
+	d.By, d.Team, d.Command, d.AtMS = "operator", "berths", "0192d3a4-5b6c-7d8e-9f00-112233445566", m.now.UnixMilli()
+	m.head, m.log = next, append(m.log, d)
+	if n != nil && n.up {
+		m.step(n, Accepted{d})
+	}
+	return d
+}
+
+// converged reports whether every live node holds the platform's newest.
+func (m *mesh) converged() bool {
+	for _, n := range m.nodes {
+		if n.up && n.state.Version() != m.head.Version() {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *mesh) readyCount() int {
+	c := 0
+	for _, n := range m.nodes {
+		if ok, _ := n.state.Ready(); ok && n.up {
+			c++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/distribute/ready.go
@@ -0,0 +1,155 @@
+package distribute
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// starting is the work of a node that has no memory and may not carry traffic
+// yet.
+type starting struct {
+	done  bool
+	asks  map[string]*ask // by peer
+	floor uint64          // highest version that a peer saw in force here
+	by    string          // the peer that saw it
+}
+
+// ask is one peer asked for what it saw this node hold.
+type ask struct {
+	busy     bool
+	answered bool
+	ready    bool // the peer carried traffic when it answered
+	fails    int
+	after    time.Time
+}
+
+// Ready reports whether the node may carry traffic, and if not, why.
+//
+// A node keeps nothing on disk. A restarted one must not serve an older version
+// than it served before, so it asks several peers what they saw it hold, and
+// the platform, and stays not ready until it runs at least that and at least
+// what it hears of now. An answer from a peer that is starting itself proves
+// nothing: in a herd, all could agree on the empty configuration.
+func (s *State) Ready() (bool, string) {
+	if s.start.done {
+		return true, ""
+	}
+	return false, s.waitingFor()
+}
+
+func (s *State) judgeReady() {
+	if !s.start.done && s.waitingFor() == "" {
+		s.start.done = true
+		clear(s.start.asks)
+	}
+}
+
+// waitingFor returns why the node is not ready, or "".
+func (s *State) waitingFor() string {
+	switch {
+	case s.inForce < s.start.floor:
+		return fmt.Sprintf("version %d is in force, but %s saw version %d in force here before",
+			s.inForce, s.start.by, s.start.floor)
+	case s.inForce == 0 && s.Version().Number > 0:
+		return fmt.Sprintf("version %d is held but not in force", s.Version().Number)
+	case len(s.claims) > 0 || s.jump != nil:
+		return "peers hold a newer version"
+	case s.feed.head.Newer(s.Version()):
+		return "the platform holds a newer version"
+	}
+	return s.waitingForAnswers()
+}
+
+func (s *State) waitingForAnswers() string {
+	answered, ready := 0, 0
+	for _, a := range s.start.asks {
+		if a.answered {
+			answered++
+		}
+		if a.ready {
+			ready++
+		}
+	}
+	want := min(s.set.AskPeers, s.others())
+	waited := s.now.Sub(s.started) >= s.set.AloneAfter
+	switch {
+	case want > 0 && ready >= want:
+		return ""
+	case s.feed.answered && (waited || (want > 0 && answered >= want)):
+		return ""
+	case ready > 0 && waited:
+		return ""
+	}
+	return fmt.Sprintf("%d of %d peers answered, %d of them ready; platform answered: %t",
+		answered, want, ready, s.feed.answered)
+}
+
+// others counts the live peers.
+func (s *State) others() int {
+	if s.view == nil {
+		return 0
+	}
+	n := 0
+	for id, r := range s.view.Records {
+		if id != s.set.Self && r.State == membership.VMAlive {
+			n++
+		}
+	}
+	return n
+}
+
+// scheduleAsks keeps as many peers asked as the node wants answers from.
+func (s *State) scheduleAsks() {
+	if s.start.done {
+		return
+	}
+	need := s.set.AskPeers
+	for _, a := range s.start.asks {
+		if a.busy || a.ready {
+			need--
+		}
+	}
+	for ; need > 0; need-- {
+		peer := s.randomPeer(s.mayAsk)
+		if peer == "" {
+			return
+		}
+		a := s.start.asks[peer]
+		if a == nil {
+			a = new(ask)
+			s.start.asks[peer] = a
+		}
+		a.busy = true
+		s.emit(Ask{Peer: peer, Version: s.Version()})
+	}
+}
+
+func (s *State) mayAsk(peer string) bool {
+	a := s.start.asks[peer]
+	return a == nil || (!a.busy && !a.ready && !s.now.Before(a.after))
+}
+
+func (s *State) asked(e Asked) {
+	a := s.start.asks[e.Peer]
+	if a == nil || s.start.done {
+		return
+	}
+	a.busy = false
+	a.fails++
+	a.after = s.now.Add(s.set.RetryBase + s.backoff(a.fails))
+	if e.Err != nil {
+		return
+	}
+	a.answered = true
+	a.ready = e.Answer.Ready
+	if e.Answer.YouHeld > s.start.floor {
+		s.start.floor, s.start.by = e.Answer.YouHeld, e.Peer
+	}
+	if e.Answer.OtherHistory {
+		s.conflict(e.Peer, e.Answer.Version)
+		return
+	}
+	s.heard(Heard{Peer: e.Peer, Version: e.Answer.Version, Tell: true})
+}
