Wire the call path, the servers and the stop of a node

Cause: the parts exist and nothing holds them together yet.

Change: internal/node: listeners opened all or none, pickers and gates fed from the membership view and the version in force, admission, drain. Control between nodes is still missing, so this does not build.

Conclusion: a step towards the first call.

--- /dev/null
+++ b/internal/node/callpath.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/once"
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/telemetry"
+)
+
+// callPath holds what a call goes through at this node.
+type callPath struct {
+	n         *Node
+	pickers   *pickers
+	gates     *gates
+	suspects  *suspects
+	keeper    *once.Keeper
+	upstreams *proxy.Upstreams
+	entry     *proxy.Entry
+	dest      *proxy.Destination
+	meters    *proxy.Meters
+	draining  atomic.Bool
+	endTrace  func(context.Context) error
+}
+
+func newCallPath(n *Node) (*callPath, error) {
+	provider, endTrace, err := telemetry.NewTracerProvider(context.Background(), telemetry.TraceOptions{
+		Endpoint:   n.set.Trace.Endpoint,
+		Sample:     n.set.Trace.Sample,
+		Service:    "marlpass-node",
+		VM:         n.self.ID,
+		DataCentre: n.self.DataCentre,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &callPath{
+		n:         n,
+		pickers:   newPickers(n.self),
+		gates:     newGates(),
+		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
+		upstreams: proxy.NewUpstreams(),
+		meters:    proxy.NewMeters(),
+		endTrace:  endTrace,
+	}
+	c.suspects = &suspects{
+		list:    quarantine.New(time.Now(), quarantine.Options{Self: n.self.ID}),
+		log:     telemetry.Part(n.log, "quarantine"),
+		alerter: n.control,
+		changed: n.control.notices,
+	}
+	tracer := proxy.NewTracer(provider)
+	programs := programs{n.store}
+	c.dest = proxy.NewDestination(proxy.DestinationParts{
+		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
+		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
+	})
+	c.entry = proxy.NewEntry(proxy.EntryParts{
+		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
+		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+		Meters: c.meters, Tracer: tracer,
+	})
+	return c, nil
+}
+
+// upkeep stores outcomes that the platform lacks, until ctx ends.
+func (c *callPath) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
+				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
+			}
+		}
+	}
+}
+
+// drain refuses new calls from now on.
+func (c *callPath) drain() {
+	c.draining.Store(true)
+	c.dest.Drain()
+}
+
+// wait returns when all that follows a call is done.
+func (c *callPath) wait() {
+	c.dest.Wait()
+	c.suspects.running.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	if err := c.keeper.Flush(ctx); err != nil {
+		c.n.log.Error().Err(err).Msg("once: outcomes could not be stored before the stop")
+	}
+	c.upstreams.Close()
+	_ = c.endTrace(ctx)
+}
+
+func (c *callPath) inFlight() int64 { return c.dest.InFlight() }
+
+// admission refuses calls while the node may not carry traffic: a node that has
+// just started may hold an older version than it held before, and one that
+// drains takes no new calls.
+type admission struct{ c *callPath }
+
+var (
+	errNotReady = &call.Refusal{Reason: call.ReasonNotReady, RetryAfter: time.Second}
+	errDraining = &call.Refusal{Reason: call.ReasonDraining, RetryAfter: time.Second}
+)
+
+// Admit implements proxy.Admitter.
+func (a admission) Admit(time.Time, *config.Target) *call.Refusal {
+	switch {
+	case a.c.draining.Load():
+		return errDraining
+	case !a.c.n.carries.Load():
+		return errNotReady
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/listeners.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/settings"
+)
+
+// headerTimeout bounds how long a client may take to send a request's header,
+// so that silent connections do not pile up.
+const headerTimeout = 10 * time.Second
+
+// listeners are the sockets of one node. All are opened before any is served,
+// so that a node either starts whole or not at all.
+type listeners struct {
+	callers, internal, calls, control, admin, announce, metrics net.Listener
+}
+
+// openListeners opens all sockets, or none.
+func openListeners(l settings.Listen) (*listeners, error) {
+	out := new(listeners)
+	for _, a := range []struct {
+		key, addr string
+		into      *net.Listener
+	}{
+		{"callers", l.Callers, &out.callers},
+		{"internal", l.Internal, &out.internal},
+		{"calls", l.Calls, &out.calls},
+		{"control", l.Control, &out.control},
+		{"admin", l.Admin, &out.admin},
+		{"announce", l.Announce, &out.announce},
+		{"metrics", l.Metrics, &out.metrics},
+	} {
+		ln, err := net.Listen("tcp", a.addr)
+		if err != nil {
+			out.close()
+			return nil, fmt.Errorf("node: listen.%s cannot be opened: %w", a.key, err)
+		}
+		*a.into = ln
+	}
+	return out, nil
+}
+
+func (l *listeners) all() []net.Listener {
+	return []net.Listener{l.callers, l.internal, l.calls, l.control, l.admin, l.announce, l.metrics}
+}
+
+func (l *listeners) close() {
+	for _, ln := range l.all() {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// Addrs are the addresses that a node listens on, as they came out.
+type Addrs struct {
+	Callers, Internal, Calls, Control, Admin, Announce, Metrics string
+}
+
+func (l *listeners) addrs() Addrs {
+	return Addrs{
+		Callers:  l.callers.Addr().String(),
+		Internal: l.internal.Addr().String(),
+		Calls:    l.calls.Addr().String(),
+		Control:  l.control.Addr().String(),
+		Admin:    l.admin.Addr().String(),
+		Announce: l.announce.Addr().String(),
+		Metrics:  l.metrics.Addr().String(),
+	}
+}
+
+// newServer returns an HTTP server for one part. Whole requests and answers
+// have no bound of time here: archive pulls take minutes, and the proxy bounds
+// calls by their deadlines.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       proxy.ServerIdle,
+		MaxHeaderBytes:    64 << 10,
+	}
+}
+
+// serve serves until the server is shut down. A nil config means plain text.
+func serve(s *http.Server, ln net.Listener, t *tls.Config) error {
+	if t != nil {
+		ln = tls.NewListener(ln, t)
+	}
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("node: serve %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/settings"
+)
+
+// Times of a node's own work.
+const (
+	refreshEvery = 50 * time.Millisecond // looking for a new view or version
+	flushEvery   = 2 * time.Second       // storing outcomes that the platform lacks
+	leaveNotice  = 2 * time.Second       // for the word of leaving to get around
+	stopGrace    = 5 * time.Second       // for everything but calls in flight
+)
+
+// Options are what a node is made of.
+type Options struct {
+	Settings settings.Node
+	Log      zerolog.Logger
+	// Table and Objects replace the platform client, for tests.
+	Table   platform.Table
+	Objects platform.Objects
+	// Membership changes the membership's settings, for measurements.
+	Membership func(*membership.Config)
+}
+
+// Node is one running node.
+type Node struct {
+	o     Options
+	set   settings.Node
+	log   zerolog.Logger
+	self  membership.VM
+	ln    *listeners
+	views membership.Views
+	store *config.Store[*program]
+
+	registry *announce.Registry
+	calls    *callPath
+	control  *control
+	servers  *servers
+
+	leaving atomic.Bool
+	// carries says that the node holds a version it may carry traffic with.
+	carries atomic.Bool
+	stop    context.CancelFunc // ends the background work
+	group   *errgroup.Group
+	once    sync.Once
+}
+
+// New opens the sockets of a node and wires its parts. Nothing is served yet.
+func New(o Options) (*Node, error) {
+	n := &Node{o: o, set: o.Settings, log: o.Log}
+	store, err := config.NewStore(compile)
+	if err != nil {
+		return nil, err
+	}
+	n.store = store
+	if n.ln, err = openListeners(n.set.Listen); err != nil {
+		return nil, err
+	}
+	if err := n.wire(); err != nil {
+		n.ln.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// wire builds the parts, lower layers first.
+func (n *Node) wire() error {
+	a := n.ln.addrs()
+	n.self = membership.VM{
+		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
+		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
+	}
+	n.registry = announce.NewRegistry(announce.Limits{TTL: announce.DefaultTTL, Max: announce.DefaultMax})
+	var err error
+	if n.control, err = newControl(n); err != nil {
+		return err
+	}
+	if n.calls, err = newCallPath(n); err != nil {
+		return err
+	}
+	n.servers, err = newServers(n)
+	return err
+}
+
+// Addrs returns the addresses that the node listens on.
+func (n *Node) Addrs() Addrs { return n.ln.addrs() }
+
+// Ready reports whether the node carries traffic, and if not, why.
+func (n *Node) Ready() (bool, string) {
+	if n.leaving.Load() {
+		return false, "the node leaves"
+	}
+	return n.control.spread.Ready()
+}
+
+// Version returns the version in force.
+func (n *Node) Version() config.Version { return n.store.Load().Snapshot.Version() }
+
+// Start serves everything, and returns at once.
+func (n *Node) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.group, ctx = errgroup.WithContext(ctx)
+	n.control.start(ctx, n.group)
+	n.servers.start(n.group)
+	n.group.Go(func() error { n.refresh(ctx); return nil })
+	n.group.Go(func() error { n.calls.upkeep(ctx); return nil })
+	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
+}
+
+// Wait returns when the node has stopped, with the reason if it was not asked
+// to.
+func (n *Node) Wait() error { return n.group.Wait() }
+
+// refresh brings what is derived from the membership view and from the version
+// in force up to date.
+func (n *Node) refresh(ctx context.Context) {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	var view *membership.View
+	var snapshot *config.Snapshot
+	for {
+		now := time.Now()
+		if v := n.views.Load(); v != view {
+			view = v
+			n.calls.pickers.update(now, v)
+			n.calls.suspects.merge(now, v)
+		}
+		if f := n.store.Load(); f.Snapshot != snapshot {
+			snapshot = f.Snapshot
+			n.calls.gates.update(now, n.registry.Load(), f.Program)
+			n.control.applied(f.Snapshot, n.store.Refused())
+		}
+		ok, _ := n.control.spread.Ready()
+		n.carries.Store(ok)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// backendsChanged takes in what backend servers announced.
+func (n *Node) backendsChanged(changes []announce.Change) {
+	list := n.registry.Load()
+	n.calls.gates.update(time.Now(), list, n.store.Load().Program)
+	n.control.backends(list)
+	for _, c := range changes {
+		n.log.Info().Str("service", c.Backend.Service).Str("instance", c.Backend.Instance).
+			Stringer("change", c.Kind).Msg("announce: backend server changed")
+		if c.Kind == announce.Replaced {
+			n.calls.suspects.replaced(backendOf(c.Backend))
+		}
+	}
+}
+
+// ErrDrainLimit means that a planned stop cut off calls, because they were
+// still in flight at the limit.
+var ErrDrainLimit = errors.New("node: calls were still in flight at the drain limit")
+
+// Shutdown stops the node gracefully: it tells the mesh, refuses new calls, and
+// waits for those in flight until the drain limit. It returns ErrDrainLimit if
+// that was hit.
+func (n *Node) Shutdown(ctx context.Context) error {
+	var err error
+	n.once.Do(func() { err = n.shutdown(ctx) })
+	return err
+}
+
+func (n *Node) shutdown(ctx context.Context) error {
+	start := time.Now()
+	n.leaving.Store(true)
+	n.control.leave()
+	n.log.Info().Msg("node: leaving the mesh")
+	n.servers.leave()
+	sleep(ctx, leaveNotice)
+	n.calls.drain()
+	limit := n.set.Drain.Limit.Duration
+	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
+	defer cancel()
+	drainErr := n.servers.drain(ctx, limit)
+	n.calls.wait()
+	n.stop()
+	n.servers.close()
+	err := n.group.Wait()
+	n.control.close()
+	if drainErr != nil {
+		cut := n.calls.inFlight()
+		n.log.Error().Int64("calls", cut).Dur("after", time.Since(start)).Msg("node: calls cut off at the drain limit")
+		return fmt.Errorf("%w: %d after %s", ErrDrainLimit, cut, limit)
+	}
+	n.log.Info().Dur("after", time.Since(start)).Msg("node: stopped")
+	return err
+}
+
+// Kill ends the node at once, as a crash would. It is for tests.
+func (n *Node) Kill() {
+	n.once.Do(func() {
+		n.stop()
+		n.servers.close()
+		_ = n.group.Wait()
+		n.control.close()
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
