--- a/internal/platform/client/property_test.go
+++ b/internal/platform/client/property_test.go
@@ -18,8 +18,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/internal/platform/client/transport.go
+++ b/internal/platform/client/transport.go
@@ -20,7 +20,9 @@
 // It guards against connections that go silent for good while new ones work:
 // the request on such a connection misses its bound and HTTP/1.1 then closes
 // the connection, so no later request waits on it. HTTP/2 would keep it and
-// send all others into it too; that's why it's off.
+// send all others into it too; that's why it's off. The bound is the deadline
+// of the try alone: a ResponseHeaderTimeout beside it would strike in the same
+// moment and leave to chance which of the two the client sees.
 func newTransport(o Options) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -29,7 +31,6 @@
 		// apart from an answer that doesn't come.
 		DialContext:           (&net.Dialer{Timeout: o.Timeout / 2}).DialContext,
 		TLSHandshakeTimeout:   o.Timeout / 2,
-		ResponseHeaderTimeout: o.Timeout,
 		IdleConnTimeout:       idleTimeout,
 		MaxIdleConnsPerHost:   o.Concurrency,
 		DisableCompression:    true,
