Add the operators' command line

Cause: an operator on shift has only the HTTP API. Change: cmd/marlpass and internal/cli, a client of the admin API. Conclusion: testscript runs every subcommand against servers that accept, refuse, break off, hang, or are not there.

--- /dev/null
+++ b/internal/cli/service.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+)
+
+func serviceList() *command {
+	return &command{
+		name:     "list",
+		summary:  "List the services in force.",
+		examples: []string{"marlpass service list", "marlpass service list -json"},
+		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
+			return func(ctx context.Context, a *app, args []string) error {
+				if err := noArgs(args); err != nil {
+					return err
+				}
+				return query(ctx, a, func(ctx context.Context, c *adminapi.Client) (*adminapi.ServiceList, error) {
+					res, err := c.ListServices(ctx)
+					if err != nil {
+						return nil, err
+					}
+					return &res.Response, nil
+				}, printServices)
+			}
+		},
+	}
+}
+
+func serviceSet() *command {
+	return &command{
+		name:    "set",
+		args:    "NAME",
+		summary: "State a service of your team: create it, or change it.",
+		examples: []string{
+			"marlpass service set berth",
+			"marlpass service set berth -description 'berths and launches' -if-version 41",
+		},
+		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+			description := fs.String("description", "", "what the service is, in a few `words`")
+			w := defineWrite(fs)
+			return func(ctx context.Context, a *app, args []string) error {
+				spec := &adminapi.ServiceSpec{Description: optString(*description)}
+				return a.change(ctx, w, args, func(name adminapi.Name, h headers) send {
+					return putService(spec, name, h)
+				})
+			}
+		},
+	}
+}
+
+func putService(spec *adminapi.ServiceSpec, name adminapi.Name, h headers) send {
+	p := adminapi.PutServiceParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
+	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+		res, err := c.PutService(ctx, spec, p)
+		if err != nil {
+			return nil, err
+		}
+		return acceptedVersion(res)
+	}
+}
+
+func serviceWithdraw() *command {
+	return &command{
+		name:     "withdraw",
+		args:     "NAME",
+		summary:  "Withdraw a service that no target needs.",
+		examples: []string{"marlpass service withdraw berth"},
+		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+			w := defineWrite(fs)
+			return func(ctx context.Context, a *app, args []string) error {
+				return a.change(ctx, w, args, withdrawService)
+			}
+		},
+	}
+}
+
+func withdrawService(name adminapi.Name, h headers) send {
+	p := adminapi.WithdrawServiceParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
+	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+		res, err := c.WithdrawService(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		return acceptedVersion(res)
+	}
+}
+
+// change runs a write on the object that the one argument names.
+func (a *app) change(ctx context.Context, w *writeFlags, args []string, make func(adminapi.Name, headers) send) error {
+	name, err := oneArg(args, "NAME")
+	if err != nil {
+		return err
+	}
+	h, err := w.headers()
+	if err != nil {
+		return err
+	}
+	if err := h.command.Value.Validate(); err != nil {
+		return usagef("-command %q: allowed are up to 64 letters, digits, '.', '_' and '-'", w.command)
+	}
+	if err := adminapi.Name(name).Validate(); err != nil {
+		return usagef("NAME %q: allowed are up to 63 lower-case letters, digits and hyphens", name)
+	}
+	s, err := a.open()
+	if err != nil {
+		return err
+	}
+	return a.write(ctx, s, w.command, make(adminapi.Name(name), h))
+}
+
+// acceptedVersion reads a write's answer, of any operation.
+func acceptedVersion(res any) (*adminapi.Version, error) {
+	switch r := res.(type) {
+	case *adminapi.AcceptedHeaders:
+		return &r.Response.Version, nil
+	case *adminapi.CreatedHeaders:
+		return &r.Response.Version, nil
+	case *adminapi.UnknownHeaders:
+		return nil, fmt.Errorf("%w: %s", errUnknown, r.Response.Detail)
+	}
+	return nil, fmt.Errorf("unexpected answer %T", res)
+}
+
+func noArgs(args []string) error {
+	if len(args) > 0 {
+		return usagef("unexpected argument %q", args[0])
+	}
+	return nil
+}
+
+func oneArg(args []string, what string) (string, error) {
+	if len(args) == 0 {
+		return "", usagef("%s is missing", what)
+	}
+	return args[0], noArgs(args[1:])
+}
+
+func optString(s string) adminapi.OptString {
+	return adminapi.OptString{Value: s, Set: s != ""}
+}
--- /dev/null
+++ b/internal/cli/spec.go
@@ -0,0 +1,153 @@
+package cli
+
+import (
+	"flag"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/internal/settings/strict"
+)
+
+// targetInput is a target as flags or a TOML file give it.
+type targetInput struct {
+	Service     string          `toml:"service"`
+	Host        string          `toml:"host"`
+	Path        string          `toml:"path"`
+	Methods     []string        `toml:"methods"`
+	Idempotent  bool            `toml:"idempotent"`
+	Within      strict.Duration `toml:"within"`
+	Percentile  float64         `toml:"percentile"`
+	Share       string          `toml:"share"`
+	Rate        float64         `toml:"rate"`
+	Priority    int             `toml:"priority"`
+	Internal    bool            `toml:"internal"`
+	OnStoreDown string          `toml:"on_store_down"`
+	Deadline    strict.Duration `toml:"deadline"`
+}
+
+// targetFlags are the flags that describe a target; they exclude -f.
+var targetFlags = map[string]bool{
+	"service": true, "host": true, "path": true, "methods": true, "idempotent": true,
+	"within": true, "percentile": true, "share": true, "rate": true, "priority": true,
+	"internal": true, "on-store-down": true, "deadline": true,
+}
+
+func defineTarget(fs *flag.FlagSet) *targetInput {
+	t := new(targetInput)
+	fs.StringVar(&t.Service, "service", "", "`service` that answers the calls (required)")
+	fs.StringVar(&t.Host, "host", "", "`host` of the calls (default: every host)")
+	fs.StringVar(&t.Path, "path", "", "`prefix` of the calls' path (required)")
+	fs.Func("methods", "HTTP `methods` with commas between (default: every method)", func(s string) error {
+		t.Methods = strings.Split(s, ",")
+		return nil
+	})
+	fs.BoolVar(&t.Idempotent, "idempotent", false, "running a call twice does no harm")
+	fs.DurationVar(&t.Within.Duration, "within", 0, "answer `time` aimed at, such as 200ms")
+	fs.Float64Var(&t.Percentile, "percentile", 0, "`percent` of answers that must come within it (default 99)")
+	fs.StringVar(&t.Share, "share", "", "largest `part` of the service's slots, such as 20% (default: no bound)")
+	fs.Float64Var(&t.Rate, "rate", 0, "bound on `calls` per second over the whole mesh (default: no bound)")
+	fs.IntVar(&t.Priority, "priority", 0, "1, first to give way under overload, to 9 (default 5)")
+	fs.BoolVar(&t.Internal, "internal", false, "open to backend servers only")
+	fs.StringVar(&t.OnStoreDown, "on-store-down", "", "refuse, wait or local-guard: keyed calls while the platform is down (default refuse)")
+	fs.DurationVar(&t.Deadline.Duration, "deadline", 0, "bound on a call whose caller sent none (default 30s)")
+	return t
+}
+
+// firstTargetFlag returns a given flag that describes a target, or "".
+func firstTargetFlag(fs *flag.FlagSet) string {
+	found := ""
+	fs.Visit(func(f *flag.Flag) {
+		if found == "" && targetFlags[f.Name] {
+			found = f.Name
+		}
+	})
+	return found
+}
+
+func (t *targetInput) read(file string) error {
+	if err := strict.Load(file, t); err != nil {
+		return &exitError{exit.Usage, err.Error()}
+	}
+	return nil
+}
+
+// inputNames are the names that operators know the API's fields by, where
+// they differ.
+var inputNames = map[string]string{
+	"match.host": "host", "match.path_prefix": "path", "match.methods": "methods",
+	"answer_within_ms": "within", "deadline_ms": "deadline", "rate_per_second": "rate", "audience": "internal",
+}
+
+// spec returns the target as the API takes it. It checks the input's own
+// forms; ranges are the server's to check.
+func (t *targetInput) spec(file string) (*adminapi.TargetSpec, error) {
+	if t.Service == "" || t.Path == "" {
+		return nil, usagef("a target needs a service and a path")
+	}
+	share, err := parseShare(t.Share)
+	if err != nil {
+		return nil, t.bad(file, "share", t.Share, "allowed is more than 0% up to 100%, such as 20% or 0.2")
+	}
+	within, err := wholeMS(t.Within.Duration)
+	if err != nil {
+		return nil, t.bad(file, "within", t.Within.String(), "allowed are whole milliseconds from 1ms up")
+	}
+	deadline, err := wholeMS(t.Deadline.Duration)
+	if err != nil {
+		return nil, t.bad(file, "deadline", t.Deadline.String(), "allowed are whole milliseconds from 1ms up")
+	}
+	s := &adminapi.TargetSpec{
+		Service:        adminapi.Name(t.Service),
+		Match:          adminapi.Match{Host: optString(t.Host), PathPrefix: t.Path, Methods: t.Methods},
+		Idempotent:     adminapi.OptBool{Value: t.Idempotent, Set: t.Idempotent},
+		AnswerWithinMs: adminapi.OptInt64{Value: within, Set: within != 0},
+		Percentile:     adminapi.OptFloat64{Value: t.Percentile, Set: t.Percentile != 0},
+		DeadlineMs:     adminapi.OptInt64{Value: deadline, Set: deadline != 0},
+		Share:          adminapi.OptFloat64{Value: share, Set: share != 0},
+		RatePerSecond:  adminapi.OptFloat64{Value: t.Rate, Set: t.Rate != 0},
+		Priority:       adminapi.OptInt{Value: t.Priority, Set: t.Priority != 0},
+		OnStoreDown:    adminapi.OptOnStoreDown{Value: adminapi.OnStoreDown(t.OnStoreDown), Set: t.OnStoreDown != ""},
+	}
+	if t.Internal {
+		s.Audience.SetTo(adminapi.AudienceInternal)
+	}
+	return s, nil
+}
+
+// bad names a value that the input holds in a form that is not allowed.
+func (t *targetInput) bad(file, key, value, allowed string) error {
+	if file == "" {
+		return usagef("-%s %q: %s", key, value, allowed)
+	}
+	return &exitError{exit.Usage, strict.Problem(file, key, value, allowed).Error()}
+}
+
+// parseShare reads a part of a whole, as a percentage or a fraction.
+func parseShare(s string) (float64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	number, percent := strings.CutSuffix(s, "%")
+	v, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return 0, err
+	}
+	if percent {
+		v /= 100
+	}
+	if math.IsNaN(v) || v <= 0 || v > 1 {
+		return 0, strconv.ErrRange
+	}
+	return v, nil
+}
+
+func wholeMS(d time.Duration) (int64, error) {
+	if d < 0 || d%time.Millisecond != 0 {
+		return 0, strconv.ErrRange
+	}
+	return d.Milliseconds(), nil
+}
--- /dev/null
+++ b/internal/cli/write.go
@@ -0,0 +1,185 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/settings/exit"
+)
+
+// writeFlags are the flags that every write takes.
+type writeFlags struct {
+	ifVersion string
+	note      string
+	command   string
+}
+
+func defineWrite(fs *flag.FlagSet) *writeFlags {
+	w := new(writeFlags)
+	fs.StringVar(&w.ifVersion, "if-version", "", "accept only while the configuration is at version `N`")
+	fs.StringVar(&w.note, "note", "", "short `reason` for the history")
+	fs.StringVar(&w.command, "command", "", "command `id`, to send an earlier command again (default: a new one)")
+	return w
+}
+
+// headers are the header parameters of a write.
+type headers struct {
+	command adminapi.OptCommandID
+	ifMatch adminapi.OptString
+	note    adminapi.OptString
+}
+
+func (w *writeFlags) headers() (headers, error) {
+	if w.command == "" {
+		w.command = uuid.NewString()
+	}
+	h := headers{command: adminapi.NewOptCommandID(adminapi.CommandID(w.command))}
+	if w.ifVersion != "" {
+		n, err := strconv.ParseUint(w.ifVersion, 10, 63)
+		if err != nil {
+			return h, usagef("-if-version %q: allowed is a version number", w.ifVersion)
+		}
+		h.ifMatch.SetTo(strconv.Quote(strconv.FormatUint(n, 10)))
+	}
+	if w.note != "" {
+		h.note.SetTo(url.PathEscape(w.note))
+	}
+	return h, nil
+}
+
+// Outcomes of a write.
+const (
+	outcomeAccepted = "accepted"
+	outcomeRefused  = "refused"
+	outcomeConflict = "conflict"
+	outcomeUnknown  = "unknown"
+)
+
+// result is what is known of a write at the end. It is printed with -json.
+type result struct {
+	Outcome string            `json:"outcome"`
+	Command string            `json:"command"`
+	Version *adminapi.Version `json:"version,omitempty"`
+	Problem *adminapi.Problem `json:"problem,omitempty"`
+	Detail  string            `json:"detail,omitempty"`
+}
+
+// errUnknown stands for the answer 202.
+var errUnknown = errors.New("the node does not know the outcome")
+
+// send is one attempt at a write. It returns the accepted version.
+type send func(context.Context, *adminapi.Client) (*adminapi.Version, error)
+
+// write sends a change to the servers in turn until one gives an answer that
+// settles it.
+//
+// It guards against a lost answer: the write took effect, and the operator is
+// told that it failed or that another operator was faster. Every attempt has
+// the same command id, so sending again does no harm. From the first attempt
+// that may have taken effect on, no refusal is believed, because it may have
+// met the operator's own change; only the command's record settles it then.
+func (a *app) write(ctx context.Context, s *session, command string, send send) error {
+	lost := false
+	var last error
+	for _, server := range s.servers {
+		version, err := attempt(ctx, s, server, send)
+		if err == nil {
+			return a.report(result{Outcome: outcomeAccepted, Command: command, Version: version})
+		}
+		last = err
+		if !changedNothing(err) {
+			lost = true
+			continue
+		}
+		var d *document
+		if errors.As(err, &d) && !tryElsewhere(d) {
+			break
+		}
+	}
+	if lost {
+		return a.report(s.settle(ctx, command, last))
+	}
+	return a.report(refusal(command, last))
+}
+
+// settle asks for the command's record.
+func (s *session) settle(ctx context.Context, command string, cause error) result {
+	for _, server := range s.servers {
+		record, err := attempt(ctx, s, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.CommandRecord, error) {
+			return c.GetCommand(ctx, adminapi.GetCommandParams{ID: adminapi.CommandID(command)})
+		})
+		if err != nil {
+			continue
+		}
+		switch record.Outcome {
+		case adminapi.CommandRecordOutcomeAccepted:
+			return result{Outcome: outcomeAccepted, Command: command, Version: &record.Version.Value}
+		case adminapi.CommandRecordOutcomeRefused:
+			return result{Outcome: outcomeRefused, Command: command, Detail: record.Reason.Or("")}
+		}
+	}
+	return result{Outcome: outcomeUnknown, Command: command, Detail: lastLine(cause)}
+}
+
+func refusal(command string, err error) result {
+	r := result{Outcome: outcomeRefused, Command: command, Detail: err.Error()}
+	var d *document
+	if errors.As(err, &d) {
+		r.Problem = &d.Response
+		r.Detail = problemLine(&d.Response)
+		if d.StatusCode == http.StatusPreconditionFailed {
+			r.Outcome = outcomeConflict
+		}
+		if after, ok := d.RetryAfter.Get(); ok {
+			r.Detail += fmt.Sprintf("; try again in %d s", after)
+		}
+	}
+	return r
+}
+
+// report prints the result and returns the error with its exit code.
+func (a *app) report(r result) error {
+	code := map[string]int{
+		outcomeAccepted: exit.OK,
+		outcomeRefused:  exit.Failed,
+		outcomeConflict: exitConflict,
+		outcomeUnknown:  exitUnknown,
+	}[r.Outcome]
+	if a.opts.json {
+		e := json.NewEncoder(a.env.Stdout)
+		e.SetIndent("", "  ")
+		if err := e.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		a.printResult(r)
+	}
+	if code == exit.OK {
+		return nil
+	}
+	return &exitError{code: code}
+}
+
+func (a *app) printResult(r result) {
+	switch r.Outcome {
+	case outcomeAccepted:
+		fmt.Fprintf(a.env.Stdout, "accepted: version %s\n", versionText(*r.Version))
+	case outcomeUnknown:
+		fmt.Fprintf(a.env.Stderr, "unknown: the change may or may not have taken effect (%s)\n", r.Detail)
+		fmt.Fprintf(a.env.Stderr, "ask by:  marlpass command show %s\n", r.Command)
+	default:
+		fmt.Fprintf(a.env.Stderr, "%s: %s\n", r.Outcome, r.Detail)
+		if r.Problem != nil {
+			writeProblem(a.env.Stderr, r.Problem)
+		}
+	}
+}
