Tell whether an accepted command made a new object

Cause: the admin API answers 201 for a new object, and only the judge of the command knows whether it was there. Conclusion: a repeat gets the same answer, since the result is recorded.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -104,7 +104,9 @@
 	// Version is the version that holds the command, if it was accepted.
 	Version config.Version `json:"version,omitzero"`
 	// Unchanged says that the command was accepted and nothing had to change.
-	Unchanged bool             `json:"unchanged,omitempty"`
+	Unchanged bool `json:"unchanged,omitempty"`
+	// Created says that an object that the command sets was not there before.
+	Created   bool             `json:"created,omitempty"`
 	Reason    Reason           `json:"reason,omitempty"`
 	Detail    string           `json:"detail,omitempty"`
 	Problems  []config.Problem `json:"problems,omitempty"`
--- a/internal/command/committer_test.go
+++ b/internal/command/committer_test.go
@@ -86,7 +86,7 @@
 
 func TestConflictTellsWhatChanged(t *testing.T) {
 	_, _, c := prepared(t)
-	if res := c.Submit(ctx, set("c3", 2, service("a", "early"))); res.Outcome != Accepted || res.Version.Number != 3 {
+	if res := c.Submit(ctx, set("c3", 2, service("a", "early"))); res.Outcome != Accepted || res.Version.Number != 3 || res.Created {
 		t.Fatalf("%+v", res)
 	}
 	res := c.Submit(ctx, set("c4", 2, service("a", "late")))
@@ -97,7 +97,7 @@
 	if got.Version != 3 || got.By != "o" || len(got.Fields) != 1 || got.Fields[0].After != `"early"` {
 		t.Errorf("%+v", got)
 	}
-	if res := c.Submit(ctx, set("c5", 2, service("b", ""))); res.Outcome != Accepted {
+	if res := c.Submit(ctx, set("c5", 2, service("b", ""))); res.Outcome != Accepted || !res.Created {
 		t.Errorf("an object that has not changed: %+v", res)
 	}
 }
--- a/internal/command/judge.go
+++ b/internal/command/judge.go
@@ -65,7 +65,7 @@
 	delta.By, delta.Team, delta.Command, delta.Note = cmd.Operator, cmd.Team, cmd.ID, cmd.Note
 	delta.AtMS = c.o.Now().UnixMilli()
 	res := cmd.result(Accepted, "", "")
-	res.Version = next.Version()
+	res.Version, res.Created = next.Version(), creates(cmd, snap)
 	return verdict{result: res, next: next, delta: delta}, nil
 }
 
@@ -247,6 +247,15 @@
 	return len(cmd.Unset) == 0
 }
 
+func creates(cmd *Command, s *config.Snapshot) bool {
+	for _, o := range cmd.Set {
+		if _, there := s.Object(o.Key); !there {
+			return true
+		}
+	}
+	return false
+}
+
 func problemsOf(err error) []config.Problem {
 	var ce *config.CheckError
 	if errors.As(err, &ce) {
