--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -5,8 +5,8 @@
 // calls themselves (Choice.Done). It opens no socket, starts no goroutine and
 // sends no probe: a probe would cost a backend server as much as a call.
 //
-// A pick compares two endpoints drawn at random from the node's subset and
-// takes the cheaper one. The cost of an endpoint is its load per slot, made
+// A pick compares the endpoint of the node's subset whose turn it is to one
+// drawn at random, and takes the second if it is clearly cheaper. The cost of an endpoint is its load per slot, made
 // larger when its answers are slower than those of the others, when its calls
 // fail, when it is in its slow start and when the membership suspects its VM.
 // What an endpoint says of its own load counts for less the older it is.
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -21,8 +21,11 @@
 func (p *Picker) done(c Choice, now int64, r Report) {
 	s := c.s
 	own := s.outstanding.Add(-1)
-	p.takeLoad(s, own, now, r.Load)
 	verdict := judge(r)
+	if verdict != verdictFailed {
+		// What fails at once is idle, and says so.
+		p.takeLoad(s, own, now, r.Load)
+	}
 	switch verdict {
 	case verdictFailed:
 		s.failures.add(1, failureWeight, now)
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -7,7 +7,7 @@
 	DefaultConnections = 130
 	DefaultMinSubset   = 3
 	DefaultSlowStart   = 20 * time.Second
-	DefaultLoadAge     = 500 * time.Millisecond
+	DefaultLoadAge     = 50 * time.Millisecond
 	DefaultForget      = 10 * time.Second
 	DefaultMaxEjected  = 0.5
 	DefaultEjectFor    = 5 * time.Second
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -6,12 +6,12 @@
 )
 
 // Spilling to the next tier begins when the cheaper of two near endpoints
-// costs spillFrom (one is a full endpoint) and is sure to be weighed at
+// costs spillFrom (one is an endpoint whose last slot is taken) and is sure to be weighed at
 // spillFull. A farther endpoint must be cheaper by spillMargin.
 const (
-	spillFrom   = 1.0
-	spillFull   = 2.0
-	spillMargin = 0.25
+	spillFrom   = 0.75
+	spillFull   = 1.25
+	spillMargin = 0.15
 )
 
 // drawTries bounds the random draws before a scan looks for an open endpoint.
@@ -88,20 +88,54 @@
 	return p.randomFloat() < (cost-spillFrom)/(spillFull-spillFrom)
 }
 
+// moreDraws bounds the further draws when both of two look bad.
+const moreDraws = 4
+
+// bestOfTwo compares the endpoint whose turn it is to a random one. Where many fail, both
+// may be failing ones that the cap keeps from being ejected; then it draws on.
 func (p *Picker) bestOfTwo(from []*state, now int64, tried []string) (*state, float64) {
-	a := p.draw(from, now, tried, nil)
-	if a == nil {
+	best := p.turn(from, now, tried)
+	if best == nil {
 		return nil, 0
 	}
-	costA := p.cost(a, now)
-	b := p.draw(from, now, tried, a)
-	if b == nil {
-		return a, costA
+	cost := p.cost(best, now)
+	for i := range 1 + moreDraws {
+		failing := best.failing(now, p.forget)
+		if i > 0 && failing < ejectAt {
+			break
+		}
+		s := p.draw(from, now, tried, best)
+		if s == nil {
+			break
+		}
+		margin := clearlyCheaper
+		if failing > 0 {
+			margin = 1
+		}
+		if c := p.cost(s, now); c < cost*margin {
+			best, cost = s, c
+		}
+	}
+	return best, cost
+}
+
+// clearlyCheaper is what the cost of the second endpoint must be below, as a
+// part of that of the first, to take its turn. Costs are estimates, and going by
+// the last bit of them spreads calls less evenly than taking turns.
+// The margin falls away for an endpoint whose calls fail.
+const clearlyCheaper = 0.8
+
+// turn returns the endpoint whose turn it is, or a random one if that is not
+// open or in its slow start.
+func (p *Picker) turn(from []*state, now int64, tried []string) *state {
+	if len(from) == 0 {
+		return nil
 	}
-	if costB := p.cost(b, now); costB < costA {
-		return b, costB
+	s := from[p.turns.Add(1)%uint64(len(from))]
+	if usable(s, now, tried) && p.stands(s, now) {
+		return s
 	}
-	return a, costA
+	return p.draw(from, now, tried, nil)
 }
 
 // draw returns a random open endpoint other than not.
@@ -111,7 +145,7 @@
 	}
 	for range drawTries {
 		s := from[p.randomN(len(from))]
-		if s != not && usable(s, now, tried) {
+		if s != not && usable(s, now, tried) && p.stands(s, now) {
 			return s
 		}
 	}
@@ -125,6 +159,12 @@
 	return nil
 }
 
+// stands draws whether an endpoint in its slow start keeps its place in a draw.
+func (p *Picker) stands(s *state, now int64) bool {
+	r := s.ramp(now, p.slowStart)
+	return r >= 1 || p.randomFloat() < r
+}
+
 func usable(s *state, now int64, tried []string) bool {
 	return s.open(now) && !slices.Contains(tried, s.ep.Load().ID)
 }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -20,6 +20,7 @@
 
 	epoch   atomic.Int64 // Unix milliseconds of the first Update, less one
 	seed    atomic.Uint64
+	turns   atomic.Uint64
 	latency average // mean latency of the service, milliseconds
 	others  average // mean load by other nodes, per slot
 	entries atomic.Int64
@@ -58,6 +59,7 @@
 		states:    map[string]*state{},
 	}
 	p.seed.Store(o.Seed)
+	p.turns.Store(p.random())
 	p.table.Store(&table{})
 	return p
 }
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -18,6 +18,10 @@
 	maxFailures      = 0.95
 	suspectFactor    = 4
 	slowStartFloor   = 0.1
+	// Less than these is noise. Where calls are rare, endpoints tie, and the
+	// least noise would send all calls of a node to the same one.
+	noiseLatency = 2
+	noiseFailure = 0.05
 )
 
 // state is what the Picker observed of one endpoint. It outlives the views,
@@ -46,8 +50,9 @@
 	return e.Ready && !e.Draining && now >= s.refusedTil.Load()
 }
 
-// ramp returns the part of its slots that an endpoint in its slow start is
-// given work for.
+// ramp returns the chance with which a draw of the endpoint stands. In its slow
+// start that is less than one. A higher cost would not do: where all others
+// cost less the endpoint would get no call at all, and only calls warm it.
 func (s *state) ramp(now, window int64) float64 {
 	from := s.rampFrom.Load()
 	if from == 0 || now >= from+window {
@@ -63,14 +68,18 @@
 	if !ok {
 		return 0
 	}
-	return min(f*fade(now-at, forget), maxFailures)
+	f *= fade(now-at, forget)
+	if f < noiseFailure {
+		return 0
+	}
+	return min(f, maxFailures)
 }
 
 // cost orders endpoints: load per slot, times what was observed.
 func (p *Picker) cost(s *state, now int64) float64 {
 	e := s.ep.Load()
 	load := float64(s.outstanding.Load()) + p.othersLoad(s, e, now)
-	c := (load + 1) / (e.slots() * s.ramp(now, p.slowStart))
+	c := (load + 1) / e.slots()
 	c *= p.latencyFactor(s, now)
 	well := 1 - s.failing(now, p.forget)
 	c /= well * well
@@ -92,6 +101,10 @@
 	if !ok {
 		return mean
 	}
+	if v < mean && s.failing(now, p.forget) > 0 {
+		// It may be idle because it fails its calls at once.
+		return mean
+	}
 	w := fade(now-at, p.loadAge)
 	return w*v + (1-w)*mean
 }
@@ -106,8 +119,9 @@
 		return 1
 	}
 	f := math.Min(own/mean, maxLatencyFactor)
-	if f <= 1 {
+	f = 1 + (f-1)*fade(now-at, p.forget)
+	if f <= noiseLatency {
 		return 1
 	}
-	return 1 + (f-1)*fade(now-at, p.forget)
+	return f
 }
