Reserve slots in place of caps on classes

Cause: With a cap on each class, every class missed its target under 4x load, every cap fell, and slots stood idle (55% of the slot time was useful at 2x). Change: A class that gives way starts calls only while fewer slots than its reservation are busy; the class that misses is let up to the limit. The wait budget sets aside a slow call's time, and classes near their targets share one band, so that priority decides between them.

--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -43,10 +43,8 @@
 	if !e.deadline.IsZero() && now.Add(end).After(e.deadline) {
 		return false
 	}
-	if c.AnswerWithin > c.service.duration() && end > c.AnswerWithin {
-		return false
-	}
-	return true
+	budget := c.waitBudget()
+	return budget <= 0 || wait <= budget
 }
 
 // minGrants is how many intervals between starts a prediction needs.
@@ -81,16 +79,26 @@
 
 // standingBand is how far apart two standings must be to count as different, so
 // that priority decides between classes that stand about equally.
-const standingBand = 0.25
+const (
+	standingBand = 0.25
+	lastBand     = 3
+)
 
 func givesWayBefore(a, b *classState) bool {
-	bandA, bandB := int(a.standing()/standingBand), int(b.standing()/standingBand)
-	if bandA != bandB {
-		return bandA < bandB
+	if a.band() != b.band() {
+		return a.band() < b.band()
 	}
 	return a.Priority < b.Priority
 }
 
+// band is the class's standing in steps. Classes near their target or beyond
+// it share the last band: their queues are cut to what can still be met, so
+// under lasting overload they all stand close to one, and what is left of the
+// difference is noise.
+func (c *classState) band() int {
+	return min(int(c.standing()/standingBand), lastBand)
+}
+
 func (q *Queue) overReason(c *classState) call.Reason {
 	if c.Share > 0 && c.overShare(q.Limit()) {
 		return call.ReasonOverShare
--- a/internal/limit/class.go
+++ b/internal/limit/class.go
@@ -14,9 +14,14 @@
 	Class
 	waiting list.List // of *Entry, oldest first
 	running int
-	cap     int // slots that the class may hold; set by the control window
+	// upTo is the trunk reservation of the class: it starts a call only
+	// while fewer slots than this are busy, and so leaves the others free
+	// for classes that miss their targets.
+	upTo    int
 	service average
-	light   average // service time while the backend server is at most half full
+	// serviceHigh is a high quantile of the service time.
+	serviceHigh quantile
+	light       average // service time while the backend server is at most half full
 	// grantEvery is the average time between two starts while calls of this
 	// class were waiting: the class's own drain rate.
 	grantEvery average
@@ -56,7 +61,7 @@
 
 const (
 	quantileAimed = 0.95
-	quantileStep  = 0.1
+	quantileStep  = 0.05
 )
 
 func (q *quantile) add(d time.Duration) {
@@ -104,11 +109,15 @@
 
 // late reports whether e, started now, is expected to miss its class's target.
 func (c *classState) late(e *Entry, now time.Time) bool {
-	budget := c.AnswerWithin - c.service.duration()
-	if c.AnswerWithin <= 0 || budget <= 0 {
-		return false
-	}
-	return now.Sub(e.arrived) > budget
+	budget := c.waitBudget()
+	return budget > 0 && now.Sub(e.arrived) > budget
+}
+
+// waitBudget is how long a call may wait and still be expected to meet its
+// class's target even if it is a slow one. Zero or less means that there is no
+// target, or none that the backend server could meet.
+func (c *classState) waitBudget() time.Duration {
+	return c.AnswerWithin - time.Duration(c.serviceHigh.value)
 }
 
 // expired reports whether e can no longer be answered by its deadline.
--- a/internal/limit/config.go
+++ b/internal/limit/config.go
@@ -76,10 +76,11 @@
 
 // ClassStats is what a Gate knows of one class.
 type ClassStats struct {
-	Class    string
-	Running  int
-	Waiting  int
-	Cap      int // slots that the class may hold at present
+	Class   string
+	Running int
+	Waiting int
+	// UpTo is how many slots may be busy for the class to start a call.
+	UpTo     int
 	Started  uint64
 	Done     uint64
 	Refused  uint64
--- a/internal/limit/control.go
+++ b/internal/limit/control.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// controlWindow is how often limits and caps are looked at.
+	// controlWindow is how often limits and reservations are looked at.
 	controlWindow = 250 * time.Millisecond
 	// missedPart is the part of a class's calls in one window that may be
 	// late or refused before the class counts as missing its target.
 	missedPart = 0.05
-	// raiseEvery is how many windows without a miss raise a cap by a slot.
-	raiseEvery = 4
+	// releaseEvery is how many windows without a miss free a reserved slot.
+	releaseEvery = 2
 )
 
 // learn takes the measurements of a call that has ended.
@@ -30,6 +30,7 @@
 		return
 	}
 	c.service.add(r.Latency)
+	c.serviceHigh.add(r.Latency)
 	q.adaptive.observe(c, e.busy, r.Latency)
 	total := e.started.Sub(e.arrived) + r.Latency
 	c.high.add(total)
@@ -49,31 +50,35 @@
 	q.windowEnd = now.Add(controlWindow)
 	q.adaptive.turn()
 	if !q.options.NoGiveWay {
-		q.turnCaps()
+		q.turnReservations()
 	}
 	for _, c := range q.ordered {
 		c.window = windowCounts{}
 	}
 }
 
-// turnCaps moves one slot. While a class misses its target, the class furthest
-// inside its own loses one, down to one; after some windows without a miss the
-// most restricted class gets one back.
-func (q *Queue) turnCaps() {
-	missing := q.missing()
-	if missing != nil {
-		q.sinceGiving = 0
+// turnReservations moves one slot. While a class misses its target, one more
+// slot is kept free of the class furthest inside its own; after some windows
+// without a miss one slot is given back to the most restricted class.
+//
+// The class that misses is itself let up to the limit. So whenever something is
+// reserved there is a class with calls to run that may use it, and an
+// overloaded backend server is kept busy.
+func (q *Queue) turnReservations() {
+	if missing := q.missing(); missing != nil {
+		q.calmWindows = 0
+		missing.upTo = q.cfg.Slots
 		if g := q.giver(missing); g != nil {
-			g.cap = max(1, min(g.cap, g.running, q.Limit())-1)
+			g.upTo = min(g.upTo, q.Limit()) - 1
 		}
 		return
 	}
-	q.sinceGiving++
-	if q.sinceGiving%raiseEvery != 0 {
+	q.calmWindows++
+	if q.calmWindows%releaseEvery != 0 {
 		return
 	}
 	if c := q.mostRestricted(); c != nil {
-		c.cap++
+		c.upTo++
 	}
 }
 
@@ -95,12 +100,12 @@
 	return worst
 }
 
-// giver returns the class that gives up a slot to missing: the one furthest
-// inside its target among those that hold more than one.
+// giver returns the class that gives way to missing: the one furthest inside
+// its target among those that hold slots and have any to give.
 func (q *Queue) giver(missing *classState) *classState {
 	var g *classState
 	for _, c := range q.ordered {
-		if c == missing || min(c.cap, c.running) <= 1 || !givesWayBefore(c, missing) {
+		if c.running == 0 || c.upTo <= 1 || !givesWayBefore(c, missing) {
 			continue
 		}
 		if g == nil || givesWayBefore(c, g) {
@@ -113,7 +118,7 @@
 func (q *Queue) mostRestricted() *classState {
 	var m *classState
 	for _, c := range q.ordered {
-		if c.cap < q.cfg.Slots && (m == nil || c.cap < m.cap) {
+		if c.upTo < q.cfg.Slots && (m == nil || c.upTo < m.upTo) {
 			m = c
 		}
 	}
--- a/internal/limit/order.go
+++ b/internal/limit/order.go
@@ -22,8 +22,9 @@
 	return best
 }
 
-// EarliestTarget starts the call whose answer is due first: its arrival plus
-// its class's answer time, or its deadline where the class has no target.
+// EarliestTarget starts the call that must start first to be answered in time:
+// within its class's answer time, or by its deadline where there is none, with
+// the time that a slow call of its class takes set aside.
 type EarliestTarget struct{}
 
 func (EarliestTarget) pick(_ time.Time, cs []*classState) *classState {
@@ -43,11 +44,11 @@
 
 func due(c *classState) time.Time {
 	e := c.head()
-	if c.AnswerWithin > 0 {
-		return e.arrived.Add(c.AnswerWithin)
+	if budget := c.waitBudget(); budget > 0 {
+		return e.arrived.Add(budget)
 	}
 	if !e.deadline.IsZero() {
-		return e.deadline
+		return e.deadline.Add(-c.service.duration())
 	}
 	return e.arrived.Add(untargetedPatience)
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -52,7 +52,7 @@
 	Rand  *rand.Rand // spreads RetryAfter; must not be nil
 	// FixedLimit keeps the limit at the announced slots.
 	FixedLimit bool
-	// NoGiveWay keeps every class's cap at the limit.
+	// NoGiveWay reserves no slots.
 	NoGiveWay bool
 	// NoPrediction bounds the queue by number and deadline only, and runs
 	// calls that are late for their class's target in their turn.
@@ -76,7 +76,7 @@
 	windowEnd   time.Time
 	candidates  []*classState // scratch
 	events      []Event
-	sinceGiving int
+	calmWindows int
 }
 
 // NewQueue returns a Queue of one slot and no classes.
@@ -115,11 +115,11 @@
 func (q *Queue) setClass(c Class) {
 	st := q.classes[c.Name]
 	if st == nil {
-		st = &classState{cap: q.cfg.Slots}
+		st = &classState{upTo: q.cfg.Slots}
 		q.classes[c.Name] = st
 	}
 	st.Class = c
-	st.cap = min(max(st.cap, 1), q.cfg.Slots)
+	st.upTo = min(max(st.upTo, 1), q.cfg.Slots)
 }
 
 func (q *Queue) dropClasses(named map[string]bool) {
@@ -177,7 +177,7 @@
 	if c.expired(e, now) {
 		return q.refuse(now, c, call.ReasonExpired, "")
 	}
-	if q.waiting == 0 && q.running < q.Limit() && c.running < c.cap {
+	if q.waiting == 0 && q.running < q.Limit() && q.mayStart(c) {
 		q.start(now, e)
 		return nil
 	}
@@ -253,7 +253,7 @@
 		out[i].Class = c.Name
 		out[i].Running = c.running
 		out[i].Waiting = c.waiting.Len()
-		out[i].Cap = min(c.cap, q.Limit())
+		out[i].UpTo = min(c.upTo, q.Limit())
 		out[i].Standing = c.standing()
 	}
 	return out
@@ -299,7 +299,7 @@
 	for _, over := range []bool{false, true} {
 		q.candidates = q.candidates[:0]
 		for _, c := range q.ordered {
-			if c.waiting.Len() > 0 && c.running < c.cap && c.overShare(limit) == over {
+			if c.waiting.Len() > 0 && q.mayStart(c) && c.overShare(limit) == over {
 				q.candidates = append(q.candidates, c)
 			}
 		}
@@ -310,6 +310,12 @@
 	return nil
 }
 
+// mayStart reports whether the reservations let c take a free slot. Each class
+// may hold one slot whatever is reserved, so that none starves.
+func (q *Queue) mayStart(c *classState) bool {
+	return q.running < c.upTo || c.running == 0
+}
+
 // startHead starts the oldest call of c, or refuses it if starting it would be
 // of no use: its deadline has passed, or it is late for its class's target
 // while a later one of the class is not.
--- /dev/null
+++ b/internal/limit/sim_test.go
@@ -0,0 +1,260 @@
+package limit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// simClass is a class of work as the simulated callers send it.
+type simClass struct {
+	Class
+	work     time.Duration // mean service time
+	part     float64       // of the backend server's capacity at load one
+	deadline time.Duration
+}
+
+// simulation is one backend server under a Queue, in simulated time.
+type simulation struct {
+	classes  []simClass
+	slots    int // announced
+	real     int // that the backend server truly has
+	load     float64
+	flood    map[string]float64 // load of single classes, in place of load
+	lasts    time.Duration
+	seed     uint64
+	attempts int // that a refused caller makes in all; one means no retry
+	// retryEvery is the pause of callers that don't heed RetryAfter.
+	retryEvery time.Duration
+	options    QueueOptions
+	maxWaiting int
+	// lag multiplies all service times from lagFrom on.
+	lag     float64
+	lagFrom time.Duration
+}
+
+type classResult struct {
+	name                                         string
+	offered, answered, onTarget, gaveUp, ranLate int
+	latencies                                    []time.Duration
+	work                                         time.Duration
+}
+
+func (r *classResult) quantile(p float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(r.latencies)
+	return r.latencies[int(p*float64(len(r.latencies)-1))]
+}
+
+type simResult struct {
+	classes map[string]*classResult
+	// useful is the slot time spent on calls answered by their deadline, over
+	// all the slot time there was.
+	useful float64
+	limit  int // at the end
+	queue  *Queue
+}
+
+// simCall is one caller's call through its attempts.
+type simCall struct {
+	class    *simClass
+	sent     time.Time // this attempt
+	deadline time.Time
+	attempts int
+	work     time.Duration
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func(now time.Time)
+}
+
+type agenda []simEvent
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at.Equal(a[j].at) {
+		return a[i].seq < a[j].seq
+	}
+	return a[i].at.Before(a[j].at)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(simEvent)) }
+func (a *agenda) Pop() any {
+	old := *a
+	e := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return e
+}
+
+type simRun struct {
+	simulation
+	rand   *rand.Rand
+	agenda agenda
+	seq    int
+	queue  *Queue
+	owners map[*Entry]*simCall
+	out    simResult
+	start  time.Time
+	end    time.Time
+	useful time.Duration
+}
+
+var simStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (s simulation) run() simResult {
+	r := &simRun{
+		simulation: s,
+		rand:       rand.New(rand.NewPCG(s.seed, 1)),
+		owners:     make(map[*Entry]*simCall),
+		out:        simResult{classes: make(map[string]*classResult)},
+		start:      simStart,
+		end:        simStart.Add(s.lasts),
+	}
+	o := s.options
+	o.Rand = rand.New(rand.NewPCG(s.seed, 2))
+	r.queue = NewQueue(o)
+	cfg := Config{Slots: s.slots, MaxWaiting: s.maxWaiting}
+	for i := range s.classes {
+		c := &r.classes[i]
+		cfg.Classes = append(cfg.Classes, c.Class)
+		r.out.classes[c.Name] = &classResult{name: c.Name}
+		r.arrivals(c)
+	}
+	r.queue.Configure(simStart, cfg)
+	for len(r.agenda) > 0 {
+		e := heap.Pop(&r.agenda).(simEvent)
+		e.do(e.at)
+	}
+	r.out.useful = float64(r.useful) / float64(time.Duration(s.real)*s.lasts)
+	r.out.limit = r.queue.Limit()
+	r.out.queue = r.queue
+	return r.out
+}
+
+func (r *simRun) at(t time.Time, do func(time.Time)) {
+	r.seq++
+	heap.Push(&r.agenda, simEvent{t, r.seq, do})
+}
+
+// arrivals schedules Poisson arrivals of a class, each scheduling the next.
+func (r *simRun) arrivals(c *simClass) {
+	load := r.load
+	if f, ok := r.flood[c.Name]; ok {
+		load = f
+	}
+	rate := load * c.part * float64(r.real) / c.work.Seconds()
+	rng := rand.New(rand.NewPCG(r.seed, uint64(len(c.Name))*1000+uint64(c.work)))
+	var next func(time.Time)
+	next = func(now time.Time) {
+		if !now.Before(r.end) {
+			return
+		}
+		spread := 0.5 + 0.5*rng.ExpFloat64()
+		sc := &simCall{class: c, sent: now, deadline: now.Add(c.deadline), work: time.Duration(spread * float64(c.work))}
+		r.out.classes[c.Name].offered++
+		r.offer(now, sc)
+		r.at(now.Add(time.Duration(rng.ExpFloat64()/rate*float64(time.Second))), next)
+	}
+	r.at(r.start.Add(time.Duration(rng.ExpFloat64()/rate*float64(time.Second))), next)
+}
+
+func (r *simRun) offer(now time.Time, sc *simCall) {
+	sc.attempts++
+	sc.sent = now
+	e := &Entry{}
+	r.owners[e] = sc
+	refused := r.queue.Offer(now, e, sc.class.Name, sc.deadline)
+	if refused != nil {
+		r.refused(now, e, refused)
+	} else if e.Started() {
+		r.started(now, e)
+	}
+	r.events(now, e)
+}
+
+// events handles what happened to waiting calls; self was told by Offer.
+func (r *simRun) events(now time.Time, self *Entry) {
+	for _, ev := range slices.Clone(r.queue.Events()) {
+		switch {
+		case ev.Entry == self:
+		case ev.Refusal != nil:
+			r.refused(now, ev.Entry, ev.Refusal)
+		default:
+			r.started(now, ev.Entry)
+		}
+	}
+}
+
+func (r *simRun) refused(now time.Time, e *Entry, why *call.Refusal) {
+	sc := r.owners[e]
+	delete(r.owners, e)
+	pause := why.RetryAfter
+	if r.retryEvery > 0 {
+		pause = r.retryEvery
+	}
+	again := now.Add(pause)
+	if sc.attempts >= r.attempts || !again.Before(sc.deadline) {
+		r.out.classes[sc.class.Name].gaveUp++
+		return
+	}
+	r.at(again, func(now time.Time) { r.offer(now, sc) })
+}
+
+func (r *simRun) started(now time.Time, e *Entry) {
+	sc := r.owners[e]
+	took := sc.work
+	if busy, _ := r.queue.Load(); busy > r.real {
+		took = took * time.Duration(busy) / time.Duration(r.real)
+	}
+	if r.lag > 0 && now.Sub(r.start) >= r.lagFrom {
+		took = time.Duration(r.lag * float64(took))
+	}
+	r.at(now.Add(took), func(now time.Time) { r.done(now, e, took) })
+}
+
+func (r *simRun) done(now time.Time, e *Entry, took time.Duration) {
+	sc := r.owners[e]
+	delete(r.owners, e)
+	cr := r.out.classes[sc.class.Name]
+	total := now.Sub(sc.sent)
+	if now.After(sc.deadline) {
+		cr.ranLate++
+	} else {
+		cr.answered++
+		cr.latencies = append(cr.latencies, total)
+		if total <= sc.class.AnswerWithin {
+			cr.onTarget++
+		}
+		if !now.After(r.end) {
+			r.useful += sc.work
+		}
+	}
+	r.queue.Done(now, e, Result{Latency: took})
+	r.events(now, nil)
+}
+
+// usualMix is a service whose slots cheap lookups, bookings and archive pulls
+// share.
+func usualMix() []simClass {
+	return []simClass{
+		{Class{Name: "lookups", AnswerWithin: 50 * time.Millisecond}, 5 * time.Millisecond, 0.3, time.Second},
+		{Class{Name: "bookings", AnswerWithin: 400 * time.Millisecond, Priority: 7}, 50 * time.Millisecond, 0.4, 3 * time.Second},
+		{Class{Name: "archive", AnswerWithin: 5 * time.Second, Priority: 2}, 500 * time.Millisecond, 0.3, 15 * time.Second},
+	}
+}
+
+func withShare(classes []simClass, name string, share float64) []simClass {
+	for i := range classes {
+		if classes[i].Name == name {
+			classes[i].Share = share
+		}
+	}
+	return classes
+}
--- a/internal/once/keeper.go
+++ b/internal/once/keeper.go
@@ -30,7 +30,7 @@
 	DefaultLease        = 60 * time.Second
 	DefaultKeep         = 24 * time.Hour
 	DefaultClaimTimeout = 2 * time.Second
-	DefaultLinger       = 20 * time.Millisecond
+	DefaultLinger       = 100 * time.Millisecond
 	DefaultMaxBody      = 16 << 10
 	DefaultMaxGuards    = 8192
 )
