--- /dev/null
+++ b/internal/backend/announce.go
@@ -0,0 +1,107 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// announcement is what a server tells its node.
+type announcement struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	State   State  `json:"state"`
+	Load    load   `json:"load"`
+}
+
+type load struct {
+	Busy  int `json:"busy"`
+	Slots int `json:"slots"`
+}
+
+// announceBound bounds one announcement.
+const announceBound = 2 * time.Second
+
+// Announce tells the node of the server until ctx ends, then withdraws it. It
+// does nothing without a node in the settings.
+func (s *Server) Announce(ctx context.Context) {
+	if s.set.Node == "" {
+		return
+	}
+	last := State("")
+	tick := time.NewTicker(announceTick)
+	defer tick.Stop()
+	next := time.Now()
+	for {
+		now := time.Now()
+		if st := s.State(); !s.Down() && (st != last || !now.Before(next)) {
+			if err := s.put(ctx, st); err != nil {
+				s.log.Warn().Err(err).Msg("backend: the node took no announcement")
+			} else {
+				last = st
+			}
+			next = now.Add(time.Duration(s.set.AnnounceEvery))
+		}
+		select {
+		case <-ctx.Done():
+			s.withdraw()
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// announceTick is how soon a change of state is told.
+const announceTick = 10 * time.Millisecond
+
+func (s *Server) url() string {
+	return strings.TrimSuffix(s.set.Node, "/") + "/v1/backends/" + url.PathEscape(s.set.Instance)
+}
+
+func (s *Server) put(ctx context.Context, st State) error {
+	body, err := json.Marshal(announcement{
+		Service: s.set.Service, Address: s.Addr(), Slots: s.set.Slots, State: st,
+		Load: load{Busy: s.slots.busy(), Slots: s.set.Slots},
+	})
+	if err != nil {
+		return err
+	}
+	return s.tell(ctx, http.MethodPut, body)
+}
+
+// withdraw tells the node that the server is gone. The context that ended the
+// announcements must not end this one.
+func (s *Server) withdraw() {
+	if err := s.tell(context.Background(), http.MethodDelete, nil); err != nil {
+		s.log.Warn().Err(err).Msg("backend: could not withdraw")
+	}
+}
+
+func (s *Server) tell(ctx context.Context, method string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, s.url(), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxNodeAnswer))
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("backend: the node answered %s", resp.Status)
+	}
+	return nil
+}
+
+const maxNodeAnswer = 64 << 10
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -109,7 +109,9 @@
 // unknownError is what another node said of a call that may have run.
 type unknownError struct{ status int }
 
-func (e *unknownError) Error() string { return "proxy: the destination lost the call after it was sent" }
+func (e *unknownError) Error() string {
+	return "proxy: the destination lost the call after it was sent"
+}
 
 // statusOfUnknown returns the HTTP status of a call that may have run.
 func statusOfUnknown(err error) int {
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -18,7 +18,9 @@
 type Program struct {
 	Matcher Matcher
 	// Targets finds a class by its name, for calls that another node matched.
-	Targets interface{ Target(name string) *config.Target }
+	Targets interface {
+		Target(name string) *config.Target
+	}
 	Version config.Version
 }
 
