--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -18,12 +18,7 @@
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
 	State   State  `json:"state"`
-	Load    load   `json:"load"`
-}
-
-type load struct {
-	Busy  int `json:"busy"`
-	Slots int `json:"slots"`
+	Load    int    `json:"load"`
 }
 
 // announceBound bounds one announcement.
@@ -68,7 +63,7 @@
 func (s *Server) put(ctx context.Context, st State) error {
 	body, err := json.Marshal(announcement{
 		Service: s.set.Service, Address: s.Addr(), Slots: s.set.Slots, State: st,
-		Load: load{Busy: s.slots.busy(), Slots: s.set.Slots},
+		Load: s.slots.busy(),
 	})
 	if err != nil {
 		return err
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -108,3 +109,16 @@
 
 // Store replaces the current view.
 func (v *Views) Store(n *View) { v.p.Store(n) }
+
+// String returns the state's name in the announce and admin APIs.
+func (s BackendState) String() string {
+	switch s {
+	case BackendStarting:
+		return "starting"
+	case BackendReady:
+		return "ready"
+	case BackendDraining:
+		return "draining"
+	}
+	return fmt.Sprintf("BackendState(%d)", uint8(s))
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/peer"
+	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/platform/client"
+	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/telemetry"
+)
+
+// settleBound is how long a starting node waits for the membership's first
+// contact before it looks for versions with what it has.
+const settleBound = 3 * time.Second
+
+// control is what a node does apart from calls: membership, the spreading of
+// versions, operators' commands, and the platform behind them.
+type control struct {
+	n       *Node
+	metrics *metrics.Set
+	trust   *trustFiles
+
+	client  *client.Client // nil when Options gave table and objects
+	table   platform.Table
+	objects platform.Objects
+
+	members  *membership.Runner
+	spread   *distribute.Runner
+	peers    *peer.Client
+	server   *peer.Server
+	peerSum  *peer.Metrics
+	log      *command.Reader
+	commit   *command.Committer
+	commands *command.Forwarder
+}
+
+func newControl(n *Node) (*control, error) {
+	c := &control{n: n, metrics: metrics.NewSet()}
+	c.peerSum = peer.NewMetrics(c.metrics)
+	var err error
+	if c.trust, err = newTrust(n.set, telemetry.Part(n.log, "trust"), c.peerSum); err != nil {
+		return nil, err
+	}
+	if err := c.openPlatform(); err != nil {
+		return nil, err
+	}
+	if err := c.wirePeers(); err != nil {
+		return nil, err
+	}
+	c.wireCommands()
+	c.wireSpread()
+	return c, nil
+}
+
+func (c *control) openPlatform() error {
+	if c.n.o.Table != nil {
+		c.table, c.objects = c.n.o.Table, c.n.o.Objects
+		return nil
+	}
+	cl, err := client.New(client.Options{URL: c.n.set.Platform.URL, Timeout: c.n.set.Platform.Timeout.Duration})
+	if err != nil {
+		return err
+	}
+	c.client, c.table, c.objects = cl, cl.Table(), cl.Objects()
+	return nil
+}
+
+// wirePeers makes both ends of the protocol between nodes, and the membership
+// that speaks it.
+func (c *control) wirePeers() error {
+	n := c.n
+	var err error
+	c.peers, err = peer.NewClient(peer.ClientConfig{
+		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.client(),
+		Limits: peer.DefaultLimits(), Metrics: c.peerSum,
+		Sender: c.sender, Heard: c.Heard,
+	})
+	if err != nil {
+		return err
+	}
+	n.self.Incarnation = uint64(time.Now().UnixMilli())
+	cfg := membership.DefaultConfig(n.self)
+	cfg.Seeds = n.set.Peers.Seeds
+	if n.o.Membership != nil {
+		n.o.Membership(&cfg)
+	}
+	c.members = membership.NewRunner(cfg, c.peers, membership.TableContacts{Table: c.table}, &n.views, n.log)
+	c.server = peer.NewServer(peer.ServerConfig{
+		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.server(),
+		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Log: telemetry.Part(n.log, "peer"),
+		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n},
+	})
+	return nil
+}
+
+func (c *control) wireCommands() {
+	held := command.SnapshotFunc(c.n.snapshot)
+	c.log = command.NewReader(c.table, c.objects, held)
+	c.commit = command.NewCommitter(c.log, c.table, command.Options{
+		Accepted: func(_ *config.Snapshot, d *config.Delta) { c.spread.Accepted(d) },
+	})
+	c.commands = command.NewForwarder(c.commit, submitPeers{c})
+}
+
+func (c *control) wireSpread() {
+	n := c.n
+	profile := distribute.Time()
+	if n.set.Profile == settings.ProfileBytes {
+		profile = distribute.Bytes()
+	}
+	set := distribute.Defaults(n.self.ID, n.self.DataCentre, profile)
+	if d := n.set.Peers.AloneAfter.Duration; d > 0 {
+		set.AloneAfter = d
+	}
+	c.spread = distribute.NewRunner(set, distribute.Deps{
+		Views: &n.views, Platform: versions{c.log}, Client: c.peers, Store: n.store,
+		Log: telemetry.Part(n.log, "distribute"),
+	})
+}
+
+// sender is what every message of this node carries.
+func (c *control) sender() peer.Sender {
+	s := c.spread.Stamp()
+	return peer.Sender{Incarnation: c.n.self.Incarnation, Version: s.Version, Behind: s.Behind}
+}
+
+// start serves the peers and starts the work of control.
+func (c *control) start(ctx context.Context, g *errgroup.Group) {
+	c.trust.watch(ctx, g)
+	g.Go(func() error { return c.server.Serve(c.n.ln.control) })
+	g.Go(func() error { return c.members.Run(ctx) })
+	g.Go(func() error {
+		c.awaitContact(ctx)
+		c.spread.Run(ctx)
+		return nil
+	})
+}
+
+// awaitContact waits until the membership has let this node in or found nobody.
+func (c *control) awaitContact(ctx context.Context) {
+	deadline := time.Now().Add(settleBound)
+	for !c.members.Joined() && time.Now().Before(deadline) && ctx.Err() == nil {
+		sleep(ctx, refreshEvery)
+	}
+}
+
+// applied tells the membership which version is in force here.
+func (c *control) applied(s *config.Snapshot, refused *config.Refused) {
+	v := s.Version()
+	a := membership.Applied{Version: v.Number}
+	copy(a.Hash[:], v.Hash[:])
+	if refused != nil {
+		a.Refused = refused.Version.Number
+		a.RefusedReason = refused.Err.Error()
+	}
+	c.members.SetApplied(a)
+}
+
+// backends tells the membership which backend servers are beside this node.
+func (c *control) backends(list []announce.Backend) {
+	if err := c.members.SetBackends(announce.Members(list)); err != nil {
+		c.n.log.Error().Err(err).Msg("membership: backend servers are not told")
+	}
+}
+
+// notices tells the membership this node's own notices.
+func (c *control) notices(ns []membership.Notice) {
+	if err := c.members.SetNotices(ns); err != nil {
+		c.n.log.Error().Err(err).Msg("membership: notices are not told")
+	}
+}
+
+func (c *control) leave() { c.members.Leave() }
+
+// close ends the connections to peers and to the platform.
+func (c *control) close() {
+	c.peers.Close()
+	if c.client != nil {
+		c.client.Close()
+	}
+}
+
+// shutdownServer stops answering peers.
+func (c *control) shutdownServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = c.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// Heard implements peer.Spread, and takes what answers tell.
+func (c *control) Heard(e *peerpb.Envelope) { c.spread.Heard(e) }
+
+// ServePull implements peer.Spread.
+func (c *control) ServePull(q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
+	return c.spread.ServePull(q)
+}
+
+// peerCommands carries out commands that other nodes could not.
+type peerCommands struct{ c *control }
+
+// Submit implements peer.Submitter. It goes to this node's own committer only,
+// so that no command wanders from node to node.
+func (p peerCommands) Submit(ctx context.Context, b []byte) ([]byte, error) {
+	var cmd command.Command
+	if err := json.Unmarshal(b, &cmd); err != nil {
+		return nil, fmt.Errorf("node: decode a peer's command: %w", err)
+	}
+	return json.Marshal(p.c.commit.Submit(ctx, cmd))
+}
+
+// commandPeers is how many peers are asked, one after the other, to carry a
+// command.
+const commandPeers = 3
+
+// submitPeers sends commands that this node cannot commit to peers that may.
+type submitPeers struct{ c *control }
+
+// Submit implements command.Peers. Peers in other data centres come first: a
+// data centre that is cut off from the platform is so as a whole.
+func (s submitPeers) Submit(ctx context.Context, cmd command.Command) (command.Result, error) {
+	b, err := json.Marshal(cmd)
+	if err != nil {
+		return command.Result{}, fmt.Errorf("node: encode a command: %w", err)
+	}
+	last := command.ErrNoPeer
+	var best *command.Result
+	for _, addr := range s.addrs() {
+		answer, err := s.c.peers.Submit(ctx, addr, b)
+		if err != nil {
+			// It may have been carried out, so no other peer's refusal may
+			// stand for it.
+			cmd.Repeat = true
+			if b, err = json.Marshal(cmd); err != nil {
+				return command.Result{}, err
+			}
+			last = errAnswerLost
+			continue
+		}
+		var res command.Result
+		if err := json.Unmarshal(answer, &res); err != nil {
+			last = errAnswerLost
+			continue
+		}
+		if res.Outcome != command.Refused || !res.Reason.Retryable() {
+			return res, nil
+		}
+		best = &res
+	}
+	if best != nil && !errors.Is(last, errAnswerLost) {
+		return *best, nil
+	}
+	return command.Result{}, last
+}
+
+var errAnswerLost = errors.New("node: a peer's answer was lost")
+
+// addrs returns the control addresses of a few peers, one in each other data
+// centre first.
+func (s submitPeers) addrs() []string {
+	v := s.c.n.views.Load()
+	var far, near []string
+	seen := make(map[string]bool)
+	ids := make([]string, 0, len(v.Records))
+	for id := range v.Records {
+		ids = append(ids, id)
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		r := v.Records[id]
+		switch {
+		case id == v.Self || r.State != membership.VMAlive:
+		case r.VM.DataCentre != s.c.n.self.DataCentre && !seen[r.VM.DataCentre]:
+			seen[r.VM.DataCentre] = true
+			far = append(far, r.VM.ControlAddr)
+		default:
+			near = append(near, r.VM.ControlAddr)
+		}
+	}
+	all := append(far, near...)
+	return all[:min(len(all), commandPeers)]
+}
+
+// alertWidth bounds the alerts sent at once.
+const alertWidth = 16
+
+// alert tells the nodes that hold a service of notices, at once. Other entry
+// nodes hear by the membership; what must not wait is that the next endpoint
+// knows before it runs the request.
+func (c *control) alert(ctx context.Context, service string, ns []membership.Notice) {
+	msgs := make([]*peerpb.Notice, len(ns))
+	for i, n := range ns {
+		msgs[i] = &peerpb.Notice{Kind: n.Kind, Id: n.ID, Detail: n.Detail, ExpiresMs: n.Expires}
+	}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, alertWidth)
+	for _, addr := range c.holders(service) {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if err := c.peers.Alert(ctx, addr, msgs); err != nil {
+				c.n.log.Warn().Err(err).Str("peer", addr).Msg("quarantine: alert not delivered")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// holders returns the control addresses of the other nodes that hold a service.
+func (c *control) holders(service string) []string {
+	v := c.n.views.Load()
+	var out []string
+	for id, r := range v.Records {
+		if id != v.Self && holds(r, service) {
+			out = append(out, r.VM.ControlAddr)
+		}
+	}
+	return out
+}
+
+func holds(r *membership.Seen, service string) bool {
+	for _, b := range r.Backends {
+		if b.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// alerts takes other nodes' alerts.
+type alerts struct{ n *Node }
+
+// Alert implements peer.Alerts.
+func (a alerts) Alert(from string, ns []*peerpb.Notice) {
+	out := make([]membership.Notice, len(ns))
+	for i, n := range ns {
+		out[i] = membership.Notice{Kind: n.Kind, ID: n.Id, Detail: n.Detail, Expires: n.ExpiresMs}
+	}
+	a.n.calls.suspects.list.MergeNotices(time.Now(), from, out)
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -19,9 +19,9 @@
 type servers struct {
 	n *Node
 	// traffic carries calls; side serves operators, backend servers and
-	// metrics; control serves other nodes.
-	traffic, side, control []bound
-	announce               *announce.Server
+	// metrics.
+	traffic, side []bound
+	announce      *announce.Server
 }
 
 // bound is a server with the socket it serves.
@@ -56,7 +56,7 @@
 		with(n.ln.announce, announceHandler, nil),
 		with(n.ln.metrics, n.metricsHandler(), nil),
 	}
-	s.control = []bound{with(c.listener, c.handler, c.trust.server())}
+
 	return s, nil
 }
 
@@ -81,7 +81,7 @@
 }
 
 func (s *servers) start(g *errgroup.Group) {
-	for _, list := range [][]bound{s.control, s.side, s.traffic} {
+	for _, list := range [][]bound{s.side, s.traffic} {
 		for _, b := range list {
 			g.Go(func() error { return serve(b.server, b.ln, b.tls) })
 		}
@@ -114,7 +114,7 @@
 
 // close ends all servers at once.
 func (s *servers) close() {
-	for _, list := range [][]bound{s.traffic, s.side, s.control} {
+	for _, list := range [][]bound{s.traffic, s.side} {
 		for _, b := range list {
 			b.server.Close()
 		}
--- /dev/null
+++ b/internal/node/trust.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marlpass/marlpass/internal/peer"
+	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/trust"
+)
+
+// trustFiles holds the certificates of a node. Either may be nil, which means
+// plain text.
+type trustFiles struct{ mesh, operators *trust.Keeper }
+
+func newTrust(s settings.Node, log zerolog.Logger, m *peer.Metrics) (*trustFiles, error) {
+	out := new(trustFiles)
+	var err error
+	if s.TLS.Cert != "" {
+		out.mesh, err = trust.New(trust.Options{
+			Files:     trust.Files{CA: s.TLS.CA, Cert: s.TLS.Cert, Key: s.TLS.Key},
+			Self:      &trust.Identity{Mesh: s.Mesh, VM: s.VM.ID},
+			Log:       log,
+			OnRefused: m.Refused,
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if s.TLS.AdminCert != "" {
+		out.operators, err = trust.New(trust.Options{
+			Files: trust.Files{Cert: s.TLS.AdminCert, Key: s.TLS.AdminKey},
+			Log:   log,
+		})
+	}
+	return out, err
+}
+
+// server returns the configuration for connections that other nodes open.
+func (t *trustFiles) server() *tls.Config {
+	if t.mesh == nil {
+		return nil
+	}
+	return t.mesh.Server()
+}
+
+// client returns the configuration for connections to other nodes.
+func (t *trustFiles) client() *tls.Config {
+	if t.mesh == nil {
+		return nil
+	}
+	return t.mesh.Client()
+}
+
+// admin returns the configuration of the admin API.
+func (t *trustFiles) admin() *tls.Config {
+	if t.operators == nil {
+		return nil
+	}
+	return t.operators.Server()
+}
+
+// watch reloads certificates that change, until ctx ends.
+func (t *trustFiles) watch(ctx context.Context, g *errgroup.Group) {
+	for _, k := range []*trust.Keeper{t.mesh, t.operators} {
+		if k != nil {
+			g.Go(func() error { k.Watch(ctx); return nil })
+		}
+	}
+}
