Carry messages between nodes over a bounded, counted twirp edge

Cause: membership, spreading, submitted commands and alerts need one edge that says who speaks and bounds what it costs. Change: peer.Server and peer.Client: mesh and VM checked against the certificate, bodies bounded both ways, one idle connection a peer so that a silent one is retired by the exchange that misses its bound, real bytes counted below TLS, headers that nobody reads left out.

--- a/internal/distribute/perform.go
+++ b/internal/distribute/perform.go
@@ -145,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	req := &peerpb.PullRequest{Version: v.Number, Hash: v.Hash[:], HeadOnly: headOnly}
-	resp, err := r.deps.Client.Pull(ctx, addr, req)
+	resp, err := r.deps.Client.Pull(ctx, peer, addr, req)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -29,7 +29,8 @@
 // Runner.Heard.
 type Client interface {
 	Tell(ctx context.Context, addr string, changes *peerpb.Packed) error
-	Pull(ctx context.Context, addr string, req *peerpb.PullRequest) (*peerpb.PullResponse, error)
+	// Pull fails when another VM than to answers at addr.
+	Pull(ctx context.Context, to, addr string, req *peerpb.PullRequest) (*peerpb.PullResponse, error)
 }
 
 // Store puts versions in force; config.Store is one.
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/trust"
+)
+
+// Membership answers membership messages.
+type Membership interface {
+	Request(from string, m *peerpb.Membership) *peerpb.Membership
+}
+
+// Spread hears of versions and serves pulls.
+type Spread interface {
+	Heard(*peerpb.Envelope)
+	ServePull(*peerpb.PullRequest) (*peerpb.PullResponse, error)
+}
+
+// Submitter carries out an operator's command for another node.
+type Submitter interface {
+	Submit(ctx context.Context, command []byte) ([]byte, error)
+}
+
+// Alerts takes notices that cannot wait for the next membership message.
+type Alerts interface {
+	Alert(from string, notices []*peerpb.Notice)
+}
+
+// ServerConfig is what a Server works with.
+type ServerConfig struct {
+	Mesh, VM   string
+	TLS        *tls.Config // nil for plain TCP
+	Limits     Limits
+	Metrics    *Metrics
+	Log        zerolog.Logger
+	Sender     func() Sender
+	Membership Membership
+	Spread     Spread
+	Submitter  Submitter
+	Alerts     Alerts
+}
+
+// Server answers other nodes.
+type Server struct {
+	cfg  ServerConfig
+	http *http.Server
+}
+
+// NewServer returns a server; Serve starts it.
+func NewServer(cfg ServerConfig) *Server {
+	s := &Server{cfg: cfg}
+	twirpServer := peerpb.NewPeerServer(&service{cfg}, twirp.WithServerPathPrefix(""))
+	s.http = &http.Server{
+		Handler:           s.guard(twirpServer),
+		ReadHeaderTimeout: cfg.Limits.Answer,
+		ReadTimeout:       cfg.Limits.Answer,
+		WriteTimeout:      2 * cfg.Limits.Answer,
+		// Longer than the client keeps it, so that the client closes first
+		// and never writes into a connection that is being closed.
+		IdleTimeout:    cfg.Limits.Idle + time.Minute,
+		MaxHeaderBytes: 4 << 10,
+		ErrorLog:       log.New(debugWriter{cfg.Log}, "", 0),
+	}
+	return s
+}
+
+// Serve accepts connections until Shutdown. It returns nil after one.
+func (s *Server) Serve(l net.Listener) error {
+	l = &countedListener{l, s.cfg.Metrics}
+	if s.cfg.TLS != nil {
+		l = tls.NewListener(l, s.cfg.TLS)
+	}
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("peer: serve: %w", err)
+	}
+	return nil
+}
+
+// Shutdown stops accepting and waits for the answers in flight.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// fromKey is the context key of the VM that the connection's certificate names.
+type fromKey struct{}
+
+// guard bounds the body and notes who speaks.
+func (s *Server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, s.cfg.Limits.Body)
+		w.Header()["Date"] = nil // nobody reads it
+		if s.cfg.TLS != nil {
+			id, err := trust.PeerOf(r.TLS)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusForbidden)
+				return
+			}
+			r = r.WithContext(context.WithValue(r.Context(), fromKey{}, id.VM))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// service implements the twirp service.
+type service struct{ cfg ServerConfig }
+
+// admit checks that a message is of this mesh and from whom it says.
+func (s *service) admit(ctx context.Context, k kind, m fromPeer) error {
+	km := s.cfg.Metrics.kinds[k]
+	km.received.Inc()
+	km.bytesIn.Add(proto.Size(m))
+	if m.GetMesh() != s.cfg.Mesh {
+		s.cfg.Metrics.Refused(&trust.RefusedError{Reason: trust.ReasonOtherMesh})
+		return twirp.PermissionDenied.Error("this is mesh " + s.cfg.Mesh)
+	}
+	if vm, ok := ctx.Value(fromKey{}).(string); ok && vm != m.GetFrom() {
+		s.cfg.Metrics.dropped.Inc()
+		return twirp.PermissionDenied.Error("the certificate is for VM " + vm)
+	}
+	return nil
+}
+
+// fromPeer is any request.
+type fromPeer interface {
+	proto.Message
+	GetMesh() string
+	GetFrom() string
+}
+
+func (s *service) answered(k kind, m proto.Message) {
+	s.cfg.Metrics.kinds[k].bytesOut.Add(proto.Size(m))
+}
+
+// Exchange implements peerpb.Peer.
+func (s *service) Exchange(ctx context.Context, e *peerpb.Envelope) (*peerpb.Envelope, error) {
+	k := kindExchange
+	if e.Membership == nil {
+		k = kindTell
+	}
+	if err := s.admit(ctx, k, e); err != nil {
+		return nil, err
+	}
+	s.cfg.Spread.Heard(e)
+	var m *peerpb.Membership
+	if e.Membership != nil {
+		m = s.cfg.Membership.Request(e.From, e.Membership)
+	}
+	out := seal(s.cfg.Mesh, s.cfg.VM, s.cfg.Sender())
+	out.Membership = m
+	s.answered(k, out)
+	return out, nil
+}
+
+// Pull implements peerpb.Peer.
+func (s *service) Pull(ctx context.Context, q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
+	if err := s.admit(ctx, kindPull, q); err != nil {
+		return nil, err
+	}
+	a, err := s.cfg.Spread.ServePull(q)
+	if err != nil {
+		s.cfg.Metrics.kinds[kindPull].errors.Inc()
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	a.From = s.cfg.VM
+	s.answered(kindPull, a)
+	return a, nil
+}
+
+// Submit implements peerpb.Peer.
+func (s *service) Submit(ctx context.Context, q *peerpb.SubmitRequest) (*peerpb.SubmitResponse, error) {
+	if err := s.admit(ctx, kindSubmit, q); err != nil {
+		return nil, err
+	}
+	result, err := s.cfg.Submitter.Submit(ctx, q.Command)
+	if err != nil {
+		s.cfg.Metrics.kinds[kindSubmit].errors.Inc()
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	a := &peerpb.SubmitResponse{Result: result}
+	s.answered(kindSubmit, a)
+	return a, nil
+}
+
+// Alert implements peerpb.Peer.
+func (s *service) Alert(ctx context.Context, q *peerpb.AlertRequest) (*peerpb.AlertResponse, error) {
+	if err := s.admit(ctx, kindAlert, q); err != nil {
+		return nil, err
+	}
+	s.cfg.Alerts.Alert(q.From, q.Notices)
+	return &peerpb.AlertResponse{}, nil
+}
+
+// debugWriter logs what net/http has to say, such as failed handshakes, which
+// are counted by reason already.
+type debugWriter struct{ log zerolog.Logger }
+
+func (w debugWriter) Write(p []byte) (int, error) {
+	w.log.Debug().Msg("peer: " + strings.TrimSpace(string(p)))
+	return len(p), nil
+}
