--- /dev/null
+++ b/internal/distribute/failure_test.go
@@ -0,0 +1,381 @@
+package distribute
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// bench drives one State by hand.
+type bench struct {
+	t    *testing.T
+	s    *State
+	now  time.Time
+	rng  *rand.Rand
+	view *membership.View
+	out  []Action
+}
+
+func newBench(t *testing.T, peers ...string) *bench {
+	now := time.Unix(1_700_000_000, 0)
+	b := &bench{t: t, now: now, rng: rand.New(rand.NewPCG(1, 1)),
+		view: &membership.View{Records: make(map[string]*membership.Seen)}}
+	for _, p := range append(peers, "self") {
+		b.view.Records[p] = &membership.Seen{Record: membership.Record{
+			VM: membership.VM{ID: p, DataCentre: "dc"}, State: membership.VMAlive,
+		}}
+	}
+	b.s = New(Defaults("self", "dc", Time()), now)
+	return b
+}
+
+// do feeds an event, puts what is offered in force, and returns the actions.
+func (b *bench) do(ev Event) []Action {
+	b.out = b.s.Step(b.now, b.rng, b.view, ev)
+	out := b.out
+	for _, a := range out {
+		if o, ok := a.(Offer); ok {
+			out = append(out, b.do(Offered{Version: o.Snapshot.Version()})...)
+		}
+	}
+	return out
+}
+
+func (b *bench) wait(d time.Duration) []Action {
+	var out []Action
+	for range int(d / tickEvery) {
+		b.now = b.now.Add(tickEvery)
+		out = append(out, b.do(Ticked{})...)
+	}
+	return out
+}
+
+func (b *bench) holds(n uint64) {
+	b.t.Helper()
+	if got := b.s.Version().Number; got != n {
+		b.t.Fatalf("holds version %d, want %d", got, n)
+	}
+}
+
+func find[A Action](out []Action) (A, bool) {
+	for _, a := range out {
+		if v, ok := a.(A); ok {
+			return v, true
+		}
+	}
+	var none A
+	return none, false
+}
+
+func findings(out []Action, kind string) int {
+	n := 0
+	for _, a := range out {
+		if r, ok := a.(Report); ok && r.Finding.Kind() == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// history makes n versions. The name sets two histories apart.
+func history(t *testing.T, name string, n int) ([]*config.Delta, *config.Snapshot) {
+	t.Helper()
+	var ds []*config.Delta
+	s := config.Empty()
+	for i := range n {
+		o := config.EncodeService(config.Service{Name: name, Team: "t", Description: string(rune('a' + i))})
+		next, d, err := s.Next([]config.Object{o}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, ds = next, append(ds, d)
+	}
+	return ds, s
+}
+
+func heardTell(peer string, ds []*config.Delta) Heard {
+	to := ds[len(ds)-1].To
+	return Heard{Peer: peer, Version: to, InForce: to.Number, Tell: true, Deltas: ds}
+}
+
+// What an operator would see: a target that changed twice in a second ends up
+// as it was after the first change. The two updates crossed on the way, the
+// second came first, and then both came again.
+func TestCrossedAndDoubledUpdates(t *testing.T) {
+	b := newBench(t, "p", "q")
+	ds, _ := history(t, "booking", 3)
+	b.do(heardTell("p", ds[:1]))
+	b.do(heardTell("q", ds[2:])) // a gap: not applied
+	b.holds(1)
+	b.do(heardTell("p", ds[1:2]))
+	b.holds(2)
+	b.do(heardTell("q", ds[2:]))
+	b.holds(3)
+	out := append(b.do(heardTell("p", ds[:1])), b.do(heardTell("q", ds[:3]))...)
+	b.holds(3)
+	if _, ok := find[Offer](out); ok {
+		t.Fatal("an old update was offered again")
+	}
+}
+
+// What an operator would see: after the platform's table was restored from
+// yesterday's backup and changed again, half the proxies silently run the new
+// history and half the old. The platform's head has a number that is held here
+// with another hash: it is reported as a conflict and not followed.
+func TestRestoredBackupIsReportedAndNotFollowed(t *testing.T) {
+	b := newBench(t, "p")
+	ours, _ := history(t, "ours", 5)
+	theirs, _ := history(t, "theirs", 8)
+	b.do(heardTell("p", ours))
+	for _, head := range []config.Version{theirs[4].To, theirs[2].To} {
+		if findings(b.do(HeadRead{Version: head}), "conflict") != 1 {
+			t.Fatalf("head %d of another history was not reported", head.Number)
+		}
+	}
+	out := b.do(HeadRead{Version: theirs[7].To})
+	since, ok := find[ReadSince](out)
+	if !ok || since.Version != ours[4].To {
+		t.Fatal("does not ask how the higher head follows from the version held")
+	}
+	if findings(b.do(PlatformRead{Deltas: theirs[5:]}), "conflict") != 1 {
+		t.Fatal("deltas of another history were not reported")
+	}
+	b.holds(5)
+	if c := b.s.Conflicts(); len(c) != 3 || c[0].Source != SourcePlatform {
+		t.Fatalf("conflicts for the handover: %v", c)
+	}
+}
+
+// What an operator would see: a change of a minute ago is gone, since the
+// platform answered a read with an older head.
+func TestOlderHeadIsIgnoredAndReported(t *testing.T) {
+	b := newBench(t, "p")
+	ds, _ := history(t, "booking", 5)
+	b.do(heardTell("p", ds))
+	if _, ok := find[ReadHead](b.wait(4 * time.Second)); !ok {
+		t.Fatal("the head was not read")
+	}
+	if findings(b.do(HeadRead{Version: ds[2].To}), "stale_head") != 1 {
+		t.Fatal("not reported")
+	}
+	b.holds(5)
+}
+
+// What an operator would see: one broken or captured VM makes the proxies run
+// targets that nobody stated. Its delta names a parent that is held, but the
+// content does not hash to the version it promises.
+func TestForgedDeltaIsRefused(t *testing.T) {
+	b := newBench(t, "liar", "p")
+	ds, _ := history(t, "booking", 2)
+	b.do(heardTell("p", ds[:1]))
+	forged := *ds[1]
+	forged.Set = []config.Object{config.EncodeService(config.Service{Name: "evil", Team: "x"})}
+	if findings(b.do(heardTell("liar", []*config.Delta{&forged})), "bad_peer") != 1 {
+		t.Fatal("not reported")
+	}
+	b.holds(1)
+	b.do(heardTell("p", ds[1:]))
+	b.holds(2)
+}
+
+// What an operator would see: a restarted VM that never becomes ready, since
+// one peer says that it holds version 10^18 and cannot show it. The claim is
+// dropped with the first answer, and the peer is not believed for a while.
+func TestClaimThatCannotBeShownIsDropped(t *testing.T) {
+	b := newBench(t, "liar", "p", "q")
+	ds, _ := history(t, "booking", 2)
+	b.do(heardTell("p", ds))
+	high := config.Version{Number: 1e18, Hash: config.Hash{1}}
+	pull, ok := find[Pull](b.do(Heard{Peer: "liar", Version: high, Tell: true}))
+	if !ok || pull.Peer != "liar" {
+		t.Fatal("no pull from the peer that claims")
+	}
+	if findings(b.do(Pulled{Peer: "liar", Answer: Answer{Version: high}}), "bad_peer") != 1 {
+		t.Fatal("not reported")
+	}
+	if _, again := find[Pull](b.do(Heard{Peer: "liar", Version: high, Tell: true})); again {
+		t.Fatal("believed again at once")
+	}
+	for _, p := range []string{"p", "q"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ds[1].To, Ready: true}})
+	}
+	if ok, why := b.s.Ready(); ok {
+		t.Fatal("ready before three peers were asked: " + why)
+	}
+	b.do(Asked{Peer: "liar", Answer: Answer{Version: high, Ready: true}})
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+}
+
+// What an operator would see: a node that was cut off comes back and takes a
+// whole configuration from one captured VM. A snapshot proves its content, not
+// that it descends from the version held, so it waits for a second witness;
+// when the others do not know it, it is dropped and its sender reported.
+func TestSnapshotFromOnePeerNeedsAWitness(t *testing.T) {
+	b := newBench(t, "liar", "p")
+	ds, _ := history(t, "booking", 2)
+	theirs, forged := history(t, "evil", 300)
+	b.do(heardTell("p", ds))
+	b.do(Heard{Peer: "liar", Version: theirs[299].To, Tell: true})
+	out := b.do(Pulled{Peer: "liar", Answer: Answer{Version: forged.Version(), Snapshot: forged}})
+	b.holds(2)
+	ask, ok := find[Pull](out)
+	if !ok || ask.Peer != "p" || ask.Version != forged.Version() {
+		t.Fatalf("does not ask the other peer for it: %v", out)
+	}
+	b.do(Pulled{Peer: "p", Answer: Answer{Version: ds[1].To}})
+	if findings(b.wait(b.s.set.AloneAfter+time.Second), "bad_peer") != 1 {
+		t.Fatal("not reported")
+	}
+	b.holds(2)
+}
+
+func TestSnapshotWithAWitnessIsTaken(t *testing.T) {
+	_, snap := history(t, "booking", 300)
+	v := snap.Version()
+	witnesses := map[string]func(b *bench){
+		"a second peer tells it":    func(b *bench) { b.do(Heard{Peer: "q", Version: v}) },
+		"a second peer confirms it": func(b *bench) { b.do(Pulled{Peer: "q", Answer: Answer{Version: v}}) },
+		"the platform has it":       func(b *bench) { b.do(HeadRead{Version: v}) },
+		"nobody else can be asked": func(b *bench) {
+			b.do(Pulled{Peer: "q", Err: errLost})
+			delete(b.view.Records, "q")
+			b.wait(b.s.set.AloneAfter + time.Second)
+		},
+	}
+	for name, witness := range witnesses {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "p", "q")
+			b.do(Heard{Peer: "p", Version: v, Tell: true})
+			b.do(Pulled{Peer: "p", Answer: Answer{Version: v, Snapshot: snap}})
+			b.holds(0)
+			witness(b)
+			b.holds(300)
+		})
+	}
+}
+
+// What a caller would see: "no such route" from a VM that has just started
+// while the platform is down and no peer can be reached. With nobody to ask
+// the node does not carry traffic, however long it takes, and keeps trying.
+func TestAloneWithoutThePlatformStaysNotReady(t *testing.T) {
+	b := newBench(t, "p")
+	reads, asks := 0, 0
+	for range 600 {
+		for _, a := range b.wait(tickEvery) {
+			switch a := a.(type) {
+			case ReadHead:
+				reads++
+				b.do(HeadRead{Err: errLost})
+			case Ask:
+				asks++
+				b.do(Asked{Peer: a.Peer, Err: errLost})
+			}
+		}
+	}
+	if ok, _ := b.s.Ready(); ok {
+		t.Fatal("ready without having asked anybody")
+	}
+	if reads < 3 || reads > 60 || asks < 10 || asks > 200 {
+		t.Fatalf("%d reads and %d asks in a minute", reads, asks)
+	}
+}
+
+// What a caller would see: a whole data centre comes back after a power cut
+// while the platform is down, and its VMs agree among themselves on the empty
+// configuration: every route is gone. Answers of peers that are starting
+// themselves do not count.
+func TestHerdOfEmptyNodesIsNotReadyWithoutThePlatform(t *testing.T) {
+	m := newMesh(8, 1, 3, func(id, dc string) Settings { return Defaults(id, dc, Time()) })
+	m.change(nil)
+	m.down = true
+	m.run(2 * time.Minute)
+	if n := m.readyCount(); n != 0 {
+		t.Fatalf("%d empty nodes are ready", n)
+	}
+	m.down = false
+	m.run(30 * time.Second)
+	if !m.converged() || m.readyCount() != 8 {
+		t.Fatal(describe(m))
+	}
+}
+
+// What an operator would see: a VM that stays out of service after a restart.
+// It ran version 5, its peers saw that, and it holds only 4 now. Handover has
+// to say who saw what.
+func TestFloorHoldsUntilReached(t *testing.T) {
+	b := newBench(t, "p")
+	ds, _ := history(t, "booking", 5)
+	b.do(Ticked{})
+	b.do(heardTell("p", ds[:4]))
+	b.do(Asked{Peer: "p", Answer: Answer{Version: ds[3].To, YouHeld: 5, Ready: true}})
+	b.do(HeadRead{Version: ds[3].To})
+	b.wait(time.Minute)
+	if ok, why := b.s.Ready(); ok || why != "version 4 is in force, but p saw version 5 in force here before" {
+		t.Fatalf("ready %t: %s", ok, why)
+	}
+	b.do(heardTell("p", ds[4:]))
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+}
+
+// What an operator would see: a part of a data centre that runs a change
+// seconds after the rest, whenever a VM near the top of the tree has just died
+// and nobody has noticed. Whoever cannot reach it tells its children.
+func TestLossInTheTreeIsSteppedOver(t *testing.T) {
+	b := newBench(t, "a", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m")
+	ds, _ := history(t, "booking", 1)
+	out := b.do(Accepted{ds[0]})
+	first, ok := find[Tell](out)
+	if !ok {
+		t.Fatal("told nobody")
+	}
+	tr := newTree(&b.s.set, b.view, ds[0].To)
+	for _, lost := range first.Peers {
+		again, _ := find[Tell](b.do(Told{Peer: lost, Version: ds[0].To, Err: errors.New("gone")}))
+		if want := tr.adopted(lost); len(again.Peers) != len(want) {
+			t.Fatalf("in place of %s told %v, want %v", lost, again.Peers, want)
+		}
+		if twice, _ := find[Tell](b.do(Told{Peer: lost, Version: ds[0].To, Err: errors.New("gone")})); len(twice.Peers) != 0 {
+			t.Fatal("stood in twice")
+		}
+	}
+}
+
+// What an operator would see: sending nodes that fall over when a herd comes
+// back, each refused node asking again at once. A refused pull waits for the
+// time it is given and a random part more.
+func TestBusyPeerIsNotAskedAtOnce(t *testing.T) {
+	b := newBench(t, "p")
+	ds, _ := history(t, "booking", 2)
+	b.do(Heard{Peer: "p", Version: ds[1].To, Tell: true})
+	if _, ok := find[Pull](b.do(Pulled{Peer: "p", Err: &BusyError{time.Second}})); ok {
+		t.Fatal("asked again at once")
+	}
+	if _, ok := find[Pull](b.wait(900 * time.Millisecond)); ok {
+		t.Fatal("asked before the time it was given")
+	}
+	if _, ok := find[Pull](b.wait(1200 * time.Millisecond)); !ok {
+		t.Fatal("not asked again")
+	}
+}
+
+// What an operator would see: "accepted" for a change on a node that had not
+// yet heard of the one before. It reads what lies between from the platform.
+func TestAcceptedAheadOfWhatIsHeld(t *testing.T) {
+	b := newBench(t, "p")
+	ds, _ := history(t, "booking", 3)
+	b.do(heardTell("p", ds[:1]))
+	since, ok := find[ReadSince](b.do(Accepted{ds[2]}))
+	if !ok || since.Version != ds[0].To {
+		t.Fatal("does not read the deltas between")
+	}
+	b.do(PlatformRead{Deltas: ds[1:]})
+	b.holds(3)
+}
