--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -229,6 +229,8 @@
 		t.Fatalf("does not ask the other peer for it: %v", out)
 	}
 	b.do(Pulled{Peer: "p", Answer: Answer{Version: ds[1].To}})
+	b.do(Heard{Peer: "liar", Version: forged.Version()}) // no witness for itself
+	b.holds(2)
 	if findings(b.wait(b.s.set.AloneAfter+time.Second), "bad_peer") != 1 {
 		t.Fatal("not reported")
 	}
@@ -379,3 +381,42 @@
 	b.do(PlatformRead{Deltas: ds[1:]})
 	b.holds(3)
 }
+
+// What a caller would see: a VM that ran a change for a moment, restarted, and
+// runs without it. Its peer had heard of the version but not yet pulled it, so
+// what it remembers of the VM is all that can hold the VM back.
+func TestPeersRememberWhatTheyDoNotHold(t *testing.T) {
+	b := newBench(t, "vm", "p")
+	ds, _ := history(t, "booking", 3)
+	b.do(heardTell("p", ds[:1]))
+	b.do(Heard{Peer: "vm", Version: ds[2].To, InForce: 3})
+	b.do(Heard{Peer: "vm", Version: config.Empty().Version()}) // restarted
+	if a := b.s.Serve(b.view, "vm", config.Empty().Version(), true); a.YouHeld != 3 || a.Version.Number != 1 {
+		t.Fatalf("tells the VM that it held %d", a.YouHeld)
+	}
+}
+
+// What an operator would see: a restarted VM that stays out of service because
+// a peer told a newer version and died before anybody could pull it.
+func TestClaimOfADeadPeerIsDropped(t *testing.T) {
+	b := newBench(t, "p", "q", "dead")
+	ds, _ := history(t, "booking", 2)
+	b.do(heardTell("p", ds[:1]))
+	b.do(Heard{Peer: "dead", Version: ds[1].To, Tell: true})
+	for _, p := range []string{"p", "q", "dead"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ds[0].To, Ready: true}})
+	}
+	for range 600 {
+		for _, a := range b.wait(tickEvery) {
+			if p, ok := a.(Pull); ok {
+				b.do(Pulled{Peer: p.Peer, Err: errLost})
+			}
+		}
+		if len(b.s.claims) > 0 && b.s.pull.peer != "" {
+			b.do(Pulled{Peer: b.s.pull.peer, Err: errLost})
+		}
+	}
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+}
