Read a long platform log on at once

Cause: the platform's source answers 128 deltas a read; the rest waited for the feeder's timer, and a starting node stayed behind as long. Change: a read that moved the chain and did not reach the head is followed by the next.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -121,6 +121,17 @@
 			s.jumped(e.Snapshot, true)
 		}
 	default:
-		s.applyDeltas(SourcePlatform, e.Deltas)
+		s.readOn(e.Deltas)
+	}
+}
+
+// readOn applies deltas from the platform, and reads the next ones at once if
+// these did not lead to the head: a platform may answer a long log in parts.
+func (s *State) readOn(ds []*config.Delta) {
+	from := s.Version()
+	ok := s.applyDeltas(SourcePlatform, ds)
+	if ok && s.Version() != from && s.feed.head.Newer(s.Version()) {
+		s.feed.busy = true
+		s.emit(ReadSince{s.Version()})
 	}
 }
