Keep a starting node of another history out of service

Cause: a node that started after the platform was restored from a backup took the platform's history, reported a conflict with its peers and carried traffic all the same. Change: while two peers (or the only one) run another history the node is not ready, and a platform of another history counts for nothing.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -15,7 +15,7 @@
 	fails    int
 	heldThen uint64         // number held when ReadHead went out
 	head     config.Version // newest head that the platform answered
-	answered bool           // the platform answered since the start
+	answered bool           // the platform's last answer fits the history held
 	catchUp  time.Time      // when to read what head has more, or zero
 
 	// The role, for the view it was worked out from.
@@ -79,7 +79,7 @@
 	}
 	f.fails = 0
 	f.after = s.now.Add(s.set.Profile.HeadEvery)
-	f.answered = true
+	f.answered = s.chain.relation(e.Version) != relationOther
 	if e.Version.Newer(f.head) {
 		f.head = e.Version
 	}
--- a/internal/distribute/ready.go
+++ b/internal/distribute/ready.go
@@ -14,8 +14,14 @@
 	asks  map[string]*ask // by peer
 	floor uint64          // highest version that a peer saw in force here
 	by    string          // the peer that saw it
+	// foreign holds the peers that run another history than this node.
+	foreign map[string]bool
 }
 
+// maxForeign is how many peers of another history keep a starting node from
+// carrying traffic. One may be a liar; with two, this node is the odd one out.
+const maxForeign = 2
+
 // ask is one peer asked for what it saw this node hold.
 type ask struct {
 	busy     bool
@@ -43,6 +49,7 @@
 	if !s.start.done && s.waitingFor() == "" {
 		s.start.done = true
 		clear(s.start.asks)
+		clear(s.start.foreign)
 	}
 }
 
@@ -59,6 +66,10 @@
 	case s.feed.head.Newer(s.Version()):
 		return "the platform holds a newer version"
 	}
+	if n := len(s.start.foreign); n > 0 && n >= min(maxForeign, s.others()) {
+		return fmt.Sprintf("%d peers run another history than version %d (%s) held here",
+			n, s.Version().Number, s.Version().Hash.Short())
+	}
 	return s.waitingForAnswers()
 }
 
@@ -142,14 +153,16 @@
 	if e.Err != nil {
 		return
 	}
-	a.answered = true
-	a.ready = e.Answer.Ready
 	if e.Answer.YouHeld > s.start.floor {
 		s.start.floor, s.start.by = e.Answer.YouHeld, e.Peer
 	}
-	if e.Answer.OtherHistory {
+	if e.Answer.OtherHistory || s.chain.relation(e.Answer.Version) == relationOther {
+		s.start.foreign[e.Peer] = true
 		s.conflict(e.Peer, e.Answer.Version)
 		return
 	}
+	delete(s.start.foreign, e.Peer)
+	a.answered = true
+	a.ready = e.Answer.Ready
 	s.heard(Heard{Peer: e.Peer, Version: e.Answer.Version, Tell: true})
 }
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -47,7 +47,7 @@
 		discredited: make(map[string]time.Time),
 		held:        make(map[string]uint64),
 		reported:    make(map[string]config.Version),
-		start:       starting{asks: make(map[string]*ask)},
+		start:       starting{asks: make(map[string]*ask), foreign: make(map[string]bool)},
 	}
 }
 
