--- a/internal/distribute/settings.go
+++ b/internal/distribute/settings.go
@@ -34,7 +34,7 @@
 func Bytes() Profile {
 	return Profile{
 		Name: "bytes", HeadEvery: 3 * time.Second, TellDelay: 500 * time.Millisecond,
-		FanOut: 4, PushBytes: 4 << 10, PullDelay: 3 * time.Second,
+		FanOut: 8, PushBytes: 4 << 10, PullDelay: 3 * time.Second,
 	}
 }
 
--- a/internal/distribute/spread_test.go
+++ b/internal/distribute/spread_test.go
@@ -48,6 +48,17 @@
 	run(b, "lost=10%/random", randomLost)
 }
 
+// BenchmarkFanOut compares fan-outs with and without lost nodes.
+func BenchmarkFanOut(b *testing.B) {
+	for _, p := range []Profile{Time(), Bytes()} {
+		for _, f := range []int{2, 4, 8, 16} {
+			p.FanOut = f
+			run(b, fmt.Sprintf("%s/%d", p.Name, f), scenario{nodes: 1200, profile: p})
+			run(b, fmt.Sprintf("%s/%d/lost=10%%", p.Name, f), scenario{nodes: 240, profile: p, lost: 10})
+		}
+	}
+}
+
 // BenchmarkBurst compares the profiles on ten changes within a second.
 func BenchmarkBurst(b *testing.B) {
 	for _, p := range []Profile{Time(), Bytes()} {
