Spare the platform in a storm

Cause: starting nodes drew their first read of the head from 0 to 3 s, and a thirtieth of them drew less than the time that peers take to answer.

--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -155,8 +155,7 @@
 func TestOlderHeadIsIgnoredAndReported(t *testing.T) {
 	b := newBench(t, "p")
 	ds, _ := history(t, "booking", 5)
-	b.do(heardTell("p", ds))
-	if _, ok := find[ReadHead](b.wait(4 * time.Second)); !ok {
+	if _, ok := find[ReadHead](b.do(heardTell("p", ds))); !ok {
 		t.Fatal("the head was not read")
 	}
 	if findings(b.do(HeadRead{Version: ds[2].To}), "stale_head") != 1 {
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -27,10 +27,13 @@
 // nothing reads a snapshot from the platform rather than the deltas.
 const freshSnapshotAfter = 16
 
-// startReadWithin bounds the random wait before a starting node that has peers
-// reads the platform's head. In a storm most nodes learn all they need from
-// peers before it is over, and the platform is spared.
-const startReadWithin = 3 * time.Second
+// A starting node that has peers reads the platform's head no earlier than
+// startReadAfter, plus a random part of startReadWithin. In a storm nearly all
+// learn what they need from peers before that, and the platform is spared.
+const (
+	startReadAfter  = time.Second
+	startReadWithin = 4 * time.Second
+)
 
 // Feeder reports whether this node reads the platform's head on a timer.
 func (s *State) Feeder() bool { return s.feed.feeder }
@@ -64,10 +67,10 @@
 
 // firstRead returns how long to wait before the first read of the head.
 func (s *State) firstRead() time.Duration {
-	if s.view == nil || len(s.view.Records) <= 1 {
+	if s.feed.feeder || s.others() == 0 {
 		return 0
 	}
-	return s.jitter(startReadWithin)
+	return startReadAfter + s.jitter(startReadWithin)
 }
 
 func (s *State) headRead(e HeadRead) {
--- /dev/null
+++ b/internal/distribute/runner_test.go
@@ -0,0 +1,121 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+type downPlatform struct{}
+
+func (downPlatform) Head(context.Context) (config.Version, error) { return config.Version{}, errLost }
+
+func (downPlatform) Since(context.Context, config.Version) ([]*config.Delta, error) {
+	return nil, errLost
+}
+
+func (downPlatform) Snapshot(context.Context, config.Version) (*config.Snapshot, error) {
+	return nil, errLost
+}
+
+func newTestRunner(t *testing.T) (*Runner, *config.Store[int]) {
+	t.Helper()
+	store, err := config.NewStore(func(*config.Snapshot) (int, error) { return 0, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewRunner(Defaults("self", "dc", Time()), Deps{
+		Views: new(membership.Views), Platform: downPlatform{}, Store: store, Log: zerolog.Nop(),
+	})
+	t.Cleanup(r.stop)
+	return r, store
+}
+
+func tell(t *testing.T, ds []*config.Delta) *peerpb.Envelope {
+	t.Helper()
+	p, err := Pack(ds, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := ds[len(ds)-1].To
+	return &peerpb.Envelope{From: "p", Version: to.Number, Hash: to.Hash[:], Changes: p}
+}
+
+// What an operator would see: senders whose links are full for a minute when a
+// data centre comes back. Pulls over the cap are refused with a time to wait.
+func TestPullsServedAreCapped(t *testing.T) {
+	r, _ := newTestRunner(t)
+	ds, snap := history(t, "booking", 3)
+	r.Heard(tell(t, ds))
+	req := &peerpb.PullRequest{From: "q"}
+	a, err := r.ServePull(req)
+	if err != nil || a.RetryAfterMs != 0 {
+		t.Fatal(a, err)
+	}
+	got, err := answerFromProto(a)
+	if err != nil || got.Version != snap.Version() || len(got.Deltas) != 3 {
+		t.Fatal(got, err)
+	}
+	r.served.SetLimit(1e-9) // nothing comes back while the test runs
+	r.served.AllowN(time.Now(), int(r.served.Tokens()))
+	a, err = r.ServePull(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var busy *BusyError
+	if _, err := answerFromProto(a); !errors.As(err, &busy) || busy.RetryAfter != retryAfter {
+		t.Fatalf("over the cap: %v", err)
+	}
+	req.HeadOnly = true
+	if a, err = r.ServePull(req); err != nil || a.RetryAfterMs != 0 {
+		t.Fatal("an answer without changes was refused")
+	}
+}
+
+func TestRunnerDropsMalformedMessages(t *testing.T) {
+	r, _ := newTestRunner(t)
+	ds, _ := history(t, "booking", 1)
+	bad := tell(t, ds)
+	bad.Hash = bad.Hash[:5]
+	r.Heard(bad)
+	if r.Stamp().Version.Number != 0 {
+		t.Fatal("a message with a short hash was used")
+	}
+	if _, err := r.ServePull(&peerpb.PullRequest{Version: 7, Hash: []byte("x")}); !errors.Is(err, ErrBadAnswer) {
+		t.Fatal(err)
+	}
+	r.Heard(tell(t, ds))
+	if r.Stamp().Version != ds[0].To {
+		t.Fatal("a good message was not used")
+	}
+}
+
+// What an operator would see: handover says that a node runs the version that
+// its build cannot run. The node holds and passes on the newer one, and says
+// how far what it runs lies behind.
+func TestVersionThatCannotRunIsHeldAndSaidToBeBehind(t *testing.T) {
+	r, store := newTestRunner(t)
+	ds, snap := history(t, "booking", 1)
+	odd := config.Object{Key: config.Key{Kind: config.KindTarget, Name: "x"}, Raw: []byte(`{"from_a_newer_build":1}`)}
+	_, next, err := snap.Next([]config.Object{odd}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Heard(tell(t, append(ds, next)[:1]))
+	r.flying.Wait()
+	r.Heard(tell(t, append(ds, next)))
+	r.flying.Wait()
+	if s := r.Stamp(); s.Version != next.To || s.Behind != 1 {
+		t.Fatalf("stamp %+v", s)
+	}
+	if v := store.Load().Snapshot.Version(); v != ds[0].To || store.Refused().Version != next.To {
+		t.Fatalf("in force %d", v.Number)
+	}
+}
