--- a/internal/distribute/event.go
+++ b/internal/distribute/event.go
@@ -15,10 +15,6 @@
 // ErrBadAnswer marks an answer that could not be decoded or verified.
 var ErrBadAnswer = errors.New("distribute: the answer could not be verified")
 
-// ErrNoWitness means that no second peer knows the version that a peer sent a
-// snapshot of.
-var ErrNoWitness = errors.New("distribute: no second peer knows the version")
-
 // BusyError is a peer's refusal to serve a pull now.
 type BusyError struct{ RetryAfter time.Duration }
 
--- a/internal/distribute/finding.go
+++ b/internal/distribute/finding.go
@@ -11,8 +11,8 @@
 // a VM's ID.
 const SourcePlatform = "(platform)"
 
-// Finding is something that an operator should know: a *Conflict, a *StaleHead
-// or a *BadPeer.
+// Finding is something that an operator should know: a *Conflict, a *StaleHead,
+// a *BadPeer or an *Unconfirmed.
 type Finding interface {
 	error
 	// Kind is a short name for metrics.
@@ -64,3 +64,19 @@
 
 // Kind implements Finding.
 func (b *BadPeer) Kind() string { return "bad_peer" }
+
+// Unconfirmed tells of a snapshot that was dropped because the other peers that
+// were asked did not know its version. Its sender may be ahead of all of them,
+// as when the others are cut off, or may have made it up.
+type Unconfirmed struct {
+	Peer    string
+	Version config.Version
+}
+
+func (u *Unconfirmed) Error() string {
+	return fmt.Sprintf("distribute: no second peer knows version %d (%s) of peer %s",
+		u.Version.Number, u.Version.Hash.Short(), u.Peer)
+}
+
+// Kind implements Finding.
+func (u *Unconfirmed) Kind() string { return "unconfirmed" }
--- a/internal/distribute/jump.go
+++ b/internal/distribute/jump.go
@@ -110,7 +110,9 @@
 	j := s.jump
 	s.jump = nil
 	if j.contested {
-		s.bad(j.from, ErrNoWitness)
+		v := j.snapshot.Version()
+		s.report(&Unconfirmed{Peer: j.from, Version: v}, j.from, v)
+		s.discredit(j.from)
 		return
 	}
 	s.jumped(j.snapshot, false)
