Bury only after a sample, merge meshes that formed apart, and test failures

Cause: in the harness a loss of three quarters of a data centre buried 9 of 22 nodes before the rest was found silent; the word of a cut-off data centre never grew old, as its age was rounded down at each hop; nodes that started while parted stayed two meshes. Change: a roll call of random nodes precedes a burial; ages are told with a margin; bridges ask contacts that they do not know; joins and refutations are pushed; coders are made anew, so that no channel is shared between bubbles of synctest.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -17,6 +17,8 @@
 	SuspectMin    time.Duration // from suspicion to burial, fully confirmed
 	SuspectMax    time.Duration // the same, unconfirmed
 	Confirmations int           // observers that make a suspicion fully confirmed
+	RollCall      int           // random nodes probed before a burial
+	RollEvery     time.Duration // between two of these samples, when the first says no
 
 	Bridges        int           // nodes of a data centre that speak with others
 	BridgeEvery    time.Duration // between exchanges with a data centre of the region
@@ -28,6 +30,7 @@
 	SpreadFactor int           // a change rides on SpreadFactor·log2(n) messages
 	PushFanout   int           // peers that are told at once of an urgent change
 	PushEvery    time.Duration // least time between two rounds of pushes
+	PushChanges  bool          // any change of backend servers is pushed, not just fewer of them
 	RaiseEvery   time.Duration // least time between lazy changes to the own record
 
 	CutOffAfter  time.Duration // silence after which a data centre is cut off
@@ -70,6 +73,8 @@
 		SuspectMin:      4 * time.Second,
 		SuspectMax:      16 * time.Second,
 		Confirmations:   3,
+		RollCall:        15,
+		RollEvery:       30 * time.Second,
 		Bridges:         2,
 		BridgeEvery:     4 * time.Second,
 		FarBridgeEvery:  10 * time.Second,
@@ -90,7 +95,7 @@
 		JoinBackoffMax:  10 * time.Second,
 		JoinsPerSecond:  4,
 		JoinBurst:       8,
-		AloneAfter:      15 * time.Second,
+		AloneAfter:      10 * time.Second,
 		RecallTimeout:   3 * time.Second,
 		Limits:          DefaultLimits(),
 	}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -45,6 +45,8 @@
 	live   int
 	heard  time.Time
 
+	suspects int // of the live ones
+
 	members []*entry // live, by key; nil when out of date
 	bridges []*entry // nil with members
 
@@ -141,7 +143,7 @@
 		e.prior = max(e.prior, e.held)
 		e.held = 0
 	}
-	if sp := e.suspicion; sp != nil && r.stamp().newer(sp.about) {
+	if sp := e.suspicion; sp != nil && (r.stamp().newer(sp.about) || r.VM.DataCentre != e.rec.VM.DataCentre) {
 		s.clearSuspicion(e, r.VM.Incarnation == sp.about.incarnation)
 	}
 	if r.State == VMLeaving {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -106,7 +106,7 @@
 func (s *State) takeAges(m *peerpb.Membership) {
 	for _, d := range parseDigest(m.GetDigest()) {
 		c := s.byCentre[d.key]
-		if c == nil || c == s.home {
+		if c == nil || c == s.home || d.age >= oldestAge*ageUnit {
 			continue
 		}
 		if at := s.now.Add(-d.age); at.After(c.heard) {
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/klauspost/compress/zstd"
@@ -38,27 +37,23 @@
 
 const maxReferrals = 5
 
-var (
-	encoder = sync.OnceValue(func() *zstd.Encoder {
-		e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
-		if err != nil {
-			panic(err) // only by a wrong option
-		}
-		return e
-	})
-	decoders sync.Map // of *zstd.Decoder by the limit of its memory
-)
-
-func decoder(limit int) *zstd.Decoder {
-	if d, ok := decoders.Load(limit); ok {
-		return d.(*zstd.Decoder)
+// compress and decompress make their coder anew: joins are rare, and a coder
+// kept for ever holds megabytes.
+func compress(raw []byte) ([]byte, error) {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		return nil, err
 	}
+	return e.EncodeAll(raw, nil), e.Close()
+}
+
+func decompress(packed []byte, limit int) ([]byte, error) {
 	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(limit)))
 	if err != nil {
-		panic(err) // only by a wrong option
+		return nil, err
 	}
-	have, _ := decoders.LoadOrStore(limit, d)
-	return have.(*zstd.Decoder)
+	defer d.Close()
+	return d.DecodeAll(packed, nil)
 }
 
 func (s *State) startJoining() {
@@ -94,7 +89,8 @@
 		return
 	}
 	if len(s.contacts) >= s.cfg.Limits.Contacts {
-		s.contacts = slices.Delete(s.contacts, 0, 1)
+		oldest := min(len(s.cfg.Seeds), len(s.contacts)-1) // seeds stay
+		s.contacts = slices.Delete(s.contacts, oldest, oldest+1)
 	}
 	s.contacts = append(s.contacts, c)
 }
@@ -123,38 +119,67 @@
 	return !s.joined || s.live == 0 || home || (len(s.cutOff) > 0 && s.amBridge())
 }
 
-// tickJoin asks for a full state until there is one, and again whenever no
-// neighbour is left to talk to.
+// tickJoin asks for a full state until there is one, again whenever no neighbour
+// is left to talk to, and when a contact turns up that this node does not know.
 func (s *State) tickJoin() {
 	if !s.joined && s.now.Sub(s.started) > s.cfg.AloneAfter {
 		s.becomeJoined()
 	}
-	_, cut := s.cutOff[s.home.name]
-	if (s.joined && s.live > 0 && !cut) || s.now.Before(s.nextJoin) || len(s.contacts) == 0 {
+	if s.now.Before(s.nextJoin) {
 		return
 	}
 	s.nextJoin = s.now.Add(s.backoff())
+	c, ok := s.pickContact()
+	if !ok {
+		return
+	}
 	s.attempts++
 	s.stats.JoinAttempts++
-	c := s.pickContact()
 	m := &peerpb.Membership{Kind: peerpb.Kind_KIND_JOIN}
 	m.Records = []*peerpb.Record{encodeRecord(&s.self)}
 	s.sendAddr("", c.ControlAddr, s.home, m, 2*s.cfg.ProbeTimeout)
 }
 
-// pickContact prefers the own data centre every other time.
-func (s *State) pickContact() Contact {
-	if c, ok := s.contactIn(s.home); ok && s.attempts%2 == 1 {
-		return c
+// pickContact returns whom to ask. Once joined, only the bridges ask, and only
+// those whom they do not know: nodes that started together, or while parted,
+// may have formed several meshes, each of which believes that it is whole.
+func (s *State) pickContact() (Contact, bool) {
+	list := s.contacts
+	_, cut := s.cutOff[s.home.name]
+	switch {
+	case s.joined && s.live > 0 && !cut:
+		list = s.strangers()
+	case s.attempts%2 == 1:
+		if c, ok := s.contactIn(s.home); ok {
+			return c, true
+		}
 	}
-	return s.contacts[s.rnd.IntN(len(s.contacts))]
+	if len(list) == 0 {
+		return Contact{}, false
+	}
+	return list[s.rnd.IntN(len(list))], true
+}
+
+// strangers returns the contacts at addresses that belong to no known node.
+func (s *State) strangers() []Contact {
+	if !s.amBridge() || len(s.contacts) == 0 {
+		return nil
+	}
+	known := make(map[string]struct{}, len(s.entries))
+	for _, e := range s.entries {
+		known[e.rec.VM.ControlAddr] = struct{}{}
+	}
+	return slices.DeleteFunc(slices.Clone(s.contacts), func(c Contact) bool {
+		_, ok := known[c.ControlAddr]
+		return ok
+	})
 }
 
 // backoff is the wait before the next join: full jitter under a bound that
 // doubles, and never less than a tenth of it so that a herd stays bounded.
 func (s *State) backoff() time.Duration {
 	bound := s.cfg.JoinBackoffMax
-	if s.attempts < 10 {
+	if !s.joined && s.attempts < 10 {
 		bound = min(bound, s.cfg.JoinBackoff<<s.attempts)
 	}
 	return bound/10 + s.jitter(bound)
@@ -203,7 +228,11 @@
 		s.stats.Refused++ // a string that is not UTF-8
 		return nil
 	}
-	s.full, s.fullAt = encoder().EncodeAll(raw, nil), s.now
+	packed, err := compress(raw)
+	if err != nil {
+		return nil
+	}
+	s.full, s.fullAt = packed, s.now
 	return s.full
 }
 
@@ -230,10 +259,11 @@
 	}
 }
 
-// takeFull takes a full state. Its records are old news to everybody else, so
-// they do not ride on this node's messages.
+// takeFull takes a full state. To a node that joins, its records are old news to
+// everybody else and do not ride on its messages. To one that has joined
+// before, they come from a mesh that was apart.
 func (s *State) takeFull(full []byte, source uint64) bool {
-	raw, err := decoder(s.cfg.Limits.Full).DecodeAll(full, nil)
+	raw, err := decompress(full, s.cfg.Limits.Full)
 	if err != nil {
 		return false
 	}
@@ -242,7 +272,7 @@
 		return false
 	}
 	for _, p := range list.GetRecords() {
-		if s.accept(p, source) {
+		if s.accept(p, source) && !s.joined {
 			e := s.entries[p.GetId()]
 			e.hot = 0
 			delete(s.hot, e)
@@ -255,6 +285,7 @@
 	s.joined = true
 	s.own.joinedAt = s.now
 	s.attempts = 0
+	s.heatOwn(true)
 	s.settled = s.now.Add(s.cfg.Settle)
 	s.startRecall()
 }
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -97,16 +97,17 @@
 	}
 	for i := range n {
 		dc := i % centres
-		w.add(fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", dc), fmt.Sprintf("region-%d", dc*3/(2*centres)))
+		w.add(fmt.Sprintf("vm-%08x-%d", w.rnd.Uint32(), i), fmt.Sprintf("dc-%d", dc), fmt.Sprintf("region-%d", dc*3/(2*centres)))
 	}
 	return w
 }
 
 func (w *mesh) add(id, dc, region string) *vm {
+	host := fmt.Sprintf("10.%d.%d.%d", w.rnd.IntN(256), len(w.nodes)/250, len(w.nodes)%250)
 	v := &vm{
 		info: VM{
 			ID: id, Region: region, DataCentre: dc,
-			ControlAddr: "10.20.30.40:7000/" + id, CallAddr: "10.20.30.40:7001", AdminAddr: "10.20.30.40:7002",
+			ControlAddr: host + ":7000", CallAddr: host + ":7001", AdminAddr: host + ":7002",
 		},
 		index: len(w.nodes),
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"encoding/binary"
 	"time"
 
@@ -50,7 +51,7 @@
 		RefusedReason: r.RefusedReason,
 	}
 	if r.AppliedHash != [8]byte{} {
-		p.AppliedHash = r.AppliedHash[:]
+		p.AppliedHash = bytes.Clone(r.AppliedHash[:]) // p outlives the lock on r
 	}
 	for _, b := range r.Backends {
 		p.Backends = append(p.Backends, &peerpb.Backend{
@@ -160,9 +161,19 @@
 func appendDigest(b []byte, d centreDigest) []byte {
 	b = binary.LittleEndian.AppendUint32(b, d.key)
 	b = binary.LittleEndian.AppendUint64(b, d.hash)
-	return binary.LittleEndian.AppendUint16(b, uint16(min(d.age/time.Second, 1<<16-1)))
+	return binary.LittleEndian.AppendUint16(b, uint16(min((d.age+ageMargin)/ageUnit, oldestAge)))
 }
 
+// An age is told a little higher than it is. Were it rounded down, or the time
+// on the way left out, each message would make the word of a data centre
+// slightly younger; passed round among many nodes it would never grow old, and
+// a cut would never be noticed.
+const (
+	ageUnit   = 100 * time.Millisecond
+	ageMargin = 500 * time.Millisecond
+	oldestAge = 1<<16 - 1 // stands for anything older
+)
+
 func parseDigest(b []byte) []centreDigest {
 	n := min(len(b)/digestEntry, maxDigest)
 	ds := make([]centreDigest, 0, n)
@@ -171,7 +182,7 @@
 		ds = append(ds, centreDigest{
 			key:  binary.LittleEndian.Uint32(e),
 			hash: binary.LittleEndian.Uint64(e[4:]),
-			age:  time.Duration(binary.LittleEndian.Uint16(e[12:])) * time.Second,
+			age:  time.Duration(binary.LittleEndian.Uint16(e[12:])) * ageUnit,
 		})
 	}
 	return ds
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -76,6 +76,7 @@
 }
 
 func (s *State) probeAnswered(id uint64, target string) {
+	s.rollAnswer(id, true)
 	s.unwell(-1)
 	if r, ok := s.relaying[id]; ok {
 		delete(s.relaying, id)
@@ -91,10 +92,6 @@
 	if e == nil || e.dead || s.indirect[target] != nil || e.centre != s.home {
 		return
 	}
-	s.ring()
-	if !slices.Contains(s.fingers, e) {
-		return // it was probed for another node, which judges it
-	}
 	s.stats.ProbeFailures++
 	s.unwell(1)
 	helpers := slices.DeleteFunc(s.neighbours(e.key, true), func(r *entry) bool {
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -88,10 +88,10 @@
 }
 
 // chosen returns the n nodes of a data centre that rendezvous hashing picks
-// for a duty; nil stands for this node. Views differ for a while after a
-// change, so a duty may have more holders than n for that while, or one that
-// is gone: every duty is harmless when doubled.
-func (s *State) chosen(c *centre, duty string, n int) []*entry {
+// as bridges; nil stands for this node. Views differ for a while after a
+// change, so there may be more bridges than n for that while, or one that is
+// gone: the work is harmless when doubled.
+func (s *State) chosen(c *centre, n int) []*entry {
 	var ids []string
 	for _, e := range s.order(c) {
 		if e.suspicion == nil && e.rec.State == VMAlive {
@@ -104,7 +104,7 @@
 	slices.Sort(ids)
 	var out []*entry
 	for range min(n, len(ids)) {
-		id := rendezvous.New(ids, keyOf).Lookup(duty)
+		id := rendezvous.New(ids, keyOf).Lookup("bridge")
 		// The library's Remove panics, so the table is made anew.
 		ids = slices.DeleteFunc(ids, func(other string) bool { return other == id })
 		out = append(out, s.entries[id])
@@ -115,7 +115,7 @@
 // bridgesOf returns the bridges of a data centre.
 func (s *State) bridgesOf(c *centre) []*entry {
 	if c.bridges == nil {
-		c.bridges = s.chosen(c, "bridge", s.cfg.Bridges)
+		c.bridges = s.chosen(c, s.cfg.Bridges)
 	}
 	return c.bridges
 }
@@ -123,10 +123,8 @@
 func (s *State) amBridge() bool { return slices.Contains(s.bridgesOf(s.home), nil) }
 
 // ContactDuty tells whether this node should write its row of contacts: only a
-// few nodes of each data centre do.
-func (s *State) ContactDuty() bool {
-	return s.joined && slices.Contains(s.chosen(s.home, "contact", s.cfg.Bridges), nil)
-}
+// few nodes of each data centre, its bridges, do.
+func (s *State) ContactDuty() bool { return s.joined && s.amBridge() }
 
 // shuffled returns up to n of list in random order.
 func shuffled[T any](s *State, list []T, n int) []T {
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -26,6 +26,9 @@
 	contactEvery = 10 * time.Minute
 	// contactRead is the time between two reads while they can help.
 	contactRead = 10 * time.Second
+	// contactCheck is the time between two reads by the nodes whose duty it is
+	// to write one: nodes that started together may have formed several meshes.
+	contactCheck = time.Minute
 	// maxExchanges bounds the requests under way.
 	maxExchanges = 32
 )
@@ -196,15 +199,17 @@
 // keepContacts reads the platform's contacts while they can help and, on the
 // few nodes whose duty it is, writes the own one.
 func (r *Runner) keepContacts(ctx context.Context) error {
-	var written time.Time
+	var written, read time.Time
 	for ctx.Err() == nil {
 		var want, duty bool
 		r.peek(func(s *State) { want, duty = s.WantContacts(), s.ContactDuty() })
 		due := duty && time.Since(written) >= contactEvery
-		if want || due {
-			r.readContacts(ctx, due)
+		enough := false
+		if want || due || (duty && time.Since(read) >= contactCheck) {
+			read = time.Now()
+			enough = r.readContacts(ctx, duty)
 		}
-		if due && r.writeContact(ctx) {
+		if due && !enough && r.writeContact(ctx) {
 			written = time.Now()
 		}
 		wait := contactRead/2 + time.Duration(rand.Int64N(int64(contactRead)))
@@ -217,25 +222,31 @@
 }
 
 // readContacts also removes, on duty, the rows of the own data centre that
-// nobody refreshes any more.
-func (r *Runner) readContacts(ctx context.Context, duty bool) {
+// nobody refreshes any more. It reports whether other nodes there wrote so many
+// rows that one more helps nobody, as when all start with an empty table.
+func (r *Runner) readContacts(ctx context.Context, duty bool) (enough bool) {
 	ctx, cancel := context.WithTimeout(ctx, contactRead/2)
 	defer cancel()
 	rows, err := r.contacts.List(ctx)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("membership: contacts not read")
-		return
+		return false
 	}
 	list := make([]Contact, 0, len(rows))
-	home := r.state.cfg.Self.DataCentre
+	self, others := r.state.cfg.Self, 0
 	for _, row := range rows {
-		if duty && row.DataCentre == home && time.Since(row.At) > 3*contactEvery {
+		home := row.DataCentre == self.DataCentre
+		if duty && home && time.Since(row.At) > 3*contactEvery {
 			r.removeContact(ctx, row.Contact)
 			continue
 		}
+		if home && row.ID != self.ID && time.Since(row.At) < contactEvery {
+			others++
+		}
 		list = append(list, row.Contact)
 	}
 	r.do(func(s *State, now time.Time) { s.AddContacts(now, list) })
+	return others >= 2*r.state.cfg.Bridges
 }
 
 func (r *Runner) removeContact(ctx context.Context, c Contact) {
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -14,6 +14,7 @@
 // own is what this node keeps of its own record.
 type own struct {
 	dirty      bool // a lazy change waits
+	push       bool // the next raise is told at once
 	nextRaise  time.Time
 	urgent     bool
 	superseded time.Time
@@ -41,7 +42,8 @@
 	}
 	s.self.Sequence++
 	s.linkOwn()
-	s.own.dirty = false
+	urgent = urgent || s.own.push
+	s.own.dirty, s.own.push = false, false
 	s.own.nextRaise = s.now.Add(s.cfg.RaiseEvery)
 	s.viewDirty = true
 	s.heatOwn(urgent)
@@ -64,6 +66,7 @@
 	}
 	urgent := lessServed(s.self.Backends, list)
 	s.self.Backends = slices.Clone(list)
+	s.own.push = s.own.push || s.cfg.PushChanges
 	s.changed(urgent)
 	return nil
 }
@@ -201,5 +204,5 @@
 		s.stats.Refused++ // nobody but us makes sequences
 		return
 	}
-	s.changeOwn(0, false)
+	s.changeOwn(0, true)
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -66,6 +66,7 @@
 	out       []Send
 	relaying  map[uint64]relay
 	indirect  map[string]*indirect
+	roll      rollCall
 	cycle     []*entry
 	first     []*entry // to be probed before the cycle goes on
 	health    int
@@ -150,6 +151,7 @@
 	clear(s.relaying)
 	clear(s.indirect)
 	clear(s.recalling)
+	s.roll = rollCall{}
 	s.out = nil
 	for e := range s.suspects {
 		e.suspicion.since = e.suspicion.since.Add(gap)
@@ -248,17 +250,22 @@
 	delete(s.pending, id)
 	delete(s.recalling, id)
 	delete(s.relaying, id)
+	delete(s.roll.waiting, id)
 }
 
 func (s *State) failed(id uint64, p pending) {
+	_, relayed := s.relaying[id]
 	delete(s.pending, id)
 	delete(s.relaying, id)
+	s.rollAnswer(id, false)
 	if e := s.entries[p.to]; e != nil {
 		e.fail = s.now
 	}
 	switch p.kind {
 	case peerpb.Kind_KIND_PROBE:
-		s.probeFailed(p.to)
+		if !relayed { // else the node that asked for it judges
+			s.probeFailed(p.to)
+		}
 	case peerpb.Kind_KIND_BRIDGE:
 		p.centre.failures++
 	case peerpb.Kind_KIND_RECALL:
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -34,6 +34,7 @@
 	if e.suspicion == nil {
 		e.suspicion = &suspicion{since: s.now, about: about}
 		s.suspects[e] = struct{}{}
+		e.centre.suspects++
 		e.centre.bridges = nil
 		s.touch(e)
 		s.heatClaim(e)
@@ -66,6 +67,7 @@
 	e.suspicion = nil
 	e.claimHot = 0
 	delete(s.suspects, e)
+	e.centre.suspects--
 	e.centre.bridges = nil
 	s.touch(e)
 }
@@ -94,8 +96,10 @@
 		if e.rec.State == VMAlive {
 			s.hold(e, about, c.GetBy())
 		}
-	case s.now.Sub(e.ok) < s.cfg.SuspectMin && e.rec.State == VMAlive:
-		// We just spoke with it. Ask it again, which lets it refute.
+	case e.rec.State == VMAlive && (s.now.Sub(e.ok) < s.cfg.SuspectMin || s.mostSuspected(e.centre)):
+		// We just spoke with it: ask it again, which lets it refute. Or so
+		// many are silent that it looks like a cut to us, if not to the
+		// sender: keep it.
 		s.hold(e, about, nil)
 	default:
 		s.bury(e, about)
@@ -132,9 +136,12 @@
 			due = append(due, e)
 		}
 	}
+	if len(due) == 0 {
+		return
+	}
 	slices.SortFunc(due, func(a, b *entry) int { return cmp.Compare(a.key, b.key) })
 	for _, e := range due {
-		if !s.mayBury(e) {
+		if !s.mayBury() {
 			s.stats.HeldBurials++
 			continue
 		}
@@ -143,37 +150,6 @@
 	}
 }
 
-// mayBury guards against a cut of the network that looks like the death of many
-// nodes: endpoints would be forgotten that may be reachable for calls or come
-// back unchanged. So a node is buried only while more than half of the data
-// centre is not suspected, and more than half of our other neighbours answered
-// since the suspicion began.
-func (s *State) mayBury(e *entry) bool {
-	c := s.home
-	suspects := 0
-	for o := range s.suspects {
-		if o.centre == c {
-			suspects++
-		}
-	}
-	known := c.live + 1
-	if 2*(known-suspects) <= known {
-		return false
-	}
-	answered, silent := 0, 0
-	s.ring()
-	for _, f := range s.fingers {
-		switch {
-		case f == e:
-		case f.ok.After(e.suspicion.since):
-			answered++
-		case f.fail.After(e.suspicion.since):
-			silent++
-		}
-	}
-	return answered > silent
-}
-
 // checkCutOff notes the data centres that are silent. The own one is cut off
 // when no neighbour was heard, or when too many are suspected to bury them.
 func (s *State) checkCutOff() {
@@ -183,8 +159,8 @@
 		if c == s.home {
 			since = s.lastOK
 			cut = c.live > 0 && s.now.Sub(s.lastOK) > s.cfg.CutOffAfter
-			if at, many := s.manySuspects(); many && !cut {
-				since, cut = at, true
+			if !cut && c.suspects > 1 && s.mostSuspected(c) {
+				since, cut = s.firstSuspected(), true
 			}
 		}
 		_, was := s.cutOff[c.name]
@@ -205,18 +181,22 @@
 	}
 }
 
-// manySuspects tells whether at least half of the own data centre is suspected
-// and since when.
-func (s *State) manySuspects() (time.Time, bool) {
-	first, n := s.now, 0
+// mostSuspected tells whether at least half of a data centre is suspected.
+func (s *State) mostSuspected(c *centre) bool {
+	known := c.live
+	if c == s.home {
+		known++
+	}
+	return c.suspects > 0 && 2*c.suspects >= known
+}
+
+// firstSuspected is when the oldest suspicion in the own data centre began.
+func (s *State) firstSuspected() time.Time {
+	first := s.now
 	for e := range s.suspects {
-		if e.centre != s.home {
-			continue
-		}
-		n++
-		if e.suspicion.since.Before(first) {
+		if e.centre == s.home && e.suspicion.since.Before(first) {
 			first = e.suspicion.since
 		}
 	}
-	return first, n > 1 && 2*n >= s.home.live+1
+	return first
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -28,10 +28,16 @@
 		return
 	}
 	peer.different++
-	if peer.different < patientDifferences || s.now.Before(s.nextSync) {
+	patience, every := patientDifferences, s.cfg.SyncEvery
+	if s.now.Sub(s.own.joinedAt) < s.cfg.LeavingFor {
+		// Just joined, perhaps along with a whole data centre, this node
+		// lacks more than what is on its way.
+		patience, every = 1, every/5
+	}
+	if peer.different < patience || s.now.Before(s.nextSync) {
 		return
 	}
-	s.nextSync = s.now.Add(s.cfg.SyncEvery)
+	s.nextSync = s.now.Add(every)
 	s.openSync(peer, diff[s.rnd.IntN(len(diff))])
 }
 
