--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -85,7 +85,7 @@
 		PushFanout:      4,
 		PushEvery:       100 * time.Millisecond,
 		RaiseEvery:      time.Second,
-		CutOffAfter:     45 * time.Second,
+		CutOffAfter:     time.Minute,
 		ForgetAfter:     24 * time.Hour,
 		LeavingFor:      time.Minute,
 		TombstoneFor:    15 * time.Minute,
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -139,6 +139,9 @@
 // tickIndirect suspects the nodes that neither we nor the relays reached. When
 // no relay answered either, the fault is as likely ours and nothing is said.
 func (s *State) tickIndirect() {
+	if len(s.indirect) == 0 {
+		return
+	}
 	for _, target := range slices.Sorted(maps.Keys(s.indirect)) {
 		in := s.indirect[target]
 		if s.now.Before(in.deadline) {
