--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -76,6 +76,7 @@
 }
 
 func (s *State) probeAnswered(id uint64, target string) {
+	s.rollAnswer(id, true)
 	s.unwell(-1)
 	if r, ok := s.relaying[id]; ok {
 		delete(s.relaying, id)
@@ -91,10 +92,6 @@
 	if e == nil || e.dead || s.indirect[target] != nil || e.centre != s.home {
 		return
 	}
-	s.ring()
-	if !slices.Contains(s.fingers, e) {
-		return // it was probed for another node, which judges it
-	}
 	s.stats.ProbeFailures++
 	s.unwell(1)
 	helpers := slices.DeleteFunc(s.neighbours(e.key, true), func(r *entry) bool {
@@ -142,6 +139,9 @@
 // tickIndirect suspects the nodes that neither we nor the relays reached. When
 // no relay answered either, the fault is as likely ours and nothing is said.
 func (s *State) tickIndirect() {
+	if len(s.indirect) == 0 {
+		return
+	}
 	for _, target := range slices.Sorted(maps.Keys(s.indirect)) {
 		in := s.indirect[target]
 		if s.now.Before(in.deadline) {
