--- a/internal/platform/client/transport.go
+++ b/internal/platform/client/transport.go
@@ -29,12 +29,12 @@
 	return &http.Transport{
 		// Half of a try, so that a connection that can't be made is told
 		// apart from an answer that doesn't come.
-		DialContext:           (&net.Dialer{Timeout: o.Timeout / 2}).DialContext,
-		TLSHandshakeTimeout:   o.Timeout / 2,
-		IdleConnTimeout:       idleTimeout,
-		MaxIdleConnsPerHost:   o.Concurrency,
-		DisableCompression:    true,
-		Protocols:             &protocols,
+		DialContext:         (&net.Dialer{Timeout: o.Timeout / 2}).DialContext,
+		TLSHandshakeTimeout: o.Timeout / 2,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: o.Concurrency,
+		DisableCompression:  true,
+		Protocols:           &protocols,
 	}
 }
 
