--- a/internal/platform/lease/contender.go
+++ b/internal/platform/lease/contender.go
@@ -18,7 +18,7 @@
 	Holder string
 	// Length is how long the lease lasts without a renewal.
 	Length time.Duration
-	// Clock may be the standard time.Now; it must not run backwards.
+	// Clock must not run backwards; nil is time.Now.
 	Clock func() time.Time
 }
 
@@ -38,6 +38,9 @@
 
 // New returns a contender for the lease that o names.
 func New(t platform.Table, o Options) *Contender {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	return &Contender{table: t, o: o, key: platform.LeasePrefix + o.Name}
 }
 
