Tell what a command changed and measure racing commits

Cause: a repeat told no more than a version, If-Match on version 0 could not be told from none, and the cost of racing was not known.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -26,9 +26,9 @@
 	ID       string `json:"id"`
 	Operator string `json:"operator"`
 	Team     string `json:"team"`
-	// Base is the version that the operator read, or 0 for none. With it, the
-	// command is refused when an object that it touches has changed since.
-	Base  uint64          `json:"base,omitempty"`
+	// Base is the version that the operator read, or nil. With it, the command
+	// is refused when an object that it touches has changed since.
+	Base  *uint64         `json:"base,omitempty"`
 	Set   []config.Object `json:"set,omitempty"`
 	Unset []config.Key    `json:"unset,omitempty"`
 	Note  string          `json:"note,omitempty"`
@@ -104,9 +104,11 @@
 	// Version is the version that holds the command, if it was accepted.
 	Version config.Version `json:"version,omitzero"`
 	// Unchanged says that the command was accepted and nothing had to change.
-	Unchanged bool             `json:"unchanged,omitempty"`
-	Reason    Reason           `json:"reason,omitempty"`
-	Detail    string           `json:"detail,omitempty"`
+	Unchanged bool   `json:"unchanged,omitempty"`
+	Reason    Reason `json:"reason,omitempty"`
+	Detail    string `json:"detail,omitempty"`
+	// Changes tells what an accepted command changed, field by field.
+	Changes   []config.Change  `json:"changes,omitempty"`
 	Problems  []config.Problem `json:"problems,omitempty"`
 	Conflicts []Conflict       `json:"conflicts,omitempty"`
 	// Head is the version that the command was judged against.
--- a/internal/command/committer_test.go
+++ b/internal/command/committer_test.go
@@ -66,7 +66,7 @@
 			Command{ID: "c", Operator: "o", Team: "t", Unset: []config.Key{key(config.KindTarget, "z")}}},
 		{"a base still to come", ReasonConflict, set("c", 9, service("b", ""))},
 		{"a base before a change", ReasonConflict,
-			Command{ID: "c", Operator: "o", Team: "other", Base: 1, Set: []config.Object{foreignService("o")}}},
+			Command{ID: "c", Operator: "o", Team: "other", Base: new(uint64), Set: []config.Object{foreignService("o")}}},
 	}
 	for _, c := range cases {
 		f, r, com := prepared(t)
--- a/internal/command/compact.go
+++ b/internal/command/compact.go
@@ -12,7 +12,8 @@
 
 // Bounds of compaction, where CompactOptions says nothing else.
 const (
-	DefaultKeepLog      = 1024
+	// DefaultKeepLog is about nine days of history at 930 changes a day.
+	DefaultKeepLog      = 8192
 	DefaultBatch        = 64
 	DefaultRememberIDs  = 14 * 24 * time.Hour
 	keptSnapshotObjects = 2
--- a/internal/command/compact_test.go
+++ b/internal/command/compact_test.go
@@ -95,6 +95,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if ds, err := fresh.Log(ctx, 0, 1); err != nil || ds[0].To.Number != head.Floor {
+				t.Fatalf("the log begins at %v, the floor is %d: %v", ds, head.Floor, err)
+			}
 			if s, err := fresh.Snapshot(ctx, head); err != nil || s.Version() != head.Version {
 				t.Fatalf("version %d: %v", i, err)
 			}
--- a/internal/command/fake_test.go
+++ b/internal/command/fake_test.go
@@ -239,5 +239,9 @@
 }
 
 func set(id string, base uint64, objects ...config.Object) Command {
-	return Command{ID: id, Operator: "o", Team: "t", Base: base, Set: objects}
+	cmd := Command{ID: id, Operator: "o", Team: "t", Set: objects}
+	if base != 0 {
+		cmd.Base = &base
+	}
+	return cmd
 }
--- a/internal/command/judge.go
+++ b/internal/command/judge.go
@@ -41,7 +41,7 @@
 	if ps := foreign(cmd, snap, next); len(ps) > 0 {
 		return refuse(ReasonForbidden, "another team owns what the command touches", ps...)
 	}
-	if cmd.Base != 0 {
+	if cmd.Base != nil {
 		v, err := c.changedSince(ctx, cmd, head, snap)
 		if err != nil || v.result.Outcome != "" {
 			return v, err
@@ -65,7 +65,7 @@
 	delta.By, delta.Team, delta.Command, delta.Note = cmd.Operator, cmd.Team, cmd.ID, cmd.Note
 	delta.AtMS = c.o.Now().UnixMilli()
 	res := cmd.result(Accepted, "", "")
-	res.Version = next.Version()
+	res.Version, res.Changes = next.Version(), config.Diff(snap, next)
 	return verdict{result: res, next: next, delta: delta}, nil
 }
 
@@ -78,24 +78,25 @@
 		res.Conflicts = cs[:min(len(cs), maxProblems)]
 		return verdict{result: res}, nil
 	}
-	newest := head.Version.Number
+	base, newest := *cmd.Base, head.Version.Number
+	tooOld := fmt.Sprintf("version %d is too old to compare with; read again", base)
 	switch {
-	case cmd.Base == newest:
+	case base == newest:
 		return verdict{}, nil
-	case cmd.Base > newest:
-		return refuse(fmt.Sprintf("version %d is not accepted; the newest is %d", cmd.Base, newest))
-	case cmd.Base+1 < head.Floor:
-		return refuse(fmt.Sprintf("version %d is too old to compare with; read again", cmd.Base))
+	case base > newest:
+		return refuse(fmt.Sprintf("version %d is not accepted; the newest is %d", base, newest))
+	case base+1 < head.Floor:
+		return refuse(tooOld)
 	}
-	ds, err := c.reader.between(ctx, cmd.Base, head.Version)
+	ds, err := c.reader.between(ctx, base, head.Version)
 	if errors.Is(err, ErrCompacted) {
-		return refuse(fmt.Sprintf("version %d is too old to compare with; read again", cmd.Base))
+		return refuse(tooOld)
 	}
 	if err != nil {
 		return verdict{}, err
 	}
-	if cs := conflicts(cmd, ds, c.reader.Cached(cmd.Base), snap); len(cs) > 0 {
-		return refuse(fmt.Sprintf("%d objects have changed since version %d", len(cs), cmd.Base), cs...)
+	if cs := conflicts(cmd, ds, c.reader.Cached(base), snap); len(cs) > 0 {
+		return refuse(fmt.Sprintf("%d objects have changed since version %d", len(cs), base), cs...)
 	}
 	return verdict{}, nil
 }
--- a/internal/command/racing_test.go
+++ b/internal/command/racing_test.go
@@ -48,7 +48,8 @@
 			cmd.Set = []config.Object{service(s.name, cmd.ID)}
 		}
 		if s.useBase {
-			cmd.Base = nodes[s.resends[0]].reader.Known().Number
+			base := nodes[s.resends[0]].reader.Known().Number
+			cmd.Base = &base
 		}
 		r := &told{cmd: cmd}
 		*out = append(*out, r)
@@ -190,10 +191,10 @@
 	if passing && d != nil {
 		t.Fatalf("%s was told each time to have had no effect, and took effect", x.cmd.ID)
 	}
-	if d == nil || x.cmd.Base == 0 {
+	if d == nil || x.cmd.Base == nil {
 		return
 	}
-	for _, other := range deltas[x.cmd.Base : d.To.Number-1] {
+	for _, other := range deltas[*x.cmd.Base : d.To.Number-1] {
 		if cs := conflicts(&x.cmd, []*config.Delta{other}, nil, config.Empty()); len(cs) > 0 {
 			t.Fatalf("%s overwrote %s, which its operator had not seen", x.cmd.ID, other.Command)
 		}
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -1,13 +1,14 @@
 package config
 
 // Delta turns the snapshot From into the snapshot To. Set holds objects added
-// or replaced, Unset the keys removed. By, At, Command and Note are for the
-// history and take no part in the hash.
+// or replaced, Unset the keys removed. Created, By, Team, AtMS, Command and Note
+// are for the history and take no part in the hash.
 type Delta struct {
 	From    Version  `json:"from"`
 	To      Version  `json:"to"`
 	Set     []Object `json:"set,omitempty"`
 	Unset   []Key    `json:"unset,omitempty"`
+	Created []Key    `json:"created,omitempty"` // those of Set that From does not hold
 	By      string   `json:"by,omitempty"`
 	Team    string   `json:"team,omitempty"`
 	AtMS    int64    `json:"at_ms,omitempty"` // Unix milliseconds at the accepting node
@@ -22,7 +23,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return child, &Delta{From: s.version, To: child.version, Set: set, Unset: unset}, nil
+	d := &Delta{From: s.version, To: child.version, Set: set, Unset: unset}
+	for _, o := range set {
+		if _, ok := s.Object(o.Key); !ok {
+			d.Created = append(d.Created, o.Key)
+		}
+	}
+	return child, d, nil
 }
 
 // Apply returns the snapshot that d leads to from s. It fails, and s stays as
