--- /dev/null
+++ b/internal/query/blind.go
@@ -0,0 +1,82 @@
+package query
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// staleAfter is how long a node may be silent before its figures are called
+// stale. Records travel with every probe, so a node that can be reached is
+// heard of far more often.
+const staleAfter = 30 * time.Second
+
+// Blind tells what the answering node can't see, and how old that makes what
+// it tells.
+type Blind struct {
+	// CutOff are data centres from which nothing is heard.
+	CutOff []CutOff `json:"cut_off,omitempty"`
+	// Silent are nodes that are not heard of, though their data centre is.
+	Silent []SilentNode `json:"silent,omitempty"`
+	// PlatformDownSince is set while the platform does not answer; changes
+	// can't be accepted through this node then.
+	PlatformDownSince  time.Time `json:"platform_down_since,omitzero"`
+	PlatformDownMS     int64     `json:"platform_down_ms,omitempty"`
+	PlatformAnswerAgo  int64     `json:"platform_answer_age_ms"`
+	PlatformNeverHeard bool      `json:"platform_never_heard,omitempty"`
+	PlatformHistory    string    `json:"platform_history,omitempty"`
+}
+
+// CutOff is a data centre from which nothing is heard.
+type CutOff struct {
+	DataCentre string    `json:"data_centre"`
+	Since      time.Time `json:"since"`
+	AgeMS      int64     `json:"age_ms"`
+	Nodes      int       `json:"nodes"` // last known there
+}
+
+// SilentNode is a node that has not been heard of for a while.
+type SilentNode struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	AgeMS      int64  `json:"age_ms"`
+}
+
+func blindOf(p PlatformState, v *membership.View, now time.Time) Blind {
+	b := Blind{PlatformHistory: p.HistoryError}
+	if p.LastAnswer.IsZero() {
+		b.PlatformNeverHeard = true
+	} else {
+		b.PlatformAnswerAgo = age(now, p.LastAnswer)
+	}
+	if !p.DownSince.IsZero() {
+		b.PlatformDownSince, b.PlatformDownMS = p.DownSince.UTC(), age(now, p.DownSince)
+	}
+	nodes := make(map[string]int)
+	for _, r := range sortedRecords(v) {
+		nodes[r.VM.DataCentre]++
+		_, cut := v.CutOff[r.VM.DataCentre]
+		if !cut && r.VM.ID != v.Self && now.Sub(r.Heard) > staleAfter {
+			b.Silent = append(b.Silent, SilentNode{r.VM.ID, r.VM.DataCentre, age(now, r.Heard)})
+		}
+	}
+	for dc, since := range v.CutOff {
+		b.CutOff = append(b.CutOff, CutOff{dc, since.UTC(), age(now, since), nodes[dc]})
+	}
+	slices.SortFunc(b.CutOff, func(x, y CutOff) int { return strings.Compare(x.DataCentre, y.DataCentre) })
+	return b
+}
+
+func sortedRecords(v *membership.View) []*membership.Seen {
+	out := make([]*membership.Seen, 0, len(v.Records))
+	for _, r := range v.Records {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *membership.Seen) int { return strings.Compare(a.VM.ID, b.VM.ID) })
+	return out
+}
+
+// age returns now-t in milliseconds, and 0 when clocks make it negative.
+func age(now, t time.Time) int64 { return max(0, now.Sub(t).Milliseconds()) }
