--- a/internal/command/judge.go
+++ b/internal/command/judge.go
@@ -65,7 +65,8 @@
 	delta.By, delta.Team, delta.Command, delta.Note = cmd.Operator, cmd.Team, cmd.ID, cmd.Note
 	delta.AtMS = c.o.Now().UnixMilli()
 	res := cmd.result(Accepted, "", "")
-	res.Version, res.Changes = next.Version(), config.Diff(snap, next)
+	res.Version, res.Created = next.Version(), len(delta.Created) > 0
+	res.Changes = config.Diff(snap, next)
 	return verdict{result: res, next: next, delta: delta}, nil
 }
 
