Pass If-Match through as it came

Cause: a command's Base became optional, so that version 0 differs from none. Change: the node's commander hands on the admin API's pointer. Conclusion: one line in internal/node.

--- a/internal/node/commander.go
+++ b/internal/node/commander.go
@@ -34,10 +34,7 @@
 }
 
 func commandOf(ch *admin.Change) command.Command {
-	c := command.Command{ID: ch.Command, Operator: ch.By.Name, Team: ch.By.Team, Note: ch.Note}
-	if ch.Expect != nil {
-		c.Base = *ch.Expect
-	}
+	c := command.Command{ID: ch.Command, Operator: ch.By.Name, Team: ch.By.Team, Base: ch.Expect, Note: ch.Note}
 	switch {
 	case ch.Service != nil:
 		c.Set = []config.Object{config.EncodeService(*ch.Service)}
