Decode only what a delta changes

Cause: each version decoded all 361 objects anew, and versions held side by side shared none of them.

--- a/internal/config/codec_test.go
+++ b/internal/config/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"reflect"
 	"testing"
 
 	"github.com/klauspost/compress/zstd"
@@ -56,6 +57,9 @@
 		if err != nil || copied.Version() != b.Version() || copied.Parent() != b.Parent() {
 			t.Fatalf("snapshot: %v", err)
 		}
+		if !reflect.DeepEqual(copied.Targets(), end.Targets()) || !reflect.DeepEqual(copied.Services(), end.Services()) {
+			t.Fatal("applying deltas decodes objects in another way than decoding them anew")
+		}
 	})
 }
 
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -19,7 +19,7 @@
 // Next builds the child of s with the given objects set and removed, and the
 // delta that leads to it.
 func (s *Snapshot) Next(set []Object, unset []Key) (*Snapshot, *Delta, error) {
-	child, err := New(s.version.Number+1, s.version.Hash, s.merged(set, unset))
+	child, err := build(s.version.Number+1, s.version.Hash, s.merged(set, unset), s)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -38,7 +38,7 @@
 	if d.From != s.version || d.To.Number != s.version.Number+1 {
 		return nil, ErrWrongParent
 	}
-	child, err := New(d.To.Number, s.version.Hash, s.merged(d.Set, d.Unset))
+	child, err := build(d.To.Number, s.version.Hash, s.merged(d.Set, d.Unset), s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -90,6 +90,13 @@
 // decoded is kept, hashed and passed on; DecodeError then says why the
 // snapshot cannot be put in force here. Check finds the rest.
 func New(number uint64, parent Hash, objects []Object) (*Snapshot, error) {
+	return build(number, parent, objects, nil)
+}
+
+// build is New, with the decoded form of objects that from holds as well taken
+// from there. Versions of one history share most objects, and a node holds
+// several versions at once.
+func build(number uint64, parent Hash, objects []Object, from *Snapshot) (*Snapshot, error) {
 	s := &Snapshot{
 		parent:   parent,
 		objects:  slices.Clone(objects),
@@ -104,6 +111,9 @@
 		if !utf8.Valid(o.Raw) || !utf8.ValidString(o.Key.Name) || !utf8.ValidString(string(o.Key.Kind)) {
 			return nil, &ObjectError{Key: o.Key, Reason: "is not UTF-8"}
 		}
+		if s.reuse(o, from) {
+			continue
+		}
 		if err := s.decode(o); err != nil && s.undecoded == nil {
 			s.undecoded = err
 		}
@@ -112,6 +122,25 @@
 	return s, nil
 }
 
+// reuse adds the typed form of o that from holds, if it holds the same bytes.
+func (s *Snapshot) reuse(o Object, from *Snapshot) bool {
+	if from == nil {
+		return false
+	}
+	if was, ok := from.Object(o.Key); !ok || !bytes.Equal(was.Raw, o.Raw) {
+		return false
+	}
+	if v := from.services[o.Key.Name]; v != nil && o.Key.Kind == KindService {
+		s.services[o.Key.Name] = v
+		return true
+	}
+	if t := from.targets[o.Key.Name]; t != nil && o.Key.Kind == KindTarget {
+		s.targets[o.Key.Name] = t
+		return true
+	}
+	return false
+}
+
 // decode adds the typed form of o. Unknown fields are refused: they come from
 // a newer writer, and running a target without them would not be what its
 // operator stated.
