--- a/internal/command/compact.go
+++ b/internal/command/compact.go
@@ -19,10 +19,16 @@
 	keptSnapshotObjects = 2
 )
 
-// Fence adds the condition of a lease to a transaction, so that it fails once
-// the lease has passed to another holder.
+// Fence is a lease that gives a condition for its holder's writes, which fails
+// once the lease has passed to another holder. *lease.Lease is one.
 type Fence interface {
-	Fence(platform.Txn) platform.Txn
+	Condition() platform.Condition
+}
+
+// fenced adds the condition of f to t.
+func fenced(f Fence, t platform.Txn) platform.Txn {
+	t.Conditions = append(t.Conditions, f.Condition())
+	return t
 }
 
 // CompactOptions bound what stays in the platform.
@@ -175,7 +181,7 @@
 		return err
 	}
 	t.Writes = append(t.Writes, w)
-	if err := c.table.Commit(ctx, f.Fence(t)); err != nil {
+	if err := c.table.Commit(ctx, fenced(f, t)); err != nil {
 		return fmt.Errorf("command: compact: %w", err)
 	}
 	return nil
@@ -201,7 +207,7 @@
 		}
 	}
 	if len(t.Writes) > 0 {
-		if err := c.table.Commit(ctx, f.Fence(t)); err != nil {
+		if err := c.table.Commit(ctx, fenced(f, t)); err != nil {
 			return fmt.Errorf("command: delete outcomes: %w", err)
 		}
 	}
--- a/internal/command/compact_test.go
+++ b/internal/command/compact_test.go
@@ -9,17 +9,19 @@
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/platform/lease"
 )
 
 // leaseFence stands for the lease: the row must still have the revision it had
 // when the lease was taken.
 type leaseFence struct{ revision uint64 }
 
-func (l leaseFence) Fence(t platform.Txn) platform.Txn {
-	t.Conditions = append(t.Conditions, platform.Condition{Key: "lease/compact", Revision: l.revision})
-	return t
+func (l leaseFence) Condition() platform.Condition {
+	return platform.Condition{Key: "lease/compact", Revision: l.revision}
 }
 
+var _ Fence = (*lease.Lease)(nil)
+
 // takeLease takes the lease from whoever holds it.
 func takeLease(f *flaky) leaseFence {
 	_ = f.apply(platform.Txn{Writes: []platform.Write{{Key: "lease/compact", Value: []byte("x")}}})
--- a/internal/command/feed/feed_test.go
+++ b/internal/command/feed/feed_test.go
@@ -16,7 +16,8 @@
 
 type noFence struct{}
 
-func (noFence) Fence(t platform.Txn) platform.Txn { return t }
+// Condition asks that a row that nobody writes does not exist.
+func (noFence) Condition() platform.Condition { return platform.Condition{Key: "lease/none"} }
 
 func TestSource(t *testing.T) {
 	ctx, store := context.Background(), memory.New()
