Keep outcomes by version as well as by time

Cause: an outcome written by a VM with its clock at 1970 was trimmed at once, and a repeat of its command would have taken effect a second time. Change: a command row is trimmed only when it is old by time and lies 1024 versions back.

--- a/internal/command/compact.go
+++ b/internal/command/compact.go
@@ -13,10 +13,12 @@
 // Bounds of compaction, where CompactOptions says nothing else.
 const (
 	// DefaultKeepLog is about nine days of history at 930 changes a day.
-	DefaultKeepLog      = 8192
-	DefaultBatch        = 64
-	DefaultRememberIDs  = 14 * 24 * time.Hour
-	keptSnapshotObjects = 2
+	DefaultKeepLog     = 8192
+	DefaultBatch       = 64
+	DefaultRememberIDs = 14 * 24 * time.Hour
+	// DefaultRememberVersions is about a day at 930 changes a day.
+	DefaultRememberVersions = 1024
+	keptSnapshotObjects     = 2
 )
 
 // Fence is a lease that gives a condition for its holder's writes, which fails
@@ -41,6 +43,9 @@
 	// RememberIDs is how long the outcome of a command stays;
 	// DefaultRememberIDs if zero. A command sent again after that is a new one.
 	RememberIDs time.Duration
+	// RememberVersions is by how many versions an outcome must lie back as
+	// well; DefaultRememberVersions if zero.
+	RememberVersions uint64
 }
 
 // Compactor bounds the log and the command rows. Its Step is called now and
@@ -64,6 +69,7 @@
 	setDefault(&opts.KeepLog, DefaultKeepLog)
 	setDefault(&opts.Batch, DefaultBatch)
 	setDefault(&opts.RememberIDs, DefaultRememberIDs)
+	setDefault(&opts.RememberVersions, DefaultRememberVersions)
 	return &Compactor{reader: r, table: t, objects: o, o: opts}
 }
 
@@ -90,7 +96,7 @@
 	if head.Version.Number >= head.Floor+c.o.KeepLog+uint64(c.o.Batch) || c.halfDone(head) {
 		return rep, c.compactLog(ctx, f, head, &rep)
 	}
-	return rep, c.trimCommands(ctx, f, now, &rep)
+	return rep, c.trimCommands(ctx, f, head, now, &rep)
 }
 
 // target returns the number that the floor is to reach.
@@ -188,8 +194,12 @@
 }
 
 // trimCommands deletes the outcomes in the next batch of command rows that are
-// older than RememberIDs.
-func (c *Compactor) trimCommands(ctx context.Context, f Fence, now time.Time, rep *CompactReport) error {
+// old both by time and by version.
+//
+// Time alone would not do: a VM that starts with its clock at 1970 accepts a
+// command, the row is deleted at once, and the operator's repeat takes effect a
+// second time. Versions are counted by the platform and don't depend on clocks.
+func (c *Compactor) trimCommands(ctx context.Context, f Fence, head Head, now time.Time, rep *CompactReport) error {
 	rows, err := c.table.Scan(ctx, platform.CommandPrefix, c.cursor, c.o.Batch)
 	if err != nil {
 		return fmt.Errorf("command: scan outcomes: %w", err)
@@ -201,7 +211,8 @@
 		if decodeRow(row, &rec) != nil {
 			continue // a newer node's form; one of those will delete it
 		}
-		if rec.Result.AtMS < oldest {
+		old := rec.Result.AtMS < oldest && rec.Result.Head+c.o.RememberVersions < head.Version.Number
+		if old {
 			t.Conditions = append(t.Conditions, platform.Condition{Key: row.Key, Revision: row.Revision})
 			t.Writes = append(t.Writes, platform.Write{Key: row.Key, Delete: true})
 		}
