--- a/internal/admin/admintest/fake.go
+++ b/internal/admin/admintest/fake.go
@@ -1,5 +1,6 @@
-// Package admintest is a fake of what stands behind the admin API, for tests
-// of the API and of the command line.
+// Package admintest is what stands behind the admin API in tests of the API and
+// of the command line: the real committer over a platform in memory that fails
+// on demand, and answers to the queries.
 package admintest
 
 import (
@@ -7,164 +8,111 @@
 	"sync"
 	"time"
 
-	"github.com/marlpass/marlpass/internal/admin"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
-	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/platform/memory"
 )
 
-// Mode says how the fake takes the next changes.
+// Mode says how the platform behaves.
 type Mode string
 
-// Modes of a Fake.
+// Modes of the platform.
 const (
 	ModeNormal Mode = "normal"
-	// ModeUnavailable refuses every change, as with the platform down.
+	// ModeUnavailable fails every operation, without an effect.
 	ModeUnavailable Mode = "unavailable"
-	// ModeLostBefore tells unknown, and the change takes no effect.
+	// ModeLostBefore loses every write on its way there.
 	ModeLostBefore Mode = "lost-before"
-	// ModeLostAfter tells unknown, and the change takes effect.
+	// ModeLostAfter lets one write take effect and loses its answer, and
+	// loses every write after that on its way there.
 	ModeLostAfter Mode = "lost-after"
 )
 
-// Fake is an admin.Commander and an admin.Reader over versions in memory.
+// Fake is an admin.Commander and an admin.Reader.
 type Fake struct {
-	Now func() time.Time
-
-	mu       sync.Mutex
-	mode     Mode
-	versions []*config.Snapshot // by number
-	entries  []adminapi.HistoryEntry
-	commands map[string]admin.Outcome
+	now       func() time.Time
+	store     *memory.Store
+	truth     *command.Reader // reads past the faults
+	platform  *table
+	reader    *command.Reader
+	committer *command.Committer
 }
 
 // New returns a fake that holds the empty configuration.
 func New(now func() time.Time) *Fake {
-	return &Fake{
-		Now:      now,
-		mode:     ModeNormal,
-		versions: []*config.Snapshot{config.Empty()},
-		commands: make(map[string]admin.Outcome),
-	}
+	f := &Fake{now: now, store: memory.New()}
+	f.platform = &table{Store: f.store, mode: ModeNormal}
+	nothing := command.SnapshotFunc(config.Empty)
+	f.truth = command.NewReader(f.store, f.store.Objects(), nothing)
+	f.reader = command.NewReader(f.platform, f.store.Objects(), nothing)
+	f.committer = command.NewCommitter(f.reader, f.platform, command.Options{
+		Now:   now,
+		Sleep: func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
+	})
+	return f
 }
 
-// SetMode changes how the fake takes the next changes.
-func (f *Fake) SetMode(m Mode) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.mode = m
+// SetMode changes how the platform behaves from now on.
+func (f *Fake) SetMode(m Mode) { f.platform.setMode(m) }
+
+// Submit implements admin.Commander.
+func (f *Fake) Submit(ctx context.Context, c command.Command) command.Result {
+	return f.committer.Submit(ctx, c)
 }
 
-func (f *Fake) head() *config.Snapshot { return f.versions[len(f.versions)-1] }
+// table is the platform's table with faults.
+type table struct {
+	*memory.Store
 
-// Submit implements admin.Commander.
-func (f *Fake) Submit(_ context.Context, c *admin.Change) (admin.Outcome, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if out, done := f.commands[c.Command]; done {
-		return out, nil
-	}
-	lost := admin.Outcome{Unknown: true, Detail: "the platform's answer was lost"}
-	switch f.mode {
-	case ModeUnavailable:
-		return admin.Outcome{}, &admin.UnavailableError{
-			Detail: "the platform cannot be reached", RetryAfter: 2 * time.Second}
-	case ModeLostBefore:
-		return lost, nil
-	case ModeLostAfter:
-		if _, err := f.apply(c); err != nil {
-			return admin.Outcome{}, err
-		}
-		return lost, nil
-	}
-	return f.apply(c)
+	mu   sync.Mutex
+	mode Mode
 }
 
-func (f *Fake) apply(c *admin.Change) (admin.Outcome, error) {
-	head := f.head()
-	if err := f.admit(head, c); err != nil {
-		return admin.Outcome{}, err
-	}
-	var set []config.Object
-	var unset []config.Key
-	_, existed := head.Object(c.Key)
-	switch {
-	case c.Service != nil:
-		set = append(set, config.EncodeService(*c.Service))
-	case c.Target != nil:
-		set = append(set, config.EncodeTarget(*c.Target))
-	default:
-		unset = append(unset, c.Key)
-	}
-	next, _, err := head.Next(set, unset)
-	if err != nil {
-		return admin.Outcome{}, err
-	}
-	if err := f.check(next, c); err != nil {
-		return admin.Outcome{}, err
-	}
-	out := admin.Outcome{Version: next.Version(), Created: !existed}
-	f.versions = append(f.versions, next)
-	f.commands[c.Command] = out
-	f.record(c, head, next)
-	return out, nil
+func (t *table) setMode(m Mode) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mode = m
 }
 
-func (f *Fake) admit(head *config.Snapshot, c *admin.Change) error {
-	if c.Expect != nil && *c.Expect != head.Version().Number {
-		e := &admin.PreconditionError{Expected: *c.Expect, Current: head.Version()}
-		if *c.Expect < uint64(len(f.versions)) {
-			e.Changes = changes(f.versions[*c.Expect], head)
-		}
-		return e
-	}
-	if _, there := head.Object(c.Key); !there {
-		if c.Withdraws() {
-			return &admin.NotFoundError{What: string(c.Key.Kind) + " " + c.Key.Name}
-		}
-		return nil
-	}
-	if team := teamOf(head, c.Key); team != c.By.Team {
-		return &admin.ForbiddenError{Key: c.Key, Team: team}
+// take returns the mode for one operation. A write under ModeLostAfter leaves
+// ModeLostBefore behind.
+func (t *table) take(write bool) Mode {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.mode
+	if write && m == ModeLostAfter {
+		t.mode = ModeLostBefore
 	}
-	return nil
+	return m
 }
 
-// check adds to the snapshot's own check what a withdrawn service is needed by.
-func (f *Fake) check(next *config.Snapshot, c *admin.Change) error {
-	err := next.Check()
-	if err == nil {
-		return nil
+// Get implements platform.Table.
+func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if t.take(false) == ModeUnavailable {
+		return platform.Row{}, platform.ErrUnavailable
 	}
-	problems := err.(*config.CheckError).Problems
-	if c.Withdraws() {
-		p := config.Problem{Key: c.Key, Reason: "targets still need the service"}
-		for _, dependent := range problems {
-			p.Dependents = append(p.Dependents, dependent.Key.String())
-		}
-		problems = []config.Problem{p}
-	}
-	return &admin.RefusedError{Detail: "the configuration would not be consistent", Problems: problems}
+	return t.Store.Get(ctx, key)
 }
 
-func (f *Fake) record(c *admin.Change, head, next *config.Snapshot) {
-	v := next.Version()
-	e := adminapi.HistoryEntry{
-		Version: adminapi.Version{Number: adminapi.VersionNumber(v.Number), Hash: v.Hash.String()},
-		At:      f.Now(),
-		By:      c.By.Name,
-		Team:    c.By.Team,
-		Command: c.Command,
-		Changes: changes(head, next),
-	}
-	if c.Note != "" {
-		e.Note.SetTo(c.Note)
+// Scan implements platform.Table.
+func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if t.take(false) == ModeUnavailable {
+		return nil, platform.ErrUnavailable
 	}
-	f.entries = append([]adminapi.HistoryEntry{e}, f.entries...)
+	return t.Store.Scan(ctx, prefix, after, limit)
 }
 
-func teamOf(s *config.Snapshot, k config.Key) string {
-	if k.Kind == config.KindService {
-		return s.Service(k.Name).Team
+// Commit implements platform.Table.
+func (t *table) Commit(ctx context.Context, txn platform.Txn) error {
+	switch t.take(true) {
+	case ModeUnavailable:
+		return platform.ErrUnavailable
+	case ModeLostBefore:
+		return platform.ErrUnknown
+	case ModeLostAfter:
+		_ = t.Store.Commit(ctx, txn)
+		return platform.ErrUnknown
 	}
-	return s.Target(k.Name).Team
+	return t.Store.Commit(ctx, txn)
 }
--- a/internal/admin/admintest/reads.go
+++ b/internal/admin/admintest/reads.go
@@ -2,62 +2,82 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sort"
+	"errors"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/admin"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/platform"
 )
 
+// maxVersions bounds the versions that a test makes.
+const maxVersions = 1000
+
+// versions returns every version so far, and the deltas between them.
+func (f *Fake) versions() ([]*config.Snapshot, []*config.Delta) {
+	deltas, err := f.truth.Log(context.Background(), 0, maxVersions)
+	if err != nil {
+		panic("admintest: read the log: " + err.Error())
+	}
+	out := []*config.Snapshot{config.Empty()}
+	for i, d := range deltas {
+		next, err := d.Apply(out[i])
+		if err != nil {
+			panic("admintest: apply the log: " + err.Error())
+		}
+		out = append(out, next)
+	}
+	return out, deltas
+}
+
 // Snapshot implements admin.Reader.
 func (f *Fake) Snapshot() *config.Snapshot {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.head()
+	all, _ := f.versions()
+	return all[len(all)-1]
 }
 
 // Command implements admin.Reader.
-func (f *Fake) Command(_ context.Context, id string) (*adminapi.CommandRecord, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.mode == ModeUnavailable {
-		return nil, &admin.UnavailableError{Detail: "the platform cannot be reached", RetryAfter: time.Second}
-	}
-	out, known := f.commands[id]
-	r := &adminapi.CommandRecord{Command: id, Outcome: adminapi.CommandRecordOutcomeNone}
-	if known {
-		r.Outcome = adminapi.CommandRecordOutcomeAccepted
-		r.Version.SetTo(version(out.Version))
+func (f *Fake) Command(ctx context.Context, id string) (command.Record, error) {
+	r, err := f.reader.Lookup(ctx, id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return r, &admin.NotFoundError{What: "command " + id}
+	case err != nil:
+		return r, &admin.UnavailableError{Detail: "the platform cannot be reached", RetryAfter: time.Second}
 	}
 	return r, nil
 }
 
 // Diff implements admin.Reader.
 func (f *Fake) Diff(_ context.Context, from uint64, to *uint64) (*adminapi.Diff, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	end := f.head().Version().Number
+	all, _ := f.versions()
+	end := uint64(len(all) - 1)
 	if to != nil {
 		end = *to
 	}
 	for _, n := range []uint64{from, end} {
-		if n >= uint64(len(f.versions)) {
+		if n >= uint64(len(all)) {
 			return nil, &admin.NotFoundError{What: "version " + strconv.FormatUint(n, 10)}
 		}
 	}
-	a, b := f.versions[from], f.versions[end]
-	return &adminapi.Diff{From: version(a.Version()), To: version(b.Version()), Changes: changes(a, b)}, nil
+	a, b := all[from], all[end]
+	return &adminapi.Diff{
+		From:    version(a.Version()),
+		To:      version(b.Version()),
+		Changes: admin.ChangesOf(config.Diff(a, b)),
+	}, nil
 }
 
 // History implements admin.Reader.
 func (f *Fake) History(_ context.Context, q admin.HistoryQuery) (*adminapi.History, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	all, deltas := f.versions()
 	out := &adminapi.History{Entries: []adminapi.HistoryEntry{}}
-	for _, e := range f.entries {
+	for i, d := range slices.Backward(deltas) {
+		e := entry(d, config.Diff(all[i], all[i+1]))
 		if !selects(q, e) {
 			continue
 		}
@@ -70,19 +90,25 @@
 	return out, nil
 }
 
+func entry(d *config.Delta, changes []config.Change) adminapi.HistoryEntry {
+	return adminapi.HistoryEntry{
+		Version: version(d.To),
+		At:      time.UnixMilli(d.AtMS).UTC(),
+		By:      d.By,
+		Team:    d.Team,
+		Command: d.Command,
+		Note:    adminapi.OptString{Value: d.Note, Set: d.Note != ""},
+		Changes: admin.ChangesOf(changes),
+	}
+}
+
 func selects(q admin.HistoryQuery, e adminapi.HistoryEntry) bool {
 	if e.At.Before(q.Since) || (q.Before != 0 && uint64(e.Version.Number) >= q.Before) {
 		return false
 	}
-	if q.Key == nil {
-		return true
-	}
-	for _, c := range e.Changes {
-		if string(c.Kind) == string(q.Key.Kind) && c.Name == q.Key.Name {
-			return true
-		}
-	}
-	return false
+	return q.Key == nil || slices.ContainsFunc(e.Changes, func(c adminapi.ObjectChange) bool {
+		return string(c.Kind) == string(q.Key.Kind) && c.Name == q.Key.Name
+	})
 }
 
 // Handover implements admin.Reader with one of each thing to tell.
@@ -91,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := f.Now()
+	now := f.now()
 	v := version(f.Snapshot().Version())
 	return &adminapi.Handover{
 		At: now, SeenBy: "vm-1", Accepted: v, InForce: v, Since: since,
@@ -126,59 +152,3 @@
 func version(v config.Version) adminapi.Version {
 	return adminapi.Version{Number: adminapi.VersionNumber(v.Number), Hash: v.Hash.String()}
 }
-
-// changes tells how b differs from a, in key order.
-func changes(a, b *config.Snapshot) []adminapi.ObjectChange {
-	out := []adminapi.ObjectChange{}
-	for _, o := range b.Objects() {
-		old, there := a.Object(o.Key)
-		switch {
-		case !there:
-			out = append(out, change(o.Key, adminapi.ObjectChangeActionAdded, nil, o.Raw))
-		case string(old.Raw) != string(o.Raw):
-			out = append(out, change(o.Key, adminapi.ObjectChangeActionChanged, old.Raw, o.Raw))
-		}
-	}
-	for _, o := range a.Objects() {
-		if _, there := b.Object(o.Key); !there {
-			out = append(out, change(o.Key, adminapi.ObjectChangeActionWithdrawn, o.Raw, nil))
-		}
-	}
-	return out
-}
-
-func change(k config.Key, action adminapi.ObjectChangeAction, before, after []byte) adminapi.ObjectChange {
-	return adminapi.ObjectChange{
-		Kind: adminapi.Kind(k.Kind), Name: k.Name, Action: action, Fields: fields(before, after)}
-}
-
-func fields(before, after []byte) []adminapi.FieldChange {
-	a, b := members(before), members(after)
-	names := make(map[string]bool)
-	for n := range a {
-		names[n] = true
-	}
-	for n := range b {
-		names[n] = true
-	}
-	var out []adminapi.FieldChange
-	for n := range names {
-		if string(a[n]) != string(b[n]) {
-			out = append(out, adminapi.FieldChange{Field: n, Before: text(a[n]), After: text(b[n])})
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Field < out[j].Field })
-	return out
-}
-
-func members(raw []byte) map[string]json.RawMessage {
-	m := make(map[string]json.RawMessage)
-	if raw != nil {
-		_ = json.Unmarshal(raw, &m)
-	}
-	return m
-}
-
-func text(raw json.RawMessage) adminapi.OptString {
-	return adminapi.OptString{Value: string(raw), Set: raw != nil}
-}
--- a/internal/admin/bench_test.go
+++ b/internal/admin/bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/admin/admintest"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
 
@@ -90,8 +91,9 @@
 	return c
 }
 
-func wantProblem(t *testing.T, err error, status int, kind string) *adminapi.ProblemStatusCodeWithHeaders {
+func wantProblem(t *testing.T, err error, status int, reason command.Reason) *adminapi.ProblemStatusCodeWithHeaders {
 	t.Helper()
+	kind := admin.TypePrefix + string(reason)
 	var d *adminapi.ProblemStatusCodeWithHeaders
 	if !errors.As(err, &d) {
 		t.Fatalf("got %v, want status %d", err, status)
--- a/internal/admin/operators_test.go
+++ b/internal/admin/operators_test.go
@@ -15,7 +15,7 @@
 	b := newBench(t, nil)
 	ctx := context.Background()
 	_, err := b.client(t, "guessed-token").ListTargets(ctx)
-	if d := wantProblem(t, err, 401, admin.TypeUnauthorized); !strings.HasPrefix(d.WWWAuthenticate.Value, "Bearer") {
+	if d := wantProblem(t, err, 401, "unauthorized"); !strings.HasPrefix(d.WWWAuthenticate.Value, "Bearer") {
 		t.Errorf("got %+v", d)
 	}
 	resp, err := http.Get(b.url + "/targets")
@@ -27,12 +27,12 @@
 		t.Error(err)
 	}
 	_, err = reader.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "berth"})
-	wantProblem(t, err, 403, admin.TypeForbidden)
+	wantProblem(t, err, 403, "read-only")
 	if err := b.operators.Replace(nil); err != nil {
 		t.Fatal(err)
 	}
 	_, err = reader.ListTargets(ctx)
-	wantProblem(t, err, 401, admin.TypeUnauthorized)
+	wantProblem(t, err, 401, "unauthorized")
 	if got := b.log.String(); strings.Contains(got, "token-") {
 		t.Errorf("a token is in the log: %s", got)
 	}
@@ -49,7 +49,7 @@
 			break
 		}
 	}
-	wantProblem(t, last, 429, admin.TypeBusy)
+	wantProblem(t, last, 429, "too-many")
 	if _, err := b.client(t, berthToken).ListTargets(context.Background()); err != nil {
 		t.Errorf("a valid token is kept out: %v", err)
 	}
--- a/internal/admin/problems.go
+++ b/internal/admin/problems.go
@@ -5,33 +5,35 @@
 	"errors"
 	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/ogen-go/ogen/ogenerrors"
 
-	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/problem"
 )
 
-// Types of problem documents. Clients tell refusals apart by them.
+// TypePrefix begins the type of every problem document of this API. A refused
+// command's type ends in its command.Reason.
+const TypePrefix = "urn:marlpass:problem:"
+
+// Types of problem documents that are not about a command's refusal.
 const (
-	typePrefix       = "urn:marlpass:problem:"
-	TypeRefused      = typePrefix + "refused"
-	TypePrecondition = typePrefix + "precondition"
-	TypeForbidden    = typePrefix + "forbidden"
-	TypeUnauthorized = typePrefix + "unauthorized"
-	TypeInvalid      = typePrefix + "invalid"
-	TypeNotFound     = typePrefix + "not-found"
-	TypeUnavailable  = typePrefix + "unavailable"
-	TypeBusy         = typePrefix + "busy"
-	TypeInternal     = typePrefix + "internal"
+	TypeUnauthorized = TypePrefix + "unauthorized"
+	TypeReadOnly     = TypePrefix + "read-only"
+	TypeMalformed    = TypePrefix + string(command.ReasonMalformed)
+	TypeNotFound     = TypePrefix + string(command.ReasonNotFound)
+	TypeUnavailable  = TypePrefix + string(command.ReasonUnavailable)
+	TypeTooMany      = TypePrefix + "too-many"
+	TypeInternal     = TypePrefix + "internal"
 )
 
-// busyRetryAfter is what a client is told to wait when too many commands or
-// bad tokens come at once.
-const busyRetryAfter = time.Second
+// What a client is told to wait, in whole seconds at least.
+const (
+	tooManyRetryAfter = time.Second
+	refusedRetryAfter = 2 * time.Second
+)
 
 type document = adminapi.ProblemStatusCodeWithHeaders
 
@@ -50,14 +52,14 @@
 
 func toDocument(err error) *document {
 	if f, ok := problem.FromDecoder(err); ok {
-		d := newDocument(f.Status, TypeInvalid, f.Detail)
+		d := newDocument(f.Status, TypeMalformed, f.Detail)
 		d.Response.Field = optString(f.Field)
 		return d
 	}
 	if d := authDocument(err); d != nil {
 		return d
 	}
-	return refusalDocument(err)
+	return errorDocument(err)
 }
 
 func newDocument(status int, kind, detail string) *document {
@@ -78,9 +80,9 @@
 	var security *ogenerrors.SecurityError
 	switch {
 	case errors.Is(err, errReadOnly):
-		return newDocument(http.StatusForbidden, TypeForbidden, "the token is for reading only")
+		return newDocument(http.StatusForbidden, TypeReadOnly, "the token is for reading only")
 	case errors.Is(err, errTooManyTokens):
-		return retryDocument(http.StatusTooManyRequests, TypeBusy, "too many requests without a valid token", busyRetryAfter)
+		return retryDocument(http.StatusTooManyRequests, TypeTooMany, "too many requests without a valid token", tooManyRetryAfter)
 	case errors.As(err, &security):
 		d := newDocument(http.StatusUnauthorized, TypeUnauthorized, "no valid token")
 		d.WWWAuthenticate.SetTo(`Bearer realm="marlpass"`)
@@ -89,58 +91,76 @@
 	return nil
 }
 
-func refusalDocument(err error) *document {
+func errorDocument(err error) *document {
 	var (
-		refused      *RefusedError
-		invalid      *InvalidError
-		precondition *PreconditionError
-		forbidden    *ForbiddenError
-		notFound     *NotFoundError
-		unavailable  *UnavailableError
+		refused     *refusedError
+		parameter   *parameterError
+		notFound    *NotFoundError
+		unavailable *UnavailableError
 	)
 	switch {
 	case errors.As(err, &refused):
-		return withProblems(newDocument(http.StatusConflict, TypeRefused, refused.Detail), refused.Problems)
-	case errors.As(err, &invalid):
-		return withProblems(newDocument(http.StatusUnprocessableEntity, TypeInvalid, ""), invalid.Problems)
-	case errors.As(err, &precondition):
-		return preconditionDocument(precondition)
-	case errors.As(err, &forbidden):
-		return newDocument(http.StatusForbidden, TypeForbidden, forbidden.Key.String()+" belongs to team "+forbidden.Team)
+		return refusalDocument(refused)
+	case errors.As(err, &parameter):
+		d := newDocument(http.StatusUnprocessableEntity, TypeMalformed, parameter.reason)
+		d.Response.Field.SetTo(parameter.name)
+		return d
 	case errors.As(err, &notFound):
 		return newDocument(http.StatusNotFound, TypeNotFound, "there is no "+notFound.What)
 	case errors.As(err, &unavailable):
 		return retryDocument(http.StatusServiceUnavailable, TypeUnavailable, unavailable.Detail, unavailable.RetryAfter)
 	case errors.Is(err, errBusy):
-		return retryDocument(http.StatusTooManyRequests, TypeBusy, "too many commands at once", busyRetryAfter)
+		return retryDocument(http.StatusTooManyRequests, TypeTooMany, "too many commands at once", tooManyRetryAfter)
 	}
 	return newDocument(http.StatusInternalServerError, TypeInternal, "internal error")
 }
 
-func preconditionDocument(e *PreconditionError) *document {
-	d := newDocument(http.StatusPreconditionFailed, TypePrecondition,
-		"the configuration is at version "+strconv.FormatUint(e.Current.Number, 10)+
-			", not "+strconv.FormatUint(e.Expected, 10))
-	d.Response.Current.SetTo(versionOf(e.Current))
-	d.Response.Changes = e.Changes
-	return d
+// refusalStatus holds the status of each refusal that has one of its own. A
+// refusal that may pass is 503, and ReasonInvalid is 409 or 422.
+var refusalStatus = map[command.Reason]int{
+	command.ReasonMalformed: http.StatusUnprocessableEntity,
+	command.ReasonIDReused:  http.StatusConflict,
+	command.ReasonForbidden: http.StatusForbidden,
+	command.ReasonTeamFull:  http.StatusConflict,
+	command.ReasonConflict:  http.StatusPreconditionFailed,
+	command.ReasonNotFound:  http.StatusNotFound,
 }
 
-// withProblems lists the problems; the first that names a field is the field
-// of the document.
-func withProblems(d *document, ps []config.Problem) *document {
-	for _, p := range ps {
+func refusalDocument(e *refusedError) *document {
+	r := e.result
+	kind := TypePrefix + string(r.Reason)
+	if r.Reason.Retryable() {
+		return retryDocument(http.StatusServiceUnavailable, kind, r.Detail, refusedRetryAfter)
+	}
+	status, known := refusalStatus[r.Reason]
+	if !known {
+		status = invalidStatus(e)
+	}
+	d := newDocument(status, kind, r.Detail)
+	for _, p := range r.Problems {
 		d.Response.Problems = append(d.Response.Problems, itemOf(p))
-		if !d.Response.Field.Set {
-			d.Response.Field = optString(p.Field)
-		}
-		if !d.Response.Detail.Set {
-			d.Response.Detail.SetTo(p.Reason)
-		}
+	}
+	if status == http.StatusUnprocessableEntity && len(r.Problems) > 0 {
+		d.Response.Field = optString(r.Problems[0].Field)
+	}
+	if r.Reason == command.ReasonConflict {
+		d.Response.Current.SetTo(adminapi.VersionNumber(r.Head))
+		d.Response.Changes = conflictsOf(r.Conflicts)
 	}
 	return d
 }
 
+// invalidStatus tells a bad field of the stated object (422) from a clash with
+// other objects (409).
+func invalidStatus(e *refusedError) int {
+	for _, p := range e.result.Problems {
+		if p.Key != e.key || len(p.Missing) > 0 || len(p.Dependents) > 0 {
+			return http.StatusConflict
+		}
+	}
+	return http.StatusUnprocessableEntity
+}
+
 func retryDocument(status int, kind, detail string, after time.Duration) *document {
 	d := newDocument(status, kind, detail)
 	d.RetryAfter.SetTo(max(1, int(math.Ceil(after.Seconds()))))
--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
@@ -44,7 +45,16 @@
 }
 
 func (h handler) GetCommand(ctx context.Context, p adminapi.GetCommandParams) (*adminapi.CommandRecord, error) {
-	return h.s.reader.Command(ctx, string(p.ID))
+	id := string(p.ID)
+	record, err := h.s.reader.Command(ctx, id)
+	var none *NotFoundError
+	if errors.As(err, &none) {
+		return &adminapi.CommandRecord{Command: id, Outcome: adminapi.CommandRecordOutcomeNone}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return recordOf(id, record), nil
 }
 
 func (h handler) GetDiff(ctx context.Context, p adminapi.GetDiffParams) (*adminapi.Diff, error) {
@@ -63,7 +73,7 @@
 		Limit:  p.Limit.Value,
 	}
 	if p.Kind.Set != p.Name.Set {
-		return nil, invalidHeader(config.Key{}, "kind", "and name must be given together")
+		return nil, &parameterError{"kind", "and name must be given together"}
 	}
 	if p.Kind.Set {
 		q.Key = &config.Key{Kind: config.Kind(p.Kind.Value), Name: string(p.Name.Value)}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
 
@@ -70,50 +70,38 @@
 	return http.MaxBytesHandler(h, MaxBody), nil
 }
 
-// submit hands one change to the commander.
-func (s *Server) submit(ctx context.Context, c *Change, h writeHeaders) (Outcome, error) {
-	c.By = operatorOf(ctx)
-	c.Command = string(h.command.Or(adminapi.CommandID(uuid.NewString())))
-	out, err := s.submitBounded(ctx, c, h)
-	s.logOutcome(c, out, err)
-	if err != nil {
-		return out, &commandError{command: c.Command, err: err}
-	}
-	return out, nil
-}
-
-func (s *Server) submitBounded(ctx context.Context, c *Change, h writeHeaders) (Outcome, error) {
-	if err := h.fill(c); err != nil {
-		return Outcome{}, err
-	}
+// run hands a command to the commander, within the bound on commands at once.
+//
+// It guards against a result that says neither accepted nor refused. Told as a
+// refusal it would make an operator state a change again that is already in
+// force, so whatever isn't known is told as unknown.
+func (s *Server) run(ctx context.Context, c command.Command) (command.Result, error) {
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
-		return Outcome{}, errBusy
+		return command.Result{}, errBusy
 	}
-	out, err := s.commander.Submit(ctx, c)
-	if err != nil && !refusal(err) {
-		s.log.Error().Err(err).Str("command", c.Command).Msg("admin: command failed")
-		return Outcome{Unknown: true, Detail: "the node failed while it ran the command"}, nil
+	res := s.commander.Submit(ctx, c)
+	res.Command = c.ID
+	if res.Outcome != command.Accepted && res.Outcome != command.Refused {
+		res.Outcome = command.Unknown
 	}
-	return out, err
+	s.logOutcome(&c, res)
+	return res, nil
 }
 
-func (s *Server) logOutcome(c *Change, out Outcome, err error) {
+func (s *Server) logOutcome(c *command.Command, res command.Result) {
 	e := s.log.Info()
-	text := "admin: change accepted"
-	switch {
-	case err != nil:
-		e, text = s.log.Warn().Err(err), "admin: change refused"
-	case out.Unknown:
-		e, text = s.log.Warn(), "admin: outcome of the change unknown"
+	if res.Outcome != command.Accepted {
+		e = s.log.Warn().Str("reason", string(res.Reason)).Str("detail", res.Detail)
 	}
-	e.Str("command", c.Command).Str("operator", c.By.Name).Str("team", c.By.Team).
-		Stringer("object", c.Key).Uint64("version", out.Version.Number).Msg(text)
+	e.Str("command", c.ID).Str("operator", c.Operator).Str("team", c.Team).
+		Stringer("object", keyOf(c)).Uint64("version", res.Version.Number).
+		Msg("admin: command " + string(res.Outcome))
 }
 
-// commandError adds the command's id to the refusal of it.
+// commandError adds the command's id to what is wrong with it.
 type commandError struct {
 	command string
 	err     error
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/admin/admintest"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
 
@@ -86,6 +87,7 @@
 		if err != nil || !ok || got.Response.Command != got.MarlpassCommand {
 			t.Fatalf("%s: got %+v, %v", mode, res, err)
 		}
+		b.fake.SetMode(admintest.ModeNormal)
 		record, err := c.GetCommand(context.Background(), adminapi.GetCommandParams{ID: adminapi.CommandID(got.MarlpassCommand)})
 		if err != nil || record.Outcome != want {
 			t.Errorf("%s: got %+v, %v", mode, record, err)
@@ -93,48 +95,113 @@
 	}
 }
 
-func TestRefusals(t *testing.T) {
+// stated is a bench whose berth team has the service berth and a target on it.
+func stated(t *testing.T) (*bench, *adminapi.Client) {
+	t.Helper()
 	b := newBench(t, nil)
-	c, other := b.client(t, berthToken), b.client(t, recordToken)
+	c := b.client(t, berthToken)
 	ctx := context.Background()
-	_, err := c.PutTarget(ctx, bookings(), adminapi.PutTargetParams{Name: "berth-booking"})
-	d := wantProblem(t, err, 409, admin.TypeRefused)
-	if p := d.Response.Problems; len(p) != 1 || p[0].Missing[0] != "berth" || !d.MarlpassCommand.Set {
-		t.Errorf("got %+v", d)
-	}
 	if _, err := c.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "berth"}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.PutTarget(ctx, bookings(), adminapi.PutTargetParams{Name: "berth-booking"}); err != nil {
 		t.Fatal(err)
 	}
-	_, err = c.WithdrawService(ctx, adminapi.WithdrawServiceParams{Name: "berth"})
-	d = wantProblem(t, err, 409, admin.TypeRefused)
-	if p := d.Response.Problems; len(p) != 1 || p[0].Dependents[0] != "target/berth-booking" {
+	return b, c
+}
+
+func TestRefusalNamesTheObjects(t *testing.T) {
+	b, c := stated(t)
+	ctx := context.Background()
+	spec := bookings()
+	spec.Service, spec.Match.PathPrefix = "survey", "/surveys"
+	_, err := c.PutTarget(ctx, spec, adminapi.PutTargetParams{Name: "surveys"})
+	d := wantProblem(t, err, 409, command.ReasonInvalid)
+	if p := d.Response.Problems; len(p) != 1 || p[0].Missing[0] != "survey" || p[0].Name.Value != "surveys" || !d.MarlpassCommand.Set {
 		t.Errorf("got %+v", d)
 	}
-	_, err = c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{Name: "berth-booking", IfMatch: adminapi.NewOptString(`"1"`)})
-	d = wantProblem(t, err, 412, admin.TypePrecondition)
-	if d.Response.Current.Value.Number != 2 || len(d.Response.Changes) != 1 || d.Response.Changes[0].Name != "berth-booking" {
+	_, err = c.WithdrawService(ctx, adminapi.WithdrawServiceParams{Name: "berth"})
+	d = wantProblem(t, err, 409, command.ReasonInvalid)
+	if p := d.Response.Problems; len(p) != 1 || p[0].Dependents[0] != "berth-booking" {
 		t.Errorf("got %+v", d)
 	}
-	_, err = other.PutTarget(ctx, bookings(), adminapi.PutTargetParams{Name: "berth-booking"})
-	wantProblem(t, err, 403, admin.TypeForbidden)
+	if got := b.fake.Snapshot().Version().Number; got != 2 {
+		t.Errorf("a refused command took effect: version %d", got)
+	}
+}
+
+// Two operators read version 2. One changes the target; the other, who has not
+// seen that, must not undo it without a word.
+func TestStaleChangeIsRefusedWithWhatDiffers(t *testing.T) {
+	_, c := stated(t)
+	ctx := context.Background()
+	faster := bookings()
+	faster.AnswerWithinMs.SetTo(150)
+	p := adminapi.PutTargetParams{Name: "berth-booking", IfMatch: adminapi.NewOptString(`"2"`)}
+	res, err := c.PutTarget(ctx, faster, p)
+	if _, ok := res.(*adminapi.AcceptedHeaders); err != nil || !ok {
+		t.Fatalf("got %+v, %v", res, err)
+	}
+	_, err = c.PutTarget(ctx, bookings(), p)
+	d := wantProblem(t, err, 412, command.ReasonConflict)
+	if d.Response.Current.Value != 3 || len(d.Response.Changes) != 1 {
+		t.Fatalf("got %+v", d)
+	}
+	got := d.Response.Changes[0]
+	if got.Name != "berth-booking" || got.By.Value != "nimal" || got.Version.Value != 3 || got.Fields[0].After.Value != "150" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestOtherTeamsObjectsAreForbidden(t *testing.T) {
+	b, _ := stated(t)
+	other := b.client(t, recordToken)
+	ctx := context.Background()
+	_, err := other.PutTarget(ctx, bookings(), adminapi.PutTargetParams{Name: "berth-booking"})
+	wantProblem(t, err, 403, command.ReasonForbidden)
 	_, err = other.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{Name: "berth-booking"})
-	wantProblem(t, err, 403, admin.TypeForbidden)
+	wantProblem(t, err, 403, command.ReasonForbidden)
+	_, err = other.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "berth"})
+	wantProblem(t, err, 403, command.ReasonForbidden)
+}
+
+func TestOtherRefusals(t *testing.T) {
+	b, c := stated(t)
+	ctx := context.Background()
+	_, err := c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{Name: "none"})
+	wantProblem(t, err, 404, command.ReasonNotFound)
 	_, err = c.GetTarget(ctx, adminapi.GetTargetParams{Name: "none"})
-	wantProblem(t, err, 404, admin.TypeNotFound)
+	wantProblem(t, err, 404, command.ReasonNotFound)
 	_, err = c.GetDiff(ctx, adminapi.GetDiffParams{From: 1, To: adminapi.NewOptVersionNumber(9)})
-	wantProblem(t, err, 404, admin.TypeNotFound)
+	wantProblem(t, err, 404, command.ReasonNotFound)
 	_, err = c.GetHistory(ctx, adminapi.GetHistoryParams{Kind: adminapi.NewOptKind(adminapi.KindTarget)})
-	wantProblem(t, err, 422, admin.TypeInvalid)
+	wantProblem(t, err, 422, command.ReasonMalformed)
+	same := adminapi.PutServiceParams{Name: "survey", MarlpassCommand: adminapi.NewOptCommandID("c-1")}
+	if _, err := c.PutService(ctx, &adminapi.ServiceSpec{}, same); err != nil {
+		t.Fatal(err)
+	}
+	same.Name = "archive"
+	_, err = c.PutService(ctx, &adminapi.ServiceSpec{}, same)
+	wantProblem(t, err, 409, command.ReasonIDReused)
 	b.fake.SetMode(admintest.ModeUnavailable)
 	_, err = c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{Name: "berth-booking"})
-	if d = wantProblem(t, err, 503, admin.TypeUnavailable); d.RetryAfter.Value != 2 {
+	if d := wantProblem(t, err, 503, command.ReasonUnavailable); d.RetryAfter.Value != 2 {
 		t.Errorf("retry after %v", d.RetryAfter)
 	}
-	if got := b.fake.Snapshot().Version().Number; got != 2 {
-		t.Errorf("a refused change took effect: version %d", got)
+	_, err = c.GetCommand(ctx, adminapi.GetCommandParams{ID: "c-1"})
+	wantProblem(t, err, 503, command.ReasonUnavailable)
+	res, err := c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{Name: "berth-booking",
+		MarlpassCommand: adminapi.NewOptCommandID("c-2"), MarlpassRepeat: adminapi.NewOptBool(true)})
+	if _, ok := res.(*adminapi.UnknownHeaders); err != nil || !ok {
+		t.Errorf("a repeat while the platform is down: %+v, %v", res, err)
+	}
+}
+
+func TestSettingWhatIsAlreadySoIsAccepted(t *testing.T) {
+	_, c := stated(t)
+	res, err := c.PutTarget(context.Background(), bookings(), adminapi.PutTargetParams{Name: "berth-booking"})
+	if got, ok := res.(*adminapi.AcceptedHeaders); err != nil || !ok || !got.Response.Unchanged.Value || got.Response.Version.Number != 2 {
+		t.Errorf("got %+v, %v", res, err)
 	}
 }
 
@@ -197,7 +264,7 @@
 	entered, release chan struct{}
 }
 
-func (h *holding) Submit(ctx context.Context, c *admin.Change) (admin.Outcome, error) {
+func (h *holding) Submit(ctx context.Context, c command.Command) command.Result {
 	h.entered <- struct{}{}
 	<-h.release
 	return h.Commander.Submit(ctx, c)
@@ -215,7 +282,7 @@
 	}()
 	<-h.entered
 	_, err := c.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "survey"})
-	if d := wantProblem(t, err, 429, admin.TypeBusy); d.RetryAfter.Value < 1 {
+	if d := wantProblem(t, err, 429, "too-many"); d.RetryAfter.Value < 1 {
 		t.Errorf("got %+v", d)
 	}
 	close(h.release)
@@ -224,20 +291,18 @@
 	}
 }
 
-// failing is a commander whose error nobody thought of.
-type failing struct{ admin.Commander }
+// vague is a commander that does not say what became of a command.
+type vague struct{}
 
-func (failing) Submit(context.Context, *admin.Change) (admin.Outcome, error) {
-	return admin.Outcome{}, context.Canceled
-}
+func (vague) Submit(context.Context, command.Command) command.Result { return command.Result{} }
 
-// The platform takes the write, and the node's own code then fails in a way
-// that no type names. Told as a refusal, the operator would state the change
+// The platform takes the write, and a result comes back that says neither
+// accepted nor refused. Told as a refusal, the operator would state the change
 // again although it is in force.
-func TestUnforeseenErrorIsToldAsUnknown(t *testing.T) {
-	b := newBench(t, func(c admin.Commander) admin.Commander { return failing{c} })
+func TestVagueResultIsToldAsUnknown(t *testing.T) {
+	b := newBench(t, func(admin.Commander) admin.Commander { return vague{} })
 	res, err := b.client(t, berthToken).PutService(context.Background(), &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "berth"})
-	if _, ok := res.(*adminapi.UnknownHeaders); err != nil || !ok {
+	if got, ok := res.(*adminapi.UnknownHeaders); err != nil || !ok || got.Response.Command == "" {
 		t.Errorf("got %+v, %v", res, err)
 	}
 }
--- a/internal/admin/shapes.go
+++ b/internal/admin/shapes.go
@@ -1,6 +1,9 @@
 package admin
 
 import (
+	"time"
+
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
@@ -75,3 +78,66 @@
 	}
 	return i
 }
+
+// ChangesOf returns differences between two snapshots in the API's shape.
+func ChangesOf(cs []config.Change) []adminapi.ObjectChange {
+	out := make([]adminapi.ObjectChange, len(cs))
+	for i, c := range cs {
+		out[i] = changeOf(c)
+	}
+	return out
+}
+
+var actions = map[config.Op]adminapi.ObjectChangeAction{
+	config.OpAdded:   adminapi.ObjectChangeActionAdded,
+	config.OpChanged: adminapi.ObjectChangeActionChanged,
+	config.OpRemoved: adminapi.ObjectChangeActionWithdrawn,
+}
+
+func changeOf(c config.Change) adminapi.ObjectChange {
+	out := adminapi.ObjectChange{
+		Kind:   adminapi.Kind(c.Key.Kind),
+		Name:   c.Key.Name,
+		Action: actions[c.Op],
+	}
+	for _, f := range c.Fields {
+		out.Fields = append(out.Fields, adminapi.FieldChange{
+			Field:  f.Field,
+			Before: optString(f.Before),
+			After:  optString(f.After),
+		})
+	}
+	return out
+}
+
+func conflictsOf(cs []command.Conflict) []adminapi.ObjectChange {
+	out := make([]adminapi.ObjectChange, len(cs))
+	for i, c := range cs {
+		out[i] = changeOf(c.Change)
+		out[i].Version.SetTo(adminapi.VersionNumber(c.Version))
+		out[i].By = optString(c.By)
+		out[i].At = optTime(c.AtMS)
+	}
+	return out
+}
+
+func optTime(ms int64) adminapi.OptDateTime {
+	return adminapi.OptDateTime{Value: time.UnixMilli(ms).UTC(), Set: ms != 0}
+}
+
+// recordOf returns a command's record in the API's shape.
+func recordOf(id string, r command.Record) *adminapi.CommandRecord {
+	out := &adminapi.CommandRecord{
+		Command: id,
+		Outcome: adminapi.CommandRecordOutcomeRefused,
+		By:      optString(r.Operator),
+		Team:    optString(r.Team),
+		At:      optTime(r.Result.AtMS),
+		Reason:  optString(r.Result.Detail),
+	}
+	if r.Result.Outcome == command.Accepted {
+		out.Outcome = adminapi.CommandRecordOutcomeAccepted
+		out.Version.SetTo(versionOf(r.Result.Version))
+	}
+	return out
+}
--- a/internal/cli/print.go
+++ b/internal/cli/print.go
@@ -123,13 +123,21 @@
 
 func writeChanges(w io.Writer, changes []adminapi.ObjectChange) {
 	for _, c := range changes {
-		fmt.Fprintf(w, "  %s %s/%s\n", c.Action, c.Kind, clean(c.Name))
+		fmt.Fprintf(w, "  %s %s/%s%s\n", c.Action, c.Kind, clean(c.Name), lastChange(c))
 		for _, f := range c.Fields {
 			fmt.Fprintf(w, "    %s: %s -> %s\n", clean(f.Field), clean(f.Before.Or("none")), clean(f.After.Or("none")))
 		}
 	}
 }
 
+// lastChange tells who made the newest change, where the answer says so.
+func lastChange(c adminapi.ObjectChange) string {
+	if !c.By.Set {
+		return ""
+	}
+	return fmt.Sprintf(", last by %s at %s in version %d", clean(c.By.Value), when(c.At.Value), c.Version.Value)
+}
+
 func printHistory(w io.Writer, h *adminapi.History) {
 	writeHistory(w, h.Entries)
 	if next, ok := h.Next.Get(); ok {
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -6,11 +6,11 @@
 	"flag"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"strings"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/internal/version"
 )
 
 // Exit codes beyond those that all programs share.
@@ -89,7 +89,7 @@
 		return parsed(env, c, path, nil, err)
 	}
 	if *showVersion {
-		fmt.Fprintln(env.Stdout, "marlpass "+buildVersion())
+		fmt.Fprintln(env.Stdout, version.Line("marlpass"))
 		return nil
 	}
 	if fs.NArg() == 0 {
@@ -155,11 +155,3 @@
 	}
 	return strings.Join(names, ", ")
 }
-
-func buildVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version + " " + info.GoVersion
-}
--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -44,18 +44,23 @@
 			w := defineWrite(fs)
 			return func(ctx context.Context, a *app, args []string) error {
 				spec := &adminapi.ServiceSpec{Description: optString(*description)}
-				return a.change(ctx, w, args, func(name adminapi.Name, h headers) send {
-					return putService(spec, name, h)
+				return a.change(ctx, w, args, func(name adminapi.Name) send {
+					return putService(spec, name)
 				})
 			}
 		},
 	}
 }
 
-func putService(spec *adminapi.ServiceSpec, name adminapi.Name, h headers) send {
-	p := adminapi.PutServiceParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
-	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
-		res, err := c.PutService(ctx, spec, p)
+func putService(spec *adminapi.ServiceSpec, name adminapi.Name) send {
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
+		res, err := c.PutService(ctx, spec, adminapi.PutServiceParams{
+			Name:            name,
+			MarlpassCommand: h.command,
+			MarlpassRepeat:  h.repeat,
+			IfMatch:         h.ifMatch,
+			MarlpassNote:    h.note,
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -78,10 +83,15 @@
 	}
 }
 
-func withdrawService(name adminapi.Name, h headers) send {
-	p := adminapi.WithdrawServiceParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
-	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
-		res, err := c.WithdrawService(ctx, p)
+func withdrawService(name adminapi.Name) send {
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
+		res, err := c.WithdrawService(ctx, adminapi.WithdrawServiceParams{
+			Name:            name,
+			MarlpassCommand: h.command,
+			MarlpassRepeat:  h.repeat,
+			IfMatch:         h.ifMatch,
+			MarlpassNote:    h.note,
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -90,7 +100,7 @@
 }
 
 // change runs a write on the object that the one argument names.
-func (a *app) change(ctx context.Context, w *writeFlags, args []string, make func(adminapi.Name, headers) send) error {
+func (a *app) change(ctx context.Context, w *writeFlags, args []string, make func(adminapi.Name) send) error {
 	name, err := oneArg(args, "NAME")
 	if err != nil {
 		return err
@@ -109,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	return a.write(ctx, s, w.command, make(adminapi.Name(name), h))
+	return a.write(ctx, s, h, make(adminapi.Name(name)))
 }
 
 // acceptedVersion reads a write's answer, of any operation.
--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -124,7 +124,8 @@
 func changedNothing(err error) bool {
 	var d *document
 	if errors.As(err, &d) {
-		return d.StatusCode < 500 || d.Response.Type == admin.TypeUnavailable
+		return d.StatusCode < 500 || (d.StatusCode == http.StatusServiceUnavailable &&
+			strings.HasPrefix(d.Response.Type, admin.TypePrefix))
 	}
 	var verification *tls.CertificateVerificationError
 	if errors.As(err, &verification) {
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -78,16 +78,21 @@
 		if err != nil {
 			return err
 		}
-		return a.change(ctx, w, args, func(name adminapi.Name, h headers) send {
-			return putTarget(spec, name, h)
+		return a.change(ctx, w, args, func(name adminapi.Name) send {
+			return putTarget(spec, name)
 		})
 	}
 }
 
-func putTarget(spec *adminapi.TargetSpec, name adminapi.Name, h headers) send {
-	p := adminapi.PutTargetParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
-	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
-		res, err := c.PutTarget(ctx, spec, p)
+func putTarget(spec *adminapi.TargetSpec, name adminapi.Name) send {
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
+		res, err := c.PutTarget(ctx, spec, adminapi.PutTargetParams{
+			Name:            name,
+			MarlpassCommand: h.command,
+			MarlpassRepeat:  h.repeat,
+			IfMatch:         h.ifMatch,
+			MarlpassNote:    h.note,
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -110,10 +115,15 @@
 	}
 }
 
-func withdrawTarget(name adminapi.Name, h headers) send {
-	p := adminapi.WithdrawTargetParams{Name: name, MarlpassCommand: h.command, IfMatch: h.ifMatch, MarlpassNote: h.note}
-	return func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
-		res, err := c.WithdrawTarget(ctx, p)
+func withdrawTarget(name adminapi.Name) send {
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
+		res, err := c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{
+			Name:            name,
+			MarlpassCommand: h.command,
+			MarlpassRepeat:  h.repeat,
+			IfMatch:         h.ifMatch,
+			MarlpassNote:    h.note,
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -27,22 +27,26 @@
 	w := new(writeFlags)
 	fs.StringVar(&w.ifVersion, "if-version", "", "accept only while the configuration is at version `N`")
 	fs.StringVar(&w.note, "note", "", "short `reason` for the history")
-	fs.StringVar(&w.command, "command", "", "command `id`, to send an earlier command again (default: a new one)")
+	fs.StringVar(&w.command, "command", "", "`id` of an earlier command with an unknown outcome, to send it again as it was")
 	return w
 }
 
 // headers are the header parameters of a write.
 type headers struct {
 	command adminapi.OptCommandID
+	repeat  adminapi.OptBool
 	ifMatch adminapi.OptString
 	note    adminapi.OptString
 }
 
 func (w *writeFlags) headers() (headers, error) {
-	if w.command == "" {
+	var h headers
+	if w.command != "" {
+		h.repeat.SetTo(true)
+	} else {
 		w.command = uuid.NewString()
 	}
-	h := headers{command: adminapi.NewOptCommandID(adminapi.CommandID(w.command))}
+	h.command.SetTo(adminapi.CommandID(w.command))
 	if w.ifVersion != "" {
 		n, err := strconv.ParseUint(w.ifVersion, 10, 63)
 		if err != nil {
@@ -77,7 +81,7 @@
 var errUnknown = errors.New("the node does not know the outcome")
 
 // send is one attempt at a write. It returns the accepted version.
-type send func(context.Context, *adminapi.Client) (*adminapi.Version, error)
+type send func(context.Context, *adminapi.Client, headers) (*adminapi.Version, error)
 
 // write sends a change to the servers in turn until one gives an answer that
 // settles it.
@@ -87,17 +91,21 @@
 // the same command id, so sending again does no harm. From the first attempt
 // that may have taken effect on, no refusal is believed, because it may have
 // met the operator's own change; only the command's record settles it then.
-func (a *app) write(ctx context.Context, s *session, command string, send send) error {
+func (a *app) write(ctx context.Context, s *session, h headers, send send) error {
+	command := string(h.command.Value)
 	lost := false
 	var last error
 	for _, server := range s.servers {
-		version, err := attempt(ctx, s, server, send)
+		version, err := attempt(ctx, s, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+			return send(ctx, c, h)
+		})
 		if err == nil {
 			return a.report(result{Outcome: outcomeAccepted, Command: command, Version: version})
 		}
 		last = err
 		if !changedNothing(err) {
 			lost = true
+			h.repeat.SetTo(true)
 			continue
 		}
 		var d *document
@@ -124,12 +132,22 @@
 		case adminapi.CommandRecordOutcomeAccepted:
 			return result{Outcome: outcomeAccepted, Command: command, Version: &record.Version.Value}
 		case adminapi.CommandRecordOutcomeRefused:
-			return result{Outcome: outcomeRefused, Command: command, Detail: record.Reason.Or("")}
+			return recordedRefusal(command, record, cause)
 		}
 	}
 	return result{Outcome: outcomeUnknown, Command: command, Detail: lastLine(cause)}
 }
 
+// recordedRefusal tells of a refusal that the record confirms. A conflict that
+// the last server told of says more than the record does.
+func recordedRefusal(command string, r *adminapi.CommandRecord, last error) result {
+	var d *document
+	if errors.As(last, &d) && d.StatusCode == http.StatusPreconditionFailed {
+		return refusal(command, last)
+	}
+	return result{Outcome: outcomeRefused, Command: command, Detail: r.Reason.Or("")}
+}
+
 func refusal(command string, err error) result {
 	r := result{Outcome: outcomeRefused, Command: command, Detail: err.Error()}
 	var d *document
--- a/internal/gen/adminapi/oas_client_gen.go
+++ b/internal/gen/adminapi/oas_client_gen.go
@@ -1441,6 +1441,20 @@
 			return res, errors.Wrap(err, "encode header")
 		}
 	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
 	{
 		cfg := uri.HeaderParameterEncodingConfig{
 			Name:    "If-Match",
@@ -1624,6 +1638,20 @@
 			return res, errors.Wrap(err, "encode header")
 		}
 	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
 	{
 		cfg := uri.HeaderParameterEncodingConfig{
 			Name:    "If-Match",
@@ -1804,6 +1832,20 @@
 			return res, errors.Wrap(err, "encode header")
 		}
 	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
 	{
 		cfg := uri.HeaderParameterEncodingConfig{
 			Name:    "If-Match",
@@ -1984,6 +2026,20 @@
 			return res, errors.Wrap(err, "encode header")
 		}
 	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
 	{
 		cfg := uri.HeaderParameterEncodingConfig{
 			Name:    "If-Match",
--- a/internal/gen/adminapi/oas_handlers_gen.go
+++ b/internal/gen/adminapi/oas_handlers_gen.go
@@ -1952,6 +1952,10 @@
 					Name: "Marlpass-Command",
 					In:   "header",
 				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
 				{
 					Name: "If-Match",
 					In:   "header",
@@ -2177,6 +2181,10 @@
 					Name: "Marlpass-Command",
 					In:   "header",
 				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
 				{
 					Name: "If-Match",
 					In:   "header",
@@ -2387,6 +2395,10 @@
 					Name: "Marlpass-Command",
 					In:   "header",
 				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
 				{
 					Name: "If-Match",
 					In:   "header",
@@ -2597,6 +2609,10 @@
 					Name: "Marlpass-Command",
 					In:   "header",
 				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
 				{
 					Name: "If-Match",
 					In:   "header",
--- a/internal/gen/adminapi/oas_json_gen.go
+++ b/internal/gen/adminapi/oas_json_gen.go
@@ -30,11 +30,18 @@
 		e.FieldStart("version")
 		s.Version.Encode(e)
 	}
+	{
+		if s.Unchanged.Set {
+			e.FieldStart("unchanged")
+			s.Unchanged.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfAccepted = [2]string{
+var jsonFieldsNameOfAccepted = [3]string{
 	0: "command",
 	1: "version",
+	2: "unchanged",
 }
 
 // Decode decodes Accepted from json.
@@ -68,6 +75,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"version\"")
 			}
+		case "unchanged":
+			if err := func() error {
+				s.Unchanged.Reset()
+				if err := s.Unchanged.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unchanged\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -2416,13 +2433,34 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Version.Set {
+			e.FieldStart("version")
+			s.Version.Encode(e)
+		}
+	}
+	{
+		if s.By.Set {
+			e.FieldStart("by")
+			s.By.Encode(e)
+		}
+	}
+	{
+		if s.At.Set {
+			e.FieldStart("at")
+			s.At.Encode(e, json.EncodeDateTime)
+		}
+	}
 }
 
-var jsonFieldsNameOfObjectChange = [4]string{
+var jsonFieldsNameOfObjectChange = [7]string{
 	0: "kind",
 	1: "name",
 	2: "action",
 	3: "fields",
+	4: "version",
+	5: "by",
+	6: "at",
 }
 
 // Decode decodes ObjectChange from json.
@@ -2483,6 +2521,36 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"fields\"")
 			}
+		case "version":
+			if err := func() error {
+				s.Version.Reset()
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "by":
+			if err := func() error {
+				s.By.Reset()
+				if err := s.By.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"by\"")
+			}
+		case "at":
+			if err := func() error {
+				s.At.Reset()
+				if err := s.At.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"at\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
--- a/internal/gen/adminapi/oas_parameters_gen.go
+++ b/internal/gen/adminapi/oas_parameters_gen.go
@@ -832,7 +832,11 @@
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
-	// The ETag of what the operator read; another version gives 412.
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -849,6 +853,15 @@
 			params.MarlpassCommand = v.(OptCommandID)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "If-Match",
@@ -940,6 +953,45 @@
 			Err:  err,
 		}
 	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
 	// Decode header: If-Match.
 	if err := func() error {
 		cfg := uri.HeaderParameterDecodingConfig{
@@ -1042,7 +1094,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     600,
+							MaxLength:     1536,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
@@ -1140,7 +1192,11 @@
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
-	// The ETag of what the operator read; another version gives 412.
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1157,6 +1213,15 @@
 			params.MarlpassCommand = v.(OptCommandID)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "If-Match",
@@ -1248,6 +1313,45 @@
 			Err:  err,
 		}
 	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
 	// Decode header: If-Match.
 	if err := func() error {
 		cfg := uri.HeaderParameterDecodingConfig{
@@ -1350,7 +1454,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     600,
+							MaxLength:     1536,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
@@ -1448,7 +1552,11 @@
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
-	// The ETag of what the operator read; another version gives 412.
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1465,6 +1573,15 @@
 			params.MarlpassCommand = v.(OptCommandID)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "If-Match",
@@ -1556,6 +1673,45 @@
 			Err:  err,
 		}
 	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
 	// Decode header: If-Match.
 	if err := func() error {
 		cfg := uri.HeaderParameterDecodingConfig{
@@ -1658,7 +1814,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     600,
+							MaxLength:     1536,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
@@ -1756,7 +1912,11 @@
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
-	// The ETag of what the operator read; another version gives 412.
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1773,6 +1933,15 @@
 			params.MarlpassCommand = v.(OptCommandID)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "If-Match",
@@ -1864,6 +2033,45 @@
 			Err:  err,
 		}
 	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
 	// Decode header: If-Match.
 	if err := func() error {
 		cfg := uri.HeaderParameterDecodingConfig{
@@ -1966,7 +2174,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     600,
+							MaxLength:     1536,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
--- a/internal/gen/adminapi/oas_router_gen.go
+++ b/internal/gen/adminapi/oas_router_gen.go
@@ -27,9 +27,9 @@
 		"GET": "Authorization",
 	}
 	rn9AllowedHeaders = map[string]string{
-		"DELETE": "Authorization,If-Match,Marlpass-Command,Marlpass-Note",
+		"DELETE": "Authorization,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
 		"GET":    "Authorization",
-		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note",
+		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
 	}
 	rn11AllowedHeaders = map[string]string{
 		"GET": "Authorization",
@@ -38,9 +38,9 @@
 		"GET": "Authorization",
 	}
 	rn13AllowedHeaders = map[string]string{
-		"DELETE": "Authorization,If-Match,Marlpass-Command,Marlpass-Note",
+		"DELETE": "Authorization,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
 		"GET":    "Authorization",
-		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note",
+		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
 	}
 )
 
--- a/internal/gen/adminapi/oas_schemas_gen.go
+++ b/internal/gen/adminapi/oas_schemas_gen.go
@@ -17,6 +17,8 @@
 type Accepted struct {
 	Command string  `json:"command"`
 	Version Version `json:"version"`
+	// It was so already; the version is the newest.
+	Unchanged OptBool `json:"unchanged"`
 }
 
 // GetCommand returns the value of Command.
@@ -29,6 +31,11 @@
 	return s.Version
 }
 
+// GetUnchanged returns the value of Unchanged.
+func (s *Accepted) GetUnchanged() OptBool {
+	return s.Unchanged
+}
+
 // SetCommand sets the value of Command.
 func (s *Accepted) SetCommand(val string) {
 	s.Command = val
@@ -39,6 +46,11 @@
 	s.Version = val
 }
 
+// SetUnchanged sets the value of Unchanged.
+func (s *Accepted) SetUnchanged(val OptBool) {
+	s.Unchanged = val
+}
+
 // AcceptedHeaders wraps Accepted with response headers.
 type AcceptedHeaders struct {
 	ETag            string
@@ -1150,10 +1162,14 @@
 
 // Ref: #/components/schemas/ObjectChange
 type ObjectChange struct {
-	Kind   Kind               `json:"kind"`
-	Name   string             `json:"name"`
-	Action ObjectChangeAction `json:"action"`
-	Fields []FieldChange      `json:"fields"`
+	Kind    Kind               `json:"kind"`
+	Name    string             `json:"name"`
+	Action  ObjectChangeAction `json:"action"`
+	Fields  []FieldChange      `json:"fields"`
+	Version OptVersionNumber   `json:"version"`
+	// With 412, who changed it last.
+	By OptString   `json:"by"`
+	At OptDateTime `json:"at"`
 }
 
 // GetKind returns the value of Kind.
@@ -1176,6 +1192,21 @@
 	return s.Fields
 }
 
+// GetVersion returns the value of Version.
+func (s *ObjectChange) GetVersion() OptVersionNumber {
+	return s.Version
+}
+
+// GetBy returns the value of By.
+func (s *ObjectChange) GetBy() OptString {
+	return s.By
+}
+
+// GetAt returns the value of At.
+func (s *ObjectChange) GetAt() OptDateTime {
+	return s.At
+}
+
 // SetKind sets the value of Kind.
 func (s *ObjectChange) SetKind(val Kind) {
 	s.Kind = val
@@ -1196,6 +1227,21 @@
 	s.Fields = val
 }
 
+// SetVersion sets the value of Version.
+func (s *ObjectChange) SetVersion(val OptVersionNumber) {
+	s.Version = val
+}
+
+// SetBy sets the value of By.
+func (s *ObjectChange) SetBy(val OptString) {
+	s.By = val
+}
+
+// SetAt sets the value of At.
+func (s *ObjectChange) SetAt(val OptDateTime) {
+	s.At = val
+}
+
 type ObjectChangeAction string
 
 const (
@@ -1936,9 +1982,9 @@
 	Status int       `json:"status"`
 	Detail OptString `json:"detail"`
 	// The first field at fault.
-	Field   OptString  `json:"field"`
-	Current OptVersion `json:"current"`
-	// With 412, what differs from the version of If-Match.
+	Field   OptString        `json:"field"`
+	Current OptVersionNumber `json:"current"`
+	// With 412, the touched objects that have changed since If-Match.
 	Changes  []ObjectChange `json:"changes"`
 	Problems []ProblemItem  `json:"problems"`
 }
@@ -1969,7 +2015,7 @@
 }
 
 // GetCurrent returns the value of Current.
-func (s *Problem) GetCurrent() OptVersion {
+func (s *Problem) GetCurrent() OptVersionNumber {
 	return s.Current
 }
 
@@ -2009,7 +2055,7 @@
 }
 
 // SetCurrent sets the value of Current.
-func (s *Problem) SetCurrent(val OptVersion) {
+func (s *Problem) SetCurrent(val OptVersionNumber) {
 	s.Current = val
 }
 
--- a/internal/gen/adminapi/oas_validators_gen.go
+++ b/internal/gen/adminapi/oas_validators_gen.go
@@ -875,6 +875,24 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.Version.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "version",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
