Let the reader answer for a command's record itself

Cause: the admin API's other answers are in its own shapes; the record alone was not. Change: Reader.Command returns the API's record; RecordOf fills it in. Conclusion: an implementation of Reader has one kind of result.

--- a/internal/admin/admintest/reads.go
+++ b/internal/admin/admintest/reads.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/admin"
-	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/platform"
@@ -41,15 +40,15 @@
 }
 
 // Command implements admin.Reader.
-func (f *Fake) Command(ctx context.Context, id string) (command.Record, error) {
+func (f *Fake) Command(ctx context.Context, id string) (*adminapi.CommandRecord, error) {
 	r, err := f.reader.Lookup(ctx, id)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		return r, &admin.NotFoundError{What: "command " + id}
+		return &adminapi.CommandRecord{Command: id, Outcome: adminapi.CommandRecordOutcomeNone}, nil
 	case err != nil:
-		return r, &admin.UnavailableError{Detail: "the platform cannot be reached", RetryAfter: time.Second}
+		return nil, &admin.UnavailableError{Detail: "the platform cannot be reached", RetryAfter: time.Second}
 	}
-	return r, nil
+	return admin.RecordOf(id, r), nil
 }
 
 // Diff implements admin.Reader.
--- a/internal/admin/ports.go
+++ b/internal/admin/ports.go
@@ -20,14 +20,15 @@
 	Limit  int
 }
 
-// Reader answers questions. Apart from what config and command have types for,
-// its answers are the API's own shapes, so that each is filled in once. Errors
-// are *NotFoundError or *UnavailableError.
+// Reader answers questions. Its answers are the API's own shapes, so that each
+// is filled in once; ChangesOf and RecordOf help with that. Errors are
+// *NotFoundError or *UnavailableError.
 type Reader interface {
 	// Snapshot returns the configuration in force at this node.
 	Snapshot() *config.Snapshot
-	// Command returns the record of a command, or *NotFoundError.
-	Command(ctx context.Context, id string) (command.Record, error)
+	// Command tells what is recorded of a command. One without a record has
+	// the outcome none.
+	Command(ctx context.Context, id string) (*adminapi.CommandRecord, error)
 	// Diff compares two versions; a nil to is the version in force.
 	Diff(ctx context.Context, from uint64, to *uint64) (*adminapi.Diff, error)
 	History(ctx context.Context, q HistoryQuery) (*adminapi.History, error)
--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
@@ -45,16 +44,7 @@
 }
 
 func (h handler) GetCommand(ctx context.Context, p adminapi.GetCommandParams) (*adminapi.CommandRecord, error) {
-	id := string(p.ID)
-	record, err := h.s.reader.Command(ctx, id)
-	var none *NotFoundError
-	if errors.As(err, &none) {
-		return &adminapi.CommandRecord{Command: id, Outcome: adminapi.CommandRecordOutcomeNone}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return recordOf(id, record), nil
+	return h.s.reader.Command(ctx, string(p.ID))
 }
 
 func (h handler) GetDiff(ctx context.Context, p adminapi.GetDiffParams) (*adminapi.Diff, error) {
--- a/internal/admin/shapes.go
+++ b/internal/admin/shapes.go
@@ -125,8 +125,8 @@
 	return adminapi.OptDateTime{Value: time.UnixMilli(ms).UTC(), Set: ms != 0}
 }
 
-// recordOf returns a command's record in the API's shape.
-func recordOf(id string, r command.Record) *adminapi.CommandRecord {
+// RecordOf returns a command's record in the API's shape.
+func RecordOf(id string, r command.Record) *adminapi.CommandRecord {
 	out := &adminapi.CommandRecord{
 		Command: id,
 		Outcome: adminapi.CommandRecordOutcomeRefused,
