Give the node's committer to the admin API as it is

Cause: the admin API now takes a command.Submitter and maps its refusals itself. Change: the node's adapter goes; the shapes that its reader uses stay. Conclusion: the adapter's guess at whether an object is new goes with it; the judge of the command tells.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	return admin.NewServer(admin.Options{
-		Commander: commander{n.control.commands, n.snapshot},
+		Commander: n.control.commands,
 		Reader:    &reader{n},
 		Operators: operators,
 		Now:       time.Now,
