--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -223,10 +223,12 @@
 		{"bad method", "/targets/a", `{"service":"berth","match":{"path_prefix":"/","methods":["GET","get"]}}`, "", "", 422, "match.methods[1]"},
 		{"bad name", "/targets/A", good, "", "", 400, "name"},
 		{"bad If-Match", "/targets/a", good, "If-Match", "seven", 400, "If-Match"},
+		{"If-Match on nothing", "/targets/a", good, "If-Match", `"0"`, 422, "If-Match"},
 		{"bad command id", "/targets/a", good, "Marlpass-Command", "a b", 400, "Marlpass-Command"},
 		{"bad note", "/targets/a", good, "Marlpass-Note", "%zz", 422, "Marlpass-Note"},
 		{"too large", "/services/a", `{"description":"` + strings.Repeat("x", admin.MaxBody) + `"}`, "", "", 413, ""},
 		{"not JSON", "/services/a", `{`, "", "", 400, ""},
+		{"another media type", "/services/a", "{}", "Content-Type", "text/plain", 415, ""},
 		{"empty", "/services/a", "", "", "", 400, ""},
 	}
 	b := newBench(t, nil)
--- a/internal/gen/adminapi/oas_parameters_gen.go
+++ b/internal/gen/adminapi/oas_parameters_gen.go
@@ -836,7 +836,7 @@
 	// platform then answers 202 and not 503.
 	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
 	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
-	// has changed since that version.
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1196,7 +1196,7 @@
 	// platform then answers 202 and not 503.
 	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
 	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
-	// has changed since that version.
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1556,7 +1556,7 @@
 	// platform then answers 202 and not 503.
 	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
 	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
-	// has changed since that version.
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
@@ -1916,7 +1916,7 @@
 	// platform then answers 202 and not 503.
 	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
 	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
-	// has changed since that version.
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
 	IfMatch OptString `json:",omitempty,omitzero"`
 	// A short reason for the history, percent-encoded UTF-8.
 	MarlpassNote OptString `json:",omitempty,omitzero"`
