Pin down what the command line believes of a failed write

Cause: trials with one guard taken out at a time showed three that no test noticed: the repeat flag on a write sent again, a node's own fault taken for a refusal, and a clash found at another object told as a bad field. Change: a test for each. A guard in the server that did nothing is taken out; only a result that says refused is a refusal by construction. Conclusion: each of the guards now fails a test when taken out.

--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -52,6 +52,10 @@
 
 // submit runs one write as the operator of ctx. It returns the answer to an
 // accepted command or one with an unknown outcome; a refusal is an error.
+//
+// Only a result that says so is a refusal. Whatever is neither accepted nor
+// refused is told as unknown: told as a refusal, it could make an operator state
+// a change again that is already in force.
 func (h handler) submit(ctx context.Context, c command.Command, headers writeHeaders) (written, error) {
 	who := operatorOf(ctx)
 	c.Operator, c.Team = who.Name, who.Team
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -71,10 +71,6 @@
 }
 
 // run hands a command to the commander, within the bound on commands at once.
-//
-// It guards against a result that says neither accepted nor refused. Told as a
-// refusal it would make an operator state a change again that is already in
-// force, so whatever isn't known is told as unknown.
 func (s *Server) run(ctx context.Context, c command.Command) (command.Result, error) {
 	select {
 	case s.slots <- struct{}{}:
@@ -84,9 +80,6 @@
 	}
 	res := s.commander.Submit(ctx, c)
 	res.Command = c.ID
-	if res.Outcome != command.Accepted && res.Outcome != command.Refused {
-		res.Outcome = command.Unknown
-	}
 	s.logOutcome(&c, res)
 	return res, nil
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -125,6 +125,12 @@
 	if p := d.Response.Problems; len(p) != 1 || p[0].Dependents[0] != "berth-booking" {
 		t.Errorf("got %+v", d)
 	}
+	// The clash is found at the later name, which is not the stated object.
+	_, err = c.PutTarget(ctx, bookings(), adminapi.PutTargetParams{Name: "a-booking"})
+	d = wantProblem(t, err, 409, command.ReasonInvalid)
+	if p := d.Response.Problems; len(p) != 1 || p[0].Name.Value != "berth-booking" || d.Response.Field.Set {
+		t.Errorf("got %+v", d)
+	}
 	if got := b.fake.Snapshot().Version().Number; got != 2 {
 		t.Errorf("a refused command took effect: version %d", got)
 	}
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/admin/admintest"
+	"github.com/marlpass/marlpass/internal/problem"
 )
 
 // clock is the time of the fake behind the servers, and of the command line.
@@ -74,6 +75,10 @@
 		h = cutsOnce(h, true)
 	case "cuts-before": // the connection breaks before the write is taken
 		h = cutsOnce(h, false)
+	case "repeats": // takes only writes that say that they were sent before
+		h = onlyRepeats(h)
+	case "faults": // a fault of the node itself
+		h = http.HandlerFunc(fault)
 	case "hangs": // takes the write and never answers
 		h = http.HandlerFunc(hang)
 	case "tls":
@@ -128,6 +133,22 @@
 	})
 }
 
+func onlyRepeats(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && r.Header.Get("Marlpass-Repeat") != "true" {
+			w.WriteHeader(http.StatusTeapot)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func fault(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", problem.ContentType)
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, `{"type":"`+admin.TypeInternal+`","title":"Internal Server Error","status":500}`)
+}
+
 func hang(_ http.ResponseWriter, r *http.Request) {
 	// Only once the body is read does the server notice that the client left.
 	_, _ = io.Copy(io.Discard, r.Body)
