Name the kinds of change of the announced list

Cause: the node logs what happened to a backend server. Change: announce.ChangeKind is a fmt.Stringer. Conclusion: the log says it in a word.

--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -62,6 +63,23 @@
 	Expired
 )
 
+var changeNames = map[ChangeKind]string{
+	Renewed:   "renewed",
+	Added:     "added",
+	Changed:   "changed",
+	Replaced:  "replaced",
+	Withdrawn: "withdrawn",
+	Expired:   "expired",
+}
+
+// String returns the kind in a word.
+func (k ChangeKind) String() string {
+	if name, ok := changeNames[k]; ok {
+		return name
+	}
+	return fmt.Sprintf("ChangeKind(%d)", uint8(k))
+}
+
 // Change is one change of the registry.
 type Change struct {
 	Kind    ChangeKind
--- a/internal/announce/registry_test.go
+++ b/internal/announce/registry_test.go
@@ -113,6 +113,16 @@
 	}
 }
 
+func TestEveryKindOfChangeHasAName(t *testing.T) {
+	seen := make(map[string]bool)
+	for k := Renewed; k <= Expired; k++ {
+		if name := k.String(); seen[name] || changeNames[k] == "" {
+			t.Errorf("kind %d is named %q", k, name)
+		}
+		seen[k.String()] = true
+	}
+}
+
 func TestPutBoundsTheNumber(t *testing.T) {
 	r := NewRegistry(Limits{TTL: DefaultTTL, Max: 1})
 	put(t, r, start, berth("a", "127.0.0.1:1"))
