--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -63,7 +63,7 @@
 		Limit:  p.Limit.Value,
 	}
 	if p.Kind.Set != p.Name.Set {
-		return nil, invalidHeader(config.Key{}, "kind", "and name must be given together")
+		return nil, &parameterError{"kind", "and name must be given together"}
 	}
 	if p.Kind.Set {
 		q.Key = &config.Key{Kind: config.Kind(p.Kind.Value), Name: string(p.Name.Value)}
