Test the picker and the retry policy

The picker never lets reported load make an endpoint cheaper than the mean and draws on after a recent failure.

--- /dev/null
+++ b/internal/retry/policy_test.go
@@ -0,0 +1,205 @@
+package retry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+// seeded is a source that many policies may share.
+type seeded struct {
+	mu  sync.Mutex
+	pcg *rand.PCG
+}
+
+func newSeeded(seed uint64) *seeded { return &seeded{pcg: rand.NewPCG(1, seed)} }
+
+func (s *seeded) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pcg.Uint64()
+}
+
+func refusal(r call.Reason) *call.Refusal { return &call.Refusal{Reason: r} }
+
+// input is a first attempt that was refused because the endpoint drains.
+func input(change func(*Input)) Input {
+	in := Input{
+		Now: start, Outcome: call.NotRun, Attempt: 1, Remaining: time.Second,
+		Refusal: refusal(call.ReasonDraining), BodyReplayable: true,
+	}
+	change(&in)
+	return in
+}
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Input)
+		want   Why
+		retry  bool
+	}{
+		{"refused, other endpoints", func(*Input) {}, WhyElsewhere, true},
+		{"refused by all as draining", func(in *Input) { in.TriedAll = true }, WhyAgain, true},
+		{"overloaded, other endpoints", func(in *Input) { in.Refusal = refusal(call.ReasonOverloaded) }, WhyElsewhere, true},
+		{"overloaded everywhere", func(in *Input) { in.Refusal, in.TriedAll = refusal(call.ReasonOverloaded), true }, WhyUseless, false},
+		{"quarantined", func(in *Input) { in.Refusal = refusal(call.ReasonQuarantined) }, WhyUseless, false},
+		{"no endpoint", func(in *Input) { in.Refusal = refusal(call.ReasonNoEndpoint) }, WhyUseless, false},
+		{"deadline passed in a queue", func(in *Input) { in.Refusal = refusal(call.ReasonExpired) }, WhyUseless, false},
+		{"may have run, not idempotent", func(in *Input) { in.Outcome, in.Refusal = call.Unknown, nil }, WhyMayHaveRun, false},
+		{"may have run, idempotent", func(in *Input) { in.Outcome, in.Refusal, in.Idempotent = call.Unknown, nil, true }, WhyElsewhere, true},
+		{"ran", func(in *Input) { in.Outcome, in.Refusal, in.Idempotent = call.Ran, nil, true }, WhyRan, false},
+		{"no outcome", func(in *Input) { in.Outcome, in.Idempotent = 0, true }, WhyRan, false},
+		{"body gone", func(in *Input) { in.BodyReplayable = false }, WhyBody, false},
+		{"a node further down gave up", func(in *Input) { in.Final = true }, WhyFinal, false},
+		{"below a retry, overloaded", func(in *Input) { in.Below, in.Refusal = true, refusal(call.ReasonOverloaded) }, WhyBelow, false},
+		{"below a retry, draining", func(in *Input) { in.Below = true }, WhyElsewhere, true},
+		{"below a retry, draining twice", func(in *Input) { in.Below, in.Attempt = true, 2 }, WhyBelow, false},
+		{"attempts used up", func(in *Input) { in.Attempt = DefaultMaxAttempts }, WhyAttempts, false},
+		{"no time left", func(in *Input) { in.Remaining = time.Millisecond }, WhyDeadline, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := New(Options{Rand: newSeeded(1)}).Decide(input(c.change))
+			if d.Why != c.want || d.Retry != c.retry {
+				t.Errorf("got %+v", d)
+			}
+			if d.Retry && d.ComeBack != 0 || !d.Retry && d.After != 0 {
+				t.Errorf("both a retry and a final answer: %+v", d)
+			}
+		})
+	}
+}
+
+// A client is told to come back, and its second booking is made as well. The
+// call may have run, so nothing may invite the client to send it again.
+func TestComeBackOnlyWhenHarmless(t *testing.T) {
+	p := New(Options{Rand: newSeeded(1)})
+	d := p.Decide(input(func(in *Input) { in.Outcome, in.Refusal = call.Unknown, nil }))
+	if d.ComeBack != 0 {
+		t.Errorf("a call that may have run is told to come back in %v", d.ComeBack)
+	}
+	d = p.Decide(input(func(in *Input) { in.Attempt = DefaultMaxAttempts }))
+	if d.ComeBack < DefaultComeBack {
+		t.Errorf("a refused call is told to come back in %v", d.ComeBack)
+	}
+	long := &call.Refusal{Reason: call.ReasonQuarantined, RetryAfter: time.Minute}
+	d = p.Decide(input(func(in *Input) { in.Refusal = long }))
+	if d.ComeBack < time.Minute {
+		t.Errorf("told to come back in %v, before the refusal ends", d.ComeBack)
+	}
+}
+
+// Users wait until their deadline for an answer that was known long before. A
+// wait before a retry may only take a small part of the time left.
+func TestWaitIsShort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(Options{Rand: newSeeded(rapid.Uint64().Draw(t, "seed"))})
+		in := input(func(in *Input) {
+			in.Refusal = refusal(call.ReasonOverloaded)
+			in.Attempt = rapid.IntRange(1, 2).Draw(t, "attempt")
+			in.Remaining = time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "remaining"))
+		})
+		d := p.Decide(in)
+		if d.After > in.Remaining/waitShare || d.After > DefaultBackoffMax {
+			t.Fatalf("waits %v of %v", d.After, in.Remaining)
+		}
+	})
+}
+
+// A family is charged twice for one launch. The first attempt ran and its
+// answer was lost; a retry ran it again. Whatever order of failures comes, a
+// call that is not idempotent runs at most once.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	reasons := []call.Reason{call.ReasonDraining, call.ReasonOverloaded, call.ReasonUnreachable, call.ReasonNotHeld, call.ReasonBackend}
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(Options{MaxAttempts: 10, Rand: newSeeded(rapid.Uint64().Draw(t, "seed"))})
+		runs, now := 0, start
+		for attempt := 1; ; attempt++ {
+			in := input(func(in *Input) { in.Now, in.Attempt = now, attempt })
+			// What happens, and what is known of it. A run whose answer is
+			// lost and a request lost on its way look the same.
+			switch rapid.IntRange(0, 3).Draw(t, "fate") {
+			case 0:
+				in.Refusal = refusal(rapid.SampledFrom(reasons).Draw(t, "reason"))
+			case 1:
+				in.Outcome, in.Refusal = call.Unknown, nil
+			case 2:
+				runs++
+				in.Outcome, in.Refusal = call.Unknown, nil
+			case 3:
+				runs++
+				in.Outcome, in.Refusal = call.Ran, nil
+			}
+			in.TriedAll = rapid.Bool().Draw(t, "tried all")
+			d := p.Decide(in)
+			if !d.Retry {
+				break
+			}
+			now = now.Add(d.After)
+		}
+		if runs > 1 {
+			t.Fatalf("ran %d times", runs)
+		}
+	})
+}
+
+func TestBudget(t *testing.T) {
+	var b Budget
+	b.init(BudgetOptions{})
+	spend := func(now time.Time) int {
+		n := 0
+		for b.withdraw(now, priceWhole) {
+			n++
+		}
+		return n
+	}
+	if n := spend(start); n != floorBurst {
+		t.Errorf("a fresh budget allows %d retries", n)
+	}
+	for range 50 {
+		b.deposit()
+	}
+	if n := spend(start); n != 5 {
+		t.Errorf("50 calls allow %d retries", n)
+	}
+	for range 10_000 {
+		b.deposit()
+	}
+	if n := spend(start); n != DefaultBurst {
+		t.Errorf("a long time of calls allows %d retries at once", n)
+	}
+	if n := spend(start.Add(time.Hour)); n != floorBurst {
+		t.Errorf("an hour without calls allows %d retries", n)
+	}
+	if n := spend(start.Add(time.Hour + 10*time.Second)); n != 1 {
+		t.Errorf("ten seconds allow %d retries", n)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	p := New(Options{})
+	in := input(func(in *Input) { in.Refusal = refusal(call.ReasonOverloaded) })
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Called()
+		p.Decide(in)
+	}
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -88,8 +88,12 @@
 	return p.randomFloat() < (cost-spillFrom)/(spillFull-spillFrom)
 }
 
-// moreDraws bounds the further draws when both of two look bad.
-const moreDraws = 4
+// moreDraws bounds the further draws when the better of two still fails at
+// least the share drawOn of its calls.
+const (
+	moreDraws = 4
+	drawOn    = 0.15
+)
 
 // bestOfTwo compares the endpoint whose turn it is to a random one. Where many fail, both
 // may be failing ones that the cap keeps from being ejected; then it draws on.
@@ -101,7 +105,7 @@
 	cost := p.cost(best, now)
 	for i := range 1 + moreDraws {
 		failing := best.failing(now, p.forget)
-		if i > 0 && failing < ejectAt {
+		if i > 0 && failing < drawOn {
 			break
 		}
 		s := p.draw(from, now, tried, best)
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -93,7 +93,9 @@
 //
 // A report that stopped coming must not go on saying that the endpoint is
 // idle: it would draw the calls of every node. So the estimate moves with the
-// age of the report to the mean of the service, not to zero.
+// age of the report to the mean of the service, not to zero. And a report may
+// only make an endpoint dearer than the mean: one that wrongly says that it is
+// idle, or is idle because it fails its calls at once, would draw calls.
 func (p *Picker) othersLoad(s *state, e *Endpoint, now int64) float64 {
 	mean, _, _ := p.others.load()
 	mean *= e.slots()
@@ -101,10 +103,7 @@
 	if !ok {
 		return mean
 	}
-	if v < mean && s.failing(now, p.forget) > 0 {
-		// It may be idle because it fails its calls at once.
-		return mean
-	}
+	v = max(v, mean)
 	w := fade(now-at, p.loadAge)
 	return w*v + (1-w)*mean
 }
