--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -122,6 +123,17 @@
 	return ids
 }
 
+// crashedAt takes the endpoints from the crash IDs, which end in the moment.
+func (e *Entry) crashedAt() []string {
+	out := make([]string, 0, len(e.Crashes))
+	for _, c := range e.Crashes {
+		if i := strings.LastIndexByte(c.ID, '/'); i > 0 {
+			out = append(out, c.ID[:i])
+		}
+	}
+	return out
+}
+
 // same reports whether o adds nothing to e.
 func (e *Entry) same(o *Entry) bool {
 	return slices.Equal(e.Crashes, o.Crashes) && slices.Equal(e.Lifted, o.Lifted)
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -67,6 +67,14 @@
 	return ok
 }
 
+func (h *holds) crashedAt(now time.Time, fp Fingerprint) []string {
+	v, ok := h.get(now, fp)
+	if !ok {
+		return nil
+	}
+	return v.endpoints[:1]
+}
+
 func (h *holds) blocked(now time.Time, fp Fingerprint) (time.Time, bool) {
 	v, ok := h.get(now, fp)
 	return v.until, ok && v.endpoints[1] != ""
@@ -79,7 +87,8 @@
 	h.count.Store(int64(len(h.byFP)))
 }
 
-// Broke notes at the entry node that a call broke at an endpoint: it may have
+// Broke notes at the entry node that a call broke at an endpoint, given as
+// VM/backend server: it may have
 // crashed it. Until the destination node tells, a resend runs isolated, and one
 // that broke at two endpoints is held back for a moment. A request that this
 // node had an answer to lately is passed over.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -122,6 +122,17 @@
 	return l.held.isolated(now, fp)
 }
 
+// CrashedAt returns the endpoints, as VM/backend server, that crashed with the
+// suspect in flight. An entry node doesn't choose them for its isolated run:
+// they are starting again, and the choice would change under the run when they
+// come back, so that two endpoints would run it.
+func (l *List) CrashedAt(now time.Time, fp Fingerprint) []string {
+	if e := l.lookup(now, fp); e != nil {
+		return e.crashedAt()
+	}
+	return l.held.crashedAt(now, fp)
+}
+
 // Start notes at the destination node that the request is about to run at the
 // backend server. what names it for operators, without its query. The error is
 // a *call.Refusal when it must not run now.
