Keep the picker's averages right over the wrap of their clock

Cause: the moment kept with an average has 32 bits of milliseconds; after 49.7 days all samples would have looked old, and picking would have gone on as plain turns. Change: ages are differences of 32 bits. Conclusion: tested at 1, 49, 50 and 200 days.

--- a/internal/route/average.go
+++ b/internal/route/average.go
@@ -14,16 +14,21 @@
 	return uint64(math.Float32bits(float32(v)))<<32 | uint64(uint32(at))
 }
 
-// unpack returns the value and the moment. Moments are in milliseconds since
-// the Picker began and never zero, so a zero word means no sample.
-func unpack(w uint64) (v float64, at int64, ok bool) {
-	if w == 0 {
-		return 0, 0, false
-	}
-	return float64(math.Float32frombits(uint32(w >> 32))), int64(uint32(w)), true
+// unpack returns the value and the low 32 bits of the moment, which is in
+// milliseconds since the Picker began. A zero word means no sample.
+func unpack(w uint64) (v float64, at uint32, ok bool) {
+	return float64(math.Float32frombits(uint32(w >> 32))), uint32(w), w != 0
 }
 
-func (a *average) load() (v float64, at int64, ok bool) { return unpack(a.word.Load()) }
+// load returns the average and the age of its last sample.
+//
+// The moment wraps around after 49.7 days. Ages are differences of 32 bits, so
+// that they stay right over the wrap; a difference that would be negative comes
+// from a caller whose clock reading is a little older, and counts as zero.
+func (a *average) load(now int64) (v float64, age int64, ok bool) {
+	v, at, ok := unpack(a.word.Load())
+	return v, max(0, int64(int32(uint32(now)-at))), ok
+}
 
 // set replaces the average by one sample.
 func (a *average) set(v float64, at int64) { a.word.Store(pack(v, at)) }
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -23,7 +23,8 @@
 	own := s.outstanding.Add(-1)
 	verdict := judge(r)
 	if verdict != verdictFailed {
-		// What fails at once is idle, and says so.
+		// What fails at once is idle, and says so; it must not lower the
+		// mean that the others are compared to.
 		p.takeLoad(s, own, now, r.Load)
 	}
 	switch verdict {
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -297,3 +297,19 @@
 	close(stop)
 	<-done
 }
+
+// After seven weeks a node sends calls to failing endpoints again. The moments
+// kept with the averages wrap around, and all samples would look old.
+func TestAveragesOverTheWrap(t *testing.T) {
+	for _, day := range []int{1, 49, 50, 200} {
+		p := picker(Options{}, endpoints(2))
+		now := simStart.Add(time.Duration(day) * 24 * time.Hour)
+		c, _ := p.Pick(now, []string{"e0"})
+		c.Done(now, failed)
+		for _, later := range []time.Duration{-time.Millisecond, 0, time.Second} {
+			if f := p.Endpoints(now.Add(later))[1].Failures; f < 0.5 {
+				t.Errorf("day %d: failures %.2f, %v later", day, f, later)
+			}
+		}
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -64,11 +64,11 @@
 // failing returns the recent share of failed calls. It fades with time: an
 // endpoint that gets no calls could not show otherwise that it is well again.
 func (s *state) failing(now, forget int64) float64 {
-	f, at, ok := s.failures.load()
+	f, age, ok := s.failures.load(now)
 	if !ok {
 		return 0
 	}
-	f *= fade(now-at, forget)
+	f *= fade(age, forget)
 	if f < noiseFailure {
 		return 0
 	}
@@ -97,14 +97,14 @@
 // only make an endpoint dearer than the mean: one that wrongly says that it is
 // idle, or is idle because it fails its calls at once, would draw calls.
 func (p *Picker) othersLoad(s *state, e *Endpoint, now int64) float64 {
-	mean, _, _ := p.others.load()
+	mean, _, _ := p.others.load(now)
 	mean *= e.slots()
-	v, at, ok := s.others.load()
+	v, age, ok := s.others.load(now)
 	if !ok {
 		return mean
 	}
 	v = max(v, mean)
-	w := fade(now-at, p.loadAge)
+	w := fade(age, p.loadAge)
 	return w*v + (1-w)*mean
 }
 
@@ -112,13 +112,13 @@
 // It never makes an endpoint cheaper than the mean: quick answers may be the
 // sign of a fault as well.
 func (p *Picker) latencyFactor(s *state, now int64) float64 {
-	own, at, ok := s.latency.load()
-	mean, _, okMean := p.latency.load()
+	own, age, ok := s.latency.load(now)
+	mean, _, okMean := p.latency.load(now)
 	if !ok || !okMean || mean <= 0 {
 		return 1
 	}
 	f := math.Min(own/mean, maxLatencyFactor)
-	f = 1 + (f-1)*fade(now-at, p.forget)
+	f = 1 + (f-1)*fade(age, p.forget)
 	if f <= noiseLatency {
 		return 1
 	}
