Use two endpoints at least rather than three

Cause: three was a guess; with 240 nodes and 4 endpoints in a data centre it puts 180 nodes on each, over the 130 that an endpoint should hold. Change: DefaultMinSubset is 2, which puts 120 on each.

--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -5,7 +5,7 @@
 // Defaults of the tunable fields of Options.
 const (
 	DefaultConnections = 130
-	DefaultMinSubset   = 3
+	DefaultMinSubset   = 2
 	DefaultSlowStart   = 20 * time.Second
 	DefaultLoadAge     = 50 * time.Millisecond
 	DefaultForget      = 10 * time.Second
