--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -75,7 +75,7 @@
 // passed over, and so are those that can't be read. Merging the same notice
 // again, or notices in another order, changes nothing.
 func (l *List) MergeNotices(now time.Time, from string, ns []membership.Notice) {
-	if from == l.opt.Self {
+	if from == l.opt.Self || len(ns) == 0 {
 		return
 	}
 	l.mu.Lock()
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -23,7 +23,10 @@
 // store that is down or a cut of this node's own network: then all endpoints
 // look dead, and leaving all out would turn slow answers into none.
 func (p *Picker) considerEjection(s *state, now int64) {
-	if s.results.Load() < minResults || s.failing(now, p.forget) < ejectAt {
+	if s.ejected.Load() || s.results.Load() < minResults {
+		return
+	}
+	if s.failing(now, p.forget) < ejectAt {
 		return
 	}
 	p.mu.Lock()
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -192,21 +192,33 @@
 }
 
 // PickFixed picks by key alone, so that nodes with the same view pick the same
-// endpoint. It is for requests that must run at one place at a time.
-func (p *Picker) PickFixed(now time.Time, key uint64, tried []string) (Choice, error) {
+// endpoint. It is for requests that must run at one place at a time. Endpoints in
+// avoid are taken only if no other is open. They must be the same at all nodes,
+// so what this call tried before doesn't belong there.
+func (p *Picker) PickFixed(now time.Time, key uint64, avoid []string) (Choice, error) {
 	ms := p.millis(now)
+	all := p.table.Load().all
+	s := highest(all, ms, key, avoid)
+	if s == nil {
+		s = highest(all, ms, key, nil)
+	}
+	if s == nil {
+		return Choice{}, noEndpoint()
+	}
+	return p.choose(s, false), nil
+}
+
+// highest returns the open endpoint with the highest rank for key.
+func highest(all []*state, now int64, key uint64, avoid []string) *state {
 	var best *state
 	var bestRank uint64
-	for _, s := range p.table.Load().all {
-		if !usable(s, ms, tried) {
+	for _, s := range all {
+		if !usable(s, now, avoid) {
 			continue
 		}
 		if r := rankKey(key, s.ep.Load().ID); best == nil || r > bestRank {
 			best, bestRank = s, r
 		}
 	}
-	if best == nil {
-		return Choice{}, noEndpoint()
-	}
-	return p.choose(best, false), nil
+	return best
 }
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -268,6 +268,13 @@
 		if err != nil || a.Endpoint().ID != b.Endpoint().ID {
 			t.Fatalf("key %d: %v and %v", key, a.Endpoint(), b.Endpoint())
 		}
+		c, err := p.PickFixed(simStart, key, []string{a.Endpoint().ID})
+		if err != nil || c.Endpoint().ID == a.Endpoint().ID {
+			t.Fatalf("key %d: %v is not avoided, %v", key, a.Endpoint(), err)
+		}
+	}
+	if c, err := picker(Options{}, endpoints(1)).PickFixed(simStart, 1, []string{"e0"}); err != nil {
+		t.Errorf("with one endpoint: %v %v", c, err)
 	}
 }
 
