--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -88,8 +88,12 @@
 	return p.randomFloat() < (cost-spillFrom)/(spillFull-spillFrom)
 }
 
-// moreDraws bounds the further draws when both of two look bad.
-const moreDraws = 4
+// moreDraws bounds the further draws when the better of two still fails at
+// least the share drawOn of its calls.
+const (
+	moreDraws = 4
+	drawOn    = 0.15
+)
 
 // bestOfTwo compares the endpoint whose turn it is to a random one. Where many fail, both
 // may be failing ones that the cap keeps from being ejected; then it draws on.
@@ -101,7 +105,7 @@
 	cost := p.cost(best, now)
 	for i := range 1 + moreDraws {
 		failing := best.failing(now, p.forget)
-		if i > 0 && failing < ejectAt {
+		if i > 0 && failing < drawOn {
 			break
 		}
 		s := p.draw(from, now, tried, best)
@@ -188,21 +192,33 @@
 }
 
 // PickFixed picks by key alone, so that nodes with the same view pick the same
-// endpoint. It is for requests that must run at one place at a time.
-func (p *Picker) PickFixed(now time.Time, key uint64, tried []string) (Choice, error) {
+// endpoint. It is for requests that must run at one place at a time. Endpoints in
+// avoid are taken only if no other is open. They must be the same at all nodes,
+// so what this call tried before doesn't belong there.
+func (p *Picker) PickFixed(now time.Time, key uint64, avoid []string) (Choice, error) {
 	ms := p.millis(now)
+	all := p.table.Load().all
+	s := highest(all, ms, key, avoid)
+	if s == nil {
+		s = highest(all, ms, key, nil)
+	}
+	if s == nil {
+		return Choice{}, noEndpoint()
+	}
+	return p.choose(s, false), nil
+}
+
+// highest returns the open endpoint with the highest rank for key.
+func highest(all []*state, now int64, key uint64, avoid []string) *state {
 	var best *state
 	var bestRank uint64
-	for _, s := range p.table.Load().all {
-		if !usable(s, ms, tried) {
+	for _, s := range all {
+		if !usable(s, now, avoid) {
 			continue
 		}
 		if r := rankKey(key, s.ep.Load().ID); best == nil || r > bestRank {
 			best, bestRank = s, r
 		}
 	}
-	if best == nil {
-		return Choice{}, noEndpoint()
-	}
-	return p.choose(best, false), nil
+	return best
 }
