Give the overtaking cap a weight, for the measurements

Cause: A copy of the cap stood in the tests to try other weights. Change: OvertakingCap.Weight; the copy is gone.

--- a/internal/limit/fairway_test.go
+++ b/internal/limit/fairway_test.go
@@ -72,27 +72,6 @@
 	return oldest
 }
 
-// capped keeps the fair lane's cap on overtaking around any order.
-type capped struct {
-	inner  Order
-	weight float64
-	oldest uint64
-	ahead  float64
-}
-
-func (o *capped) pick(now time.Time, cs []*classState) *classState {
-	oldest := FirstCome{}.pick(now, cs)
-	if o.oldest != oldest.head().sequence {
-		o.oldest, o.ahead = oldest.head().sequence, 0
-	}
-	c := o.inner.pick(now, cs)
-	if c != oldest && o.weight*(o.ahead+c.service.value) > oldest.service.value {
-		return oldest
-	}
-	o.ahead += c.service.value
-	return c
-}
-
 // relativeToTarget is the relative wait with the answer time as the patience.
 type relativeToTarget struct{}
 
--- a/internal/limit/measure_test.go
+++ b/internal/limit/measure_test.go
@@ -121,10 +121,10 @@
 		{"fairway, weight 4", func() Order { return &fairway{fast: fast, weight: 4} }},
 		{"fairway, weight 1", func() Order { return &fairway{fast: fast, weight: 1} }},
 		{"relative wait to target", func() Order { return relativeToTarget{} }},
-		{"earliest target, cap 2", func() Order { return &capped{inner: EarliestTarget{}, weight: 2} }},
+		{"earliest target, cap 2", func() Order { return &OvertakingCap{Inner: EarliestTarget{}, Weight: 2} }},
 		{"earliest target, cap 1", func() Order { return &OvertakingCap{Inner: EarliestTarget{}} }},
-		{"earliest target, cap 4", func() Order { return &capped{inner: EarliestTarget{}, weight: 4} }},
-		{"earliest target, cap 1/4", func() Order { return &capped{inner: EarliestTarget{}, weight: 0.25} }},
+		{"earliest target, cap 4", func() Order { return &OvertakingCap{Inner: EarliestTarget{}, Weight: 4} }},
+		{"earliest target, cap 1/4", func() Order { return &OvertakingCap{Inner: EarliestTarget{}, Weight: 0.25} }},
 	} {
 		ps = append(ps, policy{name: o.name, options: func() QueueOptions { return plain(o.make())() }})
 	}
--- a/internal/limit/order.go
+++ b/internal/limit/order.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Order chooses which class's oldest call starts next. Calls of one class are
 // alike in expected work, so within a class the order is always of arrival.
@@ -17,9 +20,12 @@
 // oldest call that waits: at most as much as that call's own expected work.
 // Without it a stream of calls that are due soon keeps a long call waiting
 // until it is late for its own target. The cap is that of the paper "Fairway:
-// Load-Aware KV Cache Reuse for LLM Prefill Scheduling", with weight one.
+// Load-Aware KV Cache Reuse for LLM Prefill Scheduling".
 type OvertakingCap struct {
-	Inner  Order
+	Inner Order
+	// Weight divides the oldest call's work to give the bound; zero means
+	// one. The paper has four.
+	Weight float64
 	oldest uint64  // sequence of the call that ahead counts for
 	ahead  float64 // expected work started ahead of it, in nanoseconds
 }
@@ -33,7 +39,7 @@
 	if c == oldest {
 		return c
 	}
-	if o.ahead+c.service.value > oldest.service.value {
+	if cmp.Or(o.Weight, 1)*(o.ahead+c.service.value) > oldest.service.value {
 		return oldest
 	}
 	o.ahead += c.service.value
