Test what a reservation must leave and a lost grant

Cause: Three deliberate faults went unnoticed by the tests: a grant to a caller that has gone kept its slot, a class could be held to no slot at all, and two classes could give way to each other. Change: A deterministic order of events in the test of the lost grant, and two new tests.

--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,10 +95,14 @@
 				}
 			}()
 			synctest.Wait()
-			go cancel()
-			p.Release(Result{})
-			<-done
+			// Both events are there before the caller can take the lock.
+			g.mu.Lock()
 			cancel()
+			runtime.Gosched()
+			g.q.Done(time.Now(), p.e, Result{})
+			g.deliver()
+			g.mu.Unlock()
+			<-done
 		}
 		if busy, _ := g.Load(); busy != 0 {
 			t.Errorf("%d slots lost", busy)
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -99,6 +99,41 @@
 	wantReason(t, events[0].Refusal, call.ReasonOverloaded)
 }
 
+// Archive pulls have had to give way until one slot is all that they are let
+// up to, and lookups hold it. A pull must still get the second slot, or archive
+// pulls would wait for as long as lookups keep coming.
+func TestReservationLeavesEachClassOneSlot(t *testing.T) {
+	q := newTestQueue(Config{Slots: 3, Classes: []Class{{Name: "archive"}, {Name: "lookups"}}})
+	q.classes["archive"].upTo = 1
+	offer(t, q, at(0), "lookups")
+	if !offer(t, q, at(0), "archive").Started() {
+		t.Error("the first pull waits")
+	}
+	if offer(t, q, at(0), "archive").Started() {
+		t.Error("the second pull took a reserved slot")
+	}
+	if !offer(t, q, at(0), "lookups").Started() {
+		t.Error("a lookup waits while a slot is free")
+	}
+}
+
+// Two classes have given way to each other in turn. When both miss their
+// targets, one of them must be let up to the limit again; otherwise slots stand
+// idle in the middle of an overload.
+func TestClassThatMissesIsLetUpToTheLimit(t *testing.T) {
+	q := newTestQueue(Config{Slots: 6, Classes: []Class{
+		{Name: "a", AnswerWithin: time.Second}, {Name: "b", AnswerWithin: time.Second, Priority: 9},
+	}})
+	for _, name := range []string{"a", "b"} {
+		q.classes[name].upTo = 1
+		q.classes[name].window.refused = 1
+	}
+	q.Tick(at(time.Minute))
+	if got := q.classes["b"].upTo; got != 6 {
+		t.Errorf("the class that misses is let up to %d of 6 slots", got)
+	}
+}
+
 func TestRateOfClassIsBounded(t *testing.T) {
 	q := newTestQueue(Config{Slots: 100, Classes: []Class{{Name: "x", RatePerSecond: RateOf(100, 10)}}})
 	admitted := 0
