Tell resends of a lost run that it is unknown, at once

Cause: A claim whose run was lost had no end: the node kept it for ever, and resends waited for their deadline or the lease before they were told. Change: Claim.Lost ends it; the row, or under a guard this node, tells others.

--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -165,7 +165,7 @@
 		return Begun{}, verdictAgain, nil
 	}
 	now := a.k.o.Now()
-	lapsed := now.Sub(stands.claimedAt()) > a.k.o.Lease || now.Sub(first) > a.k.o.Lease
+	lapsed := stands.Lost || now.Sub(stands.claimedAt()) > a.k.o.Lease || now.Sub(first) > a.k.o.Lease
 	if lapsed {
 		// The claimant died, or is paused, or could not store the outcome.
 		// It may have run the request, so no one else ever does.
--- a/internal/once/finish.go
+++ b/internal/once/finish.go
@@ -20,7 +20,7 @@
 		s.Body, s.Truncated = nil, true
 	}
 	c.row.Outcome = &s
-	c.k.settle(c.f, &s)
+	c.k.settle(c.f, &s, false)
 	u := &unsavedOutcome{nonce: c.row.Nonce, row: c.row}
 	if err := c.k.store(ctx, c.f.key, u, c.guard); err != nil {
 		c.k.remember(c.f, u, c.guard)
@@ -30,6 +30,28 @@
 	return nil
 }
 
+// Lost ends the claim of a run whose outcome is not known, because the backend
+// server died or the connection broke after the first byte. Repeats are told
+// "unknown", and the request never runs again. A guard stays remembered here; a
+// claim has its row, which tells the other nodes not to wait for the lease. If
+// that write fails, they wait and are told the same.
+func (c *Claim) Lost(ctx context.Context) error {
+	if err := c.end(); err != nil {
+		return err
+	}
+	if c.guard {
+		c.k.settle(c.f, nil, true)
+		return nil
+	}
+	c.row.Lost = true
+	value, err := c.row.encode()
+	if err == nil {
+		err = c.k.batcher.do(ctx, &item{write: platform.Write{Key: c.f.key, Value: value}})
+	}
+	c.k.leave(c.f)
+	return err
+}
+
 // Abandon gives the claim up after a run that is proved not to have happened,
 // so that the caller may send the request again. If the platform does not
 // confirm it, a resend that reaches this node may run, and one that reaches
--- a/internal/once/flight.go
+++ b/internal/once/flight.go
@@ -22,6 +22,7 @@
 	// outcome is set before done is closed; nil means that those who joined
 	// must look again.
 	outcome *Stored
+	lost    bool // the outcome never will be known
 	// kept says that the outcome, or the fact of the run, is remembered here
 	// because the platform does not have it. unsaved is what it should have.
 	kept    bool
@@ -67,11 +68,12 @@
 	closeOnce(f.done)
 }
 
-// settle gives the outcome to those who joined.
-func (k *Keeper) settle(f *flight, s *Stored) {
+// settle gives the outcome, or that there is none to be known, to those who
+// joined.
+func (k *Keeper) settle(f *flight, s *Stored, lost bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	f.outcome = s
+	f.outcome, f.lost = s, lost
 	closeOnce(f.done)
 }
 
@@ -96,14 +98,15 @@
 	case <-ctx.Done():
 		return k.count(Begun{Unknown: true}, nil)
 	}
-	if s := k.outcome(f); s != nil {
-		return k.count(Begun{Replay: s}, nil)
+	s, lost := k.outcome(f)
+	if s != nil || lost {
+		return k.count(Begun{Replay: s, Unknown: lost}, nil)
 	}
 	return k.Begin(ctx, r)
 }
 
-func (k *Keeper) outcome(f *flight) *Stored {
+func (k *Keeper) outcome(f *flight) (s *Stored, lost bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return f.outcome
+	return f.outcome, f.lost
 }
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -142,6 +142,29 @@
 	})
 }
 
+// A backend server dies while it runs a booking. Resends, at this node and at
+// others, must be told at once that the outcome is unknown and never run it;
+// under the local guard too, where this node's memory is all there is.
+func TestLostRunMeansUnknownAtOnce(t *testing.T) {
+	for _, kind := range []faultKind{faultNone, faultOutage} {
+		bubble(t, func(t *testing.T, table *faulty) {
+			table.set(kind)
+			k := node(table, "vm1")
+			if err := mustRun(t, k, request(config.OnStoreDownLocalGuard)).Lost(background); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			mustUnknown(t, k, request(config.OnStoreDownLocalGuard))
+			if kind == faultNone {
+				mustUnknown(t, node(table, "vm2"), request(""))
+			}
+			if took := time.Since(start); took > time.Second {
+				t.Errorf("told after %v", took)
+			}
+		})
+	}
+}
+
 // A claimant is paused for longer than its lease between its claim and the
 // run. Its resend has been told "unknown" and the clerk has looked and entered
 // the price anew. When the claimant wakes, it must not run the request.
--- a/internal/once/property_test.go
+++ b/internal/once/property_test.go
@@ -25,7 +25,7 @@
 	Pause    time.Duration // between the claim and the run
 	RunTime  time.Duration
 	// Ending is 0 for an answer, 1 for a backend server's refusal, 2 for a
-	// claimant that dies.
+	// claimant that dies, 3 for a lost outcome.
 	Ending int
 	Size   int // of the answer
 }
@@ -60,7 +60,7 @@
 			Pause:    rapid.SampledFrom([]time.Duration{0, 0, 500 * time.Millisecond, 3 * time.Second}).Draw(t, "pause"),
 			RunTime:  ms(1, 1500).Draw(t, "run"),
 			Size:     rapid.SampledFrom([]int{0, 2 * maxKeptBody}).Draw(t, "size"),
-			Ending:   rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "ending"),
+			Ending:   rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "ending"),
 		})
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "faults") {
@@ -141,6 +141,10 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
+	if s.Ending == 3 {
+		_ = c.Lost(ctx)
+		return
+	}
 	_ = c.Finish(ctx, Stored{Status: 200, Body: []byte(answer)})
 }
 
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -33,6 +33,9 @@
 	// never whether a request runs.
 	ClaimedAt int64   `json:"claimed_at"`
 	Outcome   *Stored `json:"outcome,omitempty"`
+	// Lost says that the claimant knows that the outcome never will be known,
+	// so that no one need wait for it.
+	Lost bool `json:"lost,omitempty"`
 }
 
 func (r row) encode() ([]byte, error) {
