Remember recorded runs of local-guard classes at their node

Cause: A booking ran and was recorded, the platform went down, and its resend to the same node ran again under a guard, because the row could not be read. Change: The node remembers the last recorded runs of such classes.

--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -179,6 +179,9 @@
 	if b, found, err := a.lastLook(ctx); found {
 		return b, err
 	}
+	if b, found, err := a.k.recent.find(a.f.key, a.r.Fingerprint); found {
+		return b, err
+	}
 	if a.r.Rule == config.OnStoreDownLocalGuard && ctx.Err() == nil && a.k.guard(a.f) {
 		// If a row of this attempt stands after all, it keeps other nodes
 		// from running the request, which is what it is for.
--- a/internal/once/finish.go
+++ b/internal/once/finish.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
 )
 
@@ -26,10 +27,18 @@
 		c.k.remember(c.f, u, c.guard)
 		return err
 	}
-	c.k.leave(c.f)
+	c.ended(&s)
 	return nil
 }
 
+// ended forgets the flight of a run that the table knows of.
+func (c *Claim) ended(s *Stored) {
+	if c.r.Rule == config.OnStoreDownLocalGuard {
+		c.k.recent.add(c.f.key, c.r.Fingerprint, s)
+	}
+	c.k.leave(c.f)
+}
+
 // Lost ends the claim of a run whose outcome is not known, because the backend
 // server died or the connection broke after the first byte. Repeats are told
 // "unknown", and the request never runs again. A guard stays remembered here; a
@@ -48,7 +57,7 @@
 	if err == nil {
 		err = c.k.batcher.do(ctx, &item{write: platform.Write{Key: c.f.key, Value: value}})
 	}
-	c.k.leave(c.f)
+	c.ended(nil)
 	return err
 }
 
@@ -149,9 +158,10 @@
 	size := len(u.row.Outcome.Body)
 	switch {
 	case guard && size > maxKeptBody:
-		u.row.Outcome = &Stored{Status: u.row.Outcome.Status, Header: u.row.Outcome.Header, Truncated: true}
+		u.row.Outcome = withinMemory(u.row.Outcome)
 		f.outcome = u.row.Outcome
 	case !guard && (k.held >= k.o.MaxGuards || k.heldBytes+size > maxKeptBytes):
+		k.recent.add(f.key, f.fingerprint, nil)
 		k.drop(f)
 		return
 	case !guard:
--- a/internal/once/keeper.go
+++ b/internal/once/keeper.go
@@ -114,6 +114,7 @@
 type Keeper struct {
 	o       Options
 	batcher *batcher
+	recent  recent
 
 	mu      sync.Mutex
 	flights map[string]*flight // by row key
@@ -146,6 +147,7 @@
 		flights:  make(map[string]*flight),
 		released: make(map[string]released),
 	}
+	k.recent = newRecent(o.MaxGuards)
 	k.batcher = newBatcher(o.Table, o.Linger)
 	return k
 }
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -253,6 +253,21 @@
 	})
 }
 
+// A booking under the local guard runs and is recorded. Then the platform goes
+// down, and the booking is sent again to the same node, which can't read the
+// row. It must give the outcome from memory, not run the booking again.
+func TestGuardRemembersRecordedRuns(t *testing.T) {
+	bubble(t, func(t *testing.T, table *faulty) {
+		k := node(table, "vm1")
+		c := mustRun(t, k, request(config.OnStoreDownLocalGuard))
+		if err := c.Finish(background, Stored{Status: 201, Body: []byte("berth 7")}); err != nil {
+			t.Fatal(err)
+		}
+		table.set(faultOutage)
+		mustReplay(t, k, request(config.OnStoreDownLocalGuard), "berth 7")
+	})
+}
+
 // The platform takes no writes but can be read. A resend under the local guard
 // reaches another node than the first, which has the outcome stored. It must
 // get that outcome; running it would be a double.
--- a/internal/once/upkeep.go
+++ b/internal/once/upkeep.go
@@ -20,6 +20,7 @@
 	for f, u := range k.unsavedFlights() {
 		err := k.store(ctx, f.key, u, true)
 		if err == nil || errors.Is(err, errTaken) {
+			k.recent.add(f.key, f.fingerprint, u.row.Outcome)
 			k.leave(f)
 		}
 		errs = append(errs, err)
