--- a/internal/limit/fairway_test.go
+++ b/internal/limit/fairway_test.go
@@ -72,23 +72,18 @@
 	return oldest
 }
 
-// capped keeps the fair lane's cap on overtaking around any order.
-type capped struct {
-	inner  Order
-	weight float64
-	oldest uint64
-	ahead  float64
-}
+// relativeToTarget is the relative wait with the answer time as the patience.
+type relativeToTarget struct{}
 
-func (o *capped) pick(now time.Time, cs []*classState) *classState {
-	oldest := FirstCome{}.pick(now, cs)
-	if o.oldest != oldest.head().sequence {
-		o.oldest, o.ahead = oldest.head().sequence, 0
+func (relativeToTarget) pick(now time.Time, cs []*classState) *classState {
+	score := func(c *classState) float64 {
+		return float64(now.Sub(c.head().arrived)) / float64(max(c.waitBudget(), time.Millisecond))
 	}
-	c := o.inner.pick(now, cs)
-	if c != oldest && o.weight*(o.ahead+c.service.value) > oldest.service.value {
-		return oldest
+	best := cs[0]
+	for _, c := range cs[1:] {
+		if score(c) > score(best) {
+			best = c
+		}
 	}
-	o.ahead += c.service.value
-	return c
+	return best
 }
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -165,7 +165,7 @@
 		return Begun{}, verdictAgain, nil
 	}
 	now := a.k.o.Now()
-	lapsed := now.Sub(stands.claimedAt()) > a.k.o.Lease || now.Sub(first) > a.k.o.Lease
+	lapsed := stands.Lost || now.Sub(stands.claimedAt()) > a.k.o.Lease || now.Sub(first) > a.k.o.Lease
 	if lapsed {
 		// The claimant died, or is paused, or could not store the outcome.
 		// It may have run the request, so no one else ever does.
@@ -179,6 +179,9 @@
 	if b, found, err := a.lastLook(ctx); found {
 		return b, err
 	}
+	if b, found, err := a.k.recent.find(a.f.key, a.r.Fingerprint); found {
+		return b, err
+	}
 	if a.r.Rule == config.OnStoreDownLocalGuard && ctx.Err() == nil && a.k.guard(a.f) {
 		// If a row of this attempt stands after all, it keeps other nodes
 		// from running the request, which is what it is for.
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -142,6 +142,29 @@
 	})
 }
 
+// A backend server dies while it runs a booking. Resends, at this node and at
+// others, must be told at once that the outcome is unknown and never run it;
+// under the local guard too, where this node's memory is all there is.
+func TestLostRunMeansUnknownAtOnce(t *testing.T) {
+	for _, kind := range []faultKind{faultNone, faultOutage} {
+		bubble(t, func(t *testing.T, table *faulty) {
+			table.set(kind)
+			k := node(table, "vm1")
+			if err := mustRun(t, k, request(config.OnStoreDownLocalGuard)).Lost(background); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			mustUnknown(t, k, request(config.OnStoreDownLocalGuard))
+			if kind == faultNone {
+				mustUnknown(t, node(table, "vm2"), request(""))
+			}
+			if took := time.Since(start); took > time.Second {
+				t.Errorf("told after %v", took)
+			}
+		})
+	}
+}
+
 // A claimant is paused for longer than its lease between its claim and the
 // run. Its resend has been told "unknown" and the clerk has looked and entered
 // the price anew. When the claimant wakes, it must not run the request.
@@ -230,6 +253,21 @@
 	})
 }
 
+// A booking under the local guard runs and is recorded. Then the platform goes
+// down, and the booking is sent again to the same node, which can't read the
+// row. It must give the outcome from memory, not run the booking again.
+func TestGuardRemembersRecordedRuns(t *testing.T) {
+	bubble(t, func(t *testing.T, table *faulty) {
+		k := node(table, "vm1")
+		c := mustRun(t, k, request(config.OnStoreDownLocalGuard))
+		if err := c.Finish(background, Stored{Status: 201, Body: []byte("berth 7")}); err != nil {
+			t.Fatal(err)
+		}
+		table.set(faultOutage)
+		mustReplay(t, k, request(config.OnStoreDownLocalGuard), "berth 7")
+	})
+}
+
 // The platform takes no writes but can be read. A resend under the local guard
 // reaches another node than the first, which has the outcome stored. It must
 // get that outcome; running it would be a double.
