Keep what a call needs in pools, and one allocation an attempt

Change: attempts, holdings and call states are pooled; the transport gets context, URL and header values of an attempt as one object that is not used again. A bound that passes closes the connection in place of a context of its own. The bare relays now carry the same headers, so that the difference is the nodes' own.

--- a/internal/load/bare.go
+++ b/internal/load/bare.go
@@ -13,6 +13,11 @@
 type Bare struct {
 	Addr      string
 	Transport *http.Transport
+	// Header is added to every request, so that net/http carries as many
+	// headers on either way.
+	Header http.Header
+	// Drop is a header that is not passed on, or empty.
+	Drop string
 }
 
 // ServeHTTP relays one request.
@@ -20,6 +25,10 @@
 	out := r.WithContext(r.Context())
 	out.URL = &url.URL{Scheme: "http", Host: b.Addr, Path: r.URL.Path, RawQuery: r.URL.RawQuery}
 	out.RequestURI = ""
+	delete(out.Header, b.Drop)
+	for name, values := range b.Header {
+		out.Header[name] = values
+	}
 	resp, err := b.Transport.RoundTrip(out)
 	if err != nil {
 		w.WriteHeader(http.StatusBadGateway)
--- a/internal/load/mesh.go
+++ b/internal/load/mesh.go
@@ -36,11 +36,20 @@
 }
 
 // program is a program with one class that matches everything.
-type program struct{ target *config.Target }
+type program struct {
+	target  *config.Target
+	inForce *proxy.Program
+}
+
+func newProgram(t *config.Target) *program {
+	p := &program{target: t}
+	p.inForce = &proxy.Program{Matcher: p, Targets: p}
+	return p
+}
 
-func (p program) Match(_, _, _ string) (*config.Target, bool) { return p.target, true }
+func (p *program) Match(_, _, _ string) (*config.Target, bool) { return p.target, true }
 
-func (p program) Target(name string) *config.Target {
+func (p *program) Target(name string) *config.Target {
 	if name != p.target.Name {
 		return nil
 	}
@@ -48,7 +57,7 @@
 }
 
 // Program returns p as the program in force.
-func (p program) Program() *proxy.Program { return &proxy.Program{Matcher: p, Targets: p} }
+func (p *program) Program() *proxy.Program { return p.inForce }
 
 // single is the one backend server of a VM.
 type single proxy.Backend
@@ -84,9 +93,9 @@
 }
 
 func (m *smallMesh) addNodes(slots int) error {
-	p := program{&config.Target{
+	p := newProgram(&config.Target{
 		Name: class, Service: service, Idempotent: true, Match: config.Match{PathPrefix: "/"},
-	}}
+	})
 	d := proxy.NewDestination(proxy.DestinationParts{
 		Programs: p, Upstreams: m.pool(), Gates: new(proxy.FixedLimit),
 		Backends: single{Service: service, Instance: instance, Addr: m.backend.Addr(),
@@ -109,11 +118,18 @@
 }
 
 func (m *smallMesh) addBare() error {
-	second, err := m.serve(&Bare{Addr: strings.TrimPrefix(m.direct, "http://"), Transport: m.transport()})
+	second, err := m.serve(&Bare{
+		Addr: strings.TrimPrefix(m.direct, "http://"), Transport: m.transport(),
+		Header: http.Header{"Marlpass-Attempt": {"0123456789abcdef"}, "Marlpass-Deadline-Ms": {"30000"}},
+		Drop:   "Marlpass-Hop",
+	})
 	if err != nil {
 		return err
 	}
-	first, err := m.serve(&Bare{Addr: second, Transport: m.transport()})
+	first, err := m.serve(&Bare{
+		Addr: second, Transport: m.transport(),
+		Header: http.Header{"Marlpass-Hop": {"30000 lookups berths a"}, "X-Forwarded-For": {"127.0.0.1"}},
+	})
 	m.bare = "http://" + first
 	return err
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -19,33 +19,62 @@
 	errWaited = errors.New("proxy: no answer within the bound")
 	// errStalled means that an answer stopped in its middle.
 	errStalled = errors.New("proxy: the answer stopped")
-	// errReplay means that the transport wanted to send the request again.
-	errReplay = errors.New("proxy: the connection broke after the request was sent")
 )
 
-// attempt is one request to one address. It lives from send until the answer
-// is read to its end, or until send fails.
+// attempt is one request to one address. It lives from send until its answer
+// is closed, or until send fails, and is used again after that: the transport
+// keeps no more of it than the trace, whose fields never change.
 type attempt struct {
-	trace  httptrace.ClientTrace
-	up     *upstream
-	body   *streamBody // nil when the body does not stream
-	cancel context.CancelFunc
-	timer  *time.Timer
+	trace httptrace.ClientTrace
+	timer *time.Timer
+	// answer is the body of the answer, once it has begun.
+	answer answerBody
 
 	mu     sync.Mutex // guards what follows
+	up     *upstream
+	body   *streamBody // nil when the body does not stream
 	conn   *conn
 	ticket uint64
 	replay bool
 	waited bool
+	over   bool
 }
 
-// newAttempt returns an attempt with its hooks set.
-func newAttempt(up *upstream, b *streamBody) *attempt {
-	a := &attempt{up: up, body: b}
+var attempts = sync.Pool{New: func() any {
+	a := &attempt{over: true}
 	a.trace.GotConn = a.gotConn
+	a.timer = time.AfterFunc(time.Hour, a.expire)
+	a.timer.Stop()
+	a.answer.attempt = a
+	return a
+}}
+
+// newAttempt returns an attempt whose answer must begin within wait.
+func newAttempt(up *upstream, b *streamBody, wait time.Duration) *attempt {
+	a := attempts.Get().(*attempt)
+	a.mu.Lock()
+	a.up, a.body = up, b
+	a.conn, a.ticket = nil, 0
+	a.replay, a.waited, a.over = false, false, false
+	a.mu.Unlock()
+	a.timer.Reset(wait)
 	return a
 }
 
+// finish ends the attempt. It must be called once, and a not be used after.
+func (a *attempt) finish() {
+	stopped := a.timer.Stop()
+	a.mu.Lock()
+	stopped = stopped || a.answer.idle
+	a.over = true
+	a.answer.ReadCloser = nil
+	a.mu.Unlock()
+	if stopped {
+		attempts.Put(a)
+	}
+	// Otherwise expire runs at this moment, and must not meet a later call.
+}
+
 // gotConn is called by the transport with the connection that it chose, before
 // it writes.
 //
@@ -63,16 +92,19 @@
 	if !ok {
 		panic("proxy: a connection that the upstream did not open")
 	}
-	ticket := c.begin(a.body)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	ticket := c.begin(a.body)
 	if a.conn != nil && !a.conn.bar(a.ticket) {
 		a.replay = true
+		c.replay.Store(true)
 		c.bar(ticket)
-		a.cancel()
 		return
 	}
 	a.conn, a.ticket = c, ticket
+	if a.waited {
+		c.kill(ticket)
+	}
 }
 
 // barConn reports whether no byte of the attempt was written or ever will be.
@@ -82,12 +114,19 @@
 	return !a.replay && (a.conn == nil || a.conn.bar(a.ticket))
 }
 
-// expire ends the attempt when its bound has passed.
+// expire ends the attempt when its bound has passed: it closes the connection,
+// which ends whatever waits for it. An attempt that has no connection yet is
+// ended by the bound on dialling.
 func (a *attempt) expire() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.over {
+		return
+	}
 	a.waited = true
-	a.mu.Unlock()
-	a.cancel()
+	if a.conn != nil {
+		a.conn.kill(a.ticket)
+	}
 	a.up.retire()
 }
 
@@ -104,8 +143,19 @@
 	header http.Header
 	body   *body
 	addr   string
-	host   string
 	wait   time.Duration // bound on the answer's beginning
+	extra  [2]extraHeader
+}
+
+// extraHeader is a header that a node adds to a request.
+type extraHeader struct{ name, value string }
+
+// sending is what the transport is given of one attempt, and may read for as
+// long as it likes. It is one allocation, and not used again.
+type sending struct {
+	attemptContext
+	url    url.URL
+	values [len(outbound{}.extra)][1]string
 }
 
 // answer is what became of an attempt. Exactly one of resp, refusal and err is
@@ -114,9 +164,13 @@
 	resp    *http.Response
 	refusal *call.Refusal // it was not run
 	err     error         // it may have run
-	attempt *attempt
+	// expired says that the attempt ended because its bound passed.
+	expired bool
 	load    Load
-	// permit, claim and mark are held until the answer has been passed on.
+	// loadHeader is the load as the backend server sent it.
+	loadHeader []string
+	// held is what the call holds at this node until its answer has been
+	// passed on; nil when another node ran it.
 	held *holding
 }
 
@@ -131,39 +185,43 @@
 	return call.Unknown
 }
 
-// send sends o and waits until its answer begins.
+// send sends o and waits until its answer begins. The answer's body must be
+// closed, once.
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
 	up := u.get(now, o.addr)
-	a := newAttempt(up, o.body.stream)
-	ctx, a.cancel = context.WithCancel(ctx)
-	a.timer = time.AfterFunc(o.wait, a.expire)
-	resp, err := up.transport.RoundTrip(o.request(httptrace.WithClientTrace(ctx, &a.trace)))
+	a := newAttempt(up, o.body.stream, o.wait)
+	resp, err := up.transport.RoundTrip(o.request(&sending{
+		attemptContext: attemptContext{Context: ctx, trace: &a.trace, dialBy: now.Add(o.wait)},
+	}))
+	if err == nil && a.timer.Stop() {
+		a.answer.ReadCloser, a.answer.idle = resp.Body, true
+		resp.Body = &a.answer
+		return answer{resp: resp}
+	}
 	if err == nil {
-		if !a.timer.Stop() {
-			// The bound passed in the moment the answer began.
-			err = errWaited
-			resp.Body.Close()
-		} else {
-			up.answered.Store(now.UnixNano())
-			resp.Body = &answerBody{ReadCloser: resp.Body, attempt: a}
-			return answer{resp: resp, attempt: a}
-		}
+		// The bound passed in the moment the answer began.
+		err = errWaited
+		resp.Body.Close()
 	}
-	a.timer.Stop()
-	a.cancel()
 	return a.failed(err)
 }
 
 // request builds the request for the transport.
-func (o *outbound) request(ctx context.Context) *http.Request {
-	out := o.in.WithContext(ctx)
-	out.URL = &url.URL{
+func (o *outbound) request(s *sending) *http.Request {
+	out := o.in.WithContext(&s.attemptContext)
+	s.url = url.URL{
 		Scheme: "http", Host: o.addr,
 		Path: o.in.URL.Path, RawPath: o.in.URL.RawPath,
 		RawQuery: o.in.URL.RawQuery, ForceQuery: o.in.URL.ForceQuery,
 	}
+	out.URL = &s.url
 	out.RequestURI = ""
-	out.Host = o.host
+	for i, x := range o.extra {
+		if x.name != "" {
+			s.values[i][0] = x.value
+			o.header[x.name] = s.values[i][:]
+		}
+	}
 	out.Header = o.header
 	out.Close = false
 	out.TransferEncoding = nil
@@ -172,27 +230,30 @@
 	return out
 }
 
-// failed tells what an attempt without an answer means.
+// failed ends an attempt without an answer and tells what that means.
 func (a *attempt) failed(err error) answer {
-	if r := a.unsent(); r != nil {
-		return answer{refusal: r, attempt: a}
-	}
+	refusal := a.unsent()
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	waited, replay := a.waited, a.replay
+	a.mu.Unlock()
+	a.finish()
 	switch {
-	case a.waited:
+	case refusal != nil:
+		return answer{refusal: refusal, expired: waited}
+	case waited:
 		err = errWaited
-	case a.replay:
+	case replay:
 		err = errReplay
 	}
-	return answer{err: err, attempt: a}
+	return answer{err: err, expired: waited}
 }
 
-// answerBody is the body of an answer. It may stop for as long as stallBound
-// between two reads, and ends its attempt when it is closed.
+// answerBody is the body of an answer. It may stand still for stallBound, and
+// ends its attempt when it is closed.
 type answerBody struct {
 	io.ReadCloser
 	attempt *attempt
+	idle    bool // the timer is stopped
 }
 
 // stallBound is how long a body may stand still.
@@ -200,9 +261,10 @@
 
 // Read reads the next part, within stallBound.
 func (b *answerBody) Read(p []byte) (int, error) {
+	b.idle = false
 	b.attempt.timer.Reset(stallBound)
 	n, err := b.ReadCloser.Read(p)
-	b.attempt.timer.Stop()
+	b.idle = b.attempt.timer.Stop()
 	if err != nil && err != io.EOF && b.attempt.expired() {
 		err = errStalled
 	}
@@ -211,8 +273,7 @@
 
 // Close ends the attempt.
 func (b *answerBody) Close() error {
-	b.attempt.timer.Stop()
 	err := b.ReadCloser.Close()
-	b.attempt.cancel()
+	b.attempt.finish()
 	return err
 }
--- a/internal/proxy/baseline.go
+++ b/internal/proxy/baseline.go
@@ -61,7 +61,7 @@
 // wait first come, first served, until their deadline.
 type FixedLimit struct {
 	mu    sync.Mutex
-	slots map[string]chan struct{}
+	slots map[fixedKey]chan struct{}
 }
 
 // Acquire waits for a slot.
@@ -88,15 +88,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.slots == nil {
-		f.slots = make(map[string]chan struct{})
+		f.slots = make(map[fixedKey]chan struct{})
 	}
-	id := b.Service + "/" + b.Instance
+	id := fixedKey{b.Service, b.Instance}
 	if f.slots[id] == nil {
 		f.slots[id] = make(chan struct{}, max(b.Slots, 1))
 	}
 	return f.slots[id]
 }
 
+type fixedKey struct{ service, instance string }
+
 type fixedPermit struct{ slots chan struct{} }
 
 // Release frees the slot.
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -6,15 +6,19 @@
 	"sync/atomic"
 )
 
-// errBarred is what a barred connection answers to a write.
-var errBarred = errors.New("proxy: the connection is closed to this request")
+// Errors of writes to a connection that may not be written to.
+var (
+	errBarred = errors.New("proxy: the connection is closed to this request")
+	errReplay = errors.New("proxy: the connection broke after the request was sent")
+)
 
 // State of a connection with regard to the call that holds it, in the lowest
 // bits of conn.word. The rest of the word counts the calls that held it.
 const (
 	connClean   uint64 = iota // nothing of the call was written
 	connWritten               // something was, or is being, written
-	connBarred                // nothing may be written any more
+	connBarred                // nothing was, and nothing may be written any more
+	connDead                  // something was; the connection is closed
 	connState   uint64 = 3
 	connNext    uint64 = 4
 )
@@ -33,6 +37,9 @@
 	word atomic.Uint64
 	// body is the streaming body of the call that holds the connection.
 	body atomic.Pointer[streamBody]
+	// replay says that a request that may have run was led onto this
+	// connection.
+	replay atomic.Bool
 }
 
 // Close closes the connection and ends the reading of the body that was being
@@ -50,8 +57,8 @@
 	for {
 		w := c.word.Load()
 		switch w & connState {
-		case connBarred:
-			return 0, errBarred
+		case connBarred, connDead:
+			return c.refuseWrite()
 		case connClean:
 			if !c.word.CompareAndSwap(w, w|connWritten) {
 				continue
@@ -61,18 +68,30 @@
 	}
 }
 
-// begin hands the connection to a call and returns the call's ticket for bar.
-// The transport gives a connection to one call at a time, and only when all of
-// the call before is written.
+// refuseWrite writes nothing. To a request that must not be replayed it claims
+// that a byte was written: the transport sends a request of which it believes
+// nothing was written to one connection after another, and would close them
+// all on its way.
+func (c *conn) refuseWrite() (int, error) {
+	if c.replay.Load() {
+		return 1, errReplay
+	}
+	return 0, errBarred
+}
+
+// begin hands the connection to a call and returns the call's ticket. The
+// transport gives a connection to one call at a time, and only when all of the
+// call before is written.
 func (c *conn) begin(b *streamBody) uint64 {
 	c.body.Store(b)
 	for {
 		w := c.word.Load()
-		if w&connState == connBarred {
-			return w &^ connState
-		}
 		next := w&^connState + connNext
-		if c.word.CompareAndSwap(w, next) {
+		state := connClean
+		if s := w & connState; s == connBarred || s == connDead {
+			state = connBarred
+		}
+		if c.word.CompareAndSwap(w, next|state) {
 			return next
 		}
 	}
@@ -84,3 +103,11 @@
 	return c.word.CompareAndSwap(ticket|connClean, ticket|connBarred) ||
 		c.word.Load() == ticket|connBarred
 }
+
+// kill closes the connection if the call with that ticket still holds it. A
+// call that takes it in the same moment finds it barred, and can go elsewhere.
+func (c *conn) kill(ticket uint64) {
+	if c.word.CompareAndSwap(ticket|connWritten, ticket|connDead) || c.bar(ticket) {
+		_ = c.Close()
+	}
+}
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -4,9 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,17 +58,18 @@
 		writeRefusal(w, refuse(call.ReasonBadRequest, 0, "not a call from a node"))
 		return
 	}
-	body, err := takeBody(w, r, &d.kept)
-	if err != nil {
+	in := inbounds.Get().(*inbound)
+	defer in.free()
+	var err error
+	if in.own, err = takeBody(w, r, &d.kept); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer body.release()
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
 	defer span.end()
-	in := inbound{r: r, header: r.Header, body: &body, hop: h, deadline: now.Add(h.left)}
-	a := d.do(ctx, now, &in)
+	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
+	a := d.do(ctx, now, in)
 	span.outcome(&a)
 	d.finish(w, &a, now)
 }
@@ -83,8 +83,8 @@
 		w.Header()[headerUnknown] = []string{"1"}
 		writeUnknown(w, statusOfUnknown(a.err), a.err.Error())
 	default:
-		if a.load.Known {
-			w.Header()[call.HeaderLoad] = []string{a.load.String()}
+		if len(a.loadHeader) > 0 {
+			w.Header()[call.HeaderLoad] = a.loadHeader
 		}
 		p := d.pass(w, a)
 		if p.partial || p.gone {
@@ -98,6 +98,7 @@
 	defer func() {
 		a.resp.Body.Close()
 		a.held.end(d, p)
+		a.held.free()
 	}()
 	return relay(w, a.resp, a.held.keep())
 }
@@ -107,10 +108,20 @@
 	r        *http.Request
 	header   http.Header // may be changed
 	body     *body
+	own      body // what body points to when another node sent the call
 	hop      hop
 	deadline time.Time
 }
 
+var inbounds = sync.Pool{New: func() any { return new(inbound) }}
+
+// free gives in back for another call.
+func (in *inbound) free() {
+	in.own.release()
+	*in = inbound{}
+	inbounds.Put(in)
+}
+
 // do runs a call, or refuses it. When it returns a response, the caller must
 // pass it on with relay, close its body, and end the holding.
 func (d *Destination) do(ctx context.Context, now time.Time, in *inbound) answer {
@@ -174,7 +185,7 @@
 // hold claims, queues and sends the call, in this order: a claim is a write to
 // the platform, and no slot may be held while the platform is slow.
 func (d *Destination) hold(ctx context.Context, now time.Time, in *inbound, b Backend, t *config.Target) answer {
-	h := &holding{backend: b, target: t, start: now}
+	h := newHolding(b, t, now)
 	if a, done := d.claim(ctx, in, h); done {
 		return a
 	}
@@ -185,11 +196,13 @@
 	}
 	if refusal != nil {
 		h.abandon(d)
+		h.free()
 		return answer{refusal: refusal}
 	}
 	a := d.forward(ctx, in, h)
 	if a.resp == nil {
 		h.failed(d, &a)
+		h.free()
 	}
 	return a
 }
@@ -207,21 +220,22 @@
 	claim, stored, err := d.Keeper.Begin(ctx, KeyedCall{
 		Target: h.target, Key: key, Fingerprint: fingerprint(in), Deadline: in.deadline,
 	})
-	var r *call.Refusal
 	switch {
-	case errors.As(err, &r):
+	case err == nil && stored == nil:
+		h.claim, h.stored = claim, new(Stored)
+		return answer{}, false
+	case err == nil:
+		h.replayed = true
+		return answer{resp: stored.response(in.r), held: h}, true
+	}
+	r, err := asRefusal(err)
+	switch {
+	case r != nil:
 		return answer{refusal: r}, true
 	case errors.Is(err, ErrOutcomeUnknown):
 		return answer{err: err}, true
-	case err != nil:
-		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
-	case stored != nil:
-		h.replayed = true
-		return answer{resp: stored.response(in.r), held: h}, true
 	}
-	h.claim = claim
-	h.stored = new(Stored)
-	return answer{}, false
+	return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
 }
 
 // fingerprint tells one request from another under the same key.
@@ -238,12 +252,8 @@
 func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
 	if d.Gates != nil {
 		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, in.deadline)
-		var r *call.Refusal
-		if errors.As(err, &r) {
-			return r, nil
-		}
 		if err != nil {
-			return nil, err
+			return asRefusal(err)
 		}
 		h.permit = permit
 	}
@@ -257,6 +267,15 @@
 	return nil, nil
 }
 
+// asRefusal returns the refusal that err is, or err.
+func asRefusal(err error) (*call.Refusal, error) {
+	var r *call.Refusal
+	if errors.As(err, &r) {
+		return r, nil
+	}
+	return nil, err
+}
+
 func shape(in *inbound) RequestShape {
 	return RequestShape{
 		Class: in.hop.class, Method: in.r.Method, Path: in.r.URL.Path,
@@ -273,21 +292,22 @@
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
 	h.start = now
-	nonce := strconv.FormatUint(rand.Uint64(), 16)
-	in.header[call.HeaderAttempt] = []string{nonce}
-	in.header[call.HeaderDeadline] = []string{milliseconds(left)}
+	nonce, ms := attemptHeaders(left)
 	a := d.Upstreams.send(ctx, now, &outbound{
-		in: in.r, header: in.header, body: in.body,
-		addr: h.backend.Addr, host: in.r.Host, wait: left,
+		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left,
+		extra: [2]extraHeader{nonce, ms},
 	})
 	if a.resp == nil {
 		return a
 	}
-	if refusal := refusedByBackend(a.resp.Header, nonce); refusal != nil {
+	if refusal := refusedByBackend(a.resp.Header, nonce.value); refusal != nil {
 		a.resp.Body.Close()
-		return answer{refusal: refusal, attempt: a.attempt}
+		return answer{refusal: refusal}
 	}
 	a.load = parseLoad(a.resp.Header)
+	if a.load.Known {
+		a.loadHeader = a.resp.Header[call.HeaderLoad][:1]
+	}
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
 	h.status = a.resp.StatusCode
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -69,10 +70,20 @@
 	lost error
 }
 
+var enterings = sync.Pool{New: func() any { return new(entering) }}
+
+// free gives c back for another call.
+func (c *entering) free() {
+	*c = entering{tried: c.tried[:0]}
+	enterings.Put(c)
+}
+
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, internal bool) {
-	c := entering{r: r, start: e.Now()}
-	if refusal := e.match(&c, internal); refusal != nil {
-		e.refuse(w, &c, refusal)
+	c := enterings.Get().(*entering)
+	defer c.free()
+	c.r, c.start = r, e.Now()
+	if refusal := e.match(c, internal); refusal != nil {
+		e.refuse(w, c, refusal)
 		return
 	}
 	var err error
@@ -83,10 +94,10 @@
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
-	dropExpect(&c)
+	dropExpect(c)
 	ctx, span := e.Tracer.startRemote(r, "entry", c.target.Name)
 	defer span.end()
-	e.run(ctx, w, &c, span)
+	e.run(ctx, w, c, span)
 }
 
 // dropExpect removes Expect from a request whose body was read already.
@@ -228,9 +239,9 @@
 	if e.Local != nil && ep.VM == e.Self {
 		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
 	}
-	header[headerHop] = []string{h.String()}
 	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, host: c.r.Host, wait: h.left,
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left,
+		extra: [2]extraHeader{{headerHop, h.String()}},
 	})
 	return readNode(a)
 }
@@ -253,12 +264,12 @@
 	}
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r, attempt: a.attempt}
+		return answer{refusal: r}
 	}
 	if first(a.resp.Header, headerUnknown) != "" {
 		status := a.resp.StatusCode
 		discard(a.resp)
-		return answer{err: &unknownError{status}, attempt: a.attempt}
+		return answer{err: &unknownError{status}}
 	}
 	a.load = parseLoad(a.resp.Header)
 	dropHopByHop(a.resp.Header)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -89,9 +90,16 @@
 // maxDeadline bounds what a caller may ask for.
 const maxDeadline = time.Hour
 
-// milliseconds rounds down, so that a hop never grants more than is left.
-func milliseconds(d time.Duration) string {
-	return strconv.FormatInt(int64(d/time.Millisecond), 10)
+// attemptHeaders returns what a backend server is told of the attempt: a fresh
+// nonce, and the time left, rounded down so that a hop never grants more than
+// there is. The two values share their memory.
+func attemptHeaders(left time.Duration) (nonce, ms extraHeader) {
+	b := make([]byte, 0, 32)
+	b = strconv.AppendUint(b, rand.Uint64(), 16)
+	n := len(b)
+	b = strconv.AppendInt(b, int64(left/time.Millisecond), 10)
+	s := string(b)
+	return extraHeader{call.HeaderAttempt, s[:n]}, extraHeader{call.HeaderDeadline, s[n:]}
 }
 
 // parseLoad reads "busy/slots".
@@ -107,8 +115,3 @@
 	}
 	return Load{Busy: int(b), Slots: int(s), Known: true}
 }
-
-// String encodes l as "busy/slots".
-func (l Load) String() string {
-	return strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Slots)
-}
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // maxStoredBody bounds the answer that is kept for the resends of a keyed call.
@@ -17,6 +19,20 @@
 // the call itself is over, when its own deadline no longer counts.
 const recordBound = 5 * time.Second
 
+var holdings = sync.Pool{New: func() any { return new(holding) }}
+
+func newHolding(b Backend, t *config.Target, now time.Time) *holding {
+	h := holdings.Get().(*holding)
+	h.backend, h.target, h.start = b, t, now
+	return h
+}
+
+// free gives h back for another call. It must have ended.
+func (h *holding) free() {
+	*h = holding{}
+	holdings.Put(h)
+}
+
 // keep returns what collects the answer for the claim, or nil.
 func (h *holding) keep() func([]byte) {
 	if h == nil || h.stored == nil {
@@ -57,7 +73,7 @@
 	now := d.Now()
 	refused := a.refusal != nil && a.refusal.Reason == call.ReasonBackend
 	h.release(now, Result{Latency: now.Sub(h.start), Failed: true, Shed: refused})
-	h.unmark(d, now, a.refusal == nil && !a.attempt.expired())
+	h.unmark(d, now, a.refusal == nil && !a.expired)
 	if h.claim == nil {
 		return
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -40,8 +40,6 @@
 	transport *http.Transport
 	// used is when a call last took the pool, in Unix seconds.
 	used atomic.Int64
-	// answered is when an answer last began, in Unix nanoseconds.
-	answered atomic.Int64
 }
 
 // NewUpstreams returns empty pools. They open connections over TCP.
@@ -97,6 +95,11 @@
 func (u *Upstreams) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if by, ok := dialBy(ctx); ok {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithDeadline(ctx, by)
+				defer cancel()
+			}
 			c, err := u.dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
