--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -12,6 +12,8 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // DestinationParts are what a Destination is made of. Gates, Keeper and
@@ -34,6 +36,7 @@
 	kept     keptBodies
 	draining atomic.Bool
 	inFlight atomic.Int64
+	records  sync.WaitGroup // outcomes of claims being written
 }
 
 // NewDestination returns a Destination that takes calls.
@@ -64,8 +67,12 @@
 	if in.own, err = takeBody(w, r, &d.kept); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	retried := r.Header[retry.HeaderRetried]
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
+	if retried != nil {
+		r.Header[retry.HeaderRetried] = retried
+	}
 	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
 	defer span.end()
 	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
@@ -174,7 +181,7 @@
 	start   time.Time
 	claim   Claim
 	permit  Permit
-	mark    uint64
+	mark    quarantine.Token
 	marked  bool
 	status  int
 	stored  *Stored // what to record for the claim
@@ -258,9 +265,11 @@
 		h.permit = permit
 	}
 	if d.Suspects != nil {
-		mark, refusal := d.Suspects.Start(now, h.backend, shape(in))
-		if refusal != nil {
-			return refusal, nil
+		fp := fingerprintOf(in.r, in.header, in.body)
+		what := in.r.Method + " " + in.r.Host + in.r.URL.Path
+		mark, err := d.Suspects.Start(now, h.backend, fp, what)
+		if err != nil {
+			return asRefusal(err)
 		}
 		h.mark, h.marked = mark, true
 	}
@@ -276,22 +285,25 @@
 	return nil, err
 }
 
-func shape(in *inbound) RequestShape {
-	return RequestShape{
-		Class: in.hop.class, Method: in.r.Method, Path: in.r.URL.Path,
-		Query: in.r.URL.RawQuery, Key: first(in.header, call.HeaderKey),
-		Length: in.body.length, Body: in.body.kept,
-	}
-}
-
 // forward sends the call to the backend server.
+//
+// A keyed call runs to its end, within its deadline, when its caller leaves:
+// that caller has most likely lost its connection and will send the call again,
+// and stopping the backend server half way would leave it nothing to be told
+// but "unknown".
 func (d *Destination) forward(ctx context.Context, in *inbound, h *holding) answer {
 	now := d.Now()
 	left := in.deadline.Sub(now)
 	if left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
+	if h.claim != nil && h.claim.Started(ctx) != nil {
+		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim lapsed before the call was run")}
+	}
 	h.start = now
+	if h.claim != nil {
+		ctx = context.WithoutCancel(ctx)
+	}
 	nonce, ms := attemptHeaders(left)
 	a := d.Upstreams.send(ctx, now, &outbound{
 		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left,
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -20,7 +20,8 @@
 
 // relay passes an answer on. When it returns with partial set, the caller
 // must abort the connection, so that a cut answer never looks like a whole one.
-// keep sees every part of the body, and may be nil.
+// keep, which may be nil, sees every part of the body, also after the reader has
+// gone.
 func relay(w http.ResponseWriter, resp *http.Response, keep func([]byte)) passed {
 	h := w.Header()
 	for name, values := range resp.Header {
@@ -52,18 +53,22 @@
 			if keep != nil {
 				keep(buf[:n])
 			}
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				p.gone = true
+			p.bytes += int64(n)
+			if !p.gone {
+				_, werr := w.Write(buf[:n])
+				p.gone = werr != nil
+			}
+			if p.gone && keep == nil {
 				return p
 			}
-			p.bytes += int64(n)
 		}
 		if err == io.EOF {
 			p.partial = resp.ContentLength > 0 && p.bytes < resp.ContentLength && !bodyless(resp)
 			return p
 		}
 		if err != nil {
-			p.partial = true
+			p.gone = p.gone || callerLeft(resp)
+			p.partial = !p.gone || keep != nil
 			return p
 		}
 		if flusher != nil && p.bytes != resp.ContentLength {
@@ -72,6 +77,12 @@
 	}
 }
 
+// callerLeft reports whether the call of resp was cancelled from above, so that
+// an answer that stops says nothing of whoever gave it.
+func callerLeft(resp *http.Response) bool {
+	return resp.Request != nil && resp.Request.Context().Err() != nil
+}
+
 // bodyless reports whether the length of resp tells of a body that is not sent.
 func bodyless(resp *http.Response) bool {
 	return resp.Request != nil && resp.Request.Method == http.MethodHead ||
