--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -114,6 +114,17 @@
 // streams reports whether the body is passed on as it comes.
 func (b *body) streams() bool { return b.stream != nil }
 
+// abort breaks the caller's connection off, so that a cut answer does not look
+// whole. net/http reads on in an unfinished request body before it closes the
+// connection, for which a caller that sends nothing more would wait for ever;
+// ending the read first prevents that.
+func (b *body) abort() {
+	if b.stream != nil {
+		b.stream.abort()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // release gives the memory of a kept body back to the budget. The bytes
 // themselves are left to the collector: the transport may still read them.
 func (b *body) release() {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -78,11 +78,11 @@
 	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
 	a := d.do(ctx, now, in)
 	span.outcome(&a)
-	d.finish(w, &a, now)
+	d.finish(w, &a, &in.own)
 }
 
 // finish writes the answer to the entry node.
-func (d *Destination) finish(w http.ResponseWriter, a *answer, start time.Time) {
+func (d *Destination) finish(w http.ResponseWriter, a *answer, b *body) {
 	switch {
 	case a.refusal != nil:
 		writeRefusal(w, a.refusal)
@@ -95,7 +95,7 @@
 		}
 		p := d.pass(w, a)
 		if p.partial || p.gone {
-			panic(http.ErrAbortHandler)
+			b.abort()
 		}
 	}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -360,7 +360,7 @@
 		a.resp.Body.Close()
 	}
 	if p.partial || p.gone {
-		panic(http.ErrAbortHandler)
+		c.body.abort()
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -51,6 +51,8 @@
 	public  *httptest.Server
 	inside  *httptest.Server
 	picks   *RoundRobin
+	nodes   [2]*httptest.Server
+	eps     []Endpoint
 	runs    atomic.Int64
 }
 
@@ -75,7 +77,6 @@
 	}))
 	t.Cleanup(m.backend.Close)
 	addr := strings.TrimPrefix(m.backend.URL, "http://")
-	var eps []Endpoint
 	for i := range m.dest {
 		ups := NewUpstreams()
 		t.Cleanup(ups.Close)
@@ -85,10 +86,11 @@
 		})
 		s := httptest.NewServer(m.dest[i])
 		t.Cleanup(s.Close)
-		eps = append(eps, Endpoint{ID: "vm" + string(rune('0'+i)) + "/a", VM: "vm" + string(rune('0'+i)),
+		m.nodes[i] = s
+		m.eps = append(m.eps, Endpoint{ID: "vm" + string(rune('0'+i)) + "/a", VM: "vm" + string(rune('0'+i)),
 			Instance: "a", Addr: strings.TrimPrefix(s.URL, "http://")})
 	}
-	m.picks.Set(map[string][]Endpoint{testService: eps})
+	m.useAll()
 	ups := NewUpstreams()
 	t.Cleanup(ups.Close)
 	m.entry = NewEntry(EntryParts{
@@ -101,6 +103,13 @@
 	return m
 }
 
+// useAll gives the entry node both endpoints, useOnly one.
+func (m *mesh) useAll() { m.picks.Set(map[string][]Endpoint{testService: m.eps}) }
+
+func (m *mesh) useOnly(i int) {
+	m.picks.Set(map[string][]Endpoint{testService: m.eps[i : i+1]})
+}
+
 // call makes a call and returns its answer and body.
 func (m *mesh) call(method, path, body string, header ...string) (*http.Response, string, error) {
 	m.t.Helper()
