--- /dev/null
+++ b/internal/proxy/keyed_test.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// memoryKeeper keeps claims in memory.
+type memoryKeeper struct {
+	mu     sync.Mutex
+	stored map[string]*Stored // nil while claimed
+	events []string
+	ended  chan struct{}
+}
+
+func newMemoryKeeper() *memoryKeeper {
+	return &memoryKeeper{stored: map[string]*Stored{}, ended: make(chan struct{}, 16)}
+}
+
+func (k *memoryKeeper) Begin(_ context.Context, c KeyedCall) (Claim, *Stored, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, claimed := k.stored[c.Key]
+	switch {
+	case s != nil:
+		return nil, s, nil
+	case claimed:
+		return nil, nil, ErrOutcomeUnknown
+	}
+	k.stored[c.Key] = nil
+	return &memoryClaim{k, c.Key}, nil, nil
+}
+
+type memoryClaim struct {
+	k   *memoryKeeper
+	key string
+}
+
+func (c *memoryClaim) Started(context.Context) error { return nil }
+
+func (c *memoryClaim) end(event string, s *Stored) {
+	c.k.mu.Lock()
+	c.k.events = append(c.k.events, event)
+	if event == "abandon" {
+		delete(c.k.stored, c.key)
+	} else {
+		c.k.stored[c.key] = s
+	}
+	c.k.mu.Unlock()
+	c.k.ended <- struct{}{}
+}
+
+func (c *memoryClaim) Finish(_ context.Context, s Stored) { c.end("finish", &s) }
+func (c *memoryClaim) Abandon(context.Context)            { c.end("abandon", nil) }
+func (c *memoryClaim) Lost(context.Context)               { c.end("lost", nil) }
+
+func newKeyedMesh(t *testing.T, h http.HandlerFunc) (*mesh, *memoryKeeper) {
+	m := newMesh(t, bookings(), h)
+	k := newMemoryKeeper()
+	for _, d := range m.dest {
+		d.Keeper = k
+	}
+	return m, k
+}
+
+// A clerk's connection breaks after the submission was sent, and the clerk
+// sends it again. The first run goes on without its caller, and the second
+// sending gets its answer.
+func TestKeyedCallOutlivesItsCaller(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+		w.Header().Set("X-Ticket", "7")
+		io.WriteString(w, "submitted")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", m.public.URL+"/submit", strings.NewReader("price"))
+	req.Header.Set("Idempotency-Key", "k1")
+	go func() {
+		<-begun
+		cancel()
+	}()
+	if _, err := m.public.Client().Do(req); err == nil {
+		t.Fatal("the first sending was answered")
+	}
+	close(finish)
+	<-k.ended
+	resp, body, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || body != "submitted" || resp.Header.Get("X-Ticket") != "7" {
+		t.Fatalf("got %v %q %v", resp, body, err)
+	}
+	if n := m.runs.Load(); n != 1 {
+		t.Fatalf("run %d times", n)
+	}
+}
+
+// The backend server dies while it runs a submission. Nobody knows whether it
+// took effect: the claim stands, and a resend is told "unknown", not run again
+// and not "not run".
+func TestKeyedCallThatIsLostStaysUnknown(t *testing.T) {
+	m, k := newKeyedMesh(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for i, want := range []int{http.StatusBadGateway, http.StatusConflict} {
+		resp, _, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+		if err != nil || resp.StatusCode != want || resp.Header.Get(call.HeaderNotRun) != "" {
+			t.Fatalf("sending %d: got %v %v, want %d", i, resp, err, want)
+		}
+		if i == 0 {
+			<-k.ended
+		}
+	}
+	if n := m.runs.Load(); n != 1 || k.events[0] != "lost" {
+		t.Fatalf("run %d times, events %v", n, k.events)
+	}
+}
+
+// A backend server refuses a keyed call. The claim is given up, so that the
+// next attempt, at another node, can take it.
+func TestKeyedCallThatIsRefusedIsAbandoned(t *testing.T) {
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(call.HeaderRefused, r.Header.Get(call.HeaderAttempt))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	m.useOnly(0)
+	resp, _, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonBackend) {
+		t.Fatalf("got %v %v", resp, err)
+	}
+	<-k.ended
+	if k.events[0] != "abandon" {
+		t.Fatalf("events %v", k.events)
+	}
+}
+
+// The answer to a keyed call is kept for its resends, but a key says nothing
+// for a class that may run twice anyway.
+func TestKeyOfIdempotentClassIsPassedOn(t *testing.T) {
+	m := newMesh(t, lookups(), func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, r.Header.Get("Idempotency-Key"))
+	})
+	k := newMemoryKeeper()
+	m.dest[0].Keeper, m.dest[1].Keeper = k, k
+	_, body, err := m.call("POST", "/", "x", "Idempotency-Key", "k1")
+	if err != nil || body != "k1" || len(k.stored) != 0 {
+		t.Fatalf("got %q %v, claims %v", body, err, k.stored)
+	}
+}
+
+func TestKeyedCallNeedsKnownLength(t *testing.T) {
+	m, _ := newKeyedMesh(t, func(http.ResponseWriter, *http.Request) {})
+	req, _ := http.NewRequest("POST", m.public.URL+"/", io.MultiReader(strings.NewReader("x")))
+	req.Header.Set("Idempotency-Key", "k1")
+	resp, err := m.public.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusBadRequest || m.runs.Load() != 0 {
+		t.Fatalf("got %d, run %d times", resp.StatusCode, m.runs.Load())
+	}
+}
--- /dev/null
+++ b/internal/proxy/meters_test.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+func TestBuckets(t *testing.T) {
+	last := -1
+	for us := int64(0); us < 1<<22; us += 1 + us/64 {
+		d := time.Duration(us) * time.Microsecond
+		i := bucketOf(d)
+		if i < last {
+			t.Fatalf("%v: bucket %d after %d", d, i, last)
+		}
+		last = i
+		up := upperBound(i)
+		if up < d || up > d+d/subBuckets+time.Microsecond {
+			t.Fatalf("%v: the bound of its bucket is %v", d, up)
+		}
+	}
+	if i := bucketOf(100 * time.Hour); i != buckets-1 {
+		t.Fatalf("too long: bucket %d of %d", i, buckets)
+	}
+}
+
+func TestFigures(t *testing.T) {
+	m := NewMeters()
+	target := lookups()
+	target.AnswerWithinMS = 50
+	now := time.Unix(1_000_000, 0)
+	c := m.Class(target)
+	for i := range 100 {
+		c.Answered(now, time.Duration(i+1)*time.Millisecond, i == 0)
+	}
+	c.Refused(now, call.ReasonOverloaded)
+	f := m.Figures(now)[0]
+	if f.Answered != 100 || f.Failed != 1 || f.InTarget != 49 || f.Refused[call.ReasonOverloaded] != 1 {
+		t.Fatalf("got %+v", f)
+	}
+	if f.P50 < 50*time.Millisecond || f.P50 > 54*time.Millisecond || f.P99 < 99*time.Millisecond {
+		t.Fatalf("p50 %v, p99 %v", f.P50, f.P99)
+	}
+	// After a minute nothing of it is left, and the parts are used again.
+	later := now.Add(windowParts * windowPart)
+	if f := m.Figures(later)[0]; f.Answered != 0 || len(f.Refused) != 0 {
+		t.Fatalf("a minute later: %+v", f)
+	}
+	c.Answered(later, time.Millisecond, false)
+	if f := m.Figures(later)[0]; f.Answered != 1 {
+		t.Fatalf("used again: %+v", f)
+	}
+}
