--- a/cmd/marlpass-backend/main.go
+++ b/cmd/marlpass-backend/main.go
@@ -66,6 +66,8 @@
 }
 
 func serve(set backend.Settings, log zerolog.Logger) int {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
 	s := backend.New(set, log)
 	if set.CrashDown == 0 {
 		s.Exit = func() { os.Exit(exitCrashed) }
@@ -75,8 +77,6 @@
 		return exitFailed
 	}
 	log.Info().Str("address", s.Addr()).Msg("backend: listening")
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
 	told := make(chan struct{})
 	ctx, end := context.WithCancel(context.Background())
 	go func() {
--- a/internal/load/overhead.go
+++ b/internal/load/overhead.go
@@ -59,6 +59,8 @@
 	For    time.Duration // for each rate and way
 	Bytes  int
 	Blocks int // how often the ways take turns
+	// AllocCalls is how many calls the allocations are counted over.
+	AllocCalls int
 }
 
 // OverheadCommand is the subcommand "overhead".
@@ -75,11 +77,12 @@
 	each := fs.Duration("for", 6*time.Second, "how long each way is measured at each rate")
 	size := fs.Int("bytes", 1000, "length of the answers")
 	blocks := fs.Int("blocks", 6, "how often the ways take turns")
+	allocs := fs.Int("alloc-calls", 3000, "how many calls the allocations are counted over")
 	asJSON := fs.Bool("json", false, "print one JSON object")
 	if code, ok := parseFlags(fs, args); !ok {
 		return code
 	}
-	o := OverheadOptions{For: *each, Bytes: *size, Blocks: max(*blocks, 1)}
+	o := OverheadOptions{For: *each, Bytes: *size, Blocks: max(*blocks, 1), AllocCalls: max(*allocs, 1)}
 	for s := range strings.SplitSeq(*rates, ",") {
 		r, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
 		if err != nil || r <= 0 || r > maxRate {
@@ -137,7 +140,7 @@
 		rep.Rates = append(rep.Rates, one)
 		rep.Overhead = one
 	}
-	rep.Allocs, err = m.allocs(ctx, o.Bytes)
+	rep.Allocs, err = m.allocs(ctx, o.Bytes, o.AllocCalls)
 	return rep, err
 }
 
@@ -200,17 +203,14 @@
 	return o
 }
 
-// allocCalls is how many calls the allocations are counted over.
-const allocCalls = 3000
-
 // allocs counts allocations, one call at a time.
-func (m *smallMesh) allocs(ctx context.Context, bytes int) (Allocs, error) {
+func (m *smallMesh) allocs(ctx context.Context, bytes, calls int) (Allocs, error) {
 	per := map[string]float64{}
 	for _, w := range m.ways("allocs-", 1, bytes) {
 		if err := m.ready(ctx, w.opts); err != nil {
 			return Allocs{}, err
 		}
-		per[w.name] = allocsOf(ctx, &w.opts)
+		per[w.name] = allocsOf(ctx, &w.opts, calls)
 	}
 	a := Allocs{Direct: per["direct"], Bare: per["bare"], Mesh: per["mesh"]}
 	a.PerCall = a.Mesh - a.Bare
@@ -218,14 +218,14 @@
 	return a, ctx.Err()
 }
 
-func allocsOf(ctx context.Context, o *Options) float64 {
+func allocsOf(ctx context.Context, o *Options, calls int) float64 {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	for i := range allocCalls {
+	for i := range calls {
 		Do(ctx, o, o.Prefix+strconv.Itoa(i))
 	}
 	runtime.ReadMemStats(&after)
-	return float64(after.Mallocs-before.Mallocs) / allocCalls
+	return float64(after.Mallocs-before.Mallocs) / float64(calls)
 }
 
 func (r *OverheadReport) print(w io.Writer) {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -79,7 +79,8 @@
 	return 0, errBarred
 }
 
-// begin hands the connection to a call and returns the call's ticket. The
+// begin hands the connection to a call and returns the call's ticket, which is
+// the word of the clean connection. The
 // transport gives a connection to one call at a time, and only when all of the
 // call before is written.
 func (c *conn) begin(b *streamBody) uint64 {
@@ -100,7 +101,7 @@
 // bar reports whether nothing was written for the call with that ticket, and
 // if so makes sure that nothing ever is.
 func (c *conn) bar(ticket uint64) bool {
-	return c.word.CompareAndSwap(ticket|connClean, ticket|connBarred) ||
+	return c.word.CompareAndSwap(ticket, ticket|connBarred) ||
 		c.word.Load() == ticket|connBarred
 }
 
