Tell a resend that its answer was not kept

Change: such a resend is told 409 that the call has run; the reason why a call has no answer travels between nodes by its kind. Conclusion: go test -race ./internal/proxy passes with a test of it.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -87,8 +87,8 @@
 	case a.refusal != nil:
 		writeRefusal(w, a.refusal)
 	case a.err != nil:
-		w.Header()[headerUnknown] = []string{"1"}
-		writeUnknown(w, statusOfUnknown(a.err), a.err.Error())
+		w.Header()[headerUnknown] = []string{string(kindOf(a.err))}
+		writeUnknown(w, a.err)
 	default:
 		if len(a.loadHeader) > 0 {
 			w.Header()[call.HeaderLoad] = a.loadHeader
@@ -231,6 +231,8 @@
 	case err == nil && stored == nil:
 		h.claim, h.stored = claim, new(Stored)
 		return answer{}, false
+	case err == nil && stored.TooLarge:
+		return answer{err: errNotKept}, true
 	case err == nil:
 		h.replayed = true
 		return answer{resp: stored.response(in.r), held: h}, true
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -319,10 +319,9 @@
 		discard(a.resp)
 		return answer{refusal: r}
 	}
-	if first(a.resp.Header, headerUnknown) != "" {
-		status := a.resp.StatusCode
+	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
-		return answer{err: &unknownError{status}}
+		return answer{err: &unknownError{unknownKind(kind)}}
 	}
 	a.load = parseLoad(a.resp.Header)
 	dropHopByHop(a.resp.Header)
@@ -382,7 +381,7 @@
 func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
 	now := e.Now()
 	c.class.Answered(now, now.Sub(c.start), true)
-	writeUnknown(w, statusOfUnknown(c.lost), c.lost.Error())
+	writeUnknown(w, c.lost)
 }
 
 // report tells the picker how an attempt went.
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -35,6 +35,10 @@
 	holdings.Put(h)
 }
 
+// errNotKept means that a keyed call ran, and that its answer was too large to
+// be kept for resends. An answer without its body must not pass for the answer.
+var errNotKept = errors.New("proxy: the answer was not kept")
+
 // keep returns what collects the answer for the claim, or nil.
 func (h *holding) keep() func([]byte) {
 	if h == nil || h.stored == nil {
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// The answer to a submission was larger than what is kept. A resend must not
+// get the head of that answer as if it were the whole.
+func TestKeyedAnswerThatIsTooLargeIsNotCut(t *testing.T) {
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, strings.Repeat("x", maxStoredBody+1))
+	})
+	_, body, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || len(body) != maxStoredBody+1 {
+		t.Fatalf("the first sending got %d bytes, %v", len(body), err)
+	}
+	<-k.ended
+	resp, body, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusConflict || !strings.Contains(body, "the call has run") {
+		t.Fatalf("the resend got %v %q %v", resp, body, err)
+	}
+	if n := m.runs.Load(); n != 1 {
+		t.Fatalf("run %d times", n)
+	}
+}
+
 // A backend server refuses a keyed call. The claim is given up, so that the
 // next attempt, at another node, can take it.
 func TestKeyedCallThatIsRefusedIsAbandoned(t *testing.T) {
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -102,36 +102,56 @@
 	})
 }
 
-// headerUnknown marks, between nodes, the answer that nobody knows whether the
-// call ran.
+// headerUnknown marks, between nodes, the answer that a call may have run and
+// has no answer for its caller. Its value is an unknownKind.
 const headerUnknown = "Marlpass-Unknown"
 
+// unknownKind says why a call that may have run has no answer.
+type unknownKind string
+
+const (
+	unknownLost    unknownKind = "lost"
+	unknownWaited  unknownKind = "waited"
+	unknownKey     unknownKind = "key"
+	unknownNotKept unknownKind = "not-kept"
+)
+
 // unknownError is what another node said of a call that may have run.
-type unknownError struct{ status int }
+type unknownError struct{ kind unknownKind }
 
-func (e *unknownError) Error() string {
-	return "proxy: the destination lost the call after it was sent"
-}
+func (e *unknownError) Error() string { return "proxy: the destination has no answer: " + string(e.kind) }
 
-// statusOfUnknown returns the HTTP status of a call that may have run.
-func statusOfUnknown(err error) int {
+func kindOf(err error) unknownKind {
 	var u *unknownError
 	switch {
 	case errors.As(err, &u):
-		return u.status
+		return u.kind
 	case errors.Is(err, ErrOutcomeUnknown):
-		return http.StatusConflict
+		return unknownKey
+	case errors.Is(err, errNotKept):
+		return unknownNotKept
 	case errors.Is(err, errWaited):
-		return http.StatusGatewayTimeout
+		return unknownWaited
 	}
-	return http.StatusBadGateway
+	return unknownLost
 }
 
-// writeUnknown answers that the call may or may not have run.
-func writeUnknown(w http.ResponseWriter, status int, detail string) {
-	writeProblem(w, problem{
-		Title: "the call may have run", Status: status, Detail: detail,
-	})
+// writeUnknown answers that the call may have run.
+func writeUnknown(w http.ResponseWriter, err error) {
+	p := problem{
+		Title: "the call may have run", Status: http.StatusBadGateway,
+		Detail: "the connection broke before an answer came",
+	}
+	switch kindOf(err) {
+	case unknownWaited:
+		p.Status, p.Detail = http.StatusGatewayTimeout, "no answer came within the deadline"
+	case unknownKey:
+		p.Status, p.Detail = http.StatusConflict, "an earlier call with this key may have run, and its answer is not known"
+	case unknownNotKept:
+		p.Status, p.Detail = http.StatusConflict, "an earlier call with this key was answered, and its answer was too large to keep"
+		p.Title = "the call has run"
+	}
+	writeProblem(w, p)
 }
 
 func writeProblem(w http.ResponseWriter, p problem) {
