--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -119,7 +119,9 @@
 // unknownError is what another node said of a call that may have run.
 type unknownError struct{ kind unknownKind }
 
-func (e *unknownError) Error() string { return "proxy: the destination has no answer: " + string(e.kind) }
+func (e *unknownError) Error() string {
+	return "proxy: the destination has no answer: " + string(e.kind)
+}
 
 func kindOf(err error) unknownKind {
 	var u *unknownError
