Ask before a streaming body is sent to another node

Cause: an upload above 64 KiB that a draining destination refused was lost to its caller, since part of its body had been sent with it. Change: the entry node sends Expect: 100-continue with a body that streams, and the destination drops it; a refusal for want of an endpoint is marked final. Conclusion: the test of a refused upload passes; go test -race ./internal/proxy passes.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -287,7 +287,9 @@
 	return nil, err
 }
 
-// forward sends the call to the backend server.
+// forward sends the call to the backend server. It drops Expect, which was
+// between nodes: not every backend server answers it, and each that does not
+// would cost a second.
 //
 // A keyed call runs to its end, within its deadline, when its caller leaves:
 // that caller has most likely lost its connection and will send the call again,
@@ -303,6 +305,7 @@
 		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim lapsed before the call was run")}
 	}
 	h.start = now
+	delete(in.header, "Expect")
 	if h.claim != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -101,7 +101,7 @@
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
-	dropExpect(c)
+	setExpect(c)
 	ctx, span := e.Tracer.startRemote(r, "entry", c.target.Name)
 	defer span.end()
 	if refusal := e.suspect(c); refusal != nil {
@@ -130,13 +130,18 @@
 	return quarantine.Of(r.Method, r.Host, r.URL.Path, r.URL.RawQuery, h, b.length, b.kept)
 }
 
-// dropExpect removes Expect from a request whose body was read already.
-func dropExpect(c *entering) {
-	if !c.body.streams() {
-		delete(c.r.Header, "Expect")
+// setExpect asks the destination node to say when it wants the body, if the
+// body streams: a refusal then comes before any of it was read, and the call can
+// go to another endpoint. A body that was read already needs no such word.
+func setExpect(c *entering) {
+	delete(c.r.Header, "Expect")
+	if c.body.streams() {
+		c.r.Header["Expect"] = expectValue
 	}
 }
 
+var expectValue = []string{"100-continue"}
+
 // match finds the call's class and deadline, and refuses what may not enter.
 func (e *Entry) match(c *entering, internal bool) *call.Refusal {
 	if wantsUpgrade(c.r) {
@@ -187,6 +192,7 @@
 		now := e.Now()
 		choice, err := e.pick(now, c)
 		if err != nil {
+			w.Header()[retry.HeaderFinal] = finalValue
 			e.refuse(w, c, pickRefusal(err, last))
 			return
 		}
@@ -363,11 +369,13 @@
 	}
 }
 
+var finalValue = []string{"1"}
+
 // giveUp tells the caller what is known of the last attempt, and when to come
 // back. A backend server that is told so for a call of its own can pass the
 // mark on with its refusal, and no node further up will retry in vain.
 func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer, d retry.Decision) {
-	w.Header()[retry.HeaderFinal] = []string{"1"}
+	w.Header()[retry.HeaderFinal] = finalValue
 	if a.refusal != nil {
 		r := *a.refusal
 		r.RetryAfter = max(r.RetryAfter, d.ComeBack)
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -200,6 +200,23 @@
 	}
 }
 
+// An upload of survey photos is too large to keep, and the first endpoint is
+// draining. It refuses before any of the body was sent, so the upload goes to
+// the next endpoint whole.
+func TestRefusedUploadGoesElsewhere(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		io.WriteString(w, strconv.FormatInt(n, 10)+r.Header.Get("Expect"))
+	})
+	m.dest[0].Drain()
+	for range 2 { // whichever endpoint comes first
+		_, body, err := m.call("POST", "/photos", strings.Repeat("x", 4*maxKeptBody))
+		if err != nil || body != strconv.Itoa(4*maxKeptBody) {
+			t.Fatalf("got %q %v", body, err)
+		}
+	}
+}
+
 // An idempotent lookup breaks at one endpoint, is sent again, and the next
 // endpoint refuses it. The refusal is true of the second attempt only: the
 // first may have run, so the caller must not be told "not run".
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // This file alone says that a call was not run. A caller acts on that word: it
@@ -45,7 +46,7 @@
 		return nil
 	}
 	r := &call.Refusal{Reason: call.ReasonBackend, RetryAfter: parseRetryAfter(h)}
-	if first(h, call.HeaderNotRun) != "" {
+	if first(h, call.HeaderNotRun) != "" || first(h, retry.HeaderFinal) != "" {
 		// The backend server refused because a call of its own was refused.
 		// That one was already tried again a level below.
 		r.Detail = detailDeep
