Hold the promises of a call against random faults

Cause: each fault was tested by itself, not in every order. Change: a rapid property over scripts of faults, methods, keys, both kinds of class and draining destinations.

--- /dev/null
+++ b/internal/proxy/property_test.go
@@ -0,0 +1,126 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// fault is what a backend server does with one attempt.
+type fault string
+
+const (
+	faultNone     fault = "answers"
+	faultRefuse   fault = "refuses with its nonce"
+	faultImposter fault = "refuses with another nonce, having run it"
+	faultDie      fault = "runs it and dies"
+	faultCut      fault = "runs it and dies in its answer"
+	faultSilent   fault = "runs it and falls silent"
+	faultReset    fault = "dies before it reads"
+)
+
+var faults = []fault{faultNone, faultRefuse, faultImposter, faultDie, faultCut, faultSilent, faultReset}
+
+// script plays faults, one for each attempt in turn, and counts runs.
+type script struct {
+	mu     sync.Mutex
+	faults []fault
+	runs   int
+}
+
+func (s *script) next(ran func(fault) bool) fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := faultNone
+	if len(s.faults) > 0 {
+		f, s.faults = s.faults[0], s.faults[1:]
+	}
+	if ran(f) {
+		s.runs++
+	}
+	return f
+}
+
+func runs(f fault) bool { return f != faultRefuse && f != faultReset }
+
+func (s *script) serve(w http.ResponseWriter, r *http.Request) {
+	switch s.next(runs) {
+	case faultRefuse:
+		w.Header().Set(call.HeaderRefused, r.Header.Get(call.HeaderAttempt))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case faultImposter:
+		w.Header().Set(call.HeaderRefused, "0"+r.Header.Get(call.HeaderAttempt))
+		w.Header().Set(call.HeaderNotRun, string(call.ReasonOverloaded))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case faultDie, faultReset:
+		panic(http.ErrAbortHandler)
+	case faultCut:
+		w.Header().Set("Content-Length", "100")
+		io.WriteString(w, "whole")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	case faultSilent:
+		<-r.Context().Done()
+	default:
+		io.WriteString(w, "whole")
+	}
+}
+
+// Whatever the backend servers do to the attempts of a call, and whichever
+// destinations are draining: a caller that is told "not run" was not run, a
+// call that is not idempotent ran at most once, and an answer that ends well is
+// whole.
+func TestPromisesUnderFaults(t *testing.T) {
+	// Each call names its script: a late attempt must not play another's.
+	var scripts sync.Map
+	play := func(w http.ResponseWriter, r *http.Request) {
+		s, _ := scripts.Load(r.Header.Get("X-Script"))
+		s.(*script).serve(w, r)
+	}
+	calls := 0
+	meshes := map[bool]*mesh{true: newMesh(t, lookups(), play), false: newMesh(t, bookings(), play)}
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		method := rapid.SampledFrom([]string{"GET", "POST", "DELETE"}).Draw(t, "method")
+		keyed := rapid.Bool().Draw(t, "keyed")
+		drains := rapid.SliceOfN(rapid.Bool(), 2, 2).Draw(t, "drains")
+		s := &script{faults: rapid.SliceOfN(rapid.SampledFrom(faults), 0, 4).Draw(t, "faults")}
+		silent := slices.Contains(s.faults, faultSilent)
+		calls++
+		id := strconv.Itoa(calls)
+		scripts.Store(id, s)
+		m := meshes[idempotent]
+		for i, d := range m.dest {
+			d.draining.Store(drains[i])
+		}
+		header := []string{"X-Script", id}
+		if silent {
+			header = append(header, call.HeaderDeadline, strconv.Itoa(20))
+		}
+		if keyed {
+			header = append(header, call.HeaderKey, "k")
+		}
+		resp, body, err := m.call(method, "/x", "", header...)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !idempotent && s.runs > 1 {
+			t.Fatalf("run %d times", s.runs)
+		}
+		if err != nil {
+			return // the answer was cut, and looked so
+		}
+		if why := resp.Header.Get(call.HeaderNotRun); why != "" && s.runs > 0 {
+			t.Fatalf("told not run (%s), and run %d times", why, s.runs)
+		}
+		if resp.StatusCode == http.StatusOK && body != "whole" {
+			t.Fatalf("got %q", body)
+		}
+	})
+}
