Name the one header between nodes

Cause: four headers were reserved between nodes, and one is used. Change: call.HeaderHop in place of HeaderClass, HeaderService, HeaderVersion and HeaderCall, which nothing used.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -85,16 +85,10 @@
 	// HeaderDeadline carries the time left for the call, in milliseconds.
 	// Time left is sent rather than a moment, because clocks differ.
 	HeaderDeadline = "Marlpass-Deadline-Ms"
-	// HeaderClass carries the class of work from the entry node to the
-	// destination node.
-	HeaderClass = "Marlpass-Class"
-	// HeaderService carries the service to the destination node.
-	HeaderService = "Marlpass-Service"
-	// HeaderVersion carries the configuration version that the entry node
-	// matched the call with.
-	HeaderVersion = "Marlpass-Version"
-	// HeaderCall carries the identity of the call through all attempts.
-	HeaderCall = "Marlpass-Call"
+	// HeaderHop carries from the entry node to the destination node all that
+	// the latter needs of a call. It is one header because each costs its
+	// receiver two allocations.
+	HeaderHop = "Marlpass-Hop"
 	// HeaderAttempt carries a fresh nonce to the backend server.
 	HeaderAttempt = "Marlpass-Attempt"
 	// HeaderRefused is how a backend server says that it did not run the
--- a/internal/load/mesh.go
+++ b/internal/load/mesh.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -120,15 +121,15 @@
 func (m *smallMesh) addBare() error {
 	second, err := m.serve(&Bare{
 		Addr: strings.TrimPrefix(m.direct, "http://"), Transport: m.transport(),
-		Header: http.Header{"Marlpass-Attempt": {"0123456789abcdef"}, "Marlpass-Deadline-Ms": {"30000"}},
-		Drop:   "Marlpass-Hop",
+		Header: http.Header{call.HeaderAttempt: {"0123456789abcdef"}, call.HeaderDeadline: {"30000"}},
+		Drop:   call.HeaderHop,
 	})
 	if err != nil {
 		return err
 	}
 	first, err := m.serve(&Bare{
 		Addr: second, Transport: m.transport(),
-		Header: http.Header{"Marlpass-Hop": {"30000 lookups berths a"}, "X-Forwarded-For": {"127.0.0.1"}},
+		Header: http.Header{call.HeaderHop: {"30000 lookups berths a"}, "X-Forwarded-For": {"127.0.0.1"}},
 	})
 	m.bare = "http://" + first
 	return err
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -56,7 +56,7 @@
 // ServeHTTP takes a call from another node.
 func (d *Destination) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := d.Now()
-	h, ok := parseHop(first(r.Header, headerHop))
+	h, ok := parseHop(first(r.Header, call.HeaderHop))
 	if !ok || wantsUpgrade(r) {
 		writeRefusal(w, refuse(call.ReasonBadRequest, 0, "not a call from a node"))
 		return
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -300,7 +300,7 @@
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
 		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left,
-		extra: [2]extraHeader{{headerHop, h.String()}},
+		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
 	return readNode(a)
 }
--- a/internal/proxy/entry_test.go
+++ b/internal/proxy/entry_test.go
@@ -65,11 +65,11 @@
 func TestCallerCannotSetOwnHeaders(t *testing.T) {
 	seen := make(chan http.Header, 1)
 	m := newMesh(t, bookings(), func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header })
-	if _, _, err := m.call("POST", "/", "x", headerHop, "1 a b c", "Marlpass-Class", "x", call.HeaderAttempt, "mine"); err != nil {
+	if _, _, err := m.call("POST", "/", "x", call.HeaderHop, "1 a b c", "Marlpass-Class", "x", call.HeaderAttempt, "mine"); err != nil {
 		t.Fatal(err)
 	}
 	h := <-seen
-	if h.Get(headerHop) != "" || h.Get("Marlpass-Class") != "" || h.Get(call.HeaderAttempt) == "mine" {
+	if h.Get(call.HeaderHop) != "" || h.Get("Marlpass-Class") != "" || h.Get(call.HeaderAttempt) == "mine" {
 		t.Fatalf("got %v", h)
 	}
 }
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -6,13 +6,9 @@
 	"time"
 )
 
-// headerHop carries from the entry node to the destination node all that the
-// latter needs: the time left in milliseconds, the class, the service and the
-// instance. They share one header because each header costs the receiver two
-// allocations.
-const headerHop = "Marlpass-Hop"
-
-// hop is what the entry node tells the destination node of a call.
+// hop is what the entry node tells the destination node of a call, in
+// call.HeaderHop: the time left in milliseconds, the class, the service and the
+// instance.
 type hop struct {
 	left     time.Duration
 	class    string
