Test that silent connections are retired together

Cause: nothing showed that one silent connection takes the idle ones beside it out of the pool. Change: a test with a listener that forgets its open connections.

--- /dev/null
+++ b/internal/proxy/silent_test.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// forgetful is a listener behind something that forgets connections: those
+// accepted before forget take bytes and deliver none.
+type forgetful struct {
+	net.Listener
+	epoch    atomic.Int64
+	accepted atomic.Int64
+}
+
+func (f *forgetful) forget() { f.epoch.Add(1) }
+
+func (f *forgetful) Accept() (net.Conn, error) {
+	c, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	f.accepted.Add(1)
+	return &forgottenConn{Conn: c, of: f, epoch: f.epoch.Load(), closed: make(chan struct{})}, nil
+}
+
+type forgottenConn struct {
+	net.Conn
+	of     *forgetful
+	epoch  int64
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read delivers nothing any more once the connection was forgotten.
+func (c *forgottenConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil && c.epoch < c.of.epoch.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *forgottenConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// A switch forgets every open connection to a backend server; new ones work.
+// One booking waits out its deadline on a silent connection. The next one must
+// not find the other silent connection in the pool and wait as well, and no
+// connection is opened but for a call.
+func TestSilentConnectionsAreRetiredTogether(t *testing.T) {
+	var together sync.WaitGroup
+	together.Add(2)
+	m := newMesh(t, bookings(), nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &forgetful{Listener: l}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			together.Done()
+			together.Wait() // so that each has a connection of its own
+		}
+		io.WriteString(w, "ok")
+	}))
+	s.Listener.Close()
+	s.Listener = f
+	s.Start()
+	t.Cleanup(s.Close)
+	m.dest[0].Backends = held{{Service: testService, Instance: "a", Slots: 8,
+		Addr: strings.TrimPrefix(s.URL, "http://"), State: membership.BackendReady}}
+	m.useOnly(0)
+	var warm sync.WaitGroup
+	for range 2 {
+		warm.Go(func() { m.call("POST", "/warm", "x") })
+	}
+	warm.Wait()
+	f.forget()
+	resp, _, err := m.call("POST", "/book", "x", call.HeaderDeadline, "50")
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(call.HeaderNotRun) != "" {
+		t.Fatalf("on a silent connection: %v %v", resp, err)
+	}
+	resp, body, err := m.call("POST", "/book", "x")
+	if err != nil || body != "ok" {
+		t.Fatalf("after it: %v %q %v", resp, body, err)
+	}
+	if n := f.accepted.Load(); n != 3 {
+		t.Fatalf("%d connections were opened, want 3", n)
+	}
+}
