--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -281,69 +280,6 @@
 	}
 }
 
-// attempt sends the call to one endpoint.
-func (e *Entry) attempt(ctx context.Context, now time.Time, c *entering, ep Endpoint) answer {
-	header := c.r.Header
-	if c.n > 1 {
-		// The transport may still be reading the header of the attempt before.
-		header = header.Clone()
-	}
-	if c.n > 1 || c.below {
-		header[retry.HeaderRetried] = []string{"1"}
-	}
-	h := hop{left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance}
-	if h.left <= 0 {
-		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
-	}
-	if e.Local != nil && ep.VM == e.Self {
-		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
-	}
-	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left,
-		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
-	})
-	return readNode(a)
-}
-
-// patience is how long an attempt may take to begin its answer. An idempotent
-// call keeps half of its time for another attempt, so that one connection that
-// went silent does not cost its caller the answer.
-func (e *Entry) patience(c *entering, now time.Time) time.Duration {
-	left := c.deadline.Sub(now)
-	if c.target.Idempotent && c.n == 1 && c.body.reusable() {
-		return left / 2
-	}
-	return left
-}
-
-// readNode takes from a node's answer what is meant for this node.
-func readNode(a answer) answer {
-	if a.resp == nil {
-		return a
-	}
-	if r := refusedByNode(a.resp.Header); r != nil {
-		discard(a.resp)
-		return answer{refusal: r}
-	}
-	if kind := first(a.resp.Header, headerUnknown); kind != "" {
-		discard(a.resp)
-		return answer{err: &unknownError{unknownKind(kind)}}
-	}
-	a.load = parseLoad(a.resp.Header)
-	dropHopByHop(a.resp.Header)
-	dropOwn(a.resp.Header)
-	return a
-}
-
-// discard reads the short body of a problem document, which keeps the
-// connection for the next call.
-func discard(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxProblemBody)
-	resp.Body.Close()
-}
-
-const maxProblemBody = 4 << 10
-
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -316,40 +316,6 @@
 	}
 }
 
-// Something between node and backend server has forgotten the connection:
-// requests vanish and no answer comes. The caller gets its answer within the
-// deadline, and is not told that the call was not run.
-func TestSilentBackendIsBounded(t *testing.T) {
-	release := make(chan struct{})
-	m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) { <-release })
-	t.Cleanup(func() { close(release) })
-	resp, _, err := m.call("POST", "/", "x", call.HeaderDeadline, "50")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(call.HeaderNotRun) != "" {
-		t.Fatalf("got %d, not run: %q", resp.StatusCode, resp.Header.Get(call.HeaderNotRun))
-	}
-}
-
-// The VM's call address takes connections and answers nothing, not even the
-// opening of a connection. An idempotent lookup keeps half of its time, and is
-// answered by the other endpoint.
-func TestSilentNodeLeavesTimeForAnother(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	m := newMesh(t, lookups(), func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
-	m.eps[0].Addr = l.Addr().String()
-	m.picks.next.Store(^uint64(0))
-	resp, body, err := m.call("GET", "/", "", call.HeaderDeadline, "2000")
-	if err != nil || body != "ok" {
-		t.Fatalf("got %v %q %v", resp, body, err)
-	}
-}
-
 // A caller has sent part of an upload and pauses, and the destination node
 // dies. net/http waits for its writer, which waits for the caller: without the
 // guard in streamBody the caller would wait for the node and the node for the
