--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,16 +56,17 @@
 // ServeHTTP takes a call from another node.
 func (d *Destination) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := d.Now()
-	h, ok := parseHop(first(r.Header, headerHop))
+	h, ok := parseHop(first(r.Header, call.HeaderHop))
 	if !ok || wantsUpgrade(r) {
 		writeRefusal(w, refuse(call.ReasonBadRequest, 0, "not a call from a node"))
 		return
 	}
-	body, err := takeBody(w, r, &d.kept)
-	if err != nil {
+	in := inbounds.Get().(*inbound)
+	defer in.free()
+	var err error
+	if in.own, err = takeBody(w, r, &d.kept); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer body.release()
 	retried := r.Header[retry.HeaderRetried]
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
@@ -76,27 +75,27 @@
 	}
 	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
 	defer span.end()
-	in := inbound{r: r, header: r.Header, body: &body, hop: h, deadline: now.Add(h.left)}
-	a := d.do(ctx, now, &in)
+	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
+	a := d.do(ctx, now, in)
 	span.outcome(&a)
-	d.finish(w, &a, now)
+	d.finish(w, &a, &in.own)
 }
 
 // finish writes the answer to the entry node.
-func (d *Destination) finish(w http.ResponseWriter, a *answer, start time.Time) {
+func (d *Destination) finish(w http.ResponseWriter, a *answer, b *body) {
 	switch {
 	case a.refusal != nil:
 		writeRefusal(w, a.refusal)
 	case a.err != nil:
-		w.Header()[headerUnknown] = []string{"1"}
-		writeUnknown(w, statusOfUnknown(a.err), a.err.Error())
+		w.Header()[headerUnknown] = []string{string(kindOf(a.err))}
+		writeUnknown(w, a.err)
 	default:
-		if a.load.Known {
-			w.Header()[call.HeaderLoad] = []string{a.load.String()}
+		if len(a.loadHeader) > 0 {
+			w.Header()[call.HeaderLoad] = a.loadHeader
 		}
 		p := d.pass(w, a)
 		if p.partial || p.gone {
-			panic(http.ErrAbortHandler)
+			b.abort()
 		}
 	}
 }
@@ -106,6 +105,7 @@
 	defer func() {
 		a.resp.Body.Close()
 		a.held.end(d, p)
+		a.held.free()
 	}()
 	return relay(w, a.resp, a.held.keep())
 }
@@ -115,10 +115,20 @@
 	r        *http.Request
 	header   http.Header // may be changed
 	body     *body
+	own      body // what body points to when another node sent the call
 	hop      hop
 	deadline time.Time
 }
 
+var inbounds = sync.Pool{New: func() any { return new(inbound) }}
+
+// free gives in back for another call.
+func (in *inbound) free() {
+	in.own.release()
+	*in = inbound{}
+	inbounds.Put(in)
+}
+
 // do runs a call, or refuses it. When it returns a response, the caller must
 // pass it on with relay, close its body, and end the holding.
 func (d *Destination) do(ctx context.Context, now time.Time, in *inbound) answer {
@@ -182,7 +192,7 @@
 // hold claims, queues and sends the call, in this order: a claim is a write to
 // the platform, and no slot may be held while the platform is slow.
 func (d *Destination) hold(ctx context.Context, now time.Time, in *inbound, b Backend, t *config.Target) answer {
-	h := &holding{backend: b, target: t, start: now}
+	h := newHolding(b, t, now)
 	if a, done := d.claim(ctx, in, h); done {
 		return a
 	}
@@ -193,11 +203,13 @@
 	}
 	if refusal != nil {
 		h.abandon(d)
+		h.free()
 		return answer{refusal: refusal}
 	}
 	a := d.forward(ctx, in, h)
 	if a.resp == nil {
 		h.failed(d, &a)
+		h.free()
 	}
 	return a
 }
@@ -215,21 +227,24 @@
 	claim, stored, err := d.Keeper.Begin(ctx, KeyedCall{
 		Target: h.target, Key: key, Fingerprint: fingerprint(in), Deadline: in.deadline,
 	})
-	var r *call.Refusal
 	switch {
-	case errors.As(err, &r):
+	case err == nil && stored == nil:
+		h.claim, h.stored = claim, new(Stored)
+		return answer{}, false
+	case err == nil && stored.TooLarge:
+		return answer{err: errNotKept}, true
+	case err == nil:
+		h.replayed = true
+		return answer{resp: stored.response(in.r), held: h}, true
+	}
+	r, err := asRefusal(err)
+	switch {
+	case r != nil:
 		return answer{refusal: r}, true
 	case errors.Is(err, ErrOutcomeUnknown):
 		return answer{err: err}, true
-	case err != nil:
-		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
-	case stored != nil:
-		h.replayed = true
-		return answer{resp: stored.response(in.r), held: h}, true
 	}
-	h.claim = claim
-	h.stored = new(Stored)
-	return answer{}, false
+	return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
 }
 
 // fingerprint tells one request from another under the same key.
@@ -246,12 +261,8 @@
 func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
 	if d.Gates != nil {
 		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, in.deadline)
-		var r *call.Refusal
-		if errors.As(err, &r) {
-			return r, nil
-		}
 		if err != nil {
-			return nil, err
+			return asRefusal(err)
 		}
 		h.permit = permit
 	}
@@ -259,16 +270,31 @@
 		fp := fingerprintOf(in.r, in.header, in.body)
 		what := in.r.Method + " " + in.r.Host + in.r.URL.Path
 		mark, err := d.Suspects.Start(now, h.backend, fp, what)
-		var r *call.Refusal
-		if errors.As(err, &r) {
-			return r, nil
+		if err != nil {
+			return asRefusal(err)
 		}
 		h.mark, h.marked = mark, true
 	}
 	return nil, nil
 }
 
-// forward sends the call to the backend server.
+// asRefusal returns the refusal that err is, or err.
+func asRefusal(err error) (*call.Refusal, error) {
+	var r *call.Refusal
+	if errors.As(err, &r) {
+		return r, nil
+	}
+	return nil, err
+}
+
+// forward sends the call to the backend server. It drops Expect, which was
+// between nodes: not every backend server answers it, and each that does not
+// would cost a second.
+//
+// A keyed call runs to its end, within its deadline, when its caller leaves:
+// that caller has most likely lost its connection and will send the call again,
+// and stopping the backend server half way would leave it nothing to be told
+// but "unknown".
 func (d *Destination) forward(ctx context.Context, in *inbound, h *holding) answer {
 	now := d.Now()
 	left := in.deadline.Sub(now)
@@ -279,21 +305,26 @@
 		return answer{refusal: refuse(call.ReasonExpired, 0, "the claim lapsed before the call was run")}
 	}
 	h.start = now
-	nonce := strconv.FormatUint(rand.Uint64(), 16)
-	in.header[call.HeaderAttempt] = []string{nonce}
-	in.header[call.HeaderDeadline] = []string{milliseconds(left)}
+	delete(in.header, "Expect")
+	if h.claim != nil {
+		ctx = context.WithoutCancel(ctx)
+	}
+	nonce, ms := attemptHeaders(left)
 	a := d.Upstreams.send(ctx, now, &outbound{
-		in: in.r, header: in.header, body: in.body,
-		addr: h.backend.Addr, host: in.r.Host, wait: left,
+		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left,
+		extra: [2]extraHeader{nonce, ms},
 	})
 	if a.resp == nil {
 		return a
 	}
-	if refusal := refusedByBackend(a.resp.Header, nonce); refusal != nil {
+	if refusal := refusedByBackend(a.resp.Header, nonce.value); refusal != nil {
 		a.resp.Body.Close()
-		return answer{refusal: refusal, attempt: a.attempt}
+		return answer{refusal: refusal}
 	}
 	a.load = parseLoad(a.resp.Header)
+	if a.load.Known {
+		a.loadHeader = a.resp.Header[call.HeaderLoad][:1]
+	}
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
 	h.status = a.resp.StatusCode
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -75,10 +75,20 @@
 	lost error
 }
 
+var enterings = sync.Pool{New: func() any { return new(entering) }}
+
+// free gives c back for another call.
+func (c *entering) free() {
+	*c = entering{tried: c.tried[:0]}
+	enterings.Put(c)
+}
+
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, internal bool) {
-	c := entering{r: r, start: e.Now()}
-	if refusal := e.match(&c, internal); refusal != nil {
-		e.refuse(w, &c, refusal)
+	c := enterings.Get().(*entering)
+	defer c.free()
+	c.r, c.start = r, e.Now()
+	if refusal := e.match(c, internal); refusal != nil {
+		e.refuse(w, c, refusal)
 		return
 	}
 	var err error
@@ -90,15 +100,15 @@
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
-	dropExpect(&c)
+	setExpect(c)
 	ctx, span := e.Tracer.startRemote(r, "entry", c.target.Name)
 	defer span.end()
-	if refusal := e.suspect(&c); refusal != nil {
-		e.refuse(w, &c, refusal)
+	if refusal := e.suspect(c); refusal != nil {
+		e.refuse(w, c, refusal)
 		return
 	}
 	e.Retrier.Called(c.target.Service)
-	e.run(ctx, w, &c, span)
+	e.run(ctx, w, c, span)
 }
 
 // suspect finds out whether the request is one that crashes backend servers.
@@ -119,13 +129,18 @@
 	return quarantine.Of(r.Method, r.Host, r.URL.Path, r.URL.RawQuery, h, b.length, b.kept)
 }
 
-// dropExpect removes Expect from a request whose body was read already.
-func dropExpect(c *entering) {
-	if !c.body.streams() {
-		delete(c.r.Header, "Expect")
+// setExpect asks the destination node to say when it wants the body, if the
+// body streams: a refusal then comes before any of it was read, and the call can
+// go to another endpoint. A body that was read already needs no such word.
+func setExpect(c *entering) {
+	delete(c.r.Header, "Expect")
+	if c.body.streams() {
+		c.r.Header["Expect"] = expectValue
 	}
 }
 
+var expectValue = []string{"100-continue"}
+
 // match finds the call's class and deadline, and refuses what may not enter.
 func (e *Entry) match(c *entering, internal bool) *call.Refusal {
 	if wantsUpgrade(c.r) {
@@ -176,6 +191,7 @@
 		now := e.Now()
 		choice, err := e.pick(now, c)
 		if err != nil {
+			w.Header()[retry.HeaderFinal] = finalValue
 			e.refuse(w, c, pickRefusal(err, last))
 			return
 		}
@@ -264,70 +280,6 @@
 	}
 }
 
-// attempt sends the call to one endpoint.
-func (e *Entry) attempt(ctx context.Context, now time.Time, c *entering, ep Endpoint) answer {
-	header := c.r.Header
-	if c.n > 1 {
-		// The transport may still be reading the header of the attempt before.
-		header = header.Clone()
-	}
-	if c.n > 1 || c.below {
-		header[retry.HeaderRetried] = []string{"1"}
-	}
-	h := hop{left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance}
-	if h.left <= 0 {
-		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
-	}
-	if e.Local != nil && ep.VM == e.Self {
-		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
-	}
-	header[headerHop] = []string{h.String()}
-	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, host: c.r.Host, wait: h.left,
-	})
-	return readNode(a)
-}
-
-// patience is how long an attempt may take to begin its answer. An idempotent
-// call keeps half of its time for another attempt, so that one connection that
-// went silent does not cost its caller the answer.
-func (e *Entry) patience(c *entering, now time.Time) time.Duration {
-	left := c.deadline.Sub(now)
-	if c.target.Idempotent && c.n == 1 && c.body.reusable() {
-		return left / 2
-	}
-	return left
-}
-
-// readNode takes from a node's answer what is meant for this node.
-func readNode(a answer) answer {
-	if a.resp == nil {
-		return a
-	}
-	if r := refusedByNode(a.resp.Header); r != nil {
-		discard(a.resp)
-		return answer{refusal: r, attempt: a.attempt}
-	}
-	if first(a.resp.Header, headerUnknown) != "" {
-		status := a.resp.StatusCode
-		discard(a.resp)
-		return answer{err: &unknownError{status}, attempt: a.attempt}
-	}
-	a.load = parseLoad(a.resp.Header)
-	dropHopByHop(a.resp.Header)
-	dropOwn(a.resp.Header)
-	return a
-}
-
-// discard reads the short body of a problem document, which keeps the
-// connection for the next call.
-func discard(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxProblemBody)
-	resp.Body.Close()
-}
-
-const maxProblemBody = 4 << 10
-
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
@@ -349,15 +301,17 @@
 		a.resp.Body.Close()
 	}
 	if p.partial || p.gone {
-		panic(http.ErrAbortHandler)
+		c.body.abort()
 	}
 }
 
+var finalValue = []string{"1"}
+
 // giveUp tells the caller what is known of the last attempt, and when to come
 // back. A backend server that is told so for a call of its own can pass the
 // mark on with its refusal, and no node further up will retry in vain.
 func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer, d retry.Decision) {
-	w.Header()[retry.HeaderFinal] = []string{"1"}
+	w.Header()[retry.HeaderFinal] = finalValue
 	if a.refusal != nil {
 		r := *a.refusal
 		r.RetryAfter = max(r.RetryAfter, d.ComeBack)
@@ -371,7 +325,7 @@
 func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
 	now := e.Now()
 	c.class.Answered(now, now.Sub(c.start), true)
-	writeUnknown(w, statusOfUnknown(c.lost), c.lost.Error())
+	writeUnknown(w, c.lost)
 }
 
 // report tells the picker how an attempt went.
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/quarantine"
 )
 
@@ -19,6 +21,24 @@
 // the call itself is over, when its own deadline no longer counts.
 const recordBound = 5 * time.Second
 
+var holdings = sync.Pool{New: func() any { return new(holding) }}
+
+func newHolding(b Backend, t *config.Target, now time.Time) *holding {
+	h := holdings.Get().(*holding)
+	h.backend, h.target, h.start = b, t, now
+	return h
+}
+
+// free gives h back for another call. It must have ended.
+func (h *holding) free() {
+	*h = holding{}
+	holdings.Put(h)
+}
+
+// errNotKept means that a keyed call ran, and that its answer was too large to
+// be kept for resends. An answer without its body must not pass for the answer.
+var errNotKept = errors.New("proxy: the answer was not kept")
+
 // keep returns what collects the answer for the claim, or nil.
 func (h *holding) keep() func([]byte) {
 	if h == nil || h.stored == nil {
@@ -50,7 +70,7 @@
 	h.release(now, Result{Failed: true})
 	h.unmark(d, now, quarantine.Dropped)
 	if h.claim != nil {
-		d.record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+		d.record(h.claim.Abandon)
 	}
 }
 
@@ -64,10 +84,10 @@
 		return
 	}
 	if a.refusal != nil {
-		d.record(func(ctx context.Context) { h.claim.Abandon(ctx) })
+		d.record(h.claim.Abandon)
 		return
 	}
-	d.record(func(ctx context.Context) { h.claim.Lost(ctx) })
+	d.record(h.claim.Lost)
 }
 
 // end ends a call whose answer was passed on as p tells.
@@ -90,11 +110,13 @@
 	if h.claim == nil {
 		return
 	}
-	if p.partial || p.gone {
-		d.record(func(ctx context.Context) { h.claim.Lost(ctx) })
+	if p.partial {
+		d.record(h.claim.Lost)
 		return
 	}
-	d.record(func(ctx context.Context) { h.claim.Finish(ctx, *h.stored) })
+	// The record is written after h is given back.
+	claim, stored := h.claim, *h.stored
+	d.record(func(ctx context.Context) { claim.Finish(ctx, stored) })
 }
 
 func (h *holding) release(_ time.Time, r Result) {
@@ -107,7 +129,7 @@
 // endOf tells how a run without an answer ended. One that this node ended, since
 // its bound passed or its caller left, says nothing of the backend server.
 func endOf(a *answer) quarantine.End {
-	if a.refusal != nil || a.attempt.expired() || errors.Is(a.err, context.Canceled) {
+	if a.refusal != nil || a.expired || errors.Is(a.err, context.Canceled) {
 		return quarantine.Dropped
 	}
 	return quarantine.Broken
