Carry the first call from a target to an answer

Cause: the parts were merged and not joined; a node's Kill hung because nothing closed the server for peers, and a rate bound was never passed to the gates.

Change: the node takes feed, the committer and the forwarder as they are; gates get their part of a class's rate from the number of backend servers; a suspect avoids the endpoints it crashed; a call under the local guard picks by its key; If-Match "0" is compared like any other version.

--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -33,11 +33,7 @@
 		if err != nil {
 			return &parameterError{"If-Match", "must be a version number in quotes"}
 		}
-		if n == 0 {
-			// A command takes base 0 for none and would go unchecked.
-			return &parameterError{"If-Match", "version 0 holds nothing to compare with; leave it out"}
-		}
-		c.Base = n
+		c.Base = &n
 	}
 	note, err := url.PathUnescape(h.note.Or(""))
 	if err != nil || !utf8.ValidString(note) {
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -53,12 +53,17 @@
 	Log         zerolog.Logger
 	// DrainLimit bounds a planned stop of a node; DefaultDrainLimit if zero.
 	DrainLimit time.Duration
-	// Membership changes the membership's settings of every node.
+	// Membership changes the membership's settings of every node. Without it
+	// a first node takes itself to be alone after aloneAfter.
 	Membership func(*membership.Config)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 }
 
+// aloneAfter is short, since all nodes of a local mesh start together with
+// nobody to ask.
+const aloneAfter = 500 * time.Millisecond
+
 // DefaultDrainLimit bounds a planned stop of a node of a local mesh.
 const DefaultDrainLimit = 10 * time.Second
 
@@ -88,6 +93,9 @@
 	if o.Seeds == 0 {
 		o.Seeds = 3
 	}
+	if o.Membership == nil {
+		o.Membership = func(c *membership.Config) { c.AloneAfter = aloneAfter }
+	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
@@ -263,6 +271,12 @@
 	return m.WaitFor(ctx, func(n *node.Node) bool { return n.Version().Number >= number })
 }
 
+// WaitEndpoints waits until every node knows of that many backend servers of
+// the service.
+func (m *Mesh) WaitEndpoints(ctx context.Context, service string, count int) error {
+	return m.WaitFor(ctx, func(n *node.Node) bool { return n.Endpoints(service) >= count })
+}
+
 // Close ends everything at once.
 func (m *Mesh) Close() {
 	var wg sync.WaitGroup
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/command/feed"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -91,6 +92,7 @@
 	n.self.Incarnation = uint64(time.Now().UnixMilli())
 	cfg := membership.DefaultConfig(n.self)
 	cfg.Seeds = n.set.Peers.Seeds
+	cfg.PushChanges = n.set.Profile == settings.ProfileTime
 	if n.o.Membership != nil {
 		n.o.Membership(&cfg)
 	}
@@ -123,7 +125,7 @@
 		set.AloneAfter = d
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
-		Views: &n.views, Platform: versions{c.log}, Client: c.peers, Store: n.store,
+		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
 		Log: telemetry.Part(n.log, "distribute"),
 	})
 }
@@ -182,17 +184,12 @@
 
 func (c *control) leave() { c.members.Leave() }
 
-// close ends the connections to peers and to the platform.
+// close stops answering peers, and ends the connections to them and to the
+// platform.
 func (c *control) close() {
+	_ = c.server.Close()
 	c.peers.Close()
 	if c.client != nil {
 		c.client.Close()
 	}
 }
-
-// shutdownServer stops answering peers.
-func (c *control) shutdownServer() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = c.server.Shutdown(ctx)
-}
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -25,8 +25,9 @@
 }
 
 // update makes the gates fit the backend servers and the classes in force.
-// The gate of a backend server that is gone refuses those that wait.
-func (g *gates) update(now time.Time, list []announce.Backend, p *program) {
+// The gate of a backend server that is gone refuses those that wait. Holders
+// returns how many backend servers of a service the whole mesh has.
+func (g *gates) update(now time.Time, list []announce.Backend, p *program, holders func(service string) int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old := *g.byInstance.Load()
@@ -36,7 +37,8 @@
 		if gate == nil {
 			gate = limit.NewGate(limit.Options{})
 		}
-		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: p.limits[b.Service]})
+		classes := partOf(p.limits[b.Service], holders(b.Service))
+		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes})
 		next[b.Instance] = gate
 	}
 	g.byInstance.Store(&next)
@@ -47,6 +49,16 @@
 	}
 }
 
+// partOf gives each class one backend server's part of its rate.
+func partOf(classes []limit.Class, backends int) []limit.Class {
+	out := make([]limit.Class, len(classes))
+	for i, c := range classes {
+		c.RatePerSecond = limit.RateOf(c.RatePerSecond, backends)
+		out[i] = c
+	}
+	return out
+}
+
 // Acquire implements proxy.Gates.
 func (g *gates) Acquire(ctx context.Context, b proxy.Backend, t *config.Target, deadline time.Time) (proxy.Permit, error) {
 	gate := (*g.byInstance.Load())[b.Instance]
@@ -61,15 +73,6 @@
 	return permit{p}, nil
 }
 
-// stats returns what the gates hold of each class, by instance.
-func (g *gates) stats(now time.Time) map[string][]limit.ClassStats {
-	out := make(map[string][]limit.ClassStats)
-	for instance, gate := range *g.byInstance.Load() {
-		out[instance] = gate.Stats(now)
-	}
-	return out
-}
-
 // permit gives limit.Permit the shape that the proxy asks for.
 type permit struct{ p limit.Permit }
 
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -47,6 +47,4 @@
 
 func (c claim) Abandon(ctx context.Context) { _ = c.c.Abandon(ctx) }
 
-// Lost leaves the claim as it is: nobody knows whether the call ran, so a
-// resend must be told so and must never run.
-func (c claim) Lost(context.Context) {}
+func (c claim) Lost(ctx context.Context) { _ = c.c.Lost(ctx) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,13 +111,17 @@
 // Version returns the version in force.
 func (n *Node) Version() config.Version { return n.store.Load().Snapshot.Version() }
 
+// Endpoints returns how many backend servers of a service this node knows that
+// take calls.
+func (n *Node) Endpoints(service string) int { return n.calls.pickers.holders(service) }
+
 // Start serves everything, and returns at once.
 func (n *Node) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.group, ctx = errgroup.WithContext(ctx)
 	n.control.start(ctx, n.group)
-	n.servers.start(n.group)
+	n.servers.start(ctx, n.group)
 	n.group.Go(func() error { n.refresh(ctx); return nil })
 	n.group.Go(func() error { n.calls.upkeep(ctx); return nil })
 	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
@@ -136,16 +140,18 @@
 	var snapshot *config.Snapshot
 	for {
 		now := time.Now()
-		if v := n.views.Load(); v != view {
-			view = v
+		v, f := n.views.Load(), n.store.Load()
+		if v != view {
 			n.calls.pickers.update(now, v)
 			n.calls.suspects.merge(now, v)
 		}
-		if f := n.store.Load(); f.Snapshot != snapshot {
-			snapshot = f.Snapshot
-			n.calls.gates.update(now, n.registry.Load(), f.Program)
+		if f.Snapshot != snapshot {
 			n.control.applied(f.Snapshot, n.store.Refused())
 		}
+		if v != view || f.Snapshot != snapshot {
+			n.updateGates(now)
+		}
+		view, snapshot = v, f.Snapshot
 		ok, _ := n.control.spread.Ready()
 		n.carries.Store(ok)
 		select {
@@ -156,10 +162,17 @@
 	}
 }
 
+// updateGates fits the gates to the backend servers here, the classes in force
+// and the number of backend servers elsewhere.
+func (n *Node) updateGates(now time.Time) {
+	holders := n.calls.pickers.holders
+	n.calls.gates.update(now, n.registry.Load(), n.store.Load().Program, holders)
+}
+
 // backendsChanged takes in what backend servers announced.
 func (n *Node) backendsChanged(changes []announce.Change) {
 	list := n.registry.Load()
-	n.calls.gates.update(time.Now(), list, n.store.Load().Program)
+	n.updateGates(time.Now())
 	n.control.backends(list)
 	for _, c := range changes {
 		n.log.Info().Str("service", c.Backend.Service).Str("instance", c.Backend.Instance).
@@ -198,8 +211,8 @@
 	n.calls.wait()
 	n.stop()
 	n.servers.close()
-	err := n.group.Wait()
 	n.control.close()
+	err := n.group.Wait()
 	if drainErr != nil {
 		cut := n.calls.inFlight()
 		n.log.Error().Int64("calls", cut).Dur("after", time.Since(start)).Msg("node: calls cut off at the drain limit")
@@ -214,8 +227,8 @@
 	n.once.Do(func() {
 		n.stop()
 		n.servers.close()
-		_ = n.group.Wait()
 		n.control.close()
+		_ = n.group.Wait()
 	})
 }
 
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -23,11 +23,13 @@
 	mu        sync.Mutex // serialises writers
 	byService atomic.Pointer[map[string]*route.Picker]
 	none      *route.Picker // of a service that no node holds
+	ready     atomic.Pointer[map[string]int]
 }
 
 func newPickers(self membership.VM) *pickers {
 	p := &pickers{self: self, none: route.New(route.Options{Self: self.ID})}
 	p.byService.Store(&map[string]*route.Picker{})
+	p.ready.Store(&map[string]int{})
 	return p
 }
 
@@ -54,6 +56,20 @@
 		picker.Update(now, endpoints[service])
 	}
 	p.byService.Store(&next)
+	ready := countReady(endpoints)
+	p.ready.Store(&ready)
+}
+
+func countReady(endpoints map[string][]route.Endpoint) map[string]int {
+	out := make(map[string]int, len(endpoints))
+	for service, list := range endpoints {
+		for _, e := range list {
+			if e.Ready && !e.Draining {
+				out[service]++
+			}
+		}
+	}
+	return out
 }
 
 // nodesIn counts the nodes of a data centre: each may be an entry node.
@@ -95,6 +111,9 @@
 	return e
 }
 
+// holders returns how many backend servers of a service take calls.
+func (p *pickers) holders(service string) int { return (*p.ready.Load())[service] }
+
 // of returns the picker of a service; it knows no endpoints if no node holds it.
 func (p *pickers) of(service string) *route.Picker {
 	if picker := (*p.byService.Load())[service]; picker != nil {
@@ -126,15 +145,6 @@
 	return choice{c}, nil
 }
 
-// status returns what the pickers hold of every endpoint, by service.
-func (p *pickers) status(now time.Time) map[string][]route.EndpointStatus {
-	out := make(map[string][]route.EndpointStatus)
-	for service, picker := range *p.byService.Load() {
-		out[service] = picker.Endpoints(now)
-	}
-	return out
-}
-
 // choice gives route.Choice the shape that the proxy asks for.
 type choice struct{ c route.Choice }
 
--- a/internal/node/program.go
+++ b/internal/node/program.go
@@ -31,6 +31,8 @@
 			Share:        t.Share,
 			Priority:     t.PriorityOrDefault(),
 			AnswerWithin: t.AnswerWithin(),
+			// Of the whole mesh; gates take their part of it.
+			RatePerSecond: t.RatePerSecond,
 		})
 	}
 	return p, nil
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -80,7 +80,8 @@
 	}).Handler()
 }
 
-func (s *servers) start(g *errgroup.Group) {
+func (s *servers) start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { s.announce.Run(ctx); return nil })
 	for _, list := range [][]bound{s.side, s.traffic} {
 		for _, b := range list {
 			g.Go(func() error { return serve(b.server, b.ln, b.tls) })
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -38,8 +38,6 @@
 	running sync.WaitGroup
 }
 
-func endpointID(b proxy.Backend) string { return b.Service + endpointSep + b.Instance }
-
 // Blocked implements proxy.Suspects.
 func (s *suspects) Blocked(now time.Time, fp quarantine.Fingerprint) *call.Refusal {
 	e, blocked := s.list.Blocked(now, fp)
@@ -54,6 +52,11 @@
 	return s.list.Isolated(now, fp)
 }
 
+// CrashedAt implements proxy.Suspects.
+func (s *suspects) CrashedAt(now time.Time, fp quarantine.Fingerprint) []string {
+	return s.list.CrashedAt(now, fp)
+}
+
 // Broke implements proxy.Suspects.
 func (s *suspects) Broke(now time.Time, fp quarantine.Fingerprint, endpoint string) {
 	s.list.Broke(now, fp, endpoint)
@@ -64,7 +67,7 @@
 
 // Start implements proxy.Suspects.
 func (s *suspects) Start(now time.Time, b proxy.Backend, fp quarantine.Fingerprint, what string) (quarantine.Token, error) {
-	return s.list.Start(now, fp, endpointID(b), what)
+	return s.list.Start(now, fp, b.Instance, what)
 }
 
 // Done implements proxy.Suspects.
@@ -73,11 +76,11 @@
 	if end != quarantine.Broken {
 		return
 	}
-	if _, checking := s.checks.LoadOrStore(endpointID(b), struct{}{}); checking {
+	if _, checking := s.checks.LoadOrStore(b.Instance, struct{}{}); checking {
 		return
 	}
 	s.running.Go(func() {
-		defer s.checks.Delete(endpointID(b))
+		defer s.checks.Delete(b.Instance)
 		s.check(b)
 	})
 }
@@ -111,7 +114,7 @@
 
 func (s *suspects) crashed(b proxy.Backend) {
 	now := time.Now()
-	urgent := s.list.Crashed(now, endpointID(b))
+	urgent := s.list.Crashed(now, b.Instance)
 	s.log.Warn().Str("service", b.Service).Str("instance", b.Instance).Int("suspects", len(urgent)).
 		Msg("quarantine: backend server crashed")
 	s.changed(s.list.Notices(now))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -93,6 +93,9 @@
 // Shutdown stops accepting and waits for the answers in flight.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// Close stops at once, and cuts off the answers in flight.
+func (s *Server) Close() error { return s.http.Close() }
+
 // fromKey is the context key of the VM that the connection's certificate names.
 type fromKey struct{}
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/quarantine"
@@ -219,11 +221,23 @@
 
 func (e *Entry) pick(now time.Time, c *entering) (Choice, error) {
 	if c.isolated {
-		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.tried)
+		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), e.Suspects.CrashedAt(now, c.fp))
+	}
+	if key := guardKey(c); key != "" {
+		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.tried)
 	}
 	return e.Pickers.Pick(now, c.target, c.tried)
 }
 
+// guardKey returns the key of a call that one destination node guards by itself
+// when the platform is down. That holds only if its resends reach the same node.
+func guardKey(c *entering) string {
+	if c.target.Idempotent || c.target.StoreDownRule() != config.OnStoreDownLocalGuard {
+		return ""
+	}
+	return first(c.r.Header, call.HeaderKey)
+}
+
 // broke tells the suspects of a call that broke at ep, and asks whether the
 // next attempt has to run isolated.
 func (e *Entry) broke(c *entering, ep Endpoint) {
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -70,8 +70,9 @@
 // last, or not at all when only they are left; then err is ErrTriedAll.
 type Pickers interface {
 	Pick(now time.Time, t *config.Target, tried []string) (Choice, error)
-	// PickFixed picks by key alone, so that every node picks the same.
-	PickFixed(now time.Time, t *config.Target, key uint64, tried []string) (Choice, error)
+	// PickFixed picks by key alone, so that every node picks the same. The
+	// endpoints in avoid are left out as long as there are others.
+	PickFixed(now time.Time, t *config.Target, key uint64, avoid []string) (Choice, error)
 }
 
 // Retrier decides whether a call is sent again. Called is told of each call
@@ -159,12 +160,15 @@
 }
 
 // Suspects keeps requests that crash backend servers away from them. The first
-// four methods are asked at the entry node, the others at the destination.
+// five methods are asked at the entry node, the others at the destination.
 type Suspects interface {
 	// Blocked returns the refusal of a request that must not run, or nil.
 	Blocked(now time.Time, fp quarantine.Fingerprint) *call.Refusal
 	// Isolated reports whether the request must run at one place at a time.
 	Isolated(now time.Time, fp quarantine.Fingerprint) bool
+	// CrashedAt returns the endpoints that crashed with the request in flight.
+	// An isolated run must not choose them.
+	CrashedAt(now time.Time, fp quarantine.Fingerprint) []string
 	Broke(now time.Time, fp quarantine.Fingerprint, endpoint string)
 	Answered(now time.Time, fp quarantine.Fingerprint)
 
--- a/internal/try/try.go
+++ b/internal/try/try.go
@@ -61,7 +61,9 @@
 		return err
 	}
 	fmt.Fprintf(w, "try: version 2 in force on every node after %s\n", time.Since(start).Round(time.Millisecond))
-	time.Sleep(500 * time.Millisecond)
+	if err := m.WaitEndpoints(ctx, "berths", 1); err != nil {
+		return err
+	}
 	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.VMs[3].Node().Addrs().Callers+"/berths/7", nil)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -69,6 +71,6 @@
 	}
 	b, _ := io.ReadAll(resp.Body)
 	resp.Body.Close()
-	fmt.Fprintf(w, "try: %s, %d bytes\n", resp.Status, len(b))
+	fmt.Fprintf(w, "try: %s, %d bytes %.200s\n", resp.Status, len(b), b)
 	return nil
 }
