Call a node silent by the membership's judgement, not by the age of its record

Cause: the handover listed every node as silent whose record had not changed for 30 s. A record carries nothing new while nothing changes at its node, so in a quiet mesh all nodes were listed; one that failed its probes a second ago was not. Change: a node is silent when the membership suspects it and its data centre is not cut off. The test of a mesh in trouble marks its silent node as suspected, where it had only an old record: that was the fault itself. Conclusion: the list names nodes that do not answer, and no others.

--- a/internal/query/blind.go
+++ b/internal/query/blind.go
@@ -8,18 +8,17 @@
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
-// staleAfter is how long a node may be silent before its figures are called
-// stale. Records travel with every probe, so a node that can be reached is
-// heard of far more often.
-const staleAfter = 30 * time.Second
-
 // Blind tells what the answering node can't see, and how old that makes what
 // it tells.
 type Blind struct {
 	// CutOff are data centres from which nothing is heard.
 	CutOff []CutOff `json:"cut_off,omitempty"`
-	// Silent are nodes that are not heard of, though their data centre is.
+	// Silent are nodes that do not answer, though others of their data centre
+	// do.
 	Silent []SilentNode `json:"silent,omitempty"`
+	// Unreported are nodes whose calls are in no figure here, because they
+	// were asked and did not answer in time.
+	Unreported []SilentNode `json:"unreported,omitempty"`
 	// PlatformDownSince is set while the platform does not answer; changes
 	// can't be accepted through this node then.
 	PlatformDownSince  time.Time `json:"platform_down_since,omitzero"`
@@ -37,13 +36,16 @@
 	Nodes      int       `json:"nodes"` // last known there
 }
 
-// SilentNode is a node that has not been heard of for a while.
+// SilentNode is a node that does not answer.
 type SilentNode struct {
 	VM         string `json:"vm"`
 	DataCentre string `json:"data_centre"`
-	AgeMS      int64  `json:"age_ms"`
+	AgeMS      int64  `json:"age_ms"` // since anything new was learned of it
 }
 
+// blindOf goes by the membership's own judgement of which nodes are silent. The
+// age of a record can't tell: it grows while nothing changes at its node, though
+// the node answers every probe.
 func blindOf(p PlatformState, v *membership.View, now time.Time) Blind {
 	b := Blind{PlatformHistory: p.HistoryError}
 	if p.LastAnswer.IsZero() {
@@ -58,7 +60,7 @@
 	for _, r := range sortedRecords(v) {
 		nodes[r.VM.DataCentre]++
 		_, cut := v.CutOff[r.VM.DataCentre]
-		if !cut && r.VM.ID != v.Self && now.Sub(r.Heard) > staleAfter {
+		if !cut && r.VM.ID != v.Self && r.State == membership.VMSuspect {
 			b.Silent = append(b.Silent, SilentNode{r.VM.ID, r.VM.DataCentre, age(now, r.Heard)})
 		}
 	}
