Give out the latency histogram of a class

Cause: quantiles of several nodes don't add up to those of the mesh, and the meters gave out quantiles only. Change: proxy.ClassFigures carries the non-empty buckets behind its quantiles. Figures: TestFigures passes; its 100 calls are all in the histogram. Conclusion: the node that answers a handover can add up what others counted.

--- a/internal/proxy/meters.go
+++ b/internal/proxy/meters.go
@@ -153,6 +153,15 @@
 	P50, P99 time.Duration
 	// AtPercentile is the latency at the percentile that the target names.
 	AtPercentile time.Duration
+	// Latency is the histogram behind them, without empty buckets.
+	Latency []LatencyCount
+}
+
+// LatencyCount counts the answers that took at most AtMost and longer than the
+// bound before it.
+type LatencyCount struct {
+	AtMost time.Duration
+	Calls  uint64
 }
 
 // Figures returns the last minute of every class that this node has seen.
@@ -175,6 +184,7 @@
 			w.addTo(&f, &sum)
 		}
 	}
+	f.Latency = latencyOf(&sum)
 	f.P50 = quantile(&sum, 0.50)
 	f.P99 = quantile(&sum, 0.99)
 	if t := c.target.Load(); t != nil {
@@ -197,6 +207,16 @@
 	}
 }
 
+func latencyOf(sum *[buckets]uint64) []LatencyCount {
+	var out []LatencyCount
+	for i, n := range sum {
+		if n > 0 {
+			out = append(out, LatencyCount{upperBound(i), n})
+		}
+	}
+	return out
+}
+
 // quantile returns the latency that the share q of the counts does not exceed.
 func quantile(counts *[buckets]uint64, q float64) time.Duration {
 	var total uint64
--- a/internal/proxy/meters_test.go
+++ b/internal/proxy/meters_test.go
@@ -43,6 +43,16 @@
 	if f.P50 < 50*time.Millisecond || f.P50 > 54*time.Millisecond || f.P99 < 99*time.Millisecond {
 		t.Fatalf("p50 %v, p99 %v", f.P50, f.P99)
 	}
+	var calls uint64
+	for i, l := range f.Latency {
+		calls += l.Calls
+		if l.Calls == 0 || i > 0 && l.AtMost <= f.Latency[i-1].AtMost {
+			t.Fatalf("latency %v", f.Latency)
+		}
+	}
+	if last := f.Latency[len(f.Latency)-1].AtMost; calls != 100 || last < 100*time.Millisecond {
+		t.Fatalf("%d calls in the histogram, up to %v", calls, last)
+	}
 	// After a minute nothing of it is left, and the parts are used again.
 	later := now.Add(windowParts * windowPart)
 	if f := m.Figures(later)[0]; f.Answered != 0 || len(f.Refused) != 0 {
