Let nodes ask each other what they counted of their calls

Cause: whether a target is met shows at all entry nodes together, and each node's figures stayed with it. It counts its own messages in the metrics. Figures: TestMessagesBothWays: eight messages on one connection, and a report in another VM's name is refused. Conclusion: handover can be built on it; nothing is sent while nobody asks.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -229,6 +229,20 @@
 	return err
 }
 
+// Report asks the VM to what it counted of its calls.
+func (c *Client) Report(ctx context.Context, to, addr string) (*peerpb.ReportResponse, error) {
+	req := &peerpb.ReportRequest{Mesh: c.cfg.Mesh, From: c.cfg.VM}
+	answer, peer, err := send(ctx, c, kindReport, req, c.to(addr).Report)
+	if err != nil {
+		return nil, err
+	}
+	if answer.From != to || (peer != "" && peer != to) {
+		c.cfg.Metrics.dropped.Inc()
+		return nil, ErrImpostor
+	}
+	return answer, nil
+}
+
 // send makes one exchange, bounds it and counts it. It returns the VM that the
 // connection's certificate names, or "" without TLS.
 func send[Q, A proto.Message](ctx context.Context, c *Client, k kind, q Q, call func(context.Context, Q) (A, error)) (A, string, error) {
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -31,6 +31,7 @@
 	kindPull     kind = "pull"
 	kindSubmit   kind = "submit"
 	kindAlert    kind = "alert"
+	kindReport   kind = "report"
 )
 
 type kindMetrics struct {
@@ -48,7 +49,7 @@
 		kinds:    make(map[kind]*kindMetrics),
 		refused:  make(map[trust.Reason]*metrics.Counter),
 	}
-	for _, k := range []kind{kindExchange, kindTell, kindPull, kindSubmit, kindAlert} {
+	for _, k := range []kind{kindExchange, kindTell, kindPull, kindSubmit, kindAlert, kindReport} {
 		l := `{kind="` + string(k) + `"}`
 		m.kinds[k] = &kindMetrics{
 			sent:     set.NewCounter("marlpass_peer_sent_total" + l),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,6 +49,10 @@
 
 func (h *handlers) Alert(string, []*peerpb.Notice) {}
 
+func (h *handlers) Report() *peerpb.ReportResponse {
+	return &peerpb.ReportResponse{Classes: []*peerpb.ClassCounts{{Class: "book", Answered: 3}}}
+}
+
 func sender() peer.Sender {
 	return peer.Sender{Incarnation: 1764700000000, Version: config.Version{Number: 930, Hash: config.Hash{1, 2, 3}}}
 }
@@ -74,7 +78,7 @@
 	h := &handlers{answer: &peerpb.PullResponse{}}
 	s := peer.NewServer(peer.ServerConfig{
 		Mesh: mesh, VM: vm, TLS: conf, Limits: limits(), Metrics: m, Log: zerolog.Nop(),
-		Sender: sender, Membership: h, Spread: h, Submitter: h, Alerts: h,
+		Sender: sender, Membership: h, Spread: h, Submitter: h, Alerts: h, Reporter: h,
 	})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
@@ -147,11 +151,17 @@
 	if err := c.Alert(ctx, s.addr, nil); err != nil {
 		t.Fatal(err)
 	}
+	if got, err := c.Report(ctx, "b", s.addr); err != nil || len(got.Classes) != 1 || got.From != "b" {
+		t.Fatal(got, err)
+	}
+	if _, err := c.Report(ctx, "z", s.addr); !errors.Is(err, peer.ErrImpostor) {
+		t.Fatalf("a report of another VM: %v", err)
+	}
 	if len(s.h.heard) != 2 || s.h.heard[0].From != "a" || s.h.heard[0].Version != 930 {
 		t.Fatalf("heard %v", s.h.heard)
 	}
 	if opened, _ := m.Connections(); opened != 1 {
-		t.Fatalf("%d connections for six messages in a row", opened)
+		t.Fatalf("%d connections for eight messages in a row", opened)
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,6 +40,11 @@
 	Alert(from string, notices []*peerpb.Notice)
 }
 
+// Reporter tells what this node counted of its calls.
+type Reporter interface {
+	Report() *peerpb.ReportResponse
+}
+
 // ServerConfig is what a Server works with.
 type ServerConfig struct {
 	Mesh, VM   string
@@ -52,6 +57,7 @@
 	Spread     Spread
 	Submitter  Submitter
 	Alerts     Alerts
+	Reporter   Reporter
 }
 
 // Server answers other nodes.
@@ -205,6 +211,17 @@
 	return &peerpb.AlertResponse{}, nil
 }
 
+// Report implements peerpb.Peer.
+func (s *service) Report(ctx context.Context, q *peerpb.ReportRequest) (*peerpb.ReportResponse, error) {
+	if err := s.admit(ctx, kindReport, q); err != nil {
+		return nil, err
+	}
+	a := s.cfg.Reporter.Report()
+	a.From = s.cfg.VM
+	s.answered(kindReport, a)
+	return a, nil
+}
+
 // debugWriter logs what net/http has to say, such as failed handshakes, which
 // are counted by reason already.
 type debugWriter struct{ log zerolog.Logger }
