Judge targets over the reports of several nodes

Cause: the handover's classes were one node's, with the worst node's quantiles. Change: counts and histograms of all reports add up, and a class is judged on the sum; ejected endpoints are merged with the number of nodes that ejected them; nodes that did not report are listed. Quarantined requests have a state, and only refused ones need attention. The tests' class reports are now made of counts with histograms, since quantiles can no longer be put in by hand. Conclusion: the state is exact; the quantiles are bounds that never tell a target met that was missed.

--- a/internal/query/blind.go
+++ b/internal/query/blind.go
@@ -25,6 +25,7 @@
 	PlatformDownMS     int64     `json:"platform_down_ms,omitempty"`
 	PlatformAnswerAgo  int64     `json:"platform_answer_age_ms"`
 	PlatformNeverHeard bool      `json:"platform_never_heard,omitempty"`
+	PlatformError      string    `json:"platform_error,omitempty"`
 	PlatformHistory    string    `json:"platform_history,omitempty"`
 }
 
@@ -47,7 +48,7 @@
 // age of a record can't tell: it grows while nothing changes at its node, though
 // the node answers every probe.
 func blindOf(p PlatformState, v *membership.View, now time.Time) Blind {
-	b := Blind{PlatformHistory: p.HistoryError}
+	b := Blind{PlatformError: p.Err, PlatformHistory: p.HistoryError}
 	if p.LastAnswer.IsZero() {
 		b.PlatformNeverHeard = true
 	} else {
--- a/internal/query/classes.go
+++ b/internal/query/classes.go
@@ -1,8 +1,8 @@
 package query
 
 import (
-	"slices"
-	"strings"
+	"maps"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
 )
@@ -18,37 +18,74 @@
 	ClassNoCalls ClassState = "no-calls" // nothing to measure by
 )
 
-// ClassReport is what the meters of a class tell about a recent period.
+// ClassReport is what the meters of a class tell about a recent period, over
+// all nodes that reported.
 type ClassReport struct {
 	Class   string `json:"class"`
 	Service string `json:"service"`
-	// Calls is the number of calls answered, Within how many of them were
-	// answered within AimMS, and Shed how many were refused.
-	Calls  uint64  `json:"calls"`
-	Within uint64  `json:"within"`
-	Shed   uint64  `json:"shed"`
-	P50MS  float64 `json:"p50_ms"`
-	P99MS  float64 `json:"p99_ms"`
-	// AimMS and Percentile are what the target asks for.
+	// Calls is the number of calls answered, Failed how many of them were
+	// server errors or cut off, Within how many were good and within AimMS, and
+	// Shed how many were refused.
+	Calls  uint64            `json:"calls"`
+	Failed uint64            `json:"failed"`
+	Within uint64            `json:"within"`
+	Shed   uint64            `json:"shed"`
+	ShedBy map[string]uint64 `json:"shed_by,omitempty"` // by reason
+	P50MS  float64           `json:"p50_ms"`
+	P99MS  float64           `json:"p99_ms"`
+	// AimMS and Percentile are what the target asks for, and MeasuredMS the
+	// latency at Percentile.
 	AimMS      int64   `json:"aim_ms,omitempty"`
 	Percentile float64 `json:"percentile,omitempty"`
+	MeasuredMS float64 `json:"measured_ms"`
 	// WithinPercent is the percentage of calls answered within AimMS.
 	WithinPercent float64    `json:"within_percent"`
 	State         ClassState `json:"state"`
-	Nodes         int        `json:"nodes"` // how many nodes' meters are in it
+	Nodes         int        `json:"nodes"` // how many nodes counted calls of it
 }
 
 // ClassCounts is what a node's meter of one class has counted.
 type ClassCounts struct {
-	Calls, Within, Shed uint64
-	P50MS, P99MS        float64
+	Calls, Failed, Within uint64
+	ShedBy                map[string]uint64
+	Latency               Histogram
 }
 
-// NewClassReport compares counts with the target.
-func NewClassReport(t *config.Target, c ClassCounts) ClassReport {
+func (c ClassCounts) shed() uint64 {
+	var n uint64
+	for _, calls := range c.ShedBy {
+		n += calls
+	}
+	return n
+}
+
+// add returns the counts of both. All of them add up exactly.
+func (c ClassCounts) add(o ClassCounts) ClassCounts {
+	sum := ClassCounts{
+		Calls: c.Calls + o.Calls, Failed: c.Failed + o.Failed, Within: c.Within + o.Within,
+		ShedBy: maps.Clone(c.ShedBy), Latency: c.Latency.Add(o.Latency),
+	}
+	if sum.ShedBy == nil {
+		sum.ShedBy = make(map[string]uint64, len(o.ShedBy))
+	}
+	for why, calls := range o.ShedBy {
+		sum.ShedBy[why] += calls
+	}
+	return sum
+}
+
+// NewClassReport compares the counts of one class at several nodes with the
+// target. The state follows from counts alone, so it is exact.
+func NewClassReport(t *config.Target, nodes ...ClassCounts) ClassReport {
+	var c ClassCounts
+	for _, n := range nodes {
+		c = c.add(n)
+	}
 	r := ClassReport{
-		Class: t.Name, Service: t.Service, Calls: c.Calls, Within: c.Within, Shed: c.Shed,
-		P50MS: c.P50MS, P99MS: c.P99MS, AimMS: t.AnswerWithinMS, Nodes: 1,
+		Class: t.Name, Service: t.Service, Calls: c.Calls, Failed: c.Failed, Within: c.Within,
+		Shed: c.shed(), ShedBy: c.ShedBy, AimMS: t.AnswerWithinMS, Nodes: len(nodes),
+		P50MS: millis(c.Latency.Quantile(0.50)), P99MS: millis(c.Latency.Quantile(0.99)),
+		MeasuredMS: millis(c.Latency.Quantile(t.PercentileOrDefault() / 100)),
 	}
 	if r.AimMS > 0 {
 		r.Percentile = t.PercentileOrDefault()
@@ -57,6 +94,8 @@
 	return r
 }
 
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func (r *ClassReport) judge() {
 	r.WithinPercent = 0
 	if r.Calls > 0 {
@@ -73,34 +112,3 @@
 		r.State = ClassMissed
 	}
 }
-
-// MergeClasses adds up the reports of several nodes by class. Counts add up
-// exactly, and so the state is exact; of the quantiles the worst node's is
-// kept, which is an upper bound. Aims are taken from the first report.
-func MergeClasses(nodes ...[]ClassReport) []ClassReport {
-	at := make(map[string]int)
-	out := []ClassReport{}
-	for _, reports := range nodes {
-		for _, r := range reports {
-			i, ok := at[r.Class]
-			if !ok {
-				at[r.Class] = len(out)
-				out = append(out, r)
-				continue
-			}
-			out[i].add(r)
-		}
-	}
-	slices.SortFunc(out, func(a, b ClassReport) int { return strings.Compare(a.Class, b.Class) })
-	return out
-}
-
-func (r *ClassReport) add(o ClassReport) {
-	r.Calls += o.Calls
-	r.Within += o.Within
-	r.Shed += o.Shed
-	r.P50MS = max(r.P50MS, o.P50MS)
-	r.P99MS = max(r.P99MS, o.P99MS)
-	r.Nodes += o.Nodes
-	r.judge()
-}
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -17,13 +17,13 @@
 	Config   ConfigState
 	Platform PlatformState
 	View     *membership.View
-	// Classes are the meters' reports and ClassesAt when they were taken.
-	Classes   []ClassReport
-	ClassesAt time.Time
-	// Ejected are endpoints that this node has stopped picking.
-	Ejected []Endpoint
-	// Quarantined are the requests that the mesh refuses to run.
+	// Targets are the targets in force, and Reports what nodes counted of them.
+	Targets []*config.Target
+	Reports Reports
+	// Quarantined are the requests that the mesh holds suspect or refuses.
 	Quarantined []Quarantine
+	// Conflicts are versions of another history that were seen.
+	Conflicts []string
 	// Spread are the versions that came in force here, newest first.
 	Spread []VersionTime
 	// History are the changes since Since, and HistoryErr why they could not
@@ -38,16 +38,20 @@
 	Since time.Time `json:"since,omitzero"`
 	VM    string    `json:"vm"`
 	// Attention lists in plain lines what somebody has to look at.
-	Attention   []string      `json:"attention"`
-	Versions    Versions      `json:"versions"`
-	Classes     []ClassReport `json:"classes"`
-	ClassesAge  int64         `json:"classes_age_ms"`
-	Endpoints   []Endpoint    `json:"endpoints"`
-	Quarantined []Quarantine  `json:"quarantined"`
-	Members     MemberCounts  `json:"members"`
-	Blind       Blind         `json:"cannot_see"`
-	Changes     HistoryPage   `json:"changes"`
-	ChangesErr  string        `json:"changes_error,omitempty"`
+	Attention  []string      `json:"attention"`
+	Versions   Versions      `json:"versions"`
+	Classes    []ClassReport `json:"classes"`
+	ClassesAge int64         `json:"classes_age_ms"`
+	// Asked nodes were asked for the figures in Classes, and Reported answered.
+	Asked       int          `json:"reports_asked"`
+	Reported    int          `json:"reports_answered"`
+	Endpoints   []Endpoint   `json:"endpoints"`
+	Quarantined []Quarantine `json:"quarantined"`
+	Members     MemberCounts `json:"members"`
+	Blind       Blind        `json:"cannot_see"`
+	Conflicts   []string     `json:"conflicts,omitempty"`
+	Changes     HistoryPage  `json:"changes"`
+	ChangesErr  string       `json:"changes_error,omitempty"`
 }
 
 // Versions tells which version is accepted and who runs it.
@@ -114,15 +118,29 @@
 	Instance   string        `json:"instance"`
 	State      EndpointState `json:"state"`
 	Reason     string        `json:"reason,omitempty"`
-	Since      time.Time     `json:"since,omitzero"`
+	Nodes      int           `json:"nodes,omitempty"` // how many have ejected it
+	AgeMS      int64         `json:"age_ms"`          // since this was learned
 }
 
-// Quarantine is a request that has crashed backend servers and is refused.
+// QuarantineState is what the mesh does with a request.
+type QuarantineState string
+
+// States of a request that was in flight when a backend server crashed.
+const (
+	QuarantineSuspect QuarantineState = "suspect"     // runs at one endpoint only
+	QuarantineRefused QuarantineState = "quarantined" // is refused
+	QuarantineLifted  QuarantineState = "lifted"      // runs again
+)
+
+// Quarantine is a request that was in flight when backend servers crashed.
 type Quarantine struct {
-	ID      string    `json:"id"`     // its fingerprint
-	Detail  string    `json:"detail"` // what it asks for, in words
-	Crashes int       `json:"crashes"`
-	Expires time.Time `json:"expires"`
+	ID      string          `json:"id"` // its fingerprint
+	State   QuarantineState `json:"state"`
+	Service string          `json:"service,omitempty"`
+	Detail  string          `json:"detail"`            // what it asks for, in words
+	Crashes []string        `json:"crashes,omitempty"` // that count: VM, backend server, moment
+	By      string          `json:"by,omitempty"`      // who lifted it
+	Expires time.Time       `json:"expires"`
 }
 
 // HandoverOf builds the handover.
@@ -130,14 +148,18 @@
 	h := Handover{
 		At: now.UTC(), Since: in.Since, VM: in.View.Self,
 		Versions:    versionsOf(in, now),
-		Classes:     append([]ClassReport{}, in.Classes...),
-		ClassesAge:  age(now, in.ClassesAt),
-		Endpoints:   endpointsOf(in),
+		Classes:     in.Reports.Classes(in.Targets),
+		ClassesAge:  age(now, in.Reports.At),
+		Asked:       in.Reports.Asked,
+		Reported:    len(in.Reports.Nodes),
+		Endpoints:   endpointsOf(in, now),
 		Quarantined: quarantinedOf(in.Quarantined, now),
 		Members:     countMembers(in.View),
 		Blind:       blindOf(in.Platform, in.View, now),
+		Conflicts:   append([]string{}, in.Conflicts...),
 		Changes:     in.History,
 	}
+	h.Blind.Unreported = in.Reports.unreported(in.View, now)
 	if h.Changes.Entries == nil {
 		h.Changes.Entries = []Entry{}
 	}
@@ -187,11 +209,14 @@
 	}
 }
 
-func endpointsOf(in HandoverInput) []Endpoint {
-	out := append([]Endpoint{}, in.Ejected...)
+func endpointsOf(in HandoverInput, now time.Time) []Endpoint {
+	out := append([]Endpoint{}, in.Reports.ejected(in.View)...)
 	for _, r := range sortedRecords(in.View) {
 		for _, b := range r.Backends {
-			e := Endpoint{Service: b.Service, VM: r.VM.ID, DataCentre: r.VM.DataCentre, Instance: b.Instance}
+			e := Endpoint{
+				Service: b.Service, VM: r.VM.ID, DataCentre: r.VM.DataCentre,
+				Instance: b.Instance, AgeMS: age(now, r.Heard),
+			}
 			switch {
 			case r.State == membership.VMLeaving:
 				e.State, e.Reason = EndpointDraining, "its node is leaving"
@@ -211,7 +236,7 @@
 	return out
 }
 
-// quarantinedOf lists the requests that are still quarantined, by ID.
+// quarantinedOf lists the requests that are still held, by ID.
 func quarantinedOf(qs []Quarantine, now time.Time) []Quarantine {
 	out := []Quarantine{}
 	for _, q := range qs {
@@ -242,20 +267,25 @@
 	add(len(b.CutOff), "%d data centres are cut off from here", len(b.CutOff))
 	add(len(v.Refusing), "%d nodes refuse a version", len(v.Refusing))
 	add(len(v.Behind), "%d of %d nodes are behind version %d", len(v.Behind), v.Nodes, v.Accepted.Number)
-	missed := countState(h.Classes, ClassMissed)
+	missed := countWhere(h.Classes, func(c ClassReport) bool { return c.State == ClassMissed })
 	add(missed, "%d classes miss their target", missed)
-	add(len(h.Quarantined), "%d requests are quarantined", len(h.Quarantined))
+	ejected := countWhere(h.Endpoints, func(e Endpoint) bool { return e.State == EndpointEjected })
+	add(ejected, "%d endpoints are ejected: their calls fail", ejected)
+	refused := countWhere(h.Quarantined, func(q Quarantine) bool { return q.State == QuarantineRefused })
+	add(refused, "%d requests are quarantined", refused)
 	add(len(b.Silent), "%d nodes are silent", len(b.Silent))
+	add(len(b.Unreported), "%d of %d nodes did not report their calls; they are in no figure", len(b.Unreported), h.Asked)
+	add(len(h.Conflicts), "versions of another history have been seen: see conflicts")
 	if h.ChangesErr != "" {
 		out = append(out, "the changes could not be read in full")
 	}
 	return out
 }
 
-func countState(cs []ClassReport, s ClassState) int {
+func countWhere[T any](list []T, ok func(T) bool) int {
 	n := 0
-	for _, c := range cs {
-		if c.State == s {
+	for _, v := range list {
+		if ok(v) {
 			n++
 		}
 	}
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -16,6 +16,8 @@
 
 var now = time.UnixMilli(1_000_000_000).UTC()
 
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func ago(d time.Duration) time.Time { return now.Add(-d) }
 
 // logOf is a log whose version n sets service s0 or s1 by turns, n minutes
@@ -93,7 +95,7 @@
 	}{
 		{aim, ClassCounts{Calls: 1000, Within: 990}, ClassMet},
 		{aim, ClassCounts{Calls: 1000, Within: 989}, ClassMissed},
-		{aim, ClassCounts{Shed: 7}, ClassNoCalls},
+		{aim, ClassCounts{ShedBy: map[string]uint64{"overloaded": 7}}, ClassNoCalls},
 		{none, ClassCounts{Calls: 10}, ClassNoAim},
 	}
 	for _, c := range cases {
@@ -102,13 +104,18 @@
 		}
 	}
 	// One node meets its target with few calls, another misses it with many.
-	merged := MergeClasses(
-		[]ClassReport{NewClassReport(aim, ClassCounts{Calls: 10, Within: 10, P99MS: 50})},
-		[]ClassReport{NewClassReport(aim, ClassCounts{Calls: 990, Within: 900, P99MS: 400, Shed: 2}),
-			NewClassReport(none, ClassCounts{Calls: 1})},
-	)
-	if len(merged) != 2 || merged[0].State != ClassMissed || merged[0].Calls != 1000 ||
-		merged[0].P99MS != 400 || merged[0].Nodes != 2 || merged[0].WithinPercent != 91 {
+	reports := Reports{Nodes: []NodeReport{
+		{VM: "a", Classes: map[string]ClassCounts{"book": {Calls: 10, Within: 10, Latency: Histogram{{ms(50), 10}}}}},
+		{VM: "b", Classes: map[string]ClassCounts{
+			"book": {Calls: 990, Within: 900, Failed: 3, Latency: Histogram{{ms(50), 900}, {ms(400), 90}},
+				ShedBy: map[string]uint64{"overloaded": 2}},
+			"bulk": {Calls: 1}, "withdrawn": {Calls: 5}}},
+		{VM: "c"},
+	}}
+	merged := reports.Classes([]*config.Target{aim, none})
+	if len(merged) != 2 || merged[0].State != ClassMissed || merged[0].Calls != 1000 || merged[0].Failed != 3 ||
+		merged[0].Shed != 2 || merged[0].P50MS != 50 || merged[0].P99MS != 400 || merged[0].MeasuredMS != 400 ||
+		merged[0].Nodes != 2 || merged[0].WithinPercent != 91 || merged[1].State != ClassNoAim {
 		t.Errorf("%+v", merged)
 	}
 }
@@ -146,12 +153,22 @@
 			HistoryError: "shows an older head"},
 		View: &membership.View{Self: "a1", Records: records,
 			CutOff: map[string]time.Time{"gal-slip": ago(5 * time.Minute)}},
-		Classes:     []ClassReport{NewClassReport(aim, ClassCounts{Calls: 100, Within: 90})},
-		ClassesAt:   ago(3 * time.Second),
-		Ejected:     []Endpoint{{Service: "archive", VM: "a2", State: EndpointEjected, Reason: "5 of 6 failed"}},
-		Quarantined: []Quarantine{{ID: "q2", Expires: now.Add(time.Minute)}, {ID: "q1", Expires: ago(time.Minute)}},
-		Spread:      []VersionTime{NewVersionTime(7, ago(time.Minute), ago(58*time.Second))},
-		HistoryErr:  errors.New("platform down"),
+		Targets: []*config.Target{aim},
+		Reports: Reports{
+			Asked: 3, Missing: []string{"a3"}, At: ago(3 * time.Second),
+			Nodes: []NodeReport{
+				{VM: "a1", Classes: map[string]ClassCounts{"book": {Calls: 100, Within: 90}},
+					Ejected: []Ejection{{"archive", "a2", "x", 60}}},
+				{VM: "a2", Ejected: []Ejection{{"archive", "a2", "x", 80}}},
+			},
+		},
+		Quarantined: []Quarantine{
+			{ID: "q2", State: QuarantineRefused, Expires: now.Add(time.Minute)},
+			{ID: "q1", State: QuarantineRefused, Expires: ago(time.Minute)},
+			{ID: "q3", State: QuarantineSuspect, Expires: now.Add(time.Minute)}},
+		Conflicts:  []string{"a4 has version 7 of another history"},
+		Spread:     []VersionTime{NewVersionTime(7, ago(time.Minute), ago(58*time.Second))},
+		HistoryErr: errors.New("platform down"),
 	}
 }
 
@@ -181,18 +198,23 @@
 		endpoints = append(endpoints, e.Service+"/"+e.Instance+":"+string(e.State))
 	}
 	if got := strings.Join(endpoints, " "); got !=
-		"archive/:ejected berth/i2:draining berth/i3:starting surveys/i4:draining" {
+		"archive/x:ejected berth/i2:draining berth/i3:starting surveys/i4:draining" {
 		t.Errorf("endpoints: %s", got)
 	}
-	if len(h.Quarantined) != 1 || h.Quarantined[0].ID != "q2" || h.ClassesAge != 3000 {
+	if e := h.Endpoints[0]; e.Nodes != 2 || e.DataCentre != "neg-shed" || !strings.Contains(e.Reason, "80%") {
+		t.Errorf("ejected: %+v", e)
+	}
+	if len(h.Quarantined) != 2 || h.Quarantined[0].ID != "q2" || h.ClassesAge != 3000 || h.Asked != 3 || h.Reported != 2 {
 		t.Errorf("%+v", h)
 	}
 	b := h.Blind
 	if len(b.CutOff) != 1 || b.CutOff[0] != (CutOff{"gal-slip", ago(5 * time.Minute), 300_000, 2}) ||
-		len(b.Silent) != 1 || b.Silent[0].VM != "a4" || b.PlatformDownMS != 80_000 || b.PlatformAnswerAgo != 90_000 {
+		len(b.Silent) != 1 || b.Silent[0].VM != "a4" ||
+		!slices.Equal(b.Unreported, []SilentNode{{"a3", "neg-shed", 1000}}) || b.PlatformDownMS != 80_000 || b.PlatformAnswerAgo != 90_000 {
 		t.Errorf("cannot see: %+v", b)
 	}
-	if len(h.Attention) != 9 || !strings.HasPrefix(h.Attention[0], "two histories") {
+	if len(h.Attention) != 12 || !strings.HasPrefix(h.Attention[0], "two histories") ||
+		!slices.Contains(h.Attention, "1 requests are quarantined") {
 		t.Errorf("attention: %q", h.Attention)
 	}
 }
@@ -201,8 +223,8 @@
 	v1 := config.Version{Number: 1, Hash: config.Hash{1}}
 	in := HandoverInput{
 		Config: ConfigState{InForce: v1}, Platform: PlatformState{Accepted: v1, LastAnswer: now},
-		View:      &membership.View{Self: "a1", Records: map[string]*membership.Seen{"a1": record("a1", "dc", 1, v1.Hash, now)}},
-		ClassesAt: now,
+		View:    &membership.View{Self: "a1", Records: map[string]*membership.Seen{"a1": record("a1", "dc", 1, v1.Hash, now)}},
+		Reports: Reports{At: now},
 	}
 	h := HandoverOf(in, now)
 	if len(h.Attention) != 0 || h.Versions.NodesCurrent != 1 {
@@ -259,7 +281,7 @@
 	records["a3"].State = membership.VMSuspect
 	h := HandoverOf(HandoverInput{
 		Config: ConfigState{InForce: v1}, Platform: PlatformState{Accepted: v1, LastAnswer: now},
-		View: &membership.View{Self: "a1", Records: records}, ClassesAt: now,
+		View: &membership.View{Self: "a1", Records: records},
 	}, now)
 	if s := h.Blind.Silent; len(s) != 1 || s[0].VM != "a3" {
 		t.Errorf("silent: %+v", s)
--- a/internal/query/status.go
+++ b/internal/query/status.go
@@ -30,6 +30,8 @@
 	// knows, and DownSince when it began to fail; zero while it answers.
 	LastAnswer time.Time
 	DownSince  time.Time
+	// Err is why the platform's last answer was a failure, in words.
+	Err string
 	// HistoryError tells of an older head or another history, if it shows one.
 	HistoryError string
 }
