Give out a version's hash only with its own number

Cause: that a node holds a newer version rides on messages as one bit, and the view gave its number with the hash of the version in the node's record. Handover compares the two, and told of two histories after the first change. Change: the view's hash is zero where only the number is known. Figures: TestHashBelongsToTheVersion before: 2 with the hash; after: zero. Conclusion: readers must take a zero hash for not known.

--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -45,7 +45,10 @@
 	}
 	e.published = &Seen{Record: e.rec, Heard: e.heard}
 	e.published.State = state
-	e.published.Applied = max(e.rec.Applied, e.held)
+	if e.held > e.rec.Applied {
+		// Only the number of the newer version is known.
+		e.published.Applied, e.published.AppliedHash = e.held, [8]byte{}
+	}
 	return e.published
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -71,7 +71,8 @@
 	Backends []Backend
 	Notices  []Notice
 	// Applied is the number of the configuration version in force at the
-	// node, and Refused the newest one that it could not put in force.
+	// node, and Refused the newest one that it could not put in force. The hash
+	// is zero where only the number is known.
 	Applied       uint64
 	AppliedHash   [8]byte
 	Refused       uint64
