Confirm that a command is absent with a transaction that the platform takes

Cause: asked for a command that nobody sent, a node confirms the absence by a transaction with a condition and no write. The platform's API refuses one without a write, so command show answered 503 for good and never none. The tests' table took it. Change: the transaction deletes the row that its condition says is absent. The tests' table now refuses what the platform refuses, and a commit that changes nothing is no state of its own for its stale reads.

--- a/internal/command/fake_test.go
+++ b/internal/command/fake_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -62,23 +64,30 @@
 	return f
 }
 
-// keep remembers the present state for stale reads.
+// keep remembers the present state for stale reads, unless it is the last one
+// still.
 func (f *flaky) keep() {
 	rows, _ := f.Store.Scan(context.Background(), "", "", 1<<20)
 	m := make(map[string]platform.Row, len(rows))
 	for _, r := range rows {
 		m[r.Key] = r
 	}
+	if n := len(f.states); n > 0 && reflect.DeepEqual(m, f.states[n-1]) {
+		return
+	}
 	f.states = append(f.states, m)
 }
 
+// errNoWrites is what the platform says to a transaction without a write.
+var errNoWrites = errors.New("a transaction needs a write")
+
 func (f *flaky) apply(t platform.Txn) error {
+	if len(t.Writes) == 0 {
+		return errNoWrites
+	}
 	if err := f.Store.Commit(context.Background(), t); err != nil {
 		return err
 	}
-	if len(t.Writes) == 0 {
-		return nil
-	}
 	for _, w := range t.Writes {
 		if !strings.HasPrefix(w.Key, platform.LogPrefix) || w.Delete {
 			continue
--- a/internal/command/reader.go
+++ b/internal/command/reader.go
@@ -247,10 +247,14 @@
 }
 
 // confirmAbsent guards against a stale read, which would tell an operator that
-// an accepted command is not there. A transaction is never stale.
+// an accepted command is not there. A transaction is never stale. The platform
+// takes none without a write, so this one deletes the row that its condition
+// says is absent, which changes nothing.
 func (r *Reader) confirmAbsent(ctx context.Context, id string, notFound error) error {
+	key := commandKey(id)
 	err := r.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: commandKey(id), Revision: platform.Absent}},
+		Conditions: []platform.Condition{{Key: key, Revision: platform.Absent}},
+		Writes:     []platform.Write{{Key: key, Delete: true}},
 	})
 	if err == nil {
 		return notFound
