--- a/internal/admin/admintest/fake.go
+++ b/internal/admin/admintest/fake.go
@@ -12,6 +12,7 @@
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
 	"github.com/marlpass/marlpass/internal/platform/memory"
+	"github.com/marlpass/marlpass/internal/query"
 )
 
 // Mode says how the platform behaves.
@@ -29,7 +30,7 @@
 	ModeLostAfter Mode = "lost-after"
 )
 
-// Fake is an admin.Commander and an admin.Reader.
+// Fake is an admin.Commander, an admin.Reader and an admin.Lifter.
 type Fake struct {
 	now       func() time.Time
 	store     *memory.Store
@@ -37,6 +38,10 @@
 	platform  *table
 	reader    *command.Reader
 	committer *command.Committer
+
+	mu      sync.Mutex
+	trouble bool
+	held    []query.Quarantine
 }
 
 // New returns a fake that holds the empty configuration.
--- a/internal/admin/admintest/reads.go
+++ b/internal/admin/admintest/reads.go
@@ -110,38 +110,12 @@
 	})
 }
 
-// Handover implements admin.Reader with one of each thing to tell.
-func (f *Fake) Handover(ctx context.Context, since time.Time) (*adminapi.Handover, error) {
-	h, err := f.History(ctx, admin.HistoryQuery{Since: since, Limit: 50})
-	if err != nil {
-		return nil, err
-	}
-	now := f.now()
-	v := version(f.Snapshot().Version())
-	return &adminapi.Handover{
-		At: now, SeenBy: "vm-1", Accepted: v, InForce: v, Since: since,
-		Platform: adminapi.PlatformState{Reachable: true, AgeSeconds: adminapi.NewOptFloat64(1.5)},
-		Nodes:    3, NodesInForce: 2,
-		Behind: []adminapi.NodeBehind{{VM: "vm-2", DataCentre: "gal-slip", Applied: 0,
-			Refused: adminapi.NewOptVersionNumber(1), Reason: adminapi.NewOptString("unknown field"), AgeSeconds: 4}},
-		Targets: []adminapi.TargetState{{Name: "berth-booking", Service: "berth",
-			State: adminapi.TargetStateStateMissed, Percentile: adminapi.NewOptFloat64(99),
-			AimMs: adminapi.NewOptInt64(200), MeasuredMs: adminapi.NewOptFloat64(312.5),
-			Calls: adminapi.NewOptInt64(1400), AgeSeconds: 10}},
-		Endpoints: []adminapi.EndpointState{{Service: "berth", VM: "vm-3", Instance: "a",
-			State: adminapi.EndpointStateStateDraining, AgeSeconds: 2}},
-		Quarantined: []adminapi.QuarantinedRequest{{Fingerprint: "9f3c", Expires: now.Add(time.Minute)}},
-		NotSeen: []adminapi.NotSeen{{What: adminapi.NotSeenWhatDataCentre,
-			Name: adminapi.NewOptString("gal-slip"), Detail: "nothing heard"}},
-		Changes: h.Entries,
-	}, nil
-}
-
 // Status implements admin.Reader.
 func (f *Fake) Status(context.Context) (*adminapi.Status, error) {
+	v := version(f.Snapshot().Version())
 	return &adminapi.Status{
 		VM: "vm-1", Region: "west", DataCentre: "neg-shed", State: adminapi.StatusStateReady,
-		InForce:  version(f.Snapshot().Version()),
+		InForce: v, Accepted: v, Spread: admin.TimingsOf(f.spread()),
 		Platform: adminapi.PlatformState{Reachable: true, AgeSeconds: adminapi.NewOptFloat64(1.5)},
 		Nodes:    3,
 		Backends: []adminapi.BackendStatus{{Service: "berth", Instance: "a", State: adminapi.BackendStatusStateReady, Slots: 6}},
--- a/internal/admin/bench_test.go
+++ b/internal/admin/bench_test.go
@@ -60,7 +60,7 @@
 		log:       new(bytes.Buffer),
 	}
 	o := admin.Options{
-		Commander: b.fake, Reader: b.fake, Operators: b.operators,
+		Commander: b.fake, Reader: b.fake, Lifter: b.fake, Operators: b.operators,
 		Now: func() time.Time { return at }, Log: zerolog.New(zerolog.SyncWriter(b.log)), MaxCommands: 1,
 	}
 	if commander != nil {
--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -89,7 +89,7 @@
 		MarlpassCommand: w.res.Command,
 		Response: adminapi.Accepted{
 			Command:   w.res.Command,
-			Version:   versionOf(w.res.Version),
+			Version:   VersionOf(w.res.Version),
 			Unchanged: adminapi.OptBool{Value: w.res.Unchanged, Set: w.res.Unchanged},
 		},
 	}
--- a/internal/admin/operators.go
+++ b/internal/admin/operators.go
@@ -144,4 +144,5 @@
 	adminapi.PutTargetOperation:       true,
 	adminapi.WithdrawServiceOperation: true,
 	adminapi.WithdrawTargetOperation:  true,
+	adminapi.LiftQuarantineOperation:  true,
 }
--- a/internal/admin/ports.go
+++ b/internal/admin/ports.go
@@ -7,6 +7,7 @@
 	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/quarantine"
 )
 
 // Commander takes commands; command.Committer and command.Forwarder do.
@@ -21,7 +22,7 @@
 }
 
 // Reader answers questions. Its answers are the API's own shapes, so that each
-// is filled in once; ChangesOf and RecordOf help with that. Errors are
+// is filled in once; HandoverOf, HistoryOf, DiffOf and RecordOf help with that. Errors are
 // *NotFoundError or *UnavailableError.
 type Reader interface {
 	// Snapshot returns the configuration in force at this node.
@@ -34,4 +35,13 @@
 	History(ctx context.Context, q HistoryQuery) (*adminapi.History, error)
 	Handover(ctx context.Context, since time.Time) (*adminapi.Handover, error)
 	Status(ctx context.Context) (*adminapi.Status, error)
+	// Quarantine lists the requests that are suspect, quarantined or lifted.
+	Quarantine(ctx context.Context) (*adminapi.QuarantineList, error)
+}
+
+// Lifter lets a suspect or quarantined request run again. The error is
+// quarantine.ErrNotListed when the request is not held. Of one that is lifted
+// already, liftedBy tells who did it first.
+type Lifter interface {
+	Lift(ctx context.Context, fp quarantine.Fingerprint, by string) (liftedBy string, err error)
 }
--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -9,7 +9,7 @@
 
 func (h handler) ListServices(context.Context) (*adminapi.ServiceListHeaders, error) {
 	s := h.s.reader.Snapshot()
-	out := adminapi.ServiceList{Version: versionOf(s.Version()), Services: []adminapi.Service{}}
+	out := adminapi.ServiceList{Version: VersionOf(s.Version()), Services: []adminapi.Service{}}
 	for _, v := range s.Services() {
 		out.Services = append(out.Services, serviceOf(v))
 	}
@@ -27,7 +27,7 @@
 
 func (h handler) ListTargets(context.Context) (*adminapi.TargetListHeaders, error) {
 	s := h.s.reader.Snapshot()
-	out := adminapi.TargetList{Version: versionOf(s.Version()), Targets: []adminapi.Target{}}
+	out := adminapi.TargetList{Version: VersionOf(s.Version()), Targets: []adminapi.Target{}}
 	for _, t := range s.Targets() {
 		out.Targets = append(out.Targets, targetOf(t))
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -24,6 +24,7 @@
 type Options struct {
 	Commander Commander
 	Reader    Reader
+	Lifter    Lifter
 	Operators *Operators
 	Now       func() time.Time
 	Log       zerolog.Logger
@@ -36,6 +37,7 @@
 type Server struct {
 	commander Commander
 	reader    Reader
+	lifter    Lifter
 	operators *Operators
 	now       func() time.Time
 	log       zerolog.Logger
@@ -51,6 +53,7 @@
 	return &Server{
 		commander: o.Commander,
 		reader:    o.Reader,
+		lifter:    o.Lifter,
 		operators: o.Operators,
 		now:       o.Now,
 		log:       o.Log.With().Str("part", "admin").Logger(),
--- a/internal/admin/shapes.go
+++ b/internal/admin/shapes.go
@@ -8,7 +8,8 @@
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
 
-func versionOf(v config.Version) adminapi.Version {
+// VersionOf returns a version in the API's shape.
+func VersionOf(v config.Version) adminapi.Version {
 	return adminapi.Version{Number: adminapi.VersionNumber(v.Number), Hash: v.Hash.String()}
 }
 
@@ -137,7 +138,7 @@
 	}
 	if r.Result.Outcome == command.Accepted {
 		out.Outcome = adminapi.CommandRecordOutcomeAccepted
-		out.Version.SetTo(versionOf(r.Result.Version))
+		out.Version.SetTo(VersionOf(r.Result.Version))
 	}
 	return out
 }
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -48,9 +48,10 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"server": startServer,
-			"mode":   setMode,
-			"code":   wantCode,
+			"server":  startServer,
+			"mode":    setMode,
+			"trouble": setTrouble,
+			"code":    wantCode,
 		},
 	})
 }
@@ -107,10 +108,11 @@
 	o, err := admin.NewOperators([]admin.OperatorSetting{
 		{Name: "nimal", Team: "berth", TokenSHA256: hash("berth-token")},
 		{Name: "kumari", Team: "records", TokenSHA256: hash("records-token")},
+		{Name: "screen", Team: "berth", TokenSHA256: hash("read-token"), ReadOnly: true},
 	})
 	ts.Check(err)
 	h, err := admin.NewServer(admin.Options{
-		Commander: m.fake, Reader: m.fake, Operators: o,
+		Commander: m.fake, Reader: m.fake, Lifter: m.fake, Operators: o,
 		Now: func() time.Time { return clock }, Log: zerolog.Nop(),
 	}).Handler()
 	ts.Check(err)
@@ -166,6 +168,11 @@
 	ts.Value(meshKey{}).(*mesh).fake.SetMode(admintest.Mode(args[0]))
 }
 
+// setTrouble makes the handover tell of one of each thing that can be wrong.
+func setTrouble(ts *testscript.TestScript, _ bool, _ []string) {
+	ts.Value(meshKey{}).(*mesh).fake.SetTrouble()
+}
+
 // wantCode N ARGS... runs the command line and compares the exit code.
 func wantCode(ts *testscript.TestScript, _ bool, args []string) {
 	err := ts.Exec("marlpass", args[1:]...)
--- a/internal/cli/tree.go
+++ b/internal/cli/tree.go
@@ -18,6 +18,7 @@
 			handoverCommand(),
 			statusCommand(),
 			commandGroup(),
+			quarantineGroup(),
 		},
 	}
 }
--- a/internal/gen/adminapi/oas_client_gen.go
+++ b/internal/gen/adminapi/oas_client_gen.go
@@ -57,6 +57,18 @@
 	//
 	// GET /targets/{name}
 	GetTarget(ctx context.Context, params GetTargetParams) (*TargetHeaders, error)
+	// LiftQuarantine invokes liftQuarantine operation.
+	//
+	// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
+	// makes no version, needs no platform, and has the same answer when it is sent twice. Any operator
+	// whose token may write may lift any request.
+	//
+	// DELETE /quarantine/{fingerprint}
+	LiftQuarantine(ctx context.Context, params LiftQuarantineParams) (*Lifted, error)
+	// ListQuarantine invokes listQuarantine operation.
+	//
+	// GET /quarantine
+	ListQuarantine(ctx context.Context) (*QuarantineList, error)
 	// ListServices invokes listServices operation.
 	//
 	// GET /services
@@ -1121,6 +1133,253 @@
 	return result, nil
 }
 
+// LiftQuarantine invokes liftQuarantine operation.
+//
+// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
+// makes no version, needs no platform, and has the same answer when it is sent twice. Any operator
+// whose token may write may lift any request.
+//
+// DELETE /quarantine/{fingerprint}
+func (c *Client) LiftQuarantine(ctx context.Context, params LiftQuarantineParams) (*Lifted, error) {
+	res, err := c.sendLiftQuarantine(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendLiftQuarantine(ctx context.Context, params LiftQuarantineParams) (res *Lifted, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("liftQuarantine"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.URLTemplateKey.String("/quarantine/{fingerprint}"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, LiftQuarantineOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/quarantine/"
+	{
+		// Encode "fingerprint" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "fingerprint",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			if unwrapped := string(params.Fingerprint); true {
+				return e.EncodeValue(conv.StringToString(unwrapped))
+			}
+			return nil
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "DELETE", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, LiftQuarantineOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeLiftQuarantineResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// ListQuarantine invokes listQuarantine operation.
+//
+// GET /quarantine
+func (c *Client) ListQuarantine(ctx context.Context) (*QuarantineList, error) {
+	res, err := c.sendListQuarantine(ctx)
+	return res, err
+}
+
+func (c *Client) sendListQuarantine(ctx context.Context) (res *QuarantineList, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listQuarantine"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/quarantine"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, ListQuarantineOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/quarantine"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, ListQuarantineOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeListQuarantineResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListServices invokes listServices operation.
 //
 // GET /services
--- a/internal/gen/adminapi/oas_handlers_gen.go
+++ b/internal/gen/adminapi/oas_handlers_gen.go
@@ -1424,6 +1424,391 @@
 	}
 }
 
+// handleLiftQuarantineRequest handles liftQuarantine operation.
+//
+// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
+// makes no version, needs no platform, and has the same answer when it is sent twice. Any operator
+// whose token may write may lift any request.
+//
+// DELETE /quarantine/{fingerprint}
+func (s *Server) handleLiftQuarantineRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("liftQuarantine"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.HTTPRouteKey.String("/quarantine/{fingerprint}"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), LiftQuarantineOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: LiftQuarantineOperation,
+			ID:   "liftQuarantine",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, LiftQuarantineOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeLiftQuarantineParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Lifted
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    LiftQuarantineOperation,
+			OperationSummary: "",
+			OperationID:      "liftQuarantine",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "fingerprint",
+					In:   "path",
+				}: params.Fingerprint,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = LiftQuarantineParams
+			Response = *Lifted
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackLiftQuarantineParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.LiftQuarantine(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.LiftQuarantine(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeLiftQuarantineResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleListQuarantineRequest handles listQuarantine operation.
+//
+// GET /quarantine
+func (s *Server) handleListQuarantineRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listQuarantine"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/quarantine"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), ListQuarantineOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListQuarantineOperation,
+			ID:   "listQuarantine",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListQuarantineOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *QuarantineList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListQuarantineOperation,
+			OperationSummary: "",
+			OperationID:      "listQuarantine",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *QuarantineList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListQuarantine(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListQuarantine(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListQuarantineResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListServicesRequest handles listServices operation.
 //
 // GET /services
--- a/internal/gen/adminapi/oas_json_gen.go
+++ b/internal/gen/adminapi/oas_json_gen.go
@@ -759,6 +759,10 @@
 		e.FieldStart("vm")
 		e.Str(s.VM)
 	}
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
 	{
 		e.FieldStart("instance")
 		e.Str(s.Instance)
@@ -773,19 +777,25 @@
 			s.Reason.Encode(e)
 		}
 	}
+	{
+		e.FieldStart("nodes")
+		e.Int(s.Nodes)
+	}
 	{
 		e.FieldStart("age_seconds")
 		e.Float64(s.AgeSeconds)
 	}
 }
 
-var jsonFieldsNameOfEndpointState = [6]string{
+var jsonFieldsNameOfEndpointState = [8]string{
 	0: "service",
 	1: "vm",
-	2: "instance",
-	3: "state",
-	4: "reason",
-	5: "age_seconds",
+	2: "data_centre",
+	3: "instance",
+	4: "state",
+	5: "reason",
+	6: "nodes",
+	7: "age_seconds",
 }
 
 // Decode decodes EndpointState from json.
@@ -821,8 +831,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"vm\"")
 			}
-		case "instance":
+		case "data_centre":
 			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "instance":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
 				s.Instance = string(v)
@@ -834,7 +856,7 @@
 				return errors.Wrap(err, "decode field \"instance\"")
 			}
 		case "state":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				if err := s.State.Decode(d); err != nil {
 					return err
@@ -853,8 +875,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"reason\"")
 			}
+		case "nodes":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int()
+				s.Nodes = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nodes\"")
+			}
 		case "age_seconds":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				v, err := d.Float64()
 				s.AgeSeconds = float64(v)
@@ -875,7 +909,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00101111,
+		0b11011111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1102,6 +1136,14 @@
 
 // encodeFields encodes fields.
 func (s *Handover) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("attention")
+		e.ArrStart()
+		for _, elem := range s.Attention {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("at")
 		json.EncodeDateTime(e, s.At)
@@ -1138,6 +1180,30 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("other_history")
+		e.ArrStart()
+		for _, elem := range s.OtherHistory {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("spread")
+		e.ArrStart()
+		for _, elem := range s.Spread {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("reports_asked")
+		e.Int(s.ReportsAsked)
+	}
+	{
+		e.FieldStart("reports_answered")
+		e.Int(s.ReportsAnswered)
+	}
 	{
 		e.FieldStart("targets")
 		e.ArrStart()
@@ -1170,6 +1236,14 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("conflicts")
+		e.ArrStart()
+		for _, elem := range s.Conflicts {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("since")
 		json.EncodeDateTime(e, s.Since)
@@ -1190,22 +1264,28 @@
 	}
 }
 
-var jsonFieldsNameOfHandover = [15]string{
-	0:  "at",
-	1:  "seen_by",
-	2:  "accepted",
-	3:  "in_force",
-	4:  "platform",
-	5:  "nodes",
-	6:  "nodes_in_force",
-	7:  "behind",
-	8:  "targets",
-	9:  "endpoints",
-	10: "quarantined",
-	11: "not_seen",
-	12: "since",
-	13: "changes",
-	14: "more_changes",
+var jsonFieldsNameOfHandover = [21]string{
+	0:  "attention",
+	1:  "at",
+	2:  "seen_by",
+	3:  "accepted",
+	4:  "in_force",
+	5:  "platform",
+	6:  "nodes",
+	7:  "nodes_in_force",
+	8:  "behind",
+	9:  "other_history",
+	10: "spread",
+	11: "reports_asked",
+	12: "reports_answered",
+	13: "targets",
+	14: "endpoints",
+	15: "quarantined",
+	16: "not_seen",
+	17: "conflicts",
+	18: "since",
+	19: "changes",
+	20: "more_changes",
 }
 
 // Decode decodes Handover from json.
@@ -1213,12 +1293,32 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Handover to nil")
 	}
-	var requiredBitSet [2]uint8
+	var requiredBitSet [3]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "at":
+		case "attention":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Attention = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Attention = append(s.Attention, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"attention\"")
+			}
+		case "at":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
 				s.At = v
@@ -1230,7 +1330,7 @@
 				return errors.Wrap(err, "decode field \"at\"")
 			}
 		case "seen_by":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Str()
 				s.SeenBy = string(v)
@@ -1242,7 +1342,7 @@
 				return errors.Wrap(err, "decode field \"seen_by\"")
 			}
 		case "accepted":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				if err := s.Accepted.Decode(d); err != nil {
 					return err
@@ -1252,7 +1352,7 @@
 				return errors.Wrap(err, "decode field \"accepted\"")
 			}
 		case "in_force":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				if err := s.InForce.Decode(d); err != nil {
 					return err
@@ -1262,7 +1362,7 @@
 				return errors.Wrap(err, "decode field \"in_force\"")
 			}
 		case "platform":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				if err := s.Platform.Decode(d); err != nil {
 					return err
@@ -1272,7 +1372,7 @@
 				return errors.Wrap(err, "decode field \"platform\"")
 			}
 		case "nodes":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				v, err := d.Int()
 				s.Nodes = int(v)
@@ -1284,7 +1384,7 @@
 				return errors.Wrap(err, "decode field \"nodes\"")
 			}
 		case "nodes_in_force":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				v, err := d.Int()
 				s.NodesInForce = int(v)
@@ -1296,7 +1396,7 @@
 				return errors.Wrap(err, "decode field \"nodes_in_force\"")
 			}
 		case "behind":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				s.Behind = make([]NodeBehind, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1313,8 +1413,68 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"behind\"")
 			}
+		case "other_history":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				s.OtherHistory = make([]NodeProblem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem NodeProblem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.OtherHistory = append(s.OtherHistory, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"other_history\"")
+			}
+		case "spread":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				s.Spread = make([]VersionTiming, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem VersionTiming
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Spread = append(s.Spread, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"spread\"")
+			}
+		case "reports_asked":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.ReportsAsked = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reports_asked\"")
+			}
+		case "reports_answered":
+			requiredBitSet[1] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.ReportsAnswered = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reports_answered\"")
+			}
 		case "targets":
-			requiredBitSet[1] |= 1 << 0
+			requiredBitSet[1] |= 1 << 5
 			if err := func() error {
 				s.Targets = make([]TargetState, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1332,7 +1492,7 @@
 				return errors.Wrap(err, "decode field \"targets\"")
 			}
 		case "endpoints":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 6
 			if err := func() error {
 				s.Endpoints = make([]EndpointState, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1350,7 +1510,7 @@
 				return errors.Wrap(err, "decode field \"endpoints\"")
 			}
 		case "quarantined":
-			requiredBitSet[1] |= 1 << 2
+			requiredBitSet[1] |= 1 << 7
 			if err := func() error {
 				s.Quarantined = make([]QuarantinedRequest, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1368,7 +1528,7 @@
 				return errors.Wrap(err, "decode field \"quarantined\"")
 			}
 		case "not_seen":
-			requiredBitSet[1] |= 1 << 3
+			requiredBitSet[2] |= 1 << 0
 			if err := func() error {
 				s.NotSeen = make([]NotSeen, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1385,8 +1545,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"not_seen\"")
 			}
+		case "conflicts":
+			requiredBitSet[2] |= 1 << 1
+			if err := func() error {
+				s.Conflicts = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Conflicts = append(s.Conflicts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"conflicts\"")
+			}
 		case "since":
-			requiredBitSet[1] |= 1 << 4
+			requiredBitSet[2] |= 1 << 2
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
 				s.Since = v
@@ -1398,7 +1578,7 @@
 				return errors.Wrap(err, "decode field \"since\"")
 			}
 		case "changes":
-			requiredBitSet[1] |= 1 << 5
+			requiredBitSet[2] |= 1 << 3
 			if err := func() error {
 				s.Changes = make([]HistoryEntry, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1434,9 +1614,10 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [2]uint8{
+	for i, mask := range [3]uint8{
 		0b11111111,
-		0b00111111,
+		0b11111111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1852,103 +2033,73 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *Match) Encode(e *jx.Encoder) {
+func (s *Lifted) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Match) encodeFields(e *jx.Encoder) {
-	{
-		if s.Host.Set {
-			e.FieldStart("host")
-			s.Host.Encode(e)
-		}
-	}
+func (s *Lifted) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("path_prefix")
-		e.Str(s.PathPrefix)
+		e.FieldStart("fingerprint")
+		e.Str(s.Fingerprint)
 	}
 	{
-		if s.Methods != nil {
-			e.FieldStart("methods")
-			e.ArrStart()
-			for _, elem := range s.Methods {
-				e.Str(elem)
-			}
-			e.ArrEnd()
-		}
+		e.FieldStart("by")
+		e.Str(s.By)
 	}
 }
 
-var jsonFieldsNameOfMatch = [3]string{
-	0: "host",
-	1: "path_prefix",
-	2: "methods",
+var jsonFieldsNameOfLifted = [2]string{
+	0: "fingerprint",
+	1: "by",
 }
 
-// Decode decodes Match from json.
-func (s *Match) Decode(d *jx.Decoder) error {
+// Decode decodes Lifted from json.
+func (s *Lifted) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Match to nil")
+		return errors.New("invalid: unable to decode Lifted to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "host":
+		case "fingerprint":
+			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				s.Host.Reset()
-				if err := s.Host.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Fingerprint = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"host\"")
+				return errors.Wrap(err, "decode field \"fingerprint\"")
 			}
-		case "path_prefix":
+		case "by":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
-				s.PathPrefix = string(v)
+				s.By = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"path_prefix\"")
-			}
-		case "methods":
-			if err := func() error {
-				s.Methods = make([]string, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem string
-					v, err := d.Str()
-					elem = string(v)
-					if err != nil {
-						return err
-					}
-					s.Methods = append(s.Methods, elem)
-					return nil
-				}); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"methods\"")
+				return errors.Wrap(err, "decode field \"by\"")
 			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Match")
+		return errors.Wrap(err, "decode Lifted")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000010,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1960,8 +2111,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfMatch) {
-					name = jsonFieldsNameOfMatch[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfLifted) {
+					name = jsonFieldsNameOfLifted[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1982,31 +2133,174 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Match) MarshalJSON() ([]byte, error) {
+func (s *Lifted) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Match) UnmarshalJSON(data []byte) error {
+func (s *Lifted) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes Name as json.
-func (s Name) Encode(e *jx.Encoder) {
-	unwrapped := string(s)
-
-	e.Str(unwrapped)
+// Encode implements json.Marshaler.
+func (s *Match) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
 }
 
-// Decode decodes Name from json.
-func (s *Name) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Name to nil")
-	}
-	var unwrapped string
+// encodeFields encodes fields.
+func (s *Match) encodeFields(e *jx.Encoder) {
+	{
+		if s.Host.Set {
+			e.FieldStart("host")
+			s.Host.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("path_prefix")
+		e.Str(s.PathPrefix)
+	}
+	{
+		if s.Methods != nil {
+			e.FieldStart("methods")
+			e.ArrStart()
+			for _, elem := range s.Methods {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
+}
+
+var jsonFieldsNameOfMatch = [3]string{
+	0: "host",
+	1: "path_prefix",
+	2: "methods",
+}
+
+// Decode decodes Match from json.
+func (s *Match) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Match to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			if err := func() error {
+				s.Host.Reset()
+				if err := s.Host.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "path_prefix":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.PathPrefix = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"path_prefix\"")
+			}
+		case "methods":
+			if err := func() error {
+				s.Methods = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Methods = append(s.Methods, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"methods\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Match")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000010,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMatch) {
+					name = jsonFieldsNameOfMatch[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Match) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Match) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes Name as json.
+func (s Name) Encode(e *jx.Encoder) {
+	unwrapped := string(s)
+
+	e.Str(unwrapped)
+}
+
+// Decode decodes Name from json.
+func (s *Name) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Name to nil")
+	}
+	var unwrapped string
 	if err := func() error {
 		v, err := d.Str()
 		unwrapped = string(v)
@@ -2055,6 +2349,10 @@
 		e.FieldStart("applied")
 		s.Applied.Encode(e)
 	}
+	{
+		e.FieldStart("versions")
+		e.Int64(s.Versions)
+	}
 	{
 		if s.Refused.Set {
 			e.FieldStart("refused")
@@ -2067,19 +2365,27 @@
 			s.Reason.Encode(e)
 		}
 	}
+	{
+		if s.CutOff.Set {
+			e.FieldStart("cut_off")
+			s.CutOff.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("age_seconds")
 		e.Float64(s.AgeSeconds)
 	}
 }
 
-var jsonFieldsNameOfNodeBehind = [6]string{
+var jsonFieldsNameOfNodeBehind = [8]string{
 	0: "vm",
 	1: "data_centre",
 	2: "applied",
-	3: "refused",
-	4: "reason",
-	5: "age_seconds",
+	3: "versions",
+	4: "refused",
+	5: "reason",
+	6: "cut_off",
+	7: "age_seconds",
 }
 
 // Decode decodes NodeBehind from json.
@@ -2125,6 +2431,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"applied\"")
 			}
+		case "versions":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.Versions = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"versions\"")
+			}
 		case "refused":
 			if err := func() error {
 				s.Refused.Reset()
@@ -2145,8 +2463,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"reason\"")
 			}
+		case "cut_off":
+			if err := func() error {
+				s.CutOff.Reset()
+				if err := s.CutOff.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cut_off\"")
+			}
 		case "age_seconds":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				v, err := d.Float64()
 				s.AgeSeconds = float64(v)
@@ -2167,7 +2495,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00100111,
+		0b10001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2214,105 +2542,105 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *NotSeen) Encode(e *jx.Encoder) {
+func (s *NodeProblem) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *NotSeen) encodeFields(e *jx.Encoder) {
+func (s *NodeProblem) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("what")
-		s.What.Encode(e)
+		e.FieldStart("vm")
+		e.Str(s.VM)
 	}
 	{
-		if s.Name.Set {
-			e.FieldStart("name")
-			s.Name.Encode(e)
-		}
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
 	}
 	{
-		e.FieldStart("detail")
-		e.Str(s.Detail)
+		e.FieldStart("version")
+		s.Version.Encode(e)
 	}
 	{
-		if s.Since.Set {
-			e.FieldStart("since")
-			s.Since.Encode(e, json.EncodeDateTime)
-		}
+		e.FieldStart("reason")
+		e.Str(s.Reason)
 	}
 }
 
-var jsonFieldsNameOfNotSeen = [4]string{
-	0: "what",
-	1: "name",
-	2: "detail",
-	3: "since",
+var jsonFieldsNameOfNodeProblem = [4]string{
+	0: "vm",
+	1: "data_centre",
+	2: "version",
+	3: "reason",
 }
 
-// Decode decodes NotSeen from json.
-func (s *NotSeen) Decode(d *jx.Decoder) error {
+// Decode decodes NodeProblem from json.
+func (s *NodeProblem) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode NotSeen to nil")
+		return errors.New("invalid: unable to decode NodeProblem to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "what":
+		case "vm":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				if err := s.What.Decode(d); err != nil {
+				v, err := d.Str()
+				s.VM = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"what\"")
+				return errors.Wrap(err, "decode field \"vm\"")
 			}
-		case "name":
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				s.Name.Reset()
-				if err := s.Name.Decode(d); err != nil {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"name\"")
+				return errors.Wrap(err, "decode field \"data_centre\"")
 			}
-		case "detail":
+		case "version":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := d.Str()
-				s.Detail = string(v)
-				if err != nil {
+				if err := s.Version.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"detail\"")
+				return errors.Wrap(err, "decode field \"version\"")
 			}
-		case "since":
+		case "reason":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				s.Since.Reset()
-				if err := s.Since.Decode(d, json.DecodeDateTime); err != nil {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"since\"")
+				return errors.Wrap(err, "decode field \"reason\"")
 			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode NotSeen")
+		return errors.Wrap(err, "decode NodeProblem")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000101,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2324,8 +2652,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfNotSeen) {
-					name = jsonFieldsNameOfNotSeen[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfNodeProblem) {
+					name = jsonFieldsNameOfNodeProblem[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -2346,25 +2674,187 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *NotSeen) MarshalJSON() ([]byte, error) {
+func (s *NodeProblem) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *NotSeen) UnmarshalJSON(data []byte) error {
+func (s *NodeProblem) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes NotSeenWhat as json.
-func (s NotSeenWhat) Encode(e *jx.Encoder) {
-	e.Str(string(s))
+// Encode implements json.Marshaler.
+func (s *NotSeen) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
 }
 
-// Decode decodes NotSeenWhat from json.
-func (s *NotSeenWhat) Decode(d *jx.Decoder) error {
+// encodeFields encodes fields.
+func (s *NotSeen) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("what")
+		s.What.Encode(e)
+	}
+	{
+		if s.Name.Set {
+			e.FieldStart("name")
+			s.Name.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("detail")
+		e.Str(s.Detail)
+	}
+	{
+		if s.Since.Set {
+			e.FieldStart("since")
+			s.Since.Encode(e, json.EncodeDateTime)
+		}
+	}
+	{
+		if s.AgeSeconds.Set {
+			e.FieldStart("age_seconds")
+			s.AgeSeconds.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfNotSeen = [5]string{
+	0: "what",
+	1: "name",
+	2: "detail",
+	3: "since",
+	4: "age_seconds",
+}
+
+// Decode decodes NotSeen from json.
+func (s *NotSeen) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode NotSeen to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "what":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.What.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"what\"")
+			}
+		case "name":
+			if err := func() error {
+				s.Name.Reset()
+				if err := s.Name.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "detail":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Detail = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		case "since":
+			if err := func() error {
+				s.Since.Reset()
+				if err := s.Since.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"since\"")
+			}
+		case "age_seconds":
+			if err := func() error {
+				s.AgeSeconds.Reset()
+				if err := s.AgeSeconds.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"age_seconds\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode NotSeen")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000101,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfNotSeen) {
+					name = jsonFieldsNameOfNotSeen[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *NotSeen) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *NotSeen) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes NotSeenWhat as json.
+func (s NotSeenWhat) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes NotSeenWhat from json.
+func (s *NotSeenWhat) Decode(d *jx.Decoder) error {
 	if s == nil {
 		return errors.New("invalid: unable to decode NotSeenWhat to nil")
 	}
@@ -2380,8 +2870,10 @@
 		*s = NotSeenWhatPlatform
 	case NotSeenWhatNode:
 		*s = NotSeenWhatNode
-	case NotSeenWhatTarget:
-		*s = NotSeenWhatTarget
+	case NotSeenWhatReport:
+		*s = NotSeenWhatReport
+	case NotSeenWhatHistory:
+		*s = NotSeenWhatHistory
 	default:
 		*s = NotSeenWhat(v)
 	}
@@ -3085,6 +3577,12 @@
 			s.AgeSeconds.Encode(e)
 		}
 	}
+	{
+		if s.DownSince.Set {
+			e.FieldStart("down_since")
+			s.DownSince.Encode(e, json.EncodeDateTime)
+		}
+	}
 	{
 		if s.Detail.Set {
 			e.FieldStart("detail")
@@ -3093,10 +3591,11 @@
 	}
 }
 
-var jsonFieldsNameOfPlatformState = [3]string{
+var jsonFieldsNameOfPlatformState = [4]string{
 	0: "reachable",
 	1: "age_seconds",
-	2: "detail",
+	2: "down_since",
+	3: "detail",
 }
 
 // Decode decodes PlatformState from json.
@@ -3130,6 +3629,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"age_seconds\"")
 			}
+		case "down_since":
+			if err := func() error {
+				s.DownSince.Reset()
+				if err := s.DownSince.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"down_since\"")
+			}
 		case "detail":
 			if err := func() error {
 				s.Detail.Reset()
@@ -3640,6 +4149,146 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *QuarantineList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *QuarantineList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("at")
+		json.EncodeDateTime(e, s.At)
+	}
+	{
+		e.FieldStart("seen_by")
+		e.Str(s.SeenBy)
+	}
+	{
+		e.FieldStart("requests")
+		e.ArrStart()
+		for _, elem := range s.Requests {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfQuarantineList = [3]string{
+	0: "at",
+	1: "seen_by",
+	2: "requests",
+}
+
+// Decode decodes QuarantineList from json.
+func (s *QuarantineList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QuarantineList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "at":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.At = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"at\"")
+			}
+		case "seen_by":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.SeenBy = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"seen_by\"")
+			}
+		case "requests":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Requests = make([]QuarantinedRequest, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem QuarantinedRequest
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Requests = append(s.Requests, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"requests\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QuarantineList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQuarantineList) {
+					name = jsonFieldsNameOfQuarantineList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QuarantineList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QuarantineList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *QuarantinedRequest) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3653,6 +4302,10 @@
 		e.FieldStart("fingerprint")
 		e.Str(s.Fingerprint)
 	}
+	{
+		e.FieldStart("state")
+		s.State.Encode(e)
+	}
 	{
 		if s.Service.Set {
 			e.FieldStart("service")
@@ -3665,17 +4318,34 @@
 			s.Detail.Encode(e)
 		}
 	}
+	{
+		e.FieldStart("crashes")
+		e.ArrStart()
+		for _, elem := range s.Crashes {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.By.Set {
+			e.FieldStart("by")
+			s.By.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("expires")
 		json.EncodeDateTime(e, s.Expires)
 	}
 }
 
-var jsonFieldsNameOfQuarantinedRequest = [4]string{
+var jsonFieldsNameOfQuarantinedRequest = [7]string{
 	0: "fingerprint",
-	1: "service",
-	2: "detail",
-	3: "expires",
+	1: "state",
+	2: "service",
+	3: "detail",
+	4: "crashes",
+	5: "by",
+	6: "expires",
 }
 
 // Decode decodes QuarantinedRequest from json.
@@ -3699,6 +4369,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"fingerprint\"")
 			}
+		case "state":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				if err := s.State.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
 		case "service":
 			if err := func() error {
 				s.Service.Reset()
@@ -3711,37 +4391,222 @@
 			}
 		case "detail":
 			if err := func() error {
-				s.Detail.Reset()
-				if err := s.Detail.Decode(d); err != nil {
+				s.Detail.Reset()
+				if err := s.Detail.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		case "crashes":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Crashes = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Crashes = append(s.Crashes, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"crashes\"")
+			}
+		case "by":
+			if err := func() error {
+				s.By.Reset()
+				if err := s.By.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"by\"")
+			}
+		case "expires":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Expires = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"expires\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QuarantinedRequest")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b01010011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQuarantinedRequest) {
+					name = jsonFieldsNameOfQuarantinedRequest[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QuarantinedRequest) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QuarantinedRequest) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes QuarantinedRequestState as json.
+func (s QuarantinedRequestState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes QuarantinedRequestState from json.
+func (s *QuarantinedRequestState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QuarantinedRequestState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch QuarantinedRequestState(v) {
+	case QuarantinedRequestStateSuspect:
+		*s = QuarantinedRequestStateSuspect
+	case QuarantinedRequestStateQuarantined:
+		*s = QuarantinedRequestStateQuarantined
+	case QuarantinedRequestStateLifted:
+		*s = QuarantinedRequestStateLifted
+	default:
+		*s = QuarantinedRequestState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s QuarantinedRequestState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QuarantinedRequestState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *RefusedCalls) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RefusedCalls) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+	{
+		e.FieldStart("calls")
+		e.Int64(s.Calls)
+	}
+}
+
+var jsonFieldsNameOfRefusedCalls = [2]string{
+	0: "reason",
+	1: "calls",
+}
+
+// Decode decodes RefusedCalls from json.
+func (s *RefusedCalls) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RefusedCalls to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "reason":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"detail\"")
+				return errors.Wrap(err, "decode field \"reason\"")
 			}
-		case "expires":
-			requiredBitSet[0] |= 1 << 3
+		case "calls":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
-				s.Expires = v
+				v, err := d.Int64()
+				s.Calls = int64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"expires\"")
+				return errors.Wrap(err, "decode field \"calls\"")
 			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode QuarantinedRequest")
+		return errors.Wrap(err, "decode RefusedCalls")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00001001,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -3753,8 +4618,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfQuarantinedRequest) {
-					name = jsonFieldsNameOfQuarantinedRequest[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfRefusedCalls) {
+					name = jsonFieldsNameOfRefusedCalls[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -3775,14 +4640,14 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *QuarantinedRequest) MarshalJSON() ([]byte, error) {
+func (s *RefusedCalls) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *QuarantinedRequest) UnmarshalJSON(data []byte) error {
+func (s *RefusedCalls) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -4130,6 +4995,10 @@
 		e.FieldStart("in_force")
 		s.InForce.Encode(e)
 	}
+	{
+		e.FieldStart("accepted")
+		s.Accepted.Encode(e)
+	}
 	{
 		if s.Refused.Set {
 			e.FieldStart("refused")
@@ -4142,6 +5011,14 @@
 			s.RefusedReason.Encode(e)
 		}
 	}
+	{
+		e.FieldStart("spread")
+		e.ArrStart()
+		for _, elem := range s.Spread {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("platform")
 		s.Platform.Encode(e)
@@ -4160,17 +5037,19 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [10]string{
-	0: "vm",
-	1: "region",
-	2: "data_centre",
-	3: "state",
-	4: "in_force",
-	5: "refused",
-	6: "refused_reason",
-	7: "platform",
-	8: "nodes",
-	9: "backends",
+var jsonFieldsNameOfStatus = [12]string{
+	0:  "vm",
+	1:  "region",
+	2:  "data_centre",
+	3:  "state",
+	4:  "in_force",
+	5:  "accepted",
+	6:  "refused",
+	7:  "refused_reason",
+	8:  "spread",
+	9:  "platform",
+	10: "nodes",
+	11: "backends",
 }
 
 // Decode decodes Status from json.
@@ -4238,6 +5117,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"in_force\"")
 			}
+		case "accepted":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				if err := s.Accepted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"accepted\"")
+			}
 		case "refused":
 			if err := func() error {
 				s.Refused.Reset()
@@ -4258,8 +5147,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"refused_reason\"")
 			}
+		case "spread":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				s.Spread = make([]VersionTiming, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem VersionTiming
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Spread = append(s.Spread, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"spread\"")
+			}
 		case "platform":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 1
 			if err := func() error {
 				if err := s.Platform.Decode(d); err != nil {
 					return err
@@ -4269,7 +5176,7 @@
 				return errors.Wrap(err, "decode field \"platform\"")
 			}
 		case "nodes":
-			requiredBitSet[1] |= 1 << 0
+			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
 				v, err := d.Int()
 				s.Nodes = int(v)
@@ -4281,7 +5188,7 @@
 				return errors.Wrap(err, "decode field \"nodes\"")
 			}
 		case "backends":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 3
 			if err := func() error {
 				s.Backends = make([]BackendStatus, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -4308,8 +5215,8 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
-		0b10011111,
-		0b00000011,
+		0b00111111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -4949,33 +5856,64 @@
 		}
 	}
 	{
-		if s.Calls.Set {
-			e.FieldStart("calls")
-			s.Calls.Encode(e)
+		if s.P50Ms.Set {
+			e.FieldStart("p50_ms")
+			s.P50Ms.Encode(e)
+		}
+	}
+	{
+		if s.WithinPercent.Set {
+			e.FieldStart("within_percent")
+			s.WithinPercent.Encode(e)
 		}
 	}
 	{
-		if s.NotRun.Set {
-			e.FieldStart("not_run")
-			s.NotRun.Encode(e)
+		e.FieldStart("calls")
+		e.Int64(s.Calls)
+	}
+	{
+		e.FieldStart("failed")
+		e.Int64(s.Failed)
+	}
+	{
+		e.FieldStart("not_run")
+		e.Int64(s.NotRun)
+	}
+	{
+		if s.NotRunBy != nil {
+			e.FieldStart("not_run_by")
+			e.ArrStart()
+			for _, elem := range s.NotRunBy {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
 		}
 	}
+	{
+		e.FieldStart("nodes")
+		e.Int(s.Nodes)
+	}
 	{
 		e.FieldStart("age_seconds")
 		e.Float64(s.AgeSeconds)
 	}
 }
 
-var jsonFieldsNameOfTargetState = [9]string{
-	0: "name",
-	1: "service",
-	2: "state",
-	3: "percentile",
-	4: "aim_ms",
-	5: "measured_ms",
-	6: "calls",
-	7: "not_run",
-	8: "age_seconds",
+var jsonFieldsNameOfTargetState = [14]string{
+	0:  "name",
+	1:  "service",
+	2:  "state",
+	3:  "percentile",
+	4:  "aim_ms",
+	5:  "measured_ms",
+	6:  "p50_ms",
+	7:  "within_percent",
+	8:  "calls",
+	9:  "failed",
+	10: "not_run",
+	11: "not_run_by",
+	12: "nodes",
+	13: "age_seconds",
 }
 
 // Decode decodes TargetState from json.
@@ -5051,28 +5989,93 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"measured_ms\"")
 			}
+		case "p50_ms":
+			if err := func() error {
+				s.P50Ms.Reset()
+				if err := s.P50Ms.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"p50_ms\"")
+			}
+		case "within_percent":
+			if err := func() error {
+				s.WithinPercent.Reset()
+				if err := s.WithinPercent.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"within_percent\"")
+			}
 		case "calls":
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
-				s.Calls.Reset()
-				if err := s.Calls.Decode(d); err != nil {
+				v, err := d.Int64()
+				s.Calls = int64(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"calls\"")
 			}
+		case "failed":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Failed = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failed\"")
+			}
 		case "not_run":
+			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
-				s.NotRun.Reset()
-				if err := s.NotRun.Decode(d); err != nil {
+				v, err := d.Int64()
+				s.NotRun = int64(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"not_run\"")
 			}
+		case "not_run_by":
+			if err := func() error {
+				s.NotRunBy = make([]RefusedCalls, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem RefusedCalls
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.NotRunBy = append(s.NotRunBy, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"not_run_by\"")
+			}
+		case "nodes":
+			requiredBitSet[1] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Nodes = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nodes\"")
+			}
 		case "age_seconds":
-			requiredBitSet[1] |= 1 << 0
+			requiredBitSet[1] |= 1 << 5
 			if err := func() error {
 				v, err := d.Float64()
 				s.AgeSeconds = float64(v)
@@ -5094,7 +6097,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b00000111,
-		0b00000001,
+		0b00110111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -5162,8 +6165,8 @@
 		*s = TargetStateStateMissed
 	case TargetStateStateNoCalls:
 		*s = TargetStateStateNoCalls
-	case TargetStateStateNotSeen:
-		*s = TargetStateStateNotSeen
+	case TargetStateStateNoAim:
+		*s = TargetStateStateNoAim
 	default:
 		*s = TargetStateState(v)
 	}
@@ -5447,3 +6450,148 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *VersionTiming) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *VersionTiming) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		s.Version.Encode(e)
+	}
+	{
+		e.FieldStart("accepted_at")
+		json.EncodeDateTime(e, s.AcceptedAt)
+	}
+	{
+		e.FieldStart("in_force_at")
+		json.EncodeDateTime(e, s.InForceAt)
+	}
+	{
+		e.FieldStart("took_ms")
+		e.Int64(s.TookMs)
+	}
+}
+
+var jsonFieldsNameOfVersionTiming = [4]string{
+	0: "version",
+	1: "accepted_at",
+	2: "in_force_at",
+	3: "took_ms",
+}
+
+// Decode decodes VersionTiming from json.
+func (s *VersionTiming) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode VersionTiming to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "version":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "accepted_at":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.AcceptedAt = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"accepted_at\"")
+			}
+		case "in_force_at":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.InForceAt = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"in_force_at\"")
+			}
+		case "took_ms":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.TookMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"took_ms\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode VersionTiming")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfVersionTiming) {
+					name = jsonFieldsNameOfVersionTiming[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *VersionTiming) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *VersionTiming) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/gen/adminapi/oas_operations_gen.go
+++ b/internal/gen/adminapi/oas_operations_gen.go
@@ -13,6 +13,8 @@
 	GetServiceOperation      OperationName = "GetService"
 	GetStatusOperation       OperationName = "GetStatus"
 	GetTargetOperation       OperationName = "GetTarget"
+	LiftQuarantineOperation  OperationName = "LiftQuarantine"
+	ListQuarantineOperation  OperationName = "ListQuarantine"
 	ListServicesOperation    OperationName = "ListServices"
 	ListTargetsOperation     OperationName = "ListTargets"
 	PutServiceOperation      OperationName = "PutService"
--- a/internal/gen/adminapi/oas_parameters_gen.go
+++ b/internal/gen/adminapi/oas_parameters_gen.go
@@ -827,6 +827,86 @@
 	return params, nil
 }
 
+// LiftQuarantineParams is parameters of liftQuarantine operation.
+type LiftQuarantineParams struct {
+	Fingerprint Fingerprint
+}
+
+func unpackLiftQuarantineParams(packed middleware.Parameters) (params LiftQuarantineParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "fingerprint",
+			In:   "path",
+		}
+		params.Fingerprint = packed[key].(Fingerprint)
+	}
+	return params
+}
+
+func decodeLiftQuarantineParams(args [1]string, argsEscaped bool, r *http.Request) (params LiftQuarantineParams, _ error) {
+	// Decode path: fingerprint.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "fingerprint",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				var paramsDotFingerprintVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotFingerprintVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Fingerprint = Fingerprint(paramsDotFingerprintVal)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Fingerprint.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "fingerprint",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // PutServiceParams is parameters of putService operation.
 type PutServiceParams struct {
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
--- a/internal/gen/adminapi/oas_response_decoders_gen.go
+++ b/internal/gen/adminapi/oas_response_decoders_gen.go
@@ -1742,6 +1742,473 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeLiftQuarantineResponse(resp *http.Response) (res *Lifted, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Lifted
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeListQuarantineResponse(resp *http.Response) (res *QuarantineList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response QuarantineList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListServicesResponse(resp *http.Response) (res *ServiceListHeaders, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/gen/adminapi/oas_response_encoders_gen.go
+++ b/internal/gen/adminapi/oas_response_encoders_gen.go
@@ -139,6 +139,32 @@
 	return nil
 }
 
+func encodeLiftQuarantineResponse(response *Lifted, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
+func encodeListQuarantineResponse(response *QuarantineList, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListServicesResponse(response *ServiceListHeaders, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.Header().Set("Access-Control-Expose-Headers", "Etag")
--- a/internal/gen/adminapi/oas_router_gen.go
+++ b/internal/gen/adminapi/oas_router_gen.go
@@ -23,7 +23,13 @@
 	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn16AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn15AllowedHeaders = map[string]string{
+		"DELETE": "Authorization",
+	}
+	rn17AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn9AllowedHeaders = map[string]string{
@@ -34,7 +40,7 @@
 	rn11AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn15AllowedHeaders = map[string]string{
+	rn18AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn13AllowedHeaders = map[string]string{
@@ -220,6 +226,68 @@
 
 				}
 
+			case 'q': // Prefix: "quarantine"
+
+				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListQuarantineRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn16AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "fingerprint"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "DELETE":
+							s.handleLiftQuarantineRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "DELETE",
+								allowedHeaders: rn15AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			case 's': // Prefix: "s"
 
 				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
@@ -247,7 +315,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn14AllowedHeaders,
+								allowedHeaders: rn17AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -344,7 +412,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn15AllowedHeaders,
+							allowedHeaders: rn18AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -622,6 +690,66 @@
 
 				}
 
+			case 'q': // Prefix: "quarantine"
+
+				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListQuarantineOperation
+						r.summary = ""
+						r.operationID = "listQuarantine"
+						r.operationGroup = ""
+						r.pathPattern = "/quarantine"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "fingerprint"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "DELETE":
+							r.name = LiftQuarantineOperation
+							r.summary = ""
+							r.operationID = "liftQuarantine"
+							r.operationGroup = ""
+							r.pathPattern = "/quarantine/{fingerprint}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			case 's': // Prefix: "s"
 
 				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
--- a/internal/gen/adminapi/oas_schemas_gen.go
+++ b/internal/gen/adminapi/oas_schemas_gen.go
@@ -472,10 +472,14 @@
 type EndpointState struct {
 	Service    string             `json:"service"`
 	VM         string             `json:"vm"`
+	DataCentre string             `json:"data_centre"`
 	Instance   string             `json:"instance"`
 	State      EndpointStateState `json:"state"`
 	Reason     OptString          `json:"reason"`
-	AgeSeconds float64            `json:"age_seconds"`
+	// How many nodes have ejected it.
+	Nodes int `json:"nodes"`
+	// Since this was learned.
+	AgeSeconds float64 `json:"age_seconds"`
 }
 
 // GetService returns the value of Service.
@@ -488,6 +492,11 @@
 	return s.VM
 }
 
+// GetDataCentre returns the value of DataCentre.
+func (s *EndpointState) GetDataCentre() string {
+	return s.DataCentre
+}
+
 // GetInstance returns the value of Instance.
 func (s *EndpointState) GetInstance() string {
 	return s.Instance
@@ -503,6 +512,11 @@
 	return s.Reason
 }
 
+// GetNodes returns the value of Nodes.
+func (s *EndpointState) GetNodes() int {
+	return s.Nodes
+}
+
 // GetAgeSeconds returns the value of AgeSeconds.
 func (s *EndpointState) GetAgeSeconds() float64 {
 	return s.AgeSeconds
@@ -518,6 +532,11 @@
 	s.VM = val
 }
 
+// SetDataCentre sets the value of DataCentre.
+func (s *EndpointState) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
 // SetInstance sets the value of Instance.
 func (s *EndpointState) SetInstance(val string) {
 	s.Instance = val
@@ -533,6 +552,11 @@
 	s.Reason = val
 }
 
+// SetNodes sets the value of Nodes.
+func (s *EndpointState) SetNodes(val int) {
+	s.Nodes = val
+}
+
 // SetAgeSeconds sets the value of AgeSeconds.
 func (s *EndpointState) SetAgeSeconds(val float64) {
 	s.AgeSeconds = val
@@ -625,9 +649,13 @@
 	s.After = val
 }
 
+type Fingerprint string
+
 // Ref: #/components/schemas/Handover
 type Handover struct {
-	At time.Time `json:"at"`
+	// What somebody has to look at, worst first. Empty when there is nothing.
+	Attention []string  `json:"attention"`
+	At        time.Time `json:"at"`
 	// The node that answers.
 	SeenBy   string        `json:"seen_by"`
 	Accepted Version       `json:"accepted"`
@@ -636,18 +664,33 @@
 	// Nodes that this node knows of.
 	Nodes int `json:"nodes"`
 	// Of these the ones with accepted in force.
-	NodesInForce int                  `json:"nodes_in_force"`
-	Behind       []NodeBehind         `json:"behind"`
-	Targets      []TargetState        `json:"targets"`
-	Endpoints    []EndpointState      `json:"endpoints"`
-	Quarantined  []QuarantinedRequest `json:"quarantined"`
-	NotSeen      []NotSeen            `json:"not_seen"`
-	Since        time.Time            `json:"since"`
-	Changes      []HistoryEntry       `json:"changes"`
+	NodesInForce int          `json:"nodes_in_force"`
+	Behind       []NodeBehind `json:"behind"`
+	// Nodes that run the accepted number with another hash.
+	OtherHistory []NodeProblem `json:"other_history"`
+	// The last versions that came into force at this node, newest first.
+	Spread []VersionTiming `json:"spread"`
+	// Nodes asked for the figures of their calls.
+	ReportsAsked int `json:"reports_asked"`
+	// Of these the ones that answered in time.
+	ReportsAnswered int                  `json:"reports_answered"`
+	Targets         []TargetState        `json:"targets"`
+	Endpoints       []EndpointState      `json:"endpoints"`
+	Quarantined     []QuarantinedRequest `json:"quarantined"`
+	NotSeen         []NotSeen            `json:"not_seen"`
+	// Versions of another history that this node has seen and not followed.
+	Conflicts []string       `json:"conflicts"`
+	Since     time.Time      `json:"since"`
+	Changes   []HistoryEntry `json:"changes"`
 	// There are more than are listed.
 	MoreChanges OptBool `json:"more_changes"`
 }
 
+// GetAttention returns the value of Attention.
+func (s *Handover) GetAttention() []string {
+	return s.Attention
+}
+
 // GetAt returns the value of At.
 func (s *Handover) GetAt() time.Time {
 	return s.At
@@ -688,6 +731,26 @@
 	return s.Behind
 }
 
+// GetOtherHistory returns the value of OtherHistory.
+func (s *Handover) GetOtherHistory() []NodeProblem {
+	return s.OtherHistory
+}
+
+// GetSpread returns the value of Spread.
+func (s *Handover) GetSpread() []VersionTiming {
+	return s.Spread
+}
+
+// GetReportsAsked returns the value of ReportsAsked.
+func (s *Handover) GetReportsAsked() int {
+	return s.ReportsAsked
+}
+
+// GetReportsAnswered returns the value of ReportsAnswered.
+func (s *Handover) GetReportsAnswered() int {
+	return s.ReportsAnswered
+}
+
 // GetTargets returns the value of Targets.
 func (s *Handover) GetTargets() []TargetState {
 	return s.Targets
@@ -708,6 +771,11 @@
 	return s.NotSeen
 }
 
+// GetConflicts returns the value of Conflicts.
+func (s *Handover) GetConflicts() []string {
+	return s.Conflicts
+}
+
 // GetSince returns the value of Since.
 func (s *Handover) GetSince() time.Time {
 	return s.Since
@@ -723,6 +791,11 @@
 	return s.MoreChanges
 }
 
+// SetAttention sets the value of Attention.
+func (s *Handover) SetAttention(val []string) {
+	s.Attention = val
+}
+
 // SetAt sets the value of At.
 func (s *Handover) SetAt(val time.Time) {
 	s.At = val
@@ -763,6 +836,26 @@
 	s.Behind = val
 }
 
+// SetOtherHistory sets the value of OtherHistory.
+func (s *Handover) SetOtherHistory(val []NodeProblem) {
+	s.OtherHistory = val
+}
+
+// SetSpread sets the value of Spread.
+func (s *Handover) SetSpread(val []VersionTiming) {
+	s.Spread = val
+}
+
+// SetReportsAsked sets the value of ReportsAsked.
+func (s *Handover) SetReportsAsked(val int) {
+	s.ReportsAsked = val
+}
+
+// SetReportsAnswered sets the value of ReportsAnswered.
+func (s *Handover) SetReportsAnswered(val int) {
+	s.ReportsAnswered = val
+}
+
 // SetTargets sets the value of Targets.
 func (s *Handover) SetTargets(val []TargetState) {
 	s.Targets = val
@@ -783,6 +876,11 @@
 	s.NotSeen = val
 }
 
+// SetConflicts sets the value of Conflicts.
+func (s *Handover) SetConflicts(val []string) {
+	s.Conflicts = val
+}
+
 // SetSince sets the value of Since.
 func (s *Handover) SetSince(val time.Time) {
 	s.Since = val
@@ -948,6 +1046,33 @@
 	}
 }
 
+// Ref: #/components/schemas/Lifted
+type Lifted struct {
+	Fingerprint string `json:"fingerprint"`
+	// The operator and the team, as the notice names them.
+	By string `json:"by"`
+}
+
+// GetFingerprint returns the value of Fingerprint.
+func (s *Lifted) GetFingerprint() string {
+	return s.Fingerprint
+}
+
+// GetBy returns the value of By.
+func (s *Lifted) GetBy() string {
+	return s.By
+}
+
+// SetFingerprint sets the value of Fingerprint.
+func (s *Lifted) SetFingerprint(val string) {
+	s.Fingerprint = val
+}
+
+// SetBy sets the value of By.
+func (s *Lifted) SetBy(val string) {
+	s.By = val
+}
+
 // Ref: #/components/schemas/Match
 type Match struct {
 	Host       OptString `json:"host"`
@@ -989,12 +1114,18 @@
 
 // Ref: #/components/schemas/NodeBehind
 type NodeBehind struct {
-	VM         string           `json:"vm"`
-	DataCentre string           `json:"data_centre"`
-	Applied    VersionNumber    `json:"applied"`
-	Refused    OptVersionNumber `json:"refused"`
-	Reason     OptString        `json:"reason"`
-	AgeSeconds float64          `json:"age_seconds"`
+	VM         string        `json:"vm"`
+	DataCentre string        `json:"data_centre"`
+	Applied    VersionNumber `json:"applied"`
+	// How many versions it is behind.
+	Versions int64            `json:"versions"`
+	Refused  OptVersionNumber `json:"refused"`
+	// Why it is behind, as far as it is known.
+	Reason OptString `json:"reason"`
+	// Its data centre is cut off from the node that answers.
+	CutOff OptBool `json:"cut_off"`
+	// Since anything new was learned of it.
+	AgeSeconds float64 `json:"age_seconds"`
 }
 
 // GetVM returns the value of VM.
@@ -1012,6 +1143,11 @@
 	return s.Applied
 }
 
+// GetVersions returns the value of Versions.
+func (s *NodeBehind) GetVersions() int64 {
+	return s.Versions
+}
+
 // GetRefused returns the value of Refused.
 func (s *NodeBehind) GetRefused() OptVersionNumber {
 	return s.Refused
@@ -1022,6 +1158,11 @@
 	return s.Reason
 }
 
+// GetCutOff returns the value of CutOff.
+func (s *NodeBehind) GetCutOff() OptBool {
+	return s.CutOff
+}
+
 // GetAgeSeconds returns the value of AgeSeconds.
 func (s *NodeBehind) GetAgeSeconds() float64 {
 	return s.AgeSeconds
@@ -1042,6 +1183,11 @@
 	s.Applied = val
 }
 
+// SetVersions sets the value of Versions.
+func (s *NodeBehind) SetVersions(val int64) {
+	s.Versions = val
+}
+
 // SetRefused sets the value of Refused.
 func (s *NodeBehind) SetRefused(val OptVersionNumber) {
 	s.Refused = val
@@ -1052,17 +1198,72 @@
 	s.Reason = val
 }
 
+// SetCutOff sets the value of CutOff.
+func (s *NodeBehind) SetCutOff(val OptBool) {
+	s.CutOff = val
+}
+
 // SetAgeSeconds sets the value of AgeSeconds.
 func (s *NodeBehind) SetAgeSeconds(val float64) {
 	s.AgeSeconds = val
 }
 
+// Ref: #/components/schemas/NodeProblem
+type NodeProblem struct {
+	VM         string        `json:"vm"`
+	DataCentre string        `json:"data_centre"`
+	Version    VersionNumber `json:"version"`
+	Reason     string        `json:"reason"`
+}
+
+// GetVM returns the value of VM.
+func (s *NodeProblem) GetVM() string {
+	return s.VM
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *NodeProblem) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetVersion returns the value of Version.
+func (s *NodeProblem) GetVersion() VersionNumber {
+	return s.Version
+}
+
+// GetReason returns the value of Reason.
+func (s *NodeProblem) GetReason() string {
+	return s.Reason
+}
+
+// SetVM sets the value of VM.
+func (s *NodeProblem) SetVM(val string) {
+	s.VM = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *NodeProblem) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetVersion sets the value of Version.
+func (s *NodeProblem) SetVersion(val VersionNumber) {
+	s.Version = val
+}
+
+// SetReason sets the value of Reason.
+func (s *NodeProblem) SetReason(val string) {
+	s.Reason = val
+}
+
 // Ref: #/components/schemas/NotSeen
 type NotSeen struct {
 	What   NotSeenWhat `json:"what"`
 	Name   OptString   `json:"name"`
 	Detail string      `json:"detail"`
 	Since  OptDateTime `json:"since"`
+	// Of the last that was learned.
+	AgeSeconds OptFloat64 `json:"age_seconds"`
 }
 
 // GetWhat returns the value of What.
@@ -1085,6 +1286,11 @@
 	return s.Since
 }
 
+// GetAgeSeconds returns the value of AgeSeconds.
+func (s *NotSeen) GetAgeSeconds() OptFloat64 {
+	return s.AgeSeconds
+}
+
 // SetWhat sets the value of What.
 func (s *NotSeen) SetWhat(val NotSeenWhat) {
 	s.What = val
@@ -1105,13 +1311,19 @@
 	s.Since = val
 }
 
+// SetAgeSeconds sets the value of AgeSeconds.
+func (s *NotSeen) SetAgeSeconds(val OptFloat64) {
+	s.AgeSeconds = val
+}
+
 type NotSeenWhat string
 
 const (
 	NotSeenWhatDataCentre NotSeenWhat = "data-centre"
 	NotSeenWhatPlatform   NotSeenWhat = "platform"
 	NotSeenWhatNode       NotSeenWhat = "node"
-	NotSeenWhatTarget     NotSeenWhat = "target"
+	NotSeenWhatReport     NotSeenWhat = "report"
+	NotSeenWhatHistory    NotSeenWhat = "history"
 )
 
 // AllValues returns all NotSeenWhat values.
@@ -1120,7 +1332,8 @@
 		NotSeenWhatDataCentre,
 		NotSeenWhatPlatform,
 		NotSeenWhatNode,
-		NotSeenWhatTarget,
+		NotSeenWhatReport,
+		NotSeenWhatHistory,
 	}
 }
 
@@ -1133,7 +1346,9 @@
 		return []byte(s), nil
 	case NotSeenWhatNode:
 		return []byte(s), nil
-	case NotSeenWhatTarget:
+	case NotSeenWhatReport:
+		return []byte(s), nil
+	case NotSeenWhatHistory:
 		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
@@ -1152,8 +1367,11 @@
 	case NotSeenWhatNode:
 		*s = NotSeenWhatNode
 		return nil
-	case NotSeenWhatTarget:
-		*s = NotSeenWhatTarget
+	case NotSeenWhatReport:
+		*s = NotSeenWhatReport
+		return nil
+	case NotSeenWhatHistory:
+		*s = NotSeenWhatHistory
 		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
@@ -1941,8 +2159,9 @@
 type PlatformState struct {
 	Reachable bool `json:"reachable"`
 	// Time since the last answer; left out when there was none.
-	AgeSeconds OptFloat64 `json:"age_seconds"`
-	Detail     OptString  `json:"detail"`
+	AgeSeconds OptFloat64  `json:"age_seconds"`
+	DownSince  OptDateTime `json:"down_since"`
+	Detail     OptString   `json:"detail"`
 }
 
 // GetReachable returns the value of Reachable.
@@ -1955,6 +2174,11 @@
 	return s.AgeSeconds
 }
 
+// GetDownSince returns the value of DownSince.
+func (s *PlatformState) GetDownSince() OptDateTime {
+	return s.DownSince
+}
+
 // GetDetail returns the value of Detail.
 func (s *PlatformState) GetDetail() OptString {
 	return s.Detail
@@ -1970,6 +2194,11 @@
 	s.AgeSeconds = val
 }
 
+// SetDownSince sets the value of DownSince.
+func (s *PlatformState) SetDownSince(val OptDateTime) {
+	s.DownSince = val
+}
+
 // SetDetail sets the value of Detail.
 func (s *PlatformState) SetDetail(val OptString) {
 	s.Detail = val
@@ -2198,12 +2427,55 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/QuarantineList
+type QuarantineList struct {
+	At       time.Time            `json:"at"`
+	SeenBy   string               `json:"seen_by"`
+	Requests []QuarantinedRequest `json:"requests"`
+}
+
+// GetAt returns the value of At.
+func (s *QuarantineList) GetAt() time.Time {
+	return s.At
+}
+
+// GetSeenBy returns the value of SeenBy.
+func (s *QuarantineList) GetSeenBy() string {
+	return s.SeenBy
+}
+
+// GetRequests returns the value of Requests.
+func (s *QuarantineList) GetRequests() []QuarantinedRequest {
+	return s.Requests
+}
+
+// SetAt sets the value of At.
+func (s *QuarantineList) SetAt(val time.Time) {
+	s.At = val
+}
+
+// SetSeenBy sets the value of SeenBy.
+func (s *QuarantineList) SetSeenBy(val string) {
+	s.SeenBy = val
+}
+
+// SetRequests sets the value of Requests.
+func (s *QuarantineList) SetRequests(val []QuarantinedRequest) {
+	s.Requests = val
+}
+
 // Ref: #/components/schemas/QuarantinedRequest
 type QuarantinedRequest struct {
-	Fingerprint string    `json:"fingerprint"`
-	Service     OptString `json:"service"`
-	Detail      OptString `json:"detail"`
-	Expires     time.Time `json:"expires"`
+	Fingerprint string                  `json:"fingerprint"`
+	State       QuarantinedRequestState `json:"state"`
+	Service     OptString               `json:"service"`
+	// Method, host and path.
+	Detail OptString `json:"detail"`
+	// The crashes that count, as VM, backend server and moment.
+	Crashes []string `json:"crashes"`
+	// Who lifted it.
+	By      OptString `json:"by"`
+	Expires time.Time `json:"expires"`
 }
 
 // GetFingerprint returns the value of Fingerprint.
@@ -2211,6 +2483,11 @@
 	return s.Fingerprint
 }
 
+// GetState returns the value of State.
+func (s *QuarantinedRequest) GetState() QuarantinedRequestState {
+	return s.State
+}
+
 // GetService returns the value of Service.
 func (s *QuarantinedRequest) GetService() OptString {
 	return s.Service
@@ -2221,6 +2498,16 @@
 	return s.Detail
 }
 
+// GetCrashes returns the value of Crashes.
+func (s *QuarantinedRequest) GetCrashes() []string {
+	return s.Crashes
+}
+
+// GetBy returns the value of By.
+func (s *QuarantinedRequest) GetBy() OptString {
+	return s.By
+}
+
 // GetExpires returns the value of Expires.
 func (s *QuarantinedRequest) GetExpires() time.Time {
 	return s.Expires
@@ -2231,6 +2518,11 @@
 	s.Fingerprint = val
 }
 
+// SetState sets the value of State.
+func (s *QuarantinedRequest) SetState(val QuarantinedRequestState) {
+	s.State = val
+}
+
 // SetService sets the value of Service.
 func (s *QuarantinedRequest) SetService(val OptString) {
 	s.Service = val
@@ -2241,11 +2533,95 @@
 	s.Detail = val
 }
 
+// SetCrashes sets the value of Crashes.
+func (s *QuarantinedRequest) SetCrashes(val []string) {
+	s.Crashes = val
+}
+
+// SetBy sets the value of By.
+func (s *QuarantinedRequest) SetBy(val OptString) {
+	s.By = val
+}
+
 // SetExpires sets the value of Expires.
 func (s *QuarantinedRequest) SetExpires(val time.Time) {
 	s.Expires = val
 }
 
+type QuarantinedRequestState string
+
+const (
+	QuarantinedRequestStateSuspect     QuarantinedRequestState = "suspect"
+	QuarantinedRequestStateQuarantined QuarantinedRequestState = "quarantined"
+	QuarantinedRequestStateLifted      QuarantinedRequestState = "lifted"
+)
+
+// AllValues returns all QuarantinedRequestState values.
+func (QuarantinedRequestState) AllValues() []QuarantinedRequestState {
+	return []QuarantinedRequestState{
+		QuarantinedRequestStateSuspect,
+		QuarantinedRequestStateQuarantined,
+		QuarantinedRequestStateLifted,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s QuarantinedRequestState) MarshalText() ([]byte, error) {
+	switch s {
+	case QuarantinedRequestStateSuspect:
+		return []byte(s), nil
+	case QuarantinedRequestStateQuarantined:
+		return []byte(s), nil
+	case QuarantinedRequestStateLifted:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *QuarantinedRequestState) UnmarshalText(data []byte) error {
+	switch QuarantinedRequestState(data) {
+	case QuarantinedRequestStateSuspect:
+		*s = QuarantinedRequestStateSuspect
+		return nil
+	case QuarantinedRequestStateQuarantined:
+		*s = QuarantinedRequestStateQuarantined
+		return nil
+	case QuarantinedRequestStateLifted:
+		*s = QuarantinedRequestStateLifted
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+// Ref: #/components/schemas/RefusedCalls
+type RefusedCalls struct {
+	Reason string `json:"reason"`
+	Calls  int64  `json:"calls"`
+}
+
+// GetReason returns the value of Reason.
+func (s *RefusedCalls) GetReason() string {
+	return s.Reason
+}
+
+// GetCalls returns the value of Calls.
+func (s *RefusedCalls) GetCalls() int64 {
+	return s.Calls
+}
+
+// SetReason sets the value of Reason.
+func (s *RefusedCalls) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetCalls sets the value of Calls.
+func (s *RefusedCalls) SetCalls(val int64) {
+	s.Calls = val
+}
+
 // Ref: #/components/schemas/Service
 type Service struct {
 	Name        string    `json:"name"`
@@ -2383,9 +2759,12 @@
 	DataCentre    string           `json:"data_centre"`
 	State         StatusState      `json:"state"`
 	InForce       Version          `json:"in_force"`
+	Accepted      Version          `json:"accepted"`
 	Refused       OptVersionNumber `json:"refused"`
 	RefusedReason OptString        `json:"refused_reason"`
-	Platform      PlatformState    `json:"platform"`
+	// The last versions that came into force here, newest first.
+	Spread   []VersionTiming `json:"spread"`
+	Platform PlatformState   `json:"platform"`
 	// Nodes that this node knows of.
 	Nodes    int             `json:"nodes"`
 	Backends []BackendStatus `json:"backends"`
@@ -2416,6 +2795,11 @@
 	return s.InForce
 }
 
+// GetAccepted returns the value of Accepted.
+func (s *Status) GetAccepted() Version {
+	return s.Accepted
+}
+
 // GetRefused returns the value of Refused.
 func (s *Status) GetRefused() OptVersionNumber {
 	return s.Refused
@@ -2426,6 +2810,11 @@
 	return s.RefusedReason
 }
 
+// GetSpread returns the value of Spread.
+func (s *Status) GetSpread() []VersionTiming {
+	return s.Spread
+}
+
 // GetPlatform returns the value of Platform.
 func (s *Status) GetPlatform() PlatformState {
 	return s.Platform
@@ -2466,6 +2855,11 @@
 	s.InForce = val
 }
 
+// SetAccepted sets the value of Accepted.
+func (s *Status) SetAccepted(val Version) {
+	s.Accepted = val
+}
+
 // SetRefused sets the value of Refused.
 func (s *Status) SetRefused(val OptVersionNumber) {
 	s.Refused = val
@@ -2476,6 +2870,11 @@
 	s.RefusedReason = val
 }
 
+// SetSpread sets the value of Spread.
+func (s *Status) SetSpread(val []VersionTiming) {
+	s.Spread = val
+}
+
 // SetPlatform sets the value of Platform.
 func (s *Status) SetPlatform(val PlatformState) {
 	s.Platform = val
@@ -2786,10 +3185,22 @@
 	State      TargetStateState `json:"state"`
 	Percentile OptFloat64       `json:"percentile"`
 	AimMs      OptInt64         `json:"aim_ms"`
-	MeasuredMs OptFloat64       `json:"measured_ms"`
-	Calls      OptInt64         `json:"calls"`
-	NotRun     OptInt64         `json:"not_run"`
-	AgeSeconds float64          `json:"age_seconds"`
+	// The latency at the percentile, over the calls of all nodes in it; an upper bound, at most a quarter
+	// too high.
+	MeasuredMs OptFloat64 `json:"measured_ms"`
+	P50Ms      OptFloat64 `json:"p50_ms"`
+	// The part of the answered calls that was good and within aim_ms.
+	WithinPercent OptFloat64 `json:"within_percent"`
+	// Answered in the last minute.
+	Calls int64 `json:"calls"`
+	// Of the answered calls.
+	Failed int64 `json:"failed"`
+	// Refused in the last minute.
+	NotRun   int64          `json:"not_run"`
+	NotRunBy []RefusedCalls `json:"not_run_by"`
+	// How many nodes counted calls of it.
+	Nodes      int     `json:"nodes"`
+	AgeSeconds float64 `json:"age_seconds"`
 }
 
 // GetName returns the value of Name.
@@ -2822,16 +3233,41 @@
 	return s.MeasuredMs
 }
 
+// GetP50Ms returns the value of P50Ms.
+func (s *TargetState) GetP50Ms() OptFloat64 {
+	return s.P50Ms
+}
+
+// GetWithinPercent returns the value of WithinPercent.
+func (s *TargetState) GetWithinPercent() OptFloat64 {
+	return s.WithinPercent
+}
+
 // GetCalls returns the value of Calls.
-func (s *TargetState) GetCalls() OptInt64 {
+func (s *TargetState) GetCalls() int64 {
 	return s.Calls
 }
 
+// GetFailed returns the value of Failed.
+func (s *TargetState) GetFailed() int64 {
+	return s.Failed
+}
+
 // GetNotRun returns the value of NotRun.
-func (s *TargetState) GetNotRun() OptInt64 {
+func (s *TargetState) GetNotRun() int64 {
 	return s.NotRun
 }
 
+// GetNotRunBy returns the value of NotRunBy.
+func (s *TargetState) GetNotRunBy() []RefusedCalls {
+	return s.NotRunBy
+}
+
+// GetNodes returns the value of Nodes.
+func (s *TargetState) GetNodes() int {
+	return s.Nodes
+}
+
 // GetAgeSeconds returns the value of AgeSeconds.
 func (s *TargetState) GetAgeSeconds() float64 {
 	return s.AgeSeconds
@@ -2867,16 +3303,41 @@
 	s.MeasuredMs = val
 }
 
+// SetP50Ms sets the value of P50Ms.
+func (s *TargetState) SetP50Ms(val OptFloat64) {
+	s.P50Ms = val
+}
+
+// SetWithinPercent sets the value of WithinPercent.
+func (s *TargetState) SetWithinPercent(val OptFloat64) {
+	s.WithinPercent = val
+}
+
 // SetCalls sets the value of Calls.
-func (s *TargetState) SetCalls(val OptInt64) {
+func (s *TargetState) SetCalls(val int64) {
 	s.Calls = val
 }
 
+// SetFailed sets the value of Failed.
+func (s *TargetState) SetFailed(val int64) {
+	s.Failed = val
+}
+
 // SetNotRun sets the value of NotRun.
-func (s *TargetState) SetNotRun(val OptInt64) {
+func (s *TargetState) SetNotRun(val int64) {
 	s.NotRun = val
 }
 
+// SetNotRunBy sets the value of NotRunBy.
+func (s *TargetState) SetNotRunBy(val []RefusedCalls) {
+	s.NotRunBy = val
+}
+
+// SetNodes sets the value of Nodes.
+func (s *TargetState) SetNodes(val int) {
+	s.Nodes = val
+}
+
 // SetAgeSeconds sets the value of AgeSeconds.
 func (s *TargetState) SetAgeSeconds(val float64) {
 	s.AgeSeconds = val
@@ -2888,7 +3349,7 @@
 	TargetStateStateMet     TargetStateState = "met"
 	TargetStateStateMissed  TargetStateState = "missed"
 	TargetStateStateNoCalls TargetStateState = "no-calls"
-	TargetStateStateNotSeen TargetStateState = "not-seen"
+	TargetStateStateNoAim   TargetStateState = "no-aim"
 )
 
 // AllValues returns all TargetStateState values.
@@ -2897,7 +3358,7 @@
 		TargetStateStateMet,
 		TargetStateStateMissed,
 		TargetStateStateNoCalls,
-		TargetStateStateNotSeen,
+		TargetStateStateNoAim,
 	}
 }
 
@@ -2910,7 +3371,7 @@
 		return []byte(s), nil
 	case TargetStateStateNoCalls:
 		return []byte(s), nil
-	case TargetStateStateNotSeen:
+	case TargetStateStateNoAim:
 		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
@@ -2929,8 +3390,8 @@
 	case TargetStateStateNoCalls:
 		*s = TargetStateStateNoCalls
 		return nil
-	case TargetStateStateNotSeen:
-		*s = TargetStateStateNotSeen
+	case TargetStateStateNoAim:
+		*s = TargetStateStateNoAim
 		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
@@ -3022,3 +3483,53 @@
 }
 
 type VersionNumber int64
+
+// Ref: #/components/schemas/VersionTiming
+type VersionTiming struct {
+	Version VersionNumber `json:"version"`
+	// By the accepting node's clock.
+	AcceptedAt time.Time `json:"accepted_at"`
+	// By the clock of the node that answers.
+	InForceAt time.Time `json:"in_force_at"`
+	TookMs    int64     `json:"took_ms"`
+}
+
+// GetVersion returns the value of Version.
+func (s *VersionTiming) GetVersion() VersionNumber {
+	return s.Version
+}
+
+// GetAcceptedAt returns the value of AcceptedAt.
+func (s *VersionTiming) GetAcceptedAt() time.Time {
+	return s.AcceptedAt
+}
+
+// GetInForceAt returns the value of InForceAt.
+func (s *VersionTiming) GetInForceAt() time.Time {
+	return s.InForceAt
+}
+
+// GetTookMs returns the value of TookMs.
+func (s *VersionTiming) GetTookMs() int64 {
+	return s.TookMs
+}
+
+// SetVersion sets the value of Version.
+func (s *VersionTiming) SetVersion(val VersionNumber) {
+	s.Version = val
+}
+
+// SetAcceptedAt sets the value of AcceptedAt.
+func (s *VersionTiming) SetAcceptedAt(val time.Time) {
+	s.AcceptedAt = val
+}
+
+// SetInForceAt sets the value of InForceAt.
+func (s *VersionTiming) SetInForceAt(val time.Time) {
+	s.InForceAt = val
+}
+
+// SetTookMs sets the value of TookMs.
+func (s *VersionTiming) SetTookMs(val int64) {
+	s.TookMs = val
+}
--- a/internal/gen/adminapi/oas_security_gen.go
+++ b/internal/gen/adminapi/oas_security_gen.go
@@ -42,6 +42,8 @@
 	GetServiceOperation:      []string{},
 	GetStatusOperation:       []string{},
 	GetTargetOperation:       []string{},
+	LiftQuarantineOperation:  []string{},
+	ListQuarantineOperation:  []string{},
 	ListServicesOperation:    []string{},
 	ListTargetsOperation:     []string{},
 	PutServiceOperation:      []string{},
--- a/internal/gen/adminapi/oas_server_gen.go
+++ b/internal/gen/adminapi/oas_server_gen.go
@@ -36,6 +36,18 @@
 	//
 	// GET /targets/{name}
 	GetTarget(ctx context.Context, params GetTargetParams) (*TargetHeaders, error)
+	// LiftQuarantine implements liftQuarantine operation.
+	//
+	// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
+	// makes no version, needs no platform, and has the same answer when it is sent twice. Any operator
+	// whose token may write may lift any request.
+	//
+	// DELETE /quarantine/{fingerprint}
+	LiftQuarantine(ctx context.Context, params LiftQuarantineParams) (*Lifted, error)
+	// ListQuarantine implements listQuarantine operation.
+	//
+	// GET /quarantine
+	ListQuarantine(ctx context.Context) (*QuarantineList, error)
 	// ListServices implements listServices operation.
 	//
 	// GET /services
--- a/internal/gen/adminapi/oas_unimplemented_gen.go
+++ b/internal/gen/adminapi/oas_unimplemented_gen.go
@@ -62,6 +62,24 @@
 	return r, ht.ErrNotImplemented
 }
 
+// LiftQuarantine implements liftQuarantine operation.
+//
+// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
+// makes no version, needs no platform, and has the same answer when it is sent twice. Any operator
+// whose token may write may lift any request.
+//
+// DELETE /quarantine/{fingerprint}
+func (UnimplementedHandler) LiftQuarantine(ctx context.Context, params LiftQuarantineParams) (r *Lifted, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
+// ListQuarantine implements listQuarantine operation.
+//
+// GET /quarantine
+func (UnimplementedHandler) ListQuarantine(ctx context.Context) (r *QuarantineList, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // ListServices implements listServices operation.
 //
 // GET /services
--- a/internal/gen/adminapi/oas_validators_gen.go
+++ b/internal/gen/adminapi/oas_validators_gen.go
@@ -308,12 +308,43 @@
 	}
 }
 
+func (s Fingerprint) Validate() error {
+	alias := (string)(s)
+	if err := (validate.String{
+		MinLength:     0,
+		MinLengthSet:  false,
+		MaxLength:     0,
+		MaxLengthSet:  false,
+		Email:         false,
+		Hostname:      false,
+		Regex:         regexMap["^[0-9a-f]{32}$"],
+		MinNumeric:    0,
+		MinNumericSet: false,
+		MaxNumeric:    0,
+		MaxNumericSet: false,
+	}).Validate(string(alias)); err != nil {
+		return errors.Wrap(err, "string")
+	}
+	return nil
+}
+
 func (s *Handover) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if s.Attention == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "attention",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if err := s.Accepted.Validate(); err != nil {
 			return err
@@ -375,6 +406,62 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.OtherHistory == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.OtherHistory {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "other_history",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Spread == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Spread {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "spread",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Targets == nil {
 			return errors.New("nil is invalid value")
@@ -435,6 +522,23 @@
 		if s.Quarantined == nil {
 			return errors.New("nil is invalid value")
 		}
+		var failures []validate.FieldError
+		for i, elem := range s.Quarantined {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
@@ -470,6 +574,17 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Conflicts == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "conflicts",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Changes == nil {
 			return errors.New("nil is invalid value")
@@ -809,6 +924,29 @@
 	return nil
 }
 
+func (s *NodeProblem) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Version.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "version",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *NotSeen) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -826,6 +964,24 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.AgeSeconds.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "age_seconds",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
@@ -840,7 +996,9 @@
 		return nil
 	case "node":
 		return nil
-	case "target":
+	case "report":
+		return nil
+	case "history":
 		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
@@ -1116,6 +1274,93 @@
 	return nil
 }
 
+func (s *QuarantineList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Requests == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Requests {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "requests",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *QuarantinedRequest) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.State.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "state",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Crashes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "crashes",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s QuarantinedRequestState) Validate() error {
+	switch s {
+	case "suspect":
+		return nil
+	case "quarantined":
+		return nil
+	case "lifted":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *ServiceList) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -1243,6 +1488,17 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if err := s.Accepted.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "accepted",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if value, ok := s.Refused.Get(); ok {
 			if err := func() error {
@@ -1261,6 +1517,34 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Spread == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Spread {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "spread",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if err := s.Platform.Validate(); err != nil {
 			return err
@@ -1730,6 +2014,42 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.P50Ms.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "p50_ms",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.WithinPercent.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "within_percent",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if err := (validate.Float{}).Validate(float64(s.AgeSeconds)); err != nil {
 			return errors.Wrap(err, "float")
@@ -1755,7 +2075,7 @@
 		return nil
 	case "no-calls":
 		return nil
-	case "not-seen":
+	case "no-aim":
 		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
@@ -1802,3 +2122,26 @@
 	}
 	return nil
 }
+
+func (s *VersionTiming) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Version.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "version",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -100,7 +100,7 @@
 	c.server = peer.NewServer(peer.ServerConfig{
 		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.server(),
 		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Log: telemetry.Part(n.log, "peer"),
-		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n},
+		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n}, Reporter: n.reports,
 	})
 	return nil
 }
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/admin"
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/query"
+)
+
+// Bounds of what a handover reads from the platform, while other nodes report.
+const (
+	handoverReadBound = 2500 * time.Millisecond
+	handoverChanges   = 100
+)
+
+// Handover implements admin.Reader. It tells what can be told: a part that
+// can't be read is listed as not seen, and is no reason to tell nothing.
+func (r *reader) Handover(ctx context.Context, since time.Time) (*adminapi.Handover, error) {
+	n := r.n
+	in := query.HandoverInput{Since: since.UTC()}
+	reported := make(chan query.Reports, 1)
+	go func() { reported <- n.reports.collect(ctx) }()
+	r.readPlatform(ctx, &in)
+	in.Reports = <-reported
+
+	in.Config = query.ConfigStateOf(n.store)
+	in.View = n.views.Load()
+	in.Targets = n.snapshot().Targets()
+	in.Quarantined = n.quarantined(time.Now())
+	in.Spread = n.spreadTimes()
+	for _, c := range n.control.spread.Conflicts() {
+		in.Conflicts = append(in.Conflicts, c.At.UTC().Format(time.RFC3339)+" "+c.Error())
+	}
+	return admin.HandoverOf(query.HandoverOf(in, time.Now())), nil
+}
+
+// readPlatform reads the head and the changes. Whether the platform answers is
+// judged by this very read, since the last call before it may be long ago.
+func (r *reader) readPlatform(ctx context.Context, in *query.HandoverInput) {
+	ctx, cancel := context.WithTimeout(ctx, handoverReadBound)
+	defer cancel()
+	h, err := r.head(ctx)
+	in.Platform = r.n.platformState(time.Now())
+	var history *command.HistoryError
+	switch {
+	case errors.As(err, &history):
+		in.Platform.HistoryError = history.Error()
+	case err != nil:
+		in.HistoryErr = err
+		in.Platform.Err = err.Error()
+		if in.Platform.DownSince.IsZero() {
+			in.Platform.DownSince = time.Now()
+		}
+		return
+	default:
+		in.Platform.DownSince, in.Platform.Err = time.Time{}, ""
+		in.Platform.LastAnswer = time.Now()
+	}
+	in.History, in.HistoryErr = r.history(ctx, h, query.HistoryFilter{Since: in.Since, Limit: handoverChanges})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	calls    *callPath
 	control  *control
 	servers  *servers
+	reports  *reports
 
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
@@ -85,6 +86,7 @@
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
 	}
+	n.reports = &reports{n: n}
 	n.registry = announce.NewRegistry(announce.Limits{TTL: announce.DefaultTTL, Max: announce.DefaultMax})
 	var err error
 	if n.control, err = newControl(n); err != nil {
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -2,37 +2,53 @@
 
 import (
 	"context"
+	"errors"
+	"strconv"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/admin"
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/query"
 )
 
+// readRetryAfter is when to ask again for what the platform could not tell.
+const readRetryAfter = 2 * time.Second
+
 func (n *Node) snapshot() *config.Snapshot { return n.store.Load().Snapshot }
 
 // reader answers the admin API's questions.
 type reader struct{ n *Node }
 
+var _ admin.Reader = (*reader)(nil)
+
 // Snapshot implements admin.Reader.
 func (r *reader) Snapshot() *config.Snapshot { return r.n.snapshot() }
 
-// Status implements admin.Reader.
+// Status implements admin.Reader. It asks nobody, so that it answers when
+// nothing else does.
 func (r *reader) Status(context.Context) (*adminapi.Status, error) {
-	n := r.n
+	n, now := r.n, time.Now()
+	q := query.StatusOf(query.StatusInput{
+		Self: n.self, Config: query.ConfigStateOf(n.store), Platform: n.platformState(now), View: n.views.Load(),
+	}, now)
 	s := &adminapi.Status{
-		VM:         n.self.ID,
-		Region:     n.self.Region,
-		DataCentre: n.self.DataCentre,
+		VM:         q.VM,
+		Region:     q.Region,
+		DataCentre: q.DataCentre,
 		State:      n.state(),
-		InForce:    versionShape(n.Version()),
-		Platform:   n.platformState(time.Now()),
-		Nodes:      len(n.views.Load().Records),
+		InForce:    admin.VersionOf(q.InForce),
+		Accepted:   admin.VersionOf(q.Accepted),
+		Spread:     admin.TimingsOf(n.spreadTimes()),
+		Platform:   admin.PlatformOf(q.Blind),
+		Nodes:      q.Members.Alive + q.Members.Suspect + q.Members.Leaving,
 		Backends:   []adminapi.BackendStatus{},
 	}
-	if f := n.store.Refused(); f != nil {
-		s.Refused.SetTo(adminapi.VersionNumber(f.Version.Number))
-		s.RefusedReason.SetTo(f.Err.Error())
+	if q.Refused != nil {
+		s.Refused.SetTo(adminapi.VersionNumber(q.Refused.Version.Number))
+		s.RefusedReason.SetTo(q.Refused.Reason)
 	}
 	for _, b := range n.registry.Load() {
 		s.Backends = append(s.Backends, adminapi.BackendStatus{
@@ -54,45 +70,157 @@
 	return adminapi.StatusStateStarting
 }
 
-// platformState tells what this node's last calls say about the platform.
-func (n *Node) platformState(now time.Time) adminapi.PlatformState {
+// platformState tells what this node's last calls say about the platform. A
+// table of a test has no such record, and is taken to answer.
+func (n *Node) platformState(now time.Time) query.PlatformState {
+	p := query.PlatformState{Accepted: n.control.log.Known()}
 	if n.control.client == nil {
-		return adminapi.PlatformState{Reachable: true}
+		p.LastAnswer = now
+		return p
 	}
 	h := n.control.client.Health()
-	s := adminapi.PlatformState{Reachable: h.Answering}
-	if !h.LastAnswer.IsZero() {
-		s.AgeSeconds.SetTo(now.Sub(h.LastAnswer).Seconds())
+	p.LastAnswer = h.LastAnswer
+	if h.Asked && !h.Answering {
+		p.DownSince = h.Since
 	}
 	if h.Err != nil {
-		s.Detail.SetTo(h.Err.Error())
+		p.Err = h.Err.Error()
 	}
-	return s
+	return p
 }
 
-func versionShape(v config.Version) adminapi.Version {
-	return adminapi.Version{Number: adminapi.VersionNumber(v.Number), Hash: v.Hash.String()}
+// spreadTimes tells how long the last versions took to come in force here,
+// newest first. A version that came in a snapshot is left out: when it was
+// accepted is not known here.
+func (n *Node) spreadTimes() []query.VersionTime {
+	timeline := n.control.spread.Timeline()
+	out := make([]query.VersionTime, 0, len(timeline))
+	for i := len(timeline) - 1; i >= 0; i-- {
+		t := timeline[i]
+		if !t.Accepted.IsZero() {
+			out = append(out, query.NewVersionTime(t.Version.Number, t.Accepted, t.InForce))
+		}
+	}
+	return out
 }
 
-// errNoHistory stands in until the queries are wired.
-var errNoHistory = &admin.UnavailableError{Detail: "not served by this node yet"}
-
 // Command implements admin.Reader.
 func (r *reader) Command(ctx context.Context, id string) (*adminapi.CommandRecord, error) {
-	return nil, errNoHistory
+	rec, err := r.n.control.log.Lookup(ctx, id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return &adminapi.CommandRecord{Command: id, Outcome: adminapi.CommandRecordOutcomeNone}, nil
+	case err != nil:
+		return nil, unavailable(err)
+	}
+	return admin.RecordOf(id, rec), nil
 }
 
-// Diff implements admin.Reader.
-func (r *reader) Diff(context.Context, uint64, *uint64) (*adminapi.Diff, error) {
-	return nil, errNoHistory
+func unavailable(err error) error {
+	return &admin.UnavailableError{Detail: "the platform can't tell: " + err.Error(), RetryAfter: readRetryAfter}
+}
+
+// headTries is how often an older head than the one known is read again: the
+// platform's reads may be stale for a moment.
+const headTries = 3
+
+// head reads the platform's head. The error is a *command.HistoryError when the
+// platform keeps showing an older version or another history.
+func (r *reader) head(ctx context.Context) (command.Head, error) {
+	var h command.Head
+	var err error
+	for range headTries {
+		h, err = r.n.control.log.Head(ctx)
+		if !errors.Is(err, command.ErrOlderHead) {
+			break
+		}
+	}
+	return h, err
 }
 
 // History implements admin.Reader.
-func (r *reader) History(context.Context, admin.HistoryQuery) (*adminapi.History, error) {
-	return nil, errNoHistory
+func (r *reader) History(ctx context.Context, q admin.HistoryQuery) (*adminapi.History, error) {
+	h, err := r.head(ctx)
+	if err != nil && !errors.Is(err, command.ErrOlderHead) {
+		return nil, unavailable(err)
+	}
+	f := query.HistoryFilter{Since: q.Since, Before: q.Before, Limit: q.Limit}
+	if q.Key != nil {
+		f.Key = *q.Key
+	}
+	page, err := r.history(ctx, h, f)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return admin.HistoryOf(page), nil
+}
+
+func (r *reader) history(ctx context.Context, h command.Head, f query.HistoryFilter) (query.HistoryPage, error) {
+	log := r.n.control.log
+	newest := max(h.Version.Number, log.Known().Number)
+	return query.History(ctx, log, newest, h.Floor, f)
+}
+
+// Diff implements admin.Reader.
+func (r *reader) Diff(ctx context.Context, from uint64, to *uint64) (*adminapi.Diff, error) {
+	a, err := r.at(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	b := r.n.snapshot()
+	if to != nil {
+		if b, err = r.at(ctx, *to); err != nil {
+			return nil, err
+		}
+	}
+	return admin.DiffOf(query.Diff(a, b)), nil
 }
 
-// Handover implements admin.Reader.
-func (r *reader) Handover(context.Context, time.Time) (*adminapi.Handover, error) {
-	return nil, errNoHistory
+// at returns the snapshot of a version: the one at hand, or else one made from
+// the platform's log and snapshot objects.
+func (r *reader) at(ctx context.Context, number uint64) (*config.Snapshot, error) {
+	if number == 0 {
+		return config.Empty(), nil
+	}
+	if s := r.n.control.log.Cached(number); s != nil {
+		return s, nil
+	}
+	h, err := r.head(ctx)
+	if err != nil && !errors.Is(err, command.ErrOlderHead) {
+		return nil, unavailable(err)
+	}
+	missing := &admin.NotFoundError{What: "version " + strconv.FormatUint(number, 10)}
+	if number > h.Version.Number {
+		return nil, missing
+	}
+	if h, err = r.headAt(ctx, h, number); err != nil {
+		return nil, unavailable(err)
+	}
+	if h.Version.Number != number {
+		return nil, missing // its log row is compacted away
+	}
+	s, err := r.n.control.log.Snapshot(ctx, h)
+	switch {
+	case errors.Is(err, command.ErrNoSnapshot), errors.Is(err, command.ErrCompacted):
+		return nil, missing
+	case err != nil:
+		return nil, unavailable(err)
+	}
+	return s, nil
+}
+
+// headAt returns the head as it would be read if the version with that number
+// were the newest; its version stays zero when the log no longer holds that.
+func (r *reader) headAt(ctx context.Context, h command.Head, number uint64) (command.Head, error) {
+	out := command.Head{Floor: h.Floor}
+	for _, v := range h.Snapshots {
+		if v.Number <= number {
+			out.Snapshots = append(out.Snapshots, v)
+		}
+	}
+	rows, err := r.n.control.log.Log(ctx, number-1, 1)
+	if err == nil && len(rows) == 1 && rows[0].To.Number == number {
+		out.Version = rows[0].To
+	}
+	return out, err
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -74,6 +74,7 @@
 	return admin.NewServer(admin.Options{
 		Commander: n.control.commands,
 		Reader:    &reader{n},
+		Lifter:    lifter{n},
 		Operators: operators,
 		Now:       time.Now,
 		Log:       telemetry.Part(n.log, "admin"),
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -201,7 +201,7 @@
 			VM: r.VM.ID, DataCentre: r.VM.DataCentre, InForce: r.Applied,
 			Versions: v.Accepted.Number - r.Applied, AgeMS: age(now, r.Heard), CutOff: cut,
 		})
-	case r.Applied == v.Accepted.Number && !bytes.Equal(r.AppliedHash[:], v.Accepted.Hash[:len(r.AppliedHash)]):
+	case r.Applied == v.Accepted.Number && otherHash(r, v.Accepted):
 		refusal.Version, refusal.Reason = r.Applied, "runs the same number with another hash"
 		v.OtherHistory = append(v.OtherHistory, refusal)
 	default:
@@ -209,6 +209,12 @@
 	}
 }
 
+// otherHash reports whether r tells another hash than v has. Of most nodes only
+// the number of the version is known.
+func otherHash(r *membership.Seen, v config.Version) bool {
+	return r.AppliedHash != [8]byte{} && !bytes.Equal(r.AppliedHash[:], v.Hash[:len(r.AppliedHash)])
+}
+
 func endpointsOf(in HandoverInput, now time.Time) []Endpoint {
 	out := append([]Endpoint{}, in.Reports.ejected(in.View)...)
 	for _, r := range sortedRecords(in.View) {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -279,10 +279,14 @@
 		"a3": record("a3", "dc", 1, v1.Hash, ago(time.Second)),
 	}
 	records["a3"].State = membership.VMSuspect
+	records["a2"].AppliedHash = [8]byte{} // only the number is known
 	h := HandoverOf(HandoverInput{
 		Config: ConfigState{InForce: v1}, Platform: PlatformState{Accepted: v1, LastAnswer: now},
 		View: &membership.View{Self: "a1", Records: records},
 	}, now)
+	if v := h.Versions; v.NodesCurrent != 3 || len(v.OtherHistory) != 0 {
+		t.Errorf("versions: %+v", v)
+	}
 	if s := h.Blind.Silent; len(s) != 1 || s[0].VM != "a3" {
 		t.Errorf("silent: %+v", s)
 	}
