Make the newcomer's tour whole

Cause: marlpass-try made one call and had no last line to rely on.

Change: it states targets of four classes, shows a refused target and a refused caller, calls each class through every node, changes a target, drains a backend server and stops and restarts a node under load, and sums up while the mesh still runs.

--- a/internal/try/try.go
+++ b/internal/try/try.go
@@ -8,69 +8,112 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/marlpass/marlpass/internal/backend"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/localmesh"
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
-// Run makes the tour and writes to w.
+// Bound is how long a tour may take.
+const Bound = 50 * time.Second
+
+// tour is one run.
+type tour struct {
+	w     io.Writer
+	mesh  *localmesh.Mesh
+	admin *adminapi.Client
+	calls tally
+}
+
+// Run makes the tour, writes what happened to w, and returns an error if
+// anything went otherwise than it should. Its last line sums it up.
 func Run(ctx context.Context, w io.Writer) error {
-	m, err := localmesh.Start(localmesh.Options{
-		Name: "try", Profile: settings.ProfileTime, Log: zerolog.Nop(),
-		DataCentres: []localmesh.DataCentre{
-			{Name: "neg-shed", Region: "western", VMs: 2},
-			{Name: "gal-shed", Region: "western", VMs: 2},
-		},
-	})
-	if err != nil {
+	ctx, cancel := context.WithTimeout(ctx, Bound)
+	defer cancel()
+	t := &tour{w: w}
+	if err := t.run(ctx); err != nil {
+		t.say("failed %v", err)
 		return err
 	}
-	defer m.Close()
-	start := time.Now()
-	if err := m.WaitReady(ctx); err != nil {
+	return nil
+}
+
+func (t *tour) run(ctx context.Context) error {
+	if err := t.start(ctx); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "try: %d nodes ready after %s\n", len(m.VMs), time.Since(start).Round(time.Millisecond))
-	set := backend.Defaults()
-	set.Service, set.Instance, set.ColdStart = "berths", "a", 0
-	if _, err := m.StartBackend(ctx, m.VMs[0], set); err != nil {
-		return err
+	defer t.mesh.Close()
+	for _, step := range []func(context.Context) error{
+		t.startBackends,
+		t.stateTargets,
+		t.refuseMissingService,
+		t.callEachClass,
+		t.changeUnderLoad,
+		t.drainUnderLoad,
+		t.stopNodeUnderLoad,
+		t.startNodeAgain,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
 	}
-	c, err := m.Admin(m.VMs[1])
-	if err != nil {
-		return err
+	return t.sumUp()
+}
+
+// sumUp prints the last line, while the mesh still runs.
+func (t *tour) sumUp() error {
+	inForce, nodes, version := t.inForce()
+	if inForce < nodes || nodes < len(t.mesh.VMs) {
+		return fmt.Errorf("version %d is in force on %d of %d nodes", version, inForce, len(t.mesh.VMs))
 	}
-	if _, err := c.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: "berths"}); err != nil {
-		return err
+	if t.calls.failed > 0 {
+		return fmt.Errorf("%d of %d calls were not answered as they should", t.calls.failed, t.calls.made)
 	}
-	res, err := c.PutTarget(ctx, &adminapi.TargetSpec{
-		Service: "berths", Match: adminapi.Match{PathPrefix: "/berths"}, Idempotent: adminapi.NewOptBool(true),
-	}, adminapi.PutTargetParams{Name: "lookups"})
+	t.say("ok version=%d nodes=%d/%d calls=%d failed=%d", version, inForce, nodes, t.calls.made, t.calls.failed)
+	return nil
+}
+
+func (t *tour) say(format string, args ...any) { fmt.Fprintf(t.w, "try: "+format+"\n", args...) }
+
+// start starts the platform and the nodes.
+func (t *tour) start(ctx context.Context) error {
+	began := time.Now()
+	m, err := localmesh.Start(localmesh.Options{
+		Name: "try", Profile: settings.ProfileTime, Log: zerolog.Nop(),
+		DataCentres: []localmesh.DataCentre{
+			{Name: "neg-shed", Region: "western", VMs: 3},
+			{Name: "gal-shed", Region: "western", VMs: 3},
+		},
+	})
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "try: %T\n", res)
-	start = time.Now()
-	if err := m.WaitVersion(ctx, 2); err != nil {
+	t.mesh = m
+	if err := m.WaitReady(ctx); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "try: version 2 in force on every node after %s\n", time.Since(start).Round(time.Millisecond))
-	if err := m.WaitEndpoints(ctx, "berths", 1); err != nil {
+	if t.admin, err = m.Admin(m.VMs[0]); err != nil {
 		return err
 	}
-	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.VMs[3].Node().Addrs().Callers+"/berths/7", nil)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	b, _ := io.ReadAll(resp.Body)
-	resp.Body.Close()
-	fmt.Fprintf(w, "try: %s, %d bytes %.200s\n", resp.Status, len(b), b)
+	t.say("%d nodes in 2 data centres carry traffic after %s", len(m.VMs), since(began))
 	return nil
 }
+
+// inForce returns how many nodes run the newest version.
+func (t *tour) inForce() (inForce, nodes int, version uint64) {
+	for _, n := range t.mesh.Nodes() {
+		version = max(version, n.Version().Number)
+	}
+	for _, n := range t.mesh.Nodes() {
+		nodes++
+		if n.Version().Number == version {
+			inForce++
+		}
+	}
+	return inForce, nodes, version
+}
+
+func since(t time.Time) time.Duration { return time.Since(t).Round(time.Millisecond) }
