Give all programs one front end for their command lines

Cause: each program parsed help, version and stray arguments for itself; the stand-in backend server had a strict loader of its own beside the shared one.

Change: internal/program reads flags, help, version and says what is bad; the try, platform and backend programs use it, and the backend's settings go through settings/strict. Test expectations follow the shared wording, as strict as before.

--- a/cmd/marlpass-backend/main.go
+++ b/cmd/marlpass-backend/main.go
@@ -2,31 +2,24 @@
 package main
 
 import (
-	"bytes"
+	"cmp"
 	"context"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
-	"strings"
 	"syscall"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/program"
+	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/internal/settings/strict"
 )
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitSettings = 2
-	exitCrashed  = 70
-)
+// exitCrashed is the exit code after a request that crashes the server.
+const exitCrashed = 70
 
 const usage = `marlpass-backend runs a stand-in backend server.
 
@@ -56,10 +49,25 @@
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	set, mode, code := parse(args, stdout, stderr)
-	if mode != modeServe {
+	line := program.NewLine("marlpass-backend", usage, stdout, stderr)
+	file := line.String("config", "", "settings `file` (TOML)")
+	check := line.Bool("check", false, "check the settings and end")
+	var over backend.Settings
+	line.StringVar(&over.Listen, "listen", "", "address to listen on (overrides the file)")
+	line.StringVar(&over.Node, "node", "", "`URL` of the node's announce API (overrides the file)")
+	line.StringVar(&over.Service, "service", "", "service to announce (overrides the file)")
+	line.StringVar(&over.Instance, "instance", "", "name of this server, unique on its VM (overrides the file)")
+	if code, ok := line.Read(args); !ok {
 		return code
 	}
+	set, err := load(*file, over)
+	if err != nil {
+		return line.Bad(err)
+	}
+	if *check {
+		fmt.Fprintln(stdout, "settings are good")
+		return exit.OK
+	}
 	log := zerolog.New(stderr).With().Timestamp().Str("part", "backend").
 		Str("service", set.Service).Str("instance", set.Instance).Logger()
 	return serve(set, log)
@@ -74,7 +82,7 @@
 	}
 	if err := s.Start(); err != nil {
 		log.Error().Err(err).Msg("backend: cannot listen")
-		return exitFailed
+		return exit.Failed
 	}
 	log.Info().Str("address", s.Addr()).Msg("backend: listening")
 	told := make(chan struct{})
@@ -88,116 +96,23 @@
 	end()
 	<-told
 	if err != nil {
-		return exitFailed
+		return exit.Failed
 	}
 	log.Info().Msg("backend: ended")
-	return exitOK
+	return exit.OK
 }
 
-// mode is what a command line asks for.
-type mode int
-
-const (
-	modeEnd mode = iota
-	modeServe
-)
-
-// parse reads flags and settings; flags win.
-func parse(args []string, stdout, stderr io.Writer) (backend.Settings, mode, int) {
+// load reads the settings file, if one is named, and lets flags win.
+func load(file string, over backend.Settings) (backend.Settings, error) {
 	set := backend.Defaults()
-	fs := flag.NewFlagSet("marlpass-backend", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	fs.Usage = func() {
-		fmt.Fprint(fs.Output(), usage)
-		fs.PrintDefaults()
-	}
-	file := fs.String("config", "", "settings `file` (TOML)")
-	check := fs.Bool("check", false, "check the settings and end")
-	version := fs.Bool("version", false, "print the version and end")
-	over := map[string]*string{}
-	for _, f := range []struct{ name, help string }{
-		{"listen", "address to listen on"}, {"node", "`URL` of the node's announce API"},
-		{"service", "service to announce"}, {"instance", "name of this server, unique on its VM"},
-	} {
-		over[f.name] = fs.String(f.name, "", f.help+" (overrides the file)")
-	}
-	if err := fs.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return set, modeEnd, exitOK
+	if file != "" {
+		if err := strict.Load(file, &set); err != nil {
+			return set, err
 		}
-		return set, modeEnd, exitSettings
-	}
-	if *version {
-		fmt.Fprintln(stdout, "marlpass-backend", buildVersion())
-		return set, modeEnd, exitOK
-	}
-	if fs.NArg() > 0 {
-		fmt.Fprintf(stderr, "marlpass-backend: %q is not a flag\n", fs.Arg(0))
-		return set, modeEnd, exitSettings
-	}
-	if err := load(*file, &set); err != nil {
-		fmt.Fprintln(stderr, "marlpass-backend:", err)
-		return set, modeEnd, exitSettings
-	}
-	override(&set, over)
-	if err := set.Check(); err != nil {
-		fmt.Fprintln(stderr, "marlpass-backend:", place(*file)+err.Error())
-		return set, modeEnd, exitSettings
-	}
-	if *check {
-		fmt.Fprintln(stdout, "settings are good")
-		return set, modeEnd, exitOK
-	}
-	return set, modeServe, exitOK
-}
-
-func override(set *backend.Settings, over map[string]*string) {
-	for name, into := range map[string]*string{
-		"listen": &set.Listen, "node": &set.Node, "service": &set.Service, "instance": &set.Instance,
-	} {
-		if v := *over[name]; v != "" {
-			*into = v
-		}
-	}
-}
-
-func place(file string) string {
-	if file == "" {
-		return ""
-	}
-	return file + ": "
-}
-
-// load reads a settings file strictly: an unknown key is an error, because a
-// misspelt one would be a setting that silently has its default.
-func load(file string, set *backend.Settings) error {
-	if file == "" {
-		return nil
-	}
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	err = toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(set)
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		key := strings.Join(strict.Errors[0].Key(), ".")
-		return fmt.Errorf("%s: %s: is not a setting", file, key)
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		row, _ := decode.Position()
-		return fmt.Errorf("%s: line %d: %s: %w", file, row, strings.Join(decode.Key(), "."), decode)
-	}
-	if err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	return nil
-}
-
-func buildVersion() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version
 	}
-	return "devel"
+	set.Listen = cmp.Or(over.Listen, set.Listen)
+	set.Node = cmp.Or(over.Node, set.Node)
+	set.Service = cmp.Or(over.Service, set.Service)
+	set.Instance = cmp.Or(over.Instance, set.Instance)
+	return set, set.Check(cmp.Or(file, "flags"))
 }
--- a/cmd/marlpass-backend/main_test.go
+++ b/cmd/marlpass-backend/main_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 func TestMain(m *testing.M) {
@@ -42,7 +43,7 @@
 	set := backend.Defaults()
 	set.ColdStart, set.DrainWait = 0, 0
 	s := new(stopper)
-	if code := serve(set, zerolog.New(s)); code != exitOK {
+	if code := serve(set, zerolog.New(s)); code != exit.OK {
 		t.Fatalf("exit code %d\n%s", code, s.log.String())
 	}
 	for _, want := range []string{"backend: draining", "backend: ended"} {
--- a/cmd/marlpass-platform/main.go
+++ b/cmd/marlpass-platform/main.go
@@ -4,16 +4,13 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/marlpass/marlpass/internal/program"
 	"github.com/marlpass/marlpass/internal/settings/exit"
-	"github.com/marlpass/marlpass/internal/version"
 )
 
 const usage = `usage: marlpass-platform [flags]
@@ -47,51 +44,21 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	flags := flag.NewFlagSet("marlpass-platform", flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	config := flags.String("config", "", "read settings from `FILE`")
-	listen := flags.String("listen", "", "listen on `ADDRESS`; goes before the settings (default "+defaultListen+")")
-	addressFile := flags.String("address-file", "", "write the address that it listens on to `FILE`")
-	showVersion := flags.Bool("version", false, "print the version and exit")
-	flags.Usage = func() {
-		fmt.Fprint(flags.Output(), usage)
-		flags.PrintDefaults()
-	}
-	if asksForHelp(args) {
-		flags.SetOutput(stdout)
-	}
-	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
-		return exit.OK
-	} else if err != nil {
-		return exit.Usage
-	}
-	if flags.NArg() > 0 {
-		fmt.Fprintf(stderr, "marlpass-platform: unexpected argument %q\n", flags.Arg(0))
-		return exit.Usage
-	}
-	if *showVersion {
-		fmt.Fprintln(stdout, version.Line("marlpass-platform"))
-		return exit.OK
+	line := program.NewLine("marlpass-platform", usage, stdout, stderr)
+	config := line.String("config", "", "read settings from `FILE`")
+	listen := line.String("listen", "", "listen on `ADDRESS`; goes before the settings (default "+defaultListen+")")
+	addressFile := line.String("address-file", "", "write the address that it listens on to `FILE`")
+	if code, ok := line.Read(args); !ok {
+		return code
 	}
 	s, err := load(*config, *listen)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exit.Usage
+		return line.Bad(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := serve(ctx, s, *addressFile, stderr); err != nil {
-		fmt.Fprintln(stderr, "marlpass-platform:", err)
-		return exit.Failed
+		return line.Failed(err)
 	}
 	return exit.OK
 }
-
-func asksForHelp(args []string) bool {
-	for _, a := range args {
-		if a == "-h" || a == "--h" || a == "-help" || a == "--help" {
-			return true
-		}
-	}
-	return false
-}
--- a/cmd/marlpass-try/main.go
+++ b/cmd/marlpass-try/main.go
@@ -3,14 +3,12 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
+	"io"
 	"os"
 
+	"github.com/marlpass/marlpass/internal/program"
 	"github.com/marlpass/marlpass/internal/settings/exit"
 	"github.com/marlpass/marlpass/internal/try"
-	"github.com/marlpass/marlpass/internal/version"
 )
 
 const usage = `marlpass-try shows marlpass at work: a stand-in platform, six nodes in two data
@@ -32,29 +30,14 @@
 Flags:
 `
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run() int {
-	fs := flag.NewFlagSet("marlpass-try", flag.ContinueOnError)
-	fs.Usage = func() {
-		fmt.Fprint(fs.Output(), usage)
-		fs.PrintDefaults()
+func run(args []string, stdout, stderr io.Writer) int {
+	line := program.NewLine("marlpass-try", usage, stdout, stderr)
+	if code, ok := line.Read(args); !ok {
+		return code
 	}
-	showVersion := fs.Bool("version", false, "print the version and end")
-	err := fs.Parse(os.Args[1:])
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return exit.OK
-	case err != nil:
-		return exit.Usage
-	case *showVersion:
-		fmt.Println(version.Line("marlpass-try"))
-		return exit.OK
-	case fs.NArg() > 0:
-		fmt.Fprintf(os.Stderr, "marlpass-try: unexpected argument %q; see -h\n", fs.Arg(0))
-		return exit.Usage
-	}
-	if err := try.Run(context.Background(), os.Stdout); err != nil {
+	if err := try.Run(context.Background(), stdout); err != nil {
 		return exit.Failed
 	}
 	return exit.OK
--- a/cmd/marlpass-try/main_test.go
+++ b/cmd/marlpass-try/main_test.go
@@ -1,14 +1,13 @@
 package main
 
 import (
-	"os"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"marlpass-try": func() { os.Exit(run()) }})
+	testscript.Main(m, map[string]func(){"marlpass-try": main})
 }
 
 func TestScripts(t *testing.T) {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/settings/strict"
 )
 
 func TestCheckAnswer(t *testing.T) {
@@ -62,7 +63,7 @@
 	if change != nil {
 		change(&set)
 	}
-	if err := set.Check(); err != nil {
+	if err := set.Check("defaults"); err != nil {
 		t.Fatal(err)
 	}
 	s := New(set, zerolog.Nop())
@@ -221,8 +222,8 @@
 	} {
 		set := Defaults()
 		change(&set)
-		var bad *SettingError
-		if err := set.Check(); !errors.As(err, &bad) || bad.Key != key {
+		var bad *strict.Error
+		if err := set.Check("test"); !errors.As(err, &bad) || bad.Key != key {
 			t.Errorf("%s: got %v", key, err)
 		}
 	}
--- a/internal/backend/settings.go
+++ b/internal/backend/settings.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/settings/strict"
 )
 
 // Duration is a time.Duration that reads "250ms" from TOML.
@@ -73,36 +75,30 @@
 	}
 }
 
-// SettingError names a setting that cannot be used.
-type SettingError struct{ Key, Value, Allowed string }
-
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("%s = %s: must be %s", e.Key, e.Value, e.Allowed)
-}
-
-// Check returns the first setting that cannot be used, as a *SettingError.
-func (s *Settings) Check() error {
+// Check returns the first setting that cannot be used, as a *strict.Error.
+// File names where the settings come from.
+func (s *Settings) Check(file string) error {
 	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
-		return &SettingError{"listen", fmt.Sprintf("%q", s.Listen), "host:port"}
+		return strict.Problem(file, "listen", s.Listen, "must be host:port")
 	}
 	if s.Service == "" {
-		return &SettingError{"service", `""`, "the name of a service"}
+		return strict.Problem(file, "service", s.Service, "must be the name of a service")
 	}
 	if s.Instance == "" {
-		return &SettingError{"instance", `""`, "a name that is unique on the VM"}
+		return strict.Problem(file, "instance", s.Instance, "must be a name that is unique on the VM")
 	}
 	if s.Slots < 1 || s.Slots > maxSlots {
-		return &SettingError{"slots", fmt.Sprint(s.Slots), fmt.Sprintf("from 1 to %d", maxSlots)}
+		return strict.Problem(file, "slots", s.Slots, fmt.Sprintf("must be from 1 to %d", maxSlots))
 	}
 	if s.Backlog < 0 {
-		return &SettingError{"backlog", fmt.Sprint(s.Backlog), "0 or more"}
+		return strict.Problem(file, "backlog", s.Backlog, "must be 0 or more")
 	}
 	switch s.Distribution {
 	case Fixed, Exponential, Lognormal:
 	default:
-		return &SettingError{"distribution", fmt.Sprintf("%q", s.Distribution), "fixed, exponential or lognormal"}
+		return strict.Problem(file, "distribution", string(s.Distribution), "must be fixed, exponential or lognormal")
 	}
-	return s.checkTimes()
+	return s.checkTimes(file)
 }
 
 const (
@@ -110,7 +106,7 @@
 	maxTime  = time.Hour
 )
 
-func (s *Settings) checkTimes() error {
+func (s *Settings) checkTimes(file string) error {
 	for _, t := range []struct {
 		key string
 		d   Duration
@@ -126,7 +122,7 @@
 		{"crash_down", s.CrashDown, 0},
 	} {
 		if d := time.Duration(t.d); d < t.min || d > maxTime {
-			return &SettingError{t.key, d.String(), fmt.Sprintf("from %s to %s", t.min, maxTime)}
+			return strict.Problem(file, t.key, d, fmt.Sprintf("must be from %s to %s", t.min, maxTime))
 		}
 	}
 	return nil
