Let a local mesh be parted

Cause: a local mesh could lose nodes and its platform, but no network between them, so nothing showed what a node does that is cut off. Conclusion: tests and measurements can part any two places of a mesh.

--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -85,7 +85,9 @@
 	platform *http.Server
 	url      string
 	VMs      []*VM
-	seeds    []string
+	// Cuts part places of the mesh from each other.
+	Cuts  *Cuts
+	seeds []string
 }
 
 // Start starts the platform and all nodes. Use WaitReady after it.
@@ -99,7 +101,7 @@
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
-	m := &Mesh{o: o, Store: fake.New()}
+	m := &Mesh{o: o, Store: fake.New(), Cuts: newCuts()}
 	if err := m.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -124,6 +126,7 @@
 		return err
 	}
 	m.url = "http://" + ln.Addr().String()
+	m.Cuts.add(ln.Addr().String(), place{Platform})
 	m.platform = &http.Server{Handler: server.New(m.Store), ReadHeaderTimeout: time.Second}
 	go func() { _ = m.platform.Serve(ln) }()
 	return nil
@@ -135,10 +138,15 @@
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
 // replaced VM it keeps its name and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership})
+	n, err := node.New(node.Options{
+		Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership,
+		Dial: m.Cuts.dialer(vm.place()),
+	})
 	if err != nil {
 		return err
 	}
+	m.Cuts.add(n.Addrs().Control, vm.place())
+	m.Cuts.add(n.Addrs().Calls, vm.place())
 	n.Start()
 	vm.mu.Lock()
 	vm.node = n
@@ -166,6 +174,8 @@
 	return s
 }
 
+func (vm *VM) place() place { return place{vm.ID, vm.DataCentre, vm.Region} }
+
 // Node returns the VM's running node, or nil.
 func (vm *VM) Node() *node.Node {
 	vm.mu.Lock()
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -44,7 +44,7 @@
 		pickers:   newPickers(n.self),
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
-		upstreams: proxy.NewUpstreams(),
+		upstreams: n.upstreams(),
 		meters:    proxy.NewMeters(),
 		endTrace:  endTrace,
 	}
@@ -68,6 +68,13 @@
 	return c, nil
 }
 
+func (n *Node) upstreams() *proxy.Upstreams {
+	if n.o.Dial != nil {
+		return proxy.NewUpstreamsBy(n.o.Dial)
+	}
+	return proxy.NewUpstreams()
+}
+
 // upkeep stores outcomes that the platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -68,7 +68,9 @@
 		c.table, c.objects = c.n.o.Table, c.n.o.Objects
 		return nil
 	}
-	cl, err := client.New(client.Options{URL: c.n.set.Platform.URL, Timeout: c.n.set.Platform.Timeout.Duration})
+	cl, err := client.New(client.Options{
+		URL: c.n.set.Platform.URL, Timeout: c.n.set.Platform.Timeout.Duration, Dial: c.n.o.Dial,
+	})
 	if err != nil {
 		return err
 	}
@@ -83,7 +85,7 @@
 	var err error
 	c.peers, err = peer.NewClient(peer.ClientConfig{
 		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.client(),
-		Limits: peer.DefaultLimits(), Metrics: c.peerSum,
+		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Dial: c.n.o.Dial,
 		Sender: c.sender, Heard: c.Heard,
 	})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	Objects platform.Objects
 	// Membership changes the membership's settings, for measurements.
 	Membership func(*membership.Config)
+	// Dial opens the connections to other nodes, backend servers and the
+	// platform, by TCP if nil. Tests cut connections with it.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Node is one running node.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,6 +70,8 @@
 	TLS      *tls.Config // nil for plain TCP
 	Limits   Limits
 	Metrics  *Metrics
+	// Dial opens connections, by TCP if nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Sender is asked for each message.
 	Sender func() Sender
 	// Heard is told of what each answer says of its sender.
@@ -106,10 +108,15 @@
 // bound. HTTP/1.1 closes the connection of a cancelled exchange, and as no
 // other idle one is kept to that peer, the next exchange dials a fresh one.
 func (c *Client) transport() *http.Transport {
-	d := &net.Dialer{Timeout: c.cfg.Limits.Dial, KeepAlive: keepAlive}
+	dial := c.cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: keepAlive}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, addr)
+			ctx, cancel := context.WithTimeout(ctx, c.cfg.Limits.Dial)
+			defer cancel()
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -14,7 +14,9 @@
 package client
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -48,6 +50,8 @@
 	Concurrency  int           // number of tries under way at once
 	FirstBackoff time.Duration // mean wait before the second try
 	MaxBackoff   time.Duration // largest mean wait between two tries
+	// Dial opens connections, by TCP if nil. It is not used with Transport.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Transport replaces the client's own. Unless it's an *http.Transport, a
 	// write that it fails counts as in doubt even if nothing was sent.
 	Transport http.RoundTripper
--- a/internal/platform/client/transport.go
+++ b/internal/platform/client/transport.go
@@ -26,10 +26,18 @@
 func newTransport(o Options) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
+	dial := o.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	return &http.Transport{
 		// Half of a try, so that a connection that can't be made is told
 		// apart from an answer that doesn't come.
-		DialContext:         (&net.Dialer{Timeout: o.Timeout / 2}).DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.Timeout/2)
+			defer cancel()
+			return dial(ctx, network, addr)
+		},
 		TLSHandshakeTimeout: o.Timeout / 2,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: o.Concurrency,
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -45,13 +45,21 @@
 // NewUpstreams returns empty pools. They open connections over TCP.
 func NewUpstreams() *Upstreams {
 	d := &net.Dialer{
-		Timeout: DialBound,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
 		},
 		Control: boundUnacked,
 	}
-	return &Upstreams{dial: d.DialContext}
+	return NewUpstreamsBy(d.DialContext)
+}
+
+// NewUpstreamsBy returns empty pools that open connections by dial.
+func NewUpstreamsBy(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Upstreams {
+	return &Upstreams{dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, DialBound)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}}
 }
 
 // get returns the pool of addr.
