Measure spreading on real nodes

Cause: the figures of spreading were those of decisions in virtual time. Change: marlpass-load spread starts real nodes on loopback, watches what each runs calls by, and measures the baseline of polling in the same run. A local mesh restarts a node under its addresses.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+
+	"github.com/marlpass/marlpass/internal/load/control"
 )
 
 // Exit codes of marlpass-load.
@@ -22,7 +24,12 @@
 }
 
 // Commands are the subcommands, in the order that help lists them.
-func Commands() []Command { return []Command{OverheadCommand} }
+func Commands() []Command {
+	return []Command{
+		OverheadCommand,
+		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
+	}
+}
 
 const usage = `marlpass-load sends calls in an open loop and checks every answer.
 
--- /dev/null
+++ b/internal/load/control/command.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/settings"
+)
+
+// Exit codes, as those of the other subcommands.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Sizes of the measurements by default, chosen so that each ends in less than a
+// minute.
+const (
+	defaultNodes   = 36
+	minNodes       = 5
+	maxNodes       = 400
+	defaultChanges = 10
+	changeEvery    = time.Second
+	idleFor        = 6 * time.Second
+)
+
+// report is what a measurement returns.
+type report interface {
+	// faults names the goals that must hold in every run and did not.
+	faults() []string
+}
+
+// flags are those that all subcommands have.
+type flags struct {
+	*flag.FlagSet
+	nodes   *int
+	profile *string
+	json    *bool
+}
+
+func newFlags(name string, stderr io.Writer) flags {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	return flags{
+		FlagSet: fs,
+		nodes:   fs.Int("nodes", defaultNodes, "number of nodes, in five data centres of two regions"),
+		profile: fs.String("profile", settings.ProfileTime, "what spreading saves: time or bytes"),
+		json:    fs.Bool("json", false, "print one line of JSON"),
+	}
+}
+
+// parse reports whether to go on, and if not the exit code.
+func (f flags) parse(args []string) (code int, ok bool) {
+	err := f.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK, false
+	case err != nil:
+		return exitUsage, false
+	case f.NArg() > 0:
+		fmt.Fprintf(f.Output(), "marlpass-load: %q is not a flag\n", f.Arg(0))
+		return exitUsage, false
+	case *f.nodes < minNodes || *f.nodes > maxNodes:
+		fmt.Fprintf(f.Output(), "marlpass-load: -nodes: must be %d to %d\n", minNodes, maxNodes)
+		return exitUsage, false
+	case *f.profile != settings.ProfileTime && *f.profile != settings.ProfileBytes:
+		fmt.Fprintf(f.Output(), "marlpass-load: -profile: must be time or bytes\n")
+		return exitUsage, false
+	}
+	return exitOK, true
+}
+
+// finish prints a report and returns the exit code.
+func (f flags) finish(rep report, err error, stdout, stderr io.Writer) int {
+	if err != nil {
+		fmt.Fprintln(stderr, "marlpass-load:", err)
+		return exitFailed
+	}
+	e := json.NewEncoder(stdout)
+	if !*f.json {
+		e.SetIndent("", "  ")
+	}
+	_ = e.Encode(rep)
+	faults := rep.faults()
+	for _, why := range faults {
+		fmt.Fprintln(stderr, "marlpass-load:", why)
+	}
+	if len(faults) > 0 {
+		return exitFailed
+	}
+	return exitOK
+}
+
+// count appends what to the faults unless n is zero.
+func count(faults []string, n int, what string) []string {
+	if n == 0 {
+		return faults
+	}
+	return append(faults, fmt.Sprintf("%d %s", n, what))
+}
+
+// Spread is the subcommand "spread".
+func Spread(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	f := newFlags("spread", stderr)
+	changes := f.Int("changes", defaultChanges, "number of changes")
+	every := f.Duration("every", changeEvery, "time between two changes")
+	idle := f.Duration("idle", idleFor, "how long to measure without changes")
+	if code, ok := f.parse(args); !ok {
+		return code
+	}
+	if *changes < 1 || *every <= 0 || *idle <= 0 {
+		fmt.Fprintln(stderr, "marlpass-load: -changes, -every and -idle must be above zero")
+		return exitUsage
+	}
+	rep, err := MeasureSpread(ctx, SpreadOptions{
+		Nodes: *f.nodes, Changes: *changes, Profile: *f.profile, Every: *every, Idle: *idle,
+	})
+	return f.finish(rep, err, stdout, stderr)
+}
+
+func (r *SpreadReport) faults() []string {
+	out := count(nil, r.Spreading.WentBack, "steps back to an older version")
+	out = count(out, r.Spreading.HalfApplied, "versions in force that are not whole")
+	return count(out, r.Spreading.Missing, "nodes that did not reach a version")
+}
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,8 +54,9 @@
 	Log         zerolog.Logger
 	// DrainLimit bounds a planned stop of a node; DefaultDrainLimit if zero.
 	DrainLimit time.Duration
-	// Membership changes the membership's settings of every node. Without it
-	// a first node takes itself to be alone after aloneAfter.
+	// Membership changes the membership's settings of every node. Without it,
+	// a node that starts for the first time takes itself to be alone after
+	// aloneAfter.
 	Membership func(*membership.Config)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
@@ -75,6 +77,7 @@
 
 	mu       sync.Mutex
 	node     *node.Node
+	addrs    *node.Addrs // of the last start, or nil
 	backends []*backend.Server
 }
 
@@ -95,9 +98,6 @@
 	if o.Seeds == 0 {
 		o.Seeds = 3
 	}
-	if o.Membership == nil {
-		o.Membership = func(c *membership.Config) { c.AloneAfter = aloneAfter }
-	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
@@ -136,20 +136,22 @@
 func (m *Mesh) PlatformURL() string { return m.url }
 
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
-// replaced VM it keeps its name and nothing else.
+// replaced VM it keeps its name and its addresses, and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{
-		Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership,
-		Dial: m.Cuts.dialer(vm.place()),
-	})
+	n, err := m.newNode(vm, vm.listen())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// Some connection got one of the ports meanwhile.
+		n, err = m.newNode(vm, anywhere())
+	}
 	if err != nil {
 		return err
 	}
 	m.Cuts.add(n.Addrs().Control, vm.place())
 	m.Cuts.add(n.Addrs().Calls, vm.place())
 	n.Start()
+	addrs := n.Addrs()
 	vm.mu.Lock()
-	vm.node = n
+	vm.node, vm.addrs = n, &addrs
 	vm.mu.Unlock()
 	if len(m.seeds) < m.o.Seeds {
 		m.seeds = append(m.seeds, n.Addrs().Control)
@@ -157,15 +159,43 @@
 	return nil
 }
 
+func (m *Mesh) newNode(vm *VM, l settings.Listen) (*node.Node, error) {
+	s := m.settings(vm)
+	s.Listen = l
+	members := m.o.Membership
+	if members == nil && vm.Addrs() == nil {
+		members = func(c *membership.Config) { c.AloneAfter = aloneAfter }
+	}
+	return node.New(node.Options{
+		Settings: s, Log: m.o.Log, Membership: members,
+		Dial: m.Cuts.dialer(vm.place()),
+	})
+}
+
+func anywhere() settings.Listen {
+	return settings.Listen{
+		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
+		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
+	}
+}
+
+// listen returns the addresses of the last start, or any at the first.
+func (vm *VM) listen() settings.Listen {
+	a := vm.Addrs()
+	if a == nil {
+		return anywhere()
+	}
+	return settings.Listen{
+		Callers: a.Callers, Internal: a.Internal, Calls: a.Calls, Control: a.Control,
+		Admin: a.Admin, Announce: a.Announce, Metrics: a.Metrics,
+	}
+}
+
 func (m *Mesh) settings(vm *VM) settings.Node {
 	s := settings.DefaultNode()
 	s.Mesh = m.o.Name
 	s.Profile = m.o.Profile
 	s.VM = settings.VM{ID: vm.ID, Region: vm.Region, DataCentre: vm.DataCentre}
-	s.Listen = settings.Listen{
-		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
-		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
-	}
 	s.Platform.URL = m.url
 	s.Peers.Seeds = append([]string(nil), m.seeds...)
 	s.Drain.Limit = strict.Duration{Duration: m.o.DrainLimit}
@@ -183,6 +213,14 @@
 	return vm.node
 }
 
+// Addrs returns the addresses of the VM's node, also after its death, or nil
+// before its first start.
+func (vm *VM) Addrs() *node.Addrs {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.addrs
+}
+
 // Kill ends the VM's node at once, as a crash would.
 func (vm *VM) Kill() {
 	vm.mu.Lock()
