Measure overhead through real nodes

Cause: the subcommand sent its calls through stand-in programs with plain policies, so its figures left out the picker, the gate, the retry budget and the quarantine. Change: the mesh of overhead is two nodes of internal/localmesh, with a class put in force through the admin API. The bare relays stay beside it. BenchmarkCall uses the same mesh.

--- a/internal/load/mesh.go
+++ b/internal/load/mesh.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -11,9 +13,10 @@
 
 	"github.com/marlpass/marlpass/internal/backend"
 	"github.com/marlpass/marlpass/internal/call"
-	"github.com/marlpass/marlpass/internal/config"
-	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/localmesh"
 	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/settings"
 )
 
 // Names in the small mesh of overhead.
@@ -23,99 +26,93 @@
 	instance = "a"
 )
 
-// smallMesh is one backend server, the node beside it, and an entry node on
-// another VM, all over sockets on loopback; and beside it two bare relays in a
-// row to the same backend server.
+// smallMesh is one backend server with the node beside it and an entry node on
+// another VM, both real nodes with all their policies; and beside them two bare
+// relays in a row to the same backend server.
 type smallMesh struct {
+	nodes      *localmesh.Mesh
+	stop       context.CancelFunc // ends the announcements
 	backend    *backend.Server
 	servers    []*http.Server
-	pools      []*proxy.Upstreams
 	direct     string // URL of the backend server
 	mesh       string // URL of the entry node
 	bare       string // URL of the first bare relay
 	transports []*http.Transport
 }
 
-// program is a program with one class that matches everything.
-type program struct {
-	target  *config.Target
-	inForce *proxy.Program
-}
-
-func newProgram(t *config.Target) *program {
-	p := &program{target: t}
-	p.inForce = &proxy.Program{Matcher: p, Targets: p}
-	return p
-}
-
-func (p *program) Match(_, _, _ string) (*config.Target, bool) { return p.target, true }
-
-func (p *program) Target(name string) *config.Target {
-	if name != p.target.Name {
-		return nil
+// newSmallMesh starts a mesh. The backend server answers at once.
+func newSmallMesh(ctx context.Context, slots int) (*smallMesh, error) {
+	ctx, stop := context.WithCancel(ctx)
+	m := &smallMesh{stop: stop}
+	if err := m.start(ctx, slots); err != nil {
+		m.close()
+		return nil, err
 	}
-	return p.target
-}
-
-// Program returns p as the program in force.
-func (p *program) Program() *proxy.Program { return p.inForce }
-
-// single is the one backend server of a VM.
-type single proxy.Backend
-
-// Find finds the backend server by its service.
-func (s single) Find(service, _ string) (proxy.Backend, bool) {
-	return proxy.Backend(s), service == s.Service
+	return m, nil
 }
 
-// newSmallMesh starts a mesh. The backend server answers at once.
-func newSmallMesh(slots int) (*smallMesh, error) {
+func (m *smallMesh) start(ctx context.Context, slots int) error {
+	var err error
+	m.nodes, err = localmesh.Start(localmesh.Options{
+		Name: "overhead", Profile: settings.ProfileTime, Log: zerolog.Nop(),
+		DataCentres: []localmesh.DataCentre{{Name: "one", Region: "one", VMs: 2}},
+	})
+	if err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, startBound)
+	defer cancel()
+	if err := m.nodes.WaitReady(bounded); err != nil {
+		return err
+	}
+	destination, entry := m.nodes.VMs[0], m.nodes.VMs[1]
 	set := backend.Defaults()
 	set.Service, set.Instance, set.Slots, set.Backlog = service, instance, slots, slots
 	set.Distribution, set.Mean = backend.Fixed, 0
 	set.ColdStart, set.ConnectionCost = 0, 0
-	m := &smallMesh{backend: backend.New(set, zerolog.Nop())}
-	if err := m.backend.Start(); err != nil {
-		return nil, err
-	}
-	for m.backend.State() != backend.Ready {
-		time.Sleep(time.Millisecond)
+	if m.backend, err = m.nodes.StartBackend(ctx, destination, set); err != nil {
+		return err
 	}
-	m.direct = "http://" + m.backend.Addr()
-	if err := m.addNodes(slots); err != nil {
-		m.close()
-		return nil, err
+	err = putTargets(bounded, m.nodes, map[string]*adminapi.TargetSpec{class: {
+		Service: service, Match: adminapi.Match{PathPrefix: "/"}, Idempotent: adminapi.NewOptBool(true),
+	}})
+	if err != nil {
+		return err
 	}
-	if err := m.addBare(); err != nil {
-		m.close()
-		return nil, err
+	if err := m.nodes.WaitEndpoints(bounded, service, 1); err != nil {
+		return err
 	}
-	return m, nil
+	m.direct = "http://" + m.backend.Addr()
+	m.mesh = "http://" + entry.Node().Addrs().Callers
+	return m.addBare()
 }
 
-func (m *smallMesh) addNodes(slots int) error {
-	p := newProgram(&config.Target{
-		Name: class, Service: service, Idempotent: true, Match: config.Match{PathPrefix: "/"},
-	})
-	d := proxy.NewDestination(proxy.DestinationParts{
-		Programs: p, Upstreams: m.pool(), Gates: new(proxy.FixedLimit),
-		Backends: single{Service: service, Instance: instance, Addr: m.backend.Addr(),
-			Slots: slots, State: membership.BackendReady},
-	})
-	addr, err := m.serve(d)
+// startBound bounds the start of a mesh.
+const startBound = 20 * time.Second
+
+// putTargets puts a service and its classes in force on every node.
+func putTargets(ctx context.Context, m *localmesh.Mesh, targets map[string]*adminapi.TargetSpec) error {
+	api, err := m.Admin(m.VMs[0])
 	if err != nil {
 		return err
 	}
-	picks := new(proxy.RoundRobin)
-	picks.Set(map[string][]proxy.Endpoint{service: {{
-		ID: "vm1/" + instance, VM: "vm1", Instance: instance, Addr: addr,
-	}}})
-	e := proxy.NewEntry(proxy.EntryParts{
-		Self: "vm2", Programs: p, Pickers: picks, Retrier: proxy.RetryUpTo(3), Upstreams: m.pool(),
-	})
-	addr, err = m.serve(e.Public())
-	m.mesh = "http://" + addr
-	return err
+	res, err := api.PutService(ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: service})
+	if err != nil {
+		return err
+	}
+	if _, unknown := res.(*adminapi.UnknownHeaders); unknown {
+		return errors.New("load: the outcome of creating the service is not known")
+	}
+	for name, t := range targets {
+		res, err := api.PutTarget(ctx, t, adminapi.PutTargetParams{Name: adminapi.Name(name)})
+		if err != nil {
+			return err
+		}
+		if _, unknown := res.(*adminapi.UnknownHeaders); unknown {
+			return fmt.Errorf("load: the outcome of creating the target %s is not known", name)
+		}
+	}
+	return m.WaitVersion(ctx, uint64(1+len(targets)))
 }
 
 func (m *smallMesh) addBare() error {
@@ -135,12 +132,6 @@
 	return err
 }
 
-func (m *smallMesh) pool() *proxy.Upstreams {
-	u := proxy.NewUpstreams()
-	m.pools = append(m.pools, u)
-	return u
-}
-
 const idleConns = 256
 
 func (m *smallMesh) transport() *http.Transport {
@@ -166,13 +157,13 @@
 	for _, s := range m.servers {
 		_ = s.Close()
 	}
-	for _, p := range m.pools {
-		p.Close()
-	}
 	for _, t := range m.transports {
 		t.CloseIdleConnections()
 	}
-	m.backend.Close()
+	m.stop()
+	if m.nodes != nil {
+		m.nodes.Close()
+	}
 }
 
 // client returns a client with its own connections.
--- a/internal/load/overhead.go
+++ b/internal/load/overhead.go
@@ -126,7 +126,7 @@
 
 // MeasureOverhead measures the ways in turn.
 func MeasureOverhead(ctx context.Context, o OverheadOptions) (*OverheadReport, error) {
-	m, err := newSmallMesh(overheadSlots)
+	m, err := newSmallMesh(ctx, overheadSlots)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/overhead_test.go
+++ b/internal/load/overhead_test.go
@@ -15,7 +15,7 @@
 // BenchmarkCall makes the same call by each way. Compare allocs/op of mesh and
 // bare: both are two hops.
 func BenchmarkCall(b *testing.B) {
-	m, err := newSmallMesh(overheadSlots)
+	m, err := newSmallMesh(context.Background(), overheadSlots)
 	if err != nil {
 		b.Fatal(err)
 	}
