Let a node be built with the baseline policies

Cause: the load tool measures our policies against plain ones in the same run, and a node could only be built with its own. Conclusion: no change for a node with the zero value.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -56,15 +56,15 @@
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
-	c.dest = proxy.NewDestination(proxy.DestinationParts{
+	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
-	})
-	c.entry = proxy.NewEntry(proxy.EntryParts{
+	}))
+	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
 		Meters: c.meters, Tracer: tracer,
-	})
+	}, &c.pickers.plain))
 	return c, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 	Objects platform.Objects
 	// Membership changes the membership's settings, for measurements.
 	Membership func(*membership.Config)
+	// Policies replace the node's own policies for calls, for measurements.
+	Policies Policies
 }
 
 // Node is one running node.
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -24,6 +24,7 @@
 	byService atomic.Pointer[map[string]*route.Picker]
 	none      *route.Picker // of a service that no node holds
 	ready     atomic.Pointer[map[string]int]
+	plain     proxy.RoundRobin // the baseline, see Policies
 }
 
 func newPickers(self membership.VM) *pickers {
@@ -56,10 +57,29 @@
 		picker.Update(now, endpoints[service])
 	}
 	p.byService.Store(&next)
+	p.plain.Set(plainEndpoints(endpoints))
 	ready := countReady(endpoints)
 	p.ready.Store(&ready)
 }
 
+// plainEndpoints returns the endpoints that take calls.
+func plainEndpoints(endpoints map[string][]route.Endpoint) map[string][]proxy.Endpoint {
+	out := make(map[string][]proxy.Endpoint, len(endpoints))
+	for service, list := range endpoints {
+		for _, e := range list {
+			if e.Ready && !e.Draining {
+				out[service] = append(out[service], proxyEndpoint(e))
+			}
+		}
+	}
+	return out
+}
+
+func proxyEndpoint(e route.Endpoint) proxy.Endpoint {
+	_, instance, _ := strings.Cut(e.ID, endpointSep)
+	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
+}
+
 func countReady(endpoints map[string][]route.Endpoint) map[string]int {
 	out := make(map[string]int, len(endpoints))
 	for service, list := range endpoints {
@@ -149,9 +169,7 @@
 type choice struct{ c route.Choice }
 
 func (c choice) Endpoint() proxy.Endpoint {
-	e := c.c.Endpoint()
-	_, instance, _ := strings.Cut(e.ID, endpointSep)
-	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
+	return proxyEndpoint(*c.c.Endpoint())
 }
 
 func (c choice) Done(now time.Time, r proxy.Report) {
--- a/internal/proxy/baseline.go
+++ b/internal/proxy/baseline.go
@@ -71,6 +71,19 @@
 	return retry.Decision{Retry: safe && in.Attempt < int(n)}
 }
 
+// RetryAlwaysUpTo sends a call again until it was sent so many times, whether
+// or not it may have run. It is what a retry rule that knows of errors alone
+// does, and runs calls twice.
+type RetryAlwaysUpTo int
+
+// Called counts nothing.
+func (RetryAlwaysUpTo) Called(string) {}
+
+// Decide tells whether to send the call again.
+func (n RetryAlwaysUpTo) Decide(_ string, in retry.Input) retry.Decision {
+	return retry.Decision{Retry: in.BodyReplayable && in.Attempt < int(n)}
+}
+
 // FixedLimit runs as many calls at once as a backend server has slots. Others
 // wait first come, first served, until their deadline.
 type FixedLimit struct {
