Play faults against a whole mesh of real nodes

Cause: nothing showed what callers see of crashes, silent connections, drains, replaced nodes, poison requests, resends and an unwell platform. Change: marlpass-load faults plays each in a mesh of its own, with the baseline's policies and ours. A local mesh keeps a VM's announce address over a restart and takes its seeds from running nodes; a node can be reached through a middlebox.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -61,8 +61,12 @@
 }
 
 func (s *Server) put(ctx context.Context, st State) error {
+	address := s.set.Advertise
+	if address == "" {
+		address = s.Addr()
+	}
 	body, err := json.Marshal(announcement{
-		Service: s.set.Service, Address: s.Addr(), Slots: s.set.Slots, State: st,
+		Service: s.set.Service, Address: address, Slots: s.set.Slots, State: st,
 		Load: s.slots.busy(),
 	})
 	if err != nil {
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -67,9 +67,7 @@
 
 // request runs a request of the service.
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	if s.State() == Draining {
-		s.drained.Add(1)
-	}
+	s.noteNew()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	mode := *s.mode.Load()
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -49,7 +49,9 @@
 
 	mode       atomic.Pointer[Mode]
 	state      atomic.Pointer[State]
-	drained    atomic.Int64 // requests begun after the drain was announced
+	drained    atomic.Int64 // requests begun after the drain was ordered
+	drainAt    atomic.Int64 // when the drain was ordered, in Unix nanoseconds
+	lastNew    atomic.Int64 // how long after that the last request began
 	inFlight   atomic.Int64
 	crashes    atomic.Int64
 	generation atomic.Int64
@@ -86,8 +88,21 @@
 // Crashes returns how often the server has crashed.
 func (s *Server) Crashes() int64 { return s.crashes.Load() }
 
-// AfterDrain returns how many requests began after the drain was announced.
-func (s *Server) AfterDrain() int64 { return s.drained.Load() }
+// AfterDrain returns how many requests began after the drain was ordered, and
+// how long after it the last of them.
+func (s *Server) AfterDrain() (int64, time.Duration) {
+	return s.drained.Load(), time.Duration(s.lastNew.Load())
+}
+
+// noteNew counts a request that began during a drain.
+func (s *Server) noteNew() {
+	at := s.drainAt.Load()
+	if at == 0 {
+		return
+	}
+	s.drained.Add(1)
+	s.lastNew.Store(time.Now().UnixNano() - at)
+}
 
 // Start listens and warms up.
 func (s *Server) Start() error { return s.listen(s.set.Listen) }
@@ -176,6 +191,7 @@
 // Drain announces the end, waits for new requests to stay away, and then for
 // those that run. The error says that some were cut off at DrainLimit.
 func (s *Server) Drain(ctx context.Context) error {
+	s.drainAt.Store(time.Now().UnixNano())
 	s.setState(Draining)
 	s.log.Info().Msg("backend: draining")
 	_ = work(ctx, time.Duration(s.set.DrainWait))
--- a/internal/backend/settings.go
+++ b/internal/backend/settings.go
@@ -36,10 +36,12 @@
 
 // Settings describe one stand-in backend server.
 type Settings struct {
-	Listen   string `toml:"listen"`
-	Node     string `toml:"node"` // URL of the announce API, or empty
-	Service  string `toml:"service"`
-	Instance string `toml:"instance"`
+	Listen string `toml:"listen"`
+	Node   string `toml:"node"` // URL of the announce API, or empty
+	// Advertise is the address that is announced; the one listened on if empty.
+	Advertise string `toml:"advertise"`
+	Service   string `toml:"service"`
+	Instance  string `toml:"instance"`
 
 	Slots   int `toml:"slots"`
 	Backlog int `toml:"backlog"` // requests that wait for a slot before shedding
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -22,7 +22,7 @@
 }
 
 // Commands are the subcommands, in the order that help lists them.
-func Commands() []Command { return []Command{OverheadCommand} }
+func Commands() []Command { return []Command{OverheadCommand, FaultsCommand} }
 
 const usage = `marlpass-load sends calls in an open loop and checks every answer.
 
@@ -32,6 +32,7 @@
 
 Examples:
   marlpass-load overhead
+  marlpass-load faults -only drain
   marlpass-load overhead -rates 1000 -for 20s -json
 
 Exit codes: 0 every answer was right, 1 some were not or the run failed, 2 bad flags.
--- /dev/null
+++ b/internal/load/faults.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marlpass/marlpass/internal/node"
+)
+
+// FaultReport is what one fault came to, with the baseline's policies and ours.
+type FaultReport struct {
+	Fault    string      `json:"fault"`
+	Baseline FaultCounts `json:"baseline"`
+	Ours     FaultCounts `json:"ours"`
+}
+
+// FaultsReport is what the subcommand prints.
+type FaultsReport struct {
+	Faults []FaultReport `json:"faults"`
+}
+
+// FaultsOptions are the flags of the subcommand.
+type FaultsOptions struct {
+	Only     string // part of the names of the faults to play; all if empty
+	Parallel int    // meshes at once
+	OursOnly bool
+}
+
+// FaultsCommand is the subcommand "faults".
+var FaultsCommand = Command{
+	Name:  "faults",
+	Short: "what callers see of each fault, with plain policies and with ours",
+	Run:   runFaults,
+}
+
+func runFaults(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("faults", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	var o FaultsOptions
+	fs.StringVar(&o.Only, "only", "", "play only the faults whose names contain this")
+	fs.IntVar(&o.Parallel, "parallel", 4, "meshes at once")
+	fs.BoolVar(&o.OursOnly, "ours", false, "leave the baseline out")
+	asJSON := fs.Bool("json", false, "print one JSON object")
+	if code, ok := parseFlags(fs, args); !ok {
+		return code
+	}
+	if o.Parallel < 1 {
+		fmt.Fprintln(stderr, "marlpass-load: -parallel: must be 1 or more")
+		return ExitUsage
+	}
+	rep, err := MeasureFaults(ctx, o)
+	if err != nil {
+		fmt.Fprintln(stderr, "marlpass-load:", err)
+		return ExitFailed
+	}
+	if *asJSON {
+		_ = json.NewEncoder(stdout).Encode(rep)
+	} else {
+		rep.print(stdout)
+	}
+	return rep.exit()
+}
+
+// MeasureFaults plays the faults, each in a mesh of its own, with the baseline
+// and with ours.
+func MeasureFaults(ctx context.Context, o FaultsOptions) (*FaultsReport, error) {
+	rep := new(FaultsReport)
+	var played []*fault
+	for _, f := range faults {
+		if strings.Contains(f.name, o.Only) {
+			played = append(played, f)
+		}
+	}
+	rep.Faults = make([]FaultReport, len(played))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(o.Parallel)
+	for i, f := range played {
+		r := &rep.Faults[i]
+		r.Fault = f.name
+		if !o.OursOnly {
+			g.Go(func() error { return f.measure(ctx, node.Baseline(), &r.Baseline) })
+		}
+		g.Go(func() error { return f.measure(ctx, node.Policies{}, &r.Ours) })
+	}
+	return rep, g.Wait()
+}
+
+func (f *fault) measure(ctx context.Context, p node.Policies, into *FaultCounts) error {
+	mesh := f.mesh
+	mesh.policies = p
+	c, err := playFault(ctx, f, mesh)
+	*into = c
+	return err
+}
+
+// Goals of the report.
+const (
+	maxAfterDrainS   = 2.0
+	maxEndpointsDown = 2
+)
+
+// exit fails the command when ours broke a promise.
+func (r *FaultsReport) exit() int {
+	for _, f := range r.Faults {
+		if f.Ours.broken() || f.Ours.AfterDrainS > maxAfterDrainS ||
+			f.Ours.EndpointsDown > maxEndpointsDown || f.Ours.LockedOut > 0 {
+			return ExitFailed
+		}
+	}
+	return ExitOK
+}
+
+func (r *FaultsReport) print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "fault\tpolicies\tsent\tanswered\tlost\tdoubled\tpartial\tfalse not run\tcut off\tafter drain s\t"+
+		"refused\tunknown\tfailed\tdown\tlocked out\tp99 ms\t")
+	for _, f := range r.Faults {
+		f.Baseline.row(t, f.Fault, "baseline")
+		f.Ours.row(t, f.Fault, "ours")
+	}
+	t.Flush()
+}
+
+func (c *FaultCounts) row(w io.Writer, fault, policies string) {
+	if c.Sent == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t\n", fault, policies,
+		c.Sent, c.Answered, c.Lost, c.Doubled, c.Partial, c.FalseNotRun, c.CutOff, c.AfterDrainS,
+		c.Refused, c.Unknown, c.Failed, c.EndpointsDown, c.LockedOut, c.P99ms)
+}
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -60,6 +60,9 @@
 	Policies node.Policies
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of a node.
+	CallAddr func(listen string) string
 }
 
 // aloneAfter is short, since all nodes of a local mesh start together with
@@ -77,6 +80,7 @@
 
 	mu       sync.Mutex
 	node     *node.Node
+	announce string // where the backend servers of the VM find its node
 	backends []*backend.Server
 }
 
@@ -87,7 +91,6 @@
 	platform *http.Server
 	url      string
 	VMs      []*VM
-	seeds    []string
 }
 
 // Start starts the platform and all nodes. Use WaitReady after it.
@@ -135,22 +138,35 @@
 func (m *Mesh) PlatformURL() string { return m.url }
 
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
-// replaced VM it keeps its name and nothing else.
+// replaced VM it keeps its name, the address that its backend servers know, and
+// nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership, Policies: m.o.Policies})
+	n, err := node.New(node.Options{
+		Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership,
+		Policies: m.o.Policies, CallAddr: m.o.CallAddr,
+	})
 	if err != nil {
 		return err
 	}
 	n.Start()
 	vm.mu.Lock()
 	vm.node = n
+	vm.announce = n.Addrs().Announce
 	vm.mu.Unlock()
-	if len(m.seeds) < m.o.Seeds {
-		m.seeds = append(m.seeds, n.Addrs().Control)
-	}
 	return nil
 }
 
+// seeds returns the control addresses of a few running nodes.
+func (m *Mesh) seeds() []string {
+	var out []string
+	for _, n := range m.Nodes() {
+		if len(out) < m.o.Seeds {
+			out = append(out, n.Addrs().Control)
+		}
+	}
+	return out
+}
+
 func (m *Mesh) settings(vm *VM) settings.Node {
 	s := settings.DefaultNode()
 	s.Mesh = m.o.Name
@@ -158,16 +174,25 @@
 	s.VM = settings.VM{ID: vm.ID, Region: vm.Region, DataCentre: vm.DataCentre}
 	s.Listen = settings.Listen{
 		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
-		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
+		Admin: anyPort, Announce: vm.announceAddr(), Metrics: anyPort,
 	}
 	s.Platform.URL = m.url
-	s.Peers.Seeds = append([]string(nil), m.seeds...)
+	s.Peers.Seeds = m.seeds()
 	s.Drain.Limit = strict.Duration{Duration: m.o.DrainLimit}
 	sum := sha256.Sum256([]byte(Token))
 	s.Operators = []settings.Operator{{Name: Operator, Team: Team, TokenSHA256: hex.EncodeToString(sum[:])}}
 	return s
 }
 
+func (vm *VM) announceAddr() string {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if vm.announce == "" {
+		return anyPort
+	}
+	return vm.announce
+}
+
 // Node returns the VM's running node, or nil.
 func (vm *VM) Node() *node.Node {
 	vm.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,9 @@
 	Membership func(*membership.Config)
 	// Policies replace the node's own policies for calls, for measurements.
 	Policies Policies
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of this node, for tests with something between them.
+	CallAddr func(listen string) string
 }
 
 // Node is one running node.
@@ -83,6 +86,9 @@
 // wire builds the parts, lower layers first.
 func (n *Node) wire() error {
 	a := n.ln.addrs()
+	if n.o.CallAddr != nil {
+		a.Calls = n.o.CallAddr(a.Calls)
+	}
 	n.self = membership.VM{
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
