--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -27,6 +27,7 @@
 func Commands() []Command {
 	return []Command{
 		OverheadCommand,
+		FaultsCommand,
 		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
 	}
 }
@@ -39,6 +40,7 @@
 
 Examples:
   marlpass-load overhead
+  marlpass-load faults -only drain
   marlpass-load overhead -rates 1000 -for 20s -json
 
 Exit codes: 0 every answer was right, 1 some were not or the run failed, 2 bad flags.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,11 @@
 	// Dial opens the connections to other nodes, backend servers and the
 	// platform, by TCP if nil. Tests cut connections with it.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Policies replace the node's own policies for calls, for measurements.
+	Policies Policies
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of this node, for tests with something between them.
+	CallAddr func(listen string) string
 }
 
 // Node is one running node.
@@ -85,6 +90,9 @@
 // wire builds the parts, lower layers first.
 func (n *Node) wire() error {
 	a := n.ln.addrs()
+	if n.o.CallAddr != nil {
+		a.Calls = n.o.CallAddr(a.Calls)
+	}
 	n.self = membership.VM{
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
