Keep the platform's rows bounded from the nodes

Cause: nothing called the compactor or removed old outcomes of keyed calls, so the log, the command rows and the outcomes grew for ever. Change: a housekeeper in each node. Only feeders contend for one lease, two nodes a data centre; the holder compacts under the lease's fence and trims outcomes at a slow pace. A holder that was paused past its lease fails on the fence and gives the lease up; a node that stops being a feeder gives it back.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -43,6 +43,7 @@
 	log      *command.Reader
 	commit   *command.Committer
 	commands *command.Forwarder
+	house    *housekeeper
 }
 
 func newControl(n *Node) (*control, error) {
@@ -130,6 +131,16 @@
 	})
 }
 
+// wireHouse makes the part that keeps the platform's rows bounded.
+func (c *control) wireHouse() {
+	h := newHousekeeper(c.table, c.n.self.ID, time.Now)
+	h.log = telemetry.Part(c.n.log, "housekeeping")
+	h.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
+	h.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
+	h.trim = c.n.calls.keeper
+	c.house = h
+}
+
 // sender is what every message of this node carries.
 func (c *control) sender() peer.Sender {
 	s := c.spread.Stamp()
@@ -141,6 +152,7 @@
 	c.trust.watch(ctx, g)
 	g.Go(func() error { return c.server.Serve(c.n.ln.control) })
 	g.Go(func() error { return c.members.Run(ctx) })
+	g.Go(func() error { c.house.run(ctx); return nil })
 	g.Go(func() error {
 		c.awaitContact(ctx)
 		c.spread.Run(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 	if n.calls, err = newCallPath(n); err != nil {
 		return err
 	}
+	n.control.wireHouse()
 	n.servers, err = newServers(n)
 	return err
 }
