Carry calls between nodes over mutual TLS

Cause: with [tls] set the calls listener spoke TLS and the entry node plain HTTP, so no call passed between nodes; and nothing proved that the VM at an address is the one that was picked. Change: the entry node's pools prove each new connection to another node with the mesh's certificates and close it unless the certificate names the VM that the endpoint names (refused and counted as other_vm). The pools are kept by VM, so that no connection proved for one VM serves another. conn sits above TLS and goes on counting the call's own bytes. Closing a connection closes the socket, without a farewell that could block under an attempt's lock. Conclusion: a refusal for trust happens before any byte of a call is sent, and is told as not run.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -20,7 +20,8 @@
 	gates     *gates
 	suspects  *suspects
 	keeper    *once.Keeper
-	upstreams *proxy.Upstreams
+	upstreams *proxy.Upstreams // to backend servers
+	nodes     *proxy.Upstreams // to other nodes
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
@@ -45,6 +46,7 @@
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
 		upstreams: n.upstreams(),
+		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
 		endTrace:  endTrace,
 	}
@@ -62,7 +64,7 @@
 	})
 	c.entry = proxy.NewEntry(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
 	})
 	return c, nil
@@ -107,6 +109,7 @@
 		c.n.log.Error().Err(err).Msg("once: outcomes could not be stored before the stop")
 	}
 	c.upstreams.Close()
+	c.nodes.Close()
 	_ = c.endTrace(ctx)
 }
 
--- a/internal/node/trust.go
+++ b/internal/node/trust.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/peer"
+	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/trust"
 )
@@ -55,6 +56,14 @@
 	return t.mesh.Client()
 }
 
+// secure returns what proves other nodes on connections for calls.
+func (t *trustFiles) secure() proxy.Secure {
+	if t.mesh == nil {
+		return nil
+	}
+	return t.mesh.Connector().Connect
+}
+
 // admin returns the configuration of the admin API.
 func (t *trustFiles) admin() *tls.Config {
 	if t.operators == nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -143,6 +143,7 @@
 	header http.Header
 	body   *body
 	addr   string
+	vm     string        // the node at addr, or empty for a backend server
 	wait   time.Duration // bound on the answer's beginning
 	extra  [2]extraHeader
 }
@@ -188,7 +189,7 @@
 // send sends o and waits until its answer begins. The answer's body must be
 // closed, once.
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
-	up := u.get(now, o.addr)
+	up := u.get(now, o.addr, o.vm)
 	a := newAttempt(up, o.body.stream, o.wait)
 	resp, err := up.transport.RoundTrip(o.request(&sending{
 		attemptContext: attemptContext{Context: ctx, trace: &a.trace, dialBy: now.Add(o.wait)},
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -34,6 +34,7 @@
 // described at attempt.gotConn.
 type conn struct {
 	net.Conn
+	raw net.Conn // the socket below Conn if that is encrypted, else nil
 	word atomic.Uint64
 	// body is the streaming body of the call that holds the connection.
 	body atomic.Pointer[streamBody]
@@ -44,14 +45,26 @@
 
 // Close closes the connection and ends the reading of the body that was being
 // sent on it.
+//
+// It closes the socket, without the farewell that TLS would write first: that
+// write waits for a far end that reads nothing, and Close is called under the
+// lock of an attempt whose bound has just passed. HTTP/1.1 requests say their
+// own length, so the far end takes none for whole that was cut.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
+	err := c.socket().Close()
 	if b := c.body.Load(); b != nil {
 		b.abort()
 	}
 	return err
 }
 
+func (c *conn) socket() net.Conn {
+	if c.raw != nil {
+		return c.raw
+	}
+	return c.Conn
+}
+
 // Write marks the call as possibly run before its first byte leaves.
 func (c *conn) Write(p []byte) (int, error) {
 	for {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -28,7 +28,7 @@
 		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left,
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left,
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
 	return readNode(a)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -27,16 +27,23 @@
 	transportBuffer = 8 << 10
 )
 
-// Upstreams keeps one pool of connections for each address, so that all
-// connections to an address can be retired together.
+// Upstreams keeps one pool of connections for each node, or for each address
+// of a backend server, so that all connections to it can be retired together.
 type Upstreams struct {
 	mu     sync.Mutex // serialises writers
-	byAddr sync.Map   // string to *upstream
+	byName sync.Map   // string to *upstream
+	// secure is nil for plain connections.
+	secure Secure
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// upstream is the pool of one address.
+// Secure turns a new connection into one on which vm itself has been proved to
+// answer. It returns an error, and has sent no byte of a call, otherwise.
+type Secure func(ctx context.Context, raw net.Conn, vm string) (net.Conn, error)
+
+// upstream is the pool of one node or address.
 type upstream struct {
+	addr      string
 	transport *http.Transport
 	// used is when a call last took the pool, in Unix seconds.
 	used atomic.Int64
@@ -62,45 +69,73 @@
 	}}
 }
 
-// get returns the pool of addr.
-func (u *Upstreams) get(now time.Time, addr string) *upstream {
-	if p, ok := u.byAddr.Load(addr); ok {
-		up := p.(*upstream)
-		if s := now.Unix(); up.used.Load() != s {
-			up.used.Store(s)
+// Secured makes u ask s for every connection to another node. It must be called
+// before u is used.
+func (u *Upstreams) Secured(s Secure) *Upstreams {
+	u.secure = s
+	return u
+}
+
+// get returns the pool of the node vm at addr, or of the backend server at addr
+// when vm is empty.
+//
+// Pools of nodes are kept by VM. When a VM goes and another comes under its
+// address, a pool kept by address would lead calls for the new VM onto
+// connections that were proved to be the old one's, or the other way about.
+func (u *Upstreams) get(now time.Time, addr, vm string) *upstream {
+	name := nameOf(addr, vm)
+	if p, ok := u.byName.Load(name); ok {
+		if up := p.(*upstream); up.addr == addr {
+			if s := now.Unix(); up.used.Load() != s {
+				up.used.Store(s)
+			}
+			return up
 		}
-		return up
 	}
-	return u.add(now, addr)
+	return u.add(now, addr, vm)
+}
+
+// nameOf returns the name of a pool. No VM's ID contains a colon, and every
+// address does.
+func nameOf(addr, vm string) string {
+	if vm != "" {
+		return vm
+	}
+	return addr
 }
 
-func (u *Upstreams) add(now time.Time, addr string) *upstream {
+func (u *Upstreams) add(now time.Time, addr, vm string) *upstream {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if p, ok := u.byAddr.Load(addr); ok {
-		return p.(*upstream)
+	name := nameOf(addr, vm)
+	if p, ok := u.byName.Load(name); ok {
+		up := p.(*upstream)
+		if up.addr == addr {
+			return up
+		}
+		up.retire() // the VM came back under another address
 	}
 	u.dropUnused(now)
-	up := &upstream{transport: u.newTransport()}
+	up := &upstream{addr: addr, transport: u.newTransport(vm)}
 	up.used.Store(now.Unix())
-	u.byAddr.Store(addr, up)
+	u.byName.Store(name, up)
 	return up
 }
 
-// dropUnused forgets addresses that no call has used for a while: VMs are
-// replaced all day, and each comes back under another address.
+// dropUnused forgets pools that no call has used for a while: VMs are replaced
+// all day.
 func (u *Upstreams) dropUnused(now time.Time) {
-	u.byAddr.Range(func(addr, p any) bool {
+	u.byName.Range(func(name, p any) bool {
 		up := p.(*upstream)
 		if now.Unix()-up.used.Load() > int64(upstreamUnused/time.Second) {
-			u.byAddr.Delete(addr)
+			u.byName.Delete(name)
 			up.transport.CloseIdleConnections()
 		}
 		return true
 	})
 }
 
-func (u *Upstreams) newTransport() *http.Transport {
+func (u *Upstreams) newTransport(vm string) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if by, ok := dialBy(ctx); ok {
@@ -108,11 +143,7 @@
 				ctx, cancel = context.WithDeadline(ctx, by)
 				defer cancel()
 			}
-			c, err := u.dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: c}, nil
+			return u.open(ctx, network, addr, vm)
 		},
 		// The answer is passed on as it is.
 		DisableCompression:     true,
@@ -126,6 +157,27 @@
 	}
 }
 
+// open dials and, between nodes, proves who answers. The transport takes the
+// connection for a plain one, which keeps it to HTTP/1.1, and conn counts what
+// the call itself writes, not what the handshake did.
+func (u *Upstreams) open(ctx context.Context, network, addr, vm string) (net.Conn, error) {
+	raw, err := u.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if u.secure == nil || vm == "" {
+		return &conn{Conn: raw}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, DialBound)
+	defer cancel()
+	c, err := u.secure(ctx, raw, vm)
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return &conn{Conn: c, raw: raw}, nil
+}
+
 // retire closes the idle connections of a pool whose address let a call wait
 // past its bound. What cut off one connection has often cut off those opened
 // with it, and the next calls would each find that out for themselves. Calls
@@ -134,7 +186,7 @@
 
 // Close closes all idle connections.
 func (u *Upstreams) Close() {
-	u.byAddr.Range(func(_, p any) bool {
+	u.byName.Range(func(_, p any) bool {
 		p.(*upstream).retire()
 		return true
 	})
--- a/internal/trust/identity.go
+++ b/internal/trust/identity.go
@@ -30,11 +30,15 @@
 	ReasonUntrusted     Reason = "untrusted"
 	ReasonNoIdentity    Reason = "no_identity"
 	ReasonOtherMesh     Reason = "other_mesh"
+	// ReasonOtherVM: another VM of the mesh answered at the address of the one
+	// that was wanted.
+	ReasonOtherVM Reason = "other_vm"
 )
 
 // Reasons lists every Reason, for metrics.
 var Reasons = []Reason{
 	ReasonNoCertificate, ReasonExpired, ReasonUntrusted, ReasonNoIdentity, ReasonOtherMesh,
+	ReasonOtherVM,
 }
 
 // RefusedError tells that a peer was not let in.
--- a/internal/trust/keeper.go
+++ b/internal/trust/keeper.go
@@ -153,9 +153,15 @@
 	return func(cs tls.ConnectionState) error {
 		roots := k.current.Load().material.roots
 		err := verify(cs.PeerCertificates, roots, usage, k.opts.Self.Mesh, k.opts.Now())
-		if refused, ok := err.(*RefusedError); ok && k.opts.OnRefused != nil {
-			k.opts.OnRefused(refused)
+		if refused, ok := err.(*RefusedError); ok {
+			k.refused(refused)
 		}
 		return err
 	}
 }
+
+func (k *Keeper) refused(e *RefusedError) {
+	if k.opts.OnRefused != nil {
+		k.opts.OnRefused(e)
+	}
+}
