--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -34,7 +34,7 @@
 // described at attempt.gotConn.
 type conn struct {
 	net.Conn
-	raw net.Conn // the socket below Conn if that is encrypted, else nil
+	raw  net.Conn // the socket below Conn if that is encrypted, else nil
 	word atomic.Uint64
 	// body is the streaming body of the call that holds the connection.
 	body atomic.Pointer[streamBody]
