Stop, fail and reload a node as a production process

Cause: a part of a node that failed left the rest running, since the servers never ended; a leaving node closed its callers' idle connections at once, on which a call may just have been sent; it refused calls as not ready from the first moment of its notice; calls to other nodes were not counted at the drain limit; a starting node told callers that there is no route; bad certificates ended with code 1; another process under the same VM id went unnoticed. While it leaves, a node answers with Connection: close, keeps its sockets open and refuses as not run until the calls in flight have ended; at the limit it tells how many it cuts off. A second signal ends at once. SIGHUP reads the settings again: operators and log level change, the log names other keys that differ. -check also checks certificates, tokens, and addresses that stand twice; certificate problems end with code 2. A node whose id another process took stops taking calls and stays up, not ready. Conclusion: a node runs whole or ends, and says which.

--- a/cmd/marlpass-node/main.go
+++ b/cmd/marlpass-node/main.go
@@ -2,18 +2,14 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/marlpass/marlpass/internal/node"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/settings/exit"
-	"github.com/marlpass/marlpass/internal/telemetry"
 	"github.com/marlpass/marlpass/internal/version"
 )
 
@@ -21,6 +17,8 @@
 
 It proxies calls in and out of this VM, spreads configuration and membership,
 and serves the admin API. SIGTERM stops it gracefully; a second one at once.
+SIGHUP reads the settings again: operators and the log level change, everything
+else takes effect at the next start.
 
 Usage:
   marlpass-node -config FILE
@@ -30,8 +28,8 @@
   marlpass-node -config /etc/marlpass/node.toml
   marlpass-node -check -config settings/trust/neg-shed.toml
 
-Exit codes: 0 stopped as asked, 1 failed or cut calls off at the drain limit,
-2 bad flags or settings.
+Exit codes: 0 stopped as asked, 1 failed or cut calls off, 2 bad flags,
+settings or certificates.
 
 Flags:
 `
@@ -45,7 +43,7 @@
 		fs.PrintDefaults()
 	}
 	file := fs.String("config", "", "settings `file` (TOML)")
-	check := fs.Bool("check", false, "check the settings and end")
+	check := fs.Bool("check", false, "check the settings and the certificates that they name, and end")
 	showVersion := fs.Bool("version", false, "print the version and end")
 	err := fs.Parse(os.Args[1:])
 	switch {
@@ -69,41 +67,12 @@
 		return exit.Usage
 	}
 	if *check {
+		if err := node.Check(set); err != nil {
+			fmt.Fprintln(os.Stderr, "marlpass-node:", err)
+			return exit.Usage
+		}
 		fmt.Printf("marlpass-node: %s is valid\n", *file)
 		return exit.OK
 	}
-	return serve(set)
-}
-
-// serve runs the node until it is told to stop.
-func serve(set settings.Node) int {
-	log, err := telemetry.NewLogger(os.Stderr, set.Log.Level)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "marlpass-node:", err)
-		return exit.Usage
-	}
-	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	n, err := node.New(node.Options{Settings: set, Log: log})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "marlpass-node:", err)
-		return exit.Failed
-	}
-	n.Start()
-	ended := make(chan error, 1)
-	go func() { ended <- n.Wait() }()
-	select {
-	case err := <-ended:
-		log.Error().Err(err).Msg("node: ended by itself")
-		n.Kill()
-		return exit.Failed
-	case <-signals.Done():
-	}
-	// From here on a second signal ends the process at once.
-	cancel()
-	if err := n.Shutdown(context.Background()); err != nil {
-		log.Error().Err(err).Msg("node: stopped with an error")
-		return exit.Failed
-	}
-	return exit.OK
+	return serve(*file, set)
 }
--- /dev/null
+++ b/cmd/marlpass-node/serve.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/admin"
+	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/internal/telemetry"
+	"github.com/marlpass/marlpass/internal/trust"
+)
+
+// process is one run of the program.
+type process struct {
+	file     string
+	node     *node.Node
+	log      zerolog.Logger
+	setLevel func(string) error
+	signals  chan os.Signal
+}
+
+// serve runs the node until it is told to stop or fails.
+func serve(file string, set settings.Node) int {
+	log, setLevel, err := telemetry.NewLeveledLogger(os.Stderr, set.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "marlpass-node:", err)
+		return exit.Usage
+	}
+	n, err := node.New(node.Options{Settings: set, Log: log})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "marlpass-node:", err)
+		return codeOf(err)
+	}
+	p := &process{file: file, node: n, log: log, setLevel: setLevel, signals: make(chan os.Signal, 4)}
+	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(p.signals)
+	n.Start()
+	return p.run()
+}
+
+// codeOf tells settings problems, which another start will not mend, from
+// failures of the moment.
+func codeOf(err error) int {
+	var cert *trust.FileError
+	var refused *trust.RefusedError
+	var operator *admin.SettingError
+	if errors.As(err, &cert) || errors.As(err, &refused) || errors.As(err, &operator) {
+		return exit.Usage
+	}
+	return exit.Failed
+}
+
+func (p *process) run() int {
+	for {
+		select {
+		case <-p.node.Failed():
+			p.log.Error().Err(p.node.Err()).Msg("node: stops, as a part of it failed")
+			p.stop()
+			return exit.Failed
+		case s := <-p.signals:
+			if s != syscall.SIGHUP {
+				return p.stop()
+			}
+			p.reload()
+		}
+	}
+}
+
+// stop stops the node gracefully, or at once when another signal comes.
+func (p *process) stop() int {
+	done := make(chan error, 1)
+	go func() { done <- p.node.Shutdown(context.Background()) }()
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				p.log.Error().Err(err).Msg("node: stopped with an error")
+				return exit.Failed
+			}
+			return exit.OK
+		case s := <-p.signals:
+			if s == syscall.SIGHUP {
+				continue
+			}
+			p.log.Error().Int64("calls", p.node.InFlight()).Msg("node: ended at once by a second signal, calls cut off")
+			return exit.Failed
+		}
+	}
+}
+
+// reload reads the settings again. A file that is not valid changes nothing.
+func (p *process) reload() {
+	set, err := settings.LoadNode(p.file)
+	if err == nil {
+		err = p.node.Reload(set)
+	}
+	if err == nil {
+		err = p.setLevel(set.Log.Level)
+	}
+	if err != nil {
+		p.log.Error().Err(err).Msg("settings: refuse the file, keep the running settings")
+	}
+}
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -113,8 +113,6 @@
 	_ = c.endTrace(ctx)
 }
 
-func (c *callPath) inFlight() int64 { return c.dest.InFlight() }
-
 // admission refuses calls while the node may not carry traffic: a node that has
 // just started may hold an older version than it held before, and one that
 // drains takes no new calls.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/command"
@@ -150,12 +149,12 @@
 }
 
 // start serves the peers and starts the work of control.
-func (c *control) start(ctx context.Context, g *errgroup.Group) {
-	c.trust.watch(ctx, g)
-	g.Go(func() error { return c.server.Serve(c.n.ln.control) })
-	g.Go(func() error { return c.members.Run(ctx) })
-	g.Go(func() error { c.house.run(ctx); return nil })
-	g.Go(func() error {
+func (c *control) start(p *parts) {
+	c.trust.watch(p)
+	p.run("control", func(context.Context) error { return c.server.Serve(c.n.ln.control) })
+	p.run("membership", c.members.Run)
+	p.run("housekeeping", func(ctx context.Context) error { c.house.run(ctx); return nil })
+	p.run("distribute", func(ctx context.Context) error {
 		c.awaitContact(ctx)
 		c.spread.Run(ctx)
 		return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
+	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -59,14 +59,16 @@
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
 	carries atomic.Bool
-	stop    context.CancelFunc // ends the background work
-	group   *errgroup.Group
-	once    sync.Once
+	// superseded says that another process runs under this VM's ID.
+	superseded atomic.Bool
+	operators  *admin.Operators
+	parts      *parts
+	once       sync.Once
 }
 
 // New opens the sockets of a node and wires its parts. Nothing is served yet.
 func New(o Options) (*Node, error) {
-	n := &Node{o: o, set: o.Settings, log: o.Log}
+	n := &Node{o: o, set: o.Settings, log: o.Log, parts: newParts()}
 	store, err := config.NewStore(compile)
 	if err != nil {
 		return nil, err
@@ -107,8 +109,11 @@
 
 // Ready reports whether the node carries traffic, and if not, why.
 func (n *Node) Ready() (bool, string) {
-	if n.leaving.Load() {
+	switch {
+	case n.leaving.Load():
 		return false, "the node leaves"
+	case n.superseded.Load():
+		return false, "another process runs under this VM's id"
 	}
 	return n.control.spread.Ready()
 }
@@ -122,19 +127,22 @@
 
 // Start serves everything, and returns at once.
 func (n *Node) Start() {
-	ctx, stop := context.WithCancel(context.Background())
-	n.stop = stop
-	n.group, ctx = errgroup.WithContext(ctx)
-	n.control.start(ctx, n.group)
-	n.servers.start(ctx, n.group)
-	n.group.Go(func() error { n.refresh(ctx); return nil })
-	n.group.Go(func() error { n.calls.upkeep(ctx); return nil })
+	n.control.start(n.parts)
+	n.servers.start(n.parts)
+	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
+	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
 	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
 }
 
-// Wait returns when the node has stopped, with the reason if it was not asked
-// to.
-func (n *Node) Wait() error { return n.group.Wait() }
+// Failed is closed when a part of the node ended without being asked to; Err
+// then tells which. The node has to be stopped.
+func (n *Node) Failed() <-chan struct{} { return n.parts.failed }
+
+// Err returns why Failed was closed.
+func (n *Node) Err() error { return n.parts.err }
+
+// InFlight returns how many calls the node has in its hands.
+func (n *Node) InFlight() int64 { return n.servers.calls.inFlight.Load() }
 
 // refresh brings what is derived from the membership view and from the version
 // in force up to date.
@@ -157,8 +165,9 @@
 			n.updateGates(now)
 		}
 		view, snapshot = v, f.Snapshot
+		n.watchID()
 		ok, _ := n.control.spread.Ready()
-		n.carries.Store(ok)
+		n.carries.Store(ok && !n.superseded.Load())
 		select {
 		case <-ctx.Done():
 			return
@@ -167,6 +176,28 @@
 	}
 }
 
+// watchID stops the traffic of a node whose VM's ID another process has taken.
+//
+// It guards against two nodes under one name: a VM was replaced while its old
+// machine was cut off or paused, and that one comes back. The mesh believes the
+// process that started later, so calls for this one's backend servers go
+// elsewhere; whoever still reaches it would run on an old configuration. It
+// stays up, not ready, and does not end: a supervisor would start it anew, as
+// the later one, and the two would take the name from each other in turns.
+func (n *Node) watchID() {
+	if n.superseded.Load() {
+		return
+	}
+	since, yes := n.control.members.Superseded()
+	if !yes {
+		return
+	}
+	n.superseded.Store(true)
+	n.calls.dest.Drain()
+	n.log.Error().Str("vm", n.self.ID).Time("since", since).
+		Msg("node: another process runs under this VM's id; this one takes no more calls, stop it")
+}
+
 // updateGates fits the gates to the backend servers here, the classes in force
 // and the number of backend servers elsewhere.
 func (n *Node) updateGates(now time.Time) {
@@ -203,6 +234,7 @@
 
 func (n *Node) shutdown(ctx context.Context) error {
 	start := time.Now()
+	n.parts.leaving.Store(true)
 	n.leaving.Store(true)
 	n.control.leave()
 	n.log.Info().Msg("node: leaving the mesh")
@@ -212,28 +244,27 @@
 	limit := n.set.Drain.Limit.Duration
 	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
 	defer cancel()
-	drainErr := n.servers.drain(ctx, limit)
+	cut := n.servers.drain(ctx, limit)
 	n.calls.wait()
-	n.stop()
 	n.servers.close()
 	n.control.close()
-	err := n.group.Wait()
-	if drainErr != nil {
-		cut := n.calls.inFlight()
+	n.parts.stop()
+	if cut > 0 {
 		n.log.Error().Int64("calls", cut).Dur("after", time.Since(start)).Msg("node: calls cut off at the drain limit")
 		return fmt.Errorf("%w: %d after %s", ErrDrainLimit, cut, limit)
 	}
 	n.log.Info().Dur("after", time.Since(start)).Msg("node: stopped")
-	return err
+	return nil
 }
 
 // Kill ends the node at once, as a crash would. It is for tests.
 func (n *Node) Kill() {
 	n.once.Do(func() {
-		n.stop()
+		n.parts.leaving.Store(true)
+		n.parts.cancel()
 		n.servers.close()
 		n.control.close()
-		_ = n.group.Wait()
+		n.parts.stop()
 	})
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/telemetry"
@@ -22,6 +20,7 @@
 	// metrics.
 	traffic, side []bound
 	announce      *announce.Server
+	calls         traffic
 }
 
 // bound is a server with the socket it serves.
@@ -47,9 +46,9 @@
 	}
 	c := n.control
 	s.traffic = []bound{
-		with(n.ln.callers, n.calls.entry.Public(), nil),
-		with(n.ln.internal, n.calls.entry.Internal(), nil),
-		with(n.ln.calls, n.calls.dest, c.trust.server()),
+		with(n.ln.callers, s.calls.handler(n.calls.entry.Public()), nil),
+		with(n.ln.internal, s.calls.handler(n.calls.entry.Internal()), nil),
+		with(n.ln.calls, s.calls.handler(n.calls.dest), c.trust.server()),
 	}
 	s.side = []bound{
 		with(n.ln.admin, adminHandler, c.trust.admin()),
@@ -61,47 +60,47 @@
 }
 
 func (n *Node) adminHandler() (http.Handler, error) {
-	var ops []admin.OperatorSetting
-	for _, o := range n.set.Operators {
-		ops = append(ops, admin.OperatorSetting{
-			Name: o.Name, Team: o.Team, TokenSHA256: o.TokenSHA256, ReadOnly: o.ReadOnly,
-		})
-	}
-	operators, err := admin.NewOperators(ops)
-	if err != nil {
+	var err error
+	if n.operators, err = admin.NewOperators(operatorSettings(n.set)); err != nil {
 		return nil, err
 	}
 	return admin.NewServer(admin.Options{
 		Commander: n.control.commands,
 		Reader:    &reader{n},
-		Operators: operators,
+		Operators: n.operators,
 		Now:       time.Now,
 		Log:       telemetry.Part(n.log, "admin"),
 	}).Handler()
 }
 
-func (s *servers) start(ctx context.Context, g *errgroup.Group) {
-	g.Go(func() error { s.announce.Run(ctx); return nil })
+func (s *servers) start(p *parts) {
+	p.run("announcements", func(ctx context.Context) error { s.announce.Run(ctx); return nil })
 	for _, list := range [][]bound{s.side, s.traffic} {
 		for _, b := range list {
-			g.Go(func() error { return serve(b.server, b.ln, b.tls) })
+			p.run("listener "+b.ln.Addr().String(), func(context.Context) error {
+				return serve(b.server, b.ln, b.tls)
+			})
 		}
 	}
 }
 
 // leave asks clients to go elsewhere: each answer from now on ends its
-// connection, so that none is idle when the listener closes.
-func (s *servers) leave() {
-	for _, b := range s.traffic {
-		b.server.SetKeepAlivesEnabled(false)
-	}
-}
+// connection.
+func (s *servers) leave() { s.calls.leaving.Store(true) }
 
-// drain closes the sockets for calls and waits for those in flight, up to
-// limit. What is left after that is cut off, and told by the error.
-func (s *servers) drain(ctx context.Context, limit time.Duration) error {
+// drain waits for the calls in flight, up to limit, and then closes the sockets
+// for calls. It returns how many calls are left, which will be cut off.
+func (s *servers) drain(ctx context.Context, limit time.Duration) int64 {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if s.calls.wait(ctx) == nil && s.shut(ctx) == nil {
+		return 0
+	}
+	return s.calls.inFlight.Load()
+}
+
+// shut closes the sockets for calls, and the connections once they are idle.
+func (s *servers) shut(ctx context.Context) error {
 	errs := make(chan error, len(s.traffic))
 	for _, b := range s.traffic {
 		go func() { errs <- b.server.Shutdown(ctx) }()
--- a/internal/node/trust.go
+++ b/internal/node/trust.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/peer"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -72,11 +71,28 @@
 	return t.operators.Server()
 }
 
-// watch reloads certificates that change, until ctx ends.
-func (t *trustFiles) watch(ctx context.Context, g *errgroup.Group) {
-	for _, k := range []*trust.Keeper{t.mesh, t.operators} {
-		if k != nil {
-			g.Go(func() error { k.Watch(ctx); return nil })
-		}
+// keepers returns the certificates that there are, by name.
+func (t *trustFiles) keepers() map[string]*trust.Keeper {
+	out := make(map[string]*trust.Keeper)
+	if t.mesh != nil {
+		out["mesh"] = t.mesh
+	}
+	if t.operators != nil {
+		out["admin"] = t.operators
+	}
+	return out
+}
+
+// watch reloads certificates that change.
+func (t *trustFiles) watch(p *parts) {
+	for name, k := range t.keepers() {
+		p.run("certificate "+name, func(ctx context.Context) error { k.Watch(ctx); return nil })
+	}
+}
+
+// poll looks at once whether certificates changed.
+func (t *trustFiles) poll() {
+	for _, k := range t.keepers() {
+		k.Poll()
 	}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -150,7 +150,7 @@
 	}
 	t, ok := e.Programs.Program().Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
 	if !ok {
-		return refuse(call.ReasonNoRoute, 0, "")
+		return e.unmatched(c)
 	}
 	if t.Internal() && !internal {
 		return refuse(call.ReasonInternal, 0, "")
@@ -171,6 +171,18 @@
 	return nil
 }
 
+// unmatched refuses a call that belongs to no class. A node that has just
+// started holds no classes yet: its callers must come back, and not be told
+// that there is no such route.
+func (e *Entry) unmatched(c *entering) *call.Refusal {
+	if e.Admitter != nil {
+		if r := e.Admitter.Admit(c.start, nil); r != nil {
+			return r
+		}
+	}
+	return refuse(call.ReasonNoRoute, 0, "")
+}
+
 // refuse tells the caller that its call was not run, unless an earlier attempt
 // may have run. An idempotent call is sent again after such an attempt; when
 // the next one is refused, that refusal speaks for the attempt alone, and a
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -30,7 +30,7 @@
 type Programs interface{ Program() *Program }
 
 // Admitter bounds the rate of a class at this node. It returns nil to let the
-// call pass.
+// call pass. A nil target is that of a call that belongs to no class.
 type Admitter interface {
 	Admit(now time.Time, t *config.Target) *call.Refusal
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -198,6 +198,33 @@
 	c.addr("listen.admin", l.Admin)
 	c.loopback("listen.announce", l.Announce)
 	c.addr("listen.metrics", l.Metrics)
+	l.checkTwice(c)
+}
+
+// checkTwice finds two listeners that cannot be open together: the same port on
+// the same address, or on one address and on all of them. Port 0 is a free one.
+func (l *Listen) checkTwice(c *checker) {
+	list := []struct{ key, addr string }{
+		{"listen.callers", l.Callers}, {"listen.internal", l.Internal}, {"listen.calls", l.Calls},
+		{"listen.control", l.Control}, {"listen.admin", l.Admin}, {"listen.announce", l.Announce},
+		{"listen.metrics", l.Metrics},
+	}
+	for i, b := range list {
+		for _, a := range list[:i] {
+			if overlap(a.addr, b.addr) {
+				c.problem(b.key, b.addr, "an address and port that "+a.key+" does not take")
+			}
+		}
+	}
+}
+
+func overlap(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	if errX != nil || errY != nil || x.Port() != y.Port() || x.Port() == 0 {
+		return false
+	}
+	return x.Addr() == y.Addr() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified()
 }
 
 func (t *TLS) check(c *checker) {
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -22,6 +22,24 @@
 	return zerolog.New(w).Level(l).With().Timestamp().Logger(), nil
 }
 
+// NewLeveledLogger is NewLogger for a program that changes its level while it
+// runs, by the function returned. The level is one for the whole process.
+func NewLeveledLogger(w io.Writer, level string) (zerolog.Logger, func(level string) error, error) {
+	set := func(level string) error {
+		l, err := zerolog.ParseLevel(level)
+		if err != nil {
+			return fmt.Errorf("telemetry: the log level %q is not known: %w", level, err)
+		}
+		zerolog.SetGlobalLevel(l)
+		return nil
+	}
+	if err := set(level); err != nil {
+		return zerolog.Nop(), nil, err
+	}
+	log, err := NewLogger(w, zerolog.LevelTraceValue)
+	return log, set, err
+}
+
 // Part returns a logger for one part of the program, named in the field
 // "part". By convention the message itself begins with the part's name and a
 // colon, so that a reader can pick a part out of a plain stream of lines.
