--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -56,6 +56,8 @@
 	// Membership changes the membership's settings of every node. Without it
 	// a first node takes itself to be alone after aloneAfter.
 	Membership func(*membership.Config)
+	// Node, if set, changes what the node of a VM is made of.
+	Node func(vm *VM, o *node.Options)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 }
@@ -138,10 +140,14 @@
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
 // replaced VM it keeps its name and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{
+	o := node.Options{
 		Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership,
 		Dial: m.Cuts.dialer(vm.place()),
-	})
+	}
+	if m.o.Node != nil {
+		m.o.Node(vm, &o)
+	}
+	n, err := node.New(o)
 	if err != nil {
 		return err
 	}
