--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -4,10 +4,14 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/settings"
 )
@@ -79,8 +83,9 @@
 // newServer returns an HTTP server for one part. Whole requests and answers
 // have no bound of time here: archive pulls take minutes, and the proxy bounds
 // calls by their deadlines.
-func newServer(h http.Handler) *http.Server {
+func newServer(h http.Handler, log zerolog.Logger) *http.Server {
 	return &http.Server{
+		ErrorLog:          errorLog(log),
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       proxy.ServerIdle,
@@ -88,6 +93,25 @@
 	}
 }
 
+// errorsPerSecond bounds the lines about clients that do not speak as they
+// should: one that is set up wrongly tries again for ever.
+const errorsPerSecond = 5
+
+func errorLog(log zerolog.Logger) *stdlog.Logger {
+	few := log.Sample(&zerolog.BurstSampler{Burst: errorsPerSecond, Period: time.Second})
+	return stdlog.New(serverLines{few}, "", 0)
+}
+
+// serverLines logs what net/http says of connections and of handlers that
+// panicked.
+type serverLines struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (l serverLines) Write(p []byte) (int, error) {
+	l.log.Warn().Msg("listener: " + strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 // serve serves until the server is shut down. A nil config means plain text.
 func serve(s *http.Server, ln net.Listener, t *tls.Config) error {
 	if t != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,9 @@
 // Addrs returns the addresses that the node listens on.
 func (n *Node) Addrs() Addrs { return n.ln.addrs() }
 
+// Settings returns the settings that the node started with.
+func (n *Node) Settings() settings.Node { return n.set }
+
 // Ready reports whether the node carries traffic, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	switch {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -41,8 +41,9 @@
 	if err != nil {
 		return nil, err
 	}
+	log := telemetry.Part(n.log, "listener")
 	with := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
-		return bound{server: newServer(h), ln: ln, tls: t}
+		return bound{server: newServer(h, log), ln: ln, tls: t}
 	}
 	c := n.control
 	s.traffic = []bound{
--- /dev/null
+++ b/internal/node/town_test.go
@@ -0,0 +1,230 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/settings"
+)
+
+// Paths of the two classes of a town.
+const (
+	lookup = "/berths"   // idempotent
+	book   = "/bookings" // not idempotent
+)
+
+const service = "berths"
+
+// patience bounds a whole test, so that one that hangs ends; no verdict depends
+// on it.
+const patience = time.Minute
+
+// town is a local mesh whose service "berths" is held by some of its VMs.
+type town struct {
+	*localmesh.Mesh
+	t        *testing.T
+	ctx      context.Context
+	announce map[string]string // address of each VM's announce API, kept over restarts
+	version  uint64
+}
+
+// startTown starts a mesh of one data centre. Change, if not nil, changes what
+// each node is made of.
+func startTown(t *testing.T, vms int, change func(*localmesh.VM, *node.Options)) *town {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	w := &town{t: t, ctx: ctx, announce: make(map[string]string)}
+	m, err := localmesh.Start(localmesh.Options{
+		Name: "trust", Profile: settings.ProfileTime, Log: zerolog.Nop(),
+		DataCentres: []localmesh.DataCentre{{Name: "neg", Region: "western", VMs: vms}},
+		Node: func(vm *localmesh.VM, o *node.Options) {
+			if a := w.announce[vm.ID]; a != "" {
+				o.Settings.Listen.Announce = a
+			}
+			if change != nil {
+				change(vm, o)
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	w.Mesh = m
+	for _, vm := range m.VMs {
+		w.announce[vm.ID] = vm.Node().Addrs().Announce
+	}
+	w.must(m.WaitReady(ctx))
+	return w
+}
+
+func (w *town) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// hold starts backend servers beside some VMs, and states the two targets.
+func (w *town) hold(vms ...*localmesh.VM) {
+	w.t.Helper()
+	for _, vm := range vms {
+		set := backend.Defaults()
+		set.Service, set.Instance, set.ColdStart = service, "a", 0
+		set.Slots, set.Backlog = 64, 256
+		set.Distribution, set.Mean = backend.Fixed, backend.Duration(time.Millisecond)
+		_, err := w.StartBackend(w.ctx, vm, set)
+		w.must(err)
+	}
+	c, err := w.Admin(w.VMs[0])
+	w.must(err)
+	_, err = c.PutService(w.ctx, &adminapi.ServiceSpec{}, adminapi.PutServiceParams{Name: service})
+	w.must(err)
+	for name, path := range map[string]string{"lookups": lookup, "bookings": book} {
+		_, err = c.PutTarget(w.ctx, &adminapi.TargetSpec{
+			Service: service, Match: adminapi.Match{PathPrefix: path},
+			Idempotent: adminapi.NewOptBool(path == lookup), DeadlineMs: adminapi.NewOptInt64(30000),
+		}, adminapi.PutTargetParams{Name: adminapi.Name(name)})
+		w.must(err)
+	}
+	w.version = 3
+	w.must(w.WaitVersion(w.ctx, w.version))
+	w.must(w.WaitEndpoints(w.ctx, service, len(vms)))
+}
+
+// answer is what a caller saw of one call.
+type answer struct {
+	status  int
+	notRun  call.Reason
+	after   string // Retry-After
+	closing bool   // the connection ends with this answer
+	err     error  // no whole answer came
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("status %d, not run %q, error %v", a.status, a.notRun, a.err)
+}
+
+// ask makes one call to the node at addr and checks that the answer is whole
+// and its own.
+func ask(ctx context.Context, c *http.Client, addr, method, path, id string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set(backend.HeaderRequest, id)
+	resp, err := c.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	a := answer{
+		status: resp.StatusCode, notRun: call.Reason(resp.Header.Get(call.HeaderNotRun)),
+		after: resp.Header.Get("Retry-After"), closing: resp.Close,
+	}
+	if a.status == http.StatusOK {
+		a.err = backend.CheckAnswer(id, resp.Body)
+		return a
+	}
+	_, a.err = io.Copy(io.Discard, resp.Body)
+	return a
+}
+
+func (w *town) ask(vm *localmesh.VM, method, path, id string) answer {
+	return ask(w.ctx, http.DefaultClient, vm.Node().Addrs().Callers, method, path, id)
+}
+
+// runs returns how often the backend servers of all VMs ran requests, and how
+// many requests they were.
+func (w *town) runs() (runs, requests int) {
+	for _, vm := range w.VMs {
+		for _, b := range vm.Backends() {
+			r := b.Runs()
+			runs, requests = runs+r.Runs, requests+r.Requests
+		}
+	}
+	return runs, requests
+}
+
+// metric returns the value of a metric of a VM's node, or -1 if there is none.
+func (w *town) metric(vm *localmesh.VM, name string) float64 {
+	w.t.Helper()
+	for line := range strings.Lines(w.page(vm, "/metrics")) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			w.must(err)
+			return v
+		}
+	}
+	return -1
+}
+
+func (w *town) page(vm *localmesh.VM, path string) string {
+	w.t.Helper()
+	resp, err := http.Get("http://" + vm.Node().Addrs().Metrics + path)
+	w.must(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	w.must(err)
+	return string(b)
+}
+
+// settingsOf returns settings of a VM's node that Reload may take.
+func (w *town) settingsOf(vm *localmesh.VM) settings.Node { return vm.Node().Settings() }
+
+// keepCalling makes calls of both classes through the nodes of some VMs, one
+// after the other on each, until the test asks for the failures. Ended counts
+// the calls that ended.
+func (w *town) keepCalling(vms ...*localmesh.VM) (ended *atomic.Int64, failed func() []answer) {
+	ended = new(atomic.Int64)
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var bad []answer
+	for _, vm := range vms {
+		for _, path := range []string{lookup, book} {
+			wg.Go(func() {
+				for i := 0; !stop.Load() && w.ctx.Err() == nil; i++ {
+					a := w.ask(vm, http.MethodPost, path, fmt.Sprint(vm.ID, path, i))
+					if a.status != http.StatusOK || a.err != nil {
+						mu.Lock()
+						bad = append(bad, a)
+						mu.Unlock()
+					}
+					ended.Add(1)
+				}
+			})
+		}
+	}
+	end := func() []answer {
+		stop.Store(true)
+		wg.Wait()
+		return bad
+	}
+	w.t.Cleanup(func() { end() })
+	return ended, end
+}
+
+// waitCalls waits until more calls have ended.
+func (w *town) waitCalls(ended *atomic.Int64, more int64) {
+	w.t.Helper()
+	for until := ended.Load() + more; ended.Load() < until; time.Sleep(time.Millisecond) {
+		w.must(w.ctx.Err())
+	}
+}
