--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -60,6 +60,8 @@
 	Membership func(*membership.Config)
 	// Policies replace every node's own policies for calls.
 	Policies node.Policies
+	// Node, if set, changes what the node of a VM is made of.
+	Node func(vm *VM, o *node.Options)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 	// CallAddr, if set, gives the address at which other nodes reach the
@@ -167,10 +169,14 @@
 	if members == nil && vm.Addrs() == nil {
 		members = func(c *membership.Config) { c.AloneAfter = aloneAfter }
 	}
-	return node.New(node.Options{
+	o := node.Options{
 		Settings: s, Log: m.o.Log, Membership: members, Policies: m.o.Policies,
 		Dial: m.Cuts.dialer(vm.place()), CallAddr: m.o.CallAddr,
-	})
+	}
+	if m.o.Node != nil {
+		m.o.Node(vm, &o)
+	}
+	return node.New(o)
 }
 
 func anywhere() settings.Listen {
