--- /dev/null
+++ b/internal/capacity/mesh.go
@@ -0,0 +1,158 @@
+package capacity
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/localmesh"
+)
+
+// MeshOptions say how a mesh is measured.
+type MeshOptions struct {
+	Nodes   int
+	Profile string
+	Settle  time.Duration // after the last announcement is known everywhere
+	Idle    time.Duration // how long the idle mesh is watched
+	Changes int           // made one after the other
+	Every   time.Duration // between two changes, or longer until one is in force
+}
+
+// DefaultMesh returns the options that the page's figures are made with.
+func DefaultMesh(nodes int, profile string) MeshOptions {
+	return MeshOptions{
+		Nodes: nodes, Profile: profile,
+		Settle: 10 * time.Second, Idle: 16 * time.Second, Changes: 8, Every: 1500 * time.Millisecond,
+	}
+}
+
+// MeasureMesh runs a mesh of real nodes in this process, which should do
+// nothing else.
+func MeasureMesh(ctx context.Context, o MeshOptions) (MeshPoint, error) {
+	p := MeshPoint{Nodes: o.Nodes, Profile: o.Profile, Changes: o.Changes}
+	p.Before = loadAverage()
+	empty := settledMemory()
+	start := time.Now()
+	m, err := startFleet(ctx, o.Nodes, o.Profile)
+	if err != nil {
+		return p, err
+	}
+	defer m.Close()
+	p.ReadyMS = millis(time.Since(start))
+	op, err := newOperator(m)
+	if err != nil {
+		return p, err
+	}
+	if err := op.state(ctx); err != nil {
+		return p, err
+	}
+	a, err := announceFleet(ctx, m)
+	if err != nil {
+		return p, err
+	}
+	defer a.close()
+	if err := sleep(ctx, o.Settle); err != nil {
+		return p, err
+	}
+	if p.Idle, err = watch(ctx, m, func() error { return sleep(ctx, o.Idle) }); err != nil {
+		return p, err
+	}
+	p.memory(empty, settledMemory())
+	if p.Changing, err = watch(ctx, m, func() error { return p.change(ctx, o, op) }); err != nil {
+		return p, err
+	}
+	p.After = loadAverage()
+	return p, nil
+}
+
+// memory takes what the mesh holds, less what the process held without it.
+func (p *MeshPoint) memory(empty, full memory) {
+	n := float64(p.Nodes)
+	p.Heap = (full.heap - empty.heap) / n
+	p.Stack = (full.stack - empty.stack) / n
+	p.RSS = (full.rss - empty.rss) / n
+	p.Files = float64(full.files-empty.files) / n
+	p.ProcessMB = full.rss / (1 << 20)
+}
+
+// watch returns what the nodes spend while f runs.
+func watch(ctx context.Context, m *localmesh.Mesh, f func() error) (Window, error) {
+	before, err := scrape(m, true)
+	if err != nil {
+		return Window{}, err
+	}
+	if err := f(); err != nil {
+		return Window{}, err
+	}
+	goroutines := runtime.NumGoroutine()
+	after, err := scrape(m, false)
+	if err != nil {
+		return Window{}, err
+	}
+	w := window(before, after)
+	w.Goroutines = float64(goroutines) / float64(len(before.nodes))
+	return w, ctx.Err()
+}
+
+// change makes the changes, and times each from the moment that the operator
+// sends it until it is in force at each node.
+func (p *MeshPoint) change(ctx context.Context, o MeshOptions, op *operator) error {
+	var accepts, waits []float64
+	for i := range o.Changes {
+		start := time.Now()
+		want := op.version + 1
+		seen := make(chan []float64, 1)
+		go func() { seen <- awaitEach(ctx, op.m, want, start) }()
+		if err := op.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
+			return err
+		}
+		accepts = append(accepts, millis(time.Since(start)))
+		waits = append(waits, <-seen...)
+		if err := sleep(ctx, o.Every-time.Since(start)); err != nil {
+			return err
+		}
+	}
+	p.AcceptMS, p.InForce = median(accepts), quanta(waits)
+	return nil
+}
+
+// lookEvery is how often the nodes are asked for their version; it bounds the
+// accuracy of the times.
+const lookEvery = time.Millisecond
+
+// awaitEach returns for each node how many milliseconds after start it had the
+// version.
+func awaitEach(ctx context.Context, m *localmesh.Mesh, version uint64, start time.Time) []float64 {
+	var waits []float64
+	waiting := m.Nodes()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for len(waiting) > 0 {
+		select {
+		case <-ctx.Done():
+			return waits
+		case <-ticker.C:
+		}
+		kept := waiting[:0]
+		for _, n := range waiting {
+			if n.Version().Number < version {
+				kept = append(kept, n)
+				continue
+			}
+			waits = append(waits, millis(time.Since(start)))
+		}
+		waiting = kept
+	}
+	return waits
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
