Tell the mesh of a version that a node refuses

Cause: a node told its refusal only when its running version changed, and a refusal is just what keeps that from changing; handover showed such a node as merely behind.

Change: the node tells a refusal as soon as there is one. A test spreads a target with a field that no node knows over three nodes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,20 +162,21 @@
 	defer ticker.Stop()
 	var view *membership.View
 	var snapshot *config.Snapshot
+	var refused *config.Refused
 	for {
 		now := time.Now()
-		v, f := n.views.Load(), n.store.Load()
+		v, f, r := n.views.Load(), n.store.Load(), n.store.Refused()
 		if v != view {
 			n.calls.pickers.update(now, v)
 			n.calls.suspects.merge(now, v)
 		}
-		if f.Snapshot != snapshot {
-			n.control.applied(f.Snapshot, n.store.Refused())
+		if f.Snapshot != snapshot || r != refused {
+			n.control.applied(f.Snapshot, r)
 		}
 		if v != view || f.Snapshot != snapshot {
 			n.updateGates(now)
 		}
-		view, snapshot = v, f.Snapshot
+		view, snapshot, refused = v, f.Snapshot, r
 		n.watchID()
 		ok, _ := n.control.spread.Ready()
 		n.carries.Store(ok && !n.superseded.Load())
