--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+
+	"github.com/marlpass/marlpass/internal/load/control"
 )
 
 // Exit codes of marlpass-load.
@@ -22,7 +24,13 @@
 }
 
 // Commands are the subcommands, in the order that help lists them.
-func Commands() []Command { return []Command{OverheadCommand} }
+func Commands() []Command {
+	return []Command{
+		OverheadCommand,
+		FaultsCommand,
+		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
+	}
+}
 
 const usage = `marlpass-load sends calls in an open loop and checks every answer.
 
@@ -32,6 +40,7 @@
 
 Examples:
   marlpass-load overhead
+  marlpass-load faults -only drain
   marlpass-load overhead -rates 1000 -for 20s -json
 
 Exit codes: 0 every answer was right, 1 some were not or the run failed, 2 bad flags.
