Tell of suspects as they are, not as they were at the last crash

Cause: a node made the notices of its record anew at its own next crash only. A lift by an operator at another node, an answer, or an expiry changed what it held and not what it told. When the node that told of the lift was replaced, a node that started later held the request in quarantine again. Conclusion: a lift holds over the restart of any node.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -77,7 +77,8 @@
 	return proxy.NewUpstreams()
 }
 
-// upkeep stores outcomes that the platform lacks, until ctx ends.
+// upkeep tells what this node holds of suspects, and stores outcomes that the
+// platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
@@ -86,6 +87,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			c.suspects.tell(time.Now())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
--- a/internal/node/handover_quarantine.go
+++ b/internal/node/handover_quarantine.go
@@ -86,15 +86,14 @@
 	if err := list.Lift(now, fp, by); err != nil {
 		return "", err
 	}
-	notices := list.Notices(now)
-	l.n.control.notices(notices)
-	l.tell(ctx, servicesOf(l.n.views.Load(), held), noticeOf(notices, fp))
+	l.n.calls.suspects.tell(now)
+	l.alert(ctx, servicesOf(l.n.views.Load(), held), noticeOf(list.Notices(now), fp))
 	return by, nil
 }
 
-// tell sends the notice to the nodes that hold the services. It goes on when
+// alert sends the notice to the nodes that hold the services. It goes on when
 // the operator's client has gone.
-func (l lifter) tell(ctx context.Context, services []string, ns []membership.Notice) {
+func (l lifter) alert(ctx context.Context, services []string, ns []membership.Notice) {
 	if len(ns) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/node/lift_test.go
@@ -0,0 +1,115 @@
+package node_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/gen/adminapi"
+)
+
+// A request crashes one backend server and then another, and the mesh refuses
+// it. The operator on shift finds it in the handover of another node, has the
+// backend servers mended and lifts it. Had only the node that was asked let it
+// go, callers elsewhere would be refused for half an hour more.
+func TestOperatorLiftsAQuarantine(t *testing.T) {
+	y := newYard(t)
+	y.state(t)
+	y.startBackend(t, 0, "a")
+	y.startBackend(t, 2, "b")
+	if err := y.WaitEndpoints(y.ctx, "berths", 2); err != nil {
+		t.Fatal(err)
+	}
+	y.eventually(t, "the request in quarantine at its entry node", func() bool {
+		y.get(t, 1, "/berths/bad", backend.HeaderCrash, "1")
+		return y.held(t, 1).State == adminapi.QuarantinedRequestStateQuarantined
+	})
+	y.eventually(t, "the request in quarantine at the node that the operator asks", func() bool {
+		return y.held(t, 3).State == adminapi.QuarantinedRequestStateQuarantined
+	})
+	bad := y.held(t, 3)
+	if len(bad.Crashes) != 2 || bad.Service.Value != "berths" {
+		t.Errorf("%+v", bad)
+	}
+	if got := y.crashes(); got != 2 {
+		t.Errorf("%d crashes", got)
+	}
+	fp := adminapi.LiftQuarantineParams{Fingerprint: adminapi.Fingerprint(bad.Fingerprint)}
+	for range 2 {
+		// The second changes nothing.
+		got, err := y.as(t, 3, otherToken).LiftQuarantine(y.ctx, fp)
+		if err != nil || got.By != "kumari (harbour)" {
+			t.Fatalf("%+v, %v", got, err)
+		}
+	}
+	for vm := range y.VMs {
+		y.eventually(t, "the lift at every node", func() bool {
+			q := y.held(t, vm)
+			return q.State == adminapi.QuarantinedRequestStateLifted && q.By.Value == "kumari (harbour)"
+		})
+	}
+	// Without its header it crashes nothing and is the same request still.
+	y.eventually(t, "an answer to the request", func() bool {
+		return y.get(t, 1, "/berths/bad") == http.StatusOK
+	})
+	none := adminapi.LiftQuarantineParams{Fingerprint: "00000000000000000000000000000000"}
+	if _, err := y.admin(t, 0).LiftQuarantine(y.ctx, none); status(err) != http.StatusNotFound {
+		t.Errorf("a request that is not held: %v", err)
+	}
+}
+
+// An operator lifts a quarantine, and an hour's worth of replaced VMs later the
+// node that was asked is one of them. The nodes beside the crashed backend
+// servers went on telling of the quarantine in their own records, since those
+// were made anew at the next crash only; only the lifter told of the lift. So a
+// node that started after its end held the request in quarantine again.
+func TestLiftOutlivesTheNodeThatWasAsked(t *testing.T) {
+	y := newYard(t)
+	y.state(t)
+	y.startBackend(t, 0, "a")
+	y.startBackend(t, 2, "b")
+	if err := y.WaitEndpoints(y.ctx, "berths", 2); err != nil {
+		t.Fatal(err)
+	}
+	y.eventually(t, "the request in quarantine", func() bool {
+		y.get(t, 1, "/berths/bad", backend.HeaderCrash, "1")
+		return y.held(t, 1).State == adminapi.QuarantinedRequestStateQuarantined
+	})
+	fp := adminapi.Fingerprint(y.held(t, 1).Fingerprint)
+	if _, err := y.admin(t, 1).LiftQuarantine(y.ctx, adminapi.LiftQuarantineParams{Fingerprint: fp}); err != nil {
+		t.Fatal(err)
+	}
+	for _, vm := range []int{0, 2} {
+		y.eventually(t, "the lift beside the backend servers", func() bool {
+			return y.held(t, vm).State == adminapi.QuarantinedRequestStateLifted
+		})
+	}
+	y.VMs[1].Kill()
+	y.VMs[3].Kill()
+	if err := y.StartNode(y.VMs[3]); err != nil {
+		t.Fatal(err)
+	}
+	y.eventually(t, "the lift at a node that started later", func() bool {
+		return y.held(t, 3).State == adminapi.QuarantinedRequestStateLifted
+	})
+}
+
+// held returns the request that the VM's node holds, or a zero one.
+func (y *yard) held(t *testing.T, vm int) adminapi.QuarantinedRequest {
+	t.Helper()
+	l, err := y.admin(t, vm).ListQuarantine(y.ctx)
+	if err != nil || len(l.Requests) == 0 {
+		return adminapi.QuarantinedRequest{}
+	}
+	return l.Requests[0]
+}
+
+func (y *yard) crashes() int64 {
+	var n int64
+	for _, vm := range y.VMs {
+		for _, b := range vm.Backends() {
+			n += b.Crashes()
+		}
+	}
+	return n
+}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -32,7 +32,7 @@
 	list    *quarantine.List
 	log     zerolog.Logger
 	alerter alerter
-	// changed is called after this node's own notices changed.
+	// changed is given this node's own notices, the same ones again included.
 	changed func([]membership.Notice)
 	checks  sync.Map // backend ID to struct{}, while a check is under way
 	running sync.WaitGroup
@@ -117,7 +117,7 @@
 	urgent := s.list.Crashed(now, b.Instance)
 	s.log.Warn().Str("service", b.Service).Str("instance", b.Instance).Int("suspects", len(urgent)).
 		Msg("quarantine: backend server crashed")
-	s.changed(s.list.Notices(now))
+	s.tell(now)
 	if len(urgent) == 0 {
 		return
 	}
@@ -126,6 +126,13 @@
 	s.alerter.alert(ctx, b.Service, urgent)
 }
 
+// tell makes this node's record hold what is true now of the suspects found
+// here. That changes without a crash: one is answered, lifted by an operator at
+// any node, or expires. A record that went on telling of a quarantine would
+// bring it back at every node that starts after the one that told of the lift
+// has gone.
+func (s *suspects) tell(now time.Time) { s.changed(s.list.Notices(now)) }
+
 // merge takes in what other nodes tell in their records.
 func (s *suspects) merge(now time.Time, v *membership.View) {
 	for id, r := range v.Records {
