Give a server time to answer a handover

Cause: the command line gave each server its part of half the timeout, also for questions. With four servers that is 1.25 s, and a handover waits 2 s for nodes that do not report, so there was none when it was needed most. Change: a question has the whole timeout over all servers and an attempt at least 4 s of it. Conclusion: writes keep their bounds; they may need two attempts a server.

--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -36,6 +36,19 @@
 	// each bounds one attempt. A write may ask every server twice: to take
 	// the change, and for its record after a lost answer.
 	each time.Duration
+	// whole bounds a question over all servers, and read one attempt of it.
+	whole, read time.Duration
+}
+
+// slowestRead is how long a server may take for an answer: a handover waits 2 s
+// for other nodes and 2.5 s for the platform. With four servers and the default
+// timeout, an equal part of it would be over by then at each of them, just when
+// something is wrong in the mesh.
+const slowestRead = 4 * time.Second
+
+// readBound returns the bound of one attempt to read.
+func readBound(whole time.Duration, servers int) time.Duration {
+	return min(whole, max(slowestRead, whole/time.Duration(servers)))
 }
 
 type bearer string
@@ -55,7 +68,11 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &session{each: s.Timeout.Duration / time.Duration(2*len(s.Servers))}
+	whole := s.Timeout.Duration
+	out := &session{
+		each:  whole / time.Duration(2*len(s.Servers)),
+		whole: whole, read: readBound(whole, len(s.Servers)),
+	}
 	for _, url := range s.Servers {
 		c, err := adminapi.NewClient(strings.TrimRight(url, "/")+"/v1", bearer(token), adminapi.WithClient(client))
 		if err != nil {
@@ -89,10 +106,12 @@
 
 // ask runs a query on the first server that answers it.
 func ask[T any](ctx context.Context, s *session, query func(context.Context, *adminapi.Client) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.whole)
+	defer cancel()
 	var none T
 	var last error
 	for _, server := range s.servers {
-		v, err := attempt(ctx, s, server, query)
+		v, err := attempt(ctx, s.read, server, query)
 		if err == nil {
 			return v, nil
 		}
@@ -105,8 +124,8 @@
 	return none, &exitError{exit.Failed, "no server answered: " + lastLine(last)}
 }
 
-func attempt[T any](ctx context.Context, s *session, server server, query func(context.Context, *adminapi.Client) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.each)
+func attempt[T any](ctx context.Context, bound time.Duration, server server, query func(context.Context, *adminapi.Client) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	return query(ctx, server.client)
 }
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -96,7 +96,7 @@
 	lost := false
 	var last error
 	for _, server := range s.servers {
-		version, err := attempt(ctx, s, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+		version, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
 			return send(ctx, c, h)
 		})
 		if err == nil {
@@ -122,7 +122,7 @@
 // settle asks for the command's record.
 func (s *session) settle(ctx context.Context, command string, cause error) result {
 	for _, server := range s.servers {
-		record, err := attempt(ctx, s, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.CommandRecord, error) {
+		record, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.CommandRecord, error) {
 			return c.GetCommand(ctx, adminapi.GetCommandParams{ID: adminapi.CommandID(command)})
 		})
 		if err != nil {
