Pack reports, and keep sums instead of the reports of all nodes

Cause: the largest report, of 183 classes, had 17,065 bytes, and the node that answers a handover held all 1,200 of them: more memory than control may have. Change: a report is compressed; the answering node unpacks one at a time and adds it to a sum for each class.

--- a/internal/admin/admintest/handover.go
+++ b/internal/admin/admintest/handover.go
@@ -87,16 +87,17 @@
 		records[vm] = &membership.Seen{Record: r, Heard: now.Add(-4 * time.Second)}
 	}
 	counts := query.ClassCounts{Calls: 700, Within: 700, Latency: query.Histogram{{AtMost: 90 * time.Millisecond, Calls: 700}}}
-	var nodes []query.NodeReport
+	reports := query.NewReports()
+	reports.Asked, reports.At = 2, now
 	for _, vm := range []string{"vm-1", "vm-2"} {
-		nodes = append(nodes, query.NodeReport{VM: vm, Classes: map[string]query.ClassCounts{"berth-booking": counts}})
+		reports.Add(query.NodeReport{VM: vm, Classes: map[string]query.ClassCounts{"berth-booking": counts}})
 	}
 	return query.HandoverInput{
 		Config:   query.ConfigState{InForce: v},
 		Platform: query.PlatformState{Accepted: v, LastAnswer: now.Add(-1500 * time.Millisecond)},
 		View:     &membership.View{Self: "vm-1", Records: records},
 		Targets:  s.Targets(),
-		Reports:  query.Reports{Asked: 2, Nodes: nodes, At: now},
+		Reports:  reports,
 		Spread:   f.spread(),
 	}
 }
@@ -115,11 +116,11 @@
 		Calls: 100, Failed: 2, Within: 10, ShedBy: map[string]uint64{"overloaded": 17},
 		Latency: query.Histogram{{AtMost: 312500 * time.Microsecond, Calls: 100}},
 	}
-	in.Reports.Asked, in.Reports.Missing = 3, []string{"vm-3"}
-	in.Reports.Nodes[1] = query.NodeReport{
-		VM: "vm-2", Classes: map[string]query.ClassCounts{"berth-booking": late},
+	in.Reports.Asked, in.Reports.Missing = 4, []string{"vm-3"}
+	in.Reports.Add(query.NodeReport{
+		VM: "vm-4", Classes: map[string]query.ClassCounts{"berth-booking": late},
 		Ejected: []query.Ejection{{Service: "berth", VM: "vm-1", Instance: "b", FailedPercent: 80}},
-	}
+	})
 	in.Platform.DownSince = now.Add(-time.Minute)
 	in.Conflicts = []string{"vm-9 has version 3 of another history"}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -22,7 +22,7 @@
 func (r *reader) Handover(ctx context.Context, since time.Time) (*adminapi.Handover, error) {
 	n := r.n
 	in := query.HandoverInput{Since: since.UTC()}
-	reported := make(chan query.Reports, 1)
+	reported := make(chan *query.Reports, 1)
 	go func() { reported <- n.reports.collect(ctx) }()
 	r.readPlatform(ctx, &in)
 	in.Reports = <-reported
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,11 +34,11 @@
 }
 
 // Report implements peer.Reporter.
-func (r *reports) Report() *peerpb.ReportResponse { return r.own(time.Now()) }
+func (r *reports) Report() (*peerpb.Packed, error) { return packReport(r.own(time.Now())) }
 
 // own returns this node's own report.
-func (r *reports) own(now time.Time) *peerpb.ReportResponse {
-	out := new(peerpb.ReportResponse)
+func (r *reports) own(now time.Time) *peerpb.Report {
+	out := new(peerpb.Report)
 	for _, f := range r.n.calls.meters.Figures(now) {
 		if f.Answered > 0 || len(f.Refused) > 0 {
 			out.Classes = append(out.Classes, countsOf(f))
@@ -83,50 +85,59 @@
 // collect returns the reports of all nodes that carry traffic and answer within
 // the bound. It doesn't end with the operator's request: another one may wait
 // for the same answers.
-func (r *reports) collect(ctx context.Context) query.Reports {
+func (r *reports) collect(ctx context.Context) *query.Reports {
 	if last := r.last.Load(); last != nil && time.Since(last.At) < reportsFor {
-		return *last
+		return last
 	}
 	v, _, _ := r.one.Do("", func() (any, error) {
 		got := r.ask(context.WithoutCancel(ctx))
-		r.last.Store(&got)
+		r.last.Store(got)
 		return got, nil
 	})
-	return v.(query.Reports)
+	return v.(*query.Reports)
 }
 
-func (r *reports) ask(ctx context.Context) query.Reports {
+func (r *reports) ask(ctx context.Context) *query.Reports {
 	ctx, cancel := context.WithTimeout(ctx, reportBound)
 	defer cancel()
 	peers := reporting(r.n.views.Load())
-	answers := make([]*peerpb.ReportResponse, len(peers))
+	out := query.NewReports()
+	out.Asked = len(peers) + 1
+	var mu sync.Mutex // guards out; not held while a peer is asked
 	var g errgroup.Group
 	g.SetLimit(reportWidth)
-	for i, p := range peers {
+	for _, p := range peers {
 		g.Go(func() error {
-			a, err := r.n.control.peers.Report(ctx, p.ID, p.ControlAddr)
+			packed, err := r.n.control.peers.Report(ctx, p.ID, p.ControlAddr)
+			mu.Lock()
+			defer mu.Unlock()
+			// Under the lock, so that one report at a time is unpacked: many
+			// would take tens of megabytes.
+			if err == nil {
+				err = addTo(out, p.ID, packed)
+			}
 			if err != nil {
+				out.Missing = append(out.Missing, p.ID)
 				r.n.log.Debug().Err(err).Str("peer", p.ID).Msg("handover: a node did not report")
-				return nil
 			}
-			answers[i] = a
 			return nil
 		})
 	}
 	_ = g.Wait() // no function returns an error
-	now := time.Now()
-	out := query.Reports{At: now, Asked: len(peers) + 1}
-	out.Nodes = append(out.Nodes, reportOf(r.n.self.ID, r.own(now)))
-	for i, p := range peers {
-		if answers[i] == nil {
-			out.Missing = append(out.Missing, p.ID)
-			continue
-		}
-		out.Nodes = append(out.Nodes, reportOf(p.ID, answers[i]))
-	}
+	slices.Sort(out.Missing)
+	out.At = time.Now()
+	out.Add(reportOf(r.n.self.ID, r.own(out.At)))
 	return out
 }
 
+func addTo(out *query.Reports, vm string, packed *peerpb.Packed) error {
+	report, err := unpackReport(packed)
+	if err == nil {
+		out.Add(reportOf(vm, report))
+	}
+	return err
+}
+
 // reporting returns the other nodes that can be asked. Those that the
 // membership suspects are listed as silent anyway, and asking them would only
 // use up the bound.
@@ -139,29 +150,3 @@
 	}
 	return out
 }
-
-// reportOf reads a report. Counts without a bound that belongs to them are left
-// out.
-func reportOf(vm string, a *peerpb.ReportResponse) query.NodeReport {
-	out := query.NodeReport{VM: vm, Classes: make(map[string]query.ClassCounts, len(a.Classes))}
-	for _, c := range a.Classes {
-		counts := query.ClassCounts{
-			Calls: c.Answered, Failed: c.Failed, Within: c.Within,
-			ShedBy: make(map[string]uint64, len(c.Refused)),
-		}
-		for _, r := range c.Refused {
-			counts.ShedBy[r.Reason] += r.Calls
-		}
-		for i := range min(len(c.AtMostUs), len(c.Calls)) {
-			atMost := time.Duration(c.AtMostUs[i]) * time.Microsecond
-			counts.Latency = append(counts.Latency, query.LatencyCount{AtMost: atMost, Calls: c.Calls[i]})
-		}
-		out.Classes[c.Class] = counts
-	}
-	for _, e := range a.Ejections {
-		out.Ejected = append(out.Ejected, query.Ejection{
-			Service: e.Service, VM: e.Vm, Instance: e.Instance, FailedPercent: e.FailedPercent,
-		})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/node/report_test.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/query"
+)
+
+// Size of the mesh that the cost of a handover is measured for.
+const (
+	townNodes    = 1200
+	townServices = 61
+	townClasses  = 3 // of each service
+	townCalls    = 110_000 * 60 / townNodes
+)
+
+// busy is a node whose meters counted a minute of the mesh's full load, over all
+// classes alike: the largest report there is.
+func busy(now time.Time) (*reports, []*config.Target) {
+	n := &Node{self: membership.VM{ID: "neg-shed-001"}}
+	n.calls = &callPath{meters: proxy.NewMeters(), pickers: newPickers(n.self)}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var targets []*config.Target
+	for i := range townServices * townClasses {
+		targets = append(targets, &config.Target{
+			Name: fmt.Sprintf("class-of-work-%03d", i), Service: "berths", AnswerWithinMS: 200,
+		})
+	}
+	for i := range townCalls {
+		m := n.calls.meters.Class(targets[i%len(targets)])
+		m.Answered(now, time.Duration(float64(20*time.Millisecond)*rng.ExpFloat64()), false)
+		if i%100 == 0 {
+			m.Refused(now, call.ReasonOverloaded)
+		}
+	}
+	return &reports{n: n}, targets
+}
+
+func TestReportCarriesTheCounts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r, targets := busy(now)
+	packed, err := packReport(r.own(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := unpackReport(packed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := query.NewReports()
+	sum.Add(reportOf("a", got))
+	var calls, shed uint64
+	for _, c := range sum.Classes(targets) {
+		calls += c.Calls
+		shed += c.Shed
+		if c.P99MS < c.P50MS || c.P50MS <= 0 {
+			t.Errorf("%+v", c)
+		}
+	}
+	if calls != townCalls || shed != townCalls/100 {
+		t.Errorf("%d calls, %d refused", calls, shed)
+	}
+}
+
+// A report with fewer counts than bounds, or none, is read as far as it goes.
+func TestOddReportsAreRead(t *testing.T) {
+	odd := &peerpb.Report{Classes: []*peerpb.ClassCounts{
+		{Class: "a", Answered: 2, AtMostUs: []uint64{1, 2, 3}, Calls: []uint64{2}}, {},
+	}}
+	got := reportOf("vm", odd)
+	if h := got.Classes["a"].Latency; len(h) != 1 || h[0].Calls != 2 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A peer may send anything; what can't be read is an error and takes no more
+// memory than the bound.
+func FuzzUnpackReport(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0)
+	r, _ := busy(now)
+	packed, err := packReport(r.own(now))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed.Data, true)
+	f.Add([]byte{0x0a, 0x03, 0x0a, 0x01, 'a'}, false)
+	f.Add(reportEncoder.EncodeAll(make([]byte, 4*maxReport), nil), true)
+	f.Fuzz(func(t *testing.T, data []byte, z bool) {
+		got, err := unpackReport(&peerpb.Packed{Data: data, Zstd: z})
+		if err == nil {
+			reportOf("vm", got)
+		} else if !errors.Is(err, errBadReport) {
+			t.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkReport measures what the largest report costs the node that makes
+// it, and its size.
+func BenchmarkReport(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	r, _ := busy(now)
+	b.ReportAllocs()
+	var wire, plain int
+	for b.Loop() {
+		own := r.own(now)
+		packed, err := packReport(own)
+		if err != nil {
+			b.Fatal(err)
+		}
+		wire, plain = proto.Size(packed), proto.Size(own)
+	}
+	b.ReportMetric(float64(wire), "wire-B")
+	b.ReportMetric(float64(plain), "plain-B")
+}
+
+// BenchmarkHandover measures what unpacking and adding up the reports of 1,200 nodes costs the
+// node that answers.
+func BenchmarkHandover(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	r, targets := busy(now)
+	packed, err := packReport(r.own(now))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		all := query.NewReports()
+		for range townNodes {
+			if err := addTo(all, "vm", packed); err != nil {
+				b.Fatal(err)
+			}
+		}
+		all.Classes(targets)
+	}
+}
+
+// BenchmarkHeld measures the memory that the reports of 1,200 nodes take when
+// all are kept, and what their sums take.
+func BenchmarkHeld(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	r, _ := busy(now)
+	own := r.own(now)
+	b.Run("reports", func(b *testing.B) {
+		held(b, func() any {
+			var all []query.NodeReport
+			for range townNodes {
+				all = append(all, reportOf("vm", own))
+			}
+			return all
+		})
+	})
+	b.Run("sums", func(b *testing.B) {
+		held(b, func() any {
+			all := query.NewReports()
+			for range townNodes {
+				all.Add(reportOf("vm", own))
+			}
+			return all
+		})
+	})
+}
+
+// held reports the heap that what f returns takes.
+func held(b *testing.B, f func() any) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		v := f()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(v)
+	}
+	b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/1024, "held-KiB")
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -237,7 +237,7 @@
 }
 
 // Report asks the VM to what it counted of its calls.
-func (c *Client) Report(ctx context.Context, to, addr string) (*peerpb.ReportResponse, error) {
+func (c *Client) Report(ctx context.Context, to, addr string) (*peerpb.Packed, error) {
 	req := &peerpb.ReportRequest{Mesh: c.cfg.Mesh, From: c.cfg.VM}
 	answer, peer, err := send(ctx, c, kindReport, req, c.to(addr).Report)
 	if err != nil {
@@ -247,7 +247,7 @@
 		c.cfg.Metrics.dropped.Inc()
 		return nil, ErrImpostor
 	}
-	return answer, nil
+	return answer.Report, nil
 }
 
 // send makes one exchange, bounds it and counts it. It returns the VM that the
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,9 +49,7 @@
 
 func (h *handlers) Alert(string, []*peerpb.Notice) {}
 
-func (h *handlers) Report() *peerpb.ReportResponse {
-	return &peerpb.ReportResponse{Classes: []*peerpb.ClassCounts{{Class: "book", Answered: 3}}}
-}
+func (h *handlers) Report() (*peerpb.Packed, error) { return &peerpb.Packed{Data: []byte("r")}, nil }
 
 func sender() peer.Sender {
 	return peer.Sender{Incarnation: 1764700000000, Version: config.Version{Number: 930, Hash: config.Hash{1, 2, 3}}}
@@ -151,7 +149,7 @@
 	if err := c.Alert(ctx, s.addr, nil); err != nil {
 		t.Fatal(err)
 	}
-	if got, err := c.Report(ctx, "b", s.addr); err != nil || len(got.Classes) != 1 || got.From != "b" {
+	if got, err := c.Report(ctx, "b", s.addr); err != nil || string(got.GetData()) != "r" {
 		t.Fatal(got, err)
 	}
 	if _, err := c.Report(ctx, "z", s.addr); !errors.Is(err, peer.ErrImpostor) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -42,7 +42,7 @@
 
 // Reporter tells what this node counted of its calls.
 type Reporter interface {
-	Report() *peerpb.ReportResponse
+	Report() (*peerpb.Packed, error)
 }
 
 // ServerConfig is what a Server works with.
@@ -216,8 +216,12 @@
 	if err := s.admit(ctx, kindReport, q); err != nil {
 		return nil, err
 	}
-	a := s.cfg.Reporter.Report()
-	a.From = s.cfg.VM
+	report, err := s.cfg.Reporter.Report()
+	if err != nil {
+		s.cfg.Metrics.kinds[kindReport].errors.Inc()
+		return nil, twirp.InternalErrorWith(err)
+	}
+	a := &peerpb.ReportResponse{From: s.cfg.VM, Report: report}
 	s.answered(kindReport, a)
 	return a, nil
 }
--- a/internal/query/classes.go
+++ b/internal/query/classes.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"maps"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -59,33 +58,37 @@
 	return n
 }
 
-// add returns the counts of both. All of them add up exactly.
-func (c ClassCounts) add(o ClassCounts) ClassCounts {
-	sum := ClassCounts{
-		Calls: c.Calls + o.Calls, Failed: c.Failed + o.Failed, Within: c.Within + o.Within,
-		ShedBy: maps.Clone(c.ShedBy), Latency: c.Latency.Add(o.Latency),
-	}
-	if sum.ShedBy == nil {
-		sum.ShedBy = make(map[string]uint64, len(o.ShedBy))
-	}
-	for why, calls := range o.ShedBy {
-		sum.ShedBy[why] += calls
-	}
-	return sum
+// classSum adds up what nodes counted of one class. All of it adds up exactly.
+type classSum struct {
+	nodes   int
+	counts  ClassCounts // without its Latency
+	latency buckets
 }
 
-// NewClassReport compares the counts of one class at several nodes with the
-// target. The state follows from counts alone, so it is exact.
-func NewClassReport(t *config.Target, nodes ...ClassCounts) ClassReport {
-	var c ClassCounts
-	for _, n := range nodes {
-		c = c.add(n)
+func newClassSum() *classSum {
+	return &classSum{counts: ClassCounts{ShedBy: make(map[string]uint64)}, latency: make(buckets)}
+}
+
+func (s *classSum) add(c ClassCounts) {
+	s.nodes++
+	s.counts.Calls += c.Calls
+	s.counts.Failed += c.Failed
+	s.counts.Within += c.Within
+	for why, calls := range c.ShedBy {
+		s.counts.ShedBy[why] += calls
 	}
+	s.latency.add(c.Latency)
+}
+
+// report compares the sum with the target. The state follows from counts alone,
+// so it is exact.
+func (s *classSum) report(t *config.Target) ClassReport {
+	c, latency := s.counts, s.latency.histogram()
 	r := ClassReport{
 		Class: t.Name, Service: t.Service, Calls: c.Calls, Failed: c.Failed, Within: c.Within,
-		Shed: c.shed(), ShedBy: c.ShedBy, AimMS: t.AnswerWithinMS, Nodes: len(nodes),
-		P50MS: millis(c.Latency.Quantile(0.50)), P99MS: millis(c.Latency.Quantile(0.99)),
-		MeasuredMS: millis(c.Latency.Quantile(t.PercentileOrDefault() / 100)),
+		Shed: c.shed(), ShedBy: c.ShedBy, AimMS: t.AnswerWithinMS, Nodes: s.nodes,
+		P50MS: millis(latency.Quantile(0.50)), P99MS: millis(latency.Quantile(0.99)),
+		MeasuredMS: millis(latency.Quantile(t.PercentileOrDefault() / 100)),
 	}
 	if r.AimMS > 0 {
 		r.Percentile = t.PercentileOrDefault()
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -19,7 +19,7 @@
 	View     *membership.View
 	// Targets are the targets in force, and Reports what nodes counted of them.
 	Targets []*config.Target
-	Reports Reports
+	Reports *Reports
 	// Quarantined are the requests that the mesh holds suspect or refuses.
 	Quarantined []Quarantine
 	// Conflicts are versions of another history that were seen.
@@ -151,7 +151,7 @@
 		Classes:     in.Reports.Classes(in.Targets),
 		ClassesAge:  age(now, in.Reports.At),
 		Asked:       in.Reports.Asked,
-		Reported:    len(in.Reports.Nodes),
+		Reported:    in.Reports.Answered,
 		Endpoints:   endpointsOf(in, now),
 		Quarantined: quarantinedOf(in.Quarantined, now),
 		Members:     countMembers(in.View),
@@ -216,7 +216,7 @@
 }
 
 func endpointsOf(in HandoverInput, now time.Time) []Endpoint {
-	out := append([]Endpoint{}, in.Reports.ejected(in.View)...)
+	out := append([]Endpoint{}, in.Reports.ejections(in.View)...)
 	for _, r := range sortedRecords(in.View) {
 		for _, b := range r.Backends {
 			e := Endpoint{
--- a/internal/query/histogram.go
+++ b/internal/query/histogram.go
@@ -17,18 +17,21 @@
 // nodes add up exactly, which quantiles do not.
 type Histogram []LatencyCount
 
-// Add returns the counts of both.
-func (h Histogram) Add(o Histogram) Histogram {
-	all := slices.Concat(h, o)
-	slices.SortFunc(all, func(a, b LatencyCount) int { return cmp.Compare(a.AtMost, b.AtMost) })
-	out := all[:0]
-	for _, c := range all {
-		if n := len(out); n > 0 && out[n-1].AtMost == c.AtMost {
-			out[n-1].Calls += c.Calls
-			continue
-		}
-		out = append(out, c)
+// buckets is a Histogram to which others are added.
+type buckets map[time.Duration]uint64
+
+func (b buckets) add(h Histogram) {
+	for _, c := range h {
+		b[c.AtMost] += c.Calls
 	}
+}
+
+func (b buckets) histogram() Histogram {
+	out := make(Histogram, 0, len(b))
+	for atMost, n := range b {
+		out = append(out, LatencyCount{atMost, n})
+	}
+	slices.SortFunc(out, func(a, b LatencyCount) int { return cmp.Compare(a.AtMost, b.AtMost) })
 	return out
 }
 
@@ -36,11 +39,11 @@
 // above those before. A node tells its histograms so: each class costs a few
 // dozen bytes, whatever its latencies are.
 func (h Histogram) Coarse() Histogram {
-	out := make(Histogram, len(h))
-	for i, c := range h {
-		out[i] = LatencyCount{coarse(c.AtMost), c.Calls}
+	b := make(buckets)
+	for _, c := range h {
+		b[coarse(c.AtMost)] += c.Calls
 	}
-	return out.Add(nil)
+	return b.histogram()
 }
 
 // coarseBits is how many leading bits of a bound are kept.
--- a/internal/query/histogram_test.go
+++ b/internal/query/histogram_test.go
@@ -9,7 +9,10 @@
 func TestHistogramsAddUp(t *testing.T) {
 	a := Histogram{{ms(10), 98}, {ms(20), 1}}
 	b := Histogram{{ms(5), 1}, {ms(20), 2}, {ms(900), 1}}
-	sum := a.Add(b)
+	both := make(buckets)
+	both.add(a)
+	both.add(b)
+	sum := both.histogram()
 	if !slices.Equal(sum, Histogram{{ms(5), 1}, {ms(10), 98}, {ms(20), 3}, {ms(900), 1}}) {
 		t.Fatalf("%v", sum)
 	}
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -16,6 +16,16 @@
 
 var now = time.UnixMilli(1_000_000_000).UTC()
 
+// reportsOf adds up the reports of nodes.
+func reportsOf(at time.Time, nodes ...NodeReport) *Reports {
+	r := NewReports()
+	r.At = at
+	for _, n := range nodes {
+		r.Add(n)
+	}
+	return r
+}
+
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func ago(d time.Duration) time.Time { return now.Add(-d) }
@@ -99,19 +109,20 @@
 		{none, ClassCounts{Calls: 10}, ClassNoAim},
 	}
 	for _, c := range cases {
-		if r := NewClassReport(c.target, c.counts); r.State != c.want {
+		node := NodeReport{Classes: map[string]ClassCounts{c.target.Name: c.counts}}
+		if r := reportsOf(now, node).Classes([]*config.Target{c.target})[0]; r.State != c.want {
 			t.Errorf("%+v: %s", c.counts, r.State)
 		}
 	}
 	// One node meets its target with few calls, another misses it with many.
-	reports := Reports{Nodes: []NodeReport{
+	reports := reportsOf(now, []NodeReport{
 		{VM: "a", Classes: map[string]ClassCounts{"book": {Calls: 10, Within: 10, Latency: Histogram{{ms(50), 10}}}}},
 		{VM: "b", Classes: map[string]ClassCounts{
 			"book": {Calls: 990, Within: 900, Failed: 3, Latency: Histogram{{ms(50), 900}, {ms(400), 90}},
 				ShedBy: map[string]uint64{"overloaded": 2}},
 			"bulk": {Calls: 1}, "withdrawn": {Calls: 5}}},
 		{VM: "c"},
-	}}
+	}...)
 	merged := reports.Classes([]*config.Target{aim, none})
 	if len(merged) != 2 || merged[0].State != ClassMissed || merged[0].Calls != 1000 || merged[0].Failed != 3 ||
 		merged[0].Shed != 2 || merged[0].P50MS != 50 || merged[0].P99MS != 400 || merged[0].MeasuredMS != 400 ||
@@ -146,6 +157,11 @@
 	records["b2"].State = membership.VMLeaving
 	records["b2"].Backends = []membership.Backend{{Service: "surveys", Instance: "i4", State: membership.BackendReady}}
 	aim := &config.Target{Name: "book", Service: "berth", AnswerWithinMS: 200}
+	reports := reportsOf(ago(3*time.Second),
+		NodeReport{VM: "a1", Classes: map[string]ClassCounts{"book": {Calls: 100, Within: 90}},
+			Ejected: []Ejection{{"archive", "a2", "x", 60}}},
+		NodeReport{VM: "a2", Ejected: []Ejection{{"archive", "a2", "x", 80}}})
+	reports.Asked, reports.Missing = 3, []string{"a3"}
 	return HandoverInput{
 		Since:  ago(8 * time.Hour),
 		Config: ConfigState{InForce: v7, Refused: &config.Refused{Version: config.Version{Number: 8}, Err: errors.New("bad")}},
@@ -154,14 +170,7 @@
 		View: &membership.View{Self: "a1", Records: records,
 			CutOff: map[string]time.Time{"gal-slip": ago(5 * time.Minute)}},
 		Targets: []*config.Target{aim},
-		Reports: Reports{
-			Asked: 3, Missing: []string{"a3"}, At: ago(3 * time.Second),
-			Nodes: []NodeReport{
-				{VM: "a1", Classes: map[string]ClassCounts{"book": {Calls: 100, Within: 90}},
-					Ejected: []Ejection{{"archive", "a2", "x", 60}}},
-				{VM: "a2", Ejected: []Ejection{{"archive", "a2", "x", 80}}},
-			},
-		},
+		Reports: reports,
 		Quarantined: []Quarantine{
 			{ID: "q2", State: QuarantineRefused, Expires: now.Add(time.Minute)},
 			{ID: "q1", State: QuarantineRefused, Expires: ago(time.Minute)},
@@ -224,7 +233,7 @@
 	in := HandoverInput{
 		Config: ConfigState{InForce: v1}, Platform: PlatformState{Accepted: v1, LastAnswer: now},
 		View:    &membership.View{Self: "a1", Records: map[string]*membership.Seen{"a1": record("a1", "dc", 1, v1.Hash, now)}},
-		Reports: Reports{At: now},
+		Reports: reportsOf(now),
 	}
 	h := HandoverOf(in, now)
 	if len(h.Attention) != 0 || h.Versions.NodesCurrent != 1 {
@@ -282,7 +291,7 @@
 	records["a2"].AppliedHash = [8]byte{} // only the number is known
 	h := HandoverOf(HandoverInput{
 		Config: ConfigState{InForce: v1}, Platform: PlatformState{Accepted: v1, LastAnswer: now},
-		View: &membership.View{Self: "a1", Records: records},
+		View: &membership.View{Self: "a1", Records: records}, Reports: reportsOf(now),
 	}, now)
 	if v := h.Versions; v.NodesCurrent != 3 || len(v.OtherHistory) != 0 {
 		t.Errorf("versions: %+v", v)
