Show on /metrics what a node does and costs

Cause: /metrics held the counters of peers and of the platform client alone. Change: state, certificates, membership, configuration and its findings, classes (histogram, within target, failed, refusals by reason, those without a class included), retry decisions, gates, keyed calls, quarantine, backend servers and housekeeping. Parts keep their own counts, read when the page is asked for; a call adds to atomics only. Conclusion: shown by TestMetricsAreTrueAndDocumented.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -25,6 +25,7 @@
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
+	retries   *retries
 	draining  atomic.Bool
 	endTrace  func(context.Context) error
 }
@@ -48,6 +49,7 @@
 		upstreams: n.upstreams(),
 		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
+		retries:   new(retries),
 		endTrace:  endTrace,
 	}
 	c.suspects = &suspects{
@@ -64,7 +66,7 @@
 	})
 	c.entry = proxy.NewEntry(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
+		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
 	})
 	return c, nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,6 +44,9 @@
 	commit   *command.Committer
 	commands *command.Forwarder
 	house    *housekeeper
+
+	findings tally        // by kind
+	heardAt  atomic.Int64 // when a peer was last heard, in Unix milliseconds
 }
 
 func newControl(n *Node) (*control, error) {
@@ -128,7 +132,8 @@
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
 		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
-		Log: telemetry.Part(n.log, "distribute"),
+		Log:       telemetry.Part(n.log, "distribute"),
+		OnFinding: func(f distribute.Finding) { c.findings.add(f.Kind()) },
 	})
 }
 
--- a/internal/node/inflight.go
+++ b/internal/node/inflight.go
@@ -19,6 +19,7 @@
 type traffic struct {
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	started  atomic.Uint64
 }
 
 var closeConnection = []string{"close"}
@@ -26,6 +27,7 @@
 // handler counts the calls that h handles.
 func (t *traffic) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.started.Add(1)
 		t.inFlight.Add(1)
 		defer t.inFlight.Add(-1)
 		if t.leaving.Load() {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -11,6 +12,10 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		p := page{w}
+		n.writeState(p)
+		n.control.writeMetrics(p)
+		n.calls.writeMetrics(p)
 		n.control.metrics.WritePrometheus(w)
 		if n.control.client != nil {
 			n.control.client.Metrics().WritePrometheus(w)
@@ -29,3 +34,56 @@
 	})
 	return mux
 }
+
+// page is a page of metrics. What a part of the node counts for itself is read
+// when the page is asked for, so nothing is kept twice.
+type page struct{ w http.ResponseWriter }
+
+// labels are pairs of a label's name and its value.
+type labels []string
+
+func (p page) gauge(name string, v float64, l ...string) {
+	metrics.WriteGaugeFloat64(p.w, name+labels(l).String(), v)
+}
+
+func (p page) counter(name string, v uint64, l ...string) {
+	metrics.WriteCounterUint64(p.w, name+labels(l).String(), v)
+}
+
+func (p page) flag(name string, on bool, l ...string) {
+	v := 0.0
+	if on {
+		v = 1
+	}
+	p.gauge(name, v, l...)
+}
+
+// String returns the labels as they stand behind a name.
+func (l labels) String() string {
+	if len(l) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	for i := 0; i+1 < len(l); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", l[i], l[i+1])
+	}
+	return "{" + b.String() + "}"
+}
+
+// writeState tells how the node as a whole stands.
+func (n *Node) writeState(p page) {
+	ready, _ := n.Ready()
+	p.flag("marlpass_node_ready", ready)
+	p.flag("marlpass_node_leaving", n.leaving.Load())
+	p.flag("marlpass_node_superseded", n.superseded.Load())
+	p.gauge("marlpass_node_calls_in_flight", float64(n.InFlight()))
+	cpu, wall := n.quiet.totals()
+	p.gauge("marlpass_control_cpu_seconds", cpu)
+	p.gauge("marlpass_control_cpu_observed_seconds", wall)
+	for name, k := range n.control.trust.keepers() {
+		p.gauge("marlpass_certificate_expires_timestamp_seconds", float64(k.Expires().Unix()), "certificate", name)
+	}
+}
--- /dev/null
+++ b/internal/node/metrics_calls.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/proxy"
+)
+
+// writeMetrics tells what became of calls at this node.
+func (c *callPath) writeMetrics(p page) {
+	now := time.Now()
+	for _, t := range c.meters.Totals() {
+		writeClass(p, &t)
+	}
+	for why, n := range c.retries.why.all() {
+		p.counter("marlpass_call_retry_decisions_total", n, "why", why)
+	}
+	c.writeGates(p, now)
+	c.writeOnce(p)
+	kinds := make(map[string]int)
+	for _, e := range c.suspects.list.Entries(now) {
+		kinds[string(e.Kind)]++
+	}
+	for kind, n := range kinds {
+		p.gauge("marlpass_quarantine_entries", float64(n), "kind", kind)
+	}
+	c.writeRegistry(p)
+}
+
+// writeClass tells what callers got, by the class of work.
+func writeClass(p page, t *proxy.ClassTotals) {
+	for why, n := range t.Refused {
+		p.counter("marlpass_call_refused_total", n, "class", t.Class, "reason", string(why))
+	}
+	if t.Class == "" {
+		return
+	}
+	p.counter("marlpass_call_failed_total", t.Failed, "class", t.Class)
+	p.counter("marlpass_call_in_target_total", t.InTarget, "class", t.Class)
+	for _, b := range t.Buckets {
+		le := "+Inf"
+		if !math.IsInf(b.Within, 1) {
+			le = strconv.FormatFloat(b.Within, 'g', -1, 64)
+		}
+		p.counter("marlpass_call_duration_seconds_bucket", b.Calls, "class", t.Class, "le", le)
+	}
+	p.gauge("marlpass_call_duration_seconds_sum", t.Seconds, "class", t.Class)
+	p.counter("marlpass_call_duration_seconds_count", t.Answered, "class", t.Class)
+}
+
+// writeGates tells how the classes share the slots of the backend servers here.
+func (c *callPath) writeGates(p page, now time.Time) {
+	for instance, gate := range *c.gates.byInstance.Load() {
+		for _, s := range gate.Stats(now) {
+			l := []string{"instance", instance, "class", s.Class}
+			p.gauge("marlpass_gate_running", float64(s.Running), l...)
+			p.gauge("marlpass_gate_waiting", float64(s.Waiting), l...)
+			p.gauge("marlpass_gate_slots_allowed", float64(s.UpTo), l...)
+			p.gauge("marlpass_gate_standing_ratio", s.Standing, l...)
+			p.counter("marlpass_gate_started_total", s.Started, l...)
+			p.counter("marlpass_gate_done_total", s.Done, l...)
+			p.counter("marlpass_gate_refused_total", s.Refused, l...)
+			p.counter("marlpass_gate_over_rate_total", s.OverRate, l...)
+			p.counter("marlpass_gate_expired_total", s.Expired, l...)
+			p.counter("marlpass_gate_on_target_total", s.OnTarget, l...)
+		}
+	}
+}
+
+// writeOnce tells what became of calls with a key.
+func (c *callPath) writeOnce(p page) {
+	s := c.keeper.Stats()
+	p.counter("marlpass_once_claims_total", s.Claims)
+	p.counter("marlpass_once_replays_total", s.Replays)
+	p.counter("marlpass_once_unknowns_total", s.Unknowns)
+	p.counter("marlpass_once_joins_total", s.Joins)
+	p.counter("marlpass_once_refused_total", s.Refused)
+	p.counter("marlpass_once_guards_total", s.Guards)
+	p.counter("marlpass_once_unstored_total", s.Unstored)
+	p.counter("marlpass_once_platform_writes_total", s.Writes)
+	p.gauge("marlpass_once_guards_held", float64(s.GuardsHeld))
+}
+
+// writeRegistry tells which backend servers are beside this node.
+func (c *callPath) writeRegistry(p page) {
+	for _, b := range c.n.registry.Load() {
+		l := []string{"service", b.Service, "instance", b.Instance}
+		p.gauge("marlpass_backend_slots", float64(b.Slots), l...)
+		p.flag("marlpass_backend_state", true, append(l, "state", b.State.String())...)
+	}
+	for service, n := range *c.pickers.ready.Load() {
+		p.gauge("marlpass_service_endpoints_ready", float64(n), "service", service)
+	}
+}
--- /dev/null
+++ b/internal/node/metrics_control.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+)
+
+// writeMetrics tells what control does and what it costs.
+func (c *control) writeMetrics(p page) {
+	c.writeConfig(p)
+	c.writeMembership(p)
+	c.writeHouse(p)
+	c.writeAges(p, time.Now())
+}
+
+func (c *control) writeConfig(p page) {
+	stamp := c.spread.Stamp()
+	p.gauge("marlpass_config_version_held", float64(stamp.Version.Number))
+	p.gauge("marlpass_config_version_in_force", float64(c.n.Version().Number))
+	p.flag("marlpass_config_refused", c.n.store.Refused() != nil)
+	p.flag("marlpass_config_feeder", c.spread.Feeder())
+	for kind, n := range c.findings.all() {
+		p.counter("marlpass_config_findings_total", n, "kind", kind)
+	}
+	if list := c.spread.Timeline(); len(list) > 0 {
+		t := list[len(list)-1]
+		p.gauge("marlpass_config_last_spread_seconds", t.InForce.Sub(t.Accepted).Seconds())
+	}
+}
+
+func (c *control) writeMembership(p page) {
+	s := c.members.Stats()
+	p.gauge("marlpass_membership_nodes", float64(s.Records))
+	p.gauge("marlpass_membership_tombstones", float64(s.Tombstones))
+	p.gauge("marlpass_membership_suspected", float64(s.Suspected))
+	p.gauge("marlpass_membership_health", float64(s.Health))
+	for _, e := range []struct {
+		name string
+		n    uint64
+	}{
+		{"probes", s.Probes}, {"probe_failures", s.ProbeFailures},
+		{"suspicions", s.Suspicions}, {"false_suspicions", s.FalseSuspicions},
+		{"refutations", s.Refutations}, {"burials", s.Burials}, {"held_burials", s.HeldBurials},
+		{"pauses", s.Pauses}, {"refused", s.Refused}, {"joins_served", s.JoinsServed},
+		{"joins_refused", s.JoinsRefused}, {"join_attempts", s.JoinAttempts},
+		{"syncs", s.Syncs}, {"pushes", s.Pushes}, {"views", s.Views}, {"duplicates", s.Duplicates},
+	} {
+		p.counter("marlpass_membership_"+e.name+"_total", e.n)
+	}
+	for k, t := range s.Traffic {
+		if k == 0 {
+			continue // no message is of this kind
+		}
+		kind := strings.ToLower(strings.TrimPrefix(peerpb.Kind(k).String(), "KIND_"))
+		p.counter("marlpass_membership_messages_total", t.Sent, "direction", "out", "kind", kind)
+		p.counter("marlpass_membership_messages_total", t.Received, "direction", "in", "kind", kind)
+		p.counter("marlpass_membership_bytes_total", t.SentBytes, "direction", "out", "kind", kind)
+		p.counter("marlpass_membership_bytes_total", t.ReceivedBytes, "direction", "in", "kind", kind)
+	}
+}
+
+func (c *control) writeHouse(p page) {
+	f := &c.house.figures
+	p.flag("marlpass_housekeeping_lease_held", f.holds.Load())
+	p.counter("marlpass_housekeeping_lease_taken_total", f.taken.Load())
+	p.counter("marlpass_housekeeping_lease_lost_total", f.lost.Load())
+	p.counter("marlpass_housekeeping_failures_total", f.failed.Load())
+	p.counter("marlpass_housekeeping_compacted_total", f.compacted.Load())
+	p.counter("marlpass_housekeeping_outcomes_removed_total", f.trimmed.Load())
+}
+
+// writeAges tells how old is what this node knows. An age is left out as long as
+// nothing was heard at all.
+func (c *control) writeAges(p page, now time.Time) {
+	if at := c.heardAt.Load(); at != 0 {
+		p.gauge("marlpass_peers_heard_age_seconds", now.Sub(time.UnixMilli(at)).Seconds())
+	}
+	if c.client == nil {
+		return
+	}
+	h := c.client.Health()
+	p.flag("marlpass_platform_client_answering", h.Answering)
+	if !h.LastAnswer.IsZero() {
+		p.gauge("marlpass_platform_client_answer_age_seconds", now.Sub(h.LastAnswer).Seconds())
+	}
+}
--- /dev/null
+++ b/internal/node/metrics_test.go
@@ -0,0 +1,62 @@
+package node_test
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Every metric that a node shows is in the operators' page, and the counts of a
+// class agree with what its callers got.
+func TestMetricsAreTrueAndDocumented(t *testing.T) {
+	w := startTown(t, 2, nil)
+	entry, dest := w.VMs[0], w.VMs[1]
+	w.hold(dest)
+	for i := range 5 {
+		if a := w.ask(entry, http.MethodPost, lookup, string(rune('a'+i))); a.status != http.StatusOK {
+			t.Fatal(a)
+		}
+	}
+	if a := w.ask(entry, http.MethodGet, "/nowhere", "x"); a.notRun != call.ReasonNoRoute {
+		t.Fatal(a)
+	}
+	for name, want := range map[string]float64{
+		`marlpass_call_duration_seconds_count{class="lookups"}`:            5,
+		`marlpass_call_duration_seconds_bucket{class="lookups",le="+Inf"}`: 5,
+		`marlpass_call_failed_total{class="lookups"}`:                      0,
+		`marlpass_call_refused_total{class="",reason="no-route"}`:          1,
+		`marlpass_config_version_in_force`:                                 3,
+		`marlpass_service_endpoints_ready{service="berths"}`:               1,
+		`marlpass_node_ready`:                                              1,
+		`marlpass_node_calls_in_flight`:                                    0,
+		`marlpass_membership_nodes`:                                        2,
+	} {
+		if got := w.metric(entry, name); got != want {
+			t.Errorf("%s is %g, want %g", name, got, want)
+		}
+	}
+	if got := w.metric(dest, `marlpass_gate_done_total{instance="a",class="lookups"}`); got != 5 {
+		t.Errorf("the gate counted %g calls", got)
+	}
+	doc, err := os.ReadFile("../../docs/operators/metrics.md")
+	w.must(err)
+	seen := make(map[string]bool)
+	for _, vm := range w.VMs {
+		for line := range strings.Lines(w.page(vm, "/metrics")) {
+			name, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+			name, _, _ = strings.Cut(name, "{")
+			for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+				name = strings.TrimSuffix(name, suffix)
+			}
+			if strings.HasPrefix(name, "marlpass_") && !seen[name] {
+				seen[name] = true
+				if !strings.Contains(string(doc), "`"+name+"`") {
+					t.Errorf("%s is not in docs/operators/metrics.md", name)
+				}
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	// superseded says that another process runs under this VM's ID.
 	superseded atomic.Bool
 	operators  *admin.Operators
+	quiet      *quiet
 	parts      *parts
 	once       sync.Once
 }
@@ -100,8 +101,11 @@
 		return err
 	}
 	n.control.wireHouse()
-	n.servers, err = newServers(n)
-	return err
+	if n.servers, err = newServers(n); err != nil {
+		return err
+	}
+	n.quiet = &quiet{traffic: &n.servers.calls}
+	return nil
 }
 
 // Addrs returns the addresses that the node listens on.
@@ -133,6 +137,7 @@
 	n.control.start(n.parts)
 	n.servers.start(n.parts)
 	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
+	n.parts.run("quiet", func(ctx context.Context) error { n.quiet.run(ctx); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
 	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,7 +15,10 @@
 )
 
 // Heard implements peer.Spread, and takes what answers tell.
-func (c *control) Heard(e *peerpb.Envelope) { c.spread.Heard(e) }
+func (c *control) Heard(e *peerpb.Envelope) {
+	c.heardAt.Store(time.Now().UnixMilli())
+	c.spread.Heard(e)
+}
 
 // ServePull implements peer.Spread.
 func (c *control) ServePull(q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -7,7 +7,10 @@
 )
 
 // retries keeps one retry.Policy, with its budget, for each service.
-type retries struct{ byService sync.Map }
+type retries struct {
+	byService sync.Map
+	why       tally // decisions by their reason
+}
 
 func (r *retries) policy(service string) *retry.Policy {
 	if p, ok := r.byService.Load(service); ok {
@@ -22,5 +25,7 @@
 
 // Decide implements proxy.Retrier.
 func (r *retries) Decide(service string, in retry.Input) retry.Decision {
-	return r.policy(service).Decide(in)
+	d := r.policy(service).Decide(in)
+	r.why.add(string(d.Why))
+	return d
 }
--- /dev/null
+++ b/internal/node/tally.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// tally counts events by name without a lock. Names must be few.
+type tally struct{ byName sync.Map }
+
+func (t *tally) add(name string) {
+	n, ok := t.byName.Load(name)
+	if !ok {
+		n, _ = t.byName.LoadOrStore(name, new(atomic.Uint64))
+	}
+	n.(*atomic.Uint64).Add(1)
+}
+
+func (t *tally) all() map[string]uint64 {
+	out := make(map[string]uint64)
+	t.byName.Range(func(name, n any) bool {
+		out[name.(string)] = n.(*atomic.Uint64).Load()
+		return true
+	})
+	return out
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -194,6 +194,8 @@
 	}
 	if c.class != nil {
 		c.class.Refused(e.Now(), r.Reason)
+	} else {
+		e.Meters.Unmatched(r.Reason)
 	}
 	writeRefusal(w, r)
 }
--- a/internal/proxy/meters.go
+++ b/internal/proxy/meters.go
@@ -46,10 +46,15 @@
 	name   string
 	target atomic.Pointer[config.Target]
 	parts  [windowParts]window
+	totals totals
 }
 
 // Meters holds the meters of all classes.
-type Meters struct{ byClass sync.Map }
+type Meters struct {
+	byClass sync.Map
+	// other counts refusals of calls that belong to no class.
+	other totals
+}
 
 // NewMeters returns empty meters.
 func NewMeters() *Meters { return new(Meters) }
@@ -72,16 +77,19 @@
 	w := c.window(now)
 	w.answered.Add(1)
 	w.counts[bucketOf(latency)].Add(1)
+	within := c.within(latency)
+	c.totals.answered(latency, failed, within)
 	switch {
 	case failed:
 		w.failed.Add(1)
-	case c.within(latency):
+	case within:
 		w.inTarget.Add(1)
 	}
 }
 
 // Refused counts a call that was not run.
 func (c *ClassMeter) Refused(now time.Time, why call.Reason) {
+	c.totals.refuse(why)
 	w := c.window(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/internal/proxy/totals.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// Powers of two, in microseconds, that bound the buckets of a ClassTotals.
+const (
+	firstPower = 8  // 256 microseconds
+	lastPower  = 25 // 33.6 seconds
+)
+
+// totals count the calls of a class since the start of the node. A recording is
+// a few atomic additions and takes no lock.
+type totals struct {
+	failed   atomic.Uint64
+	inTarget atomic.Uint64
+	micros   atomic.Uint64
+	counts   [lastPower - firstPower + 2]atomic.Uint64 // the last has no bound
+	refused  sync.Map                                  // call.Reason to *atomic.Uint64
+}
+
+func (t *totals) answered(latency time.Duration, failed, inTarget bool) {
+	us := uint64(max(latency.Microseconds(), 0))
+	t.micros.Add(us)
+	t.counts[powerOf(us)].Add(1)
+	switch {
+	case failed:
+		t.failed.Add(1)
+	case inTarget:
+		t.inTarget.Add(1)
+	}
+}
+
+// powerOf returns the index of the bucket for a latency: the first whose bound
+// is not below it.
+func powerOf(us uint64) int {
+	for p := firstPower; p <= lastPower; p++ {
+		if us <= 1<<p {
+			return p - firstPower
+		}
+	}
+	return lastPower - firstPower + 1
+}
+
+func (t *totals) refuse(why call.Reason) {
+	n, ok := t.refused.Load(why)
+	if !ok {
+		n, _ = t.refused.LoadOrStore(why, new(atomic.Uint64))
+	}
+	n.(*atomic.Uint64).Add(1)
+}
+
+// Bucket is how many calls were answered within a time.
+type Bucket struct {
+	Within float64 // seconds; the last is infinite
+	Calls  uint64
+}
+
+// ClassTotals count the calls of a class at this node since its start.
+type ClassTotals struct {
+	Class    string
+	Answered uint64 // with any status, those that failed included
+	Failed   uint64 // server errors, cut answers and unknown outcomes
+	InTarget uint64 // good answers within the target's time
+	Seconds  float64
+	Refused  map[call.Reason]uint64
+	Buckets  []Bucket // each includes those before it
+}
+
+// Totals returns the counts of every class that this node has seen, and under
+// an empty name the refusals of calls that belong to none.
+func (m *Meters) Totals() []ClassTotals {
+	var out []ClassTotals
+	m.byClass.Range(func(_, v any) bool {
+		c := v.(*ClassMeter)
+		out = append(out, c.totals.read(c.name))
+		return true
+	})
+	if o := m.other.read(""); len(o.Refused) > 0 {
+		out = append(out, o)
+	}
+	return out
+}
+
+// Unmatched counts a refusal of a call that belongs to no class.
+func (m *Meters) Unmatched(why call.Reason) { m.other.refuse(why) }
+
+func (t *totals) read(class string) ClassTotals {
+	out := ClassTotals{
+		Class: class, Failed: t.failed.Load(), InTarget: t.inTarget.Load(),
+		Seconds: float64(t.micros.Load()) / 1e6, Refused: make(map[call.Reason]uint64),
+	}
+	for i := range t.counts {
+		out.Answered += t.counts[i].Load()
+		within := math.Inf(1)
+		if i < len(t.counts)-1 {
+			within = float64(uint64(1)<<(firstPower+i)) / 1e6
+		}
+		out.Buckets = append(out.Buckets, Bucket{within, out.Answered})
+	}
+	t.refused.Range(func(why, n any) bool {
+		out.Refused[why.(call.Reason)] = n.(*atomic.Uint64).Load()
+		return true
+	})
+	return out
+}
