--- a/cmd/marlpass-node/main.go
+++ b/cmd/marlpass-node/main.go
@@ -3,14 +3,14 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/program"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/settings/exit"
-	"github.com/marlpass/marlpass/internal/version"
 )
 
 const usage = `marlpass-node runs the mesh beside the backend servers of one VM.
@@ -26,7 +26,7 @@
 
 Examples:
   marlpass-node -config /etc/marlpass/node.toml
-  marlpass-node -check -config settings/trust/neg-shed.toml
+  marlpass-node -check -config /etc/marlpass/node.toml
 
 Exit codes: 0 stopped as asked, 1 failed or cut calls off, 2 bad flags,
 settings or certificates.
@@ -34,45 +34,30 @@
 Flags:
 `
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run() int {
-	fs := flag.NewFlagSet("marlpass-node", flag.ContinueOnError)
-	fs.Usage = func() {
-		fmt.Fprint(fs.Output(), usage)
-		fs.PrintDefaults()
+func run(args []string, stdout, stderr io.Writer) int {
+	line := program.NewLine("marlpass-node", usage, stdout, stderr)
+	file := line.String("config", "", "settings `FILE` (TOML)")
+	check := line.Bool("check", false, "check the settings and the certificates that they name, and end")
+	if code, ok := line.Read(args); !ok {
+		return code
 	}
-	file := fs.String("config", "", "settings `file` (TOML)")
-	check := fs.Bool("check", false, "check the settings and the certificates that they name, and end")
-	showVersion := fs.Bool("version", false, "print the version and end")
-	err := fs.Parse(os.Args[1:])
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return exit.OK
-	case err != nil:
-		return exit.Usage
-	case *showVersion:
-		fmt.Println(version.Line("marlpass-node"))
-		return exit.OK
-	case fs.NArg() > 0:
-		fmt.Fprintf(os.Stderr, "marlpass-node: unexpected argument %q; see -h\n", fs.Arg(0))
-		return exit.Usage
-	case *file == "":
-		fmt.Fprintln(os.Stderr, "marlpass-node: -config is missing; see -h")
-		return exit.Usage
+	if *file == "" {
+		return line.Bad(errNoConfig)
 	}
 	set, err := settings.LoadNode(*file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "marlpass-node:", err)
-		return exit.Usage
+		return line.Bad(err)
 	}
-	if *check {
-		if err := node.Check(set); err != nil {
-			fmt.Fprintln(os.Stderr, "marlpass-node:", err)
-			return exit.Usage
-		}
-		fmt.Printf("marlpass-node: %s is valid\n", *file)
-		return exit.OK
+	if !*check {
+		return serve(line, *file, set, stderr)
 	}
-	return serve(*file, set)
+	if err := node.Check(set); err != nil {
+		return line.Bad(err)
+	}
+	fmt.Fprintf(stdout, "marlpass-node: %s is valid\n", *file)
+	return exit.OK
 }
+
+var errNoConfig = errors.New("-config is missing; see -h")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,10 @@
 	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
 	n.parts.run("quiet", func(ctx context.Context) error { n.quiet.run(ctx); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
-	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
+	a := n.Addrs()
+	n.log.Info().Str("vm", n.self.ID).Str("callers", a.Callers).Str("internal", a.Internal).
+		Str("calls", a.Calls).Str("control", a.Control).Str("admin", a.Admin).
+		Str("announce", a.Announce).Str("metrics", a.Metrics).Msg("node: started")
 }
 
 // Failed is closed when a part of the node ended without being asked to; Err
--- a/internal/node/town_test.go
+++ b/internal/node/town_test.go
@@ -164,6 +164,18 @@
 	return -1
 }
 
+// reaches waits until a metric has a value: a node counts a call a moment after
+// its caller has the answer.
+func (w *town) reaches(vm *localmesh.VM, name string, want float64) {
+	w.t.Helper()
+	for got := w.metric(vm, name); got != want; got = w.metric(vm, name) {
+		if w.ctx.Err() != nil {
+			w.t.Fatalf("%s is %g, want %g", name, got, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (w *town) page(vm *localmesh.VM, path string) string {
 	w.t.Helper()
 	resp, err := http.Get("http://" + vm.Node().Addrs().Metrics + path)
