Measure storms and partitions of real nodes

Cause: nothing showed how a herd of restarted nodes comes back, or what goes on between data centres that are parted. Change: marlpass-load storm and partition, with calls running in every data centre and each run of a backend server checked against the class of its call.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -28,6 +28,8 @@
 	return []Command{
 		OverheadCommand,
 		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
+		{"storm", "nodes that die and come back together", control.Storm},
+		{"partition", "data centres parted from each other and the platform", control.Partition},
 	}
 }
 
--- a/internal/load/control/command.go
+++ b/internal/load/control/command.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/localmesh"
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
@@ -28,6 +29,9 @@
 	defaultChanges = 10
 	changeEvery    = time.Second
 	idleFor        = 6 * time.Second
+	downFor        = 3 * time.Second
+	cutChanges     = 2
+	cutFor         = 8 * time.Second
 )
 
 // report is what a measurement returns.
@@ -111,6 +115,7 @@
 	changes := f.Int("changes", defaultChanges, "number of changes")
 	every := f.Duration("every", changeEvery, "time between two changes")
 	idle := f.Duration("idle", idleFor, "how long to measure without changes")
+	settle := f.Duration("settle", settleFor, "how long to wait after the start before measuring")
 	if code, ok := f.parse(args); !ok {
 		return code
 	}
@@ -119,7 +124,7 @@
 		return exitUsage
 	}
 	rep, err := MeasureSpread(ctx, SpreadOptions{
-		Nodes: *f.nodes, Changes: *changes, Profile: *f.profile, Every: *every, Idle: *idle,
+		Nodes: *f.nodes, Changes: *changes, Profile: *f.profile, Every: *every, Idle: *idle, Settle: *settle,
 	})
 	return f.finish(rep, err, stdout, stderr)
 }
@@ -129,3 +134,62 @@
 	out = count(out, r.Spreading.HalfApplied, "versions in force that are not whole")
 	return count(out, r.Spreading.Missing, "nodes that did not reach a version")
 }
+
+// Storm is the subcommand "storm".
+func Storm(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	f := newFlags("storm", stderr)
+	dcs := f.Int("centres", 1, "number of data centres that lose three quarters of their nodes")
+	down := f.Duration("down", downFor, "how long the nodes are gone")
+	if code, ok := f.parse(args); !ok {
+		return code
+	}
+	if *dcs < 1 || *dcs > len(centres) || *down < 0 {
+		fmt.Fprintf(stderr, "marlpass-load: -centres must be 1 to %d and -down not below zero\n", len(centres))
+		return exitUsage
+	}
+	rep, err := MeasureStorm(ctx, StormOptions{Nodes: *f.nodes, Profile: *f.profile, Centres: *dcs, Down: *down})
+	return f.finish(rep, err, stdout, stderr)
+}
+
+func (r *StormReport) faults() []string {
+	out := count(nil, r.WentBack, "steps back to an older version")
+	out = count(out, r.HalfApplied, "versions in force that are not whole")
+	out = count(out, r.Misrouted, "calls run by a service that their class does not name")
+	if r.Unfinished != "" {
+		out = append(out, "the mesh did not recover: "+r.Unfinished)
+	}
+	return out
+}
+
+// modes are the values of -mode.
+var modes = map[string]localmesh.Mode{"silent": localmesh.Silent, "refused": localmesh.Refused}
+
+// Partition is the subcommand "partition".
+func Partition(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	f := newFlags("partition", stderr)
+	mode := f.String("mode", "silent", "how the cut shows: silent or refused")
+	changes := f.Int("changes", cutChanges, "number of changes where the platform is open")
+	cut := f.Duration("cut", cutFor, "how long a cut lasts at least")
+	if code, ok := f.parse(args); !ok {
+		return code
+	}
+	m, ok := modes[*mode]
+	if !ok || *changes < 1 || *cut <= 0 {
+		fmt.Fprintln(stderr, "marlpass-load: -mode must be silent or refused; -changes and -cut above zero")
+		return exitUsage
+	}
+	rep, err := MeasurePartition(ctx, PartitionOptions{
+		Nodes: *f.nodes, Profile: *f.profile, Mode: m, Changes: *changes, Cut: *cut,
+	})
+	return f.finish(rep, err, stdout, stderr)
+}
+
+func (r *PartitionReport) faults() []string {
+	out := count(nil, r.WentBack, "steps back to an older version")
+	out = count(out, r.HalfApplied, "versions in force that are not whole")
+	out = count(out, r.Misrouted, "calls run by a service that their class does not name")
+	if r.Unfinished != "" {
+		out = append(out, "the mesh did not become whole: "+r.Unfinished)
+	}
+	return out
+}
--- a/internal/load/control/spread.go
+++ b/internal/load/control/spread.go
@@ -15,6 +15,8 @@
 	// Every is the time between two changes, and Idle how long the mesh is
 	// measured without any.
 	Every, Idle time.Duration
+	// Settle lets what follows the start die down before the idle time.
+	Settle time.Duration
 }
 
 // Spreading is how versions got around and what that cost, whether by marlpass
@@ -76,7 +78,7 @@
 		return err
 	}
 	defer f.close()
-	m := measurement{o: o, settle: settleFor, use: f.use, change: f.changeAnywhere, reached: f.reachedLast, watch: f.watch, operator: f.operator}
+	m := measurement{o: o, settle: o.Settle, use: f.use, change: f.changeAnywhere, reached: f.reachedLast, watch: f.watch, operator: f.operator}
 	if r.Spreading, err = m.run(ctx); err != nil {
 		return err
 	}
