Recognise a bad request whichever entry node it comes through

Cause: the fingerprint covered the Host header. Callers that reach entry nodes by their addresses send the address of the node they chose, so a bad request sent again through another node looked like a new one, and its crashes were never counted together. Change: a Host that is an address is left out of the fingerprint. Hosts that are names still tell requests apart.

--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -4,8 +4,11 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,7 +36,7 @@
 // count.
 func Of(method, host, path, query string, h http.Header, length int64, head []byte) Fingerprint {
 	var stack [512]byte
-	b := appendParts(stack[:0], method, host, path, query)
+	b := appendParts(stack[:0], method, nameOf(host), path, query)
 	for _, name := range coveredHeaders {
 		b = appendParts(b, h[name]...)
 		b = append(b, 0xff)
@@ -46,6 +49,33 @@
 	return f
 }
 
+// nameOf returns the host that a request names, or nothing if it is an address.
+//
+// It guards against one request looking like many. A caller that reaches entry
+// nodes by their addresses sends the address of the one it chose as the host,
+// and a bad request that it sends again through another node would start with a
+// clean record there: each node would learn of one crash, and none of two.
+func nameOf(host string) string {
+	if host == "" || !maybeAddress(host) {
+		return host
+	}
+	bare := host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		bare = h
+	}
+	bare = strings.TrimSuffix(strings.TrimPrefix(bare, "["), "]")
+	if _, err := netip.ParseAddr(bare); err == nil {
+		return ""
+	}
+	return host
+}
+
+// maybeAddress tells most names from addresses at no cost: an address begins
+// with a digit, or in IPv6 with a bracket.
+func maybeAddress(host string) bool {
+	return host[0] == '[' || '0' <= host[0] && host[0] <= '9'
+}
+
 func appendParts(b []byte, parts ...string) []byte {
 	for _, p := range parts {
 		b = append(b, p...)
