Keep silent connections and new nodes from costing innocent calls

A node that listens before it holds a configuration answered 404, which callers take for good. An idempotent call dropped from the queue of one endpoint after half of its time was told that its deadline had passed, and was not sent to another. An attempt that waited in vain or whose caller left counted as a broken one, so that two of them held an innocent request back at its entry node as if it had crashed two endpoints. An answer that stopped in its middle was noticed after 30 s whatever its class. Change: such a node refuses as not ready; that refusal becomes one for lack of room, which is retried elsewhere; only a broken connection counts as broken; a body may stand still for its class's deadline, half of it if idempotent, within 1 s and 30 s. Each of the four tests fails without its change.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // Errors of an attempt that may have run.
@@ -144,6 +145,7 @@
 	body   *body
 	addr   string
 	wait   time.Duration // bound on the answer's beginning
+	stall  time.Duration // bound between two parts of the answer
 	extra  [2]extraHeader
 }
 
@@ -185,6 +187,16 @@
 	return call.Unknown
 }
 
+// broke reports whether the connection broke under the attempt, here or at the
+// destination, as it does when a backend server crashes.
+//
+// An attempt that waited in vain, or whose caller left, says nothing of that
+// kind. Taking it for a crash would hold back innocent requests at their entry
+// node whenever connections go silent or callers are impatient.
+func (a *answer) broke() bool {
+	return a.err != nil && !a.expired && kindOf(a.err) == unknownLost && !errors.Is(a.err, context.Canceled)
+}
+
 // send sends o and waits until its answer begins. The answer's body must be
 // closed, once.
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
@@ -194,7 +206,7 @@
 		attemptContext: attemptContext{Context: ctx, trace: &a.trace, dialBy: now.Add(o.wait)},
 	}))
 	if err == nil && a.timer.Stop() {
-		a.answer.ReadCloser, a.answer.idle = resp.Body, true
+		a.answer.ReadCloser, a.answer.idle, a.answer.stall = resp.Body, true, o.stall
 		resp.Body = &a.answer
 		return answer{resp: resp}
 	}
@@ -248,21 +260,37 @@
 	return answer{err: err, expired: waited}
 }
 
-// answerBody is the body of an answer. It may stand still for stallBound, and
-// ends its attempt when it is closed.
+// answerBody is the body of an answer. It may stand still for the time of its
+// class, and ends its attempt when it is closed.
 type answerBody struct {
 	io.ReadCloser
 	attempt *attempt
 	idle    bool // the timer is stopped
+	stall   time.Duration
 }
 
-// stallBound is how long a body may stand still.
-const stallBound = 30 * time.Second
+// Bounds on how long a body may stand still. The least lets a lost packet be
+// sent again.
+const (
+	stallMost  = 30 * time.Second
+	stallLeast = time.Second
+)
+
+// stallOf returns how long a body of the class may stand still: no longer than
+// its caller would wait for the whole call, and half of that if the call is
+// idempotent, so that its caller is left time to send it again.
+func stallOf(t *config.Target) time.Duration {
+	d := t.Deadline()
+	if t.Idempotent {
+		d /= 2
+	}
+	return min(max(d, stallLeast), stallMost)
+}
 
-// Read reads the next part, within stallBound.
+// Read reads the next part, within the bound.
 func (b *answerBody) Read(p []byte) (int, error) {
 	b.idle = false
-	b.attempt.timer.Reset(stallBound)
+	b.attempt.timer.Reset(b.stall)
 	n, err := b.ReadCloser.Read(p)
 	b.idle = b.attempt.timer.Stop()
 	if err != nil && err != io.EOF && b.attempt.expired() {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -311,7 +311,7 @@
 	}
 	nonce, ms := attemptHeaders(left)
 	a := d.Upstreams.send(ctx, now, &outbound{
-		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left,
+		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left, stall: stallOf(h.target),
 		extra: [2]extraHeader{nonce, ms},
 	})
 	if a.resp == nil {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -150,7 +150,7 @@
 	}
 	t, ok := e.Programs.Program().Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
 	if !ok {
-		return refuse(call.ReasonNoRoute, 0, "")
+		return e.noRoute(c)
 	}
 	if t.Internal() && !internal {
 		return refuse(call.ReasonInternal, 0, "")
@@ -171,6 +171,21 @@
 	return nil
 }
 
+// noRoute refuses a call that no class matches. A node that does not carry
+// traffic says that instead.
+//
+// It guards against a node that has just started and holds no configuration
+// yet. To it every call is without a route, and a caller that is told so takes
+// it for good, while it should ask another node.
+func (e *Entry) noRoute(c *entering) *call.Refusal {
+	if e.Admitter != nil {
+		if r := e.Admitter.Admit(c.start, nil); r != nil {
+			return r
+		}
+	}
+	return refuse(call.ReasonNoRoute, 0, "")
+}
+
 // refuse tells the caller that its call was not run, unless an earlier attempt
 // may have run. An idempotent call is sent again after such an attempt; when
 // the next one is refused, that refusal speaks for the attempt alone, and a
@@ -210,6 +225,8 @@
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
+		}
+		if a.broke() {
 			e.broke(c, ep)
 		}
 		if d := e.again(ctx, c, &a); !d.Retry {
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -29,8 +29,8 @@
 // Programs gives the program in force. It is called once for each call.
 type Programs interface{ Program() *Program }
 
-// Admitter bounds the rate of a class at this node. It returns nil to let the
-// call pass.
+// Admitter says whether this node takes a call of a class. It returns nil to
+// let the call pass. The target is nil when no class matches the call.
 type Admitter interface {
 	Admit(now time.Time, t *config.Target) *call.Refusal
 }
--- /dev/null
+++ b/internal/proxy/quiet_test.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/quarantine"
+	"github.com/marlpass/marlpass/internal/retry"
+)
+
+// closed admits no call, as a node does that has just started.
+type closed struct{}
+
+func (closed) Admit(time.Time, *config.Target) *call.Refusal {
+	return &call.Refusal{Reason: call.ReasonNotReady, RetryAfter: time.Second}
+}
+
+// A node was replaced and listens before it has its configuration. To an owner
+// it said that there is no such page, and the owner's program did not ask
+// another node. It must say that it is not ready.
+func TestNodeWithoutConfigurationIsNotReady(t *testing.T) {
+	target := bookings()
+	target.Match.PathPrefix = "/berths"
+	m := newMesh(t, target, func(http.ResponseWriter, *http.Request) {})
+	m.entry.Admitter = closed{}
+	resp, _, err := m.call("POST", "/launch", "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonNotReady) {
+		t.Fatalf("got %d %q", resp.StatusCode, resp.Header.Get(call.HeaderNotRun))
+	}
+}
+
+// hanging is a gate whose slots are held by calls on silent connections: who
+// comes waits until its deadline.
+type hanging struct{}
+
+func (hanging) Acquire(ctx context.Context, _ Backend, _ *config.Target, deadline time.Time) (Permit, error) {
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil, refuse(call.ReasonExpired, 0, "")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// policied decides by the policy of one service.
+type policied struct{ p *retry.Policy }
+
+func (p policied) Called(string) { p.p.Called() }
+
+func (p policied) Decide(_ string, in retry.Input) retry.Decision { return p.p.Decide(in) }
+
+// Connections to one backend server went silent, and the calls on them hold its
+// slots. A lookup waits in the queue for half of its time and is dropped there
+// as expired. Half of its time was left, and the other endpoint was idle, but
+// its caller was told that the deadline had passed.
+func TestLookupDroppedInOneQueueGoesToAnother(t *testing.T) {
+	m := newMesh(t, lookups(), func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	m.dest[0].Gates = hanging{}
+	m.entry.Self, m.entry.Local = "vm0", m.dest[0]
+	m.entry.Retrier = policied{retry.New(retry.Options{})}
+	m.picks.next.Store(^uint64(0))
+	resp, body, err := m.call("GET", "/", "", call.HeaderDeadline, "1000")
+	if err != nil || body != "ok" {
+		t.Fatalf("got %v %q %v", resp, body, err)
+	}
+}
+
+// Connections between nodes went silent. A lookup waits in vain at two
+// endpoints, or its caller gives up at two. The entry node took that for two
+// crashes and refused the lookup to everybody for seconds.
+func TestWaitingInVainIsNoCrash(t *testing.T) {
+	release := make(chan struct{})
+	m := newMesh(t, lookups(), func(w http.ResponseWriter, r *http.Request) { <-release })
+	t.Cleanup(func() { close(release) })
+	list := quarantine.New(time.Now(), quarantine.Options{Self: "vm9"})
+	m.entry.Suspects = listed{list}
+	for range 3 {
+		resp, _, err := m.call("GET", "/", "", call.HeaderDeadline, "40")
+		if err != nil || resp.Header.Get(call.HeaderNotRun) != "" {
+			t.Fatalf("waiting: got %v %v", resp, err)
+		}
+	}
+	for range 3 {
+		began := m.runs.Load()
+		ctx, leave := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, "GET", m.public.URL+"/", nil)
+		go func() {
+			for m.runs.Load() == began {
+				time.Sleep(time.Millisecond)
+			}
+			leave()
+		}()
+		if resp, err := http.DefaultClient.Do(req); !errors.Is(err, context.Canceled) {
+			t.Fatalf("leaving: got %v %v", resp, err)
+		}
+	}
+	resp, _, err := m.call("GET", "/", "", call.HeaderDeadline, "40")
+	if err != nil || resp.Header.Get(call.HeaderNotRun) != "" {
+		t.Fatalf("after it: got %v %v", resp, err)
+	}
+}
+
+// listed keeps what an entry node asks of a list.
+type listed struct{ *quarantine.List }
+
+func (l listed) Blocked(now time.Time, fp quarantine.Fingerprint) *call.Refusal {
+	if e, blocked := l.List.Blocked(now, fp); blocked {
+		return e.Refuse(now)
+	}
+	return nil
+}
+
+func (l listed) Start(time.Time, Backend, quarantine.Fingerprint, string) (quarantine.Token, error) {
+	return quarantine.Token{}, nil
+}
+
+func (l listed) Done(time.Time, Backend, quarantine.Token, quarantine.End) {}
+
+// A connection goes silent in the middle of an archive. The exporter saw
+// neither the rest nor an end for half a minute, although the class promises an
+// answer within two seconds. It must see the cut in time to ask again.
+func TestSilenceWithinAnAnswerIsCutInTime(t *testing.T) {
+	release := make(chan struct{})
+	target := lookups()
+	target.DeadlineMS = 1000
+	m := newMesh(t, target, func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, "GET", m.public.URL+"/", nil)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if !errors.Is(err, io.ErrUnexpectedEOF) || !strings.HasPrefix("part", string(b)) {
+		t.Fatalf("got %q %v", b, err)
+	}
+}
+
+func TestStallOf(t *testing.T) {
+	for _, tt := range []struct {
+		deadlineMS int64
+		idempotent bool
+		want       time.Duration
+	}{
+		{0, false, 30 * time.Second},
+		{0, true, 15 * time.Second},
+		{3_600_000, true, 30 * time.Second},
+		{4000, false, 4 * time.Second},
+		{4000, true, 2 * time.Second},
+		{50, false, time.Second},
+	} {
+		if got := stallOf(&config.Target{DeadlineMS: tt.deadlineMS, Idempotent: tt.idempotent}); got != tt.want {
+			t.Errorf("%d ms, idempotent %t: %s, want %s", tt.deadlineMS, tt.idempotent, got, tt.want)
+		}
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -25,13 +25,28 @@
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
 	if e.Local != nil && ep.VM == e.Self {
-		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+		return e.ofPart(c, a)
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left,
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left, stall: stallOf(c.target),
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
-	return readNode(a)
+	return e.ofPart(c, readNode(a))
+}
+
+// ofPart corrects a refusal that says that the deadline passed, when only the
+// attempt's part of the time has.
+//
+// An idempotent call waits in the queue of an endpoint whose slots are held by
+// calls on silent connections. After half of its time the endpoint drops it as
+// expired. The deadline of the call itself is still ahead: the endpoint had no
+// room in time, and another may have.
+func (e *Entry) ofPart(c *entering, a answer) answer {
+	if a.refusal != nil && a.refusal.Reason == call.ReasonExpired && e.Now().Before(c.deadline) {
+		a.refusal = refuse(call.ReasonOverloaded, 0, "no room within the attempt's part of the time")
+	}
+	return a
 }
 
 // patience is how long an attempt may take to begin its answer. An idempotent
