Tell of single calls in marlpass-load faults

Cause: a count of lost calls does not say what became of them. Change: -v lists every call that was not answered or broke a promise; p99 leaves downloads out; callers of the poison request begin 20 ms apart.

--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -31,6 +31,7 @@
 	Only     string // part of the names of the faults to play; all if empty
 	Parallel int    // meshes at once
 	OursOnly bool
+	Verbose  bool // tell of every call that was not answered with ours
 }
 
 // FaultsCommand is the subcommand "faults".
@@ -47,6 +48,7 @@
 	fs.StringVar(&o.Only, "only", "", "play only the faults whose names contain this")
 	fs.IntVar(&o.Parallel, "parallel", 4, "meshes at once")
 	fs.BoolVar(&o.OursOnly, "ours", false, "leave the baseline out")
+	fs.BoolVar(&o.Verbose, "v", false, "tell of every call that was not answered, or broke a promise, with ours")
 	asJSON := fs.Bool("json", false, "print one JSON object")
 	if code, ok := parseFlags(fs, args); !ok {
 		return code
@@ -65,6 +67,9 @@
 	} else {
 		rep.print(stdout)
 	}
+	if o.Verbose {
+		rep.tell(stderr)
+	}
 	return rep.exit()
 }
 
@@ -117,6 +122,15 @@
 	return ExitOK
 }
 
+// tell writes the notes.
+func (r *FaultsReport) tell(w io.Writer) {
+	for _, f := range r.Faults {
+		for _, n := range f.Ours.notes {
+			fmt.Fprintf(w, "%s: %s\n", f.Fault, n)
+		}
+	}
+}
+
 func (r *FaultsReport) print(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "fault\tpolicies\tsent\tanswered\tlost\tdoubled\tpartial\tfalse not run\tcut off\tafter drain s\t"+
--- a/internal/load/faults_caller.go
+++ b/internal/load/faults_caller.go
@@ -43,7 +43,9 @@
 	locked     bool
 	reused     bool // refused since the key is another request's
 	latency    time.Duration
-	unanswered bool // the last sending got nothing
+	unanswered bool          // the last sending got nothing
+	began      time.Duration // since the fault's beginning
+	reasons    []string      // of the sendings that were not run
 }
 
 // Times of a caller.
@@ -203,6 +205,7 @@
 func (s *seen) judge(resp *http.Response, body []byte) sendOutcome {
 	if why := resp.Header.Get(call.HeaderNotRun); why != "" {
 		s.notRun++
+		s.reasons = append(s.reasons, why)
 		s.locked = s.locked || why == string(call.ReasonQuarantined)
 		s.reused = s.reused || why == string(call.ReasonKeyReused)
 		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/load/faults_list.go
+++ b/internal/load/faults_list.go
@@ -107,7 +107,7 @@
 // Callers of the poison request, and how far apart they begin and send again.
 const (
 	poisonCallers = 4
-	poisonApart   = 250 * time.Millisecond
+	poisonApart   = 20 * time.Millisecond
 	poisonAgain   = 200 * time.Millisecond
 	poisonUntil   = 4 * time.Second
 )
@@ -121,7 +121,7 @@
 				return
 			}
 			for sending := 0; time.Since(p.start) < poisonUntil && ctx.Err() == nil; sending++ {
-				p.tally.add(p.caller.do(ctx, newPoison(caller, sending)))
+				p.make(ctx, newPoison(caller, sending))
 				sleepFor(ctx, poisonAgain)
 			}
 		})
@@ -151,7 +151,7 @@
 		other.body = "another body"
 		p.wg.Go(func() {
 			sleepFor(ctx, resentPatience/2)
-			p.tally.add(p.caller.do(ctx, &other))
+			p.make(ctx, &other)
 		})
 	}
 }
--- a/internal/load/faults_play.go
+++ b/internal/load/faults_play.go
@@ -53,7 +53,15 @@
 
 // call makes a call beside the others.
 func (p *play) call(ctx context.Context, k *faultCall) {
-	p.wg.Go(func() { p.tally.add(p.caller.do(ctx, k)) })
+	p.wg.Go(func() { p.make(ctx, k) })
+}
+
+// make makes a call and returns when it has ended.
+func (p *play) make(ctx context.Context, k *faultCall) {
+	began := time.Since(p.start)
+	s := p.caller.do(ctx, k)
+	s.began = began
+	p.tally.add(s)
 }
 
 // playFault plays a fault in a mesh of its own.
--- a/internal/load/faults_tally.go
+++ b/internal/load/faults_tally.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,13 +43,14 @@
 	EndpointsDown int `json:"endpoints_down"`
 	// LockedOut counts innocent calls that were refused as quarantined.
 	LockedOut int   `json:"locked_out"`
-	P99ms     int64 `json:"p99_ms"` // of the answered calls
+	P99ms     int64 `json:"p99_ms"` // of the answered calls that are no downloads
+
+	// notes tell of the calls that were not answered, one a line.
+	notes []string
 }
 
 // broken reports whether a promise was broken.
-func (c *FaultCounts) broken() bool {
-	return c.Lost+c.Doubled+c.Partial+c.FalseNotRun+c.CutOff > 0
-}
+func (c *FaultCounts) broken() bool { return c.promises() > 0 }
 
 // tally collects what callers saw.
 type tally struct {
@@ -78,6 +81,7 @@
 func (c *FaultCounts) add(s *seen, runs int, planned bool, hist *hdrhistogram.Histogram) {
 	k := s.call
 	repeats := k.class.idempotent || k.class.keyed
+	before := c.promises()
 	c.Sent++
 	c.Partial += s.partial
 	if k.class.keyed && s.reused {
@@ -88,7 +92,9 @@
 	switch {
 	case s.answered:
 		c.Answered++
-		_ = hist.RecordValue(min(max(s.latency.Microseconds(), lowest), highest))
+		if k.class.query == "" {
+			_ = hist.RecordValue(min(max(s.latency.Microseconds(), lowest), highest))
+		}
 	case s.unknown > 0 || s.broken+s.silent > 0:
 		c.Unknown++
 	case s.failed > 0:
@@ -111,4 +117,19 @@
 	if s.locked && k.header == nil {
 		c.LockedOut++
 	}
+	if !s.answered || before != c.promises() {
+		c.notes = append(c.notes, s.String()+" runs="+strconv.Itoa(runs))
+	}
+}
+
+// promises returns how many promises were broken.
+func (c *FaultCounts) promises() int {
+	return c.Lost + c.Doubled + c.Partial + c.FalseNotRun + c.CutOff
+}
+
+// String tells what the caller saw, for the notes of the report.
+func (s *seen) String() string {
+	return fmt.Sprintf("%s %s: sent=%d answered=%t not_run=%d%v unknown=%d failed=%d broken=%d silent=%d partial=%d after %s, began at %s",
+		s.call.class.name, s.call.id, s.sendings, s.answered, s.notRun, s.reasons, s.unknown, s.failed,
+		s.broken, s.silent, s.partial, s.latency.Round(time.Millisecond), s.began.Round(time.Millisecond))
 }
