--- a/internal/load/faults_mesh.go
+++ b/internal/load/faults_mesh.go
@@ -103,9 +103,6 @@
 	return m, nil
 }
 
-// startBound is how long the mesh may take to carry traffic.
-const startBound = 20 * time.Second
-
 func (m *faultMesh) prepare(ctx context.Context, boxes bool) error {
 	if err := m.WaitReady(ctx); err != nil {
 		return fmt.Errorf("load: nodes are not ready: %w", err)
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,11 +54,14 @@
 	Log         zerolog.Logger
 	// DrainLimit bounds a planned stop of a node; DefaultDrainLimit if zero.
 	DrainLimit time.Duration
-	// Membership changes the membership's settings of every node. Without it
-	// a first node takes itself to be alone after aloneAfter.
+	// Membership changes the membership's settings of every node. Without it,
+	// a node that starts for the first time takes itself to be alone after
+	// aloneAfter.
 	Membership func(*membership.Config)
 	// Policies replace every node's own policies for calls.
 	Policies node.Policies
+	// Node, if set, changes what the node of a VM is made of.
+	Node func(vm *VM, o *node.Options)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 	// CallAddr, if set, gives the address at which other nodes reach the
@@ -80,7 +84,7 @@
 
 	mu       sync.Mutex
 	node     *node.Node
-	announce string // where the backend servers of the VM find its node
+	addrs    *node.Addrs // of the last start, or nil
 	backends []*backend.Server
 }
 
@@ -91,6 +95,8 @@
 	platform *http.Server
 	url      string
 	VMs      []*VM
+	// Cuts part places of the mesh from each other.
+	Cuts *Cuts
 }
 
 // Start starts the platform and all nodes. Use WaitReady after it.
@@ -98,13 +104,10 @@
 	if o.Seeds == 0 {
 		o.Seeds = 3
 	}
-	if o.Membership == nil {
-		o.Membership = func(c *membership.Config) { c.AloneAfter = aloneAfter }
-	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
-	m := &Mesh{o: o, Store: fake.New()}
+	m := &Mesh{o: o, Store: fake.New(), Cuts: newCuts()}
 	if err := m.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -129,6 +132,7 @@
 		return err
 	}
 	m.url = "http://" + ln.Addr().String()
+	m.Cuts.add(ln.Addr().String(), place{Platform})
 	m.platform = &http.Server{Handler: server.New(m.Store), ReadHeaderTimeout: time.Second}
 	go func() { _ = m.platform.Serve(ln) }()
 	return nil
@@ -138,30 +142,68 @@
 func (m *Mesh) PlatformURL() string { return m.url }
 
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
-// replaced VM it keeps its name, the address that its backend servers know, and
-// nothing else.
+// replaced VM it keeps its name and its addresses, and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{
-		Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership,
-		Policies: m.o.Policies, CallAddr: m.o.CallAddr,
-	})
+	n, err := m.newNode(vm, vm.listen())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// Some connection got one of the ports meanwhile.
+		n, err = m.newNode(vm, anywhere())
+	}
 	if err != nil {
 		return err
 	}
+	m.Cuts.add(n.Addrs().Control, vm.place())
+	m.Cuts.add(n.Addrs().Calls, vm.place())
 	n.Start()
+	addrs := n.Addrs()
 	vm.mu.Lock()
-	vm.node = n
-	vm.announce = n.Addrs().Announce
+	vm.node, vm.addrs = n, &addrs
 	vm.mu.Unlock()
 	return nil
 }
 
-// seeds returns the control addresses of a few running nodes.
+func (m *Mesh) newNode(vm *VM, l settings.Listen) (*node.Node, error) {
+	s := m.settings(vm)
+	s.Listen = l
+	members := m.o.Membership
+	if members == nil && vm.Addrs() == nil {
+		members = func(c *membership.Config) { c.AloneAfter = aloneAfter }
+	}
+	o := node.Options{
+		Settings: s, Log: m.o.Log, Membership: members, Policies: m.o.Policies,
+		Dial: m.Cuts.dialer(vm.place()), CallAddr: m.o.CallAddr,
+	}
+	if m.o.Node != nil {
+		m.o.Node(vm, &o)
+	}
+	return node.New(o)
+}
+
+func anywhere() settings.Listen {
+	return settings.Listen{
+		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
+		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
+	}
+}
+
+// listen returns the addresses of the last start, or any at the first.
+func (vm *VM) listen() settings.Listen {
+	a := vm.Addrs()
+	if a == nil {
+		return anywhere()
+	}
+	return settings.Listen{
+		Callers: a.Callers, Internal: a.Internal, Calls: a.Calls, Control: a.Control,
+		Admin: a.Admin, Announce: a.Announce, Metrics: a.Metrics,
+	}
+}
+
+// seeds returns the control addresses of the first few nodes that ever ran.
 func (m *Mesh) seeds() []string {
 	var out []string
-	for _, n := range m.Nodes() {
-		if len(out) < m.o.Seeds {
-			out = append(out, n.Addrs().Control)
+	for _, vm := range m.VMs {
+		if a := vm.Addrs(); a != nil && len(out) < m.o.Seeds {
+			out = append(out, a.Control)
 		}
 	}
 	return out
@@ -172,10 +214,6 @@
 	s.Mesh = m.o.Name
 	s.Profile = m.o.Profile
 	s.VM = settings.VM{ID: vm.ID, Region: vm.Region, DataCentre: vm.DataCentre}
-	s.Listen = settings.Listen{
-		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
-		Admin: anyPort, Announce: vm.announceAddr(), Metrics: anyPort,
-	}
 	s.Platform.URL = m.url
 	s.Peers.Seeds = m.seeds()
 	s.Drain.Limit = strict.Duration{Duration: m.o.DrainLimit}
@@ -184,14 +222,7 @@
 	return s
 }
 
-func (vm *VM) announceAddr() string {
-	vm.mu.Lock()
-	defer vm.mu.Unlock()
-	if vm.announce == "" {
-		return anyPort
-	}
-	return vm.announce
-}
+func (vm *VM) place() place { return place{vm.ID, vm.DataCentre, vm.Region} }
 
 // Node returns the VM's running node, or nil.
 func (vm *VM) Node() *node.Node {
@@ -200,6 +231,14 @@
 	return vm.node
 }
 
+// Addrs returns the addresses of the VM's node, also after its death, or nil
+// before its first start.
+func (vm *VM) Addrs() *node.Addrs {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.addrs
+}
+
 // Kill ends the VM's node at once, as a crash would.
 func (vm *VM) Kill() {
 	vm.mu.Lock()
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -20,7 +20,8 @@
 	gates     *gates
 	suspects  *suspects
 	keeper    *once.Keeper
-	upstreams *proxy.Upstreams
+	upstreams *proxy.Upstreams // to backend servers
+	nodes     *proxy.Upstreams // to other nodes
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
@@ -44,7 +45,8 @@
 		pickers:   newPickers(n.self),
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
-		upstreams: proxy.NewUpstreams(),
+		upstreams: n.upstreams(),
+		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
 		endTrace:  endTrace,
 	}
@@ -62,12 +64,19 @@
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
 	}, &c.pickers.plain))
 	return c, nil
 }
 
+func (n *Node) upstreams() *proxy.Upstreams {
+	if n.o.Dial != nil {
+		return proxy.NewUpstreamsBy(n.o.Dial)
+	}
+	return proxy.NewUpstreams()
+}
+
 // upkeep stores outcomes that the platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
@@ -100,11 +109,10 @@
 		c.n.log.Error().Err(err).Msg("once: outcomes could not be stored before the stop")
 	}
 	c.upstreams.Close()
+	c.nodes.Close()
 	_ = c.endTrace(ctx)
 }
 
-func (c *callPath) inFlight() int64 { return c.dest.InFlight() }
-
 // admission refuses calls while the node may not carry traffic: a node that has
 // just started may hold an older version than it held before, and one that
 // drains takes no new calls.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,6 +70,8 @@
 	TLS      *tls.Config // nil for plain TCP
 	Limits   Limits
 	Metrics  *Metrics
+	// Dial opens connections, by TCP if nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Sender is asked for each message.
 	Sender func() Sender
 	// Heard is told of what each answer says of its sender.
@@ -106,10 +108,15 @@
 // bound. HTTP/1.1 closes the connection of a cancelled exchange, and as no
 // other idle one is kept to that peer, the next exchange dials a fresh one.
 func (c *Client) transport() *http.Transport {
-	d := &net.Dialer{Timeout: c.cfg.Limits.Dial, KeepAlive: keepAlive}
+	dial := c.cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: keepAlive}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, addr)
+			ctx, cancel := context.WithTimeout(ctx, c.cfg.Limits.Dial)
+			defer cancel()
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -229,6 +236,20 @@
 	return err
 }
 
+// Report asks the VM to what it counted of its calls.
+func (c *Client) Report(ctx context.Context, to, addr string) (*peerpb.ReportResponse, error) {
+	req := &peerpb.ReportRequest{Mesh: c.cfg.Mesh, From: c.cfg.VM}
+	answer, peer, err := send(ctx, c, kindReport, req, c.to(addr).Report)
+	if err != nil {
+		return nil, err
+	}
+	if answer.From != to || (peer != "" && peer != to) {
+		c.cfg.Metrics.dropped.Inc()
+		return nil, ErrImpostor
+	}
+	return answer, nil
+}
+
 // send makes one exchange, bounds it and counts it. It returns the VM that the
 // connection's certificate names, or "" without TLS.
 func send[Q, A proto.Message](ctx context.Context, c *Client, k kind, q Q, call func(context.Context, Q) (A, error)) (A, string, error) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -144,6 +144,7 @@
 	header http.Header
 	body   *body
 	addr   string
+	vm     string        // the node at addr, or empty for a backend server
 	wait   time.Duration // bound on the answer's beginning
 	stall  time.Duration // bound between two parts of the answer
 	extra  [2]extraHeader
@@ -200,7 +201,7 @@
 // send sends o and waits until its answer begins. The answer's body must be
 // closed, once.
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
-	up := u.get(now, o.addr)
+	up := u.get(now, o.addr, o.vm)
 	a := newAttempt(up, o.body.stream, o.wait)
 	resp, err := up.transport.RoundTrip(o.request(&sending{
 		attemptContext: attemptContext{Context: ctx, trace: &a.trace, dialBy: now.Add(o.wait)},
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -150,7 +150,7 @@
 	}
 	t, ok := e.Programs.Program().Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
 	if !ok {
-		return e.noRoute(c)
+		return e.unmatched(c)
 	}
 	if t.Internal() && !internal {
 		return refuse(call.ReasonInternal, 0, "")
@@ -171,13 +171,10 @@
 	return nil
 }
 
-// noRoute refuses a call that no class matches. A node that does not carry
-// traffic says that instead.
-//
-// It guards against a node that has just started and holds no configuration
-// yet. To it every call is without a route, and a caller that is told so takes
-// it for good, while it should ask another node.
-func (e *Entry) noRoute(c *entering) *call.Refusal {
+// unmatched refuses a call that belongs to no class. A node that has just
+// started holds no classes yet: its callers must come back, and not be told
+// that there is no such route.
+func (e *Entry) unmatched(c *entering) *call.Refusal {
 	if e.Admitter != nil {
 		if r := e.Admitter.Admit(c.start, nil); r != nil {
 			return r
--- a/internal/proxy/quiet_test.go
+++ b/internal/proxy/quiet_test.go
@@ -122,7 +122,7 @@
 	return nil
 }
 
-func (l listed) Start(time.Time, Backend, quarantine.Fingerprint, string) (quarantine.Token, error) {
+func (l listed) Start(time.Time, Backend, quarantine.Fingerprint, quarantine.Request) (quarantine.Token, error) {
 	return quarantine.Token{}, nil
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -29,7 +29,7 @@
 		return e.ofPart(c, a)
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, wait: h.left, stall: stallOf(c.target),
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
 	return e.ofPart(c, readNode(a))
