Measure bookings, lookups and bulk under overload

Cause: the limits, the picker and the retry budget were compared with plain policies in simulations only. Change: the subcommand overload sends three classes of work to meshes of eight real nodes in two data centres, with four backend servers of six slots, at 0.5 to 4 times the capacity, to a mesh with plain policies and to one with ours in turn, and adds callers that send again. A node can be built with plain policies for this (node.Options.Plain).

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -22,7 +22,7 @@
 }
 
 // Commands are the subcommands, in the order that help lists them.
-func Commands() []Command { return []Command{OverheadCommand} }
+func Commands() []Command { return []Command{OverheadCommand, OverloadCommand} }
 
 const usage = `marlpass-load sends calls in an open loop and checks every answer.
 
@@ -33,6 +33,7 @@
 Examples:
   marlpass-load overhead
   marlpass-load overhead -rates 1000 -for 20s -json
+  marlpass-load overload -ablate
 
 Exit codes: 0 every answer was right, 1 some were not or the run failed, 2 bad flags.
 
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -56,6 +56,8 @@
 	// Membership changes the membership's settings of every node. Without it
 	// a first node takes itself to be alone after aloneAfter.
 	Membership func(*membership.Config)
+	// Plain replaces policies of a call at every node.
+	Plain node.Plain
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 }
@@ -135,7 +137,7 @@
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
 // replaced VM it keeps its name and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership})
+	n, err := node.New(node.Options{Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership, Plain: m.o.Plain})
 	if err != nil {
 		return err
 	}
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -18,6 +18,7 @@
 	n         *Node
 	pickers   *pickers
 	gates     *gates
+	policies  policies
 	suspects  *suspects
 	keeper    *once.Keeper
 	upstreams *proxy.Upstreams
@@ -54,15 +55,16 @@
 		alerter: n.control,
 		changed: n.control.notices,
 	}
+	c.policies = c.choosePolicies(n.o.Plain)
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
 	c.dest = proxy.NewDestination(proxy.DestinationParts{
-		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
+		Programs: programs, Backends: backends{n.registry}, Gates: c.policies.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
 	})
 	c.entry = proxy.NewEntry(proxy.EntryParts{
-		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.policies.pickers,
+		Retrier: c.policies.retrier, Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
 		Meters: c.meters, Tracer: tracer,
 	})
 	return c, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,8 @@
 	// Table and Objects replace the platform client, for tests.
 	Table   platform.Table
 	Objects platform.Objects
+	// Plain replaces policies of a call, for measurements.
+	Plain Plain
 	// Membership changes the membership's settings, for measurements.
 	Membership func(*membership.Config)
 }
@@ -143,6 +145,7 @@
 		v, f := n.views.Load(), n.store.Load()
 		if v != view {
 			n.calls.pickers.update(now, v)
+			n.calls.policies.update(v)
 			n.calls.suspects.merge(now, v)
 		}
 		if f.Snapshot != snapshot {
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -158,7 +158,10 @@
 }
 
 func (c *choice) Endpoint() proxy.Endpoint {
-	e := c.c.Endpoint()
+	return proxyEndpoint(c.c.Endpoint())
+}
+
+func proxyEndpoint(e *route.Endpoint) proxy.Endpoint {
 	_, instance, _ := strings.Cut(e.ID, endpointSep)
 	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
 }
