Keep the overload measurement within the machine's files

Cause: with plain policies at 4x the callers' waits held more than the 20,000 files that the machine allows, and nodes could not accept. Change: service times of 50 and 300 ms in place of 40 and 250, answer times to match, fewer idle connections, and none kept from one run to the next.

--- a/internal/load/overload_classes.go
+++ b/internal/load/overload_classes.go
@@ -29,17 +29,17 @@
 	return []workClass{
 		{
 			name: "bookings", method: http.MethodPost, path: "/bookings", bytes: 200, body: 200,
-			mean: 40 * time.Millisecond, part: 0.3, within: 250 * time.Millisecond, percentile: 95,
+			mean: 50 * time.Millisecond, part: 0.3, within: 300 * time.Millisecond, percentile: 95,
 			deadline: time.Second, priority: 7,
 		},
 		{
 			name: "lookups", method: http.MethodGet, path: "/lookups", bytes: 1000,
-			mean: 40 * time.Millisecond, part: 0.4, within: 500 * time.Millisecond, percentile: 95,
+			mean: 50 * time.Millisecond, part: 0.4, within: 600 * time.Millisecond, percentile: 95,
 			deadline: 1500 * time.Millisecond, priority: 5, idempotent: true,
 		},
 		{
 			name: "bulk", method: http.MethodGet, path: "/archive", bytes: 20000,
-			mean: 250 * time.Millisecond, part: 0.3, within: 2 * time.Second, percentile: 95,
+			mean: 300 * time.Millisecond, part: 0.3, within: 2500 * time.Millisecond, percentile: 95,
 			deadline: 4 * time.Second, share: 0.2, priority: 2, idempotent: true,
 		},
 	}
--- a/internal/load/overload_mesh.go
+++ b/internal/load/overload_mesh.go
@@ -36,7 +36,7 @@
 }
 
 // maxCallerConns is how many idle connections the callers keep to an entry node.
-const maxCallerConns = 1024
+const maxCallerConns = 128
 
 func newOverloadMesh(ctx context.Context, classes []workClass, plain node.Plain) (*overloadMesh, error) {
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/load/overload_run.go
+++ b/internal/load/overload_run.go
@@ -81,6 +81,8 @@
 	}
 	senders.Wait()
 	t.calls.Wait()
+	// The next run is on another mesh, and the machine's files are few.
+	m.transport.CloseIdleConnections()
 	return t.tallies
 }
 
