--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -185,6 +185,14 @@
 	return call.Unknown
 }
 
+// broke reports whether the connection broke under the attempt, as it does when
+// a request crashes its backend server. An attempt that a bound ended, or that
+// its caller gave up, says nothing of the request: under overload such calls are
+// many, and would be held back as if they had crashed what they ran at.
+func (a *answer) broke() bool {
+	return a.err != nil && !a.expired && !errors.Is(a.err, context.Canceled) && kindOf(a.err) == unknownLost
+}
+
 // send sends o and waits until its answer begins. The answer's body must be
 // closed, once.
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -210,6 +210,8 @@
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
+		}
+		if a.broke() {
 			e.broke(c, ep)
 		}
 		if d := e.again(ctx, c, &a); !d.Retry {
--- /dev/null
+++ b/internal/proxy/patience_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// Archive pulls aim at 2.5 s and may take 4 s. Under twice the load they wait
+// for a slot as their class allows, and the entry node cut them off after 2 s,
+// half of their time, when they were running: callers saw 504, the slot's work
+// was lost and the endpoint counted as failing.
+func TestFirstAttemptHasTheAnswerTimeOfItsClass(t *testing.T) {
+	now := time.Now()
+	for _, tt := range []struct {
+		name       string
+		idempotent bool
+		within     time.Duration
+		attempt    int
+		want       time.Duration
+	}{
+		{"half is enough", true, time.Second, 1, 2 * time.Second},
+		{"half is too short", true, 2500 * time.Millisecond, 1, 2500 * time.Millisecond},
+		{"later than the deadline", true, time.Minute, 1, 4 * time.Second},
+		{"no answer time", true, 0, 1, 2 * time.Second},
+		{"second attempt", true, time.Second, 2, 4 * time.Second},
+		{"not idempotent", false, time.Second, 1, 4 * time.Second},
+	} {
+		c := &entering{n: tt.attempt, deadline: now.Add(4 * time.Second), target: &config.Target{
+			Idempotent: tt.idempotent, AnswerWithinMS: tt.within.Milliseconds(),
+		}}
+		if got := new(Entry).patience(c, now); got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Callers of a slow lookup gave up, or its time passed, at two endpoints. The
+// entry node took both for crashes and refused the lookup to everybody for three
+// seconds as quarantined, though no backend server had crashed.
+func TestOnlyBrokenConnectionsAreHeldAgainstARequest(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		a    answer
+		want bool
+	}{
+		{"broken here", answer{err: io.ErrUnexpectedEOF}, true},
+		{"broken at the destination", answer{err: &unknownError{unknownLost}}, true},
+		{"waited here", answer{err: errWaited, expired: true}, false},
+		{"waited at the destination", answer{err: &unknownError{unknownWaited}}, false},
+		{"broken by the bound", answer{err: io.ErrUnexpectedEOF, expired: true}, false},
+		{"caller left", answer{err: context.Canceled}, false},
+		{"key", answer{err: &unknownError{unknownKey}}, false},
+		{"refused", answer{refusal: refuse("overloaded", 0, "")}, false},
+		{"answered", answer{resp: new(http.Response)}, false},
+	} {
+		if got := tt.a.broke(); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
