--- a/internal/load/overload_report.go
+++ b/internal/load/overload_report.go
@@ -38,6 +38,8 @@
 	Goodput float64 `json:"goodput"`
 	// Useful is the same of all answers.
 	Useful float64 `json:"useful"`
+	// Doubled are the bookings that ran more than once.
+	Doubled int `json:"doubled"`
 	// CPU is the part of the machine's cores that the process took, callers
 	// and backend servers included.
 	CPU float64 `json:"cpu"`
@@ -64,10 +66,10 @@
 	Kept  []OverloadKept `json:"kept"`
 }
 
-func newOverloadRunReport(tallies []*tally, window time.Duration) OverloadRun {
+func newOverloadRunReport(counts []*classCounts, window time.Duration) OverloadRun {
 	var r OverloadRun
 	var work, useful time.Duration
-	for _, y := range tallies {
+	for _, y := range counts {
 		work += y.work
 		useful += y.useful
 		r.Classes = append(r.Classes, y.report(window))
@@ -78,7 +80,7 @@
 	return r
 }
 
-func (y *tally) report(window time.Duration) OverloadClass {
+func (y *classCounts) report(window time.Duration) OverloadClass {
 	c := OverloadClass{
 		Class: y.class.name, Offered: y.offered, Sent: y.sent, Answered: y.answered,
 		Refused: y.refused, Failed: y.failed, Within: y.within,
@@ -123,7 +125,7 @@
 
 func (r *OverloadReport) print(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "load\tpolicy\tcallers\tclass\toffered\tsent\tanswered\trefused\tfailed\tgoodput/s\tp50 ms\tp99 ms\ton target\tmet\tall: goodput\tanswered\tcpu\t")
+	fmt.Fprintln(t, "load\tpolicy\tcallers\tclass\toffered\tsent\tanswered\trefused\tfailed\tgoodput/s\tp50 ms\tp99 ms\ton target\tmet\tall: goodput\tanswered\tdoubled\tcpu\t")
 	for i := range r.Runs {
 		r.Runs[i].print(t)
 	}
@@ -145,9 +147,9 @@
 			c.Class, c.Offered, c.Sent, c.Answered, c.Refused, c.Failed, c.Goodput,
 			millis(c.P50us), millis(c.P99us), 100*c.OnTarget, met)
 		if i == 0 {
-			fmt.Fprintf(w, "%.1f%%\t%.1f%%\t%.0f%%\t", 100*r.Goodput, 100*r.Useful, 100*r.CPU)
+			fmt.Fprintf(w, "%.1f%%\t%.1f%%\t%d\t%.0f%%\t", 100*r.Goodput, 100*r.Useful, r.Doubled, 100*r.CPU)
 		} else {
-			fmt.Fprint(w, "\t\t\t")
+			fmt.Fprint(w, "\t\t\t\t")
 		}
 		fmt.Fprintln(w)
 	}
--- a/internal/load/overload_run.go
+++ b/internal/load/overload_run.go
@@ -40,9 +40,9 @@
 	seed    uint64
 }
 
-// tally counts what became of one class's calls. Only what happens in the
+// classCounts counts what became of one class's calls. Only what happens in the
 // window counts: calls that come in it, and answers that come in it.
-type tally struct {
+type classCounts struct {
 	class *workClass
 
 	mu       sync.Mutex // guards what follows
@@ -62,33 +62,33 @@
 	trafficOptions
 	m        *overloadMesh
 	from, to time.Time // the window
-	tallies  []*tally
+	counts   []*classCounts
 	calls    sync.WaitGroup
 }
 
 // run sends calls of all classes at random distances, until the window ends, and
 // then gives up on those still under way.
-func (m *overloadMesh) run(ctx context.Context, classes []workClass, o trafficOptions) []*tally {
+func (m *overloadMesh) run(ctx context.Context, classes []workClass, o trafficOptions) []*classCounts {
 	start := time.Now()
 	t := &traffic{trafficOptions: o, m: m, from: start.Add(o.warm), to: start.Add(o.warm + o.window)}
 	ctx, cancel := context.WithDeadline(ctx, t.to)
 	defer cancel()
 	var senders sync.WaitGroup
 	for i := range classes {
-		y := &tally{class: &classes[i], latency: newHistogram()}
-		t.tallies = append(t.tallies, y)
+		y := &classCounts{class: &classes[i], latency: newHistogram()}
+		t.counts = append(t.counts, y)
 		senders.Go(func() { t.send(ctx, y, start, rand.New(rand.NewPCG(o.seed, uint64(i)))) })
 	}
 	senders.Wait()
 	t.calls.Wait()
 	// The next run is on another mesh, and the machine's files are few.
 	m.transport.CloseIdleConnections()
-	return t.tallies
+	return t.counts
 }
 
 // send is the open loop of one class. Its random numbers depend on the seed
 // alone, so that every policy gets the same calls.
-func (t *traffic) send(ctx context.Context, y *tally, start time.Time, r *rand.Rand) {
+func (t *traffic) send(ctx context.Context, y *classCounts, start time.Time, r *rand.Rand) {
 	rate := y.class.rate(overloadTotal, t.load)
 	due := start
 	for i := 0; ; i++ {
@@ -119,13 +119,13 @@
 	return head[strings.LastIndexByte(head, '/')+1:]
 }
 
-// counts reports whether now is in the window.
-func (t *traffic) counts(now time.Time) bool { return !now.Before(t.from) && now.Before(t.to) }
+// inWindow reports whether now is in the window.
+func (t *traffic) inWindow(now time.Time) bool { return !now.Before(t.from) && now.Before(t.to) }
 
 // overloadCall is one call of one caller.
 type overloadCall struct {
 	t     *traffic
-	y     *tally
+	y     *classCounts
 	id    string
 	work  time.Duration
 	entry string
@@ -139,14 +139,14 @@
 
 // make sends the call, and again as its caller does.
 func (c *overloadCall) make(ctx context.Context, due time.Time) {
-	c.y.offer(c.t.counts(due))
+	c.y.offer(c.t.inWindow(due))
 	for n := 1; ; n++ {
 		res := c.sendOnce(ctx)
 		now := time.Now()
 		if ctx.Err() != nil {
 			return // the window is over
 		}
-		c.y.add(c.t.counts(now), res.out, now.Sub(due), c.work)
+		c.y.add(c.t.inWindow(now), res.out, now.Sub(due), c.work)
 		if res.out == Answered || n == crowdSendings || !c.again(ctx, res) {
 			return
 		}
@@ -209,7 +209,7 @@
 	return time.Duration(n) * time.Second
 }
 
-func (y *tally) offer(counts bool) {
+func (y *classCounts) offer(counts bool) {
 	if !counts {
 		return
 	}
@@ -219,7 +219,7 @@
 }
 
 // add counts one sending that has ended.
-func (y *tally) add(counts bool, out Outcome, took, work time.Duration) {
+func (y *classCounts) add(counts bool, out Outcome, took, work time.Duration) {
 	if !counts {
 		return
 	}
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,13 +54,19 @@
 	Log         zerolog.Logger
 	// DrainLimit bounds a planned stop of a node; DefaultDrainLimit if zero.
 	DrainLimit time.Duration
-	// Membership changes the membership's settings of every node. Without it
-	// a first node takes itself to be alone after aloneAfter.
+	// Membership changes the membership's settings of every node. Without it,
+	// a node that starts for the first time takes itself to be alone after
+	// aloneAfter.
 	Membership func(*membership.Config)
-	// Plain replaces policies of a call at every node.
-	Plain node.Plain
+	// Policies replace every node's own policies for calls.
+	Policies node.Policies
+	// Node, if set, changes what the node of a VM is made of.
+	Node func(vm *VM, o *node.Options)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of a node.
+	CallAddr func(listen string) string
 }
 
 // aloneAfter is short, since all nodes of a local mesh start together with
@@ -77,6 +84,7 @@
 
 	mu       sync.Mutex
 	node     *node.Node
+	addrs    *node.Addrs // of the last start, or nil
 	backends []*backend.Server
 }
 
@@ -87,7 +95,8 @@
 	platform *http.Server
 	url      string
 	VMs      []*VM
-	seeds    []string
+	// Cuts part places of the mesh from each other.
+	Cuts *Cuts
 }
 
 // Start starts the platform and all nodes. Use WaitReady after it.
@@ -95,13 +104,10 @@
 	if o.Seeds == 0 {
 		o.Seeds = 3
 	}
-	if o.Membership == nil {
-		o.Membership = func(c *membership.Config) { c.AloneAfter = aloneAfter }
-	}
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
-	m := &Mesh{o: o, Store: fake.New()}
+	m := &Mesh{o: o, Store: fake.New(), Cuts: newCuts()}
 	if err := m.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -126,6 +132,7 @@
 		return err
 	}
 	m.url = "http://" + ln.Addr().String()
+	m.Cuts.add(ln.Addr().String(), place{Platform})
 	m.platform = &http.Server{Handler: server.New(m.Store), ReadHeaderTimeout: time.Second}
 	go func() { _ = m.platform.Serve(ln) }()
 	return nil
@@ -135,39 +142,88 @@
 func (m *Mesh) PlatformURL() string { return m.url }
 
 // StartNode starts the node of a VM, anew if one was stopped or killed. Like a
-// replaced VM it keeps its name and nothing else.
+// replaced VM it keeps its name and its addresses, and nothing else.
 func (m *Mesh) StartNode(vm *VM) error {
-	n, err := node.New(node.Options{Settings: m.settings(vm), Log: m.o.Log, Membership: m.o.Membership, Plain: m.o.Plain})
+	n, err := m.newNode(vm, vm.listen())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// Some connection got one of the ports meanwhile.
+		n, err = m.newNode(vm, anywhere())
+	}
 	if err != nil {
 		return err
 	}
+	m.Cuts.add(n.Addrs().Control, vm.place())
+	m.Cuts.add(n.Addrs().Calls, vm.place())
 	n.Start()
+	addrs := n.Addrs()
 	vm.mu.Lock()
-	vm.node = n
+	vm.node, vm.addrs = n, &addrs
 	vm.mu.Unlock()
-	if len(m.seeds) < m.o.Seeds {
-		m.seeds = append(m.seeds, n.Addrs().Control)
-	}
 	return nil
 }
 
+func (m *Mesh) newNode(vm *VM, l settings.Listen) (*node.Node, error) {
+	s := m.settings(vm)
+	s.Listen = l
+	members := m.o.Membership
+	if members == nil && vm.Addrs() == nil {
+		members = func(c *membership.Config) { c.AloneAfter = aloneAfter }
+	}
+	o := node.Options{
+		Settings: s, Log: m.o.Log, Membership: members, Policies: m.o.Policies,
+		Dial: m.Cuts.dialer(vm.place()), CallAddr: m.o.CallAddr,
+	}
+	if m.o.Node != nil {
+		m.o.Node(vm, &o)
+	}
+	return node.New(o)
+}
+
+func anywhere() settings.Listen {
+	return settings.Listen{
+		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
+		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
+	}
+}
+
+// listen returns the addresses of the last start, or any at the first.
+func (vm *VM) listen() settings.Listen {
+	a := vm.Addrs()
+	if a == nil {
+		return anywhere()
+	}
+	return settings.Listen{
+		Callers: a.Callers, Internal: a.Internal, Calls: a.Calls, Control: a.Control,
+		Admin: a.Admin, Announce: a.Announce, Metrics: a.Metrics,
+	}
+}
+
+// seeds returns the control addresses of the first few nodes that ever ran.
+func (m *Mesh) seeds() []string {
+	var out []string
+	for _, vm := range m.VMs {
+		if a := vm.Addrs(); a != nil && len(out) < m.o.Seeds {
+			out = append(out, a.Control)
+		}
+	}
+	return out
+}
+
 func (m *Mesh) settings(vm *VM) settings.Node {
 	s := settings.DefaultNode()
 	s.Mesh = m.o.Name
 	s.Profile = m.o.Profile
 	s.VM = settings.VM{ID: vm.ID, Region: vm.Region, DataCentre: vm.DataCentre}
-	s.Listen = settings.Listen{
-		Callers: anyPort, Internal: anyPort, Calls: anyPort, Control: anyPort,
-		Admin: anyPort, Announce: anyPort, Metrics: anyPort,
-	}
 	s.Platform.URL = m.url
-	s.Peers.Seeds = append([]string(nil), m.seeds...)
+	s.Peers.Seeds = m.seeds()
 	s.Drain.Limit = strict.Duration{Duration: m.o.DrainLimit}
 	sum := sha256.Sum256([]byte(Token))
 	s.Operators = []settings.Operator{{Name: Operator, Team: Team, TokenSHA256: hex.EncodeToString(sum[:])}}
 	return s
 }
 
+func (vm *VM) place() place { return place{vm.ID, vm.DataCentre, vm.Region} }
+
 // Node returns the VM's running node, or nil.
 func (vm *VM) Node() *node.Node {
 	vm.mu.Lock()
@@ -175,6 +231,14 @@
 	return vm.node
 }
 
+// Addrs returns the addresses of the VM's node, also after its death, or nil
+// before its first start.
+func (vm *VM) Addrs() *node.Addrs {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.addrs
+}
+
 // Kill ends the VM's node at once, as a crash would.
 func (vm *VM) Kill() {
 	vm.mu.Lock()
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -18,10 +18,10 @@
 	n         *Node
 	pickers   *pickers
 	gates     *gates
-	policies  policies
 	suspects  *suspects
 	keeper    *once.Keeper
-	upstreams *proxy.Upstreams
+	upstreams *proxy.Upstreams // to backend servers
+	nodes     *proxy.Upstreams // to other nodes
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
@@ -45,7 +45,8 @@
 		pickers:   newPickers(n.self),
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
-		upstreams: proxy.NewUpstreams(),
+		upstreams: n.upstreams(),
+		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
 		endTrace:  endTrace,
 	}
@@ -55,21 +56,27 @@
 		alerter: n.control,
 		changed: n.control.notices,
 	}
-	c.policies = c.choosePolicies(n.o.Plain)
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
-	c.dest = proxy.NewDestination(proxy.DestinationParts{
-		Programs: programs, Backends: backends{n.registry}, Gates: c.policies.gates,
+	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
+		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
-	})
-	c.entry = proxy.NewEntry(proxy.EntryParts{
-		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.policies.pickers,
-		Retrier: c.policies.retrier, Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+	}))
+	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
+		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
+		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
-	})
+	}, &c.pickers.plain))
 	return c, nil
 }
 
+func (n *Node) upstreams() *proxy.Upstreams {
+	if n.o.Dial != nil {
+		return proxy.NewUpstreamsBy(n.o.Dial)
+	}
+	return proxy.NewUpstreams()
+}
+
 // upkeep stores outcomes that the platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
@@ -102,11 +109,10 @@
 		c.n.log.Error().Err(err).Msg("once: outcomes could not be stored before the stop")
 	}
 	c.upstreams.Close()
+	c.nodes.Close()
 	_ = c.endTrace(ctx)
 }
 
-func (c *callPath) inFlight() int64 { return c.dest.InFlight() }
-
 // admission refuses calls while the node may not carry traffic: a node that has
 // just started may hold an older version than it held before, and one that
 // drains takes no new calls.
