--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -106,11 +106,11 @@
 	Rate float64 `json:"calls_s"`
 	Load
 	Calls  int     `json:"calls"`
-	Bad    int     `json:"bad"`           // not answered in full
-	CPU    float64 `json:"cpu_s_per_s"`   // of the whole process
-	Allocs float64 `json:"allocs_call"`   // in the whole process
-	Bytes  float64 `json:"bytes_call"`    // allocated in the whole process
-	Micros Quantum `json:"latency_us"`    // from the moment the call was due
+	Bad    int     `json:"bad"`         // not answered in full
+	CPU    float64 `json:"cpu_s_per_s"` // of the whole process
+	Allocs float64 `json:"allocs_call"` // in the whole process
+	Bytes  float64 `json:"bytes_call"`  // allocated in the whole process
+	Micros Quantum `json:"latency_us"`  // from the moment the call was due
 }
 
 // ChainPoint is a call that is passed on from backend server to backend server.
--- a/internal/membership/bounds_test.go
+++ b/internal/membership/bounds_test.go
@@ -205,7 +205,7 @@
 }
 
 func BenchmarkViewAfterOneChange(b *testing.B) {
-	for _, n := range []int{12, 108, 240, 1200} {
+	for _, n := range []int{12, 108, 240, 300, 600, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := full(n)
 			b.ReportAllocs()
@@ -221,7 +221,7 @@
 
 // BenchmarkHeap reports the heap that one state with its view keeps.
 func BenchmarkHeap(b *testing.B) {
-	for _, n := range []int{12, 108, 240, 1200} {
+	for _, n := range []int{12, 108, 240, 300, 600, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			const states = 20
 			for b.Loop() {
