--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/command"
@@ -43,6 +42,7 @@
 	log      *command.Reader
 	commit   *command.Committer
 	commands *command.Forwarder
+	house    *housekeeper
 }
 
 func newControl(n *Node) (*control, error) {
@@ -68,7 +68,9 @@
 		c.table, c.objects = c.n.o.Table, c.n.o.Objects
 		return nil
 	}
-	cl, err := client.New(client.Options{URL: c.n.set.Platform.URL, Timeout: c.n.set.Platform.Timeout.Duration})
+	cl, err := client.New(client.Options{
+		URL: c.n.set.Platform.URL, Timeout: c.n.set.Platform.Timeout.Duration, Dial: c.n.o.Dial,
+	})
 	if err != nil {
 		return err
 	}
@@ -83,7 +85,7 @@
 	var err error
 	c.peers, err = peer.NewClient(peer.ClientConfig{
 		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.client(),
-		Limits: peer.DefaultLimits(), Metrics: c.peerSum,
+		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Dial: c.n.o.Dial,
 		Sender: c.sender, Heard: c.Heard,
 	})
 	if err != nil {
@@ -130,6 +132,16 @@
 	})
 }
 
+// wireHouse makes the part that keeps the platform's rows bounded.
+func (c *control) wireHouse() {
+	h := newHousekeeper(c.table, c.n.self.ID, time.Now)
+	h.log = telemetry.Part(c.n.log, "housekeeping")
+	h.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
+	h.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
+	h.trim = c.n.calls.keeper
+	c.house = h
+}
+
 // sender is what every message of this node carries.
 func (c *control) sender() peer.Sender {
 	s := c.spread.Stamp()
@@ -137,11 +149,12 @@
 }
 
 // start serves the peers and starts the work of control.
-func (c *control) start(ctx context.Context, g *errgroup.Group) {
-	c.trust.watch(ctx, g)
-	g.Go(func() error { return c.server.Serve(c.n.ln.control) })
-	g.Go(func() error { return c.members.Run(ctx) })
-	g.Go(func() error {
+func (c *control) start(p *parts) {
+	c.trust.watch(p)
+	p.run("control", func(context.Context) error { return c.server.Serve(c.n.ln.control) })
+	p.run("membership", c.members.Run)
+	p.run("housekeeping", func(ctx context.Context) error { c.house.run(ctx); return nil })
+	p.run("distribute", func(ctx context.Context) error {
 		c.awaitContact(ctx)
 		c.spread.Run(ctx)
 		return nil
