--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/localmesh"
 )
@@ -41,21 +44,74 @@
 	return out
 }
 
-// startFleet starts a mesh of nodes and waits until all carry traffic.
+// startFleet starts a mesh of nodes on a platform that already holds the version
+// of the size that decides the design, and waits until all carry traffic.
 func startFleet(ctx context.Context, nodes int, profile string) (*localmesh.Mesh, error) {
-	m, err := localmesh.Start(localmesh.Options{
-		Name: "capacity", Profile: profile, Log: zerolog.Nop(), DataCentres: dataCentres(nodes),
-	})
+	m, err := localmesh.Start(localmesh.Options{Name: "capacity", Profile: profile, Log: zerolog.Nop()})
 	if err != nil {
 		return nil, err
 	}
-	if err := m.WaitReady(ctx); err != nil {
+	if err := fill(ctx, m, nodes); err != nil {
 		m.Close()
 		return nil, err
 	}
 	return m, nil
 }
 
+func fill(ctx context.Context, m *localmesh.Mesh, nodes int) error {
+	version, err := commitVersion(ctx, m)
+	if err != nil {
+		return err
+	}
+	for _, dc := range dataCentres(nodes) {
+		for i := range dc.VMs {
+			m.VMs = append(m.VMs, &localmesh.VM{
+				ID: fmt.Sprintf("%s-%03d", dc.Name, i+1), DataCentre: dc.Name, Region: dc.Region,
+			})
+		}
+	}
+	for _, vm := range m.VMs {
+		if err := m.StartNode(vm); err != nil {
+			return err
+		}
+	}
+	if err := m.WaitReady(ctx); err != nil {
+		return err
+	}
+	return m.WaitVersion(ctx, version)
+}
+
+// maxObjects is how many objects one command may set.
+const maxObjects = 128
+
+// commitVersion commits all services and targets with as few commands as that
+// takes.
+func commitVersion(ctx context.Context, m *localmesh.Mesh) (uint64, error) {
+	var set []config.Object
+	for i := range services {
+		set = append(set, config.EncodeService(config.Service{Name: serviceName(i), Team: localmesh.Team}))
+	}
+	for i := range targets {
+		t := versionTarget(i, services, 0)
+		t.Team = localmesh.Team
+		set = append(set, config.EncodeTarget(t))
+	}
+	table := m.Store.Table()
+	reader := command.NewReader(table, m.Store.Objects(), command.SnapshotFunc(config.Empty))
+	committer := command.NewCommitter(reader, table, command.Options{})
+	var version uint64
+	for chunk := range slices.Chunk(set, maxObjects) {
+		res := committer.Submit(ctx, command.Command{
+			ID: fmt.Sprintf("capacity-%d", version), Operator: localmesh.Operator, Team: localmesh.Team, Set: chunk,
+		})
+		if res.Outcome != command.Accepted {
+			return 0, fmt.Errorf("%w: %s %s", errRefused, res.Outcome, res.Detail)
+		}
+		version = res.Version.Number
+	}
+	return version, nil
+}
+
 // operator states services and targets at the nodes in turn.
 type operator struct {
 	m       *localmesh.Mesh
@@ -68,7 +124,7 @@
 const operatorNodes = 5
 
 func newOperator(m *localmesh.Mesh) (*operator, error) {
-	o := &operator{m: m}
+	o := &operator{m: m, version: m.Nodes()[0].Version().Number}
 	step := max(len(m.VMs)/operatorNodes, 1)
 	for i := 0; i < len(m.VMs); i += step {
 		c, err := m.Admin(m.VMs[i])
@@ -115,21 +171,6 @@
 	return nil
 }
 
-// state states all services and targets of the size that decides the design.
-func (o *operator) state(ctx context.Context) error {
-	for i := range services {
-		if err := o.service(ctx, serviceName(i)); err != nil {
-			return err
-		}
-	}
-	for i := range targets {
-		if err := o.target(ctx, targetName(i), targetSpec(i, 0)); err != nil {
-			return err
-		}
-	}
-	return o.m.WaitVersion(ctx, o.version)
-}
-
 func serviceName(i int) string { return fmt.Sprintf("service%d", i%services) }
 func targetName(i int) string  { return fmt.Sprintf("class%d", i) }
 
@@ -137,8 +178,12 @@
 // gives another one.
 func targetSpec(i, round int) *adminapi.TargetSpec {
 	return &adminapi.TargetSpec{
-		Service:        adminapi.Name(serviceName(i)),
-		Match:          adminapi.Match{PathPrefix: fmt.Sprintf("/%s/v1/class%d", serviceName(i), i)},
+		Service: adminapi.Name(serviceName(i)),
+		Match: adminapi.Match{
+			Host:       adminapi.NewOptString(fmt.Sprintf("h%d.example.nl", i%services)),
+			Methods:    []string{"GET"},
+			PathPrefix: fmt.Sprintf("/%s/v1/class%d", serviceName(i), i),
+		},
 		Idempotent:     adminapi.NewOptBool(true),
 		AnswerWithinMs: adminapi.NewOptInt64(int64(1000 + i + round)),
 		Share:          adminapi.NewOptFloat64(0.5),
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -12,6 +12,7 @@
 type MeshOptions struct {
 	Nodes   int
 	Profile string
+	Prior   int           // changes made in a burst before anything is measured
 	Settle  time.Duration // after the last announcement is known everywhere
 	Idle    time.Duration // how long the idle mesh is watched
 	Changes int           // made one after the other
@@ -22,14 +23,14 @@
 func DefaultMesh(nodes int, profile string) MeshOptions {
 	return MeshOptions{
 		Nodes: nodes, Profile: profile,
-		Settle: 10 * time.Second, Idle: 16 * time.Second, Changes: 8, Every: 1500 * time.Millisecond,
+		Settle: 20 * time.Second, Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond,
 	}
 }
 
 // MeasureMesh runs a mesh of real nodes in this process, which should do
 // nothing else.
 func MeasureMesh(ctx context.Context, o MeshOptions) (MeshPoint, error) {
-	p := MeshPoint{Nodes: o.Nodes, Profile: o.Profile, Changes: o.Changes}
+	p := MeshPoint{Nodes: o.Nodes, Profile: o.Profile, Prior: o.Prior, Changes: o.Changes}
 	p.Before = loadAverage()
 	empty := settledMemory()
 	start := time.Now()
@@ -43,14 +44,14 @@
 	if err != nil {
 		return p, err
 	}
-	if err := op.state(ctx); err != nil {
-		return p, err
-	}
 	a, err := announceFleet(ctx, m)
 	if err != nil {
 		return p, err
 	}
 	defer a.close()
+	if err := op.burst(ctx, o.Prior); err != nil {
+		return p, err
+	}
 	if err := sleep(ctx, o.Settle); err != nil {
 		return p, err
 	}
@@ -65,6 +66,16 @@
 	return p, nil
 }
 
+// burst makes changes as fast as they are accepted.
+func (o *operator) burst(ctx context.Context, changes int) error {
+	for i := range changes {
+		if err := o.target(ctx, targetName(i%targets), targetSpec(i%targets, 2+i)); err != nil {
+			return err
+		}
+	}
+	return o.m.WaitVersion(ctx, o.version)
+}
+
 // memory takes what the mesh holds, less what the process held without it.
 func (p *MeshPoint) memory(empty, full memory) {
 	n := float64(p.Nodes)
--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -71,6 +71,7 @@
 type MeshPoint struct {
 	Nodes   int    `json:"nodes"`
 	Profile string `json:"profile"`
+	Prior   int    `json:"prior_changes"` // in a burst, before the figures
 	Load
 	ReadyMS   float64 `json:"ready_ms"`
 	Idle      Window  `json:"idle"`
