--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -8,9 +8,12 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
@@ -18,12 +21,14 @@
 // leaves its heap, goroutines or connections behind.
 type part struct {
 	args []string
+	// together parts of the same name run at the same time.
+	together bool
 	// take adds what the part printed to the raw figures.
 	take func(r *Raw, b []byte) error
 }
 
 // partBound ends a part that hangs.
-const partBound = 3 * time.Minute
+const partBound = 10 * time.Minute
 
 // PlanOptions choose what is measured.
 type PlanOptions struct {
@@ -38,6 +43,7 @@
 // Names of the parts.
 const (
 	partMesh     = "mesh"
+	partIdle     = "idle"
 	partBurst    = "burst"
 	partCalls    = "calls"
 	partChain    = "chain"
@@ -56,7 +62,7 @@
 // partNames lists the parts in the order in which they run.
 func partNames() []string {
 	return []string{
-		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partGossip,
+		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partIdle, partGossip,
 	}
 }
 
@@ -72,9 +78,11 @@
 	case partBurst:
 		var out []part
 		for _, n := range burstSizes() {
-			out = append(out, meshPart(burstNodes, timeProfile, n))
+			out = append(out, meshPart(burstNodes, timeProfile, n, shortSettle))
 		}
 		return out
+	case partIdle:
+		return o.settled()
 	case partCalls:
 		return []part{listPart(name, func(r *Raw) *[]CallPoint { return &r.Calls })}
 	case partChain:
@@ -103,18 +111,46 @@
 	var out []part
 	for i := range o.Repeats {
 		for _, n := range o.Sizes {
-			out = append(out, meshPart(n, timeProfile, 0))
+			out = append(out, meshPart(n, timeProfile, 0, shortSettle))
 			if i == 0 {
-				out = append(out, meshPart(n, bytesProfile, 0))
+				out = append(out, meshPart(n, bytesProfile, 0, shortSettle))
 			}
 		}
 	}
 	return out
 }
 
-func meshPart(nodes int, profile string, prior int) part {
+// settled returns meshes that are left alone until nothing of their start is on
+// its way any more. They run at the same time: what they spend in bytes and
+// processor time depends little on how busy the machine is, and the longest
+// takes minutes.
+func (o *PlanOptions) settled() []part {
+	var out []part
+	for _, n := range o.Sizes {
+		for _, profile := range []string{timeProfile, bytesProfile} {
+			p := meshPart(n, profile, 0, settleFor(n))
+			p.together = true
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// shortSettle is long enough for every node to know all others, but not for
+// messages to carry nothing but probes again.
+const shortSettle = 20 * time.Second
+
+// settleFor is how long a mesh takes from its start until messages carry
+// nothing of it any more: each of n records rides on up to 12 messages of
+// every node, about 130 bytes each, and a node's messages have room for some
+// 1,100 bytes a second.
+func settleFor(nodes int) time.Duration {
+	return shortSettle + time.Duration(nodes)*1400*time.Millisecond
+}
+
+func meshPart(nodes int, profile string, prior int, settle time.Duration) part {
 	return part{
-		args: []string{partMesh, strconv.Itoa(nodes), profile, strconv.Itoa(prior)},
+		args: []string{partMesh, strconv.Itoa(nodes), profile, strconv.Itoa(prior), settle.String()},
 		take: func(r *Raw, b []byte) error {
 			var p MeshPoint
 			err := json.Unmarshal(b, &p)
@@ -165,8 +201,8 @@
 }
 
 func runMeshPart(ctx context.Context, args []string) (any, error) {
-	if len(args) != 3 {
-		return nil, fmt.Errorf("%w: mesh wants NODES PROFILE PRIOR-CHANGES", errUsage)
+	if len(args) < 3 || len(args) > 4 {
+		return nil, fmt.Errorf("%w: mesh wants NODES PROFILE PRIOR-CHANGES [SETTLE]", errUsage)
 	}
 	nodes, err := strconv.Atoi(args[0])
 	if err != nil || nodes < 1 {
@@ -178,6 +214,11 @@
 	}
 	o := DefaultMesh(nodes, args[1])
 	o.Prior = prior
+	if len(args) == 4 {
+		if o.Settle, err = time.ParseDuration(args[3]); err != nil {
+			return nil, fmt.Errorf("%w: %w", errUsage, err)
+		}
+	}
 	return MeasureMesh(ctx, o)
 }
 
@@ -192,40 +233,84 @@
 	}
 	r.Machine = Machine{GoVersion: runtime.Version(), Arch: runtime.GOOS + "/" + runtime.GOARCH, Cores: runtime.NumCPU()}
 	for _, name := range o.Only {
-		if name == partMesh {
-			r.Mesh = r.without(func(p *MeshPoint) bool { return p.Prior == 0 })
+		r.forget(name)
+		parts := o.plan(name)
+		if len(parts) > 0 && parts[0].together {
+			err = runTogether(ctx, parts, r, log)
+		} else {
+			err = runInTurn(ctx, parts, r, path, log)
 		}
-		if name == partBurst {
-			r.Mesh = r.without(func(p *MeshPoint) bool { return p.Prior > 0 })
+		if err != nil {
+			return err
 		}
-		for _, p := range o.plan(name) {
-			if err := p.run(ctx, r, log); err != nil {
-				return err
-			}
-			if err := r.Write(path); err != nil {
-				return err
-			}
+		if err := r.Write(path); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// without returns the meshes for which old does not hold.
-func (r *Raw) without(old func(*MeshPoint) bool) []MeshPoint {
-	var out []MeshPoint
-	for _, p := range r.Mesh {
-		if !old(&p) {
-			out = append(out, p)
+// runInTurn runs parts one after the other and keeps what each gave.
+func runInTurn(ctx context.Context, parts []part, r *Raw, path string, log io.Writer) error {
+	for _, p := range parts {
+		out, err := p.run(ctx, log)
+		if err != nil {
+			return err
+		}
+		if err := p.take(r, out); err != nil {
+			return err
+		}
+		if err := r.Write(path); err != nil {
+			return err
 		}
 	}
-	return out
+	return nil
+}
+
+func runTogether(ctx context.Context, parts []part, r *Raw, log io.Writer) error {
+	outs := make([][]byte, len(parts))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, p := range parts {
+		g.Go(func() (err error) {
+			outs[i], err = p.run(ctx, log)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	for i, p := range parts {
+		if err := p.take(r, outs[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// forget drops the meshes of a part that is measured again. Other parts replace
+// theirs when they end.
+func (r *Raw) forget(name string) {
+	switch name {
+	case partMesh:
+		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return !p.settled() && p.Prior == 0 && p.Nodes != 0 })
+	case partBurst:
+		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return p.burst() })
+	case partIdle:
+		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return p.settled() })
+	}
+}
+
+// settled tells whether the mesh was left alone until its messages were empty.
+func (p *MeshPoint) settled() bool { return p.Settle >= settleFor(p.Nodes).Seconds() }
+
+// burst tells whether the mesh belongs to the series of bursts.
+func (p *MeshPoint) burst() bool { return p.Prior > 0 }
+
 // run runs the part in another process of this program.
-func (p *part) run(ctx context.Context, r *Raw, log io.Writer) error {
+func (p *part) run(ctx context.Context, log io.Writer) ([]byte, error) {
 	self, err := os.Executable()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, partBound)
 	defer cancel()
@@ -235,8 +320,8 @@
 	cmd.Stderr = log
 	out, err := cmd.Output()
 	if err != nil {
-		return fmt.Errorf("capacity: part %v: %w", p.args, err)
+		return nil, fmt.Errorf("capacity: part %v: %w", p.args, err)
 	}
 	fmt.Fprintf(log, "capacity: %v took %s\n", p.args, time.Since(start).Round(100*time.Millisecond))
-	return p.take(r, out)
+	return out, nil
 }
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -17,20 +17,21 @@
 	Idle    time.Duration // how long the idle mesh is watched
 	Changes int           // made one after the other
 	Every   time.Duration // between two changes, or longer until one is in force
+	Tail    time.Duration // watched after the last change, for what follows it
 }
 
 // DefaultMesh returns the options that the page's figures are made with.
 func DefaultMesh(nodes int, profile string) MeshOptions {
 	return MeshOptions{
 		Nodes: nodes, Profile: profile,
-		Settle: 20 * time.Second, Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond,
+		Settle: shortSettle, Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
 	}
 }
 
 // MeasureMesh runs a mesh of real nodes in this process, which should do
 // nothing else.
 func MeasureMesh(ctx context.Context, o MeshOptions) (MeshPoint, error) {
-	p := MeshPoint{Nodes: o.Nodes, Profile: o.Profile, Prior: o.Prior, Changes: o.Changes}
+	p := MeshPoint{Nodes: o.Nodes, Profile: o.Profile, Prior: o.Prior, Settle: o.Settle.Seconds(), Changes: o.Changes}
 	p.Before = loadAverage()
 	empty := settledMemory()
 	start := time.Now()
@@ -81,6 +82,7 @@
 	n := float64(p.Nodes)
 	p.Heap = (full.heap - empty.heap) / n
 	p.Stack = (full.stack - empty.stack) / n
+	p.BaseRSS = empty.rss
 	p.RSS = (full.rss - empty.rss) / n
 	p.Files = float64(full.files-empty.files) / n
 	p.ProcessMB = full.rss / (1 << 20)
@@ -124,7 +126,8 @@
 		}
 	}
 	p.AcceptMS, p.InForce = median(accepts), quanta(waits)
-	return nil
+	p.Tail = o.Tail.Seconds()
+	return sleep(ctx, o.Tail)
 }
 
 // lookEvery is how often the nodes are asked for their version; it bounds the
--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -69,19 +69,22 @@
 
 // MeshPoint is one mesh of real nodes in one process.
 type MeshPoint struct {
-	Nodes   int    `json:"nodes"`
-	Profile string `json:"profile"`
-	Prior   int    `json:"prior_changes"` // in a burst, before the figures
+	Nodes   int     `json:"nodes"`
+	Profile string  `json:"profile"`
+	Prior   int     `json:"prior_changes"` // in a burst, before the figures
+	Settle  float64 `json:"settle_s"`      // left alone before the figures
 	Load
 	ReadyMS   float64 `json:"ready_ms"`
 	Idle      Window  `json:"idle"`
 	Changing  Window  `json:"changing"`
 	Changes   int     `json:"changes"`
 	AcceptMS  float64 `json:"accept_ms_p50"`
+	Tail      float64 `json:"tail_s"` // of Changing, after the last change
 	InForce   Quantum `json:"in_force_ms"`
 	Heap      float64 `json:"heap_bytes_per_node"`
 	Stack     float64 `json:"stack_bytes_per_node"`
 	RSS       float64 `json:"rss_bytes_per_node"`
+	BaseRSS   float64 `json:"rss_bytes_without_nodes"`
 	Files     float64 `json:"files_per_node"`
 	ProcessMB float64 `json:"process_rss_mb"`
 }
