--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -27,8 +27,11 @@
 func Commands() []Command {
 	return []Command{
 		OverheadCommand,
+		OverloadCommand,
 		FaultsCommand,
 		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
+		{"storm", "nodes that die and come back together", control.Storm},
+		{"partition", "data centres parted from each other and the platform", control.Partition},
 	}
 }
 
@@ -42,6 +45,7 @@
   marlpass-load overhead
   marlpass-load faults -only drain
   marlpass-load overhead -rates 1000 -for 20s -json
+  marlpass-load overload -ablate
 
 Exit codes: 0 every answer was right, 1 some were not or the run failed, 2 bad flags.
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -194,6 +194,8 @@
 	}
 	if c.class != nil {
 		c.class.Refused(e.Now(), r.Reason)
+	} else {
+		e.Meters.Unmatched(r.Reason)
 	}
 	writeRefusal(w, r)
 }
@@ -222,6 +224,8 @@
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
+		}
+		if a.broke() {
 			e.broke(c, ep)
 		}
 		if d := e.again(ctx, c, &a); !d.Retry {
