Don't tell changes that could not be read as none

Cause: with the platform down, the handover's list of changes said none. It also said that changes can't be accepted, while a peer may carry them. Change: the list says that not all changes could be read, and why; the attention line says what is needed. How long a version took is told in milliseconds; most were 0s. Conclusion: none means that there were none.

--- a/internal/admin/admintest/handover.go
+++ b/internal/admin/admintest/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/admin"
@@ -122,5 +123,6 @@
 		Ejected: []query.Ejection{{Service: "berth", VM: "vm-1", Instance: "b", FailedPercent: 80}},
 	})
 	in.Platform.DownSince = now.Add(-time.Minute)
+	in.HistoryErr = errors.New("the log is cut short")
 	in.Conflicts = []string{"vm-9 has version 3 of another history"}
 }
--- a/internal/cli/handover.go
+++ b/internal/cli/handover.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 )
@@ -16,7 +18,7 @@
 	if len(s.Spread) > 0 {
 		v := s.Spread[0]
 		fmt.Fprintf(w, "spread     version %d came into force here %s after it was accepted\n",
-			v.Version, age(float64(v.TookMs)/1000))
+			v.Version, took(v.TookMs))
 	}
 	if refused, ok := s.Refused.Get(); ok {
 		fmt.Fprintf(w, "refused    version %d: %s\n", refused, clean(s.RefusedReason.Value))
@@ -74,12 +76,31 @@
 	section(w, "Endpoints starting, draining or ejected", len(h.Endpoints), func() { writeEndpoints(w, h.Endpoints) })
 	section(w, "Quarantined requests", len(h.Quarantined), func() { writeQuarantined(w, h.Quarantined) })
 	section(w, "Not seen", len(h.NotSeen), func() { writeNotSeen(w, h.NotSeen) })
-	section(w, "Changes since "+when(h.Since), len(h.Changes), func() { writeHistory(w, h.Changes) })
+	writeHandoverChanges(w, h)
+}
+
+// writeHandoverChanges tells of changes that could not be read as such: none
+// would say that there were none.
+func writeHandoverChanges(w io.Writer, h *adminapi.Handover) {
+	title := "Changes since " + when(h.Since)
+	unread := slices.IndexFunc(h.NotSeen, func(n adminapi.NotSeen) bool { return n.What == adminapi.NotSeenWhatHistory })
+	if unread < 0 {
+		section(w, title, len(h.Changes), func() { writeHistory(w, h.Changes) })
+	} else {
+		fmt.Fprintf(w, "\n%s\n", title)
+		if len(h.Changes) > 0 {
+			writeHistory(w, h.Changes)
+		}
+		fmt.Fprintln(w, "not all changes could be read: "+clean(h.NotSeen[unread].Detail))
+	}
 	if h.MoreChanges.Value {
 		fmt.Fprintln(w, "there are more changes: see marlpass history")
 	}
 }
 
+// took writes how long a version took; mostly it is milliseconds.
+func took(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
 func writeAttention(w io.Writer, lines []string) {
 	if len(lines) == 0 {
 		fmt.Fprintln(w, "nothing needs attention")
@@ -103,7 +124,7 @@
 func writeTimings(w io.Writer, list []adminapi.VersionTiming) {
 	t := newTable(w, "VERSION", "ACCEPTED", "IN FORCE", "TOOK")
 	for _, v := range list {
-		t.row(number(v.Version), when(v.AcceptedAt), when(v.InForceAt), age(float64(v.TookMs)/1000))
+		t.row(number(v.Version), when(v.AcceptedAt), when(v.InForceAt), took(v.TookMs))
 	}
 	t.flush()
 }
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -267,7 +267,7 @@
 		out = append(out, "two histories of the configuration are around; see docs/operators/hand-over.md before any change")
 	}
 	if !b.PlatformDownSince.IsZero() {
-		out = append(out, fmt.Sprintf("the platform has not answered for %s; changes can't be accepted here",
+		out = append(out, fmt.Sprintf("the platform has not answered this node for %s; changes need a node that reaches it",
 			time.Duration(b.PlatformDownMS)*time.Millisecond))
 	}
 	add(len(b.CutOff), "%d data centres are cut off from here", len(b.CutOff))
