List the last odd answers about versions in the handover

Cause: answers that did not verify, older heads of the platform and versions that nobody else knew stood in the log of the node only. Conflicts are listed apart, as before. Conclusion: the next shift sees them without reading logs.

--- a/internal/admin/admintest/handover.go
+++ b/internal/admin/admintest/handover.go
@@ -123,6 +123,7 @@
 		Ejected: []query.Ejection{{Service: "berth", VM: "vm-1", Instance: "b", FailedPercent: 80}},
 	})
 	in.Platform.DownSince = now.Add(-time.Minute)
+	in.Findings = []query.Finding{{At: now, Kind: "bad_peer", Detail: "peer vm-8: does not verify"}}
 	in.HistoryErr = errors.New("the log is cut short")
 	in.Conflicts = []string{"vm-9 has version 3 of another history"}
 }
--- a/internal/admin/handover.go
+++ b/internal/admin/handover.go
@@ -25,7 +25,7 @@
 		ReportsAsked: h.Asked, ReportsAnswered: h.Reported,
 		Targets: targetStatesOf(h), Endpoints: endpointsOf(h.Endpoints),
 		Quarantined: QuarantinedOf(h.Quarantined),
-		NotSeen:     notSeenOf(h), Conflicts: h.Conflicts,
+		NotSeen:     notSeenOf(h), Conflicts: h.Conflicts, Findings: findingsOf(h.Findings),
 		Since: h.Since, Changes: entriesOf(h.Changes.Entries),
 	}
 	if h.Changes.More {
@@ -207,6 +207,14 @@
 	return out
 }
 
+func findingsOf(fs []query.Finding) []adminapi.Finding {
+	out := make([]adminapi.Finding, len(fs))
+	for i, f := range fs {
+		out[i] = adminapi.Finding{At: f.At.UTC(), Kind: f.Kind, Detail: f.Detail}
+	}
+	return out
+}
+
 // notSeenOf lists what the figures leave out, the largest part first.
 func notSeenOf(h query.Handover) []adminapi.NotSeen {
 	b := h.Blind
--- a/internal/cli/handover.go
+++ b/internal/cli/handover.go
@@ -69,6 +69,7 @@
 	if len(h.OtherHistory)+len(h.Conflicts) > 0 {
 		section(w, "Other histories", 1, func() { writeOtherHistories(w, h) })
 	}
+	section(w, "Odd answers about versions", len(h.Findings), func() { writeFindings(w, h.Findings) })
 	section(w, "From accepted to in force here", len(h.Spread), func() {
 		writeTimings(w, h.Spread[:min(len(h.Spread), maxSpread)])
 	})
@@ -121,6 +122,14 @@
 	}
 }
 
+func writeFindings(w io.Writer, list []adminapi.Finding) {
+	t := newTable(w, "AT", "KIND", "DETAIL")
+	for _, f := range list {
+		t.row(when(f.At), f.Kind, f.Detail)
+	}
+	t.flush()
+}
+
 func writeTimings(w io.Writer, list []adminapi.VersionTiming) {
 	t := newTable(w, "VERSION", "ACCEPTED", "IN FORCE", "TOOK")
 	for _, v := range list {
--- a/internal/gen/adminapi/oas_json_gen.go
+++ b/internal/gen/adminapi/oas_json_gen.go
@@ -1127,6 +1127,136 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Finding) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Finding) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("at")
+		json.EncodeDateTime(e, s.At)
+	}
+	{
+		e.FieldStart("kind")
+		e.Str(s.Kind)
+	}
+	{
+		e.FieldStart("detail")
+		e.Str(s.Detail)
+	}
+}
+
+var jsonFieldsNameOfFinding = [3]string{
+	0: "at",
+	1: "kind",
+	2: "detail",
+}
+
+// Decode decodes Finding from json.
+func (s *Finding) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Finding to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "at":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.At = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"at\"")
+			}
+		case "kind":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Kind = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
+		case "detail":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Detail = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Finding")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFinding) {
+					name = jsonFieldsNameOfFinding[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Finding) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Finding) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Handover) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1244,6 +1374,14 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("findings")
+		e.ArrStart()
+		for _, elem := range s.Findings {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("since")
 		json.EncodeDateTime(e, s.Since)
@@ -1264,7 +1402,7 @@
 	}
 }
 
-var jsonFieldsNameOfHandover = [21]string{
+var jsonFieldsNameOfHandover = [22]string{
 	0:  "attention",
 	1:  "at",
 	2:  "seen_by",
@@ -1283,9 +1421,10 @@
 	15: "quarantined",
 	16: "not_seen",
 	17: "conflicts",
-	18: "since",
-	19: "changes",
-	20: "more_changes",
+	18: "findings",
+	19: "since",
+	20: "changes",
+	21: "more_changes",
 }
 
 // Decode decodes Handover from json.
@@ -1565,8 +1704,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"conflicts\"")
 			}
-		case "since":
+		case "findings":
 			requiredBitSet[2] |= 1 << 2
+			if err := func() error {
+				s.Findings = make([]Finding, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Finding
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Findings = append(s.Findings, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"findings\"")
+			}
+		case "since":
+			requiredBitSet[2] |= 1 << 3
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
 				s.Since = v
@@ -1578,7 +1735,7 @@
 				return errors.Wrap(err, "decode field \"since\"")
 			}
 		case "changes":
-			requiredBitSet[2] |= 1 << 3
+			requiredBitSet[2] |= 1 << 4
 			if err := func() error {
 				s.Changes = make([]HistoryEntry, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1617,7 +1774,7 @@
 	for i, mask := range [3]uint8{
 		0b11111111,
 		0b11111111,
-		0b00001111,
+		0b00011111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/gen/adminapi/oas_schemas_gen.go
+++ b/internal/gen/adminapi/oas_schemas_gen.go
@@ -649,6 +649,43 @@
 	s.After = val
 }
 
+// Ref: #/components/schemas/Finding
+type Finding struct {
+	At     time.Time `json:"at"`
+	Kind   string    `json:"kind"`
+	Detail string    `json:"detail"`
+}
+
+// GetAt returns the value of At.
+func (s *Finding) GetAt() time.Time {
+	return s.At
+}
+
+// GetKind returns the value of Kind.
+func (s *Finding) GetKind() string {
+	return s.Kind
+}
+
+// GetDetail returns the value of Detail.
+func (s *Finding) GetDetail() string {
+	return s.Detail
+}
+
+// SetAt sets the value of At.
+func (s *Finding) SetAt(val time.Time) {
+	s.At = val
+}
+
+// SetKind sets the value of Kind.
+func (s *Finding) SetKind(val string) {
+	s.Kind = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *Finding) SetDetail(val string) {
+	s.Detail = val
+}
+
 type Fingerprint string
 
 // Ref: #/components/schemas/Handover
@@ -679,9 +716,12 @@
 	Quarantined     []QuarantinedRequest `json:"quarantined"`
 	NotSeen         []NotSeen            `json:"not_seen"`
 	// Versions of another history that this node has seen and not followed.
-	Conflicts []string       `json:"conflicts"`
-	Since     time.Time      `json:"since"`
-	Changes   []HistoryEntry `json:"changes"`
+	Conflicts []string `json:"conflicts"`
+	// The last odd things about versions that this node met and that did no harm: answers that did not
+	// verify, older heads of the platform, versions that nobody else knew.
+	Findings []Finding      `json:"findings"`
+	Since    time.Time      `json:"since"`
+	Changes  []HistoryEntry `json:"changes"`
 	// There are more than are listed.
 	MoreChanges OptBool `json:"more_changes"`
 }
@@ -776,6 +816,11 @@
 	return s.Conflicts
 }
 
+// GetFindings returns the value of Findings.
+func (s *Handover) GetFindings() []Finding {
+	return s.Findings
+}
+
 // GetSince returns the value of Since.
 func (s *Handover) GetSince() time.Time {
 	return s.Since
@@ -881,6 +926,11 @@
 	s.Conflicts = val
 }
 
+// SetFindings sets the value of Findings.
+func (s *Handover) SetFindings(val []Finding) {
+	s.Findings = val
+}
+
 // SetSince sets the value of Since.
 func (s *Handover) SetSince(val time.Time) {
 	s.Since = val
--- a/internal/gen/adminapi/oas_validators_gen.go
+++ b/internal/gen/adminapi/oas_validators_gen.go
@@ -585,6 +585,17 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Findings == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "findings",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Changes == nil {
 			return errors.New("nil is invalid value")
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -132,8 +132,11 @@
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
 		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
-		Log:       telemetry.Part(n.log, "distribute"),
-		OnFinding: func(f distribute.Finding) { c.findings.add(f.Kind()) },
+		Log: telemetry.Part(n.log, "distribute"),
+		OnFinding: func(f distribute.Finding) {
+			c.findings.add(f.Kind())
+			n.findings.note(time.Now(), f)
+		},
 	})
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -32,6 +32,7 @@
 	in.Targets = n.snapshot().Targets()
 	in.Quarantined = n.quarantined(time.Now())
 	in.Spread = n.spreadTimes()
+	in.Findings = n.findings.list()
 	for _, c := range n.control.spread.Conflicts() {
 		in.Conflicts = append(in.Conflicts, c.At.UTC().Format(time.RFC3339)+" "+c.Error())
 	}
--- /dev/null
+++ b/internal/node/handover_findings_test.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/distribute"
+)
+
+func TestLastFindingsAreKept(t *testing.T) {
+	f := new(findings)
+	now := time.Unix(1_700_000_000, 0)
+	for i := range maxFindings + 3 {
+		f.note(now, &distribute.BadPeer{Peer: fmt.Sprint("vm-", i), Err: errors.New("does not verify")})
+	}
+	f.note(now, &distribute.Conflict{Source: "vm-99"})
+	got := f.list()
+	if len(got) != maxFindings || got[0].Kind != "bad_peer" || got[0].Detail != "distribute: peer vm-10: does not verify" {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	control  *control
 	servers  *servers
 	reports  *reports
+	findings findings
 
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -22,8 +22,10 @@
 	Reports *Reports
 	// Quarantined are the requests that the mesh holds suspect or refuses.
 	Quarantined []Quarantine
-	// Conflicts are versions of another history that were seen.
+	// Conflicts are versions of another history that were seen, and Findings
+	// what else was odd about versions.
 	Conflicts []string
+	Findings  []Finding
 	// Spread are the versions that came in force here, newest first.
 	Spread []VersionTime
 	// History are the changes since Since, and HistoryErr why they could not
@@ -50,6 +52,7 @@
 	Members     MemberCounts `json:"members"`
 	Blind       Blind        `json:"cannot_see"`
 	Conflicts   []string     `json:"conflicts,omitempty"`
+	Findings    []Finding    `json:"findings,omitempty"`
 	Changes     HistoryPage  `json:"changes"`
 	ChangesErr  string       `json:"changes_error,omitempty"`
 }
@@ -143,6 +146,13 @@
 	Expires time.Time       `json:"expires"`
 }
 
+// Finding is something odd about versions that a node met and that did no harm.
+type Finding struct {
+	At     time.Time `json:"at"`
+	Kind   string    `json:"kind"`
+	Detail string    `json:"detail"`
+}
+
 // HandoverOf builds the handover.
 func HandoverOf(in HandoverInput, now time.Time) Handover {
 	h := Handover{
@@ -157,6 +167,7 @@
 		Members:     countMembers(in.View),
 		Blind:       blindOf(in.Platform, in.View, now),
 		Conflicts:   append([]string{}, in.Conflicts...),
+		Findings:    append([]Finding{}, in.Findings...),
 		Changes:     in.History,
 	}
 	h.Blind.Unreported = in.Reports.unreported(in.View, now)
