Test planned stops of real nodes under calls

Cause: nothing showed that a node can be replaced without a caller's loss. Change: a rolling replacement of all nodes of a mesh under calls of both classes, with a download in flight at each stop; the drain limit with its count; answers that end connections while a node leaves; a failed listener that is told; a second process under a VM's id. Conclusion: a caller that keeps to the not-run rule loses nothing.

--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,257 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/settings/strict"
+)
+
+// caller is a program outside the mesh that keeps to the rule: it sends a call
+// again only after "not run" or when no connection was made, and it leaves a node
+// that is going to stop, as a load balancer that asks /readyz would.
+type caller struct {
+	w      *town
+	client http.Client
+}
+
+func newCaller(w *town) *caller {
+	return &caller{w: w, client: http.Client{Transport: new(http.Transport)}}
+}
+
+// call makes one call, at one node after the other, and returns what is wrong
+// with it, or nil.
+func (c *caller) call(method, path, id string) error {
+	for n := 0; c.w.ctx.Err() == nil; n++ {
+		node := c.w.VMs[n%len(c.w.VMs)].Node()
+		if node == nil {
+			continue
+		}
+		if ready, _ := node.Ready(); !ready {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		a := ask(c.w.ctx, &c.client, node.Addrs().Callers, method, path, id)
+		var dial *net.OpError
+		if a.notRun != "" || errors.As(a.err, &dial) && dial.Op == "dial" {
+			continue
+		}
+		if a.err != nil || a.status != http.StatusOK {
+			return fmt.Errorf("%s %s: %s", method, path, a)
+		}
+		return nil
+	}
+	return c.w.ctx.Err()
+}
+
+// All nodes of a mesh are replaced one after the other by an upgrade, while
+// callers go on and one of them pulls an archive that takes longer than a stop's
+// notice. Users would see a booking lost or made twice, or the archive cut off,
+// if a node closed a connection with a call on it, told its end too late, or came
+// back before it may take calls.
+func TestRollingReplacementUnderCalls(t *testing.T) {
+	w := startTown(t, 4, nil)
+	w.hold(w.VMs...)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var wrong []error
+	report := func(err error) {
+		if err != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			wrong = append(wrong, err)
+		}
+	}
+	var stop atomic.Bool
+	var calls atomic.Int64
+	for i := range 4 {
+		for _, path := range []string{lookup, book} {
+			wg.Go(func() {
+				c := newCaller(w)
+				for n := 0; !stop.Load(); n++ {
+					report(c.call(http.MethodPost, path, fmt.Sprint(i, path, n)))
+					calls.Add(1)
+				}
+			})
+		}
+	}
+	for _, vm := range w.VMs {
+		w.waitCalls(&calls, 50)
+		// Its backend servers stay; they announce themselves to the new node.
+		pulled := w.pull(vm)
+		w.must(vm.Stop(w.ctx))
+		report(pulled())
+		w.must(w.StartNode(vm))
+		w.must(w.WaitReady(w.ctx))
+		w.must(w.WaitVersion(w.ctx, w.version))
+		w.must(w.WaitEndpoints(w.ctx, service, len(w.VMs)))
+	}
+	w.waitCalls(&calls, 50)
+	stop.Store(true)
+	wg.Wait()
+	if len(wrong) > 0 {
+		t.Errorf("%d of %d calls went wrong, the first: %v", len(wrong), calls.Load(), wrong[0])
+	}
+	if runs, requests := w.runs(); runs != requests {
+		t.Errorf("%d requests were run %d times", requests, runs)
+	}
+	t.Logf("%d calls", calls.Load())
+}
+
+// pull begins a long download through a VM's node and returns when its first
+// part has come. The function returned waits for its end, and says what is wrong
+// with it.
+func (w *town) pull(vm *localmesh.VM) func() error {
+	w.t.Helper()
+	// 16 KiB a part, and a pause of 100 ms after each: about three seconds.
+	const path = lookup + "/archive?bytes=500000&pause=100ms"
+	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, "http://"+vm.Node().Addrs().Callers+path, nil)
+	w.must(err)
+	id := "archive-" + vm.ID
+	req.Header.Set(backend.HeaderRequest, id)
+	transport := new(http.Transport)
+	resp, err := transport.RoundTrip(req)
+	w.must(err)
+	if resp.StatusCode != http.StatusOK {
+		w.t.Fatal(resp.Status)
+	}
+	end := make(chan error, 1)
+	go func() {
+		defer resp.Body.Close()
+		err := backend.CheckAnswer(id, resp.Body)
+		if err != nil {
+			err = fmt.Errorf("the archive through %s: %w", vm.ID, err)
+		}
+		end <- err
+	}()
+	return func() error { return <-end }
+}
+
+// A planned stop meets a call that does not end. The stop must not wait for
+// ever, and must say how many calls it cut off.
+func TestDrainLimitIsReported(t *testing.T) {
+	w := startTown(t, 2, func(_ *localmesh.VM, o *node.Options) {
+		o.Settings.Drain.Limit = strict.Duration{Duration: time.Millisecond}
+	})
+	w.hold(w.VMs[1])
+	rest := w.pull(w.VMs[0])
+	err := w.VMs[0].Stop(w.ctx)
+	if !errors.Is(err, node.ErrDrainLimit) || !strings.Contains(err.Error(), ": 1 after 1ms") {
+		t.Errorf("got %v", err)
+	}
+	if rest() == nil {
+		t.Error("a cut answer looked whole")
+	}
+}
+
+// A caller keeps a connection to a node that leaves. Each answer has to tell it
+// that the connection ends: were it closed without a word while the caller sends
+// its next call, the caller could not know whether that call ran. And an idle
+// connection must stay open during the notice.
+func TestLeavingNodeEndsConnectionsWithAnAnswer(t *testing.T) {
+	w := startTown(t, 2, nil)
+	w.hold(w.VMs[1])
+	leaver := w.VMs[0].Node()
+	c := http.Client{Transport: new(http.Transport)}
+	addr := leaver.Addrs().Callers
+	if a := ask(w.ctx, &c, addr, http.MethodPost, book, "before"); a.status != http.StatusOK || a.closing {
+		t.Fatalf("before: %s, closing %v", a, a.closing)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.VMs[0].Stop(w.ctx) }()
+	for ready := true; ready; ready, _ = leaver.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	// The kept connection is used for this call; a new one is for the next.
+	for _, id := range []string{"kept", "new"} {
+		if a := ask(w.ctx, &c, addr, http.MethodPost, book, id); a.status != http.StatusOK || !a.closing {
+			t.Errorf("%s: %s, closing %v", id, a, a.closing)
+		}
+	}
+	w.must(<-stopped)
+}
+
+// A listener of a node breaks. The node must tell, so that the process ends and
+// is started anew: half a node still answers probes, and calls are sent to it.
+func TestFailedPartIsTold(t *testing.T) {
+	w := startTown(t, 2, nil)
+	n := w.VMs[0].Node()
+	select {
+	case <-n.Failed():
+		t.Fatal(n.Err())
+	default:
+	}
+	node.BreakListener(n)
+	select {
+	case <-n.Failed():
+	case <-w.ctx.Done():
+		t.Fatal("not told")
+	}
+	if err := n.Err(); err == nil || !strings.Contains(err.Error(), "listener") {
+		t.Errorf("got %v", err)
+	}
+	w.must(w.VMs[0].Stop(context.Background()))
+}
+
+// A VM is replaced while its old machine is cut off; then the old one comes back
+// into the network. Two processes answer under one name. The old one must take no
+// calls any more, and say so; the new one goes on.
+func TestSupersededNodeTakesNoCalls(t *testing.T) {
+	w := startTown(t, 3, func(_ *localmesh.VM, o *node.Options) {
+		// A node that has just joined takes a later record under its name for
+		// its own from before a restart.
+		before := o.Membership
+		o.Membership = func(c *membership.Config) {
+			if before != nil {
+				before(c)
+				c.LeavingFor = time.Millisecond
+			}
+		}
+	})
+	w.hold(w.VMs[1])
+	old := w.VMs[2].Node()
+	twin := &localmesh.VM{ID: w.VMs[2].ID, DataCentre: w.VMs[2].DataCentre, Region: w.VMs[2].Region}
+	w.must(w.StartNode(twin))
+	defer twin.Kill()
+	for ready := true; ready; ready, _ = old.Ready() {
+		w.must(w.ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	if _, why := old.Ready(); !strings.Contains(why, "this VM's id") {
+		t.Errorf("not ready because %q", why)
+	}
+	if a := w.ask(w.VMs[2], http.MethodPost, book, "old"); a.notRun != "not-ready" || a.after == "" {
+		t.Errorf("the old node: %s", a)
+	}
+	w.must(w.WaitReadyOf(twin))
+	for a := (answer{}); a.status != http.StatusOK; a = w.ask(twin, http.MethodPost, book, "new") {
+		if w.must(w.ctx.Err()); a.status != 0 && a.notRun == "" {
+			t.Fatalf("the new node: %s", a)
+		}
+	}
+}
+
+// WaitReadyOf waits until one node takes calls.
+func (w *town) WaitReadyOf(vm *localmesh.VM) error {
+	for {
+		if ready, _ := vm.Node().Ready(); ready {
+			return nil
+		}
+		if err := w.ctx.Err(); err != nil {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
