--- /dev/null
+++ b/internal/node/leave_bench_test.go
@@ -0,0 +1,75 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/settings"
+)
+
+// BenchmarkLeaveIsHeard measures how long after a node begins to leave the last
+// node of the mesh still picks its backend server, over a mesh of three data
+// centres. Run it with -benchtime 10x or so.
+func BenchmarkLeaveIsHeard(b *testing.B) {
+	for _, profile := range []string{settings.ProfileTime, settings.ProfileBytes} {
+		for _, nodes := range []int{12, 36} {
+			b.Run(fmt.Sprintf("profile=%s/nodes=%d", profile, nodes), func(b *testing.B) {
+				leaveIsHeard(b, profile, nodes/3)
+			})
+		}
+	}
+}
+
+func leaveIsHeard(b *testing.B, profile string, perDC int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	m, err := localmesh.Start(localmesh.Options{
+		Name: "leave", Profile: profile, Log: zerolog.Nop(),
+		DataCentres: []localmesh.DataCentre{
+			{Name: "a", Region: "r1", VMs: perDC}, {Name: "b", Region: "r1", VMs: perDC}, {Name: "c", Region: "r2", VMs: perDC},
+		},
+	})
+	must(b, err)
+	defer m.Close()
+	must(b, m.WaitReady(ctx))
+	for _, vm := range m.VMs {
+		set := backend.Defaults()
+		set.ColdStart = 0
+		_, err := m.StartBackend(ctx, vm, set)
+		must(b, err)
+	}
+	all := len(m.VMs)
+	must(b, m.WaitEndpoints(ctx, service, all))
+	var last []float64
+	for i := range b.N {
+		vm := m.VMs[(i*7)%all]
+		begin := time.Now()
+		stopped := make(chan error, 1)
+		go func() { stopped <- vm.Stop(ctx) }()
+		must(b, m.WaitFor(ctx, func(n *node.Node) bool { return n.Endpoints(service) < all }))
+		last = append(last, float64(time.Since(begin).Milliseconds()))
+		must(b, <-stopped)
+		must(b, m.StartNode(vm))
+		must(b, m.WaitReady(ctx))
+		must(b, m.WaitEndpoints(ctx, service, all))
+	}
+	slices.Sort(last)
+	b.ReportMetric(last[len(last)/2], "heard-p50-ms")
+	b.ReportMetric(last[len(last)-1], "heard-max-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+func must(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
