--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -58,10 +58,15 @@
 	// a node that starts for the first time takes itself to be alone after
 	// aloneAfter.
 	Membership func(*membership.Config)
+	// Policies replace every node's own policies for calls.
+	Policies node.Policies
 	// Node, if set, changes what the node of a VM is made of.
 	Node func(vm *VM, o *node.Options)
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of a node.
+	CallAddr func(listen string) string
 }
 
 // aloneAfter is short, since all nodes of a local mesh start together with
@@ -91,8 +96,7 @@
 	url      string
 	VMs      []*VM
 	// Cuts part places of the mesh from each other.
-	Cuts  *Cuts
-	seeds []string
+	Cuts *Cuts
 }
 
 // Start starts the platform and all nodes. Use WaitReady after it.
@@ -155,9 +159,6 @@
 	vm.mu.Lock()
 	vm.node, vm.addrs = n, &addrs
 	vm.mu.Unlock()
-	if len(m.seeds) < m.o.Seeds {
-		m.seeds = append(m.seeds, n.Addrs().Control)
-	}
 	return nil
 }
 
@@ -169,8 +170,8 @@
 		members = func(c *membership.Config) { c.AloneAfter = aloneAfter }
 	}
 	o := node.Options{
-		Settings: s, Log: m.o.Log, Membership: members,
-		Dial: m.Cuts.dialer(vm.place()),
+		Settings: s, Log: m.o.Log, Membership: members, Policies: m.o.Policies,
+		Dial: m.Cuts.dialer(vm.place()), CallAddr: m.o.CallAddr,
 	}
 	if m.o.Node != nil {
 		m.o.Node(vm, &o)
@@ -197,13 +198,24 @@
 	}
 }
 
+// seeds returns the control addresses of the first few nodes that ever ran.
+func (m *Mesh) seeds() []string {
+	var out []string
+	for _, vm := range m.VMs {
+		if a := vm.Addrs(); a != nil && len(out) < m.o.Seeds {
+			out = append(out, a.Control)
+		}
+	}
+	return out
+}
+
 func (m *Mesh) settings(vm *VM) settings.Node {
 	s := settings.DefaultNode()
 	s.Mesh = m.o.Name
 	s.Profile = m.o.Profile
 	s.VM = settings.VM{ID: vm.ID, Region: vm.Region, DataCentre: vm.DataCentre}
 	s.Platform.URL = m.url
-	s.Peers.Seeds = append([]string(nil), m.seeds...)
+	s.Peers.Seeds = m.seeds()
 	s.Drain.Limit = strict.Duration{Duration: m.o.DrainLimit}
 	sum := sha256.Sum256([]byte(Token))
 	s.Operators = []settings.Operator{{Name: Operator, Team: Team, TokenSHA256: hex.EncodeToString(sum[:])}}
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -60,15 +60,15 @@
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
-	c.dest = proxy.NewDestination(proxy.DestinationParts{
+	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
-	})
-	c.entry = proxy.NewEntry(proxy.EntryParts{
+	}))
+	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
-	})
+	}, &c.pickers.plain))
 	return c, nil
 }
 
@@ -79,7 +79,8 @@
 	return proxy.NewUpstreams()
 }
 
-// upkeep stores outcomes that the platform lacks, until ctx ends.
+// upkeep tells what this node holds of suspects, and stores outcomes that the
+// platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
@@ -88,6 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			c.suspects.tell(time.Now())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,11 @@
 	// Dial opens the connections to other nodes, backend servers and the
 	// platform, by TCP if nil. Tests cut connections with it.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Policies replace the node's own policies for calls, for measurements.
+	Policies Policies
+	// CallAddr, if set, gives the address at which other nodes reach the
+	// calls listener of this node, for tests with something between them.
+	CallAddr func(listen string) string
 }
 
 // Node is one running node.
@@ -55,6 +60,7 @@
 	calls    *callPath
 	control  *control
 	servers  *servers
+	reports  *reports
 
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
@@ -88,10 +94,14 @@
 // wire builds the parts, lower layers first.
 func (n *Node) wire() error {
 	a := n.ln.addrs()
+	if n.o.CallAddr != nil {
+		a.Calls = n.o.CallAddr(a.Calls)
+	}
 	n.self = membership.VM{
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
 	}
+	n.reports = &reports{n: n}
 	n.registry = announce.NewRegistry(announce.Limits{TTL: announce.DefaultTTL, Max: announce.DefaultMax})
 	var err error
 	if n.control, err = newControl(n); err != nil {
@@ -162,20 +172,21 @@
 	defer ticker.Stop()
 	var view *membership.View
 	var snapshot *config.Snapshot
+	var refused *config.Refused
 	for {
 		now := time.Now()
-		v, f := n.views.Load(), n.store.Load()
+		v, f, r := n.views.Load(), n.store.Load(), n.store.Refused()
 		if v != view {
 			n.calls.pickers.update(now, v)
 			n.calls.suspects.merge(now, v)
 		}
-		if f.Snapshot != snapshot {
-			n.control.applied(f.Snapshot, n.store.Refused())
+		if f.Snapshot != snapshot || r != refused {
+			n.control.applied(f.Snapshot, r)
 		}
 		if v != view || f.Snapshot != snapshot {
 			n.updateGates(now)
 		}
-		view, snapshot = v, f.Snapshot
+		view, snapshot, refused = v, f.Snapshot, r
 		n.watchID()
 		ok, _ := n.control.spread.Ready()
 		n.carries.Store(ok && !n.superseded.Load())
