Measure housekeeping's share of the platform

Cause: the pace of ten contending feeders was only worked out. Change: a test over fake time runs ten feeders for an hour and bounds their reads and writes. Tests of whole meshes run side by side.

--- a/internal/node/housekeeping_test.go
+++ b/internal/node/housekeeping_test.go
@@ -158,3 +158,46 @@
 		t.Error("a node that stopped being a feeder kept the lease")
 	}
 }
+
+// A mesh of 1,200 nodes in five data centres has ten feeders. All of them look at
+// the lease for as long as the mesh lives, whatever there is to do; the platform
+// must hardly notice.
+func TestFeedersSpareThePlatform(t *testing.T) {
+	h := newHouse(t, 24)
+	keepers := make([]*housekeeper, 10)
+	due := make([]time.Time, len(keepers))
+	for i := range keepers {
+		keepers[i] = h.keeper(fmt.Sprint("vm", i), h.store.Table())
+		due[i] = h.now.Add(time.Duration(i) * houseLook / time.Duration(len(keepers)))
+	}
+	before, end := h.store.Counts(), h.now.Add(time.Hour)
+	for {
+		next := 0
+		for i := range due {
+			if due[i].Before(due[next]) {
+				next = i
+			}
+		}
+		if due[next].After(end) {
+			break
+		}
+		h.now = due[next]
+		due[next] = h.now.Add(keepers[next].step(context.Background()))
+	}
+	after := h.store.Counts()
+	holders, taken := 0, uint64(0)
+	for _, k := range keepers {
+		taken += k.figures.taken.Load()
+		if k.figures.holds.Load() {
+			holders++
+		}
+	}
+	if holders != 1 || taken != 1 || h.logRows() > 3+4 {
+		t.Errorf("%d holders, lease taken %d times, %d log rows left", holders, taken, h.logRows())
+	}
+	reads, writes := after.Reads-before.Reads, after.Writes-before.Writes
+	t.Logf("in an hour: %d reads, %d writes", reads, writes)
+	if reads > 3600/2 || writes > 3600/30 {
+		t.Errorf("in an hour: %d reads, %d writes", reads, writes)
+	}
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -62,6 +62,7 @@
 // if a node closed a connection with a call on it, told its end too late, or came
 // back before it may take calls.
 func TestRollingReplacementUnderCalls(t *testing.T) {
+	t.Parallel()
 	w := startTown(t, 4, nil)
 	w.hold(w.VMs...)
 	var wg sync.WaitGroup
@@ -142,6 +143,7 @@
 // A planned stop meets a call that does not end. The stop must not wait for
 // ever, and must say how many calls it cut off.
 func TestDrainLimitIsReported(t *testing.T) {
+	t.Parallel()
 	w := startTown(t, 2, func(_ *localmesh.VM, o *node.Options) {
 		o.Settings.Drain.Limit = strict.Duration{Duration: time.Millisecond}
 	})
@@ -161,6 +163,7 @@
 // its next call, the caller could not know whether that call ran. And an idle
 // connection must stay open during the notice.
 func TestLeavingNodeEndsConnectionsWithAnAnswer(t *testing.T) {
+	t.Parallel()
 	w := startTown(t, 2, nil)
 	w.hold(w.VMs[1])
 	leaver := w.VMs[0].Node()
@@ -186,6 +189,7 @@
 // A listener of a node breaks. The node must tell, so that the process ends and
 // is started anew: half a node still answers probes, and calls are sent to it.
 func TestFailedPartIsTold(t *testing.T) {
+	t.Parallel()
 	w := startTown(t, 2, nil)
 	n := w.VMs[0].Node()
 	select {
@@ -209,6 +213,7 @@
 // into the network. Two processes answer under one name. The old one must take no
 // calls any more, and say so; the new one goes on.
 func TestSupersededNodeTakesNoCalls(t *testing.T) {
+	t.Parallel()
 	w := startTown(t, 3, func(_ *localmesh.VM, o *node.Options) {
 		// A node that has just joined takes a later record under its name for
 		// its own from before a restart.
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -35,6 +35,7 @@
 // listener runs nothing for anybody else: whoever reached it could otherwise
 // pass by targets, limits and quarantine of the entry node.
 func TestCallsBetweenNodesAreMutualTLS(t *testing.T) {
+	t.Parallel()
 	ca, root := trusttest.NewCA(t), t.TempDir()
 	w := startTown(t, 2, func(vm *localmesh.VM, o *node.Options) { o.Settings.TLS = issue(ca, root, vm.ID) })
 	entry, dest := w.VMs[0], w.VMs[1]
@@ -111,6 +112,7 @@
 // and its caller must be told that it was not run, so that a booking may be sent
 // again.
 func TestAddressOfAnotherVMIsNotBelieved(t *testing.T) {
+	t.Parallel()
 	ca, root := trusttest.NewCA(t), t.TempDir()
 	board := &switchboard{led: make(map[string]string)}
 	w := startTown(t, 3, func(vm *localmesh.VM, o *node.Options) {
@@ -143,6 +145,7 @@
 // goes. No call may fail, no node restart, and a node that starts afterwards and
 // knows the new authority alone has to get in and take calls.
 func TestCertificatesRotateUnderCalls(t *testing.T) {
+	t.Parallel()
 	root := t.TempDir()
 	oldCA, newCA := trusttest.NewCA(t), trusttest.NewCA(t)
 	current := oldCA
