Send an isolated call past endpoints that take none

Cause: a call that was in flight at a crash runs isolated, at the one endpoint that its fingerprint chooses. When that endpoint was down for another reason, all attempts went there, and innocent calls were refused while other endpoints stood idle. Change: endpoints that refused the call because they take none are left out of the choice, besides those that crashed with it. Such an endpoint runs no suspect. TestIsolatedCallPassesOverClosedEndpoints fails without it. A refusal because another suspect runs still sends nobody elsewhere: that is what keeps a bad request from a third endpoint.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,6 +70,8 @@
 	start    time.Time
 	deadline time.Time
 	tried    []string
+	// closed are the endpoints tried that take no calls.
+	closed   []string
 	n        int // attempts made
 	fp       quarantine.Fingerprint
 	isolated bool // to be run at one place at a time
@@ -81,7 +84,7 @@
 
 // free gives c back for another call.
 func (c *entering) free() {
-	*c = entering{tried: c.tried[:0]}
+	*c = entering{tried: c.tried[:0], closed: c.closed[:0]}
 	enterings.Put(c)
 }
 
@@ -219,6 +222,9 @@
 		}
 		choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
 		c.tried = append(c.tried, ep.ID)
+		if takesNone(a.refusal) {
+			c.closed = append(c.closed, ep.ID)
+		}
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
@@ -235,7 +241,7 @@
 
 func (e *Entry) pick(now time.Time, c *entering) (Choice, error) {
 	if c.isolated {
-		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), e.Suspects.CrashedAt(now, c.fp))
+		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.avoid(e.Suspects.CrashedAt(now, c.fp)))
 	}
 	if key := guardKey(c); key != "" {
 		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.tried)
@@ -243,6 +249,33 @@
 	return e.Pickers.Pick(now, c.target, c.tried)
 }
 
+// avoid returns the endpoints that an isolated call must not or cannot run at.
+//
+// Those that crashed with the call are the same at every node, so that all
+// choose the same endpoint. The closed ones are added since the chosen endpoint
+// may be down for another reason, such as an earlier crash that this node knows
+// nothing of. An innocent call would else be sent to it until its attempts are
+// used up, while all others could run it. An endpoint that takes no calls runs
+// no suspect, so at most one endpoint still does.
+func (c *entering) avoid(crashed []string) []string {
+	if len(c.closed) == 0 {
+		return crashed
+	}
+	return append(slices.Clip(crashed), c.closed...)
+}
+
+// takesNone reports whether the refusal says that the endpoint takes no calls.
+func takesNone(r *call.Refusal) bool {
+	if r == nil {
+		return false
+	}
+	switch r.Reason {
+	case call.ReasonUnreachable, call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady:
+		return true
+	}
+	return false
+}
+
 // guardKey returns the key of a call that one destination node guards by itself
 // when the platform is down. That holds only if its resends reach the same node.
 func guardKey(c *entering) string {
--- a/internal/proxy/quiet_test.go
+++ b/internal/proxy/quiet_test.go
@@ -173,3 +173,32 @@
 		}
 	}
 }
+
+// An owner's lookup was in flight at a crash beside a bad request, and so runs
+// isolated. The one endpoint that its fingerprint chooses is down after a crash
+// of its own. The lookup was sent there until its attempts were used up, while
+// the other endpoint stood idle.
+func TestIsolatedCallPassesOverClosedEndpoints(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		m := newMesh(t, lookups(), func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+		m.entry.Suspects = suspectAll{}
+		m.dest[first].Drain()
+		resp, body, err := m.call("GET", "/", "")
+		if err != nil || body != "ok" {
+			t.Fatalf("endpoint %d is down: got %v %q %v", first, resp, body, err)
+		}
+	}
+}
+
+// suspectAll takes every request for a suspect.
+type suspectAll struct{}
+
+func (suspectAll) Blocked(time.Time, quarantine.Fingerprint) *call.Refusal   { return nil }
+func (suspectAll) Isolated(time.Time, quarantine.Fingerprint) bool           { return true }
+func (suspectAll) CrashedAt(time.Time, quarantine.Fingerprint) []string      { return nil }
+func (suspectAll) Broke(time.Time, quarantine.Fingerprint, string)           {}
+func (suspectAll) Answered(time.Time, quarantine.Fingerprint)                {}
+func (suspectAll) Done(time.Time, Backend, quarantine.Token, quarantine.End) {}
+func (suspectAll) Start(time.Time, Backend, quarantine.Fingerprint, quarantine.Request) (quarantine.Token, error) {
+	return quarantine.Token{}, nil
+}
