--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -146,7 +146,7 @@
 	if c.Sent == 0 {
 		return
 	}
-	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t\n", fault, policies,
+	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t\n", fault, policies,
 		c.Sent, c.Answered, c.Lost, c.Doubled, c.Partial, c.FalseNotRun, c.CutOff, c.AfterDrainS,
 		c.Refused, c.Unknown, c.Failed, c.EndpointsDown, c.LockedOut, c.P99ms)
 }
--- a/internal/load/faults_mesh.go
+++ b/internal/load/faults_mesh.go
@@ -46,7 +46,9 @@
 	{name: "bookings", path: "/bookings", method: "POST", deadline: 2 * time.Second, share: 30},
 	{name: "submissions", path: "/submissions", method: "POST", keyed: true,
 		deadline: 4 * time.Second, rule: adminapi.OnStoreDownWait, share: 15},
-	{name: "archives", path: "/archives", method: "GET", idempotent: true, deadline: 2 * time.Second,
+	// A download that is cut in its middle after it waited in a queue needs time
+	// to be asked for again.
+	{name: "archives", path: "/archives", method: "GET", idempotent: true, deadline: 4 * time.Second,
 		query: "bytes=160000&pause=25ms", share: 5},
 }
 
