Tell a planned replacement and a busy backend server from a crash

Cause: a backend server that announced itself anew under its instance was taken for one that had crashed, whatever it was before: what the old process still ran became suspect, and was quarantined at the second replacement. And any failed dial after a broken connection counted as a refused one, one that timed out as well. Change: a change of the registry tells the state before; a restart is laid only to requests whose connections broke, and not to one that drained; only ECONNREFUSED counts as refused. A server whose listening socket outlives its process, as under socket activation, still hides its crashes.

--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -86,6 +86,8 @@
 type Change struct {
 	Kind    ChangeKind
 	Backend Backend // as it is now, or as it last was when it is gone
+	// Was is the state before, of a backend server that was known.
+	Was membership.BackendState
 }
 
 // Visible reports whether the node's record in the mesh has to be raised.
@@ -131,9 +133,9 @@
 		}
 		b.ReadySince = readySince(now, nil, a)
 		r.publish(slices.Insert(list, at, b))
-		return append(changes, Change{Added, b}), nil
+		return append(changes, Change{Kind: Added, Backend: b}), nil
 	}
-	kind := compare(list[at], a)
+	kind, was := compare(list[at], a), list[at].State
 	old := &list[at]
 	if kind == Replaced {
 		old = nil
@@ -141,7 +143,7 @@
 	b.ReadySince = readySince(now, old, a)
 	list[at] = b
 	r.publish(list)
-	return append(changes, Change{kind, b}), nil
+	return append(changes, Change{Kind: kind, Backend: b, Was: was}), nil
 }
 
 // without returns a copy of the list less any other instance at the address.
@@ -155,7 +157,7 @@
 	var gone []Change
 	for _, b := range r.Load() {
 		if b.Address == address && b.Instance != instance {
-			gone = append(gone, Change{Replaced, b})
+			gone = append(gone, Change{Kind: Replaced, Backend: b, Was: b.State})
 			continue
 		}
 		list = append(list, b)
@@ -202,7 +204,7 @@
 	}
 	gone := list[at]
 	r.publish(slices.Delete(list, at, at+1))
-	return []Change{{Withdrawn, gone}}
+	return []Change{{Kind: Withdrawn, Backend: gone, Was: gone.State}}
 }
 
 // Expire removes the backend servers whose lease has run out. Call it at least
@@ -226,7 +228,7 @@
 		if b.Expires.After(now) {
 			kept = append(kept, b)
 		} else {
-			gone = append(gone, Change{Expired, b})
+			gone = append(gone, Change{Kind: Expired, Backend: b, Was: b.State})
 		}
 	}
 	if paused || len(gone) > 0 {
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,6 +89,10 @@
 
 // check tries one new connection. A backend server that refuses it has no
 // process that listens any more; one that takes it merely lost a connection.
+//
+// Only a refusal counts. A dial that times out or finds no free file tells of a
+// full queue of connections or of a want on this node; taking it for a crash
+// would make suspects of all that runs at a backend server that is merely busy.
 func (s *suspects) check(b proxy.Backend) {
 	c, err := net.DialTimeout("tcp", b.Addr, crashCheckTimeout)
 	if err == nil {
@@ -95,29 +101,33 @@
 	}
 	evidence := quarantine.Evidence{
 		Broken:         true,
-		ConnectRefused: true,
+		ConnectRefused: errors.Is(err, syscall.ECONNREFUSED),
 		Leaving:        b.State == membership.BackendDraining,
 	}
 	if evidence.Crash() {
-		s.crashed(b)
+		s.crashed(b, s.list.Crashed(time.Now(), b.Instance))
 	}
 }
 
 // replaced takes in that a backend server announced itself anew, under the same
-// instance: its process came back before anybody could look.
-func (s *suspects) replaced(b proxy.Backend) {
-	evidence := quarantine.Evidence{Broken: true, Restarted: true, Leaving: b.State == membership.BackendDraining}
-	if evidence.Crash() {
-		s.crashed(b)
+// instance: its process may have crashed and come back before anybody could
+// look. was is the state of the one before: one that drained was replaced on
+// plan.
+func (s *suspects) replaced(b proxy.Backend, was membership.BackendState) {
+	evidence := quarantine.Evidence{Broken: true, Restarted: true, Leaving: was == membership.BackendDraining}
+	if !evidence.Crash() {
+		return
+	}
+	if urgent := s.list.Restarted(time.Now(), b.Instance); len(urgent) > 0 {
+		s.crashed(b, urgent)
 	}
 }
 
-func (s *suspects) crashed(b proxy.Backend) {
-	now := time.Now()
-	urgent := s.list.Crashed(now, b.Instance)
+// crashed tells the mesh of a crash and of the requests that may have caused it.
+func (s *suspects) crashed(b proxy.Backend, urgent []membership.Notice) {
 	s.log.Warn().Str("service", b.Service).Str("instance", b.Instance).Int("suspects", len(urgent)).
 		Msg("quarantine: backend server crashed")
-	s.changed(s.list.Notices(now))
+	s.changed(s.list.Notices(time.Now()))
 	if len(urgent) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/node/suspects_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/quarantine"
+)
+
+// told counts the alerts.
+type told struct{ alerts int }
+
+func (t *told) alert(context.Context, string, []membership.Notice) { t.alerts++ }
+
+func newSuspects() (*suspects, *told) {
+	t := new(told)
+	return &suspects{
+		list: quarantine.New(time.Now(), quarantine.Options{Self: "vm1"}),
+		log:  zerolog.Nop(), alerter: t, changed: func([]membership.Notice) {},
+	}, t
+}
+
+var slowBooking = quarantine.Of("POST", "", "/slow", "", nil, 0, nil)
+
+func (s *suspects) begin(t *testing.T, b proxy.Backend) quarantine.Token {
+	t.Helper()
+	tok, err := s.Start(time.Now(), b, slowBooking, quarantine.Request{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tok
+}
+
+// An operator replaces a backend server twice. Each time the old process
+// drains, the new one announces itself under the same instance, and a slow
+// booking still runs at the old one. It was taken for the cause of two crashes,
+// and quarantined for half an hour.
+func TestPlannedReplacementIsNoCrash(t *testing.T) {
+	for _, was := range []membership.BackendState{membership.BackendDraining, membership.BackendReady} {
+		s, alerts := newSuspects()
+		b := proxy.Backend{Service: "berths", Instance: "a", State: membership.BackendReady}
+		for range 2 {
+			tok := s.begin(t, b)
+			s.replaced(b, was)
+			s.list.Done(time.Now(), tok, quarantine.Answered)
+		}
+		if r := s.Blocked(time.Now(), slowBooking); r != nil || alerts.alerts > 0 || s.Isolated(time.Now(), slowBooking) {
+			t.Errorf("was %v: blocked %v, %d alerts", was, r, alerts.alerts)
+		}
+	}
+}
+
+// A backend server crashes and is back under the same instance before anybody
+// could look. The request whose connection broke is a suspect.
+func TestRestartAfterABrokenConnectionIsACrash(t *testing.T) {
+	s, alerts := newSuspects()
+	b := proxy.Backend{Service: "berths", Instance: "a", State: membership.BackendReady}
+	s.list.Done(time.Now(), s.begin(t, b), quarantine.Broken)
+	s.replaced(b, membership.BackendReady)
+	if !s.Isolated(time.Now(), slowBooking) || alerts.alerts != 1 {
+		t.Fatalf("isolated %t, %d alerts", s.Isolated(time.Now(), slowBooking), alerts.alerts)
+	}
+}
+
+// A connection breaks while the backend server is so busy that a new one is not
+// taken in time. What runs there was put under suspicion, as after a crash. Only
+// a refused connection shows that no process listens.
+func TestBusyBackendServerIsNoCrash(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	for _, tt := range []struct {
+		name, addr string
+		crash      bool
+	}{
+		{"refused", gone.Addr().String(), true},
+		{"no answer", "no-port", false},
+	} {
+		s, _ := newSuspects()
+		b := proxy.Backend{Service: "berths", Instance: "a", Addr: tt.addr, State: membership.BackendReady}
+		s.Done(time.Now(), b, s.begin(t, b), quarantine.Broken)
+		s.running.Wait()
+		if got := s.Isolated(time.Now(), slowBooking); got != tt.crash {
+			t.Errorf("%s: suspected %t", tt.name, got)
+		}
+	}
+}
--- a/internal/quarantine/inflight.go
+++ b/internal/quarantine/inflight.go
@@ -108,10 +108,21 @@
 	}
 }
 
+// which are the runs that a crash is laid to.
+type which bool
+
+const (
+	// brokenOnly takes the runs whose connections broke.
+	brokenOnly which = false
+	// withOpen takes those still open too, whose connections are about to
+	// break.
+	withOpen which = true
+)
+
 // crashed returns what was in flight when the backend server crashed, each
 // fingerprint once. Runs still open stay noted until they are finished, but a
 // crash counts them once only.
-func (t *tracker) crashed(now time.Time) []run {
+func (t *tracker) crashed(now time.Time, w which) []run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -119,7 +130,7 @@
 	seen := map[Fingerprint]bool{}
 	for i := range t.runs {
 		r := t.runs[i]
-		if !r.used || r.fp == (Fingerprint{}) {
+		if !r.used || r.fp == (Fingerprint{}) || (w == brokenOnly && r.brokeAt.IsZero()) {
 			continue
 		}
 		if !seen[r.fp] {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -180,7 +180,22 @@
 // Crashed takes in that a backend server of this node crashed. It returns the
 // notices that the nodes holding the same service should be told at once.
 func (l *List) Crashed(now time.Time, endpoint string) []membership.Notice {
-	runs := l.tracker(endpoint).crashed(now)
+	return l.lay(now, endpoint, withOpen)
+}
+
+// Restarted takes in that another process took the place of a backend server.
+// Like Crashed it returns notices, of the requests whose connections broke.
+//
+// It guards against taking a planned replacement for a crash: the old process
+// still runs what it had in flight, and a request that is slow enough to be
+// there at two replacements would be quarantined.
+func (l *List) Restarted(now time.Time, endpoint string) []membership.Notice {
+	return l.lay(now, endpoint, brokenOnly)
+}
+
+// lay lays a crash to the requests that were in flight.
+func (l *List) lay(now time.Time, endpoint string, w which) []membership.Notice {
+	runs := l.tracker(endpoint).crashed(now, w)
 	if len(runs) == 0 {
 		return nil
 	}
