Bound how long a fault may be played

Cause: one run of marlpass-load faults on a busy machine did not end in 100 s, and did not tell which fault it was in. Change: each fault has 40 s, after which the run fails and names it. Conclusion: what hung is not known yet.

--- a/internal/load/faults_play.go
+++ b/internal/load/faults_play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -28,8 +29,13 @@
 	faultLength = 2500 * time.Millisecond
 	// settle is how long runs may follow after the last answer.
 	settle = 300 * time.Millisecond
+	// faultBound is how long one fault may take; a mesh that does not recover
+	// fails the run.
+	faultBound = 40 * time.Second
 )
 
+var errTooLong = errors.New("the mesh did not recover in time")
+
 // play is one fault being played.
 type play struct {
 	*faultMesh
@@ -66,6 +72,8 @@
 
 // playFault plays a fault in a mesh of its own.
 func playFault(ctx context.Context, f *fault, mesh faultMeshOptions) (FaultCounts, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, faultBound, fmt.Errorf("%s: %w", f.name, errTooLong))
+	defer cancel()
 	m, err := startFaultMesh(ctx, mesh)
 	if err != nil {
 		return FaultCounts{}, fmt.Errorf("%s: %w", f.name, err)
@@ -89,7 +97,7 @@
 		_, last := b.AfterDrain()
 		c.AfterDrainS = max(c.AfterDrainS, last.Seconds())
 	}
-	return c, ctx.Err()
+	return c, context.Cause(ctx)
 }
 
 func sleepFor(ctx context.Context, d time.Duration) {
