Try a call that is over the rate at another endpoint

Cause: each backend server takes an equal part of a class's rate, and a call refused by one was meant to find what is left at another. The retry policy took the refusal as one of the whole mesh and gave up. The picker would have gone through the endpoints of the own data centre first. Change: a refusal as over the rate is tried again at once, at a fiftieth of a retry's price since no backend server does any work, and a class with a rate picks among the endpoints of all data centres after it. With more endpoints than attempts some calls below the rate are still refused, as docs/design/limits.md says.

--- a/internal/load/overload_classes.go
+++ b/internal/load/overload_classes.go
@@ -22,6 +22,8 @@
 	share      float64
 	priority   int
 	idempotent bool
+	// ratePerSecond bounds the class over the whole mesh; zero is no bound.
+	ratePerSecond float64
 }
 
 // Classes of the overload measurement, tightest answer time first.
@@ -53,16 +55,21 @@
 // target is what an operator states for the class.
 func (c *workClass) target() *adminapi.TargetSpec {
 	t := &adminapi.TargetSpec{
-		Service:        service,
-		Match:          adminapi.Match{PathPrefix: c.path, Methods: []string{c.method}},
-		Idempotent:     adminapi.NewOptBool(c.idempotent),
-		AnswerWithinMs: adminapi.NewOptInt64(c.within.Milliseconds()),
-		Percentile:     adminapi.NewOptFloat64(c.percentile),
-		DeadlineMs:     adminapi.NewOptInt64(c.deadline.Milliseconds()),
-		Priority:       adminapi.NewOptInt(c.priority),
+		Service:    service,
+		Match:      adminapi.Match{PathPrefix: c.path, Methods: []string{c.method}},
+		Idempotent: adminapi.NewOptBool(c.idempotent),
+		Percentile: adminapi.NewOptFloat64(c.percentile),
+		DeadlineMs: adminapi.NewOptInt64(c.deadline.Milliseconds()),
+		Priority:   adminapi.NewOptInt(c.priority),
+	}
+	if c.within > 0 {
+		t.AnswerWithinMs = adminapi.NewOptInt64(c.within.Milliseconds())
 	}
 	if c.share > 0 {
 		t.Share = adminapi.NewOptFloat64(c.share)
 	}
+	if c.ratePerSecond > 0 {
+		t.RatePerSecond = adminapi.NewOptFloat64(c.ratePerSecond)
+	}
 	return t
 }
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -146,7 +146,12 @@
 func (p *pickers) Pick(now time.Time, t *config.Target, tried []string) (proxy.Choice, error) {
 	picker := p.of(t.Service)
 	pick := picker.Pick
-	if t.Idempotent {
+	switch {
+	case t.RatePerSecond > 0 && len(tried) > 0:
+		// Every endpoint has an equal part of the rate. Where most callers
+		// are in one data centre, what is left is in the others.
+		pick = picker.PickAnywhere
+	case t.Idempotent:
 		pick = picker.PickRepeatable
 	}
 	c, err := pick(now, tried)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -20,6 +20,10 @@
 	// priceGone is the price of a retry after a refusal by an endpoint that
 	// takes no calls.
 	priceGone = 50
+	// priceRate is the price of a retry after a refusal by an endpoint whose
+	// part of a rate is used up. Two of them cost less than half of what a
+	// call pays in.
+	priceRate = 20
 )
 
 // BudgetOptions sets up a Budget. Zero fields take the defaults.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -192,7 +192,7 @@
 	switch kindOf(in.Refusal.Reason) {
 	case kindGone:
 		return true
-	case kindFull:
+	case kindFull, kindRate:
 		return !in.TriedAll
 	}
 	return false
@@ -205,6 +205,7 @@
 	kindCall kind = iota // lies with the call or the whole mesh
 	kindGone             // this endpoint takes no calls; the others do
 	kindFull             // this endpoint has no room; the others may be short too
+	kindRate             // this endpoint's part of the class's rate is used up
 )
 
 func kindOf(r call.Reason) kind {
@@ -213,16 +214,26 @@
 		return kindGone
 	case call.ReasonOverloaded, call.ReasonOverShare, call.ReasonBackend:
 		return kindFull
+	case call.ReasonOverRate:
+		return kindRate
 	}
 	return kindCall
 }
 
 // price is what a retry costs the budget. A refusal by an endpoint that is
 // leaving cost no backend server anything, and a herd of leavers must not use
-// up the budget and so fail calls that others would run.
+// up the budget and so fail calls that others would run. One as over the rate
+// cost nothing either, and a class far over its rate makes many; they are
+// cheaper still, so that they leave some of what the calls pay in.
 func (p *Policy) price(in Input) int64 {
-	if in.Outcome == call.NotRun && in.Refusal != nil && kindOf(in.Refusal.Reason) == kindGone {
+	if in.Outcome != call.NotRun || in.Refusal == nil {
+		return priceWhole
+	}
+	switch kindOf(in.Refusal.Reason) {
+	case kindGone:
 		return priceGone
+	case kindRate:
+		return priceRate
 	}
 	return priceWhole
 }
@@ -231,7 +242,7 @@
 // doubles. The first retry at another endpoint that has nothing to do with
 // load goes at once.
 func (p *Policy) wait(in Input) time.Duration {
-	if in.Attempt <= 1 && !in.TriedAll && p.price(in) == priceGone {
+	if in.Attempt <= 1 && !in.TriedAll && p.price(in) < priceWhole {
 		return 0
 	}
 	bound := p.opt.Backoff << min(max(in.Attempt-1, 0), 10)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -53,6 +53,25 @@
 	return Choice{}, noEndpoint()
 }
 
+// PickAnywhere picks a random open endpoint of any data centre. It is for calls
+// that were refused for a reason that has nothing to do with load, where to
+// prefer the near ones would be to ask the same few again.
+func (p *Picker) PickAnywhere(now time.Time, tried []string) (Choice, error) {
+	ms := p.millis(now)
+	t := p.table.Load()
+	if len(t.all) == 0 {
+		return Choice{}, noEndpoint()
+	}
+	start := p.randomN(len(t.all))
+	for i := range t.all {
+		s := t.all[(start+i)%len(t.all)]
+		if usable(s, ms, tried) && !s.ejected.Load() {
+			return p.choose(s, false), nil
+		}
+	}
+	return p.Pick(now, tried)
+}
+
 func (p *Picker) choose(s *state, trial bool) Choice {
 	s.outstanding.Add(1)
 	return Choice{p: p, s: s, ep: s.ep.Load(), trial: trial}
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -366,3 +366,32 @@
 		t.Errorf("mean load was %.2f, and %.2f after failures that said they were idle", before, after)
 	}
 }
+
+// A class has a rate, and every endpoint an equal part of it. Most callers are in
+// one data centre; a call refused there as over the rate was tried at the other
+// endpoints of the same data centre, whose parts were used up as well, and
+// refused, with most of the rate unused elsewhere.
+func TestPickAnywhereLeavesTheDataCentre(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := New(Options{Self: "vm", DataCentre: "dc1", Region: "r", Seed: 1})
+	p.Update(now, []Endpoint{
+		{ID: "a", DataCentre: "dc1", Region: "r", Slots: 6, Ready: true},
+		{ID: "b", DataCentre: "dc1", Region: "r", Slots: 6, Ready: true},
+		{ID: "c", DataCentre: "dc2", Region: "r", Slots: 6, Ready: true},
+		{ID: "d", DataCentre: "dc2", Region: "r", Slots: 6, Draining: true},
+	})
+	seen := map[string]bool{}
+	for range 50 {
+		c, err := p.PickAnywhere(now, []string{"a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen[c.Endpoint().ID] = true
+	}
+	if len(seen) != 2 || !seen["b"] || !seen["c"] {
+		t.Errorf("picked %v", seen)
+	}
+	if c, err := p.PickAnywhere(now, []string{"a", "b", "c"}); err != nil || c.Endpoint().ID == "d" {
+		t.Errorf("when all were tried: %v, %v", c.Endpoint(), err)
+	}
+}
