End a wait for a slot in time to tell the caller

Cause: a call could wait for its slot until its deadline. The refusal left the destination when the entry node's own bound had passed, and the caller was told that its booking may have run, though none had. Change: a call is not started in the last part of its time, an eighth and at most 20 ms, and its refusal reaches the entry node before that gives up. A test holds that bookings which expire while every slot is taken are told so and never run.

--- a/internal/load/overload_invariants_test.go
+++ b/internal/load/overload_invariants_test.go
@@ -1,10 +1,13 @@
 package load
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,3 +64,72 @@
 		}
 	}
 }
+
+// fillSlots sends calls that run for minutes until every slot is taken. The
+// returned function ends them, and returns when the backend servers are idle.
+func (m *overloadMesh) fillSlots(t *testing.T, c *workClass) (empty func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var fillers sync.WaitGroup
+	for i := 0; m.running() < overloadTotal; i++ {
+		if t.Context().Err() != nil {
+			t.Fatal("the slots did not fill")
+		}
+		query := url.Values{"time": {time.Hour.String()}}
+		req, err := http.NewRequestWithContext(ctx, c.method, m.entries[i%len(m.entries)]+c.path+"?"+query.Encode(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header[backend.HeaderRequest] = []string{"filler/" + strconv.Itoa(i)}
+		fillers.Go(func() {
+			if resp, err := m.transport.RoundTrip(req); err == nil {
+				resp.Body.Close()
+			}
+		})
+		time.Sleep(time.Millisecond) // until a node has taken it
+	}
+	return func() {
+		cancel()
+		fillers.Wait()
+		for m.running() > 0 && t.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// running returns how many calls the backend servers run.
+func (m *overloadMesh) running() int {
+	n := 0
+	for _, b := range m.backends {
+		sum := b.Runs()
+		n += sum.Runs - int(sum.Cancelled)
+	}
+	return n
+}
+
+// Every slot of every backend server is taken for minutes. A booking whose
+// caller waits a tenth of a second must be told that it was not run, and it must
+// never run: a booking that is run after its caller was told so is made twice.
+func TestExpiredWorkNeverRuns(t *testing.T) {
+	c := workClass{name: "bookings", method: http.MethodPost, path: "/bookings", deadline: time.Minute,
+		percentile: 99, priority: 5}
+	m := startOverloadMesh(t, c)
+	empty := m.fillSlots(t, &c)
+	for i := range m.entries {
+		id := "late/" + strconv.Itoa(i)
+		if why := m.send(t, i, &c, id, 0, 100*time.Millisecond); why == "" {
+			t.Errorf("%s: not told that it was not run", id)
+		}
+	}
+	empty()
+	// A later booking runs: the slots are free again.
+	if why := m.send(t, 0, &c, "after", 0, 0); why != "" {
+		t.Errorf("refused as %s with all slots free", why)
+	}
+	for _, b := range m.backends {
+		for id := range b.RunsByID() {
+			if strings.HasPrefix(id, "late/") {
+				t.Errorf("%s was run", id)
+			}
+		}
+	}
+}
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -260,7 +260,7 @@
 // enter waits for a slot and asks whether the request is suspected.
 func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
 	if d.Gates != nil {
-		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, in.deadline)
+		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, startBy(now, in.deadline))
 		if err != nil {
 			return asRefusal(err)
 		}
@@ -278,6 +278,23 @@
 	return nil, nil
 }
 
+// Bounds on the time that is set aside for a refusal to reach the entry node.
+const (
+	maxWordTime  = 20 * time.Millisecond
+	wordTimePart = 8 // of the time left
+)
+
+// startBy returns the moment after which a call is not started any more.
+//
+// It guards against "may have run" for a call that never ran. If a call could
+// wait for its slot until its deadline, the refusal would leave this node in the
+// moment in which the entry node, whose own bound has passed, breaks the
+// connection off. A booking's caller would be told that nobody knows, and could
+// not send it again. A call that starts so late would not be answered in time.
+func startBy(now, deadline time.Time) time.Time {
+	return deadline.Add(-min(maxWordTime, deadline.Sub(now)/wordTimePart))
+}
+
 // asRefusal returns the refusal that err is, or err.
 func asRefusal(err error) (*call.Refusal, error) {
 	var r *call.Refusal
--- a/internal/proxy/patience_test.go
+++ b/internal/proxy/patience_test.go
@@ -63,3 +63,20 @@
 		}
 	}
 }
+
+// Bookings waited for a slot until their deadline. Their entry nodes gave up in
+// the same moment and told the callers that the bookings may have run, which
+// none had, so that none could be sent again.
+func TestWaitEndsInTimeToTell(t *testing.T) {
+	now := time.Now()
+	for _, tt := range []struct{ left, want time.Duration }{
+		{time.Second, 980 * time.Millisecond},
+		{160 * time.Millisecond, 140 * time.Millisecond},
+		{80 * time.Millisecond, 70 * time.Millisecond},
+		{0, 0},
+	} {
+		if got := startBy(now, now.Add(tt.left)).Sub(now); got != tt.want {
+			t.Errorf("%s left: waits %s, want %s", tt.left, got, tt.want)
+		}
+	}
+}
