--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -69,18 +69,22 @@
 
 // MeshPoint is one mesh of real nodes in one process.
 type MeshPoint struct {
-	Nodes   int    `json:"nodes"`
-	Profile string `json:"profile"`
+	Nodes   int     `json:"nodes"`
+	Profile string  `json:"profile"`
+	Prior   int     `json:"prior_changes"` // in a burst, before the figures
+	Settle  float64 `json:"settle_s"`      // left alone before the figures
 	Load
 	ReadyMS   float64 `json:"ready_ms"`
 	Idle      Window  `json:"idle"`
 	Changing  Window  `json:"changing"`
 	Changes   int     `json:"changes"`
 	AcceptMS  float64 `json:"accept_ms_p50"`
+	Tail      float64 `json:"tail_s"` // of Changing, after the last change
 	InForce   Quantum `json:"in_force_ms"`
 	Heap      float64 `json:"heap_bytes_per_node"`
 	Stack     float64 `json:"stack_bytes_per_node"`
 	RSS       float64 `json:"rss_bytes_per_node"`
+	BaseRSS   float64 `json:"rss_bytes_without_nodes"`
 	Files     float64 `json:"files_per_node"`
 	ProcessMB float64 `json:"process_rss_mb"`
 }
@@ -106,11 +110,11 @@
 	Rate float64 `json:"calls_s"`
 	Load
 	Calls  int     `json:"calls"`
-	Bad    int     `json:"bad"`           // not answered in full
-	CPU    float64 `json:"cpu_s_per_s"`   // of the whole process
-	Allocs float64 `json:"allocs_call"`   // in the whole process
-	Bytes  float64 `json:"bytes_call"`    // allocated in the whole process
-	Micros Quantum `json:"latency_us"`    // from the moment the call was due
+	Bad    int     `json:"bad"`         // not answered in full
+	CPU    float64 `json:"cpu_s_per_s"` // of the whole process
+	Allocs float64 `json:"allocs_call"` // in the whole process
+	Bytes  float64 `json:"bytes_call"`  // allocated in the whole process
+	Micros Quantum `json:"latency_us"`  // from the moment the call was due
 }
 
 // ChainPoint is a call that is passed on from backend server to backend server.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	calls    *callPath
 	control  *control
 	servers  *servers
+	reports  *reports
 
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
@@ -67,6 +68,7 @@
 	// superseded says that another process runs under this VM's ID.
 	superseded atomic.Bool
 	operators  *admin.Operators
+	quiet      *quiet
 	parts      *parts
 	once       sync.Once
 }
@@ -99,6 +101,7 @@
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
 	}
+	n.reports = &reports{n: n}
 	n.registry = announce.NewRegistry(announce.Limits{TTL: announce.DefaultTTL, Max: announce.DefaultMax})
 	var err error
 	if n.control, err = newControl(n); err != nil {
@@ -108,8 +111,11 @@
 		return err
 	}
 	n.control.wireHouse()
-	n.servers, err = newServers(n)
-	return err
+	if n.servers, err = newServers(n); err != nil {
+		return err
+	}
+	n.quiet = &quiet{traffic: &n.servers.calls}
+	return nil
 }
 
 // Addrs returns the addresses that the node listens on.
@@ -141,8 +147,12 @@
 	n.control.start(n.parts)
 	n.servers.start(n.parts)
 	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
+	n.parts.run("quiet", func(ctx context.Context) error { n.quiet.run(ctx); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
-	n.log.Info().Str("vm", n.self.ID).Str("control", n.self.ControlAddr).Msg("node: started")
+	a := n.Addrs()
+	n.log.Info().Str("vm", n.self.ID).Str("callers", a.Callers).Str("internal", a.Internal).
+		Str("calls", a.Calls).Str("control", a.Control).Str("admin", a.Admin).
+		Str("announce", a.Announce).Str("metrics", a.Metrics).Msg("node: started")
 }
 
 // Failed is closed when a part of the node ended without being asked to; Err
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -68,6 +68,7 @@
 	return admin.NewServer(admin.Options{
 		Commander: n.control.commands,
 		Reader:    &reader{n},
+		Lifter:    lifter{n},
 		Operators: n.operators,
 		Now:       time.Now,
 		Log:       telemetry.Part(n.log, "admin"),
