Tell meshes at rest from quick ones

Cause: what a node spends at rest takes minutes to measure, and times until a version is in force want one mesh at a time. Change: two series of meshes. Conclusion: the lines take each figure from the series that suits it.

--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -89,10 +89,19 @@
 
 func all[T any](*T) bool { return true }
 
-// meshPoints returns a figure of the meshes of a profile.
-func (r *Raw) meshPoints(profile string, f func(*MeshPoint) float64) []Point {
+// restPoints returns a figure of the meshes of a profile that were left alone
+// until their messages were empty.
+func (r *Raw) restPoints(profile string, f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == profile && p.Prior == 0 },
+		func(p *MeshPoint) bool { return p.Profile == profile && p.settled() },
+		func(p *MeshPoint) Point { return Point{float64(p.Nodes), f(p)} })
+}
+
+// quickPoints returns a figure of the meshes of a profile that ran one at a
+// time.
+func (r *Raw) quickPoints(profile string, f func(*MeshPoint) float64) []Point {
+	return medians(r.Mesh,
+		func(p *MeshPoint) bool { return p.Profile == profile && !p.settled() && !p.burst() },
 		func(p *MeshPoint) Point { return Point{float64(p.Nodes), f(p)} })
 }
 
@@ -100,7 +109,7 @@
 // files that a node has open.
 func (r *Raw) burstPoints(f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == timeProfile && p.Nodes == burstNodes },
+		func(p *MeshPoint) bool { return p.Profile == timeProfile && p.Nodes == burstNodes && !p.settled() },
 		func(p *MeshPoint) Point { return Point{p.Files, f(p)} })
 }
 
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -35,30 +35,30 @@
 		byNodes(Line{
 			ID: "idle-bytes", Name: "control bytes of an idle node, in and out", Unit: "B/s",
 			Mechanism: "probes and bridges, `membership.State` over `peer.Client`; bridges are a cost of each data centre, shared by its nodes",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.BytesIn + p.Idle.BytesOut })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.BytesIn + p.Idle.BytesOut })),
 			Goal:      goalBytes, Limit: limitBytes,
 		}),
 		byNodes(Line{
 			ID: "idle-bytes-busiest", Name: "the same, busiest node (a bridge)", Unit: "B/s",
 			Mechanism: "`membership.State` (tickBridges): two bridges a data centre speak with every other",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Busiest })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Busiest })),
 			Goal:      goalBytes, Limit: limitBytes,
 		}),
 		byNodes(Line{
 			ID: "idle-messages", Name: "messages sent and answered by an idle node", Unit: "1/s",
 			Mechanism: "`membership.Config.ProbeEvery`, `BridgeEvery`",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Messages() })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Messages() })),
 		}),
 		byNodes(Line{
 			ID: "idle-cpu", Name: "processor time of an idle node", Unit: "% of a core",
 			Mechanism: "tickers of `membership.Runner` (100 ms) and `node.Node` (50 ms), messages, one announcement a second; the stand-in platform and both ends of each connection are in it",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.CPU * percentOfCore })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.CPU * percentOfCore })),
 			Goal:      goalCPU, Limit: limitCPU,
 		}),
 		byNodes(Line{
 			ID: "idle-cpu-less", Name: "the same, less what the reads of the platform cost at both ends", Unit: "% of a core",
 			Mechanism: "as above",
-			Fit: NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 {
+			Fit: NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 {
 				return (p.Idle.CPU - p.Idle.Reads*read/float64(p.Nodes)) * percentOfCore
 			})),
 			Goal: goalCPU, Limit: limitCPU,
@@ -66,13 +66,13 @@
 		byNodes(Line{
 			ID: "reads", Name: "platform reads of the whole mesh, profile `time`", Unit: "1/s",
 			Mechanism: "two feeders a data centre, `distribute.State` (feed.go), each `Profile.HeadEvery`",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
 			Goal:      goalReads, Limit: platformRead,
 		}),
 		byNodes(Line{
 			ID: "reads-bytes", Name: "the same, profile `bytes`", Unit: "1/s",
 			Mechanism: "as above",
-			Fit:       NewFit(Linear, r.meshPoints(bytesProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
+			Fit:       NewFit(Linear, r.restPoints(bytesProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
 			Goal:      goalReads, Limit: platformRead,
 		}),
 	}
@@ -100,33 +100,33 @@
 		byNodes(Line{
 			ID: "change-bytes", Name: "control bytes of a node for one change, in and out, profile `time`", Unit: "B",
 			Mechanism: "the tree of `distribute.State` (tell.go, tree.go), once a node; then one bit a node that holds the version on membership messages (`membership`, held.go)",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, bytesPerChange)),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, bytesPerChange)),
 		}),
 		byNodes(Line{
 			ID: "change-bytes-bytes", Name: "the same, profile `bytes`", Unit: "B",
 			Mechanism: "as above",
-			Fit:       NewFit(Linear, r.meshPoints(bytesProfile, bytesPerChange)),
+			Fit:       NewFit(Linear, r.restPoints(bytesProfile, bytesPerChange)),
 		}),
 		byNodes(Line{
 			ID: "change-cpu", Name: "processor time of a node for one change", Unit: "ms",
 			Mechanism: "`config.Delta.Apply`, `Check`, compile; then new views as nodes are known to hold the version, each with `membership.State.View` and `node` pickers.update over all records",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, cpu)),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, cpu)),
 		}),
 		byNodes(Line{
 			ID: "change-writes", Name: "platform writes for one change", Unit: "1",
 			Mechanism: "one transaction by `command.Committer`",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, writes)),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, writes)),
 		}),
 		byNodes(Line{
 			ID: "force-time", Name: "in force at 99 of 100 nodes, profile `time`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 4, `distribute.Profile`; all nodes share one machine here",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, force)),
+			Fit:       NewFit(Logarithmic, r.quickPoints(timeProfile, force)),
 			Goal:      goalForce, Limit: limitForce,
 		}),
 		byNodes(Line{
 			ID: "force-bytes", Name: "in force at 99 of 100 nodes, profile `bytes`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 8, half a second of collecting at each step",
-			Fit:       NewFit(Logarithmic, r.meshPoints(bytesProfile, force)),
+			Fit:       NewFit(Logarithmic, r.quickPoints(bytesProfile, force)),
 			Goal:      goalForceB, Limit: limitForce,
 		}),
 	}
@@ -138,24 +138,24 @@
 		byNodes(Line{
 			ID: "heap", Name: "live heap of a node", Unit: "MB",
 			Mechanism: "`membership.State` and `View`, pickers, the version in force, buffers of connections",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Heap / mb })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Heap / mb })),
 			Goal:      goalMemory, Limit: limitMemory,
 		}),
 		byNodes(Line{
 			ID: "rss", Name: "resident memory that a node adds to a process", Unit: "MB",
 			Mechanism: "as above, and stacks: two goroutines at either end of each connection",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.RSS / mb })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.RSS / mb })),
 			Goal:      goalMemory, Limit: limitMemory,
 		}),
 		byNodes(Line{
 			ID: "files", Name: "open files of a node", Unit: "1",
 			Mechanism: "7 listeners; ring and fingers of `membership` (ring.go, about log2 n of them) at both ends; connections of `peer.Client` and to the platform",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Files })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Files })),
 		}),
 		byNodes(Line{
 			ID: "goroutines", Name: "goroutines of a node", Unit: "1",
 			Mechanism: "as above",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Goroutines })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Goroutines })),
 		}),
 		{
 			ID: "connection", Name: "heap and stacks of a node that holds connections open after a burst", Unit: "MB",
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -21,11 +21,15 @@
 }
 
 // DefaultMesh returns the options that the page's figures are made with.
-func DefaultMesh(nodes int, profile string) MeshOptions {
-	return MeshOptions{
-		Nodes: nodes, Profile: profile,
-		Settle: shortSettle, Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
+func DefaultMesh(nodes int, profile string, settle time.Duration) MeshOptions {
+	o := MeshOptions{
+		Nodes: nodes, Profile: profile, Settle: settle,
+		Idle: 6 * time.Second, Changes: 8, Every: 1500 * time.Millisecond, Tail: time.Second,
 	}
+	if settle > shortSettle { // for what a node spends, not for times
+		o.Idle, o.Changes, o.Tail = 15*time.Second, 6, 10*time.Second
+	}
+	return o
 }
 
 // MeasureMesh runs a mesh of real nodes in this process, which should do
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -15,12 +15,8 @@
 	}
 }
 
-// slopeAt is what calls at a rate cost, without what the process spends when
-// there are none.
-func slopeAt(l *Line, rate float64) float64 { return l.Fit.B * rate }
-
 func entryAndDest(lines []Line, hops float64) (entry, dest float64) {
-	return slopeAt(find(lines, "entry-cpu"), hops), slopeAt(find(lines, "dest-cpu"), hops)
+	return find(lines, "entry-cpu").Fit.At(hops), find(lines, "dest-cpu").Fit.At(hops)
 }
 
 // roles gives what each role costs at the size. All nodes are equal, so a
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -61,12 +61,16 @@
 	return b.String()
 }
 
-func meshTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.Prior == 0 })
+func restTable(r *Raw, _ []Line) string {
+	return meshRows(r, func(p *MeshPoint) bool { return p.settled() })
+}
+
+func quickTable(r *Raw, _ []Line) string {
+	return meshRows(r, func(p *MeshPoint) bool { return !p.settled() && !p.burst() })
 }
 
 func meshRows(r *Raw, keep func(*MeshPoint) bool) string {
-	t := newTable("nodes", "profile", "changes before", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s",
+	t := newTable("nodes", "profile", "changes before", "rest s", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s",
 		"B a change", "CPU ms a change", "writes a change", "accept p50 ms", "in force p50 / p99 / max ms",
 		"heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
 	for i := range r.Mesh {
@@ -74,7 +78,7 @@
 		if !keep(p) {
 			continue
 		}
-		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.ReadyMS),
+		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.Settle), number3(p.ReadyMS),
 			number3(p.Idle.BytesIn)+" + "+number3(p.Idle.BytesOut), number3(p.Idle.Busiest), number3(p.Idle.Messages()),
 			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(bytesPerChange(p)),
 			number3(perChange(p, p.Idle.CPU, p.Changing.CPU)*1e3), number3(perChange(p, p.Idle.Writes, p.Changing.Writes)),
@@ -91,7 +95,7 @@
 func loads(l Load) string { return number3(l.Before) + ", " + number3(l.After) }
 
 func burstTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.Nodes == burstNodes && p.Profile == timeProfile })
+	return meshRows(r, func(p *MeshPoint) bool { return p.burst() })
 }
 
 func callTable(r *Raw, _ []Line) string {
