--- a/internal/capacity/benches.go
+++ b/internal/capacity/benches.go
@@ -121,7 +121,7 @@
 
 var (
 	gossipCost = regexp.MustCompile(`n=(\d+) peers=[\d.]+ idle_B/s mean=(\d+) max=(\d+) messages/s=([\d.]+)`)
-	gossipTime = regexp.MustCompile(`n=(\d+) lazy=(\S+) urgent99=\S+ urgent=(\S+) applied=(\S+) `)
+	gossipTime = regexp.MustCompile(`n=(\d+) lazy=(\S+) urgent99=\S+ urgent=(\S+) applied=(\S+) applied_B=(\d+)`)
 	errGossip  = errors.New("capacity: the membership's harness printed something else")
 )
 
@@ -136,6 +136,7 @@
 		p := GossipPoint{Bytes: number(c[2]), Busiest: number(c[3]), Messages: number(c[4])}
 		p.Nodes = int(number(c[1]))
 		p.LazyMS, p.UrgentMS, p.AppliedMS = duration(t[2]), duration(t[3]), duration(t[4])
+		p.AppliedBytes = number(t[5])
 		out = append(out, p)
 	}
 	return out, nil
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -213,6 +213,7 @@
 func callLines(r *Raw) []Line {
 	cpu := func(p *CallPoint) float64 { return p.CPU * percentOfCore }
 	direct, dest, mesh := r.wayPoints(WayDirect, cpu), r.wayPoints(WayDestination, cpu), r.wayPoints(WayMesh, cpu)
+	p50, p99 := func(p *CallPoint) float64 { return p.Micros.P50 }, func(p *CallPoint) float64 { return p.Micros.P99 }
 	perNode := func(l Line) Line { l.X, l.AtN = "calls/s", sizeCalls/sizeNodes; return l }
 	chain := func(f func(*ChainPoint) float64) Fit {
 		return NewFit(Linear, medians(r.Chains, all[ChainPoint], func(p *ChainPoint) Point { return Point{float64(p.Depth), f(p)} }))
@@ -233,6 +234,18 @@
 			Mechanism: "`proxy.Destination`, `limit.Gate`, net/http at both sides",
 			Fit:       NewFit(Linear, minus(dest, direct)),
 		}),
+		perNode(Line{
+			ID: "added-p50", Name: "added to one call, p50", Unit: "µs",
+			Mechanism: "entry and destination; the limit is meant for the line below",
+			Fit:       NewFit(Linear, minus(r.wayPoints(WayMesh, p50), r.wayPoints(WayDirect, p50))),
+			Limit:     limitAdded,
+		}),
+		perNode(Line{
+			ID: "added-p99", Name: "added to one call, p99 less p99", Unit: "µs",
+			Mechanism: "as above",
+			Fit:       NewFit(Linear, minus(r.wayPoints(WayMesh, p99), r.wayPoints(WayDirect, p99))),
+			Limit:     limitAdded,
+		}),
 		{
 			ID: "chain-p50", Name: "added to a chain, p50", Unit: "µs", X: "depth", AtN: sizeDepth,
 			Mechanism: "entry and destination at each step",
--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -208,6 +208,8 @@
 	LazyMS    float64 `json:"lazy_ms"`
 	UrgentMS  float64 `json:"urgent_ms"`
 	AppliedMS float64 `json:"applied_ms"`
+	// AppliedBytes is what one new version costs a node's messages.
+	AppliedBytes float64 `json:"applied_bytes"`
 }
 
 // Read reads raw figures from a file.
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -178,10 +178,10 @@
 }
 
 func virtualTable(r *Raw, _ []Line) string {
-	t := newTable("nodes", "idle B/s a node", "busiest", "messages/s", "lazy change, to all", "urgent change, to all", "version held, known to all")
+	t := newTable("nodes", "idle B/s a node", "busiest", "messages/s", "lazy change, to all", "urgent change, to all", "version held, known to all", "its bytes a node")
 	for _, p := range r.Gossip {
 		t.row(number3(float64(p.Nodes)), number3(p.Bytes), number3(p.Busiest), number3(p.Messages),
-			seconds(p.LazyMS), seconds(p.UrgentMS), seconds(p.AppliedMS))
+			seconds(p.LazyMS), seconds(p.UrgentMS), seconds(p.AppliedMS), number3(p.AppliedBytes))
 	}
 	return t.String()
 }
