--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -25,6 +25,7 @@
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
+	retries   *retries
 	draining  atomic.Bool
 	endTrace  func(context.Context) error
 }
@@ -48,6 +49,7 @@
 		upstreams: n.upstreams(),
 		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
+		retries:   new(retries),
 		endTrace:  endTrace,
 	}
 	c.suspects = &suspects{
@@ -64,7 +66,7 @@
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
+		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
 	}, &c.pickers.plain))
 	return c, nil
@@ -77,7 +79,8 @@
 	return proxy.NewUpstreams()
 }
 
-// upkeep stores outcomes that the platform lacks, until ctx ends.
+// upkeep tells what this node holds of suspects, and stores outcomes that the
+// platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
@@ -86,6 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			c.suspects.tell(time.Now())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
--- a/internal/node/town_test.go
+++ b/internal/node/town_test.go
@@ -37,10 +37,9 @@
 // town is a local mesh whose service "berths" is held by some of its VMs.
 type town struct {
 	*localmesh.Mesh
-	t        *testing.T
-	ctx      context.Context
-	announce map[string]string // address of each VM's announce API, kept over restarts
-	version  uint64
+	t       *testing.T
+	ctx     context.Context
+	version uint64
 }
 
 // startTown starts a mesh of one data centre. Change, if not nil, changes what
@@ -49,27 +48,17 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
-	w := &town{t: t, ctx: ctx, announce: make(map[string]string)}
+	w := &town{t: t, ctx: ctx}
 	m, err := localmesh.Start(localmesh.Options{
 		Name: "trust", Profile: settings.ProfileTime, Log: zerolog.Nop(),
 		DataCentres: []localmesh.DataCentre{{Name: "neg", Region: "western", VMs: vms}},
-		Node: func(vm *localmesh.VM, o *node.Options) {
-			if a := w.announce[vm.ID]; a != "" {
-				o.Settings.Listen.Announce = a
-			}
-			if change != nil {
-				change(vm, o)
-			}
-		},
+		Node:        change,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(m.Close)
 	w.Mesh = m
-	for _, vm := range m.VMs {
-		w.announce[vm.ID] = vm.Node().Addrs().Announce
-	}
 	w.must(m.WaitReady(ctx))
 	return w
 }
@@ -175,6 +164,18 @@
 	return -1
 }
 
+// reaches waits until a metric has a value: a node counts a call a moment after
+// its caller has the answer.
+func (w *town) reaches(vm *localmesh.VM, name string, want float64) {
+	w.t.Helper()
+	for got := w.metric(vm, name); got != want; got = w.metric(vm, name) {
+		if w.ctx.Err() != nil {
+			w.t.Fatalf("%s is %g, want %g", name, got, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (w *town) page(vm *localmesh.VM, path string) string {
 	w.t.Helper()
 	resp, err := http.Get("http://" + vm.Node().Addrs().Metrics + path)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -25,22 +25,42 @@
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
 	if e.Local != nil && ep.VM == e.Self {
-		return e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+		return e.ofPart(c, a)
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
-		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left,
+		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
-	return readNode(a)
+	return e.ofPart(c, readNode(a))
+}
+
+// ofPart corrects a refusal that says that the deadline passed, when only the
+// attempt's part of the time has.
+//
+// An idempotent call waits in the queue of an endpoint whose slots are held by
+// calls on silent connections. After half of its time the endpoint drops it as
+// expired. The deadline of the call itself is still ahead: the endpoint had no
+// room in time, and another may have.
+func (e *Entry) ofPart(c *entering, a answer) answer {
+	if a.refusal != nil && a.refusal.Reason == call.ReasonExpired && e.Now().Before(c.deadline) {
+		a.refusal = refuse(call.ReasonOverloaded, 0, "no room within the attempt's part of the time")
+	}
+	return a
 }
 
 // patience is how long an attempt may take to begin its answer. An idempotent
 // call keeps half of its time for another attempt, so that one connection that
 // went silent does not cost its caller the answer.
+//
+// The first attempt always has the answer time that its class aims at. With
+// less, calls that wait their turn at a busy backend server, as their class
+// allows, would be cut off when they are about to be answered: the work is lost,
+// done again elsewhere, and the endpoint counted as failing.
 func (e *Entry) patience(c *entering, now time.Time) time.Duration {
 	left := c.deadline.Sub(now)
 	if c.target.Idempotent && c.n == 1 && c.body.reusable() {
-		return left / 2
+		return min(left, max(left/2, c.target.AnswerWithin()))
 	}
 	return left
 }
