Take spreading and storms from marlpass-load's measuring code

Cause: the load tool measures spreading, the baseline and storms; the page must not hold a second way to do it. Change: parts spread and storm call internal/load/control; the meshes of the page keep what that lacks: kinds of message, files, stacks, the busiest node.

--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/marlpass/marlpass/internal/load/control"
 )
 
 // Line is one cost: what was measured, the line through it, and its value at
@@ -89,27 +91,32 @@
 
 func all[T any](*T) bool { return true }
 
-// restPoints returns a figure of the meshes of a profile that were left alone
-// until their messages were empty.
+// restPoints returns a figure of the meshes of a profile at rest.
 func (r *Raw) restPoints(profile string, f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == profile && p.settled() },
+		func(p *MeshPoint) bool { return p.Profile == profile && !p.burst() },
 		func(p *MeshPoint) Point { return Point{float64(p.Nodes), f(p)} })
 }
 
-// quickPoints returns a figure of the meshes of a profile that ran one at a
-// time.
-func (r *Raw) quickPoints(profile string, f func(*MeshPoint) float64) []Point {
-	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == profile && !p.settled() && !p.burst() },
-		func(p *MeshPoint) Point { return Point{float64(p.Nodes), f(p)} })
+// spreadPoints returns a figure of the meshes that marlpass-load's measurement
+// of spreading was run on.
+func (r *Raw) spreadPoints(profile string, f func(*control.SpreadReport) float64) []Point {
+	return medians(r.Spreads,
+		func(p *SpreadPoint) bool { return p.Report.Profile == profile },
+		func(p *SpreadPoint) Point { return Point{float64(p.Report.Nodes), f(&p.Report)} })
+}
+
+// stormPoints returns a figure of the storms.
+func (r *Raw) stormPoints(f func(*control.StormReport) float64) []Point {
+	return medians(r.Storms, all[StormPoint],
+		func(p *StormPoint) Point { return Point{float64(p.Report.Nodes), f(&p.Report)} })
 }
 
-// burstPoints returns a figure of the meshes with changes made before, by the
-// files that a node has open.
+// burstPoints returns a figure of the meshes of one size with changes made
+// before, by the files that a node has open.
 func (r *Raw) burstPoints(f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == timeProfile && p.Nodes == burstNodes && !p.settled() },
+		func(p *MeshPoint) bool { return p.Profile == timeProfile && p.Nodes == burstNodes },
 		func(p *MeshPoint) Point { return Point{p.Files, f(p)} })
 }
 
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "github.com/marlpass/marlpass/internal/load/control"
+
 // Lines returns all lines.
 func Lines(r *Raw) []Line {
 	var out []Line
@@ -95,7 +97,7 @@
 func changeLines(r *Raw) []Line {
 	cpu := func(p *MeshPoint) float64 { return perChange(p, p.Idle.CPU, p.Changing.CPU) * 1e3 }
 	writes := func(p *MeshPoint) float64 { return perChange(p, p.Idle.Writes, p.Changing.Writes) }
-	force := func(p *MeshPoint) float64 { return p.InForce.P99 }
+	force := func(p *control.SpreadReport) float64 { return p.Spreading.ConvergeP99ms }
 	return []Line{
 		byNodes(Line{
 			ID: "change-bytes", Name: "control bytes of a node for one change, in and out, profile `time`", Unit: "B",
@@ -120,15 +122,39 @@
 		byNodes(Line{
 			ID: "force-time", Name: "in force at 99 of 100 nodes, profile `time`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 4, `distribute.Profile`; all nodes share one machine here",
-			Fit:       NewFit(Logarithmic, r.quickPoints(timeProfile, force)),
+			Fit:       NewFit(Logarithmic, r.spreadPoints(timeProfile, force)),
 			Goal:      goalForce, Limit: limitForce,
 		}),
 		byNodes(Line{
 			ID: "force-bytes", Name: "in force at 99 of 100 nodes, profile `bytes`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 8, half a second of collecting at each step",
-			Fit:       NewFit(Logarithmic, r.quickPoints(bytesProfile, force)),
+			Fit:       NewFit(Logarithmic, r.spreadPoints(bytesProfile, force)),
 			Goal:      goalForceB, Limit: limitForce,
 		}),
+		byNodes(Line{
+			ID: "ratio", Name: "idle control bytes of the baseline, every node polling the snapshot each second, over marlpass's", Unit: "times",
+			Mechanism: "`marlpass-load spread`; its meshes have 61 targets and 5 s of rest",
+			Fit:       NewFit(Linear, r.spreadPoints(timeProfile, func(p *control.SpreadReport) float64 { return p.BytesRatio })),
+		}),
+		byNodes(Line{
+			ID: "storm", Name: "three quarters of a data centre return: until all are ready, see all and hold the last version", Unit: "ms",
+			Mechanism: "joins capped at each node, `membership.Config.JoinsPerSecond`, with full jitter (join.go); `distribute` (restart)",
+			Fit:       NewFit(Logarithmic, r.stormPoints(func(p *control.StormReport) float64 { return p.RecoverMs })),
+			Goal:      goalStorm,
+		}),
+		byNodes(Line{
+			ID: "storm-reads", Name: "platform reads in the worst second of it, whole mesh", Unit: "1/s",
+			Mechanism: "as above: snapshots come from peers",
+			Fit:       NewFit(Linear, r.stormPoints(func(p *control.StormReport) float64 { return p.PeakReads })),
+			Goal:      goalReads, Limit: platformRead,
+		}),
+		byNodes(Line{
+			ID: "storm-bytes", Name: "bytes in the worst second of it, one returned node", Unit: "B/s",
+			Mechanism: "full state of `membership` and a snapshot for each",
+			Fit: NewFit(Linear, r.stormPoints(func(p *control.StormReport) float64 {
+				return p.PeakJoinBytes / float64(max(p.Killed, 1))
+			})),
+		}),
 	}
 }
 
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
@@ -21,14 +19,12 @@
 // leaves its heap, goroutines or connections behind.
 type part struct {
 	args []string
-	// together parts of the same name run at the same time.
-	together bool
 	// take adds what the part printed to the raw figures.
 	take func(r *Raw, b []byte) error
 }
 
 // partBound ends a part that hangs.
-const partBound = 10 * time.Minute
+const partBound = 5 * time.Minute
 
 // PlanOptions choose what is measured.
 type PlanOptions struct {
@@ -43,7 +39,8 @@
 // Names of the parts.
 const (
 	partMesh     = "mesh"
-	partIdle     = "idle"
+	partSpread   = "spread"
+	partStorm    = "storm"
 	partBurst    = "burst"
 	partCalls    = "calls"
 	partChain    = "chain"
@@ -62,7 +59,7 @@
 // partNames lists the parts in the order in which they run.
 func partNames() []string {
 	return []string{
-		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partIdle, partGossip,
+		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partSpread, partStorm, partGossip,
 	}
 }
 
@@ -78,11 +75,13 @@
 	case partBurst:
 		var out []part
 		for _, n := range burstSizes() {
-			out = append(out, meshPart(burstNodes, timeProfile, n, shortSettle))
+			out = append(out, meshPart(burstNodes, timeProfile, n))
 		}
 		return out
-	case partIdle:
-		return o.settled()
+	case partSpread:
+		return o.spreads()
+	case partStorm:
+		return o.storms()
 	case partCalls:
 		return []part{listPart(name, func(r *Raw) *[]CallPoint { return &r.Calls })}
 	case partChain:
@@ -111,46 +110,53 @@
 	var out []part
 	for i := range o.Repeats {
 		for _, n := range o.Sizes {
-			out = append(out, meshPart(n, timeProfile, 0, shortSettle))
+			out = append(out, meshPart(n, timeProfile, 0))
 			if i == 0 {
-				out = append(out, meshPart(n, bytesProfile, 0, shortSettle))
+				out = append(out, meshPart(n, bytesProfile, 0))
 			}
 		}
 	}
 	return out
 }
 
-// settled returns meshes that are left alone until nothing of their start is on
-// its way any more. They run at the same time: what they spend in bytes and
-// processor time depends little on how busy the machine is, and the longest
-// takes minutes.
-func (o *PlanOptions) settled() []part {
+func (o *PlanOptions) spreads() []part {
 	var out []part
-	for _, n := range o.Sizes {
-		for _, profile := range []string{timeProfile, bytesProfile} {
-			p := meshPart(n, profile, 0, settleFor(n))
-			p.together = true
-			out = append(out, p)
+	for i := range o.Repeats {
+		for _, n := range o.Sizes {
+			out = append(out, spreadPart(n, timeProfile))
+			if i == 0 {
+				out = append(out, spreadPart(n, bytesProfile))
+			}
 		}
 	}
 	return out
 }
 
-// shortSettle is long enough for every node to know all others, but not for
-// messages to carry nothing but probes again.
-const shortSettle = 12 * time.Second
+func (o *PlanOptions) storms() []part {
+	var out []part
+	for _, n := range o.Sizes {
+		out = append(out, part{args: []string{partStorm, strconv.Itoa(n)}, take: func(r *Raw, b []byte) error {
+			var p StormPoint
+			err := json.Unmarshal(b, &p)
+			r.Storms = append(r.Storms, p)
+			return err
+		}})
+	}
+	return out
+}
 
-// settleFor is how long a mesh takes from its start until messages carry
-// nothing of it any more: each of n records rides on up to 12 messages of
-// every node, about 130 bytes each, and a node's messages have room for some
-// 1,100 bytes a second.
-func settleFor(nodes int) time.Duration {
-	return 20*time.Second + time.Duration(nodes)*1400*time.Millisecond
+func spreadPart(nodes int, profile string) part {
+	return part{args: []string{partSpread, strconv.Itoa(nodes), profile}, take: func(r *Raw, b []byte) error {
+		var p SpreadPoint
+		err := json.Unmarshal(b, &p)
+		r.Spreads = append(r.Spreads, p)
+		return err
+	}}
 }
 
-func meshPart(nodes int, profile string, prior int, settle time.Duration) part {
+func meshPart(nodes int, profile string, prior int) part {
 	return part{
-		args: []string{partMesh, strconv.Itoa(nodes), profile, strconv.Itoa(prior), settle.String()},
+		args: []string{partMesh, strconv.Itoa(nodes), profile, strconv.Itoa(prior)},
 		take: func(r *Raw, b []byte) error {
 			var p MeshPoint
 			err := json.Unmarshal(b, &p)
@@ -178,6 +184,10 @@
 	switch args[0] {
 	case partMesh:
 		return runMeshPart(ctx, args[1:])
+	case partSpread:
+		return runSpreadPart(ctx, args[1:])
+	case partStorm:
+		return runStormPart(ctx, args[1:])
 	case partCalls:
 		return MeasureCalls(ctx, DefaultCalls())
 	case partChain:
@@ -200,29 +210,6 @@
 	return nil, fmt.Errorf("%w: no part is called %q", errUsage, args[0])
 }
 
-func runMeshPart(ctx context.Context, args []string) (any, error) {
-	if len(args) < 3 || len(args) > 4 {
-		return nil, fmt.Errorf("%w: mesh wants NODES PROFILE PRIOR-CHANGES [SETTLE]", errUsage)
-	}
-	nodes, err := strconv.Atoi(args[0])
-	if err != nil || nodes < 1 {
-		return nil, fmt.Errorf("%w: %q is no number of nodes", errUsage, args[0])
-	}
-	prior, err := strconv.Atoi(args[2])
-	if err != nil || prior < 0 {
-		return nil, fmt.Errorf("%w: %q is no number of changes", errUsage, args[2])
-	}
-	settle := shortSettle
-	if len(args) == 4 {
-		if settle, err = time.ParseDuration(args[3]); err != nil {
-			return nil, fmt.Errorf("%w: %w", errUsage, err)
-		}
-	}
-	o := DefaultMesh(nodes, args[1], settle)
-	o.Prior = prior
-	return MeasureMesh(ctx, o)
-}
-
 // Measure runs the plan and writes the raw figures to a file after each part,
 // so that what was measured stays when a later part fails.
 func Measure(ctx context.Context, o PlanOptions, path string, log io.Writer) error {
@@ -235,16 +222,7 @@
 	r.Machine = Machine{GoVersion: runtime.Version(), Arch: runtime.GOOS + "/" + runtime.GOARCH, Cores: runtime.NumCPU()}
 	for _, name := range o.Only {
 		r.forget(name)
-		parts := o.plan(name)
-		if len(parts) > 0 && parts[0].together {
-			err = runTogether(ctx, parts, r, log)
-		} else {
-			err = runInTurn(ctx, parts, r, path, log)
-		}
-		if err != nil {
-			return err
-		}
-		if err := r.Write(path); err != nil {
+		if err := runInTurn(ctx, o.plan(name), r, path, log); err != nil {
 			return err
 		}
 	}
@@ -268,42 +246,21 @@
 	return nil
 }
 
-func runTogether(ctx context.Context, parts []part, r *Raw, log io.Writer) error {
-	outs := make([][]byte, len(parts))
-	g, ctx := errgroup.WithContext(ctx)
-	for i, p := range parts {
-		g.Go(func() (err error) {
-			outs[i], err = p.run(ctx, log)
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return err
-	}
-	for i, p := range parts {
-		if err := p.take(r, outs[i]); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// forget drops the meshes of a part that is measured again. Other parts replace
-// theirs when they end.
+// forget drops the meshes of a part that is measured again. The other parts
+// replace theirs when they end.
 func (r *Raw) forget(name string) {
 	switch name {
 	case partMesh:
-		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return !p.settled() && !p.burst() })
+		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return !p.burst() })
 	case partBurst:
 		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return p.burst() })
-	case partIdle:
-		r.Mesh = slices.DeleteFunc(r.Mesh, func(p MeshPoint) bool { return p.settled() })
+	case partSpread:
+		r.Spreads = nil
+	case partStorm:
+		r.Storms = nil
 	}
 }
 
-// settled tells whether the mesh was left alone until its messages were empty.
-func (p *MeshPoint) settled() bool { return p.Settle >= settleFor(p.Nodes).Seconds() }
-
 // burst tells whether the mesh belongs to the series of bursts.
 func (p *MeshPoint) burst() bool { return p.Prior > 0 }
 
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -21,15 +21,11 @@
 }
 
 // DefaultMesh returns the options that the page's figures are made with.
-func DefaultMesh(nodes int, profile string, settle time.Duration) MeshOptions {
-	o := MeshOptions{
-		Nodes: nodes, Profile: profile, Settle: settle,
-		Idle: 6 * time.Second, Changes: 8, Every: 1500 * time.Millisecond, Tail: time.Second,
+func DefaultMesh(nodes int, profile string) MeshOptions {
+	return MeshOptions{
+		Nodes: nodes, Profile: profile, Settle: settleFor(nodes),
+		Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
 	}
-	if settle > shortSettle { // for what a node spends, not for times
-		o.Idle, o.Changes, o.Tail = 15*time.Second, 6, 10*time.Second
-	}
-	return o
 }
 
 // MeasureMesh runs a mesh of real nodes in this process, which should do
@@ -111,59 +107,24 @@
 	return w, ctx.Err()
 }
 
-// change makes the changes, and times each from the moment that the operator
-// sends it until it is in force at each node.
+// change makes the changes, and waits for what follows the last.
 func (p *MeshPoint) change(ctx context.Context, o MeshOptions, op *operator) error {
-	var accepts, waits []float64
 	for i := range o.Changes {
 		start := time.Now()
-		want := op.version + 1
-		seen := make(chan []float64, 1)
-		go func() { seen <- awaitEach(ctx, op.m, want, start) }()
 		if err := op.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
 			return err
 		}
-		accepts = append(accepts, millis(time.Since(start)))
-		waits = append(waits, <-seen...)
+		if err := op.m.WaitVersion(ctx, op.version); err != nil {
+			return err
+		}
 		if err := sleep(ctx, o.Every-time.Since(start)); err != nil {
 			return err
 		}
 	}
-	p.AcceptMS, p.InForce = median(accepts), quanta(waits)
 	p.Tail = o.Tail.Seconds()
 	return sleep(ctx, o.Tail)
 }
 
-// lookEvery is how often the nodes are asked for their version; it bounds the
-// accuracy of the times.
-const lookEvery = time.Millisecond
-
-// awaitEach returns for each node how many milliseconds after start it had the
-// version.
-func awaitEach(ctx context.Context, m *localmesh.Mesh, version uint64, start time.Time) []float64 {
-	var waits []float64
-	waiting := m.Nodes()
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for len(waiting) > 0 {
-		select {
-		case <-ctx.Done():
-			return waits
-		case <-ticker.C:
-		}
-		kept := waiting[:0]
-		for _, n := range waiting {
-			if n.Version().Number < version {
-				kept = append(kept, n)
-				continue
-			}
-			waits = append(waits, millis(time.Since(start)))
-		}
-		waiting = kept
-	}
-	return waits
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -4,12 +4,16 @@
 	"encoding/json"
 	"os"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/load/control"
 )
 
 // Raw holds everything that was measured, as it stands in docs/capacity/raw.json.
 type Raw struct {
 	Machine Machine       `json:"machine"`
 	Mesh    []MeshPoint   `json:"mesh"`
+	Spreads []SpreadPoint `json:"spreads"`
+	Storms  []StormPoint  `json:"storms"`
 	Calls   []CallPoint   `json:"calls"`
 	Chains  []ChainPoint  `json:"chains"`
 	Flight  []FlightPoint `json:"flight"`
@@ -78,9 +82,7 @@
 	Idle      Window  `json:"idle"`
 	Changing  Window  `json:"changing"`
 	Changes   int     `json:"changes"`
-	AcceptMS  float64 `json:"accept_ms_p50"`
 	Tail      float64 `json:"tail_s"` // of Changing, after the last change
-	InForce   Quantum `json:"in_force_ms"`
 	Heap      float64 `json:"heap_bytes_per_node"`
 	Stack     float64 `json:"stack_bytes_per_node"`
 	RSS       float64 `json:"rss_bytes_per_node"`
@@ -89,6 +91,18 @@
 	ProcessMB float64 `json:"process_rss_mb"`
 }
 
+// SpreadPoint is a mesh as marlpass-load spread measures it, with the baseline.
+type SpreadPoint struct {
+	Load
+	Report control.SpreadReport `json:"report"`
+}
+
+// StormPoint is a mesh as marlpass-load storm measures it.
+type StormPoint struct {
+	Load
+	Report control.StormReport `json:"report"`
+}
+
 // Quantum holds quantiles.
 type Quantum struct {
 	P50 float64 `json:"p50"`
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -49,7 +49,7 @@
 		fmt.Sprintf("at most %s ms a read, both ends", number3(find(lines, "platform-cpu").Fit.B/percentOfCore*1e3)), "none of its own")
 	t.row("bridge, two a data centre", "none of its own; a contact row at the platform, every ten minutes", fmt.Sprintf("%s B/s, the busiest node", v("idle-bytes-busiest")), "as every node's", "as every node's")
 	t.row("accepting node", "the commands under way", fmt.Sprintf("%s platform writes a change; one tell to each of %d data centres", v("change-writes"), sizeCentres),
-		fmt.Sprintf("accepted after %s ms at %d nodes (p50, platform without latency)", number3(acceptAt(r)), largestMesh(r)), "one snapshot and one delta")
+		"two checks and one delta more than other nodes", "one snapshot and one delta more")
 	t.row("lease holder for compaction", "the lease row", "by arithmetic, not measured: 930 log rows and 930 command rows a day, up to 64 a transaction: 30 transactions a day, and the lease's renewals", "not measured", "one snapshot")
 	t.row("platform", fmt.Sprintf("head, 8,192 log rows, command rows of 14 days, snapshots of %s B, claims of 24 hours", v("version-bytes")),
 		fmt.Sprintf("%s reads/s (`time`); %s writes/s for changes; keyed calls: see the claims", v("reads"), number3(perDay("change-writes"))),
@@ -65,26 +65,6 @@
 	return median(list)
 }
 
-// largestMesh is the largest number of nodes that was measured.
-func largestMesh(r *Raw) int {
-	n := 0
-	for _, p := range r.Mesh {
-		n = max(n, p.Nodes)
-	}
-	return n
-}
-
-func acceptAt(r *Raw) float64 {
-	n := largestMesh(r)
-	var list []float64
-	for _, p := range r.Mesh {
-		if p.Nodes == n && p.Profile == timeProfile {
-			list = append(list, p.AcceptMS)
-		}
-	}
-	return median(list)
-}
-
 // subsetUsers tells how many entry nodes call one endpoint at the size.
 func subsetUsers(r *Raw) string {
 	for _, p := range r.Subsets {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -28,6 +28,7 @@
 	limitForce   = 13_000.0 // ms
 	goalForce    = 3_000.0  // profile time
 	goalForceB   = 8_000.0  // profile bytes
+	goalStorm    = 15_000.0 // ms
 	platformRead = 2_000.0  // a second that the platform answers
 	goalReads    = 0.05 * platformRead
 	limitAdded   = 1_600.0 // µs added to a call for 99 in 100
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -62,42 +62,89 @@
 }
 
 func restTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.settled() })
+	return meshRows(r, func(p *MeshPoint) bool { return !p.burst() })
 }
 
-func quickTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return !p.settled() && !p.burst() })
+func burstTable(r *Raw, _ []Line) string {
+	return meshRows(r, func(p *MeshPoint) bool { return p.burst() })
 }
 
 func meshRows(r *Raw, keep func(*MeshPoint) bool) string {
-	t := newTable("nodes", "profile", "changes before", "rest s", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s",
-		"B a change", "CPU ms a change", "writes a change", "accept p50 ms", "in force p50 / p99 / max ms",
-		"heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
+	t := newTable("nodes", "profile", "changes before", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s", "writes/s",
+		"B a change", "CPU ms a change", "writes a change", "heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
 	for i := range r.Mesh {
 		p := &r.Mesh[i]
 		if !keep(p) {
 			continue
 		}
-		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.Settle), number3(p.ReadyMS),
+		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.ReadyMS),
 			number3(p.Idle.BytesIn)+" + "+number3(p.Idle.BytesOut), number3(p.Idle.Busiest), number3(p.Idle.Messages()),
-			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(bytesPerChange(p)),
+			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(p.Idle.Writes), number3(bytesPerChange(p)),
 			number3(perChange(p, p.Idle.CPU, p.Changing.CPU)*1e3), number3(perChange(p, p.Idle.Writes, p.Changing.Writes)),
-			number3(p.AcceptMS), quantum(p.InForce), number3(p.Heap/mb), number3(p.Stack/mb), number3(p.RSS/mb),
+			number3(p.Heap/mb), number3(p.Stack/mb), number3(p.RSS/mb),
 			number3(p.Files), number3(p.Idle.Goroutines), loads(p.Load))
 	}
 	return t.String()
 }
 
+// kindTable gives the traffic of meshes at rest by kind of message.
+func kindTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "profile", "", "kind", "sent/s", "answered/s", "message bytes in/s", "out/s", "connection bytes in/s", "out/s")
+	for i := range r.Mesh {
+		p := &r.Mesh[i]
+		if p.burst() {
+			continue
+		}
+		for _, w := range []struct {
+			name string
+			*Window
+		}{{"idle", &p.Idle}, {"changing", &p.Changing}} {
+			for _, k := range w.Kinds {
+				if k.Sent+k.Received == 0 {
+					continue
+				}
+				t.row(fmt.Sprint(p.Nodes), p.Profile, w.name, k.Kind, number3(k.Sent), number3(k.Received),
+					number3(k.BytesIn), number3(k.BytesOut), number3(w.BytesIn), number3(w.BytesOut))
+			}
+		}
+	}
+	return t.String()
+}
+
+func spreadTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "profile", "in force p50 / p99 / max ms", "idle B/s", "B a change", "CPU % idle", "reads/s", "writes a change",
+		"went back", "half applied", "missing", "false suspicions", "baseline idle B/s", "times", "baseline reads/s", "load before, after")
+	for _, p := range r.Spreads {
+		s, b := p.Report.Spreading, p.Report.Baseline
+		t.row(fmt.Sprint(p.Report.Nodes), p.Report.Profile,
+			quantum(Quantum{s.ConvergeP50ms, s.ConvergeP99ms, s.ConvergeMaxms}), number3(s.BytesIdle), number3(s.BytesPerChange),
+			number3(s.CPUIdle), number3(s.ReadsIdle), number3(s.Writes),
+			fmt.Sprint(s.WentBack), fmt.Sprint(s.HalfApplied), fmt.Sprint(s.Missing), fmt.Sprint(p.Report.FalseSuspicions),
+			number3(b.BytesIdle), number3(p.Report.BytesRatio), number3(b.ReadsIdle), loads(p.Load))
+	}
+	return t.String()
+}
+
+func stormTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "killed", "all ready ms", "recovered ms", "peak reads/s", "peak B/s, all returned", "went back", "half applied", "misrouted", "load before, after")
+	for _, p := range r.Storms {
+		s := p.Report
+		recovered := number3(s.RecoverMs)
+		if s.Unfinished != "" {
+			recovered = "no: " + s.Unfinished
+		}
+		t.row(fmt.Sprint(s.Nodes), fmt.Sprint(s.Killed), number3(s.ReadyMs), recovered, number3(s.PeakReads), number3(s.PeakJoinBytes),
+			fmt.Sprint(s.WentBack), fmt.Sprint(s.HalfApplied), fmt.Sprint(s.Misrouted), loads(p.Load))
+	}
+	return t.String()
+}
+
 func quantum(q Quantum) string {
 	return number3(q.P50) + " / " + number3(q.P99) + " / " + number3(q.Max)
 }
 
 func loads(l Load) string { return number3(l.Before) + ", " + number3(l.After) }
 
-func burstTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.burst() })
-}
-
 func callTable(r *Raw, _ []Line) string {
 	t := newTable("way", "calls/s", "calls", "not answered", "CPU s/s", "allocations a call", "bytes a call", "p50 / p99 / max µs", "load before, after")
 	for _, p := range r.Calls {
