Let a mesh rest as long as asked

Cause: the records of a start fill messages for up to 1.4 s a node, so that bytes at rest need minutes at 240 nodes. Change: -rest.

--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -23,7 +23,7 @@
 // DefaultMesh returns the options that the page's figures are made with.
 func DefaultMesh(nodes int, profile string) MeshOptions {
 	return MeshOptions{
-		Nodes: nodes, Profile: profile, Settle: settleFor(nodes),
+		Nodes: nodes, Profile: profile, Settle: settleFor(nodes, defaultRest),
 		Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
 	}
 }
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -9,10 +9,16 @@
 	"github.com/marlpass/marlpass/internal/load/control"
 )
 
+// defaultRest keeps the measurement of a size under a minute and a half. It is
+// too short for messages to be empty again after a start.
+const defaultRest = 100 * time.Millisecond
+
 // settleFor is how long a mesh is left alone after its start, so that its
-// messages carry nothing of it any more.
-func settleFor(nodes int) time.Duration {
-	return 15*time.Second + time.Duration(nodes)*100*time.Millisecond
+// messages carry nothing of it any more. Each record of the start may ride on
+// 12 messages of every node with about 130 bytes, and a node's messages have
+// room for some 1,100 bytes a second: 1.4 s for each node are always enough.
+func settleFor(nodes int, rest time.Duration) time.Duration {
+	return 20*time.Second + time.Duration(nodes)*rest
 }
 
 func runMeshPart(ctx context.Context, args []string) (any, error) {
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -26,7 +26,7 @@
 from them what it costs at the size that decides the design.
 
 Usage:
-  marlpass-capacity measure [-out FILE] [-only PARTS] [-sizes N,N,..] [-repeats N]
+  marlpass-capacity measure [-out FILE] [-only PARTS] [-sizes N,N,..] [-repeats N] [-rest TIME]
   marlpass-capacity report [-in FILE] [-page FILE] [-plots FOLDER]
   marlpass-capacity part NAME [ARGUMENTS]
   marlpass-capacity -h | -version
@@ -40,6 +40,7 @@
 
 Examples:
   go run ./cmd/marlpass-capacity measure -out docs/capacity/raw.json
+  go run ./cmd/marlpass-capacity measure -out docs/capacity/raw.json -only mesh -rest 1.4s
   go run ./cmd/marlpass-capacity measure -out docs/capacity/raw.json -only mesh -sizes 12,36
   go run ./cmd/marlpass-capacity report -in docs/capacity/raw.json
   go run ./cmd/marlpass-capacity part mesh 36 time 0
@@ -123,6 +124,7 @@
 	only := fs.String("only", strings.Join(partNames(), ","), "parts to measure")
 	sizes := fs.String("sizes", "12,36,108,240", "numbers of nodes of the part mesh")
 	fs.IntVar(&o.Repeats, "repeats", o.Repeats, "how often each mesh is measured in the profile time")
+	fs.DurationVar(&o.Rest, "rest", o.Rest, "how long a mesh of the part mesh is left alone for each of its nodes; 1.4s for figures at rest")
 	if err := parse(fs, args); err != nil {
 		return err
 	}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -70,14 +70,14 @@
 }
 
 func meshRows(r *Raw, keep func(*MeshPoint) bool) string {
-	t := newTable("nodes", "profile", "changes before", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s", "writes/s",
+	t := newTable("nodes", "profile", "changes before", "rest s", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s", "writes/s",
 		"B a change", "CPU ms a change", "writes a change", "heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
 	for i := range r.Mesh {
 		p := &r.Mesh[i]
 		if !keep(p) {
 			continue
 		}
-		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.ReadyMS),
+		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.Settle), number3(p.ReadyMS),
 			number3(p.Idle.BytesIn)+" + "+number3(p.Idle.BytesOut), number3(p.Idle.Busiest), number3(p.Idle.Messages()),
 			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(p.Idle.Writes), number3(bytesPerChange(p)),
 			number3(perChange(p, p.Idle.CPU, p.Changing.CPU)*1e3), number3(perChange(p, p.Idle.Writes, p.Changing.Writes)),
