Measure one node in a process of its own

Cause: many nodes in one process share the wake-ups of the runtime, so their processor time is too low for a process, and it has the platform in it. Change: the part process: one marlpass-node among nodes elsewhere.

--- a/internal/capacity/announcer.go
+++ b/internal/capacity/announcer.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/marlpass/marlpass/internal/gen/announceapi"
 	"github.com/marlpass/marlpass/internal/localmesh"
 )
@@ -30,50 +28,44 @@
 	wg   sync.WaitGroup
 }
 
-const announceWidth = 8 // announcements under way
+// firstEvery is the time between two first announcements. Each is pushed through
+// the whole mesh over connections that are not open yet, and all ends of them
+// are in this process, whose open files are limited.
+const firstEvery = 40 * time.Millisecond
 
 func announceAll(list []announced) (*announcer, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	a := &announcer{stop: stop}
-	var clients []*announceapi.Client
-	for _, b := range list {
+	for i, b := range list {
 		c, err := announceapi.NewClient("http://" + b.vm.Node().Addrs().Announce + "/v1")
 		if err != nil {
-			stop()
+			a.close()
 			return nil, err
 		}
-		clients = append(clients, c)
+		a.wg.Go(func() {
+			if sleep(ctx, time.Duration(i)*firstEvery) == nil {
+				b.renew(ctx, c)
+			}
+		})
 	}
-	all := func() error {
-		var g errgroup.Group
-		g.SetLimit(announceWidth)
-		for i, b := range list {
-			g.Go(func() error {
-				_, err := clients[i].PutBackend(ctx, &announceapi.Announcement{
-					Service: announceapi.Name(b.service), Address: b.address, Slots: slots, State: announceapi.StateReady,
-				}, announceapi.PutBackendParams{Instance: instance})
-				return err
-			})
+	return a, nil
+}
+
+// renew announces the backend server until ctx ends. A lost renewal is made good
+// by the next.
+func (b announced) renew(ctx context.Context, c *announceapi.Client) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		_, _ = c.PutBackend(ctx, &announceapi.Announcement{
+			Service: announceapi.Name(b.service), Address: b.address, Slots: slots, State: announceapi.StateReady,
+		}, announceapi.PutBackendParams{Instance: instance})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
 		}
-		return g.Wait()
 	}
-	if err := all(); err != nil {
-		stop()
-		return nil, err
-	}
-	a.wg.Go(func() {
-		ticker := time.NewTicker(renewEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				_ = all() // a lost renewal is made good by the next
-			}
-		}
-	})
-	return a, nil
 }
 
 func (a *announcer) close() {
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -215,4 +215,4 @@
 
 // announceBound is far above what it takes until all nodes know all backend
 // servers.
-const announceBound = time.Minute
+const announceBound = 4 * time.Minute
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -34,7 +34,29 @@
 // idleLines are what a node spends when nothing changes.
 func idleLines(r *Raw) []Line {
 	read := NewFit(Linear, readPoints(r)).B
+	alone := func(f func(*ProcessPoint) float64) []Point {
+		return medians(r.Alone, all[ProcessPoint], func(p *ProcessPoint) Point { return Point{float64(p.Nodes), f(p)} })
+	}
 	return []Line{
+		byNodes(Line{
+			ID: "alone-cpu", Name: "processor time of an idle marlpass-node in a process of its own", Unit: "% of a core",
+			Mechanism: "tickers of `membership.Runner` (100 ms) and `node.Node` (50 ms), each of which wakes the process; probes, collections",
+			Fit:       NewFit(Linear, alone(func(p *ProcessPoint) float64 { return p.CPUIdle * percentOfCore })),
+			Goal:      goalCPU, Limit: limitCPU,
+		}),
+		byNodes(Line{
+			ID: "alone-change-cpu", Name: "its processor time for one change", Unit: "ms",
+			Mechanism: "as `change-cpu`, and its collections",
+			Fit: NewFit(Linear, alone(func(p *ProcessPoint) float64 {
+				return (p.CPUChanging - p.CPUIdle) * p.Seconds / float64(max(p.Changes, 1)) * 1e3
+			})),
+		}),
+		byNodes(Line{
+			ID: "alone-rss", Name: "its resident memory", Unit: "MB",
+			Mechanism: "program text, runtime, and as `heap`",
+			Fit:       NewFit(Linear, alone(func(p *ProcessPoint) float64 { return p.RSS / mb })),
+			Goal:      goalMemory, Limit: limitMemory,
+		}),
 		byNodes(Line{
 			ID: "idle-bytes", Name: "control bytes of an idle node, in and out", Unit: "B/s",
 			Mechanism: "probes and bridges, `membership.State` over `peer.Client`; bridges are a cost of each data centre, shared by its nodes",
@@ -53,7 +75,7 @@
 			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Messages() })),
 		}),
 		byNodes(Line{
-			ID: "idle-cpu", Name: "processor time of an idle node", Unit: "% of a core",
+			ID: "idle-cpu", Name: "processor time of an idle node, many in one process", Unit: "% of a core",
 			Mechanism: "tickers of `membership.Runner` (100 ms) and `node.Node` (50 ms), messages, one announcement a second; the stand-in platform and both ends of each connection are in it",
 			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.CPU * percentOfCore })),
 			Goal:      goalCPU, Limit: limitCPU,
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -45,6 +45,7 @@
 	partMesh     = "mesh"
 	partSpread   = "spread"
 	partStorm    = "storm"
+	partProcess  = "process"
 	partBurst    = "burst"
 	partCalls    = "calls"
 	partChain    = "chain"
@@ -63,7 +64,7 @@
 // partNames lists the parts in the order in which they run.
 func partNames() []string {
 	return []string{
-		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partSpread, partStorm, partGossip,
+		partConfig, partSubset, partReads, partBench, partCalls, partChain, partFlight, partClaims, partMesh, partBurst, partProcess, partSpread, partStorm, partGossip,
 	}
 }
 
@@ -86,6 +87,8 @@
 		return o.spreads()
 	case partStorm:
 		return o.storms()
+	case partProcess:
+		return o.processes()
 	case partCalls:
 		return []part{listPart(name, func(r *Raw) *[]CallPoint { return &r.Calls })}
 	case partChain:
@@ -149,6 +152,19 @@
 	return out
 }
 
+func (o *PlanOptions) processes() []part {
+	var out []part
+	for _, n := range o.Sizes {
+		out = append(out, part{args: []string{partProcess, strconv.Itoa(n)}, take: func(r *Raw, b []byte) error {
+			var p ProcessPoint
+			err := json.Unmarshal(b, &p)
+			r.Alone = append(r.Alone, p)
+			return err
+		}})
+	}
+	return out
+}
+
 func spreadPart(nodes int, profile string) part {
 	return part{args: []string{partSpread, strconv.Itoa(nodes), profile}, take: func(r *Raw, b []byte) error {
 		var p SpreadPoint
@@ -192,6 +208,8 @@
 		return runSpreadPart(ctx, args[1:])
 	case partStorm:
 		return runStormPart(ctx, args[1:])
+	case partProcess:
+		return runProcessPart(ctx, args[1:])
 	case partCalls:
 		return MeasureCalls(ctx, DefaultCalls())
 	case partChain:
@@ -262,6 +280,8 @@
 		r.Spreads = nil
 	case partStorm:
 		r.Storms = nil
+	case partProcess:
+		r.Alone = nil
 	}
 }
 
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -109,20 +109,29 @@
 
 // change makes the changes, and waits for what follows the last.
 func (p *MeshPoint) change(ctx context.Context, o MeshOptions, op *operator) error {
-	for i := range o.Changes {
+	if err := op.changes(ctx, o.Changes, o.Every); err != nil {
+		return err
+	}
+	p.Tail = o.Tail.Seconds()
+	return sleep(ctx, o.Tail)
+}
+
+// changes makes changes one after the other, each in force everywhere before
+// the next.
+func (o *operator) changes(ctx context.Context, n int, every time.Duration) error {
+	for i := range n {
 		start := time.Now()
-		if err := op.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
+		if err := o.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
 			return err
 		}
-		if err := op.m.WaitVersion(ctx, op.version); err != nil {
+		if err := o.m.WaitVersion(ctx, o.version); err != nil {
 			return err
 		}
-		if err := sleep(ctx, o.Every-time.Since(start)); err != nil {
+		if err := sleep(ctx, every-time.Since(start)); err != nil {
 			return err
 		}
 	}
-	p.Tail = o.Tail.Seconds()
-	return sleep(ctx, o.Tail)
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -99,3 +99,14 @@
 	p.Report, p.After = *rep, loadAverage()
 	return p, nil
 }
+
+func runProcessPart(ctx context.Context, args []string) (any, error) {
+	if len(args) != 1 {
+		return nil, fmt.Errorf("%w: process wants NODES", errUsage)
+	}
+	nodes, err := nodesOf(args[0])
+	if err != nil {
+		return nil, err
+	}
+	return MeasureProcess(ctx, DefaultProcess(nodes))
+}
--- a/internal/capacity/plot.go
+++ b/internal/capacity/plot.go
@@ -20,7 +20,7 @@
 // plotted are the lines that get a plot.
 func plotted() []string {
 	return []string{
-		"idle-bytes", "idle-cpu", "change-bytes", "change-cpu", "force-time", "force-bytes", "reads", "storm", "rss", "files",
+		"idle-bytes", "alone-cpu", "idle-cpu", "change-bytes", "change-cpu", "force-time", "force-bytes", "reads", "storm", "alone-rss", "rss", "files",
 		"connection", "pickers-time", "entry-cpu", "dest-cpu", "chain-p50", "chain-p99",
 	}
 }
--- a/internal/capacity/raw.go
+++ b/internal/capacity/raw.go
@@ -10,19 +10,20 @@
 
 // Raw holds everything that was measured, as it stands in docs/capacity/raw.json.
 type Raw struct {
-	Machine Machine       `json:"machine"`
-	Mesh    []MeshPoint   `json:"mesh"`
-	Spreads []SpreadPoint `json:"spreads"`
-	Storms  []StormPoint  `json:"storms"`
-	Calls   []CallPoint   `json:"calls"`
-	Chains  []ChainPoint  `json:"chains"`
-	Flight  []FlightPoint `json:"flight"`
-	Claims  []ClaimPoint  `json:"claims"`
-	Configs []ConfigPoint `json:"configs"`
-	Subsets []SubsetPoint `json:"subsets"`
-	Reads   []ReadPoint   `json:"platform_reads"`
-	Benches []BenchPoint  `json:"benchmarks"`
-	Gossip  []GossipPoint `json:"membership_virtual"`
+	Machine Machine        `json:"machine"`
+	Mesh    []MeshPoint    `json:"mesh"`
+	Alone   []ProcessPoint `json:"processes"`
+	Spreads []SpreadPoint  `json:"spreads"`
+	Storms  []StormPoint   `json:"storms"`
+	Calls   []CallPoint    `json:"calls"`
+	Chains  []ChainPoint   `json:"chains"`
+	Flight  []FlightPoint  `json:"flight"`
+	Claims  []ClaimPoint   `json:"claims"`
+	Configs []ConfigPoint  `json:"configs"`
+	Subsets []SubsetPoint  `json:"subsets"`
+	Reads   []ReadPoint    `json:"platform_reads"`
+	Benches []BenchPoint   `json:"benchmarks"`
+	Gossip  []GossipPoint  `json:"membership_virtual"`
 }
 
 // Machine is where the figures come from.
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -29,8 +29,8 @@
 	t.row("every node, control",
 		fmt.Sprintf("%d records and their view (%s MB), pickers (%s MB), the version in force (%s MB), up to 256 deltas and 1 MB of them", sizeNodes, v("members-heap"), v("pickers-heap"), v("version-heap")),
 		fmt.Sprintf("%s a second, %s B/s idle; %s B a change, or %s B/s at 930 a day", v("idle-messages"), v("idle-bytes"), v("change-bytes"), number3(perDay("change-bytes"))),
-		fmt.Sprintf("%s%% of a core idle, %s%% less the platform's reads; %s ms a change, or %s%% at 930 a day", v("idle-cpu"), v("idle-cpu-less"), v("change-cpu"), number3(perDay("change-cpu")/1e3*percentOfCore)),
-		fmt.Sprintf("%s MB live heap; resident %s MB and %s MB for the empty process; %s MB after a burst that opened %d connections", v("heap"), v("rss"), number3(baseRSS(r)/mb), v("connection"), burstFiles))
+		fmt.Sprintf("%s%% of a core idle in a process of its own; %s ms a change, or %s%% at 930 a day", v("alone-cpu"), v("alone-change-cpu"), number3(perDay("alone-change-cpu")/1e3*percentOfCore)),
+		fmt.Sprintf("%s MB resident, of it %s MB live heap; heap and stacks %s MB with %d connections open", v("alone-rss"), v("heap"), v("connection"), burstFiles))
 	for i, role := range []string{"entry", "destination"} {
 		var cpu []string
 		for _, rd := range readings() {
@@ -57,14 +57,6 @@
 	return t.String()
 }
 
-func baseRSS(r *Raw) float64 {
-	var list []float64
-	for _, p := range r.Mesh {
-		list = append(list, p.BaseRSS)
-	}
-	return median(list)
-}
-
 // subsetUsers tells how many entry nodes call one endpoint at the size.
 func subsetUsers(r *Raw) string {
 	for _, p := range r.Subsets {
--- a/internal/capacity/scrape.go
+++ b/internal/capacity/scrape.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -37,18 +36,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	c := counters{}
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		name, value, ok := cutLast(lines.Text())
-		if !ok || !strings.HasPrefix(name, "marlpass_peer_") {
-			continue
-		}
-		if c[name], err = strconv.ParseFloat(value, 64); err != nil {
-			return nil, err
-		}
-	}
-	return c, lines.Err()
+	return readCounters(bufio.NewScanner(resp.Body), "marlpass_peer_")
 }
 
 func cutLast(line string) (name, value string, ok bool) {
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -123,6 +123,15 @@
 	return t.String()
 }
 
+func processTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "idle CPU %", "CPU % under changes", "changes", "seconds", "RSS MB", "goroutines", "files", "load before, after")
+	for _, p := range r.Alone {
+		t.row(fmt.Sprint(p.Nodes), number3(p.CPUIdle*percentOfCore), number3(p.CPUChanging*percentOfCore), fmt.Sprint(p.Changes),
+			number3(p.Seconds), number3(p.RSS/mb), number3(p.Goroutines), number3(p.Files), loads(p.Load))
+	}
+	return t.String()
+}
+
 func spreadTable(r *Raw, _ []Line) string {
 	t := newTable("nodes", "profile", "in force p50 / p99 / max ms", "idle B/s", "B a change", "CPU % idle", "reads/s", "writes a change",
 		"went back", "half applied", "missing", "false suspicions", "baseline idle B/s", "times", "baseline reads/s", "load before, after")
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -53,7 +53,7 @@
 	runtime.ReadMemStats(&s)
 	return memory{
 		heap: float64(s.HeapAlloc), stack: float64(s.StackInuse),
-		goroutines: runtime.NumGoroutine(), files: openFiles(),
+		goroutines: runtime.NumGoroutine(), files: openFiles("self"),
 	}
 }
 
@@ -70,8 +70,9 @@
 	return pages * float64(os.Getpagesize())
 }
 
-func openFiles() int {
-	list, err := os.ReadDir("/proc/self/fd")
+// openFiles counts the open files of a process, by its ID or "self".
+func openFiles(process string) int {
+	list, err := os.ReadDir("/proc/" + process + "/fd")
 	if err != nil {
 		return 0
 	}
