--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -40,7 +40,7 @@
 	Points   []Point
 	A, B     float64
 	Residual float64 // standard deviation of the points from the line
-	Worst    float64 // largest deviation, as a part of the point
+	Worst    float64 // largest deviation, as a part of the point or of the mean
 	R2       float64
 	// Held is by how much the line misses the largest point when it is fitted
 	// to the others, as a part of that point. It is the test of the line
@@ -57,11 +57,13 @@
 	f.A, f.B = regress(m, points)
 	var xs, ys []float64
 	var squares float64
+	mean := meanSize(points)
 	for _, p := range points {
 		d := f.At(p.N) - p.Y
 		squares += d * d
-		if p.Y != 0 {
-			f.Worst = max(f.Worst, math.Abs(d/p.Y))
+		// A part of a point near zero would say nothing.
+		if size := max(math.Abs(p.Y), mean); size > 0 {
+			f.Worst = max(f.Worst, math.Abs(d)/size)
 		}
 		xs, ys = append(xs, m.of(p.N)), append(ys, p.Y)
 	}
@@ -71,6 +73,14 @@
 	return f
 }
 
+// meanSize is the mean of the points' absolute values.
+func meanSize(points []Point) (mean float64) {
+	for _, p := range points {
+		mean += math.Abs(p.Y) / float64(len(points))
+	}
+	return mean
+}
+
 // hold fits the line again without the points of the largest size.
 func (f *Fit) hold() {
 	largest := 0.0
@@ -122,3 +132,17 @@
 	}
 	return largest
 }
+
+// between interpolates between measured points, and goes on with the last
+// slope beyond them.
+func between(points []Point, n float64) float64 {
+	if len(points) < 2 {
+		return math.NaN()
+	}
+	i := 1
+	for i < len(points)-1 && points[i].N < n {
+		i++
+	}
+	a, b := points[i-1], points[i]
+	return a.Y + (b.Y-a.Y)*(n-a.N)/(b.N-a.N)
+}
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -48,6 +48,15 @@
 	}
 }
 
+func TestBetween(t *testing.T) {
+	points := []Point{{10, 1}, {20, 2}, {40, 6}}
+	for _, test := range []Point{{10, 1}, {15, 1.5}, {30, 4}, {50, 8}, {0, 0}} {
+		if got := between(points, test.N); !near(got, test.Y) {
+			t.Errorf("at %v: %v, want %v", test.N, got, test.Y)
+		}
+	}
+}
+
 func TestVerdict(t *testing.T) {
 	for _, test := range []struct {
 		value, goal, limit float64
--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -20,15 +21,26 @@
 	AtN       float64 // the n of the size that decides the design
 	Goal      float64 // none if zero
 	Limit     float64 // none if zero
+	Slope     bool    // the value is that of one more, not that at AtN
 }
 
-// Value is the line at the size that decides the design.
-func (l *Line) Value() float64 { return l.Fit.At(l.AtN) }
+// Value is the line at the size that decides the design, NaN if nothing was
+// measured.
+func (l *Line) Value() float64 {
+	switch {
+	case len(l.Fit.Points) == 0:
+		return math.NaN()
+	case l.Slope:
+		return l.Fit.B
+	}
+	return l.Fit.At(l.AtN)
+}
 
 // Bounds beyond which a line is named among those that do not fit.
 const (
 	poorResidual = 0.25 // of a point
 	poorHeld     = 0.25 // of the largest point
+	fewSizes     = 4
 )
 
 // Verdict is what can be said of a line.
@@ -40,12 +52,15 @@
 	OverGoal  Verdict = "over the goal"
 	OverLimit Verdict = "over the limit"
 	NoBound   Verdict = "no bound is set"
+	NotRun    Verdict = "not measured"
 )
 
 // Verdict compares the line with its goal and limit.
 func (l *Line) Verdict() Verdict {
 	v := l.Value()
 	switch {
+	case len(l.Fit.Points) == 0:
+		return NotRun
 	case l.Limit > 0 && v > l.Limit:
 		return OverLimit
 	case l.Goal > 0 && v > l.Goal:
@@ -59,6 +74,9 @@
 // Doubts says what speaks against the line itself.
 func (l *Line) Doubts() []string {
 	var out []string
+	if n := len(l.Fit.Points); n < fewSizes {
+		out = append(out, fmt.Sprintf("measured at %d sizes only", n))
+	}
 	if l.Fit.Worst > poorResidual {
 		out = append(out, "it misses a point by "+percent(l.Fit.Worst))
 	}
@@ -70,7 +88,7 @@
 
 // Reach is how many times the largest measured size the line is evaluated at.
 func (l *Line) Reach() float64 {
-	if len(l.Fit.Points) == 0 {
+	if len(l.Fit.Points) == 0 || l.Slope {
 		return math.NaN()
 	}
 	return l.AtN / l.Fit.Largest()
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -119,7 +119,7 @@
 // changeLines are what a change costs.
 func changeLines(r *Raw) []Line {
 	cpu := func(p *MeshPoint) float64 { return perChange(p, p.Idle.CPU, p.Changing.CPU) * 1e3 }
-	writes := func(p *MeshPoint) float64 { return perChange(p, p.Idle.Writes, p.Changing.Writes) }
+	writes := func(p *control.SpreadReport) float64 { return p.Spreading.Writes }
 	force := func(p *control.SpreadReport) float64 { return p.Spreading.ConvergeP99ms }
 	return []Line{
 		byNodes(Line{
@@ -139,8 +139,8 @@
 		}),
 		byNodes(Line{
 			ID: "change-writes", Name: "platform writes for one change", Unit: "1",
-			Mechanism: "one transaction by `command.Committer`",
-			Fit:       NewFit(Linear, r.restPoints(timeProfile, writes)),
+			Mechanism: "one transaction by `command.Committer`; the contact rows and the lease of the same seconds are in it",
+			Fit:       NewFit(Linear, r.spreadPoints(timeProfile, writes)),
 		}),
 		byNodes(Line{
 			ID: "force-time", Name: "in force at 99 of 100 nodes, profile `time`", Unit: "ms",
@@ -343,12 +343,12 @@
 			Fit:       chain(func(p *ChainPoint) float64 { return p.Mesh.P99 - p.Direct.P99 }),
 		},
 		{
-			ID: "flight", Name: "memory of a call in flight at both nodes", Unit: "kB", X: "calls", AtN: 1,
-			Mechanism: "goroutines and buffers of net/http, `proxy` bodies; the slope is the cost of one call",
+			ID: "flight", Name: "memory of a call in flight at both nodes", Unit: "kB", X: "calls", Slope: true,
+			Mechanism: "goroutines and buffers of net/http, `proxy` bodies",
 			Fit:       NewFit(Linear, minus(flight(WayMesh, held), flight(WayDirect, held))),
 		},
 		{
-			ID: "platform-cpu", Name: "processor time for platform reads, both ends", Unit: "% of a core", X: "reads/s", AtN: 10,
+			ID: "platform-cpu", Name: "processor time for one platform read a second, both ends", Unit: "% of a core", X: "reads/s", Slope: true,
 			Mechanism: "`platform/client` and the stand-in platform",
 			Fit:       scaled(NewFit(Linear, readPoints(r)), percentOfCore),
 		},
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -15,8 +15,10 @@
 	}
 }
 
+// entryAndDest is what the calls of both roles cost, between the measured rates:
+// a call is cheaper at a higher rate, so a straight line is poor at both ends.
 func entryAndDest(lines []Line, hops float64) (entry, dest float64) {
-	return find(lines, "entry-cpu").Fit.At(hops), find(lines, "dest-cpu").Fit.At(hops)
+	return between(find(lines, "entry-cpu").Fit.Points, hops), between(find(lines, "dest-cpu").Fit.Points, hops)
 }
 
 // roles gives what each role costs at the size. All nodes are equal, so a
@@ -43,10 +45,10 @@
 			state = fmt.Sprintf("a gate for each class of its services; connections from %s", subsetUsers(r))
 		}
 		t.row(role, state, "one request and one answer a call", cpu[0]+"; "+cpu[1],
-			fmt.Sprintf("%s kB a call in flight, at both nodes together", number3(find(lines, "flight").Fit.B)))
+			fmt.Sprintf("%s kB a call in flight, at both nodes together", number3(find(lines, "flight").Value())))
 	}
 	t.row("feeder, two a data centre", "none of its own", fmt.Sprintf("one platform read a second (`time`); %s for the whole mesh, %s in `bytes`", v("reads"), v("reads-bytes")),
-		fmt.Sprintf("at most %s ms a read, both ends", number3(find(lines, "platform-cpu").Fit.B/percentOfCore*1e3)), "none of its own")
+		fmt.Sprintf("at most %s ms a read, both ends", number3(find(lines, "platform-cpu").Value()/percentOfCore*1e3)), "none of its own")
 	t.row("bridge, two a data centre", "none of its own; a contact row at the platform, every ten minutes", fmt.Sprintf("%s B/s, the busiest node", v("idle-bytes-busiest")), "as every node's", "as every node's")
 	t.row("accepting node", "the commands under way", fmt.Sprintf("%s platform writes a change; one tell to each of %d data centres", v("change-writes"), sizeCentres),
 		"two checks and one delta more than other nodes", "one snapshot and one delta more")
