--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -1,11 +1,14 @@
 package capacity
 
+import "github.com/marlpass/marlpass/internal/load/control"
+
 // Lines returns all lines.
 func Lines(r *Raw) []Line {
 	var out []Line
 	out = append(out, idleLines(r)...)
 	out = append(out, changeLines(r)...)
 	out = append(out, memoryLines(r)...)
+	out = append(out, virtualLines(r)...)
 	out = append(out, stateLines(r)...)
 	return append(out, callLines(r)...)
 }
@@ -31,34 +34,56 @@
 // idleLines are what a node spends when nothing changes.
 func idleLines(r *Raw) []Line {
 	read := NewFit(Linear, readPoints(r)).B
+	alone := func(f func(*ProcessPoint) float64) []Point {
+		return medians(r.Alone, all[ProcessPoint], func(p *ProcessPoint) Point { return Point{float64(p.Nodes), f(p)} })
+	}
 	return []Line{
+		byNodes(Line{
+			ID: "alone-cpu", Name: "processor time of an idle marlpass-node in a process of its own", Unit: "% of a core",
+			Mechanism: "tickers of `membership.Runner` (100 ms) and `node.Node` (50 ms), each of which wakes the process; probes, collections",
+			Fit:       NewFit(Linear, alone(func(p *ProcessPoint) float64 { return p.CPUIdle * percentOfCore })),
+			Goal:      goalCPU, Limit: limitCPU,
+		}),
+		byNodes(Line{
+			ID: "alone-change-cpu", Name: "its processor time for one change", Unit: "ms",
+			Mechanism: "as `change-cpu`, and its collections",
+			Fit: NewFit(Linear, alone(func(p *ProcessPoint) float64 {
+				return (p.CPUChanging - p.CPUIdle) * p.Seconds / float64(max(p.Changes, 1)) * 1e3
+			})),
+		}),
+		byNodes(Line{
+			ID: "alone-rss", Name: "its resident memory", Unit: "MB",
+			Mechanism: "program text, runtime, and as `heap`",
+			Fit:       NewFit(Linear, alone(func(p *ProcessPoint) float64 { return p.RSS / mb })),
+			Goal:      goalMemory, Limit: limitMemory,
+		}),
 		byNodes(Line{
 			ID: "idle-bytes", Name: "control bytes of an idle node, in and out", Unit: "B/s",
 			Mechanism: "probes and bridges, `membership.State` over `peer.Client`; bridges are a cost of each data centre, shared by its nodes",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.BytesIn + p.Idle.BytesOut })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.BytesIn + p.Idle.BytesOut })),
 			Goal:      goalBytes, Limit: limitBytes,
 		}),
 		byNodes(Line{
 			ID: "idle-bytes-busiest", Name: "the same, busiest node (a bridge)", Unit: "B/s",
 			Mechanism: "`membership.State` (tickBridges): two bridges a data centre speak with every other",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Busiest })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Busiest })),
 			Goal:      goalBytes, Limit: limitBytes,
 		}),
 		byNodes(Line{
 			ID: "idle-messages", Name: "messages sent and answered by an idle node", Unit: "1/s",
 			Mechanism: "`membership.Config.ProbeEvery`, `BridgeEvery`",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Messages() })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Messages() })),
 		}),
 		byNodes(Line{
-			ID: "idle-cpu", Name: "processor time of an idle node", Unit: "% of a core",
+			ID: "idle-cpu", Name: "processor time of an idle node, many in one process", Unit: "% of a core",
 			Mechanism: "tickers of `membership.Runner` (100 ms) and `node.Node` (50 ms), messages, one announcement a second; the stand-in platform and both ends of each connection are in it",
-			Fit:       NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.CPU * percentOfCore })),
+			Fit:       NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.CPU * percentOfCore })),
 			Goal:      goalCPU, Limit: limitCPU,
 		}),
 		byNodes(Line{
 			ID: "idle-cpu-less", Name: "the same, less what the reads of the platform cost at both ends", Unit: "% of a core",
 			Mechanism: "as above",
-			Fit: NewFit(Shared, r.meshPoints(timeProfile, func(p *MeshPoint) float64 {
+			Fit: NewFit(Shared, r.restPoints(timeProfile, func(p *MeshPoint) float64 {
 				return (p.Idle.CPU - p.Idle.Reads*read/float64(p.Nodes)) * percentOfCore
 			})),
 			Goal: goalCPU, Limit: limitCPU,
@@ -66,13 +91,13 @@
 		byNodes(Line{
 			ID: "reads", Name: "platform reads of the whole mesh, profile `time`", Unit: "1/s",
 			Mechanism: "two feeders a data centre, `distribute.State` (feed.go), each `Profile.HeadEvery`",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
 			Goal:      goalReads, Limit: platformRead,
 		}),
 		byNodes(Line{
 			ID: "reads-bytes", Name: "the same, profile `bytes`", Unit: "1/s",
 			Mechanism: "as above",
-			Fit:       NewFit(Linear, r.meshPoints(bytesProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
+			Fit:       NewFit(Linear, r.restPoints(bytesProfile, func(p *MeshPoint) float64 { return p.Idle.Reads })),
 			Goal:      goalReads, Limit: platformRead,
 		}),
 	}
@@ -94,41 +119,65 @@
 // changeLines are what a change costs.
 func changeLines(r *Raw) []Line {
 	cpu := func(p *MeshPoint) float64 { return perChange(p, p.Idle.CPU, p.Changing.CPU) * 1e3 }
-	writes := func(p *MeshPoint) float64 { return perChange(p, p.Idle.Writes, p.Changing.Writes) }
-	force := func(p *MeshPoint) float64 { return p.InForce.P99 }
+	writes := func(p *control.SpreadReport) float64 { return p.Spreading.Writes }
+	force := func(p *control.SpreadReport) float64 { return p.Spreading.ConvergeP99ms }
 	return []Line{
 		byNodes(Line{
 			ID: "change-bytes", Name: "control bytes of a node for one change, in and out, profile `time`", Unit: "B",
 			Mechanism: "the tree of `distribute.State` (tell.go, tree.go), once a node; then one bit a node that holds the version on membership messages (`membership`, held.go)",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, bytesPerChange)),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, bytesPerChange)),
 		}),
 		byNodes(Line{
 			ID: "change-bytes-bytes", Name: "the same, profile `bytes`", Unit: "B",
 			Mechanism: "as above",
-			Fit:       NewFit(Linear, r.meshPoints(bytesProfile, bytesPerChange)),
+			Fit:       NewFit(Linear, r.restPoints(bytesProfile, bytesPerChange)),
 		}),
 		byNodes(Line{
 			ID: "change-cpu", Name: "processor time of a node for one change", Unit: "ms",
 			Mechanism: "`config.Delta.Apply`, `Check`, compile; then new views as nodes are known to hold the version, each with `membership.State.View` and `node` pickers.update over all records",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, cpu)),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, cpu)),
 		}),
 		byNodes(Line{
 			ID: "change-writes", Name: "platform writes for one change", Unit: "1",
-			Mechanism: "one transaction by `command.Committer`",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, writes)),
+			Mechanism: "one transaction by `command.Committer`; the contact rows and the lease of the same seconds are in it",
+			Fit:       NewFit(Linear, r.spreadPoints(timeProfile, writes)),
 		}),
 		byNodes(Line{
 			ID: "force-time", Name: "in force at 99 of 100 nodes, profile `time`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 4, `distribute.Profile`; all nodes share one machine here",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, force)),
+			Fit:       NewFit(Logarithmic, r.spreadPoints(timeProfile, force)),
 			Goal:      goalForce, Limit: limitForce,
 		}),
 		byNodes(Line{
 			ID: "force-bytes", Name: "in force at 99 of 100 nodes, profile `bytes`", Unit: "ms",
 			Mechanism: "depth of the tree, fan-out 8, half a second of collecting at each step",
-			Fit:       NewFit(Logarithmic, r.meshPoints(bytesProfile, force)),
+			Fit:       NewFit(Logarithmic, r.spreadPoints(bytesProfile, force)),
 			Goal:      goalForceB, Limit: limitForce,
 		}),
+		byNodes(Line{
+			ID: "ratio", Name: "idle control bytes of the baseline, every node polling the snapshot each second, over marlpass's", Unit: "times",
+			Mechanism: "`marlpass-load spread`; its meshes have 61 targets and 5 s of rest",
+			Fit:       NewFit(Linear, r.spreadPoints(timeProfile, func(p *control.SpreadReport) float64 { return p.BytesRatio })),
+		}),
+		byNodes(Line{
+			ID: "storm", Name: "three quarters of a data centre return: until all are ready, see all and hold the last version", Unit: "ms",
+			Mechanism: "joins capped at each node, `membership.Config.JoinsPerSecond`, with full jitter (join.go); `distribute` (restart)",
+			Fit:       NewFit(Logarithmic, r.stormPoints(func(p *control.StormReport) float64 { return p.RecoverMs })),
+			Goal:      goalStorm,
+		}),
+		byNodes(Line{
+			ID: "storm-reads", Name: "platform reads in the worst second of it, whole mesh", Unit: "1/s",
+			Mechanism: "as above: snapshots come from peers",
+			Fit:       NewFit(Linear, r.stormPoints(func(p *control.StormReport) float64 { return p.PeakReads })),
+			Goal:      goalReads, Limit: platformRead,
+		}),
+		byNodes(Line{
+			ID: "storm-bytes", Name: "bytes in the worst second of it, one returned node", Unit: "B/s",
+			Mechanism: "full state of `membership` and a snapshot for each",
+			Fit: NewFit(Linear, r.stormPoints(func(p *control.StormReport) float64 {
+				return p.PeakJoinBytes / float64(max(p.Killed, 1))
+			})),
+		}),
 	}
 }
 
@@ -138,24 +187,24 @@
 		byNodes(Line{
 			ID: "heap", Name: "live heap of a node", Unit: "MB",
 			Mechanism: "`membership.State` and `View`, pickers, the version in force, buffers of connections",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Heap / mb })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Heap / mb })),
 			Goal:      goalMemory, Limit: limitMemory,
 		}),
 		byNodes(Line{
 			ID: "rss", Name: "resident memory that a node adds to a process", Unit: "MB",
 			Mechanism: "as above, and stacks: two goroutines at either end of each connection",
-			Fit:       NewFit(Linear, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.RSS / mb })),
+			Fit:       NewFit(Linear, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.RSS / mb })),
 			Goal:      goalMemory, Limit: limitMemory,
 		}),
 		byNodes(Line{
 			ID: "files", Name: "open files of a node", Unit: "1",
 			Mechanism: "7 listeners; ring and fingers of `membership` (ring.go, about log2 n of them) at both ends; connections of `peer.Client` and to the platform",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Files })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Files })),
 		}),
 		byNodes(Line{
 			ID: "goroutines", Name: "goroutines of a node", Unit: "1",
 			Mechanism: "as above",
-			Fit:       NewFit(Logarithmic, r.meshPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Goroutines })),
+			Fit:       NewFit(Logarithmic, r.restPoints(timeProfile, func(p *MeshPoint) float64 { return p.Idle.Goroutines })),
 		}),
 		{
 			ID: "connection", Name: "heap and stacks of a node that holds connections open after a burst", Unit: "MB",
@@ -171,6 +220,43 @@
 // to as many peers as it keeps connections to, at both ends.
 const burstFiles = 2 * 512
 
+// virtualLines are from state machines in virtual time, which reach the size
+// itself.
+func virtualLines(r *Raw) []Line {
+	gossip := func(m Model, f func(*GossipPoint) float64) Fit {
+		return NewFit(m, medians(r.Gossip, all[GossipPoint], func(p *GossipPoint) Point { return Point{float64(p.Nodes), f(p)} }))
+	}
+	return []Line{
+		byNodes(Line{
+			ID: "v-idle-bytes", Name: "control bytes of an idle node, in virtual time", Unit: "B/s", Mechanism: "`membership.State`",
+			Fit:  gossip(Shared, func(p *GossipPoint) float64 { return p.Bytes }),
+			Goal: goalBytes, Limit: limitBytes,
+		}),
+		byNodes(Line{
+			ID: "v-held-bytes", Name: "bytes of a node until all know who holds a new version, in virtual time", Unit: "B", Mechanism: "`membership` (held.go)",
+			Fit: gossip(Linear, func(p *GossipPoint) float64 { return p.AppliedBytes }),
+		}),
+		byNodes(Line{
+			ID: "v-lazy", Name: "a change to a record known to all, in virtual time", Unit: "ms", Mechanism: "`membership` (gossip.go), 2·log2 n messages",
+			Fit: gossip(Logarithmic, func(p *GossipPoint) float64 { return p.LazyMS }),
+		}),
+		byNodes(Line{
+			ID: "v-force-time", Name: "in force at 99 of 100 nodes, `time`, in virtual time", Unit: "ms", Mechanism: "`distribute.State`; 2 ms within a data centre, 10 and 60 between",
+			Fit:  NewFit(Logarithmic, r.spreadBench("time", "p99_ms")),
+			Goal: goalForce, Limit: limitForce,
+		}),
+		byNodes(Line{
+			ID: "v-force-bytes", Name: "in force at 99 of 100 nodes, `bytes`, in virtual time", Unit: "ms", Mechanism: "as above",
+			Fit:  NewFit(Logarithmic, r.spreadBench("bytes", "p99_ms")),
+			Goal: goalForceB, Limit: limitForce,
+		}),
+		byNodes(Line{
+			ID: "v-tell-bytes", Name: "bytes of a node to spread one change, `time`, in virtual time", Unit: "B", Mechanism: "`distribute.State`: once a node; 20 messages between data centres",
+			Fit: NewFit(Shared, r.spreadBench("time", "B/node/change")),
+		}),
+	}
+}
+
 // stateLines are the parts of a node's state by its size.
 func stateLines(r *Raw) []Line {
 	records := func(l Line) Line { l.X, l.AtN = "records", sizeNodes; return l }
@@ -213,6 +299,7 @@
 func callLines(r *Raw) []Line {
 	cpu := func(p *CallPoint) float64 { return p.CPU * percentOfCore }
 	direct, dest, mesh := r.wayPoints(WayDirect, cpu), r.wayPoints(WayDestination, cpu), r.wayPoints(WayMesh, cpu)
+	p50, p99 := func(p *CallPoint) float64 { return p.Micros.P50 }, func(p *CallPoint) float64 { return p.Micros.P99 }
 	perNode := func(l Line) Line { l.X, l.AtN = "calls/s", sizeCalls/sizeNodes; return l }
 	chain := func(f func(*ChainPoint) float64) Fit {
 		return NewFit(Linear, medians(r.Chains, all[ChainPoint], func(p *ChainPoint) Point { return Point{float64(p.Depth), f(p)} }))
@@ -233,6 +320,18 @@
 			Mechanism: "`proxy.Destination`, `limit.Gate`, net/http at both sides",
 			Fit:       NewFit(Linear, minus(dest, direct)),
 		}),
+		perNode(Line{
+			ID: "added-p50", Name: "added to one call, p50", Unit: "µs",
+			Mechanism: "entry and destination; the limit is meant for the line below",
+			Fit:       NewFit(Linear, minus(r.wayPoints(WayMesh, p50), r.wayPoints(WayDirect, p50))),
+			Limit:     limitAdded,
+		}),
+		perNode(Line{
+			ID: "added-p99", Name: "added to one call, p99 less p99", Unit: "µs",
+			Mechanism: "as above",
+			Fit:       NewFit(Linear, minus(r.wayPoints(WayMesh, p99), r.wayPoints(WayDirect, p99))),
+			Limit:     limitAdded,
+		}),
 		{
 			ID: "chain-p50", Name: "added to a chain, p50", Unit: "µs", X: "depth", AtN: sizeDepth,
 			Mechanism: "entry and destination at each step",
@@ -244,12 +343,12 @@
 			Fit:       chain(func(p *ChainPoint) float64 { return p.Mesh.P99 - p.Direct.P99 }),
 		},
 		{
-			ID: "flight", Name: "memory of a call in flight at both nodes", Unit: "kB", X: "calls", AtN: 1,
-			Mechanism: "goroutines and buffers of net/http, `proxy` bodies; the slope is the cost of one call",
+			ID: "flight", Name: "memory of a call in flight at both nodes", Unit: "kB", X: "calls", Slope: true,
+			Mechanism: "goroutines and buffers of net/http, `proxy` bodies",
 			Fit:       NewFit(Linear, minus(flight(WayMesh, held), flight(WayDirect, held))),
 		},
 		{
-			ID: "platform-cpu", Name: "processor time for platform reads, both ends", Unit: "% of a core", X: "reads/s", AtN: 10,
+			ID: "platform-cpu", Name: "processor time for one platform read a second, both ends", Unit: "% of a core", X: "reads/s", Slope: true,
 			Mechanism: "`platform/client` and the stand-in platform",
 			Fit:       scaled(NewFit(Linear, readPoints(r)), percentOfCore),
 		},
