--- a/internal/command/reader.go
+++ b/internal/command/reader.go
@@ -71,6 +71,11 @@
 // Head reads the head row, and nothing else. It returns a *HistoryError with
 // ErrOlderHead or ErrOtherHistory, along with the head as read, when that does
 // not go on from what is known.
+//
+// A newer head is not known by being read: only the log shows that it goes on
+// from what is held. A restored backup whose numbers have run ahead would
+// otherwise make the right history look old for as long as the process runs,
+// and each change be refused, also after the right table is back.
 func (r *Reader) Head(ctx context.Context) (Head, error) {
 	known := r.Known()
 	h, err := r.readHead(ctx)
@@ -83,7 +88,6 @@
 	case h.Version.Number == known.Number && h.Version != known:
 		return h, &HistoryError{Platform: h.Version, Known: known, Err: ErrOtherHistory}
 	}
-	r.Observe(h.Version)
 	return h, nil
 }
 
@@ -154,6 +158,7 @@
 		return nil, err
 	}
 	r.cache.Add(s.Version(), s)
+	r.Observe(s.Version())
 	return s, nil
 }
 
