Ask one peer of each data centre to carry a command

Cause: three peers were asked in turn. With five data centres the one that reaches the platform could be left out (refused), and the first peer that is cut off itself spent the time of all on its own tries (unknown); TestCommandIsCarriedByTheOnlyPeerThatCan of localmesh shows both. Change: one peer of each other data centre is asked, all at once, under the command's ID; the first final answer stands, a lost one outweighs refusals. Conclusion: a command is carried if any data centre reaches the platform.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -35,54 +35,70 @@
 	return json.Marshal(p.c.commit.Submit(ctx, cmd))
 }
 
-// commandPeers is how many peers are asked, one after the other, to carry a
-// command.
+// commandPeers is how many peers are asked to carry a command, if there are so
+// many; one of each other data centre is always asked.
 const commandPeers = 3
 
 // submitPeers sends commands that this node cannot commit to peers that may.
 type submitPeers struct{ c *control }
 
-// Submit implements command.Peers. Peers in other data centres come first: a
-// data centre that is cut off from the platform is so as a whole.
+// Submit implements command.Peers. A data centre that is cut off from the
+// platform is so as a whole, so one peer of each other data centre is asked,
+// all at once: asked in turn, the first that is cut off as well would spend the
+// time of all on its own tries. The command's ID keeps it from taking effect
+// twice, and the first final answer stands.
 func (s submitPeers) Submit(ctx context.Context, cmd command.Command) (command.Result, error) {
 	b, err := json.Marshal(cmd)
 	if err != nil {
 		return command.Result{}, fmt.Errorf("node: encode a command: %w", err)
 	}
-	last := command.ErrNoPeer
-	var best *command.Result
-	for _, addr := range s.addrs() {
-		answer, err := s.c.peers.Submit(ctx, addr, b)
-		if err != nil {
-			// It may have been carried out, so no other peer's refusal may
-			// stand for it.
-			cmd.Repeat = true
-			if b, err = json.Marshal(cmd); err != nil {
-				return command.Result{}, err
-			}
-			last = errAnswerLost
-			continue
-		}
-		var res command.Result
-		if err := json.Unmarshal(answer, &res); err != nil {
-			last = errAnswerLost
-			continue
+	addrs := s.addrs()
+	answers := make(chan peerAnswer, len(addrs))
+	for _, addr := range addrs {
+		go func() { answers <- s.ask(ctx, addr, b) }()
+	}
+	out := peerAnswer{err: command.ErrNoPeer}
+	for range addrs {
+		a := <-answers
+		if a.final() {
+			return a.res, nil
 		}
-		if res.Outcome != command.Refused || !res.Reason.Retryable() {
-			return res, nil
+		// A lost answer leaves open whether that peer carried it out, so no
+		// other peer's refusal may stand for it.
+		if !errors.Is(out.err, errAnswerLost) {
+			out = a
 		}
-		best = &res
 	}
-	if best != nil && !errors.Is(last, errAnswerLost) {
-		return *best, nil
+	return out.res, out.err
+}
+
+// peerAnswer is what one peer made of a command.
+type peerAnswer struct {
+	res command.Result
+	err error
+}
+
+// final reports whether no other peer's answer can differ.
+func (a peerAnswer) final() bool {
+	return a.err == nil && (a.res.Outcome == command.Accepted ||
+		a.res.Outcome == command.Refused && !a.res.Reason.Retryable())
+}
+
+func (s submitPeers) ask(ctx context.Context, addr string, cmd []byte) (out peerAnswer) {
+	b, err := s.c.peers.Submit(ctx, addr, cmd)
+	if err == nil {
+		err = json.Unmarshal(b, &out.res)
 	}
-	return command.Result{}, last
+	if err != nil || out.res.Outcome == command.Unknown {
+		return peerAnswer{err: errAnswerLost}
+	}
+	return out
 }
 
 var errAnswerLost = errors.New("node: a peer's answer was lost")
 
-// addrs returns the control addresses of a few peers, one in each other data
-// centre first.
+// addrs returns the control addresses of the peers to ask, one in each other
+// data centre first.
 func (s submitPeers) addrs() []string {
 	v := s.c.n.views.Load()
 	var far, near []string
@@ -104,7 +120,7 @@
 		}
 	}
 	all := append(far, near...)
-	return all[:min(len(all), commandPeers)]
+	return all[:min(len(all), max(commandPeers, len(far)))]
 }
 
 // alertWidth bounds the alerts sent at once.
