Let feeders read a platform again within four seconds

Cause: after an outage each feeder waited up to 16 s before its next read, and a data centre that was cut off from all others hears by its two feeders alone. Change: the wait of feeders is capped at RetryCap, 4 s; that of others stays. Conclusion: ten feeders cost a platform that is down at most a few reads a second.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -117,7 +117,13 @@
 func (s *State) readFailed() {
 	f := &s.feed
 	f.fails++
-	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), 4*s.set.RetryCap)
+	limit := 4 * s.set.RetryCap
+	if f.feeder {
+		// A data centre that was cut off from all others hears of the changes
+		// since then by its feeders alone, and there are only two of them.
+		limit = s.set.RetryCap
+	}
+	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), limit)
 	f.after = s.now.Add(s.jitter(wait))
 }
 
