Forget a head of the platform that the log does not lead to

Cause: a starting node waits for the newest head that the platform showed. One of another history, ahead of the mesh, stayed the newest, so that the node never became ready ("the platform holds a newer version"), also after the right table was back; TestOtherHistoryAheadDoesNotHoldANodeBack shows it. Change: when the platform's log does not go on from what is held, its head is no longer known. Conclusion: such a node serves with what its peers run.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -150,7 +150,13 @@
 func (s *State) readOn(ds []*config.Delta) {
 	from := s.Version()
 	ok := s.applyDeltas(SourcePlatform, ds)
-	if ok && s.Version() != from && s.feed.head.Newer(s.Version()) {
+	if !ok {
+		// The log does not lead from what is held to that head. Kept as the
+		// newest one known, it would hold a starting node back for good.
+		s.feed.head, s.feed.answered = config.Version{}, false
+		return
+	}
+	if s.Version() != from && s.feed.head.Newer(s.Version()) {
 		s.feed.busy = true
 		s.emit(ReadSince{s.Version()})
 	}
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -133,3 +133,25 @@
 		t.Fatal("ready with another history than its peers")
 	}
 }
+
+// What an operator would see: while a restored backup runs ahead of the mesh, a
+// VM that is restarted stays out of service, and goes on so when the right
+// table is back: "the platform holds a newer version". It runs what its peers
+// run, and the number of the other history's head is all that holds it back.
+func TestOtherHistoryAheadDoesNotHoldANodeBack(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 2)
+	theirs, _ := history(t, "theirs", 4)
+	b.do(heardTell("p", ours))
+	b.do(HeadRead{Version: theirs[3].To})
+	if findings(b.do(PlatformRead{Deltas: theirs[2:]}), "conflict") != 1 {
+		t.Error("no report")
+	}
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[1].To, Ready: true}})
+	}
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+	b.holds(2)
+}
--- a/internal/localmesh/history_test.go
+++ b/internal/localmesh/history_test.go
@@ -60,6 +60,8 @@
 	kept := m.Store.Fork()
 	m.Store.Restore(backup)
 	m.other("x", "y", "z")
+	ds := m.log()
+	followed := ds[len(ds)-1].To
 
 	reports := func() bool {
 		for _, n := range m.Nodes() {
@@ -93,7 +95,11 @@
 	m.Store.Restore(kept)
 	next := m.accepted(m.VMs[0], m.stated("d"))
 	m.wait("the right history goes on", func(n *node.Node) bool {
-		return n == vm.Node() || n.Version() == next
+		ok, _ := n.Ready()
+		if n == vm.Node() && n.Version() == followed {
+			return !ok // it asked the platform first, and has to be started again
+		}
+		return ok && n.Version() == next
 	})
 }
 
