Do not read the platform before first contact

Cause: the answer to a join tells a version before the view holds any member. Change: a node without other members reads the platform only once the runner has started to tick, after first contact or in its absence. Conclusion: a herd leaves the platform to the feeders.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -43,6 +43,12 @@
 
 func (s *State) scheduleFeed() {
 	f := &s.feed
+	if !s.ticked && s.others() == 0 {
+		// The answer to a join tells a version before it has told the members.
+		// A starting node would take itself to be alone then, and a feeder, and
+		// read the platform at once, as would each node of a herd.
+		return
+	}
 	if f.view != s.view || s.view == nil {
 		f.view = s.view
 		f.feeder = isFeeder(s.view, s.set.Self, s.set.DataCentre)
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -1,10 +1,12 @@
 package distribute
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // What a caller would see: "no such route" from a VM that has just started
@@ -155,3 +157,21 @@
 	}
 	b.holds(2)
 }
+
+// What an operator would see: reads of the platform that rise with the number of
+// nodes that come back at once. The answer that lets a node into the mesh tells
+// it of a version before its view holds anybody; alone, as it seems, it would
+// read the head, the log and the snapshot from the platform.
+func TestNoReadBeforeFirstContact(t *testing.T) {
+	ds, _ := history(t, "booking", 2)
+	s := New(Defaults("vm", "dc", Time()), time.Unix(0, 0))
+	alone := &membership.View{Self: "vm"}
+	rng := rand.New(rand.NewPCG(1, 1))
+	out := s.Step(time.Unix(1, 0), rng, alone, Heard{Peer: "p", Version: ds[1].To})
+	if _, ok := find[ReadHead](out); ok {
+		t.Fatal("reads the platform before first contact")
+	}
+	if _, ok := find[ReadHead](s.Step(time.Unix(2, 0), rng, alone, Ticked{})); !ok {
+		t.Fatal("alone, and does not read the platform")
+	}
+}
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -16,6 +16,8 @@
 
 	started time.Time
 	inForce uint64 // number of the version that the config.Store runs
+	// ticked says that the membership has made first contact, or given up.
+	ticked bool
 
 	claims      map[string]*claim    // newer versions, by the peer that told
 	discredited map[string]time.Time // peers not to believe until then
@@ -56,6 +58,8 @@
 func (s *State) Step(now time.Time, rng *rand.Rand, view *membership.View, ev Event) []Action {
 	s.now, s.rng, s.view, s.out = now, rng, view, nil
 	switch e := ev.(type) {
+	case Ticked:
+		s.ticked = true
 	case HeadRead:
 		s.headRead(e)
 	case PlatformRead:
