--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -62,6 +62,8 @@
 	Policies node.Policies
 	// Node, if set, changes what the node of a VM is made of.
 	Node func(vm *VM, o *node.Options)
+	// Store is the platform's store; an empty one if nil.
+	Store *fake.Store
 	// Seeds is how many nodes are named for first contact; 3 if zero.
 	Seeds int
 	// CallAddr, if set, gives the address at which other nodes reach the
@@ -107,7 +109,10 @@
 	if o.DrainLimit == 0 {
 		o.DrainLimit = DefaultDrainLimit
 	}
-	m := &Mesh{o: o, Store: fake.New(), Cuts: newCuts()}
+	if o.Store == nil {
+		o.Store = fake.New()
+	}
+	m := &Mesh{o: o, Store: o.Store, Cuts: newCuts()}
 	if err := m.startPlatform(); err != nil {
 		return nil, err
 	}
