--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -72,9 +72,9 @@
 }
 
 func TestMediansTakeEachSizeOnce(t *testing.T) {
-	list := []Point{{36, 9}, {12, 1}, {36, 5}, {36, 700}}
+	list := []Point{{36, 9}, {12, 1}, {36, 5}, {36, 700}, {12, 3}}
 	got := medians(list, all[Point], func(p *Point) Point { return *p })
-	if len(got) != 2 || got[0] != (Point{12, 1}) || got[1] != (Point{36, 9}) {
+	if len(got) != 2 || got[0] != (Point{12, 2}) || got[1] != (Point{36, 9}) {
 		t.Errorf("got %v", got)
 	}
 }
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -90,4 +90,11 @@
 }
 
 // median returns the median of list, which it sorts.
-func median(list []float64) float64 { return quanta(list).P50 }
+func median(list []float64) float64 {
+	n := len(list)
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return (list[(n-1)/2] + list[n/2]) / 2
+}
