--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -1,8 +1,12 @@
 package capacity
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"strings"
+
+	"github.com/marlpass/marlpass/internal/load/control"
 )
 
 // Line is one cost: what was measured, the line through it, and its value at
@@ -17,16 +21,26 @@
 	AtN       float64 // the n of the size that decides the design
 	Goal      float64 // none if zero
 	Limit     float64 // none if zero
-	Virtual   bool    // from state machines in virtual time
+	Slope     bool    // the value is that of one more, not that at AtN
 }
 
-// Value is the line at the size that decides the design.
-func (l *Line) Value() float64 { return l.Fit.At(l.AtN) }
+// Value is the line at the size that decides the design, NaN if nothing was
+// measured.
+func (l *Line) Value() float64 {
+	switch {
+	case len(l.Fit.Points) == 0:
+		return math.NaN()
+	case l.Slope:
+		return l.Fit.B
+	}
+	return l.Fit.At(l.AtN)
+}
 
 // Bounds beyond which a line is named among those that do not fit.
 const (
 	poorResidual = 0.25 // of a point
 	poorHeld     = 0.25 // of the largest point
+	fewSizes     = 4
 )
 
 // Verdict is what can be said of a line.
@@ -38,12 +52,15 @@
 	OverGoal  Verdict = "over the goal"
 	OverLimit Verdict = "over the limit"
 	NoBound   Verdict = "no bound is set"
+	NotRun    Verdict = "not measured"
 )
 
 // Verdict compares the line with its goal and limit.
 func (l *Line) Verdict() Verdict {
 	v := l.Value()
 	switch {
+	case len(l.Fit.Points) == 0:
+		return NotRun
 	case l.Limit > 0 && v > l.Limit:
 		return OverLimit
 	case l.Goal > 0 && v > l.Goal:
@@ -57,18 +74,26 @@
 // Doubts says what speaks against the line itself.
 func (l *Line) Doubts() []string {
 	var out []string
+	if n := len(l.Fit.Points); n < fewSizes {
+		out = append(out, fmt.Sprintf("measured at %d sizes only", n))
+	}
 	if l.Fit.Worst > poorResidual {
 		out = append(out, "it misses a point by "+percent(l.Fit.Worst))
 	}
 	if h := l.Fit.Held; h > poorHeld || h < -poorHeld {
 		out = append(out, "fitted without the largest size, it misses that by "+percent(h))
 	}
-	if l.AtN > 2*l.Fit.Largest() {
-		out = append(out, "the size is "+number3(l.AtN/l.Fit.Largest())+" times the largest measured")
-	}
 	return out
 }
 
+// Reach is how many times the largest measured size the line is evaluated at.
+func (l *Line) Reach() float64 {
+	if len(l.Fit.Points) == 0 || l.Slope {
+		return math.NaN()
+	}
+	return l.AtN / l.Fit.Largest()
+}
+
 // medians returns the median of the figures at each size, in the order of the
 // sizes.
 func medians[T any](list []T, keep func(*T) bool, figure func(*T) Point) []Point {
@@ -89,15 +114,29 @@
 
 func all[T any](*T) bool { return true }
 
-// meshPoints returns a figure of the meshes of a profile.
-func (r *Raw) meshPoints(profile string, f func(*MeshPoint) float64) []Point {
+// restPoints returns a figure of the meshes of a profile at rest.
+func (r *Raw) restPoints(profile string, f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
-		func(p *MeshPoint) bool { return p.Profile == profile && p.Prior == 0 },
+		func(p *MeshPoint) bool { return p.Profile == profile && !p.burst() },
 		func(p *MeshPoint) Point { return Point{float64(p.Nodes), f(p)} })
 }
 
-// burstPoints returns a figure of the meshes with changes made before, by the
-// files that a node has open.
+// spreadPoints returns a figure of the meshes that marlpass-load's measurement
+// of spreading was run on.
+func (r *Raw) spreadPoints(profile string, f func(*control.SpreadReport) float64) []Point {
+	return medians(r.Spreads,
+		func(p *SpreadPoint) bool { return p.Report.Profile == profile },
+		func(p *SpreadPoint) Point { return Point{float64(p.Report.Nodes), f(&p.Report)} })
+}
+
+// stormPoints returns a figure of the storms.
+func (r *Raw) stormPoints(f func(*control.StormReport) float64) []Point {
+	return medians(r.Storms, all[StormPoint],
+		func(p *StormPoint) Point { return Point{float64(p.Report.Nodes), f(&p.Report)} })
+}
+
+// burstPoints returns a figure of the meshes of one size with changes made
+// before, by the files that a node has open.
 func (r *Raw) burstPoints(f func(*MeshPoint) float64) []Point {
 	return medians(r.Mesh,
 		func(p *MeshPoint) bool { return p.Profile == timeProfile && p.Nodes == burstNodes },
@@ -120,6 +159,22 @@
 	return out
 }
 
+// spreadBench returns a figure of BenchmarkSpread of a profile.
+func (r *Raw) spreadBench(profile, unit string) []Point {
+	var out []Point
+	for _, b := range r.Benches {
+		rest, ok := strings.CutPrefix(b.Name, "Spread/nodes=")
+		nodes, name, _ := strings.Cut(rest, "/")
+		if !ok || name != profile {
+			continue
+		}
+		if v, ok := b.Value(unit); ok {
+			out = append(out, Point{number([]byte(nodes)), v})
+		}
+	}
+	return out
+}
+
 // wayPoints returns a figure of one way of calls, by rate.
 func (r *Raw) wayPoints(way string, f func(*CallPoint) float64) []Point {
 	return medians(r.Calls,
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -23,8 +23,8 @@
 // DefaultMesh returns the options that the page's figures are made with.
 func DefaultMesh(nodes int, profile string) MeshOptions {
 	return MeshOptions{
-		Nodes: nodes, Profile: profile,
-		Settle: shortSettle, Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
+		Nodes: nodes, Profile: profile, Settle: settleFor(nodes, defaultRest),
+		Idle: 15 * time.Second, Changes: 6, Every: 1500 * time.Millisecond, Tail: 10 * time.Second,
 	}
 }
 
@@ -107,57 +107,31 @@
 	return w, ctx.Err()
 }
 
-// change makes the changes, and times each from the moment that the operator
-// sends it until it is in force at each node.
+// change makes the changes, and waits for what follows the last.
 func (p *MeshPoint) change(ctx context.Context, o MeshOptions, op *operator) error {
-	var accepts, waits []float64
-	for i := range o.Changes {
-		start := time.Now()
-		want := op.version + 1
-		seen := make(chan []float64, 1)
-		go func() { seen <- awaitEach(ctx, op.m, want, start) }()
-		if err := op.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
-			return err
-		}
-		accepts = append(accepts, millis(time.Since(start)))
-		waits = append(waits, <-seen...)
-		if err := sleep(ctx, o.Every-time.Since(start)); err != nil {
-			return err
-		}
+	if err := op.changes(ctx, o.Changes, o.Every); err != nil {
+		return err
 	}
-	p.AcceptMS, p.InForce = median(accepts), quanta(waits)
 	p.Tail = o.Tail.Seconds()
 	return sleep(ctx, o.Tail)
 }
 
-// lookEvery is how often the nodes are asked for their version; it bounds the
-// accuracy of the times.
-const lookEvery = time.Millisecond
-
-// awaitEach returns for each node how many milliseconds after start it had the
-// version.
-func awaitEach(ctx context.Context, m *localmesh.Mesh, version uint64, start time.Time) []float64 {
-	var waits []float64
-	waiting := m.Nodes()
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for len(waiting) > 0 {
-		select {
-		case <-ctx.Done():
-			return waits
-		case <-ticker.C:
+// changes makes changes one after the other, each in force everywhere before
+// the next.
+func (o *operator) changes(ctx context.Context, n int, every time.Duration) error {
+	for i := range n {
+		start := time.Now()
+		if err := o.target(ctx, targetName(i), targetSpec(i, 1)); err != nil {
+			return err
 		}
-		kept := waiting[:0]
-		for _, n := range waiting {
-			if n.Version().Number < version {
-				kept = append(kept, n)
-				continue
-			}
-			waits = append(waits, millis(time.Since(start)))
+		if err := o.m.WaitVersion(ctx, o.version); err != nil {
+			return err
+		}
+		if err := sleep(ctx, every-time.Since(start)); err != nil {
+			return err
 		}
-		waiting = kept
 	}
-	return waits
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -1,10 +1,12 @@
 package distribute
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // What a caller would see: "no such route" from a VM that has just started
@@ -133,3 +135,43 @@
 		t.Fatal("ready with another history than its peers")
 	}
 }
+
+// What an operator would see: while a restored backup runs ahead of the mesh, a
+// VM that is restarted stays out of service, and goes on so when the right
+// table is back: "the platform holds a newer version". It runs what its peers
+// run, and the number of the other history's head is all that holds it back.
+func TestOtherHistoryAheadDoesNotHoldANodeBack(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 2)
+	theirs, _ := history(t, "theirs", 4)
+	b.do(heardTell("p", ours))
+	b.do(HeadRead{Version: theirs[3].To})
+	if findings(b.do(PlatformRead{Deltas: theirs[2:]}), "conflict") != 1 {
+		t.Error("no report")
+	}
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[1].To, Ready: true}})
+	}
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+	b.holds(2)
+}
+
+// What an operator would see: reads of the platform that rise with the number of
+// nodes that come back at once. The answer that lets a node into the mesh tells
+// it of a version before its view holds anybody; alone, as it seems, it would
+// read the head, the log and the snapshot from the platform.
+func TestNoReadBeforeFirstContact(t *testing.T) {
+	ds, _ := history(t, "booking", 2)
+	s := New(Defaults("vm", "dc", Time()), time.Unix(0, 0))
+	alone := &membership.View{Self: "vm"}
+	rng := rand.New(rand.NewPCG(1, 1))
+	out := s.Step(time.Unix(1, 0), rng, alone, Heard{Peer: "p", Version: ds[1].To})
+	if _, ok := find[ReadHead](out); ok {
+		t.Fatal("reads the platform before first contact")
+	}
+	if _, ok := find[ReadHead](s.Step(time.Unix(2, 0), rng, alone, Ticked{})); !ok {
+		t.Fatal("alone, and does not read the platform")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	control  *control
 	servers  *servers
 	reports  *reports
+	findings findings
 
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
@@ -236,7 +237,7 @@
 		n.log.Info().Str("service", c.Backend.Service).Str("instance", c.Backend.Instance).
 			Stringer("change", c.Kind).Msg("announce: backend server changed")
 		if c.Kind == announce.Replaced {
-			n.calls.suspects.replaced(backendOf(c.Backend))
+			n.calls.suspects.replaced(backendOf(c.Backend), c.Was)
 		}
 	}
 }
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -19,11 +19,13 @@
 	View     *membership.View
 	// Targets are the targets in force, and Reports what nodes counted of them.
 	Targets []*config.Target
-	Reports Reports
+	Reports *Reports
 	// Quarantined are the requests that the mesh holds suspect or refuses.
 	Quarantined []Quarantine
-	// Conflicts are versions of another history that were seen.
+	// Conflicts are versions of another history that were seen, and Findings
+	// what else was odd about versions.
 	Conflicts []string
+	Findings  []Finding
 	// Spread are the versions that came in force here, newest first.
 	Spread []VersionTime
 	// History are the changes since Since, and HistoryErr why they could not
@@ -50,6 +52,7 @@
 	Members     MemberCounts `json:"members"`
 	Blind       Blind        `json:"cannot_see"`
 	Conflicts   []string     `json:"conflicts,omitempty"`
+	Findings    []Finding    `json:"findings,omitempty"`
 	Changes     HistoryPage  `json:"changes"`
 	ChangesErr  string       `json:"changes_error,omitempty"`
 }
@@ -143,6 +146,13 @@
 	Expires time.Time       `json:"expires"`
 }
 
+// Finding is something odd about versions that a node met and that did no harm.
+type Finding struct {
+	At     time.Time `json:"at"`
+	Kind   string    `json:"kind"`
+	Detail string    `json:"detail"`
+}
+
 // HandoverOf builds the handover.
 func HandoverOf(in HandoverInput, now time.Time) Handover {
 	h := Handover{
@@ -151,12 +161,13 @@
 		Classes:     in.Reports.Classes(in.Targets),
 		ClassesAge:  age(now, in.Reports.At),
 		Asked:       in.Reports.Asked,
-		Reported:    len(in.Reports.Nodes),
+		Reported:    in.Reports.Answered,
 		Endpoints:   endpointsOf(in, now),
 		Quarantined: quarantinedOf(in.Quarantined, now),
 		Members:     countMembers(in.View),
 		Blind:       blindOf(in.Platform, in.View, now),
 		Conflicts:   append([]string{}, in.Conflicts...),
+		Findings:    append([]Finding{}, in.Findings...),
 		Changes:     in.History,
 	}
 	h.Blind.Unreported = in.Reports.unreported(in.View, now)
@@ -216,7 +227,7 @@
 }
 
 func endpointsOf(in HandoverInput, now time.Time) []Endpoint {
-	out := append([]Endpoint{}, in.Reports.ejected(in.View)...)
+	out := append([]Endpoint{}, in.Reports.ejections(in.View)...)
 	for _, r := range sortedRecords(in.View) {
 		for _, b := range r.Backends {
 			e := Endpoint{
@@ -267,7 +278,7 @@
 		out = append(out, "two histories of the configuration are around; see docs/operators/hand-over.md before any change")
 	}
 	if !b.PlatformDownSince.IsZero() {
-		out = append(out, fmt.Sprintf("the platform has not answered for %s; changes can't be accepted here",
+		out = append(out, fmt.Sprintf("the platform has not answered this node for %s; changes need a node that reaches it",
 			time.Duration(b.PlatformDownMS)*time.Millisecond))
 	}
 	add(len(b.CutOff), "%d data centres are cut off from here", len(b.CutOff))
