Let a request that nobody answered account for crashes it shares

Change: when a request that was never answered was in flight at both, those that were answered before stay free; Known of an earlier crash counts at the next node. A known request alone at both crashes is still quarantined. In a local mesh backend servers follow their node when it comes back at another address. Two requests that nobody ever answered and that share both crashes are both quarantined: a third run to tell them apart would cost a third endpoint.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -27,7 +27,7 @@
 // Announce tells the node of the server until ctx ends, then withdraws it. It
 // does nothing without a node in the settings.
 func (s *Server) Announce(ctx context.Context) {
-	if s.set.Node == "" {
+	if *s.node.Load() == "" {
 		return
 	}
 	last := State("")
@@ -57,7 +57,7 @@
 const announceTick = 10 * time.Millisecond
 
 func (s *Server) url() string {
-	return strings.TrimSuffix(s.set.Node, "/") + "/v1/backends/" + url.PathEscape(s.set.Instance)
+	return strings.TrimSuffix(*s.node.Load(), "/") + "/v1/backends/" + url.PathEscape(s.set.Instance)
 }
 
 func (s *Server) put(ctx context.Context, st State) error {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -47,6 +47,7 @@
 	// comes back.
 	Exit func()
 
+	node       atomic.Pointer[string] // URL of the announce API
 	mode       atomic.Pointer[Mode]
 	state      atomic.Pointer[State]
 	drained    atomic.Int64 // requests begun after the drain was ordered
@@ -65,11 +66,15 @@
 // New returns a server that does not listen yet. Settings must pass Check.
 func New(set Settings, log zerolog.Logger) *Server {
 	s := &Server{set: set, log: log, slots: newSlots(set.Slots, set.Backlog)}
+	s.SetNode(set.Node)
 	s.SetMode(ModeGood)
 	s.setState(Starting)
 	return s
 }
 
+// SetNode changes the URL of the announce API.
+func (s *Server) SetNode(url string) { s.node.Store(&url) }
+
 // SetMode changes the fault that the server plays.
 func (s *Server) SetMode(m Mode) { s.mode.Store(&m) }
 
--- a/internal/localmesh/mesh.go
+++ b/internal/localmesh/mesh.go
@@ -158,6 +158,9 @@
 	addrs := n.Addrs()
 	vm.mu.Lock()
 	vm.node, vm.addrs = n, &addrs
+	for _, b := range vm.backends {
+		b.SetNode("http://" + addrs.Announce)
+	}
 	vm.mu.Unlock()
 	return nil
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -205,8 +205,10 @@
 	id := l.opt.Self + "/" + endpoint + "/" + strconv.FormatInt(now.UnixMilli(), 36) + "." + strconv.Itoa(l.crashes)
 	next := maps.Clone(*l.current.Load())
 	out := make([]membership.Notice, 0, len(runs))
+	narrowed := l.narrowed(now, next, runs)
 	for _, r := range runs {
-		c := Crash{ID: id, Known: l.answered.within(now, r.fp, l.opt.KnownFor)}
+		c := Crash{ID: id, Known: l.known(now, next[r.fp], r.fp)}
+		c.Proof = next.crashedBefore(now, r.fp) && !(c.Known && narrowed)
 		e := l.blame(now, next[r.fp], r, c)
 		next[r.fp] = e
 		l.claim(r.fp)
@@ -216,13 +218,42 @@
 	return out
 }
 
+// crashedBefore reports whether an earlier crash counts against the request.
+func (es entries) crashedBefore(now time.Time, fp Fingerprint) bool {
+	e := es[fp]
+	return e != nil && !e.expired(now) && len(e.Crashes) > 0
+}
+
+// known reports whether the request was answered lately, here or at a node where
+// it was in flight at an earlier crash.
+func (l *List) known(now time.Time, e *Entry, fp Fingerprint) bool {
+	if l.answered.within(now, fp, l.opt.KnownFor) {
+		return true
+	}
+	if e == nil || e.expired(now) {
+		return false
+	}
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Known })
+}
+
+// narrowed reports whether a request that nobody ever answered was in flight at
+// this crash and at an earlier one. It then accounts for both.
+//
+// It guards the popular lookups of a service. Two crashes close together find
+// some of them in flight at both, before an answer could clear them, and they
+// would be refused to everybody along with the bad request.
+func (l *List) narrowed(now time.Time, es entries, runs []run) bool {
+	return slices.ContainsFunc(runs, func(r run) bool {
+		return es.crashedBefore(now, r.fp) && !l.known(now, es[r.fp], r.fp)
+	})
+}
+
 // blame returns the entry of a request after one more crash.
 func (l *List) blame(now time.Time, old *Entry, r run, c Crash) *Entry {
 	e := &Entry{Fingerprint: r.fp}
 	if old != nil && !old.expired(now) {
 		e = old
 	}
-	c.Proof = len(e.Crashes) > 0
 	e = e.with([]Crash{c}, nil)
 	e.What = r.what.String()
 	e.By = ""
