--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -43,6 +43,12 @@
 
 func (s *State) scheduleFeed() {
 	f := &s.feed
+	if !s.ticked && s.others() == 0 {
+		// The answer to a join tells a version before it has told the members.
+		// A starting node would take itself to be alone then, and a feeder, and
+		// read the platform at once, as would each node of a herd.
+		return
+	}
 	if f.view != s.view || s.view == nil {
 		f.view = s.view
 		f.feeder = isFeeder(s.view, s.set.Self, s.set.DataCentre)
@@ -117,7 +123,13 @@
 func (s *State) readFailed() {
 	f := &s.feed
 	f.fails++
-	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), 4*s.set.RetryCap)
+	limit := 4 * s.set.RetryCap
+	if f.feeder {
+		// A data centre that was cut off from all others hears of the changes
+		// since then by its feeders alone, and there are only two of them.
+		limit = s.set.RetryCap
+	}
+	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), limit)
 	f.after = s.now.Add(s.jitter(wait))
 }
 
@@ -144,7 +156,13 @@
 func (s *State) readOn(ds []*config.Delta) {
 	from := s.Version()
 	ok := s.applyDeltas(SourcePlatform, ds)
-	if ok && s.Version() != from && s.feed.head.Newer(s.Version()) {
+	if !ok {
+		// The log does not lead from what is held to that head. Kept as the
+		// newest one known, it would hold a starting node back for good.
+		s.feed.head, s.feed.answered = config.Version{}, false
+		return
+	}
+	if s.Version() != from && s.feed.head.Newer(s.Version()) {
 		s.feed.busy = true
 		s.emit(ReadSince{s.Version()})
 	}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -16,3 +16,6 @@
 	}
 	return r.Refused, r.RefusedReason
 }
+
+// BreakListener closes the socket for callers under the node's feet.
+func BreakListener(n *Node) { n.ln.callers.Close() }
