--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -228,3 +228,23 @@
 		}
 	}
 }
+
+// A request that reaches a server after its order to drain is counted, and when.
+func TestWorkAfterDrainIsCounted(t *testing.T) {
+	s := start(t, func(set *Settings) { set.DrainWait = Duration(time.Hour) })
+	if n, last := s.AfterDrain(); n != 0 || last != 0 {
+		t.Fatalf("before the drain: %d, %s", n, last)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	await(t, func() bool { return s.State() == Draining })
+	if _, _, err := request(s, "", "late"); err != nil {
+		t.Fatal(err)
+	}
+	if n, last := s.AfterDrain(); n != 1 || last <= 0 {
+		t.Fatalf("after the drain: %d, %s", n, last)
+	}
+	cancel()
+	<-drained
+}
