--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -15,12 +15,10 @@
 	}
 }
 
-// slopeAt is what calls at a rate cost, without what the process spends when
-// there are none.
-func slopeAt(l *Line, rate float64) float64 { return l.Fit.B * rate }
-
+// entryAndDest is what the calls of both roles cost, between the measured rates:
+// a call is cheaper at a higher rate, so a straight line is poor at both ends.
 func entryAndDest(lines []Line, hops float64) (entry, dest float64) {
-	return slopeAt(find(lines, "entry-cpu"), hops), slopeAt(find(lines, "dest-cpu"), hops)
+	return between(find(lines, "entry-cpu").Fit.Points, hops), between(find(lines, "dest-cpu").Fit.Points, hops)
 }
 
 // roles gives what each role costs at the size. All nodes are equal, so a
@@ -33,8 +31,8 @@
 	t.row("every node, control",
 		fmt.Sprintf("%d records and their view (%s MB), pickers (%s MB), the version in force (%s MB), up to 256 deltas and 1 MB of them", sizeNodes, v("members-heap"), v("pickers-heap"), v("version-heap")),
 		fmt.Sprintf("%s a second, %s B/s idle; %s B a change, or %s B/s at 930 a day", v("idle-messages"), v("idle-bytes"), v("change-bytes"), number3(perDay("change-bytes"))),
-		fmt.Sprintf("%s%% of a core idle, %s%% less the platform's reads; %s ms a change, or %s%% at 930 a day", v("idle-cpu"), v("idle-cpu-less"), v("change-cpu"), number3(perDay("change-cpu")/1e3*percentOfCore)),
-		fmt.Sprintf("%s MB live heap; resident %s MB and %s MB for the empty process; %s MB after a burst that opened %d connections", v("heap"), v("rss"), number3(baseRSS(r)/mb), v("connection"), burstFiles))
+		fmt.Sprintf("%s%% of a core idle in a process of its own; %s ms a change, or %s%% at 930 a day", v("alone-cpu"), v("alone-change-cpu"), number3(perDay("alone-change-cpu")/1e3*percentOfCore)),
+		fmt.Sprintf("%s MB resident, of it %s MB live heap; heap and stacks %s MB with %d connections open", v("alone-rss"), v("heap"), v("connection"), burstFiles))
 	for i, role := range []string{"entry", "destination"} {
 		var cpu []string
 		for _, rd := range readings() {
@@ -47,13 +45,13 @@
 			state = fmt.Sprintf("a gate for each class of its services; connections from %s", subsetUsers(r))
 		}
 		t.row(role, state, "one request and one answer a call", cpu[0]+"; "+cpu[1],
-			fmt.Sprintf("%s kB a call in flight, at both nodes together", number3(find(lines, "flight").Fit.B)))
+			fmt.Sprintf("%s kB a call in flight, at both nodes together", number3(find(lines, "flight").Value())))
 	}
 	t.row("feeder, two a data centre", "none of its own", fmt.Sprintf("one platform read a second (`time`); %s for the whole mesh, %s in `bytes`", v("reads"), v("reads-bytes")),
-		fmt.Sprintf("at most %s ms a read, both ends", number3(find(lines, "platform-cpu").Fit.B/percentOfCore*1e3)), "none of its own")
+		fmt.Sprintf("at most %s ms a read, both ends", number3(find(lines, "platform-cpu").Value()/percentOfCore*1e3)), "none of its own")
 	t.row("bridge, two a data centre", "none of its own; a contact row at the platform, every ten minutes", fmt.Sprintf("%s B/s, the busiest node", v("idle-bytes-busiest")), "as every node's", "as every node's")
 	t.row("accepting node", "the commands under way", fmt.Sprintf("%s platform writes a change; one tell to each of %d data centres", v("change-writes"), sizeCentres),
-		fmt.Sprintf("accepted after %s ms at %d nodes (p50, platform without latency)", number3(acceptAt(r)), largestMesh(r)), "one snapshot and one delta")
+		"two checks and one delta more than other nodes", "one snapshot and one delta more")
 	t.row("lease holder for compaction", "the lease row", "by arithmetic, not measured: 930 log rows and 930 command rows a day, up to 64 a transaction: 30 transactions a day, and the lease's renewals", "not measured", "one snapshot")
 	t.row("platform", fmt.Sprintf("head, 8,192 log rows, command rows of 14 days, snapshots of %s B, claims of 24 hours", v("version-bytes")),
 		fmt.Sprintf("%s reads/s (`time`); %s writes/s for changes; keyed calls: see the claims", v("reads"), number3(perDay("change-writes"))),
@@ -61,34 +59,6 @@
 	return t.String()
 }
 
-func baseRSS(r *Raw) float64 {
-	var list []float64
-	for _, p := range r.Mesh {
-		list = append(list, p.BaseRSS)
-	}
-	return median(list)
-}
-
-// largestMesh is the largest number of nodes that was measured.
-func largestMesh(r *Raw) int {
-	n := 0
-	for _, p := range r.Mesh {
-		n = max(n, p.Nodes)
-	}
-	return n
-}
-
-func acceptAt(r *Raw) float64 {
-	n := largestMesh(r)
-	var list []float64
-	for _, p := range r.Mesh {
-		if p.Nodes == n && p.Profile == timeProfile {
-			list = append(list, p.AcceptMS)
-		}
-	}
-	return median(list)
-}
-
 // subsetUsers tells how many entry nodes call one endpoint at the size.
 func subsetUsers(r *Raw) string {
 	for _, p := range r.Subsets {
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -8,10 +8,10 @@
 
 // sizeTable gives each line at the size that decides the design.
 func sizeTable(_ *Raw, lines []Line) string {
-	t := newTable("line", "at the size", "goal", "limit", "verdict", "carried by")
+	t := newTable("line", "id", "at the size", "goal", "limit", "verdict", "carried by")
 	for i := range lines {
 		l := &lines[i]
-		t.row(l.Name, number3(l.Value())+" "+unit(l.Unit), bound(l.Goal), bound(l.Limit), string(l.Verdict()), l.Mechanism)
+		t.row(l.Name, "`"+l.ID+"`", number3(l.Value())+" "+unit(l.Unit), bound(l.Goal), bound(l.Limit), string(l.Verdict()), l.Mechanism)
 	}
 	return t.String()
 }
@@ -25,15 +25,15 @@
 
 // fits gives each line's formula and how well it fits.
 func fits(_ *Raw, lines []Line) string {
-	t := newTable("line", "n", "measured at", "formula", "a", "b", "residual", "worst miss", "largest size, fitted without it, is missed by", "R²")
+	t := newTable("line", "n", "measured at", "formula", "a", "b", "residual", "worst miss", "largest size, fitted without it, is missed by", "R²", "size over largest measured")
 	for i := range lines {
 		l := &lines[i]
 		var at []string
 		for _, p := range l.Fit.Points {
 			at = append(at, number3(p.N)+": "+number3(p.Y))
 		}
-		t.row(l.Name, l.X, strings.Join(at, "; "), string(l.Fit.Model), number3(l.Fit.A), number3(l.Fit.B),
-			number3(l.Fit.Residual)+" "+unit(l.Unit), percent(l.Fit.Worst), percent(l.Fit.Held), fmt.Sprintf("%.3f", l.Fit.R2))
+		t.row("`"+l.ID+"`", l.X, strings.Join(at, "; "), string(l.Fit.Model), number3(l.Fit.A), number3(l.Fit.B),
+			number3(l.Fit.Residual)+" "+unit(l.Unit), percent(l.Fit.Worst), percent(l.Fit.Held), fmt.Sprintf("%.3f", l.Fit.R2), number3(l.Reach()))
 	}
 	return t.String()
 }
@@ -45,55 +45,127 @@
 	for i := range lines {
 		l := &lines[i]
 		if v := l.Verdict(); v == OverGoal || v == OverLimit {
-			fmt.Fprintf(&b, "- **%s**: %s. %s: %s %s; goal %s, limit %s.\n",
-				strings.ToUpper(string(v)[:1])+string(v)[1:], l.Name, "At the size", number3(l.Value()), unit(l.Unit), bound(l.Goal), bound(l.Limit))
+			fmt.Fprintf(&b, "- **%s**: %s (`%s`): %s %s at the size; goal %s, limit %s.\n",
+				strings.ToUpper(string(v)[:1])+string(v)[1:], l.Name, l.ID, number3(l.Value()), unit(l.Unit), bound(l.Goal), bound(l.Limit))
 		}
 	}
 	for i := range lines {
 		l := &lines[i]
 		if d := l.Doubts(); len(d) > 0 {
-			fmt.Fprintf(&b, "- In doubt: %s (%s): %s.\n", l.Name, l.ID, strings.Join(d, "; "))
+			fmt.Fprintf(&b, "- In doubt: %s (`%s`): %s.\n", l.Name, l.ID, strings.Join(d, "; "))
 		}
 	}
+	var far []string
+	for i := range lines {
+		if lines[i].Reach() > farReach {
+			far = append(far, "`"+lines[i].ID+"`")
+		}
+	}
+	if len(far) > 0 {
+		fmt.Fprintf(&b, "- Unproved: these lines are evaluated at more than twice the largest size measured: %s.\n", strings.Join(far, ", "))
+	}
 	if b.Len() == 0 {
 		return "None.\n"
 	}
 	return b.String()
 }
 
-func meshTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.Prior == 0 })
+// farReach is from where on an evaluation counts as unproved.
+const farReach = 2
+
+func restTable(r *Raw, _ []Line) string {
+	return meshRows(r, func(p *MeshPoint) bool { return !p.burst() })
+}
+
+func burstTable(r *Raw, _ []Line) string {
+	return meshRows(r, func(p *MeshPoint) bool { return p.burst() })
 }
 
 func meshRows(r *Raw, keep func(*MeshPoint) bool) string {
-	t := newTable("nodes", "profile", "changes before", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s",
-		"B a change", "CPU ms a change", "writes a change", "accept p50 ms", "in force p50 / p99 / max ms",
-		"heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
+	t := newTable("nodes", "profile", "changes before", "rest s", "ready ms", "idle B/s in + out", "busiest", "messages/s", "idle CPU %", "reads/s", "writes/s",
+		"B a change", "CPU ms a change", "writes a change", "heap MB", "stack MB", "RSS MB", "files", "goroutines", "load before, after")
 	for i := range r.Mesh {
 		p := &r.Mesh[i]
 		if !keep(p) {
 			continue
 		}
-		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.ReadyMS),
+		t.row(fmt.Sprint(p.Nodes), p.Profile, fmt.Sprint(p.Prior), number3(p.Settle), number3(p.ReadyMS),
 			number3(p.Idle.BytesIn)+" + "+number3(p.Idle.BytesOut), number3(p.Idle.Busiest), number3(p.Idle.Messages()),
-			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(bytesPerChange(p)),
+			number3(p.Idle.CPU*percentOfCore), number3(p.Idle.Reads), number3(p.Idle.Writes), number3(bytesPerChange(p)),
 			number3(perChange(p, p.Idle.CPU, p.Changing.CPU)*1e3), number3(perChange(p, p.Idle.Writes, p.Changing.Writes)),
-			number3(p.AcceptMS), quantum(p.InForce), number3(p.Heap/mb), number3(p.Stack/mb), number3(p.RSS/mb),
+			number3(p.Heap/mb), number3(p.Stack/mb), number3(p.RSS/mb),
 			number3(p.Files), number3(p.Idle.Goroutines), loads(p.Load))
 	}
 	return t.String()
 }
 
+// kindTable gives the traffic of meshes at rest by kind of message.
+func kindTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "profile", "", "kind", "sent/s", "answered/s", "message bytes in/s", "out/s", "connection bytes in/s", "out/s")
+	for i := range r.Mesh {
+		p := &r.Mesh[i]
+		if p.burst() {
+			continue
+		}
+		for _, w := range []struct {
+			name string
+			*Window
+		}{{"idle", &p.Idle}, {"changing", &p.Changing}} {
+			for _, k := range w.Kinds {
+				if k.Sent+k.Received == 0 {
+					continue
+				}
+				t.row(fmt.Sprint(p.Nodes), p.Profile, w.name, k.Kind, number3(k.Sent), number3(k.Received),
+					number3(k.BytesIn), number3(k.BytesOut), number3(w.BytesIn), number3(w.BytesOut))
+			}
+		}
+	}
+	return t.String()
+}
+
+func processTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "idle CPU %", "CPU % under changes", "changes", "seconds", "RSS MB", "goroutines", "files", "load before, after")
+	for _, p := range r.Alone {
+		t.row(fmt.Sprint(p.Nodes), number3(p.CPUIdle*percentOfCore), number3(p.CPUChanging*percentOfCore), fmt.Sprint(p.Changes),
+			number3(p.Seconds), number3(p.RSS/mb), number3(p.Goroutines), number3(p.Files), loads(p.Load))
+	}
+	return t.String()
+}
+
+func spreadTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "profile", "in force p50 / p99 / max ms", "idle B/s", "B a change", "CPU % idle", "reads/s", "writes a change",
+		"went back", "half applied", "missing", "false suspicions", "baseline idle B/s", "times", "baseline reads/s", "load before, after")
+	for _, p := range r.Spreads {
+		s, b := p.Report.Spreading, p.Report.Baseline
+		t.row(fmt.Sprint(p.Report.Nodes), p.Report.Profile,
+			quantum(Quantum{s.ConvergeP50ms, s.ConvergeP99ms, s.ConvergeMaxms}), number3(s.BytesIdle), number3(s.BytesPerChange),
+			number3(s.CPUIdle), number3(s.ReadsIdle), number3(s.Writes),
+			fmt.Sprint(s.WentBack), fmt.Sprint(s.HalfApplied), fmt.Sprint(s.Missing), fmt.Sprint(p.Report.FalseSuspicions),
+			number3(b.BytesIdle), number3(p.Report.BytesRatio), number3(b.ReadsIdle), loads(p.Load))
+	}
+	return t.String()
+}
+
+func stormTable(r *Raw, _ []Line) string {
+	t := newTable("nodes", "killed", "all ready ms", "recovered ms", "peak reads/s", "peak B/s, all returned", "went back", "half applied", "misrouted", "load before, after")
+	for _, p := range r.Storms {
+		s := p.Report
+		recovered := number3(s.RecoverMs)
+		if s.Unfinished != "" {
+			recovered = "no: " + s.Unfinished
+		}
+		t.row(fmt.Sprint(s.Nodes), fmt.Sprint(s.Killed), number3(s.ReadyMs), recovered, number3(s.PeakReads), number3(s.PeakJoinBytes),
+			fmt.Sprint(s.WentBack), fmt.Sprint(s.HalfApplied), fmt.Sprint(s.Misrouted), loads(p.Load))
+	}
+	return t.String()
+}
+
 func quantum(q Quantum) string {
 	return number3(q.P50) + " / " + number3(q.P99) + " / " + number3(q.Max)
 }
 
 func loads(l Load) string { return number3(l.Before) + ", " + number3(l.After) }
 
-func burstTable(r *Raw, _ []Line) string {
-	return meshRows(r, func(p *MeshPoint) bool { return p.Nodes == burstNodes && p.Profile == timeProfile })
-}
-
 func callTable(r *Raw, _ []Line) string {
 	t := newTable("way", "calls/s", "calls", "not answered", "CPU s/s", "allocations a call", "bytes a call", "p50 / p99 / max µs", "load before, after")
 	for _, p := range r.Calls {
@@ -174,10 +246,10 @@
 }
 
 func virtualTable(r *Raw, _ []Line) string {
-	t := newTable("nodes", "idle B/s a node", "busiest", "messages/s", "lazy change, to all", "urgent change, to all", "version held, known to all")
+	t := newTable("nodes", "idle B/s a node", "busiest", "messages/s", "lazy change, to all", "urgent change, to all", "version held, known to all", "its bytes a node")
 	for _, p := range r.Gossip {
 		t.row(number3(float64(p.Nodes)), number3(p.Bytes), number3(p.Busiest), number3(p.Messages),
-			seconds(p.LazyMS), seconds(p.UrgentMS), seconds(p.AppliedMS))
+			seconds(p.LazyMS), seconds(p.UrgentMS), seconds(p.AppliedMS), number3(p.AppliedBytes))
 	}
 	return t.String()
 }
