--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -20,10 +20,12 @@
 	gates     *gates
 	suspects  *suspects
 	keeper    *once.Keeper
-	upstreams *proxy.Upstreams
+	upstreams *proxy.Upstreams // to backend servers
+	nodes     *proxy.Upstreams // to other nodes
 	entry     *proxy.Entry
 	dest      *proxy.Destination
 	meters    *proxy.Meters
+	retries   *retries
 	draining  atomic.Bool
 	endTrace  func(context.Context) error
 }
@@ -45,7 +47,9 @@
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
 		upstreams: n.upstreams(),
+		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
+		retries:   new(retries),
 		endTrace:  endTrace,
 	}
 	c.suspects = &suspects{
@@ -56,15 +60,15 @@
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
-	c.dest = proxy.NewDestination(proxy.DestinationParts{
+	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
-	})
-	c.entry = proxy.NewEntry(proxy.EntryParts{
+	}))
+	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: new(retries), Suspects: c.suspects, Local: c.dest, Upstreams: c.upstreams,
+		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
-	})
+	}, &c.pickers.plain))
 	return c, nil
 }
 
@@ -75,7 +79,8 @@
 	return proxy.NewUpstreams()
 }
 
-// upkeep stores outcomes that the platform lacks, until ctx ends.
+// upkeep tells what this node holds of suspects, and stores outcomes that the
+// platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
@@ -84,6 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			c.suspects.tell(time.Now())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
@@ -107,11 +113,10 @@
 		c.n.log.Error().Err(err).Msg("once: outcomes could not be stored before the stop")
 	}
 	c.upstreams.Close()
+	c.nodes.Close()
 	_ = c.endTrace(ctx)
 }
 
-func (c *callPath) inFlight() int64 { return c.dest.InFlight() }
-
 // admission refuses calls while the node may not carry traffic: a node that has
 // just started may hold an older version than it held before, and one that
 // drains takes no new calls.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/command"
@@ -43,6 +43,10 @@
 	log      *command.Reader
 	commit   *command.Committer
 	commands *command.Forwarder
+	house    *housekeeper
+
+	findings tally        // by kind
+	heardAt  atomic.Int64 // when a peer was last heard, in Unix milliseconds
 }
 
 func newControl(n *Node) (*control, error) {
@@ -102,7 +106,7 @@
 	c.server = peer.NewServer(peer.ServerConfig{
 		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.server(),
 		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Log: telemetry.Part(n.log, "peer"),
-		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n},
+		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n}, Reporter: n.reports,
 	})
 	return nil
 }
@@ -128,10 +132,21 @@
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
 		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
-		Log: telemetry.Part(n.log, "distribute"),
+		Log:       telemetry.Part(n.log, "distribute"),
+		OnFinding: func(f distribute.Finding) { c.findings.add(f.Kind()) },
 	})
 }
 
+// wireHouse makes the part that keeps the platform's rows bounded.
+func (c *control) wireHouse() {
+	h := newHousekeeper(c.table, c.n.self.ID, time.Now)
+	h.log = telemetry.Part(c.n.log, "housekeeping")
+	h.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
+	h.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
+	h.trim = c.n.calls.keeper
+	c.house = h
+}
+
 // sender is what every message of this node carries.
 func (c *control) sender() peer.Sender {
 	s := c.spread.Stamp()
@@ -139,11 +154,12 @@
 }
 
 // start serves the peers and starts the work of control.
-func (c *control) start(ctx context.Context, g *errgroup.Group) {
-	c.trust.watch(ctx, g)
-	g.Go(func() error { return c.server.Serve(c.n.ln.control) })
-	g.Go(func() error { return c.members.Run(ctx) })
-	g.Go(func() error {
+func (c *control) start(p *parts) {
+	c.trust.watch(p)
+	p.run("control", func(context.Context) error { return c.server.Serve(c.n.ln.control) })
+	p.run("membership", c.members.Run)
+	p.run("housekeeping", func(ctx context.Context) error { c.house.run(ctx); return nil })
+	p.run("distribute", func(ctx context.Context) error {
 		c.awaitContact(ctx)
 		c.spread.Run(ctx)
 		return nil
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -24,6 +24,7 @@
 	byService atomic.Pointer[map[string]*route.Picker]
 	none      *route.Picker // of a service that no node holds
 	ready     atomic.Pointer[map[string]int]
+	plain     proxy.RoundRobin // the baseline, see Policies
 }
 
 func newPickers(self membership.VM) *pickers {
@@ -56,10 +57,29 @@
 		picker.Update(now, endpoints[service])
 	}
 	p.byService.Store(&next)
+	p.plain.Set(plainEndpoints(endpoints))
 	ready := countReady(endpoints)
 	p.ready.Store(&ready)
 }
 
+// plainEndpoints returns the endpoints that take calls.
+func plainEndpoints(endpoints map[string][]route.Endpoint) map[string][]proxy.Endpoint {
+	out := make(map[string][]proxy.Endpoint, len(endpoints))
+	for service, list := range endpoints {
+		for _, e := range list {
+			if e.Ready && !e.Draining {
+				out[service] = append(out[service], proxyEndpoint(e))
+			}
+		}
+	}
+	return out
+}
+
+func proxyEndpoint(e route.Endpoint) proxy.Endpoint {
+	_, instance, _ := strings.Cut(e.ID, endpointSep)
+	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
+}
+
 func countReady(endpoints map[string][]route.Endpoint) map[string]int {
 	out := make(map[string]int, len(endpoints))
 	for service, list := range endpoints {
@@ -133,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return choice{c}, nil
+	return newChoice(c), nil
 }
 
 // PickFixed implements proxy.Pickers.
@@ -142,19 +162,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return choice{c}, nil
+	return newChoice(c), nil
 }
 
-// choice gives route.Choice the shape that the proxy asks for.
+// choice gives route.Choice the shape that the proxy asks for. It is used again
+// after Done.
 type choice struct{ c route.Choice }
 
-func (c choice) Endpoint() proxy.Endpoint {
-	e := c.c.Endpoint()
-	_, instance, _ := strings.Cut(e.ID, endpointSep)
-	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
+var choices = sync.Pool{New: func() any { return new(choice) }}
+
+func newChoice(c route.Choice) *choice {
+	out := choices.Get().(*choice)
+	out.c = c
+	return out
+}
+
+func (c *choice) Endpoint() proxy.Endpoint {
+	return proxyEndpoint(*c.c.Endpoint())
 }
 
-func (c choice) Done(now time.Time, r proxy.Report) {
+func (c *choice) Done(now time.Time, r proxy.Report) {
 	c.c.Done(now, route.Report{
 		Outcome: r.Outcome,
 		Failed:  r.Failed,
@@ -162,4 +189,6 @@
 		Latency: r.Latency,
 		Load:    route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
 	})
+	*c = choice{}
+	choices.Put(c)
 }
