Read the contacts at once again, seeds or not

Conclusion: a read at the start is what joins a herd to the rest. The peak of reads grows with the herd.

--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -26,8 +26,6 @@
 	contactEvery = 10 * time.Minute
 	// contactRead is the time between two reads while they can help.
 	contactRead = 10 * time.Second
-	// seedsFirst bounds the wait before the first read of a node with seeds.
-	seedsFirst = 2 * time.Second
 	// contactCheck is the time between two reads by the nodes whose duty it is
 	// to write one: nodes that started together may have formed several meshes.
 	contactCheck = time.Minute
@@ -202,11 +200,6 @@
 // few nodes whose duty it is, writes the own one.
 func (r *Runner) keepContacts(ctx context.Context) error {
 	var written, read time.Time
-	if len(r.state.cfg.Seeds) > 0 {
-		// A herd that comes back is let in by its seeds, mostly; without the
-		// wait each of its nodes would read the platform first.
-		r.await(ctx, time.Duration(rand.Int64N(int64(seedsFirst))))
-	}
 	for ctx.Err() == nil {
 		var want, duty bool
 		r.peek(func(s *State) { want, duty = s.WantContacts(), s.ContactDuty() })
@@ -220,19 +213,14 @@
 			written = time.Now()
 		}
 		wait := contactRead/2 + time.Duration(rand.Int64N(int64(contactRead)))
-		r.await(ctx, wait)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
 	}
 	return nil
 }
 
-// await waits for d, or until ctx ends.
-func (r *Runner) await(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // readContacts also removes, on duty, the rows of the own data centre that
 // nobody refreshes any more. It reports whether other nodes there wrote so many
 // rows that one more helps nobody, as when all start with an empty table.
