Refuse a bare number as a time of the stand-in backend server

Cause: internal/backend had a Duration type of its own, a named integer. The TOML decoder reads a number into it: `mean = 5` was accepted as 5 ns (`marlpass-backend -check` said "settings are good"), and a trial with it measures a server that answers at once. Change: the settings use strict.Duration, as those of the other programs do. Conclusion: all programs read durations by one type, and it refuses numbers.

--- a/cmd/marlpass-backend/main.go
+++ b/cmd/marlpass-backend/main.go
@@ -77,7 +77,7 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	s := backend.New(set, log)
-	if set.CrashDown == 0 {
+	if set.CrashDown.Duration == 0 {
 		s.Exit = func() { os.Exit(exitCrashed) }
 	}
 	if err := s.Start(); err != nil {
--- a/cmd/marlpass-backend/main_test.go
+++ b/cmd/marlpass-backend/main_test.go
@@ -41,7 +41,7 @@
 // A planned stop: the server drains, says so, and ends with code 0.
 func TestTerminates(t *testing.T) {
 	set := backend.Defaults()
-	set.ColdStart, set.DrainWait = 0, 0
+	set.ColdStart.Duration, set.DrainWait.Duration = 0, 0
 	s := new(stopper)
 	if code := serve(set, zerolog.New(s)); code != exit.OK {
 		t.Fatalf("exit code %d\n%s", code, s.log.String())
--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -42,7 +42,7 @@
 			} else {
 				last = st
 			}
-			next = now.Add(time.Duration(s.set.AnnounceEvery))
+			next = now.Add(s.set.AnnounceEvery.Duration)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -58,8 +58,8 @@
 // start runs a ready server that answers at once.
 func start(t *testing.T, change func(*Settings)) *Server {
 	set := Defaults()
-	set.Distribution, set.Mean, set.ColdStart, set.ConnectionCost = Fixed, 0, 0, 0
-	set.DrainWait, set.CrashDown = 0, Duration(10*time.Millisecond)
+	set.Distribution, set.Mean.Duration, set.ColdStart.Duration, set.ConnectionCost.Duration = Fixed, 0, 0, 0
+	set.DrainWait.Duration, set.CrashDown.Duration = 0, 10*time.Millisecond
 	if change != nil {
 		change(&set)
 	}
@@ -180,7 +180,7 @@
 }
 
 func TestDrainLimitIsReported(t *testing.T) {
-	s := start(t, func(set *Settings) { set.DrainLimit = Duration(time.Millisecond) })
+	s := start(t, func(set *Settings) { set.DrainLimit.Duration = time.Millisecond })
 	go request(s, "time=1h", "long")
 	await(t, func() bool { return s.slots.busy() == 1 })
 	if err := s.Drain(context.Background()); !errors.Is(err, context.DeadlineExceeded) {
@@ -217,8 +217,8 @@
 		"slots":        func(s *Settings) { s.Slots = 0 },
 		"backlog":      func(s *Settings) { s.Backlog = -1 },
 		"distribution": func(s *Settings) { s.Distribution = "odd" },
-		"mean":         func(s *Settings) { s.Mean = -1 },
-		"drain_limit":  func(s *Settings) { s.DrainLimit = Duration(2 * time.Hour) },
+		"mean":         func(s *Settings) { s.Mean.Duration = -1 },
+		"drain_limit":  func(s *Settings) { s.DrainLimit.Duration = 2 * time.Hour },
 	} {
 		set := Defaults()
 		change(&set)
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -50,7 +50,7 @@
 		return
 	}
 	defer s.slots.give()
-	_ = work(r.Context(), time.Duration(s.set.ProbeCost))
+	_ = work(r.Context(), s.set.ProbeCost.Duration)
 	fmt.Fprintln(w, s.State())
 }
 
@@ -143,7 +143,7 @@
 func (s *Server) timeOf(r *http.Request, m Mode) time.Duration {
 	d, err := time.ParseDuration(r.URL.Query().Get(paramTime))
 	if err != nil {
-		d = serviceTime(s.set.Distribution, time.Duration(s.set.Mean))
+		d = serviceTime(s.set.Distribution, s.set.Mean.Duration)
 	}
 	if m == ModeSlow {
 		d *= SlowFactor
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -119,10 +119,10 @@
 	}
 	s.addr = l.Addr().String()
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
-	go s.serveOn(s.server, &costlyListener{Listener: l, cost: time.Duration(s.set.ConnectionCost)})
+	go s.serveOn(s.server, &costlyListener{Listener: l, cost: s.set.ConnectionCost.Duration})
 	s.setState(Starting)
 	g := s.generation.Add(1)
-	time.AfterFunc(time.Duration(s.set.ColdStart), func() { s.warm(g) })
+	time.AfterFunc(s.set.ColdStart.Duration, func() { s.warm(g) })
 	return nil
 }
 
@@ -172,7 +172,7 @@
 		s.Exit()
 	}
 	_ = h.Close()
-	time.AfterFunc(time.Duration(s.set.CrashDown), func() { s.comeBack(addr) })
+	time.AfterFunc(s.set.CrashDown.Duration, func() { s.comeBack(addr) })
 }
 
 func (s *Server) comeBack(addr string) {
@@ -194,8 +194,8 @@
 	s.drainAt.Store(time.Now().UnixNano())
 	s.setState(Draining)
 	s.log.Info().Msg("backend: draining")
-	_ = work(ctx, time.Duration(s.set.DrainWait))
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.set.DrainLimit))
+	_ = work(ctx, s.set.DrainWait.Duration)
+	ctx, cancel := context.WithTimeout(ctx, s.set.DrainLimit.Duration)
 	defer cancel()
 	h := s.end()
 	if h == nil {
--- a/internal/backend/settings.go
+++ b/internal/backend/settings.go
@@ -8,22 +8,6 @@
 	"github.com/marlpass/marlpass/internal/settings/strict"
 )
 
-// Duration is a time.Duration that reads "250ms" from TOML.
-type Duration time.Duration
-
-// UnmarshalText reads a duration as time.ParseDuration does.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	if err != nil {
-		return fmt.Errorf("%q is not a duration such as 250ms", b)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText writes a duration as time.Duration does.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
 // Distribution is how service times are spread around their mean.
 type Distribution string
 
@@ -48,35 +32,44 @@
 	Slots   int `toml:"slots"`
 	Backlog int `toml:"backlog"` // requests that wait for a slot before shedding
 
-	Distribution Distribution `toml:"distribution"`
-	Mean         Duration     `toml:"mean"`
+	Distribution Distribution    `toml:"distribution"`
+	Mean         strict.Duration `toml:"mean"`
 
-	ColdStart      Duration `toml:"cold_start"`
-	ConnectionCost Duration `toml:"connection_cost"`
-	ProbeCost      Duration `toml:"probe_cost"`
+	ColdStart      strict.Duration `toml:"cold_start"`
+	ConnectionCost strict.Duration `toml:"connection_cost"`
+	ProbeCost      strict.Duration `toml:"probe_cost"`
 
-	AnnounceEvery Duration `toml:"announce_every"`
+	AnnounceEvery strict.Duration `toml:"announce_every"`
 	// DrainWait is how long after announcing the drain new requests are still
 	// run; DrainLimit bounds the wait for those that run.
-	DrainWait  Duration `toml:"drain_wait"`
-	DrainLimit Duration `toml:"drain_limit"`
+	DrainWait  strict.Duration `toml:"drain_wait"`
+	DrainLimit strict.Duration `toml:"drain_limit"`
 	// CrashDown is how long a crashed server stays away; zero ends the program.
-	CrashDown Duration `toml:"crash_down"`
+	CrashDown strict.Duration `toml:"crash_down"`
 }
 
 // Defaults returns the sizes of the brief.
 func Defaults() Settings {
 	return Settings{
-		Listen: "127.0.0.1:0", Service: "berths", Instance: "a",
-		Slots: 6, Backlog: 12, Distribution: Exponential, Mean: Duration(5 * time.Millisecond),
-		ColdStart:      Duration(time.Second),
-		ConnectionCost: Duration(time.Millisecond), ProbeCost: Duration(6 * time.Millisecond),
-		AnnounceEvery: Duration(time.Second),
-		DrainWait:     Duration(2 * time.Second), DrainLimit: Duration(30 * time.Second),
-		CrashDown: Duration(2 * time.Second),
+		Listen:         "127.0.0.1:0",
+		Service:        "berths",
+		Instance:       "a",
+		Slots:          6,
+		Backlog:        12,
+		Distribution:   Exponential,
+		Mean:           duration(5 * time.Millisecond),
+		ColdStart:      duration(time.Second),
+		ConnectionCost: duration(time.Millisecond),
+		ProbeCost:      duration(6 * time.Millisecond),
+		AnnounceEvery:  duration(time.Second),
+		DrainWait:      duration(2 * time.Second),
+		DrainLimit:     duration(30 * time.Second),
+		CrashDown:      duration(2 * time.Second),
 	}
 }
 
+func duration(d time.Duration) strict.Duration { return strict.Duration{Duration: d} }
+
 // Check returns the first setting that cannot be used, as a *strict.Error.
 // File names where the settings come from.
 func (s *Settings) Check(file string) error {
@@ -111,7 +104,7 @@
 func (s *Settings) checkTimes(file string) error {
 	for _, t := range []struct {
 		key string
-		d   Duration
+		d   strict.Duration
 		min time.Duration
 	}{
 		{"mean", s.Mean, 0},
@@ -123,7 +116,7 @@
 		{"drain_limit", s.DrainLimit, 0},
 		{"crash_down", s.CrashDown, 0},
 	} {
-		if d := time.Duration(t.d); d < t.min || d > maxTime {
+		if d := t.d.Duration; d < t.min || d > maxTime {
 			return strict.Problem(file, t.key, d, fmt.Sprintf("must be from %s to %s", t.min, maxTime))
 		}
 	}
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -88,8 +88,8 @@
 	for i := range holders {
 		set := backend.Defaults()
 		set.Service, set.Instance, set.Slots, set.Backlog = pairService, instance, slots, slots
-		set.Distribution, set.Mean = backend.Fixed, backend.Duration(mean)
-		set.ColdStart, set.ConnectionCost = 0, 0
+		set.Distribution, set.Mean.Duration = backend.Fixed, mean
+		set.ColdStart.Duration, set.ConnectionCost.Duration = 0, 0
 		if p.backend, err = p.m.StartBackend(announcing, p.m.VMs[i], set); err != nil {
 			return err
 		}
--- a/internal/load/control/calls.go
+++ b/internal/load/control/calls.go
@@ -77,7 +77,7 @@
 func (c *calls) startServer(ctx context.Context, vm *localmesh.VM, service string) error {
 	set := backend.Defaults()
 	set.Service, set.Instance, set.Slots, set.Backlog = service, service, backendSlots, backendSlots
-	set.Distribution, set.Mean, set.ColdStart, set.ConnectionCost = backend.Fixed, 0, 0, 0
+	set.Distribution, set.Mean.Duration, set.ColdStart.Duration, set.ConnectionCost.Duration = backend.Fixed, 0, 0, 0
 	b, err := c.f.StartBackend(ctx, vm, set)
 	if err == nil {
 		c.servers[b] = service
--- a/internal/load/faults_mesh.go
+++ b/internal/load/faults_mesh.go
@@ -130,8 +130,8 @@
 	set := backend.Defaults()
 	set.Service, set.Instance = service, fmt.Sprintf("b%d", i)
 	set.Slots, set.Backlog = faultSlots, 4*faultSlots
-	set.Mean, set.ColdStart = backend.Duration(faultMean), 0
-	set.DrainWait, set.CrashDown = backend.Duration(faultDrainWait), backend.Duration(faultCrashDown)
+	set.Mean.Duration, set.ColdStart.Duration = faultMean, 0
+	set.DrainWait.Duration, set.CrashDown.Duration = faultDrainWait, faultCrashDown
 	var before *middlebox
 	if box {
 		var err error
--- a/internal/load/mesh.go
+++ b/internal/load/mesh.go
@@ -68,8 +68,8 @@
 	destination, entry := m.nodes.VMs[0], m.nodes.VMs[1]
 	set := backend.Defaults()
 	set.Service, set.Instance, set.Slots, set.Backlog = service, instance, slots, slots
-	set.Distribution, set.Mean = backend.Fixed, 0
-	set.ColdStart, set.ConnectionCost = 0, 0
+	set.Distribution, set.Mean.Duration = backend.Fixed, 0
+	set.ColdStart.Duration, set.ConnectionCost.Duration = 0, 0
 	if m.backend, err = m.nodes.StartBackend(ctx, destination, set); err != nil {
 		return err
 	}
--- a/internal/load/overload_mesh.go
+++ b/internal/load/overload_mesh.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		set := backend.Defaults()
-		set.Service, set.Instance, set.Slots, set.ColdStart = service, instance, overloadSlots, 0
+		set.Service, set.Instance, set.Slots, set.ColdStart.Duration = service, instance, overloadSlots, 0
 		b, err := m.mesh.StartBackend(ctx, vm, set)
 		if err != nil {
 			return err
--- a/internal/localmesh/failure_test.go
+++ b/internal/localmesh/failure_test.go
@@ -218,7 +218,7 @@
 			continue
 		}
 		set := backend.Defaults()
-		set.Service, set.ColdStart, set.ConnectionCost = service, 0, 0
+		set.Service, set.ColdStart.Duration, set.ConnectionCost.Duration = service, 0, 0
 		b, err := m.StartBackend(m.ctx, vm, set)
 		m.must(err)
 		out[vm.DataCentre] = b
--- a/internal/node/leave_bench_test.go
+++ b/internal/node/leave_bench_test.go
@@ -42,7 +42,7 @@
 	must(b, m.WaitReady(ctx))
 	for _, vm := range m.VMs {
 		set := backend.Defaults()
-		set.ColdStart = 0
+		set.ColdStart.Duration = 0
 		_, err := m.StartBackend(ctx, vm, set)
 		must(b, err)
 	}
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -142,8 +142,8 @@
 func (y *yard) startBackend(t *testing.T, vm int, instance string) {
 	t.Helper()
 	set := backend.Defaults()
-	set.Service, set.Instance, set.ColdStart = "berths", instance, 0
-	set.AnnounceEvery = backend.Duration(50 * time.Millisecond)
+	set.Service, set.Instance, set.ColdStart.Duration = "berths", instance, 0
+	set.AnnounceEvery.Duration = 50 * time.Millisecond
 	if _, err := y.StartBackend(y.ctx, y.VMs[vm], set); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/town_test.go
+++ b/internal/node/town_test.go
@@ -75,9 +75,9 @@
 	w.t.Helper()
 	for _, vm := range vms {
 		set := backend.Defaults()
-		set.Service, set.Instance, set.ColdStart = service, "a", 0
+		set.Service, set.Instance, set.ColdStart.Duration = service, "a", 0
 		set.Slots, set.Backlog = 64, 256
-		set.Distribution, set.Mean = backend.Fixed, backend.Duration(time.Millisecond)
+		set.Distribution, set.Mean.Duration = backend.Fixed, time.Millisecond
 		_, err := w.StartBackend(w.ctx, vm, set)
 		w.must(err)
 	}
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -106,7 +106,7 @@
 		t.Fatal(err)
 	}
 	set := backend.Defaults()
-	set.Service, set.ColdStart, set.Mean = "berths", 0, 0
+	set.Service, set.ColdStart.Duration, set.Mean.Duration = "berths", 0, 0
 	if _, err := m.StartBackend(ctx, m.VMs[0], set); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/try/targets.go
+++ b/internal/try/targets.go
@@ -30,8 +30,8 @@
 		set := backend.Defaults()
 		set.Service = service
 		set.Instance = service + "-1"
-		set.Mean = backend.Duration(meanWork)
-		set.ColdStart = 0
+		set.Mean.Duration = meanWork
+		set.ColdStart.Duration = 0
 		if _, err := t.mesh.StartBackend(ctx, vm, set); err != nil {
 			return err
 		}
