Give marlpass-load the command line that the other programs share

Cause: marlpass-load had its own usage, build version, exit codes and flag errors, three times over: main, internal/load and internal/load/control. Help of a subcommand went to standard error, -version printed "devel". Change: internal/program knows subcommands; marlpass-load uses it. -h of a subcommand goes to standard output with exit code 0. Conclusion: one place says how a program of marlpass is called.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -2,38 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
+	"encoding/json"
 	"io"
 
 	"github.com/marlpass/marlpass/internal/load/control"
+	"github.com/marlpass/marlpass/internal/program"
 )
 
-// Exit codes of marlpass-load.
-const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
-// Command is a subcommand of marlpass-load.
-type Command struct {
-	Name, Short string
-	Run         func(ctx context.Context, args []string, stdout, stderr io.Writer) int
-}
-
-// Commands are the subcommands, in the order that help lists them.
-func Commands() []Command {
-	return []Command{
-		OverheadCommand,
-		OverloadCommand,
-		FaultsCommand,
-		{"spread", "how soon changes are in force on every node, and at what cost", control.Spread},
-		{"storm", "nodes that die and come back together", control.Storm},
-		{"partition", "data centres parted from each other and the platform", control.Partition},
-	}
-}
+const programName = "marlpass-load"
 
 const usage = `marlpass-load sends calls in an open loop and checks every answer.
 
@@ -52,25 +28,46 @@
 Subcommands:
 `
 
-// Usage prints the help.
-func Usage(w io.Writer) {
-	fmt.Fprint(w, usage)
-	for _, c := range Commands() {
-		fmt.Fprintf(w, "  %-10s %s\n", c.Name, c.Short)
-	}
+// Main runs marlpass-load and returns its exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	s := program.Subcommands{Name: programName, Usage: usage, List: []program.Subcommand{
+		{Name: "overhead", Summary: overheadSummary, Run: runOverhead},
+		{Name: "overload", Summary: overloadSummary, Run: runOverload},
+		{Name: "faults", Summary: faultsSummary, Run: runFaults},
+		{Name: "spread", Summary: control.SpreadSummary, Run: control.Spread},
+		{Name: "storm", Summary: control.StormSummary, Run: control.Storm},
+		{Name: "partition", Summary: control.PartitionSummary, Run: control.Partition},
+	}}
+	return s.Run(ctx, args, stdout, stderr)
 }
 
-// parseFlags reports whether to go on, and if not the exit code.
-func parseFlags(fs *flag.FlagSet, args []string) (code int, ok bool) {
-	err := fs.Parse(args)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return ExitOK, false
-	case err != nil:
-		return ExitUsage, false
-	case fs.NArg() > 0:
-		fmt.Fprintf(fs.Output(), "marlpass-load: %q is not a flag\n", fs.Arg(0))
-		return ExitUsage, false
+// report is what a subcommand measured.
+type report interface {
+	print(w io.Writer)
+	// exit returns the exit code that the report comes to.
+	exit() int
+}
+
+// flags are those that all subcommands have.
+type flags struct {
+	*program.Line
+	json *bool
+}
+
+func newFlags(name, summary string, stdout, stderr io.Writer) flags {
+	line := program.NewSubcommand(programName, name, summary, stdout, stderr)
+	return flags{line, line.Bool("json", false, "print one JSON object")}
+}
+
+// finish prints a report and returns the exit code.
+func (f flags) finish(r report, err error, stdout io.Writer) int {
+	if err != nil {
+		return f.Failed(err)
+	}
+	if !*f.json {
+		r.print(stdout)
+	} else if err := json.NewEncoder(stdout).Encode(r); err != nil {
+		return f.Failed(err)
 	}
-	return ExitOK, true
+	return r.exit()
 }
--- a/internal/load/control/command.go
+++ b/internal/load/control/command.go
@@ -4,20 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/program"
 	"github.com/marlpass/marlpass/internal/settings"
-)
-
-// Exit codes, as those of the other subcommands.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 // Sizes of the measurements by default, chosen so that each ends in less than a
@@ -42,49 +36,40 @@
 
 // flags are those that all subcommands have.
 type flags struct {
-	*flag.FlagSet
+	*program.Line
 	nodes   *int
 	profile *string
 	json    *bool
 }
 
-func newFlags(name string, stderr io.Writer) flags {
-	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.SetOutput(stderr)
+func newFlags(name, summary string, stdout, stderr io.Writer) flags {
+	line := program.NewSubcommand("marlpass-load", name, summary, stdout, stderr)
 	return flags{
-		FlagSet: fs,
-		nodes:   fs.Int("nodes", defaultNodes, "number of nodes, in five data centres of two regions"),
-		profile: fs.String("profile", settings.ProfileTime, "what spreading saves: time or bytes"),
-		json:    fs.Bool("json", false, "print one line of JSON"),
+		Line:    line,
+		nodes:   line.Int("nodes", defaultNodes, "number of nodes, in five data centres of two regions"),
+		profile: line.String("profile", settings.ProfileTime, "what spreading saves: time or bytes"),
+		json:    line.Bool("json", false, "print one line of JSON"),
 	}
 }
 
 // parse reports whether to go on, and if not the exit code.
 func (f flags) parse(args []string) (code int, ok bool) {
-	err := f.Parse(args)
+	code, ok = f.Read(args)
 	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return exitOK, false
-	case err != nil:
-		return exitUsage, false
-	case f.NArg() > 0:
-		fmt.Fprintf(f.Output(), "marlpass-load: %q is not a flag\n", f.Arg(0))
-		return exitUsage, false
+	case !ok:
+		return code, false
 	case *f.nodes < minNodes || *f.nodes > maxNodes:
-		fmt.Fprintf(f.Output(), "marlpass-load: -nodes: must be %d to %d\n", minNodes, maxNodes)
-		return exitUsage, false
+		return f.Bad(fmt.Errorf("-nodes: must be %d to %d", minNodes, maxNodes)), false
 	case *f.profile != settings.ProfileTime && *f.profile != settings.ProfileBytes:
-		fmt.Fprintf(f.Output(), "marlpass-load: -profile: must be time or bytes\n")
-		return exitUsage, false
+		return f.Bad(errors.New("-profile: must be time or bytes")), false
 	}
-	return exitOK, true
+	return exit.OK, true
 }
 
 // finish prints a report and returns the exit code.
 func (f flags) finish(rep report, err error, stdout, stderr io.Writer) int {
 	if err != nil {
-		fmt.Fprintln(stderr, "marlpass-load:", err)
-		return exitFailed
+		return f.Failed(err)
 	}
 	e := json.NewEncoder(stdout)
 	if !*f.json {
@@ -96,9 +81,9 @@
 		fmt.Fprintln(stderr, "marlpass-load:", why)
 	}
 	if len(faults) > 0 {
-		return exitFailed
+		return exit.Failed
 	}
-	return exitOK
+	return exit.OK
 }
 
 // count appends what to the faults unless n is zero.
@@ -109,9 +94,16 @@
 	return append(faults, fmt.Sprintf("%d %s", n, what))
 }
 
+// What the subcommands measure, in a line.
+const (
+	SpreadSummary    = "how soon changes are in force on every node, and at what cost"
+	StormSummary     = "nodes that die and come back together"
+	PartitionSummary = "data centres cut off from each other and the platform"
+)
+
 // Spread is the subcommand "spread".
 func Spread(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	f := newFlags("spread", stderr)
+	f := newFlags("spread", SpreadSummary, stdout, stderr)
 	changes := f.Int("changes", defaultChanges, "number of changes")
 	every := f.Duration("every", changeEvery, "time between two changes")
 	idle := f.Duration("idle", idleFor, "how long to measure without changes")
@@ -120,8 +112,7 @@
 		return code
 	}
 	if *changes < 1 || *every <= 0 || *idle <= 0 {
-		fmt.Fprintln(stderr, "marlpass-load: -changes, -every and -idle must be above zero")
-		return exitUsage
+		return f.Bad(errors.New("-changes, -every and -idle must be above zero"))
 	}
 	rep, err := MeasureSpread(ctx, SpreadOptions{
 		Nodes: *f.nodes, Changes: *changes, Profile: *f.profile, Every: *every, Idle: *idle, Settle: *settle,
@@ -137,15 +128,14 @@
 
 // Storm is the subcommand "storm".
 func Storm(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	f := newFlags("storm", stderr)
+	f := newFlags("storm", StormSummary, stdout, stderr)
 	dcs := f.Int("centres", 1, "number of data centres that lose three quarters of their nodes")
 	down := f.Duration("down", downFor, "how long the nodes are gone")
 	if code, ok := f.parse(args); !ok {
 		return code
 	}
 	if *dcs < 1 || *dcs > len(centres) || *down < 0 {
-		fmt.Fprintf(stderr, "marlpass-load: -centres must be 1 to %d and -down not below zero\n", len(centres))
-		return exitUsage
+		return f.Bad(fmt.Errorf("-centres must be 1 to %d and -down not below zero", len(centres)))
 	}
 	rep, err := MeasureStorm(ctx, StormOptions{Nodes: *f.nodes, Profile: *f.profile, Centres: *dcs, Down: *down})
 	return f.finish(rep, err, stdout, stderr)
@@ -166,7 +156,7 @@
 
 // Partition is the subcommand "partition".
 func Partition(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	f := newFlags("partition", stderr)
+	f := newFlags("partition", PartitionSummary, stdout, stderr)
 	mode := f.String("mode", "silent", "how the cut shows: silent or refused")
 	changes := f.Int("changes", cutChanges, "number of changes where the platform is open")
 	cut := f.Duration("cut", cutFor, "how long a cut lasts at least")
@@ -175,8 +165,7 @@
 	}
 	m, ok := modes[*mode]
 	if !ok || *changes < 1 || *cut <= 0 {
-		fmt.Fprintln(stderr, "marlpass-load: -mode must be silent or refused; -changes and -cut above zero")
-		return exitUsage
+		return f.Bad(errors.New("-mode must be silent or refused; -changes and -cut above zero"))
 	}
 	rep, err := MeasurePartition(ctx, PartitionOptions{
 		Nodes: *f.nodes, Profile: *f.profile, Mode: m, Changes: *changes, Cut: *cut,
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"flag"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -12,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 // FaultReport is what one fault came to, with the baseline's policies and ours.
@@ -34,43 +34,27 @@
 	Verbose  bool // tell of every call that was not answered with ours
 }
 
-// FaultsCommand is the subcommand "faults".
-var FaultsCommand = Command{
-	Name:  "faults",
-	Short: "what callers see of each fault, with plain policies and with ours",
-	Run:   runFaults,
-}
+const faultsSummary = "what callers see of each fault, with plain policies and with ours"
 
 func runFaults(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	fs := flag.NewFlagSet("faults", flag.ContinueOnError)
-	fs.SetOutput(stderr)
+	fs := newFlags("faults", faultsSummary, stdout, stderr)
 	var o FaultsOptions
 	fs.StringVar(&o.Only, "only", "", "play only the faults whose names contain this")
 	fs.IntVar(&o.Parallel, "parallel", 4, "meshes at once")
 	fs.BoolVar(&o.OursOnly, "ours", false, "leave the baseline out")
 	fs.BoolVar(&o.Verbose, "v", false, "tell of every call that was not answered, or broke a promise, with ours")
-	asJSON := fs.Bool("json", false, "print one JSON object")
-	if code, ok := parseFlags(fs, args); !ok {
+	if code, ok := fs.Read(args); !ok {
 		return code
 	}
 	if o.Parallel < 1 {
-		fmt.Fprintln(stderr, "marlpass-load: -parallel: must be 1 or more")
-		return ExitUsage
+		return fs.Bad(errors.New("-parallel: must be 1 or more"))
 	}
 	rep, err := MeasureFaults(ctx, o)
-	if err != nil {
-		fmt.Fprintln(stderr, "marlpass-load:", err)
-		return ExitFailed
-	}
-	if *asJSON {
-		_ = json.NewEncoder(stdout).Encode(rep)
-	} else {
-		rep.print(stdout)
-	}
-	if o.Verbose {
+	code := fs.finish(rep, err, stdout)
+	if err == nil && o.Verbose {
 		rep.tell(stderr)
 	}
-	return rep.exit()
+	return code
 }
 
 // MeasureFaults plays the faults, each in a mesh of its own, with the baseline
@@ -116,10 +100,10 @@
 	for _, f := range r.Faults {
 		if f.Ours.broken() || f.Ours.AfterDrainS > maxAfterDrainS ||
 			f.Ours.EndpointsDown > maxEndpointsDown || f.Ours.LockedOut > 0 {
-			return ExitFailed
+			return exit.Failed
 		}
 	}
-	return ExitOK
+	return exit.OK
 }
 
 // tell writes the notes.
--- a/internal/load/overhead.go
+++ b/internal/load/overhead.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 // Overhead is what the mesh adds to a call, measured at one rate.
@@ -63,45 +63,28 @@
 	AllocCalls int
 }
 
-// OverheadCommand is the subcommand "overhead".
-var OverheadCommand = Command{
-	Name:  "overhead",
-	Short: "what two nodes add to a call, against the same calls made directly",
-	Run:   runOverhead,
-}
+const overheadSummary = "what two nodes add to a call, against the same calls made directly"
 
 func runOverhead(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	fs := flag.NewFlagSet("overhead", flag.ContinueOnError)
-	fs.SetOutput(stderr)
+	fs := newFlags("overhead", overheadSummary, stdout, stderr)
 	rates := fs.String("rates", "100,1000", "calls a second, one measurement for each")
 	each := fs.Duration("for", 6*time.Second, "how long each way is measured at each rate")
 	size := fs.Int("bytes", 1000, "length of the answers")
 	blocks := fs.Int("blocks", 6, "how often the ways take turns")
 	allocs := fs.Int("alloc-calls", 3000, "how many calls the allocations are counted over")
-	asJSON := fs.Bool("json", false, "print one JSON object")
-	if code, ok := parseFlags(fs, args); !ok {
+	if code, ok := fs.Read(args); !ok {
 		return code
 	}
 	o := OverheadOptions{For: *each, Bytes: *size, Blocks: max(*blocks, 1), AllocCalls: max(*allocs, 1)}
 	for s := range strings.SplitSeq(*rates, ",") {
 		r, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
 		if err != nil || r <= 0 || r > maxRate {
-			fmt.Fprintf(stderr, "marlpass-load: -rates: %q must be a number from 0 to %d\n", s, maxRate)
-			return ExitUsage
+			return fs.Bad(fmt.Errorf("-rates: %q must be a number from 0 to %d", s, maxRate))
 		}
 		o.Rates = append(o.Rates, r)
 	}
 	rep, err := MeasureOverhead(ctx, o)
-	if err != nil {
-		fmt.Fprintln(stderr, "marlpass-load:", err)
-		return ExitFailed
-	}
-	if *asJSON {
-		_ = json.NewEncoder(stdout).Encode(rep)
-	} else {
-		rep.print(stdout)
-	}
-	return rep.exit()
+	return fs.finish(rep, err, stdout)
 }
 
 const maxRate = 100000
@@ -110,10 +93,10 @@
 func (r *OverheadReport) exit() int {
 	for _, o := range r.Rates {
 		if o.Incomplete+o.Failed+o.Doubled > 0 {
-			return ExitFailed
+			return exit.Failed
 		}
 	}
-	return ExitOK
+	return exit.OK
 }
 
 // way is one of the ways to the backend server.
--- a/internal/load/overload.go
+++ b/internal/load/overload.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"strconv"
@@ -12,6 +10,7 @@
 
 	"github.com/marlpass/marlpass/internal/node"
 	"github.com/marlpass/marlpass/internal/proxy"
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 // OverloadOptions are the flags of the subcommand.
@@ -27,16 +26,10 @@
 	Seed     uint64
 }
 
-// OverloadCommand is the subcommand "overload".
-var OverloadCommand = Command{
-	Name:  "overload",
-	Short: "bookings, lookups and bulk from half to four times the capacity",
-	Run:   runOverload,
-}
+const overloadSummary = "bookings, lookups and bulk from half to four times the capacity"
 
 func runOverload(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	fs := flag.NewFlagSet("overload", flag.ContinueOnError)
-	fs.SetOutput(stderr)
+	fs := newFlags("overload", overloadSummary, stdout, stderr)
 	var o OverloadOptions
 	loads := fs.String("loads", "0.5,1,2,4", "loads in times of the capacity")
 	fs.DurationVar(&o.Warm, "warm", 1500*time.Millisecond, "how long calls are sent before they count")
@@ -45,39 +38,28 @@
 	fs.BoolVar(&o.Ablate, "ablate", false, "also replace each policy by its plain one alone")
 	fs.Float64Var(&o.AblateAt, "ablate-at", 2, "the load of -ablate")
 	fs.Uint64Var(&o.Seed, "seed", 1, "of the calls' moments and service times")
-	asJSON := fs.Bool("json", false, "print one JSON object")
-	if code, ok := parseFlags(fs, args); !ok {
+	if code, ok := fs.Read(args); !ok {
 		return code
 	}
 	for s := range strings.SplitSeq(*loads, ",") {
 		l, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
 		if err != nil || l <= 0 || l > maxLoad {
-			fmt.Fprintf(stderr, "marlpass-load: -loads: %q must be a number from 0 to %d\n", s, maxLoad)
-			return ExitUsage
+			return fs.Bad(fmt.Errorf("-loads: %q must be a number from 0 to %d", s, maxLoad))
 		}
 		o.Loads = append(o.Loads, l)
 	}
 	rep, err := MeasureOverload(ctx, o)
-	if err != nil {
-		fmt.Fprintln(stderr, "marlpass-load:", err)
-		return ExitFailed
-	}
-	if *asJSON {
-		_ = json.NewEncoder(stdout).Encode(rep)
-	} else {
-		rep.print(stdout)
-	}
-	return rep.exit()
+	return fs.finish(rep, err, stdout)
 }
 
 // exit fails the command when a booking ran twice under our policies.
 func (r *OverloadReport) exit() int {
 	for _, run := range r.Runs {
 		if run.Policy == policyOurs && run.Doubled > 0 {
-			return ExitFailed
+			return exit.Failed
 		}
 	}
-	return ExitOK
+	return exit.OK
 }
 
 const maxLoad = 16
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/marlpass/marlpass/internal/settings/exit"
 	"github.com/marlpass/marlpass/internal/version"
@@ -22,7 +23,8 @@
 }
 
 // NewLine returns a command line without flags of its own yet. The usage text
-// comes before the list of flags.
+// comes before the list of flags. The name is the program's, and for a
+// subcommand both names with a space between.
 func NewLine(name, usage string, stdout, stderr io.Writer) *Line {
 	l := &Line{
 		FlagSet: flag.NewFlagSet(name, flag.ContinueOnError),
@@ -36,6 +38,13 @@
 	return l
 }
 
+// NewSubcommand returns the command line of one subcommand of a program.
+func NewSubcommand(program, name, summary string, stdout, stderr io.Writer) *Line {
+	name = program + " " + name
+	usage := fmt.Sprintf("%s: %s\n\nUsage: %s [flags]\n\nFlags:\n", name, summary, name)
+	return NewLine(name, usage, stdout, stderr)
+}
+
 // Read parses the arguments. It reports whether the program goes on; if not,
 // code is its exit code. Help that was asked for goes to standard output.
 func (l *Line) Read(args []string) (code int, goOn bool) {
@@ -50,7 +59,8 @@
 	case err != nil:
 		return exit.Usage, false
 	case *l.showVersion:
-		fmt.Fprintln(l.stdout, version.Line(l.name))
+		program, _, _ := strings.Cut(l.name, " ")
+		fmt.Fprintln(l.stdout, version.Line(program))
 		return exit.OK, false
 	case l.NArg() > 0:
 		return l.Bad(fmt.Errorf("unexpected argument %q; see -h", l.Arg(0))), false
