Give marlpass-capacity the command line that the other programs share

Cause: marlpass-capacity had its own usage, build version (always "devel"), exit codes and flag errors, a copy of what marlpass-load had. Change: it uses internal/program, which gains ReadAll for the arguments after the flags of "part". The test of exit codes expects the shared wording, whole, and covers -h of two subcommands. A wrong argument is told in one line, without the whole usage after it, as by the other programs.

--- a/internal/capacity/report_test.go
+++ b/internal/capacity/report_test.go
@@ -8,6 +8,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/internal/version"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden page")
@@ -99,16 +102,18 @@
 		code int
 		want string
 	}{
-		{"-h", ExitOK, "Examples:"},
-		{"-version", ExitOK, "marlpass-capacity"},
-		{"", ExitUsage, "Usage:"},
-		{"weigh", ExitUsage, "not a subcommand"},
-		{"measure -only nothing", ExitUsage, "no part is called"},
-		{"measure -sizes 0", ExitUsage, "no number of nodes"},
-		{"report extra", ExitUsage, "not a flag"},
-		{"report -in testdata/absent.json", ExitFailed, "absent.json"},
-		{"part", ExitUsage, "wants a name"},
-		{"part mesh x time 0", ExitUsage, "no number of nodes"},
+		{"-h", exit.OK, "Examples:"},
+		{"measure -h", exit.OK, "Usage: marlpass-capacity measure [flags]"},
+		{"-version", exit.OK, "marlpass-capacity " + version.Number},
+		{"", exit.Usage, "a subcommand is missing; allowed are measure, report, part; see -h"},
+		{"weigh", exit.Usage, `unknown subcommand "weigh"; allowed are measure, report, part; see -h`},
+		{"measure -only nothing", exit.Usage, "no part is called"},
+		{"measure -sizes 0", exit.Usage, "no number of nodes"},
+		{"report extra", exit.Usage, `unexpected argument "extra"; see -h`},
+		{"report -in testdata/absent.json", exit.Failed, "absent.json"},
+		{"part", exit.Usage, "wants a name"},
+		{"part -h", exit.OK, "Usage: marlpass-capacity part [flags]"},
+		{"part mesh x time 0", exit.Usage, "no number of nodes"},
 	} {
 		var out strings.Builder
 		code := Run(context.Background(), strings.Fields(test.args), &out, &out)
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -4,20 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
-)
 
-// Exit codes of marlpass-capacity.
-const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	"github.com/marlpass/marlpass/internal/program"
+	"github.com/marlpass/marlpass/internal/settings/exit"
 )
 
 var errUsage = errors.New("capacity: wrong arguments")
@@ -46,6 +40,8 @@
   go run ./cmd/marlpass-capacity part mesh 36 time 0
 
 Exit codes: 0 done, 1 a measurement or the report failed, 2 bad arguments.
+
+Subcommands:
 `
 
 // Places of the committed files.
@@ -55,115 +51,114 @@
 	defaultPlots = "docs/capacity"
 )
 
-func printUsage(w io.Writer) { fmt.Fprintf(w, usage, strings.Join(partNames(), ", ")) }
+const programName = "marlpass-capacity"
+
+// What the subcommands do, in a line.
+const (
+	measureSummary = "measure the parts and write the raw figures"
+	reportSummary  = "remake the page and the plots from the raw figures"
+	partSummary    = "measure one part in this process and print its figures"
+)
 
 // Run runs marlpass-capacity and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		printUsage(stderr)
-		return ExitUsage
+	s := program.Subcommands{
+		Name:  programName,
+		Usage: fmt.Sprintf(usage, strings.Join(partNames(), ", ")),
+		List: []program.Subcommand{
+			{Name: "measure", Summary: measureSummary, Run: runMeasure},
+			{Name: "report", Summary: reportSummary, Run: runReport},
+			{Name: "part", Summary: partSummary, Run: printPart},
+		},
 	}
-	var err error
-	switch args[0] {
-	case "-h", "-help", "--help", "help":
-		printUsage(stdout)
-	case "-version", "--version":
-		fmt.Fprintln(stdout, "marlpass-capacity", buildVersion())
-	case "measure":
-		err = runMeasure(ctx, args[1:], stderr)
-	case "report":
-		err = runReport(args[1:], stderr)
-	case "part":
-		err = printPart(ctx, args[1:], stdout)
-	default:
-		err = fmt.Errorf("%w: %q is not a subcommand", errUsage, args[0])
+	return s.Run(ctx, args, stdout, stderr)
+}
+
+func newLine(name, summary string, stdout, stderr io.Writer) *program.Line {
+	return program.NewSubcommand(programName, name, summary, stdout, stderr)
+}
+
+func printPart(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	line := newLine("part", partSummary, stdout, stderr)
+	if code, ok := line.ReadAll(args); !ok {
+		return code
 	}
+	if line.NArg() == 0 {
+		return line.Bad(errors.New("part wants a name; see -h"))
+	}
+	v, err := runPart(ctx, line.Args())
 	switch {
-	case err == nil || errors.Is(err, flag.ErrHelp):
-		return ExitOK
 	case errors.Is(err, errUsage):
-		fmt.Fprintln(stderr, err)
-		printUsage(stderr)
-		return ExitUsage
-	}
-	fmt.Fprintln(stderr, err)
-	return ExitFailed
-}
-
-func printPart(ctx context.Context, args []string, stdout io.Writer) error {
-	if len(args) == 0 {
-		return fmt.Errorf("%w: part wants a name", errUsage)
+		return line.Bad(err)
+	case err != nil:
+		return line.Failed(err)
 	}
-	v, err := runPart(ctx, args)
-	if err != nil {
-		return err
+	if err := json.NewEncoder(stdout).Encode(v); err != nil {
+		return line.Failed(err)
 	}
-	return json.NewEncoder(stdout).Encode(v)
+	return exit.OK
 }
 
-// parse parses the flags of a subcommand that takes nothing else.
-func parse(fs *flag.FlagSet, args []string) error {
-	err := fs.Parse(args)
-	if errors.Is(err, flag.ErrHelp) {
-		return err
+func runMeasure(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	o := DefaultPlan()
+	line := newLine("measure", measureSummary, stdout, stderr)
+	out := line.String("out", defaultRaw, "file for the raw figures; parts that are not measured stay in it")
+	only := line.String("only", strings.Join(partNames(), ","), "parts to measure")
+	sizes := line.String("sizes", "12,36,108,240", "numbers of nodes of the part mesh")
+	line.IntVar(&o.Repeats, "repeats", o.Repeats, "how often each mesh is measured in the profile time")
+	line.DurationVar(&o.Rest, "rest", o.Rest, "how long a mesh of the part mesh is left alone for each of its nodes; 1.4s for figures at rest")
+	if code, ok := line.Read(args); !ok {
+		return code
 	}
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+	var err error
+	if o.Sizes, err = readSizes(*sizes); err != nil {
+		return line.Bad(err)
+	}
+	if o.Only, err = readParts(*only); err != nil {
+		return line.Bad(err)
 	}
-	if fs.NArg() > 0 {
-		return fmt.Errorf("%w: %q is not a flag", errUsage, fs.Arg(0))
+	if err := Measure(ctx, o, *out, stderr); err != nil {
+		return line.Failed(err)
 	}
-	return nil
+	return exit.OK
 }
 
-func runMeasure(ctx context.Context, args []string, stderr io.Writer) error {
-	o := DefaultPlan()
-	fs := flag.NewFlagSet("measure", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	out := fs.String("out", defaultRaw, "file for the raw figures; parts that are not measured stay in it")
-	only := fs.String("only", strings.Join(partNames(), ","), "parts to measure")
-	sizes := fs.String("sizes", "12,36,108,240", "numbers of nodes of the part mesh")
-	fs.IntVar(&o.Repeats, "repeats", o.Repeats, "how often each mesh is measured in the profile time")
-	fs.DurationVar(&o.Rest, "rest", o.Rest, "how long a mesh of the part mesh is left alone for each of its nodes; 1.4s for figures at rest")
-	if err := parse(fs, args); err != nil {
-		return err
-	}
-	o.Sizes = nil
-	for s := range strings.SplitSeq(*sizes, ",") {
+func readSizes(list string) ([]int, error) {
+	var sizes []int
+	for s := range strings.SplitSeq(list, ",") {
 		n, err := strconv.Atoi(strings.TrimSpace(s))
 		if err != nil || n < 1 {
-			return fmt.Errorf("%w: -sizes: %q is no number of nodes", errUsage, s)
+			return nil, fmt.Errorf("-sizes: %q is no number of nodes", s)
 		}
-		o.Sizes = append(o.Sizes, n)
+		sizes = append(sizes, n)
 	}
-	for s := range strings.SplitSeq(*only, ",") {
-		if !slices.Contains(partNames(), s) {
-			return fmt.Errorf("%w: -only: no part is called %q", errUsage, s)
+	return sizes, nil
+}
+
+func readParts(list string) ([]string, error) {
+	parts := strings.Split(list, ",")
+	for _, p := range parts {
+		if !slices.Contains(partNames(), p) {
+			return nil, fmt.Errorf("-only: no part is called %q", p)
 		}
-		o.Only = append(o.Only, s)
 	}
-	return Measure(ctx, o, *out, stderr)
+	return parts, nil
 }
 
-func runReport(args []string, stderr io.Writer) error {
-	fs := flag.NewFlagSet("report", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	in := fs.String("in", defaultRaw, "file with the raw figures")
-	page := fs.String("page", defaultPage, "page whose tables are rewritten")
-	plots := fs.String("plots", defaultPlots, "folder for the plots")
-	if err := parse(fs, args); err != nil {
-		return err
+func runReport(_ context.Context, args []string, stdout, stderr io.Writer) int {
+	line := newLine("report", reportSummary, stdout, stderr)
+	in := line.String("in", defaultRaw, "file with the raw figures")
+	page := line.String("page", defaultPage, "page whose tables are rewritten")
+	plots := line.String("plots", defaultPlots, "folder for the plots")
+	if code, ok := line.Read(args); !ok {
+		return code
 	}
 	r, err := Read(*in)
-	if err != nil {
-		return err
+	if err == nil {
+		err = Report(r, *page, *plots)
 	}
-	return Report(r, *page, *plots)
-}
-
-func buildVersion() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version
+	if err != nil {
+		return line.Failed(err)
 	}
-	return "devel"
+	return exit.OK
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -45,9 +45,19 @@
 	return NewLine(name, usage, stdout, stderr)
 }
 
-// Read parses the arguments. It reports whether the program goes on; if not,
-// code is its exit code. Help that was asked for goes to standard output.
+// Read parses the arguments of a program that takes flags only. It reports
+// whether the program goes on; if not, code is its exit code.
 func (l *Line) Read(args []string) (code int, goOn bool) {
+	code, goOn = l.ReadAll(args)
+	if goOn && l.NArg() > 0 {
+		return l.Bad(fmt.Errorf("unexpected argument %q; see -h", l.Arg(0))), false
+	}
+	return code, goOn
+}
+
+// ReadAll is Read for a program that takes arguments after its flags too; Args
+// returns them. Help that was asked for goes to standard output.
+func (l *Line) ReadAll(args []string) (code int, goOn bool) {
 	l.SetOutput(l.stderr)
 	if asksForHelp(args) {
 		l.SetOutput(l.stdout)
@@ -62,8 +72,6 @@
 		program, _, _ := strings.Cut(l.name, " ")
 		fmt.Fprintln(l.stdout, version.Line(program))
 		return exit.OK, false
-	case l.NArg() > 0:
-		return l.Bad(fmt.Errorf("unexpected argument %q; see -h", l.Arg(0))), false
 	}
 	return exit.OK, true
 }
