Show on the capacity page only the plots that were made

Cause: the page linked four plots (force-bytes, storm, chain-p50, chain-p99) of parts that are not measured; no such file exists. Change: the report writes the links, for the lines that have points. Conclusion: every picture of the page is there, under its line's name.

--- a/internal/capacity/plot.go
+++ b/internal/capacity/plot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -25,17 +26,33 @@
 	}
 }
 
+// measured returns the lines that get a plot: those with at least one point.
+func measured(lines []Line) []*Line {
+	var out []*Line
+	for _, id := range plotted() {
+		if l := find(lines, id); len(l.Fit.Points) > 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// plotLinks shows the plots on the page.
+func plotLinks(_ *Raw, lines []Line) string {
+	var b strings.Builder
+	for _, l := range measured(lines) {
+		fmt.Fprintf(&b, "![%s](%s/%s.svg)\n", l.Name, filepath.Base(defaultPlots), l.ID)
+	}
+	return b.String()
+}
+
 func writePlots(lines []Line, folder string) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return err
 	}
-	for _, id := range plotted() {
-		l := find(lines, id)
-		if len(l.Fit.Points) == 0 {
-			continue
-		}
-		if err := writePlot(l, filepath.Join(folder, id+".svg")); err != nil {
-			return fmt.Errorf("capacity: plot %s: %w", id, err)
+	for _, l := range measured(lines) {
+		if err := writePlot(l, filepath.Join(folder, l.ID+".svg")); err != nil {
+			return fmt.Errorf("capacity: plot %s: %w", l.ID, err)
 		}
 	}
 	return nil
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -15,7 +15,7 @@
 
 func sections() []section {
 	return []section{
-		{"roles", roles}, {"size", sizeTable}, {"fits", fits}, {"misfits", misfits},
+		{"roles", roles}, {"size", sizeTable}, {"fits", fits}, {"plots", plotLinks}, {"misfits", misfits},
 		{"rest", restTable}, {"kinds", kindTable}, {"processes", processTable}, {"bursts", burstTable}, {"spreads", spreadTable}, {"storms", stormTable}, {"calls", callTable}, {"chains", chainTable},
 		{"flight", flightTable}, {"claims", claimTable}, {"versions", versionTable}, {"subsets", subsetTable},
 		{"reads", readTable}, {"benchmarks", benchTable}, {"virtual", virtualTable}, {"losses", losses},
