Refuse a call whose stated time is far below zero

The product overflowed to 292 years, and the call held its place in the queue and its connection for as long as the backend server pleased. Change: the number is bounded at both ends first. FuzzTimeLeft, which found it, and FuzzParseLoad run their seeds with the tests. Conclusion: no value of the header grants more than maxDeadline.

--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -70,20 +70,22 @@
 	h["X-Forwarded-For"] = []string{ip}
 }
 
-// timeLeft returns what the caller allows, bounded by max. The last result is
-// false when the caller sent something else than a number.
-func timeLeft(h http.Header, max time.Duration) (time.Duration, bool) {
+// timeLeft returns what the caller allows, at most maxDeadline, or what the
+// target grants when the caller says nothing. The last result is false when the
+// caller sent something else than a number.
+func timeLeft(h http.Header, granted time.Duration) (time.Duration, bool) {
 	s := first(h, call.HeaderDeadline)
 	if s == "" {
-		return max, true
+		return granted, true
 	}
 	ms, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
 		return 0, false
 	}
-	if ms >= int64(maxDeadline/time.Millisecond) {
-		return maxDeadline, true
-	}
+	// Both ends are bounded before the multiplication: far below zero, the
+	// product overflows to a deadline in centuries.
+	const most = int64(maxDeadline / time.Millisecond)
+	ms = min(max(ms, -most), most)
 	return time.Duration(ms) * time.Millisecond, true
 }
 
--- a/internal/proxy/headers_test.go
+++ b/internal/proxy/headers_test.go
@@ -121,6 +121,34 @@
 	})
 }
 
+// A caller that states a time of -9223372036855 ms was granted 292 years: the
+// product overflowed, and its calls held their places until the process ended.
+func FuzzTimeLeft(f *testing.F) {
+	for _, s := range []string{"1500", "0", "-1", "3600001", "-9223372036855", "9223372036854775807", "x"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		left, ok := timeLeft(http.Header{call.HeaderDeadline: {s}}, time.Second)
+		if left > maxDeadline {
+			t.Fatalf("%q: granted %s", s, left)
+		}
+		if ok && strings.HasPrefix(s, "-") && left > 0 {
+			t.Fatalf("%q: a time that has passed was granted %s", s, left)
+		}
+	})
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("3/6")
+	f.Add("-1/6")
+	f.Fuzz(func(t *testing.T, s string) {
+		l := parseLoad(http.Header{call.HeaderLoad: {s}})
+		if l.Busy < 0 || l.Slots < 0 || !l.Known && l != (Load{}) {
+			t.Fatalf("%q: taken as %+v", s, l)
+		}
+	})
+}
+
 // Nobody but notrun.go may write the header that says "not run", or make a
 // refusal: a caller sends a booking again on its word.
 func TestNotRunIsSetInOnePlace(t *testing.T) {
