Write the four writes of the admin API once, in the node and in the client

Cause: PutService, PutTarget, WithdrawService and WithdrawTarget stood four times at the node and four times in the command line, alike but for type names. Change: their generated parameter types convert to each other, and an interface that embeds both result types is an answer to either, so one put and one withdraw do. Conclusion: a change of what a write does is made in one place. No behaviour changes.

--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -17,25 +17,22 @@
 // handler adapts a Server to the generated interface.
 type handler struct{ s *Server }
 
-// writeHeaders are the headers that every write takes.
-type writeHeaders struct {
-	command adminapi.OptCommandID
-	repeat  adminapi.OptBool
-	ifMatch adminapi.OptString
-	note    adminapi.OptString
-}
-
-// fill reads the headers into c.
-func (h writeHeaders) fill(c *command.Command) error {
-	c.Repeat = h.repeat.Or(false)
-	if tag, ok := h.ifMatch.Get(); ok {
+// writeParams are the parameters of every write: the operations have the same,
+// as types that convert to each other.
+type writeParams = adminapi.PutServiceParams
+
+// readHeaders reads the parameters into c.
+func readHeaders(p writeParams, c *command.Command) error {
+	c.ID = string(p.MarlpassCommand.Or(adminapi.CommandID(uuid.NewString())))
+	c.Repeat = p.MarlpassRepeat.Or(false)
+	if tag, ok := p.IfMatch.Get(); ok {
 		n, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
 		if err != nil {
 			return &parameterError{"If-Match", "must be a version number in quotes"}
 		}
 		c.Base = &n
 	}
-	note, err := url.PathUnescape(h.note.Or(""))
+	note, err := url.PathUnescape(p.MarlpassNote.Or(""))
 	if err != nil || !utf8.ValidString(note) {
 		return &parameterError{"Marlpass-Note", "must be percent-encoded UTF-8"}
 	}
@@ -52,11 +49,10 @@
 // Only a result that says so is a refusal. Whatever is neither accepted nor
 // refused is told as unknown: told as a refusal, it could make an operator state
 // a change again that is already in force.
-func (h handler) submit(ctx context.Context, c command.Command, headers writeHeaders) (written, error) {
+func (h handler) submit(ctx context.Context, c command.Command, p writeParams) (written, error) {
 	who := operatorOf(ctx)
 	c.Operator, c.Team = who.Name, who.Team
-	c.ID = string(headers.command.Or(adminapi.CommandID(uuid.NewString())))
-	if err := headers.fill(&c); err != nil {
+	if err := readHeaders(p, &c); err != nil {
 		return written{}, &commandError{c.ID, err}
 	}
 	res, err := h.s.run(ctx, c)
@@ -110,31 +106,20 @@
 // etag writes a version number as an entity tag.
 func etag(number uint64) string { return strconv.Quote(strconv.FormatUint(number, 10)) }
 
-func (h handler) PutService(ctx context.Context, req *adminapi.ServiceSpec, p adminapi.PutServiceParams) (adminapi.PutServiceRes, error) {
-	o := config.EncodeService(config.Service{
-		Name:        string(p.Name),
-		Team:        operatorOf(ctx).Team,
-		Description: req.Description.Or(""),
-	})
-	w, err := h.submit(ctx, command.Command{Set: []config.Object{o}},
-		writeHeaders{p.MarlpassCommand, p.MarlpassRepeat, p.IfMatch, p.MarlpassNote})
-	switch {
-	case err != nil:
-		return nil, err
-	case w.created():
-		return w.createdHeaders(), nil
-	case w.isAccepted():
-		return w.accepted(), nil
-	}
-	return w.unknown(), nil
+// putRes is an answer to any operation that states an object.
+type putRes interface {
+	adminapi.PutServiceRes
+	adminapi.PutTargetRes
 }
 
-func (h handler) PutTarget(ctx context.Context, req *adminapi.TargetSpec, p adminapi.PutTargetParams) (adminapi.PutTargetRes, error) {
-	target := targetFrom(req)
-	target.Name = string(p.Name)
-	target.Team = operatorOf(ctx).Team
-	w, err := h.submit(ctx, command.Command{Set: []config.Object{config.EncodeTarget(target)}},
-		writeHeaders{p.MarlpassCommand, p.MarlpassRepeat, p.IfMatch, p.MarlpassNote})
+// withdrawRes is an answer to any operation that withdraws an object.
+type withdrawRes interface {
+	adminapi.WithdrawServiceRes
+	adminapi.WithdrawTargetRes
+}
+
+func (h handler) put(ctx context.Context, o config.Object, p writeParams) (putRes, error) {
+	w, err := h.submit(ctx, command.Command{Set: []config.Object{o}}, p)
 	switch {
 	case err != nil:
 		return nil, err
@@ -146,9 +131,9 @@
 	return w.unknown(), nil
 }
 
-func (h handler) WithdrawService(ctx context.Context, p adminapi.WithdrawServiceParams) (adminapi.WithdrawServiceRes, error) {
-	w, err := h.submit(ctx, withdrawal(config.KindService, p.Name),
-		writeHeaders{p.MarlpassCommand, p.MarlpassRepeat, p.IfMatch, p.MarlpassNote})
+func (h handler) withdraw(ctx context.Context, kind config.Kind, p writeParams) (withdrawRes, error) {
+	key := config.Key{Kind: kind, Name: string(p.Name)}
+	w, err := h.submit(ctx, command.Command{Unset: []config.Key{key}}, p)
 	switch {
 	case err != nil:
 		return nil, err
@@ -158,18 +143,26 @@
 	return w.unknown(), nil
 }
 
-func (h handler) WithdrawTarget(ctx context.Context, p adminapi.WithdrawTargetParams) (adminapi.WithdrawTargetRes, error) {
-	w, err := h.submit(ctx, withdrawal(config.KindTarget, p.Name),
-		writeHeaders{p.MarlpassCommand, p.MarlpassRepeat, p.IfMatch, p.MarlpassNote})
-	switch {
-	case err != nil:
-		return nil, err
-	case w.isAccepted():
-		return w.accepted(), nil
+func (h handler) PutService(ctx context.Context, req *adminapi.ServiceSpec, p adminapi.PutServiceParams) (adminapi.PutServiceRes, error) {
+	service := config.Service{
+		Name:        string(p.Name),
+		Team:        operatorOf(ctx).Team,
+		Description: req.Description.Or(""),
 	}
-	return w.unknown(), nil
+	return h.put(ctx, config.EncodeService(service), p)
 }
 
-func withdrawal(k config.Kind, name adminapi.Name) command.Command {
-	return command.Command{Unset: []config.Key{{Kind: k, Name: string(name)}}}
+func (h handler) PutTarget(ctx context.Context, req *adminapi.TargetSpec, p adminapi.PutTargetParams) (adminapi.PutTargetRes, error) {
+	target := targetFrom(req)
+	target.Name = string(p.Name)
+	target.Team = operatorOf(ctx).Team
+	return h.put(ctx, config.EncodeTarget(target), writeParams(p))
+}
+
+func (h handler) WithdrawService(ctx context.Context, p adminapi.WithdrawServiceParams) (adminapi.WithdrawServiceRes, error) {
+	return h.withdraw(ctx, config.KindService, writeParams(p))
+}
+
+func (h handler) WithdrawTarget(ctx context.Context, p adminapi.WithdrawTargetParams) (adminapi.WithdrawTargetRes, error) {
+	return h.withdraw(ctx, config.KindTarget, writeParams(p))
 }
--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -54,17 +54,7 @@
 
 func putService(spec *adminapi.ServiceSpec, name adminapi.Name) send {
 	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		res, err := c.PutService(ctx, spec, adminapi.PutServiceParams{
-			Name:            name,
-			MarlpassCommand: h.command,
-			MarlpassRepeat:  h.repeat,
-			IfMatch:         h.ifMatch,
-			MarlpassNote:    h.note,
-		})
-		if err != nil {
-			return nil, err
-		}
-		return acceptedVersion(res)
+		return acceptedVersion(c.PutService(ctx, spec, adminapi.PutServiceParams(h.params(name))))
 	}
 }
 
@@ -85,17 +75,7 @@
 
 func withdrawService(name adminapi.Name) send {
 	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		res, err := c.WithdrawService(ctx, adminapi.WithdrawServiceParams{
-			Name:            name,
-			MarlpassCommand: h.command,
-			MarlpassRepeat:  h.repeat,
-			IfMatch:         h.ifMatch,
-			MarlpassNote:    h.note,
-		})
-		if err != nil {
-			return nil, err
-		}
-		return acceptedVersion(res)
+		return acceptedVersion(c.WithdrawService(ctx, adminapi.WithdrawServiceParams(h.params(name))))
 	}
 }
 
@@ -123,7 +103,10 @@
 }
 
 // acceptedVersion reads a write's answer, of any operation.
-func acceptedVersion(res any) (*adminapi.Version, error) {
+func acceptedVersion(res any, err error) (*adminapi.Version, error) {
+	if err != nil {
+		return nil, err
+	}
 	switch r := res.(type) {
 	case *adminapi.AcceptedHeaders:
 		return &r.Response.Version, nil
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -86,17 +86,7 @@
 
 func putTarget(spec *adminapi.TargetSpec, name adminapi.Name) send {
 	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		res, err := c.PutTarget(ctx, spec, adminapi.PutTargetParams{
-			Name:            name,
-			MarlpassCommand: h.command,
-			MarlpassRepeat:  h.repeat,
-			IfMatch:         h.ifMatch,
-			MarlpassNote:    h.note,
-		})
-		if err != nil {
-			return nil, err
-		}
-		return acceptedVersion(res)
+		return acceptedVersion(c.PutTarget(ctx, spec, adminapi.PutTargetParams(h.params(name))))
 	}
 }
 
@@ -117,17 +107,7 @@
 
 func withdrawTarget(name adminapi.Name) send {
 	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		res, err := c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams{
-			Name:            name,
-			MarlpassCommand: h.command,
-			MarlpassRepeat:  h.repeat,
-			IfMatch:         h.ifMatch,
-			MarlpassNote:    h.note,
-		})
-		if err != nil {
-			return nil, err
-		}
-		return acceptedVersion(res)
+		return acceptedVersion(c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams(h.params(name))))
 	}
 }
 
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -39,6 +39,18 @@
 	note    adminapi.OptString
 }
 
+// params returns the parameters of a write on the named object: all writes have
+// the same, as types that convert to each other.
+func (h headers) params(name adminapi.Name) adminapi.PutServiceParams {
+	return adminapi.PutServiceParams{
+		Name:            name,
+		MarlpassCommand: h.command,
+		MarlpassRepeat:  h.repeat,
+		IfMatch:         h.ifMatch,
+		MarlpassNote:    h.note,
+	}
+}
+
 func (w *writeFlags) headers() (headers, error) {
 	var h headers
 	if w.command != "" {
