--- a/internal/distribute/runner_test.go
+++ b/internal/distribute/runner_test.go
@@ -119,3 +119,34 @@
 		t.Fatalf("in force %d", v.Number)
 	}
 }
+
+// FuzzHeard: whatever a peer sends, in a message or as an answer, nothing comes
+// into force that is not a whole version under its own hash.
+func FuzzHeard(f *testing.F) {
+	s, d, err := config.Empty().Next([]config.Object{config.EncodeService(config.Service{Name: "booking", Team: "t"})}, nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	packed, err := Pack([]*config.Delta{d}, nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	v := s.Version()
+	f.Add("vm-1", v.Number, v.Hash[:], uint64(0), packed.Data)
+	f.Add("vm-1", v.Number, v.Hash[:8], uint64(9), []byte("x"))
+	f.Add("", uint64(0), []byte(nil), uint64(1)<<63, []byte(nil))
+	f.Fuzz(func(t *testing.T, from string, number uint64, hash []byte, behind uint64, data []byte) {
+		changes := &peerpb.Packed{Data: data}
+		_, err := answerFromProto(&peerpb.PullResponse{Version: number, Hash: hash, Changes: changes})
+		if err != nil && !errors.Is(err, ErrBadAnswer) {
+			t.Errorf("a bad answer is told as %v", err)
+		}
+		r, store := newTestRunner(t)
+		r.Heard(&peerpb.Envelope{From: from, Version: number, Hash: hash, Behind: behind, Changes: changes})
+		got := store.Load().Snapshot
+		whole, err := config.New(got.Version().Number, got.Parent(), got.Objects())
+		if err != nil || whole.Version() != got.Version() {
+			t.Errorf("in force: %v; %v", got.Version(), err)
+		}
+	})
+}
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -30,7 +30,7 @@
 
 func newList(vm string) *List { return New(start, Options{Self: vm}) }
 
-func begin(t *testing.T, l *List, now time.Time, fp Fingerprint, ep string) Token {
+func begin(t testing.TB, l *List, now time.Time, fp Fingerprint, ep string) Token {
 	t.Helper()
 	tok, err := l.Start(now, fp, ep, Request{Method: "POST", Path: "/bookings"})
 	if err != nil {
@@ -40,7 +40,7 @@
 }
 
 // crash lets the backend server crash with the given requests in flight.
-func crash(t *testing.T, l *List, now time.Time, ep string, fps ...Fingerprint) []membership.Notice {
+func crash(t testing.TB, l *List, now time.Time, ep string, fps ...Fingerprint) []membership.Notice {
 	t.Helper()
 	var toks []Token
 	for _, fp := range fps {
