Call the bounding of the platform's rows maintenance

Cause: code, log, metrics and pages called it housekeeping, with names such as wireHouse and houseLook; the glossary asks for terms of the field. Change: maintenance in all of them, also in the metrics (marlpass_maintenance_*) and in the name of the lease's row. Conclusion: a reader of the metrics finds the word of the field.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -35,15 +35,15 @@
 	table   platform.Table
 	objects platform.Objects
 
-	members  *membership.Runner
-	spread   *distribute.Runner
-	peers    *peer.Client
-	server   *peer.Server
-	peerSum  *peer.Metrics
-	log      *command.Reader
-	commit   *command.Committer
-	commands *command.Forwarder
-	house    *housekeeper
+	members    *membership.Runner
+	spread     *distribute.Runner
+	peers      *peer.Client
+	server     *peer.Server
+	peerSum    *peer.Metrics
+	log        *command.Reader
+	commit     *command.Committer
+	commands   *command.Forwarder
+	maintainer *maintainer
 
 	findings tally        // by kind
 	heardAt  atomic.Int64 // when a peer was last heard, in Unix milliseconds
@@ -140,14 +140,14 @@
 	})
 }
 
-// wireHouse makes the part that keeps the platform's rows bounded.
-func (c *control) wireHouse() {
-	h := newHousekeeper(c.table, c.n.self.ID, time.Now)
-	h.log = telemetry.Part(c.n.log, "housekeeping")
-	h.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
-	h.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
-	h.trim = c.n.calls.keeper
-	c.house = h
+// wireMaintenance makes the part that keeps the platform's rows bounded.
+func (c *control) wireMaintenance() {
+	m := newMaintainer(c.table, c.n.self.ID, time.Now)
+	m.log = telemetry.Part(c.n.log, "maintenance")
+	m.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
+	m.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
+	m.trim = c.n.calls.keeper
+	c.maintainer = m
 }
 
 // sender is what every message of this node carries.
@@ -161,7 +161,7 @@
 	c.trust.watch(p)
 	p.run("control", func(context.Context) error { return c.server.Serve(c.n.ln.control) })
 	p.run("membership", c.members.Run)
-	p.run("housekeeping", func(ctx context.Context) error { c.house.run(ctx); return nil })
+	p.run("maintenance", func(ctx context.Context) error { c.maintainer.run(ctx); return nil })
 	p.run("distribute", func(ctx context.Context) error {
 		c.awaitContact(ctx)
 		c.spread.Run(ctx)
--- /dev/null
+++ b/internal/node/maintenance.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/platform/lease"
+)
+
+// Times of maintenance. Only the feeders contend, two a data centre, so ten
+// nodes of a mesh with five data centres look at the lease at all: two reads
+// each in about a minute.
+const (
+	maintenanceLease     = 3 * time.Minute
+	maintenanceLook      = time.Minute      // between two looks at another's lease
+	maintenanceRest      = time.Minute      // after a round that found nothing to do
+	maintenanceMore      = time.Second      // between two steps that found something
+	maintenanceScan      = 5 * time.Second  // between two steps that merely read
+	maintenanceTimeout   = 10 * time.Second // of one look, renewal or step
+	maintenanceLeaseName = "maintenance"    // of the row in the platform
+	trimRows             = 128              // outcomes read and removed in a step
+	trimRest             = 10 * time.Minute // between two passes over the outcomes
+	maintenanceJitter    = 0.5              // share of each wait that is random
+)
+
+// trimmer removes old outcomes of keyed calls; once.Keeper is one.
+type trimmer interface {
+	Trim(ctx context.Context, after string, limit int) (next string, removed int, err error)
+}
+
+// compactor does a piece of compaction; command.Compactor is one.
+type compactor interface {
+	Step(ctx context.Context, f command.Fence, now time.Time) (command.CompactReport, error)
+}
+
+// maintainer keeps the platform's rows bounded while it holds the lease.
+//
+// It guards against two failures. A holder that is paused past its lease (a VM
+// that is moved, a process that swaps) wakes in the middle of a step and writes
+// what another holder has made wrong since: compaction's writes carry the
+// lease's fencing condition and fail, after which the holder gives up what it
+// has. Trimming needs no fence: it deletes rows by their revision, and a row
+// that is too old stays so. And a fleet that contends as a whole would read
+// the platform 1,200 times a minute: only feeders do.
+type maintainer struct {
+	log       zerolog.Logger
+	now       func() time.Time
+	duty      func() bool // whether this node may contend
+	contender *lease.Contender
+	compact   compactor
+	trim      trimmer
+
+	held      *lease.Lease
+	cursor    string    // where trimming goes on
+	trimAfter time.Time // when the next pass over the outcomes may begin
+	figures   maintenanceFigures
+}
+
+func newMaintainer(t platform.Table, vm string, now func() time.Time) *maintainer {
+	return &maintainer{
+		now:  now,
+		duty: func() bool { return true },
+		contender: lease.New(t, lease.Options{
+			Name: maintenanceLeaseName, Holder: vm + "/" + rand.Text(), Length: maintenanceLease, Clock: now,
+		}),
+	}
+}
+
+// run does what is due until ctx ends, then gives the lease back.
+func (m *maintainer) run(ctx context.Context) {
+	wait := maintenanceLook
+	for {
+		sleep(ctx, jitter(wait))
+		if ctx.Err() != nil {
+			m.release()
+			return
+		}
+		wait = m.step(ctx)
+	}
+}
+
+// jitter spreads waits, so that nodes that started together do not read
+// together.
+func jitter(d time.Duration) time.Duration {
+	part := maintenanceJitter * float64(d)
+	return d - time.Duration(part/2) + time.Duration(mathrand.Float64()*part)
+}
+
+// step does one bounded piece of work and returns how long to wait for the
+// next.
+func (m *maintainer) step(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, maintenanceTimeout)
+	defer cancel()
+	if !m.duty() {
+		m.release()
+		return maintenanceLook
+	}
+	if !m.hold(ctx) {
+		return maintenanceLook
+	}
+	wait, err := m.work(ctx)
+	if err == nil {
+		return wait
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		if lostFence(conflict, m.held.Condition()) {
+			m.lose()
+			return maintenanceLook
+		}
+		return maintenanceMore // an operator's change came between; look again
+	}
+	m.figures.failed.Add(1)
+	m.log.Warn().Err(err).Msg("maintenance: step failed")
+	return maintenanceRest
+}
+
+// hold reports whether this node holds the lease, and renews it when a third of
+// it has passed.
+func (m *maintainer) hold(ctx context.Context) bool {
+	if m.held != nil && !m.held.Valid() {
+		m.lose()
+	}
+	if m.held == nil {
+		return m.acquire(ctx)
+	}
+	if m.held.Expiry().Sub(m.now()) > maintenanceLease*2/3 {
+		return true
+	}
+	err := m.held.Renew(ctx)
+	if errors.Is(err, lease.ErrLost) {
+		m.lose()
+		return false
+	}
+	if err != nil {
+		m.log.Warn().Err(err).Msg("maintenance: lease not renewed yet")
+	}
+	return m.held.Valid()
+}
+
+func (m *maintainer) acquire(ctx context.Context) bool {
+	l, err := m.contender.Acquire(ctx)
+	if err != nil {
+		if !errors.Is(err, lease.ErrHeld) {
+			m.log.Warn().Err(err).Msg("maintenance: lease not read")
+		}
+		return false
+	}
+	m.held = l
+	m.figures.holds.Store(true)
+	m.figures.taken.Add(1)
+	m.log.Info().Uint64("token", l.Token()).Msg("maintenance: lease taken")
+	return true
+}
+
+// lose forgets a lease that another holder has, or may have.
+func (m *maintainer) lose() {
+	m.held = nil
+	m.figures.holds.Store(false)
+	m.figures.lost.Add(1)
+	m.log.Warn().Msg("maintenance: lease lost")
+}
+
+func (m *maintainer) release() {
+	if m.held == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := m.held.Release(ctx); err != nil {
+		m.log.Warn().Err(err).Msg("maintenance: lease runs out by itself")
+	}
+	m.held = nil
+	m.figures.holds.Store(false)
+}
+
+// work compacts, and trims outcomes when compaction has nothing urgent.
+func (m *maintainer) work(ctx context.Context) (time.Duration, error) {
+	rep, err := m.compact.Step(ctx, m.held, m.now())
+	if err != nil {
+		return 0, err
+	}
+	deleted := rep.LogDeleted + rep.CommandDeleted + rep.ObjectsDeleted
+	m.figures.compacted.Add(uint64(deleted))
+	if rep.More && deleted > 0 {
+		return maintenanceMore, nil
+	}
+	trimming, err := m.trimStep(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if trimming > 0 {
+		return trimming, nil
+	}
+	if rep.More {
+		return maintenanceScan, nil
+	}
+	return maintenanceRest, nil
+}
+
+// trimStep removes old outcomes. It returns how long to wait for the next step
+// of the pass, or zero between passes.
+func (m *maintainer) trimStep(ctx context.Context) (time.Duration, error) {
+	if m.now().Before(m.trimAfter) {
+		return 0, nil
+	}
+	next, removed, err := m.trim.Trim(ctx, m.cursor, trimRows)
+	if err != nil {
+		return 0, err
+	}
+	m.cursor = next
+	m.figures.trimmed.Add(uint64(removed))
+	switch {
+	case next == "":
+		m.trimAfter = m.now().Add(trimRest)
+		return 0, nil
+	case removed > 0:
+		return maintenanceMore, nil
+	}
+	return maintenanceScan, nil
+}
+
+// lostFence reports whether a write failed because the lease has passed on, and
+// not because a row was changed by somebody else.
+func lostFence(c *platform.ConflictError, fence platform.Condition) bool {
+	for _, key := range c.Keys {
+		if key == fence.Key {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -11,7 +11,7 @@
 func (c *control) writeMetrics(p page) {
 	c.writeConfig(p)
 	c.writeMembership(p)
-	c.writeHouse(p)
+	c.writeMaintenance(p)
 	c.writeAges(p, time.Now())
 }
 
@@ -61,14 +61,14 @@
 	}
 }
 
-func (c *control) writeHouse(p page) {
-	f := &c.house.figures
-	p.flag("marlpass_housekeeping_lease_held", f.holds.Load())
-	p.counter("marlpass_housekeeping_lease_taken_total", f.taken.Load())
-	p.counter("marlpass_housekeeping_lease_lost_total", f.lost.Load())
-	p.counter("marlpass_housekeeping_failures_total", f.failed.Load())
-	p.counter("marlpass_housekeeping_compacted_total", f.compacted.Load())
-	p.counter("marlpass_housekeeping_outcomes_removed_total", f.trimmed.Load())
+func (c *control) writeMaintenance(p page) {
+	f := &c.maintainer.figures
+	p.flag("marlpass_maintenance_lease_held", f.holds.Load())
+	p.counter("marlpass_maintenance_lease_taken_total", f.taken.Load())
+	p.counter("marlpass_maintenance_lease_lost_total", f.lost.Load())
+	p.counter("marlpass_maintenance_failures_total", f.failed.Load())
+	p.counter("marlpass_maintenance_compacted_total", f.compacted.Load())
+	p.counter("marlpass_maintenance_outcomes_removed_total", f.trimmed.Load())
 }
 
 // writeAges tells how old is what this node knows. An age is left out as long as
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,7 @@
 	if n.calls, err = newCallPath(n); err != nil {
 		return err
 	}
-	n.control.wireHouse()
+	n.control.wireMaintenance()
 	if n.servers, err = newServers(n); err != nil {
 		return err
 	}
