Say ready only when calls are taken

Cause: /readyz followed the spreading of versions, and calls what a loop noted of it up to 50 ms later. A call sent at once after "ready" was refused as not ready; TestCertificatesRotateUnderCalls met it once under load. Change: a node is ready when both agree. Conclusion: a load balancer that asks /readyz is told the truth.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,15 @@
 	case n.superseded.Load():
 		return false, "another process runs under this VM's id"
 	}
-	return n.control.spread.Ready()
+	if ok, why := n.control.spread.Ready(); !ok {
+		return false, why
+	}
+	// Calls go by what refresh noted, a moment later: a load balancer told
+	// "ready" before that would send calls that are refused as not ready.
+	if !n.carries.Load() {
+		return false, "the node is about to take calls"
+	}
+	return true, ""
 }
 
 // Version returns the version in force.
