Leave a call that is dropped at its deadline where it was

Since destinations end a wait in time to tell the caller, bookings were sent to another endpoint in that moment, and their callers told that they may have run. Change: only a refusal of an attempt that had a part of the time is turned. Conclusion: TestBookingDroppedAtItsDeadlineIsNotSentAgain fails without it.

--- a/internal/proxy/quiet_test.go
+++ b/internal/proxy/quiet_test.go
@@ -202,3 +202,25 @@
 func (suspectAll) Start(time.Time, Backend, quarantine.Fingerprint, quarantine.Request) (quarantine.Token, error) {
 	return quarantine.Token{}, nil
 }
+
+// dropping is a gate that drops every call as expired, a moment before its
+// deadline.
+type dropping struct{}
+
+func (dropping) Acquire(context.Context, Backend, *config.Target, time.Time) (Permit, error) {
+	return nil, refuse(call.ReasonExpired, 0, "")
+}
+
+// A booking waits in a full queue with all of its time, and is dropped a moment
+// before its deadline. It was sent to another endpoint in that moment, waited
+// there past its deadline, and its caller was told that it may have run.
+func TestBookingDroppedAtItsDeadlineIsNotSentAgain(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	m.dest[0].Gates = dropping{}
+	m.entry.Retrier = policied{retry.New(retry.Options{})}
+	m.picks.next.Store(^uint64(0))
+	resp, _, err := m.call("POST", "/", "x")
+	if err != nil || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonExpired) || m.runs.Load() != 0 {
+		t.Fatalf("got %v %v, run %d times", resp, err, m.runs.Load())
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -26,13 +26,13 @@
 	}
 	if e.Local != nil && ep.VM == e.Self {
 		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
-		return e.ofPart(c, a)
+		return c.ofPart(now, h.left, a)
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
 		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
 	})
-	return e.ofPart(c, readNode(a))
+	return c.ofPart(now, h.left, readNode(a))
 }
 
 // ofPart corrects a refusal that says that the deadline passed, when only the
@@ -42,8 +42,13 @@
 // calls on silent connections. After half of its time the endpoint drops it as
 // expired. The deadline of the call itself is still ahead: the endpoint had no
 // room in time, and another may have.
-func (e *Entry) ofPart(c *entering, a answer) answer {
-	if a.refusal != nil && a.refusal.Reason == call.ReasonExpired && e.Now().Before(c.deadline) {
+//
+// An attempt that had all of the time is left as it is. Its destination drops it
+// a moment before the deadline, so that the refusal still arrives; another
+// attempt in that moment could only end as one that may have run.
+func (c *entering) ofPart(sent time.Time, left time.Duration, a answer) answer {
+	part := sent.Add(left).Before(c.deadline)
+	if part && a.refusal != nil && a.refusal.Reason == call.ReasonExpired {
 		a.refusal = refuse(call.ReasonOverloaded, 0, "no room within the attempt's part of the time")
 	}
 	return a
