--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,7 +132,13 @@
 	case n.superseded.Load():
 		return false, "another process runs under this VM's id"
 	}
-	return n.control.spread.Ready()
+	ok, why := n.control.spread.Ready()
+	if ok && !n.carries.Load() {
+		// Calls are admitted by carries, which follows a moment later. Told
+		// "ready" before, whoever sends calls would have them refused.
+		return false, "calls are about to be admitted"
+	}
+	return ok, why
 }
 
 // Version returns the version in force.
