--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -47,6 +47,7 @@
 	// comes back.
 	Exit func()
 
+	node       atomic.Pointer[string] // URL of the announce API
 	mode       atomic.Pointer[Mode]
 	state      atomic.Pointer[State]
 	drained    atomic.Int64 // requests begun after the drain was ordered
@@ -65,11 +66,15 @@
 // New returns a server that does not listen yet. Settings must pass Check.
 func New(set Settings, log zerolog.Logger) *Server {
 	s := &Server{set: set, log: log, slots: newSlots(set.Slots, set.Backlog)}
+	s.SetNode(set.Node)
 	s.SetMode(ModeGood)
 	s.setState(Starting)
 	return s
 }
 
+// SetNode changes the URL of the announce API.
+func (s *Server) SetNode(url string) { s.node.Store(&url) }
+
 // SetMode changes the fault that the server plays.
 func (s *Server) SetMode(m Mode) { s.mode.Store(&m) }
 
@@ -119,10 +124,10 @@
 	}
 	s.addr = l.Addr().String()
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
-	go s.serveOn(s.server, &costlyListener{Listener: l, cost: time.Duration(s.set.ConnectionCost)})
+	go s.serveOn(s.server, &costlyListener{Listener: l, cost: s.set.ConnectionCost.Duration})
 	s.setState(Starting)
 	g := s.generation.Add(1)
-	time.AfterFunc(time.Duration(s.set.ColdStart), func() { s.warm(g) })
+	time.AfterFunc(s.set.ColdStart.Duration, func() { s.warm(g) })
 	return nil
 }
 
@@ -172,7 +177,7 @@
 		s.Exit()
 	}
 	_ = h.Close()
-	time.AfterFunc(time.Duration(s.set.CrashDown), func() { s.comeBack(addr) })
+	time.AfterFunc(s.set.CrashDown.Duration, func() { s.comeBack(addr) })
 }
 
 func (s *Server) comeBack(addr string) {
@@ -194,8 +199,8 @@
 	s.drainAt.Store(time.Now().UnixNano())
 	s.setState(Draining)
 	s.log.Info().Msg("backend: draining")
-	_ = work(ctx, time.Duration(s.set.DrainWait))
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.set.DrainLimit))
+	_ = work(ctx, s.set.DrainWait.Duration)
+	ctx, cancel := context.WithTimeout(ctx, s.set.DrainLimit.Duration)
 	defer cancel()
 	h := s.end()
 	if h == nil {
--- a/internal/node/housekeeping.go
+++ b/internal/node/maintenance.go
@@ -14,20 +14,20 @@
 	"github.com/marlpass/marlpass/internal/platform/lease"
 )
 
-// Times of housekeeping. Only the feeders contend, two a data centre, so ten
+// Times of maintenance. Only the feeders contend, two a data centre, so ten
 // nodes of a mesh with five data centres look at the lease at all: two reads
 // each in about a minute.
 const (
-	houseLease     = 3 * time.Minute
-	houseLook      = time.Minute      // between two looks at another's lease
-	houseRest      = time.Minute      // after a round that found nothing to do
-	houseMore      = time.Second      // between two steps that found something
-	houseScan      = 5 * time.Second  // between two steps that merely read
-	houseTimeout   = 10 * time.Second // of one look, renewal or step
-	houseLeaseName = "housekeeping"   // of the row in the platform
-	trimRows       = 128              // outcomes read and removed in a step
-	trimRest       = 10 * time.Minute // between two passes over the outcomes
-	houseJitter    = 0.5              // share of each wait that is random
+	maintenanceLease     = 3 * time.Minute
+	maintenanceLook      = time.Minute      // between two looks at another's lease
+	maintenanceRest      = time.Minute      // after a round that found nothing to do
+	maintenanceMore      = time.Second      // between two steps that found something
+	maintenanceScan      = 5 * time.Second  // between two steps that merely read
+	maintenanceTimeout   = 10 * time.Second // of one look, renewal or step
+	maintenanceLeaseName = "maintenance"    // of the row in the platform
+	trimRows             = 128              // outcomes read and removed in a step
+	trimRest             = 10 * time.Minute // between two passes over the outcomes
+	maintenanceJitter    = 0.5              // share of each wait that is random
 )
 
 // trimmer removes old outcomes of keyed calls; once.Keeper is one.
@@ -40,7 +40,7 @@
 	Step(ctx context.Context, f command.Fence, now time.Time) (command.CompactReport, error)
 }
 
-// housekeeper keeps the platform's rows bounded while it holds the lease.
+// maintainer keeps the platform's rows bounded while it holds the lease.
 //
 // It guards against two failures. A holder that is paused past its lease (a VM
 // that is moved, a process that swaps) wakes in the middle of a step and writes
@@ -49,7 +49,7 @@
 // has. Trimming needs no fence: it deletes rows by their revision, and a row
 // that is too old stays so. And a fleet that contends as a whole would read
 // the platform 1,200 times a minute: only feeders do.
-type housekeeper struct {
+type maintainer struct {
 	log       zerolog.Logger
 	now       func() time.Time
 	duty      func() bool // whether this node may contend
@@ -60,139 +60,139 @@
 	held      *lease.Lease
 	cursor    string    // where trimming goes on
 	trimAfter time.Time // when the next pass over the outcomes may begin
-	figures   houseFigures
+	figures   maintenanceFigures
 }
 
-func newHousekeeper(t platform.Table, vm string, now func() time.Time) *housekeeper {
-	return &housekeeper{
+func newMaintainer(t platform.Table, vm string, now func() time.Time) *maintainer {
+	return &maintainer{
 		now:  now,
 		duty: func() bool { return true },
 		contender: lease.New(t, lease.Options{
-			Name: houseLeaseName, Holder: vm + "/" + rand.Text(), Length: houseLease, Clock: now,
+			Name: maintenanceLeaseName, Holder: vm + "/" + rand.Text(), Length: maintenanceLease, Clock: now,
 		}),
 	}
 }
 
 // run does what is due until ctx ends, then gives the lease back.
-func (h *housekeeper) run(ctx context.Context) {
-	wait := houseLook
+func (m *maintainer) run(ctx context.Context) {
+	wait := maintenanceLook
 	for {
 		sleep(ctx, jitter(wait))
 		if ctx.Err() != nil {
-			h.release()
+			m.release()
 			return
 		}
-		wait = h.step(ctx)
+		wait = m.step(ctx)
 	}
 }
 
 // jitter spreads waits, so that nodes that started together do not read
 // together.
 func jitter(d time.Duration) time.Duration {
-	part := houseJitter * float64(d)
+	part := maintenanceJitter * float64(d)
 	return d - time.Duration(part/2) + time.Duration(mathrand.Float64()*part)
 }
 
 // step does one bounded piece of work and returns how long to wait for the
 // next.
-func (h *housekeeper) step(ctx context.Context) time.Duration {
-	ctx, cancel := context.WithTimeout(ctx, houseTimeout)
+func (m *maintainer) step(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
-	if !h.duty() {
-		h.release()
-		return houseLook
+	if !m.duty() {
+		m.release()
+		return maintenanceLook
 	}
-	if !h.hold(ctx) {
-		return houseLook
+	if !m.hold(ctx) {
+		return maintenanceLook
 	}
-	wait, err := h.work(ctx)
+	wait, err := m.work(ctx)
 	if err == nil {
 		return wait
 	}
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		if lostFence(conflict, h.held.Condition()) {
-			h.lose()
-			return houseLook
+		if lostFence(conflict, m.held.Condition()) {
+			m.lose()
+			return maintenanceLook
 		}
-		return houseMore // an operator's change came between; look again
+		return maintenanceMore // an operator's change came between; look again
 	}
-	h.figures.failed.Add(1)
-	h.log.Warn().Err(err).Msg("housekeeping: step failed")
-	return houseRest
+	m.figures.failed.Add(1)
+	m.log.Warn().Err(err).Msg("maintenance: step failed")
+	return maintenanceRest
 }
 
 // hold reports whether this node holds the lease, and renews it when a third of
 // it has passed.
-func (h *housekeeper) hold(ctx context.Context) bool {
-	if h.held != nil && !h.held.Valid() {
-		h.lose()
+func (m *maintainer) hold(ctx context.Context) bool {
+	if m.held != nil && !m.held.Valid() {
+		m.lose()
 	}
-	if h.held == nil {
-		return h.acquire(ctx)
+	if m.held == nil {
+		return m.acquire(ctx)
 	}
-	if h.held.Expiry().Sub(h.now()) > houseLease*2/3 {
+	if m.held.Expiry().Sub(m.now()) > maintenanceLease*2/3 {
 		return true
 	}
-	err := h.held.Renew(ctx)
+	err := m.held.Renew(ctx)
 	if errors.Is(err, lease.ErrLost) {
-		h.lose()
+		m.lose()
 		return false
 	}
 	if err != nil {
-		h.log.Warn().Err(err).Msg("housekeeping: lease not renewed yet")
+		m.log.Warn().Err(err).Msg("maintenance: lease not renewed yet")
 	}
-	return h.held.Valid()
+	return m.held.Valid()
 }
 
-func (h *housekeeper) acquire(ctx context.Context) bool {
-	l, err := h.contender.Acquire(ctx)
+func (m *maintainer) acquire(ctx context.Context) bool {
+	l, err := m.contender.Acquire(ctx)
 	if err != nil {
 		if !errors.Is(err, lease.ErrHeld) {
-			h.log.Warn().Err(err).Msg("housekeeping: lease not read")
+			m.log.Warn().Err(err).Msg("maintenance: lease not read")
 		}
 		return false
 	}
-	h.held = l
-	h.figures.holds.Store(true)
-	h.figures.taken.Add(1)
-	h.log.Info().Uint64("token", l.Token()).Msg("housekeeping: lease taken")
+	m.held = l
+	m.figures.holds.Store(true)
+	m.figures.taken.Add(1)
+	m.log.Info().Uint64("token", l.Token()).Msg("maintenance: lease taken")
 	return true
 }
 
 // lose forgets a lease that another holder has, or may have.
-func (h *housekeeper) lose() {
-	h.held = nil
-	h.figures.holds.Store(false)
-	h.figures.lost.Add(1)
-	h.log.Warn().Msg("housekeeping: lease lost")
+func (m *maintainer) lose() {
+	m.held = nil
+	m.figures.holds.Store(false)
+	m.figures.lost.Add(1)
+	m.log.Warn().Msg("maintenance: lease lost")
 }
 
-func (h *housekeeper) release() {
-	if h.held == nil {
+func (m *maintainer) release() {
+	if m.held == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := h.held.Release(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("housekeeping: lease runs out by itself")
+	if err := m.held.Release(ctx); err != nil {
+		m.log.Warn().Err(err).Msg("maintenance: lease runs out by itself")
 	}
-	h.held = nil
-	h.figures.holds.Store(false)
+	m.held = nil
+	m.figures.holds.Store(false)
 }
 
 // work compacts, and trims outcomes when compaction has nothing urgent.
-func (h *housekeeper) work(ctx context.Context) (time.Duration, error) {
-	rep, err := h.compact.Step(ctx, h.held, h.now())
+func (m *maintainer) work(ctx context.Context) (time.Duration, error) {
+	rep, err := m.compact.Step(ctx, m.held, m.now())
 	if err != nil {
 		return 0, err
 	}
 	deleted := rep.LogDeleted + rep.CommandDeleted + rep.ObjectsDeleted
-	h.figures.compacted.Add(uint64(deleted))
+	m.figures.compacted.Add(uint64(deleted))
 	if rep.More && deleted > 0 {
-		return houseMore, nil
+		return maintenanceMore, nil
 	}
-	trimming, err := h.trimStep(ctx)
+	trimming, err := m.trimStep(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -200,31 +200,31 @@
 		return trimming, nil
 	}
 	if rep.More {
-		return houseScan, nil
+		return maintenanceScan, nil
 	}
-	return houseRest, nil
+	return maintenanceRest, nil
 }
 
 // trimStep removes old outcomes. It returns how long to wait for the next step
 // of the pass, or zero between passes.
-func (h *housekeeper) trimStep(ctx context.Context) (time.Duration, error) {
-	if h.now().Before(h.trimAfter) {
+func (m *maintainer) trimStep(ctx context.Context) (time.Duration, error) {
+	if m.now().Before(m.trimAfter) {
 		return 0, nil
 	}
-	next, removed, err := h.trim.Trim(ctx, h.cursor, trimRows)
+	next, removed, err := m.trim.Trim(ctx, m.cursor, trimRows)
 	if err != nil {
 		return 0, err
 	}
-	h.cursor = next
-	h.figures.trimmed.Add(uint64(removed))
+	m.cursor = next
+	m.figures.trimmed.Add(uint64(removed))
 	switch {
 	case next == "":
-		h.trimAfter = h.now().Add(trimRest)
+		m.trimAfter = m.now().Add(trimRest)
 		return 0, nil
 	case removed > 0:
-		return houseMore, nil
+		return maintenanceMore, nil
 	}
-	return houseScan, nil
+	return maintenanceScan, nil
 }
 
 // lostFence reports whether a write failed because the lease has passed on, and
--- a/internal/node/housefigures.go
+++ b/internal/node/maintenance_figures.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// houseFigures count the work of a housekeeper.
-type houseFigures struct {
+// maintenanceFigures count the work of a maintainer.
+type maintenanceFigures struct {
 	holds       atomic.Bool // the lease
 	taken, lost atomic.Uint64
 	failed      atomic.Uint64 // steps
--- a/internal/node/housekeeping_test.go
+++ b/internal/node/maintenance_test.go
@@ -28,15 +28,15 @@
 	return h.Table.Commit(ctx, t)
 }
 
-// house is a mesh's platform with a clock that only the test moves.
-type house struct {
+// maintenanceFixture is a mesh's platform with a clock that only the test moves.
+type maintenanceFixture struct {
 	t     *testing.T
 	store *fake.Store
 	now   time.Time
 }
 
-func newHouse(t *testing.T, versions int) *house {
-	h := &house{t: t, store: fake.New(), now: time.UnixMilli(1_000_000)}
+func newMaintenanceFixture(t *testing.T, versions int) *maintenanceFixture {
+	h := &maintenanceFixture{t: t, store: fake.New(), now: time.UnixMilli(1_000_000)}
 	empty := command.SnapshotFunc(config.Empty)
 	r := command.NewReader(h.store.Table(), h.store.Objects(), empty)
 	c := command.NewCommitter(r, h.store.Table(), command.Options{})
@@ -52,9 +52,9 @@
 	return h
 }
 
-// keeper returns a housekeeper that sees the platform through table.
-func (h *house) keeper(vm string, table platform.Table) *housekeeper {
-	k := newHousekeeper(table, vm, func() time.Time { return h.now })
+// keeper returns a maintainer that sees the platform through table.
+func (h *maintenanceFixture) keeper(vm string, table platform.Table) *maintainer {
+	k := newMaintainer(table, vm, func() time.Time { return h.now })
 	k.log = zerolog.Nop()
 	r := command.NewReader(table, h.store.Objects(), command.SnapshotFunc(config.Empty))
 	k.compact = command.NewCompactor(r, table, h.store.Objects(), command.CompactOptions{KeepLog: 3, Batch: 4})
@@ -66,7 +66,7 @@
 
 func (noOutcomes) Trim(context.Context, string, int) (string, int, error) { return "", 0, nil }
 
-func (h *house) logRows() int {
+func (h *maintenanceFixture) logRows() int {
 	rows, err := h.store.Table().Scan(context.Background(), platform.LogPrefix, "", 100)
 	if err != nil {
 		h.t.Fatal(err)
@@ -74,21 +74,21 @@
 	return len(rows)
 }
 
-// A VM that holds the housekeeping lease is moved to another host in the middle
+// A VM that holds the maintenance lease is moved to another host in the middle
 // of a step and stands still for minutes. Another feeder takes the lease and
 // compacts further. When the first wakes, its transaction still deletes log
 // rows and sets an older floor: a node that starts then would look for rows
 // that are gone. The write must fail on the lease's fence, and the woken node
 // must stop working until it holds the lease anew.
-func TestPausedHousekeeperChangesNothing(t *testing.T) {
-	h := newHouse(t, 24)
+func TestPausedMaintainerChangesNothing(t *testing.T) {
+	h := newMaintenanceFixture(t, 24)
 	ctx := context.Background()
 	table := &hooked{Table: h.store.Table()}
 	paused, other := h.keeper("vm1", table), h.keeper("vm2", h.store.Table())
 	left := 0
 	table.before = func() {
 		other.step(ctx) // first sighting of the lease
-		h.now = h.now.Add(houseLease + time.Second)
+		h.now = h.now.Add(maintenanceLease + time.Second)
 		other.step(ctx)
 		other.step(ctx)
 		left = h.logRows()
@@ -112,15 +112,15 @@
 // Rows pile up for as long as nobody compacts: the log would grow by 930 rows a
 // day. One holder works it off, keeps its lease over many renewals, and rests
 // when nothing is left.
-func TestHousekeeperWorksItOffAndRests(t *testing.T) {
-	h := newHouse(t, 24)
+func TestMaintainerWorksItOffAndRests(t *testing.T) {
+	h := newMaintenanceFixture(t, 24)
 	k := h.keeper("vm1", h.store.Table())
 	var wait time.Duration
 	for range 12 {
 		wait = k.step(context.Background())
 		h.now = h.now.Add(wait)
 	}
-	if got := h.logRows(); got > 3+4 || wait != houseRest {
+	if got := h.logRows(); got > 3+4 || wait != maintenanceRest {
 		t.Errorf("%d log rows are left, the wait is %s", got, wait)
 	}
 	before := h.store.Counts()
@@ -141,7 +141,7 @@
 // A node that is no feeder must not read the platform at all for this: 1,200
 // that look once a minute are 40 reads a second.
 func TestNoFeederContends(t *testing.T) {
-	h := newHouse(t, 1)
+	h := newMaintenanceFixture(t, 1)
 	k := h.keeper("vm1", h.store.Table())
 	before := h.store.Counts()
 	k.duty = func() bool { return false }
@@ -163,12 +163,12 @@
 // the lease for as long as the mesh lives, whatever there is to do; the platform
 // must hardly notice.
 func TestFeedersSpareThePlatform(t *testing.T) {
-	h := newHouse(t, 24)
-	keepers := make([]*housekeeper, 10)
+	h := newMaintenanceFixture(t, 24)
+	keepers := make([]*maintainer, 10)
 	due := make([]time.Time, len(keepers))
 	for i := range keepers {
 		keepers[i] = h.keeper(fmt.Sprint("vm", i), h.store.Table())
-		due[i] = h.now.Add(time.Duration(i) * houseLook / time.Duration(len(keepers)))
+		due[i] = h.now.Add(time.Duration(i) * maintenanceLook / time.Duration(len(keepers)))
 	}
 	before, end := h.store.Counts(), h.now.Add(time.Hour)
 	for {
