Name the test mesh of package node for what it is

Cause: its tests ran on a "town", a word of nobody's field. Change: testMesh, startMesh and mesh_test.go. Conclusion: a reader knows what the tests run on.

--- a/internal/node/town_test.go
+++ b/internal/node/mesh_test.go
@@ -22,7 +22,7 @@
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
-// Paths of the two classes of a town.
+// Paths of the two classes of a testMesh.
 const (
 	lookup = "/berths"   // idempotent
 	book   = "/bookings" // not idempotent
@@ -34,8 +34,8 @@
 // on it.
 const patience = 2 * time.Minute
 
-// town is a local mesh whose service "berths" is held by some of its VMs.
-type town struct {
+// testMesh is a local mesh whose service "berths" is held by some of its VMs.
+type testMesh struct {
 	*localmesh.Mesh
 	t       *testing.T
 	ctx     context.Context
@@ -43,13 +43,13 @@
 	addrs   node.Addrs // of the node that was stopped last
 }
 
-// startTown starts a mesh of one data centre. Change, if not nil, changes what
+// startMesh starts a mesh of one data centre. Change, if not nil, changes what
 // each node is made of.
-func startTown(t *testing.T, vms int, change func(*localmesh.VM, *node.Options)) *town {
+func startMesh(t *testing.T, vms int, change func(*localmesh.VM, *node.Options)) *testMesh {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
-	w := &town{t: t, ctx: ctx}
+	w := &testMesh{t: t, ctx: ctx}
 	m, err := localmesh.Start(localmesh.Options{
 		Name: "trust", Profile: settings.ProfileTime, Log: zerolog.Nop(),
 		DataCentres: []localmesh.DataCentre{{Name: "neg", Region: "western", VMs: vms}},
@@ -64,7 +64,7 @@
 	return w
 }
 
-func (w *town) must(err error) {
+func (w *testMesh) must(err error) {
 	w.t.Helper()
 	if err != nil {
 		w.t.Fatal(err)
@@ -72,7 +72,7 @@
 }
 
 // hold starts backend servers beside some VMs, and states the two targets.
-func (w *town) hold(vms ...*localmesh.VM) {
+func (w *testMesh) hold(vms ...*localmesh.VM) {
 	w.t.Helper()
 	for _, vm := range vms {
 		w.startBackend(vm)
@@ -93,7 +93,7 @@
 	w.must(w.WaitEndpoints(w.ctx, service, len(vms)))
 }
 
-func (w *town) startBackend(vm *localmesh.VM) {
+func (w *testMesh) startBackend(vm *localmesh.VM) {
 	w.t.Helper()
 	set := backend.Defaults()
 	set.Service, set.Instance, set.ColdStart.Duration = service, "a", 0
@@ -141,13 +141,13 @@
 	return a
 }
 
-func (w *town) ask(vm *localmesh.VM, method, path, id string) answer {
+func (w *testMesh) ask(vm *localmesh.VM, method, path, id string) answer {
 	return ask(w.ctx, http.DefaultClient, vm.Node().Addrs().Callers, method, path, id)
 }
 
 // runs returns how often the backend servers of all VMs ran requests, and how
 // many requests they were.
-func (w *town) runs() (runs, requests int) {
+func (w *testMesh) runs() (runs, requests int) {
 	for _, vm := range w.VMs {
 		for _, b := range vm.Backends() {
 			r := b.Runs()
@@ -158,7 +158,7 @@
 }
 
 // metric returns the value of a metric of a VM's node, or -1 if there is none.
-func (w *town) metric(vm *localmesh.VM, name string) float64 {
+func (w *testMesh) metric(vm *localmesh.VM, name string) float64 {
 	w.t.Helper()
 	for line := range strings.Lines(w.page(vm, "/metrics")) {
 		if rest, ok := strings.CutPrefix(line, name+" "); ok {
@@ -172,7 +172,7 @@
 
 // reaches waits until a metric has a value: a node counts a call a moment after
 // its caller has the answer.
-func (w *town) reaches(vm *localmesh.VM, name string, want float64) {
+func (w *testMesh) reaches(vm *localmesh.VM, name string, want float64) {
 	w.t.Helper()
 	for got := w.metric(vm, name); got != want; got = w.metric(vm, name) {
 		if w.ctx.Err() != nil {
@@ -182,7 +182,7 @@
 	}
 }
 
-func (w *town) page(vm *localmesh.VM, path string) string {
+func (w *testMesh) page(vm *localmesh.VM, path string) string {
 	w.t.Helper()
 	resp, err := http.Get("http://" + vm.Node().Addrs().Metrics + path)
 	w.must(err)
@@ -193,12 +193,12 @@
 }
 
 // settingsOf returns settings of a VM's node that Reload may take.
-func (w *town) settingsOf(vm *localmesh.VM) settings.Node { return vm.Node().Settings() }
+func (w *testMesh) settingsOf(vm *localmesh.VM) settings.Node { return vm.Node().Settings() }
 
 // keepCalling makes calls of both classes through the nodes of some VMs, one
 // after the other on each, until the test asks for the failures. Ended counts
 // the calls that ended.
-func (w *town) keepCalling(vms ...*localmesh.VM) (ended *atomic.Int64, failed func() []answer) {
+func (w *testMesh) keepCalling(vms ...*localmesh.VM) (ended *atomic.Int64, failed func() []answer) {
 	ended = new(atomic.Int64)
 	var stop atomic.Bool
 	var wg sync.WaitGroup
@@ -229,7 +229,7 @@
 }
 
 // waitCalls waits until more calls have ended.
-func (w *town) waitCalls(ended *atomic.Int64, more int64) {
+func (w *testMesh) waitCalls(ended *atomic.Int64, more int64) {
 	w.t.Helper()
 	for until := ended.Load() + more; ended.Load() < until; time.Sleep(time.Millisecond) {
 		w.must(w.ctx.Err())
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -12,7 +12,7 @@
 // Every metric that a node shows is in the operators' page, and the counts of a
 // class agree with what its callers got.
 func TestMetricsAreTrueAndDocumented(t *testing.T) {
-	w := startTown(t, 2, nil)
+	w := startMesh(t, 2, nil)
 	entry, dest := w.VMs[0], w.VMs[1]
 	w.hold(dest)
 	for i := range 5 {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -23,11 +23,11 @@
 // again only after "not run" or when no connection was made, and it leaves a node
 // that is going to stop, as a load balancer that asks /readyz would.
 type caller struct {
-	w      *town
+	w      *testMesh
 	client http.Client
 }
 
-func newCaller(w *town) *caller {
+func newCaller(w *testMesh) *caller {
 	return &caller{w: w, client: http.Client{Transport: new(http.Transport)}}
 }
 
@@ -63,7 +63,7 @@
 // back before it may take calls.
 func TestRollingReplacementUnderCalls(t *testing.T) {
 	t.Parallel()
-	w := startTown(t, 4, nil)
+	w := startMesh(t, 4, nil)
 	w.hold(w.VMs...)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -115,7 +115,7 @@
 // restart starts the node of a VM anew. Its backend server finds it again, unless
 // some connection of this machine got the port of the announce API meanwhile; then
 // the VM gets another backend server.
-func (w *town) restart(vm *localmesh.VM) {
+func (w *testMesh) restart(vm *localmesh.VM) {
 	w.t.Helper()
 	w.must(w.StartNode(vm))
 	if vm.Node().Addrs().Announce != w.addrs.Announce {
@@ -126,7 +126,7 @@
 // pull begins a long download through a VM's node and returns when its first
 // part has come. The function returned waits for its end, and says what is wrong
 // with it.
-func (w *town) pull(vm *localmesh.VM) func() error {
+func (w *testMesh) pull(vm *localmesh.VM) func() error {
 	w.t.Helper()
 	// 16 KiB a part, and a pause of 100 ms after each: about three seconds.
 	const path = lookup + "/archive?bytes=500000&pause=100ms"
@@ -156,7 +156,7 @@
 // ever, and must say how many calls it cut off.
 func TestDrainLimitIsReported(t *testing.T) {
 	t.Parallel()
-	w := startTown(t, 2, func(_ *localmesh.VM, o *node.Options) {
+	w := startMesh(t, 2, func(_ *localmesh.VM, o *node.Options) {
 		o.Settings.Drain.Limit = strict.Duration{Duration: time.Millisecond}
 	})
 	w.hold(w.VMs[1])
@@ -176,7 +176,7 @@
 // connection must stay open during the notice.
 func TestLeavingNodeEndsConnectionsWithAnAnswer(t *testing.T) {
 	t.Parallel()
-	w := startTown(t, 2, nil)
+	w := startMesh(t, 2, nil)
 	w.hold(w.VMs[1])
 	leaver := w.VMs[0].Node()
 	c := http.Client{Transport: new(http.Transport)}
@@ -202,7 +202,7 @@
 // is started anew: half a node still answers probes, and calls are sent to it.
 func TestFailedPartIsTold(t *testing.T) {
 	t.Parallel()
-	w := startTown(t, 2, nil)
+	w := startMesh(t, 2, nil)
 	n := w.VMs[0].Node()
 	select {
 	case <-n.Failed():
@@ -226,7 +226,7 @@
 // calls any more, and say so; the new one goes on.
 func TestSupersededNodeTakesNoCalls(t *testing.T) {
 	t.Parallel()
-	w := startTown(t, 3, func(_ *localmesh.VM, o *node.Options) {
+	w := startMesh(t, 3, func(_ *localmesh.VM, o *node.Options) {
 		// A node that has just joined takes a later record under its name for
 		// its own from before a restart.
 		before := o.Membership
@@ -261,7 +261,7 @@
 }
 
 // WaitReadyOf waits until one node takes calls.
-func (w *town) WaitReadyOf(vm *localmesh.VM) error {
+func (w *testMesh) WaitReadyOf(vm *localmesh.VM) error {
 	for {
 		if ready, _ := vm.Node().Ready(); ready {
 			return nil
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -21,7 +21,7 @@
 	"github.com/marlpass/marlpass/internal/trust/trusttest"
 )
 
-// issue writes a certificate of the town's mesh for a VM into its directory.
+// issue writes a certificate of the test mesh for a VM into its directory.
 func issue(ca *trusttest.CA, root, vm string) settings.TLS {
 	dir := filepath.Join(root, vm)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -37,7 +37,7 @@
 func TestCallsBetweenNodesAreMutualTLS(t *testing.T) {
 	t.Parallel()
 	ca, root := trusttest.NewCA(t), t.TempDir()
-	w := startTown(t, 2, func(vm *localmesh.VM, o *node.Options) { o.Settings.TLS = issue(ca, root, vm.ID) })
+	w := startMesh(t, 2, func(vm *localmesh.VM, o *node.Options) { o.Settings.TLS = issue(ca, root, vm.ID) })
 	entry, dest := w.VMs[0], w.VMs[1]
 	w.hold(dest)
 	for i, path := range []string{lookup, book} {
@@ -115,7 +115,7 @@
 	t.Parallel()
 	ca, root := trusttest.NewCA(t), t.TempDir()
 	board := &switchboard{led: make(map[string]string)}
-	w := startTown(t, 3, func(vm *localmesh.VM, o *node.Options) {
+	w := startMesh(t, 3, func(vm *localmesh.VM, o *node.Options) {
 		o.Settings.TLS = issue(ca, root, vm.ID)
 		if vm.ID == "neg-01" {
 			o.Dial = board.dialer(o.Dial)
@@ -149,7 +149,7 @@
 	root := t.TempDir()
 	oldCA, newCA := trusttest.NewCA(t), trusttest.NewCA(t)
 	current := oldCA
-	w := startTown(t, 3, func(vm *localmesh.VM, o *node.Options) { o.Settings.TLS = issue(current, root, vm.ID) })
+	w := startMesh(t, 3, func(vm *localmesh.VM, o *node.Options) { o.Settings.TLS = issue(current, root, vm.ID) })
 	late := w.VMs[2]
 	late.Kill()
 	w.hold(w.VMs[1])
