Update only the pickers whose endpoints changed

Cause: each new view updated the pickers of all services.

Change: a view's records are compared with those of the view before, which shares the ones that did not change; only services of changed records are worked on, and the subsets of all services follow the number of entry nodes once it has moved by a tenth. The baseline's list is kept only where the baseline runs.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -68,7 +68,7 @@
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer,
-	}, &c.pickers.plain))
+	}, c.pickers))
 	return c, nil
 }
 
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,46 +23,112 @@
 // feeds them from the membership view.
 type pickers struct {
 	self      membership.VM
-	mu        sync.Mutex // serialises writers
+	mu        sync.Mutex // serialises writers, and guards the next three
+	view      *membership.View
+	endpoints map[string][]route.Endpoint // by service
+	entries   int                         // entry nodes that the subsets go by
 	byService atomic.Pointer[map[string]*route.Picker]
 	none      *route.Picker // of a service that no node holds
 	ready     atomic.Pointer[map[string]int]
-	plain     proxy.RoundRobin // the baseline, see Policies
+	plain     *proxy.RoundRobin // fed as well if not nil; see Policies
 }
 
 func newPickers(self membership.VM) *pickers {
-	p := &pickers{self: self, none: route.New(route.Options{Self: self.ID})}
+	p := &pickers{
+		self: self, endpoints: make(map[string][]route.Endpoint),
+		none: route.New(route.Options{Self: self.ID}),
+	}
 	p.byService.Store(&map[string]*route.Picker{})
 	p.ready.Store(&map[string]int{})
 	return p
 }
 
-// update takes in a new view. A service that no node holds any more keeps its
-// picker, with no endpoints: its observations are wanted if it comes back.
+// update takes in a new view. Only the services that differ from the view before
+// are worked on: at 1,200 nodes some record changes many times a second while a
+// data centre returns, and nearly all services stay as they are. A service that
+// no node holds any more keeps its picker, with no endpoints: its observations
+// are wanted if it comes back.
 func (p *pickers) update(now time.Time, v *membership.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	endpoints := endpointsOf(v)
-	next := make(map[string]*route.Picker, len(endpoints))
-	for service, picker := range *p.byService.Load() {
-		next[service] = picker
-	}
-	for service := range endpoints {
-		if next[service] == nil {
-			next[service] = route.New(route.Options{
+	entries := nodesIn(v, p.self.DataCentre)
+	touched := p.touched(v, entries)
+	p.view = v
+	if len(touched) == 0 {
+		return
+	}
+	fresh := endpointsOf(v, touched)
+	next := maps.Clone(*p.byService.Load())
+	ready := maps.Clone(*p.ready.Load())
+	for service := range touched {
+		picker := next[service]
+		if picker == nil {
+			picker = route.New(route.Options{
 				Self: p.self.ID, DataCentre: p.self.DataCentre, Region: p.self.Region,
 			})
+			next[service] = picker
 		}
-	}
-	entries := nodesIn(v, p.self.DataCentre)
-	for service, picker := range next {
-		picker.SetEntryNodes(entries)
-		picker.Update(now, endpoints[service])
+		picker.SetEntryNodes(p.entries)
+		picker.Update(now, fresh[service])
+		p.endpoints[service] = fresh[service]
+		ready[service] = countReady(fresh[service])
 	}
 	p.byService.Store(&next)
-	p.plain.Set(plainEndpoints(endpoints))
-	ready := countReady(endpoints)
 	p.ready.Store(&ready)
+	if p.plain != nil {
+		p.plain.Set(plainEndpoints(p.endpoints))
+	}
+}
+
+// entriesDrift is the share by which the number of entry nodes may move before
+// the subsets of all services follow it.
+const entriesDrift = 0.1
+
+// touched returns the services whose endpoints are not the same in v as in the
+// view before, or all of them when the number of entry nodes has drifted.
+func (p *pickers) touched(v *membership.View, entries int) map[string]bool {
+	out := make(map[string]bool)
+	drifted := math.Abs(float64(entries-p.entries)) > entriesDrift*float64(p.entries)
+	if drifted {
+		p.entries = entries
+		for service := range *p.byService.Load() {
+			out[service] = true
+		}
+	}
+	var old map[string]*membership.Seen
+	if p.view != nil {
+		old = p.view.Records
+	}
+	for id, r := range v.Records {
+		if was := old[id]; was != r && !sameEndpoints(was, r) {
+			note(out, was)
+			note(out, r)
+		}
+	}
+	for id, was := range old {
+		if v.Records[id] == nil {
+			note(out, was)
+		}
+	}
+	return out
+}
+
+// sameEndpoints reports whether two records of one VM give the same endpoints.
+func sameEndpoints(a, b *membership.Seen) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.VM == b.VM && a.State == b.State && slices.Equal(a.Backends, b.Backends)
+}
+
+// note adds the services of a record.
+func note(services map[string]bool, r *membership.Seen) {
+	if r == nil {
+		return
+	}
+	for _, b := range r.Backends {
+		services[b.Service] = true
+	}
 }
 
 // plainEndpoints returns the endpoints that take calls.
@@ -80,16 +149,14 @@
 	return proxy.Endpoint{ID: e.ID, VM: e.VM, Instance: instance, Addr: e.Addr}
 }
 
-func countReady(endpoints map[string][]route.Endpoint) map[string]int {
-	out := make(map[string]int, len(endpoints))
-	for service, list := range endpoints {
-		for _, e := range list {
-			if e.Ready && !e.Draining {
-				out[service]++
-			}
+func countReady(list []route.Endpoint) int {
+	n := 0
+	for _, e := range list {
+		if e.Ready && !e.Draining {
+			n++
 		}
 	}
-	return out
+	return n
 }
 
 // nodesIn counts the nodes of a data centre: each may be an entry node.
@@ -103,11 +170,14 @@
 	return max(n, 1)
 }
 
-func endpointsOf(v *membership.View) map[string][]route.Endpoint {
-	out := make(map[string][]route.Endpoint)
+// endpointsOf returns the endpoints of the given services.
+func endpointsOf(v *membership.View, services map[string]bool) map[string][]route.Endpoint {
+	out := make(map[string][]route.Endpoint, len(services))
 	for _, r := range v.Records {
 		for _, b := range r.Backends {
-			out[b.Service] = append(out[b.Service], endpointOf(r, b))
+			if services[b.Service] {
+				out[b.Service] = append(out[b.Service], endpointOf(r, b))
+			}
 		}
 	}
 	return out
--- a/internal/node/pickers_bench_test.go
+++ b/internal/node/pickers_bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,21 +37,53 @@
 	return p
 }
 
-// BenchmarkPickers measures what a new view costs the pickers of a node, by the
-// number of records in it, and the heap that the pickers keep.
+// BenchmarkPickers measures what a view with one changed record costs the
+// pickers of a node, by the number of records in it, and the heap that the
+// pickers keep.
 func BenchmarkPickers(b *testing.B) {
 	for _, n := range []int{100, 300, 600, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p, v := pickersOf(n), viewOf(n)
+			p := pickersOf(n)
+			views := [2]*membership.View{viewOf(n), nil}
+			views[1] = oneChanged(views[0])
+			p.update(time.Unix(0, 0), views[0])
 			b.ReportAllocs()
+			i := 0
 			for b.Loop() {
-				p.update(time.Unix(0, 0), v)
+				i++
+				p.update(time.Unix(0, 0), views[i%2])
 			}
 			b.ReportMetric(pickersHeap(n), "heap-B")
 		})
 	}
 }
 
+// BenchmarkPickersAll is BenchmarkPickers with every record changed, which is
+// also what each view cost before only what changed was worked on.
+func BenchmarkPickersAll(b *testing.B) {
+	p := pickersOf(1200)
+	views := [2]*membership.View{viewOf(1200), viewOf(1200)}
+	for _, r := range views[1].Records {
+		r.Backends[0].Slots++
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		p.update(time.Unix(0, 0), views[i%2])
+	}
+}
+
+// oneChanged returns a view that shares all records with v but one.
+func oneChanged(v *membership.View) *membership.View {
+	next := &membership.View{Self: v.Self, Records: maps.Clone(v.Records)}
+	r := *v.Records["vm-7"]
+	r.Backends = slices.Clone(r.Backends)
+	r.Backends[0].State = membership.BackendDraining
+	next.Records["vm-7"] = &r
+	return next
+}
+
 func pickersHeap(n int) float64 {
 	const copies = 10
 	before := heapBytes()
--- a/internal/node/policies.go
+++ b/internal/node/policies.go
@@ -47,9 +47,10 @@
 }
 
 // entryParts returns the parts of the entry with these policies.
-func (p Policies) entryParts(parts proxy.EntryParts, plain *proxy.RoundRobin) proxy.EntryParts {
+func (p Policies) entryParts(parts proxy.EntryParts, own *pickers) proxy.EntryParts {
 	if p.RoundRobin {
-		parts.Pickers = plain
+		own.plain = new(proxy.RoundRobin)
+		parts.Pickers = own.plain
 	}
 	if p.Retrier != nil {
 		parts.Retrier = p.Retrier
