Give no verdict on a line that misses its points by half

Cause: the p99 added to a call came out below zero and counted as fitting. Change: such lines are unproved. Conclusion: the table no longer says that it fits.

--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -71,6 +71,13 @@
 	}
 }
 
+func TestNoVerdictOnScatter(t *testing.T) {
+	l := Line{Fit: NewFit(Linear, []Point{{1, 1}, {2, 50}, {3, -40}, {4, 9}}), AtN: 4, Limit: 1000}
+	if got := l.Verdict(); got != Unproved {
+		t.Errorf("got %s", got)
+	}
+}
+
 func TestMediansTakeEachSizeOnce(t *testing.T) {
 	list := []Point{{36, 9}, {12, 1}, {36, 5}, {36, 700}, {12, 3}}
 	got := medians(list, all[Point], func(p *Point) Point { return *p })
--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -41,6 +41,7 @@
 	poorResidual = 0.25 // of a point
 	poorHeld     = 0.25 // of the largest point
 	fewSizes     = 4
+	noLine       = 0.5 // of a point; beyond it no verdict is given
 )
 
 // Verdict is what can be said of a line.
@@ -53,6 +54,7 @@
 	OverLimit Verdict = "over the limit"
 	NoBound   Verdict = "no bound is set"
 	NotRun    Verdict = "not measured"
+	Unproved  Verdict = "unproved"
 )
 
 // Verdict compares the line with its goal and limit.
@@ -61,6 +63,8 @@
 	switch {
 	case len(l.Fit.Points) == 0:
 		return NotRun
+	case l.Fit.Worst > noLine && (l.Goal > 0 || l.Limit > 0):
+		return Unproved
 	case l.Limit > 0 && v > l.Limit:
 		return OverLimit
 	case l.Goal > 0 && v > l.Goal:
