Wake a node's refresh by what changes

Change: a new view and an offered version wake the refresh; a timer of one second is left for what tells of itself to nobody. Changes within 50 ms are taken in together.

Conclusion: fewer wake-ups; no gain in processor time shown yet.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -98,7 +98,13 @@
 }
 
 // Views holds the current View for readers on the path of a call.
-type Views struct{ p atomic.Pointer[View] }
+type Views struct {
+	p        atomic.Pointer[View]
+	onChange atomic.Pointer[func()]
+}
+
+// OnChange sets what is called after each new view. It must not block.
+func (v *Views) OnChange(f func()) { v.onChange.Store(&f) }
 
 // Load returns the current view; it is never nil.
 func (v *Views) Load() *View {
@@ -109,7 +115,12 @@
 }
 
 // Store replaces the current view.
-func (v *Views) Store(n *View) { v.p.Store(n) }
+func (v *Views) Store(n *View) {
+	v.p.Store(n)
+	if f := v.onChange.Load(); f != nil {
+		(*f)()
+	}
+}
 
 // String returns the state's name in the announce and admin APIs.
 func (s BackendState) String() string {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -20,6 +20,9 @@
 	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
+// contactPoll is how often a starting node looks whether it was let in.
+const contactPoll = 50 * time.Millisecond
+
 // settleBound is how long a starting node waits for the membership's first
 // contact before it looks for versions with what it has.
 const settleBound = 3 * time.Second
@@ -131,7 +134,7 @@
 		set.AloneAfter = d
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
-		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
+		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: wakingStore{n},
 		Log: telemetry.Part(n.log, "distribute"),
 		OnFinding: func(f distribute.Finding) {
 			c.findings.add(f.Kind())
@@ -173,7 +176,7 @@
 func (c *control) awaitContact(ctx context.Context) {
 	deadline := time.Now().Add(settleBound)
 	for !c.members.Joined() && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, refreshEvery)
+		sleep(ctx, contactPoll)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,10 +21,11 @@
 
 // Times of a node's own work.
 const (
-	refreshEvery = 50 * time.Millisecond // looking for a new view or version
-	flushEvery   = 2 * time.Second       // storing outcomes that the platform lacks
-	leaveNotice  = 2 * time.Second       // for the word of leaving to get around
-	stopGrace    = 5 * time.Second       // for everything but calls in flight
+	refreshGap  = 50 * time.Millisecond // least time between two refreshes
+	watchEvery  = time.Second           // looking whether the VM's ID was taken
+	flushEvery  = 2 * time.Second       // storing outcomes that the platform lacks
+	leaveNotice = 2 * time.Second       // for the word of leaving to get around
+	stopGrace   = 5 * time.Second       // for everything but calls in flight
 )
 
 // Options are what a node is made of.
@@ -63,6 +64,8 @@
 	reports  *reports
 	findings findings
 
+	// changed holds an element when refresh has something to look at.
+	changed chan struct{}
 	leaving atomic.Bool
 	// carries says that the node holds a version it may carry traffic with.
 	carries atomic.Bool
@@ -76,7 +79,8 @@
 
 // New opens the sockets of a node and wires its parts. Nothing is served yet.
 func New(o Options) (*Node, error) {
-	n := &Node{o: o, set: o.Settings, log: o.Log, parts: newParts()}
+	n := &Node{o: o, set: o.Settings, log: o.Log, parts: newParts(), changed: make(chan struct{}, 1)}
+	n.views.OnChange(n.wake)
 	store, err := config.NewStore(compile)
 	if err != nil {
 		return nil, err
@@ -175,36 +179,69 @@
 func (n *Node) InFlight() int64 { return n.servers.calls.inFlight.Load() }
 
 // refresh brings what is derived from the membership view and from the version
-// in force up to date.
+// in force up to date. It is woken by both; the timer is for what tells of
+// itself to nobody, which is readiness and another process under this VM's ID.
+// Changes that come together are taken in together: while a data centre returns,
+// views follow each other faster than each could be worked on.
 func (n *Node) refresh(ctx context.Context) {
-	ticker := time.NewTicker(refreshEvery)
-	defer ticker.Stop()
-	var view *membership.View
-	var snapshot *config.Snapshot
-	var refused *config.Refused
-	for {
-		now := time.Now()
-		v, f, r := n.views.Load(), n.store.Load(), n.store.Refused()
-		if v != view {
-			n.calls.pickers.update(now, v)
-			n.calls.suspects.merge(now, v)
+	var done refreshed
+	for ctx.Err() == nil {
+		n.refreshOnce(time.Now(), &done)
+		sleep(ctx, refreshGap)
+		every := watchEvery
+		if !n.carries.Load() {
+			every = refreshGap
 		}
-		if f.Snapshot != snapshot || r != refused {
-			n.control.applied(f.Snapshot, r)
-		}
-		if v != view || f.Snapshot != snapshot {
-			n.updateGates(now)
-		}
-		view, snapshot, refused = v, f.Snapshot, r
-		n.watchID()
-		ok, _ := n.control.spread.Ready()
-		n.carries.Store(ok && !n.superseded.Load())
+		timer := time.NewTimer(every)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-n.changed:
+		case <-timer.C:
 		}
+		timer.Stop()
+	}
+}
+
+// refreshed is what refresh has taken in.
+type refreshed struct {
+	view     *membership.View
+	snapshot *config.Snapshot
+	refused  *config.Refused
+}
+
+func (n *Node) refreshOnce(now time.Time, done *refreshed) {
+	v, f, r := n.views.Load(), n.store.Load(), n.store.Refused()
+	if v != done.view {
+		n.calls.pickers.update(now, v)
+		n.calls.suspects.merge(now, v)
+	}
+	if f.Snapshot != done.snapshot || r != done.refused {
+		n.control.applied(f.Snapshot, r)
 	}
+	if v != done.view || f.Snapshot != done.snapshot {
+		n.updateGates(now)
+	}
+	*done = refreshed{v, f.Snapshot, r}
+	n.watchID()
+	ok, _ := n.control.spread.Ready()
+	n.carries.Store(ok && !n.superseded.Load())
+}
+
+// wake makes refresh look now.
+func (n *Node) wake() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// wakingStore is a node's store that wakes refresh when a version was offered.
+type wakingStore struct{ n *Node }
+
+// Offer implements distribute.Store.
+func (s wakingStore) Offer(snap *config.Snapshot) (bool, error) {
+	defer s.n.wake()
+	return s.n.store.Offer(snap)
 }
 
 // watchID stops the traffic of a node whose VM's ID another process has taken.
