Wait within a context in one place

Cause: nine packages had the same timer and select, under the names sleep, pause, sleepFor and work. The test of pure decisions knows it as a use of the clock.

--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Headers and query parameters by which a request says how it is to be run.
@@ -50,7 +51,7 @@
 		return
 	}
 	defer s.slots.give()
-	_ = work(r.Context(), s.set.ProbeCost.Duration)
+	_ = wait.For(r.Context(), s.set.ProbeCost.Duration)
 	fmt.Fprintln(w, s.State())
 }
 
@@ -125,7 +126,7 @@
 		s.runs.cut.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	if err := work(r.Context(), s.timeOf(r, m)); err != nil {
+	if err := wait.For(r.Context(), s.timeOf(r, m)); err != nil {
 		s.runs.cancelled.Add(1)
 		panic(http.ErrAbortHandler)
 	}
@@ -174,5 +175,5 @@
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
 	}
-	return work(ctx, d)
+	return wait.For(ctx, d)
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // State is what the server says of itself.
@@ -199,7 +201,7 @@
 	s.drainAt.Store(time.Now().UnixNano())
 	s.setState(Draining)
 	s.log.Info().Msg("backend: draining")
-	_ = work(ctx, s.set.DrainWait.Duration)
+	_ = wait.For(ctx, s.set.DrainWait.Duration)
 	ctx, cancel := context.WithTimeout(ctx, s.set.DrainLimit.Duration)
 	defer cancel()
 	h := s.end()
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -62,18 +62,3 @@
 	}
 	return mean
 }
-
-// work takes up d of time, or until ctx ends.
-func work(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/capacity/announcer.go
+++ b/internal/capacity/announcer.go
@@ -7,6 +7,7 @@
 
 	"github.com/marlpass/marlpass/internal/gen/announceapi"
 	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // renewEvery is how often a backend server renews its announcement.
@@ -43,7 +44,7 @@
 			return nil, err
 		}
 		a.wg.Go(func() {
-			if sleep(ctx, time.Duration(i)*firstEvery) == nil {
+			if wait.For(ctx, time.Duration(i)*firstEvery) == nil {
 				b.renew(ctx, c)
 			}
 		})
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/load"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // ClaimOptions say how keyed calls are measured.
@@ -61,14 +62,14 @@
 	point.Before = loadAverage()
 	idle := p.m.Store.Counts()
 	start := time.Now()
-	if err := sleep(ctx, settleClaims); err != nil {
+	if err := wait.For(ctx, settleClaims); err != nil {
 		return point, err
 	}
 	before := p.m.Store.Counts()
 	idleFor := time.Since(start).Seconds()
 	start = time.Now()
 	p.sendKeyed(ctx, &point, o.For)
-	if err := sleep(ctx, settleClaims); err != nil {
+	if err := wait.For(ctx, settleClaims); err != nil {
 		return point, err
 	}
 	took := time.Since(start).Seconds()
--- a/internal/capacity/flight.go
+++ b/internal/capacity/flight.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/load"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // flightTime is how long the backend server takes for a call, which is enough
@@ -48,7 +49,7 @@
 	for i := range n {
 		wg.Go(func() { outcomes <- load.Do(ctx, &opts, fmt.Sprintf("flight-%s-%d-%d", way, n, i)) })
 	}
-	if err := sleep(ctx, flightTime/2); err != nil {
+	if err := wait.For(ctx, flightTime/2); err != nil {
 		return FlightPoint{}, err
 	}
 	m := heldMemory()
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // MeshOptions say how a mesh is measured.
@@ -53,10 +54,10 @@
 	if err := op.burst(ctx, o.Prior); err != nil {
 		return p, err
 	}
-	if err := sleep(ctx, o.Settle); err != nil {
+	if err := wait.For(ctx, o.Settle); err != nil {
 		return p, err
 	}
-	if p.Idle, err = watch(ctx, m, func() error { return sleep(ctx, o.Idle) }); err != nil {
+	if p.Idle, err = watch(ctx, m, func() error { return wait.For(ctx, o.Idle) }); err != nil {
 		return p, err
 	}
 	p.memory(empty, settledMemory())
@@ -113,7 +114,7 @@
 		return err
 	}
 	p.Tail = o.Tail.Seconds()
-	return sleep(ctx, o.Tail)
+	return wait.For(ctx, o.Tail)
 }
 
 // changes makes changes one after the other, each in force everywhere before
@@ -127,20 +128,9 @@
 		if err := o.m.WaitVersion(ctx, o.version); err != nil {
 			return err
 		}
-		if err := sleep(ctx, every-time.Since(start)); err != nil {
+		if err := wait.For(ctx, every-time.Since(start)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -17,6 +17,7 @@
 
 	"github.com/marlpass/marlpass/internal/localmesh"
 	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // ProcessPoint is one marlpass-node in a process of its own, within a mesh whose
@@ -70,10 +71,10 @@
 	if err := n.ready(ctx); err != nil {
 		return p, err
 	}
-	if err := sleep(ctx, o.Settle); err != nil {
+	if err := wait.For(ctx, o.Settle); err != nil {
 		return p, err
 	}
-	if p.CPUIdle, _, err = n.watch(func() error { return sleep(ctx, o.Idle) }); err != nil {
+	if p.CPUIdle, _, err = n.watch(func() error { return wait.For(ctx, o.Idle) }); err != nil {
 		return p, err
 	}
 	change := func() error { return op.changes(ctx, o.Changes, o.Every) }
@@ -182,7 +183,7 @@
 				return nil
 			}
 		}
-		if err := sleep(ctx, 50*time.Millisecond); err != nil {
+		if err := wait.For(ctx, 50*time.Millisecond); err != nil {
 			return fmt.Errorf("capacity: the node does not get ready: %w", err)
 		}
 	}
--- a/internal/capacity/reads.go
+++ b/internal/capacity/reads.go
@@ -10,6 +10,7 @@
 	"github.com/marlpass/marlpass/internal/platform/client"
 	"github.com/marlpass/marlpass/internal/platform/fake"
 	"github.com/marlpass/marlpass/internal/platform/server"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // readRates are reads a second.
@@ -51,7 +52,7 @@
 				return nil, err
 			}
 		}
-		if err := sleep(ctx, time.Until(start.Add(readFor))); err != nil {
+		if err := wait.For(ctx, time.Until(start.Add(readFor))); err != nil {
 			return nil, err
 		}
 		out = append(out, ReadPoint{Rate: rate, CPU: (cpuTime() - cpu).Seconds() / time.Since(start).Seconds()})
--- a/internal/command/committer.go
+++ b/internal/command/committer.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Options bound the work of a Committer. Zero values stand for the defaults.
@@ -54,7 +55,7 @@
 		o.Rand = rand.Float64
 	}
 	if o.Sleep == nil {
-		o.Sleep = sleep
+		o.Sleep = wait.For
 	}
 	return o
 }
@@ -66,17 +67,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // Committer accepts commands by committing to the platform. It is safe for
 // use by several goroutines.
 type Committer struct {
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -134,7 +134,7 @@
 
 var (
 	opensSockets = regexp.MustCompile(`^(http|net|os|tls)\.`)
-	usesClock    = regexp.MustCompile(`^time\.(Now|Sleep|After|AfterFunc|NewTimer|NewTicker|Since|Until|Tick)$`)
+	usesClock    = regexp.MustCompile(`^time\.(Now|Sleep|After|AfterFunc|NewTimer|NewTicker|Since|Until|Tick)$|^wait\.For$`)
 )
 
 // A decision that reads the clock or the network by itself gives another verdict
--- a/internal/load/control/baseline.go
+++ b/internal/load/control/baseline.go
@@ -18,6 +18,7 @@
 	"github.com/marlpass/marlpass/internal/platform/client"
 	"github.com/marlpass/marlpass/internal/platform/fake"
 	"github.com/marlpass/marlpass/internal/platform/server"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Baseline is the same measurement of nodes that each poll the platform for the
@@ -172,7 +173,7 @@
 	last := p.operator.last().Number
 	for _, n := range p.nodes {
 		for n.store.Load().Snapshot.Version().Number < last {
-			if err := pause(ctx, resolution); err != nil {
+			if err := wait.For(ctx, resolution); err != nil {
 				return err
 			}
 		}
@@ -194,7 +195,7 @@
 		return 0, err
 	}
 	start := p.use()
-	err := pause(ctx, compressedFor)
+	err := wait.For(ctx, compressedFor)
 	return round(start.until(p.use()).bytesPerNode(nodes)), err
 }
 
@@ -234,11 +235,11 @@
 // run polls until ctx ends, from a random moment of the second on.
 func (n *poller) run(ctx context.Context) {
 	defer n.client.Close()
-	wait := time.Duration(rand.Int64N(int64(pollEvery)))
-	for pause(ctx, wait) == nil {
+	left := time.Duration(rand.Int64N(int64(pollEvery)))
+	for wait.For(ctx, left) == nil {
 		start := time.Now()
 		n.poll(ctx)
-		wait = time.Until(start.Add(pollEvery))
+		left = time.Until(start.Add(pollEvery))
 	}
 }
 
--- a/internal/load/control/fleet.go
+++ b/internal/load/control/fleet.go
@@ -128,15 +128,3 @@
 	f.watch.stop()
 	f.Close()
 }
-
-// pause waits for d, or returns the context's error.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/load/control/partition.go
+++ b/internal/load/control/partition.go
@@ -7,6 +7,7 @@
 
 	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // PartitionOptions are the flags of the subcommand partition.
@@ -76,7 +77,7 @@
 
 func (r *PartitionReport) phases(ctx context.Context, f *fleet, c *calls, o PartitionOptions) error {
 	names := centreNames()
-	if err := pause(ctx, settleFor); err != nil {
+	if err := wait.For(ctx, settleFor); err != nil {
 		return err
 	}
 	// The first data centre keeps the platform; the others have nothing.
@@ -104,7 +105,7 @@
 		}
 	}
 	p.change(ctx, f, cut[0], 0)
-	if err := pause(ctx, time.Until(end)); err != nil {
+	if err := wait.For(ctx, time.Until(end)); err != nil {
 		return err
 	}
 	p.ByCentre, _ = c.since(before)
--- a/internal/load/control/spread.go
+++ b/internal/load/control/spread.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // SpreadOptions are the flags of the subcommand spread.
@@ -119,11 +121,11 @@
 }
 
 func (m *measurement) run(ctx context.Context) (Spreading, error) {
-	if err := pause(ctx, m.settle); err != nil {
+	if err := wait.For(ctx, m.settle); err != nil {
 		return Spreading{}, err
 	}
 	start := m.use()
-	if err := pause(ctx, m.o.Idle); err != nil {
+	if err := wait.For(ctx, m.o.Idle); err != nil {
 		return Spreading{}, err
 	}
 	idle := m.use()
@@ -149,7 +151,7 @@
 func (m *measurement) changes(ctx context.Context) error {
 	start := time.Now()
 	for i := range m.o.Changes {
-		if err := pause(ctx, time.Until(start.Add(time.Duration(i)*m.o.Every))); err != nil {
+		if err := wait.For(ctx, time.Until(start.Add(time.Duration(i)*m.o.Every))); err != nil {
 			return err
 		}
 		if err := m.change(ctx); err != nil {
--- a/internal/load/control/storm.go
+++ b/internal/load/control/storm.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlpass/marlpass/internal/localmesh"
 	"github.com/marlpass/marlpass/internal/node"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // StormOptions are the flags of the subcommand storm.
@@ -68,7 +69,7 @@
 }
 
 func (r *StormReport) storm(ctx context.Context, f *fleet, o StormOptions) error {
-	if err := pause(ctx, settleFor); err != nil {
+	if err := wait.For(ctx, settleFor); err != nil {
 		return err
 	}
 	victims := f.victims(o.Centres)
@@ -81,7 +82,7 @@
 	if err := f.operator.change(ctx, f.Nodes()[0]); err != nil {
 		return err
 	}
-	if err := pause(ctx, o.Down); err != nil {
+	if err := wait.For(ctx, o.Down); err != nil {
 		return err
 	}
 	var group errgroup.Group
--- a/internal/load/faults_list.go
+++ b/internal/load/faults_list.go
@@ -8,6 +8,7 @@
 
 	"github.com/marlpass/marlpass/internal/backend"
 	"github.com/marlpass/marlpass/internal/platform/fake"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // faults are all faults, in the order of the report.
@@ -96,7 +97,7 @@
 				_ = vm.Stop(ctx)
 				_ = p.StartNode(vm)
 			})
-			sleepFor(ctx, 300*time.Millisecond)
+			_ = wait.For(ctx, 300*time.Millisecond)
 		}
 		wg.Wait()
 		_ = p.WaitReady(ctx)
@@ -122,7 +123,7 @@
 			}
 			for sending := 0; time.Since(p.start) < poisonUntil && ctx.Err() == nil; sending++ {
 				p.make(ctx, newPoison(caller, sending))
-				sleepFor(ctx, poisonAgain)
+				_ = wait.For(ctx, poisonAgain)
 			}
 		})
 	}
@@ -150,7 +151,7 @@
 		other := *k
 		other.body = "another body"
 		p.wg.Go(func() {
-			sleepFor(ctx, resentPatience/2)
+			_ = wait.For(ctx, resentPatience/2)
 			p.make(ctx, &other)
 		})
 	}
@@ -176,7 +177,7 @@
 		}
 		vm := p.VMs[3*i]
 		vm.Kill()
-		sleepFor(ctx, 500*time.Millisecond)
+		_ = wait.For(ctx, 500*time.Millisecond)
 		_ = p.StartNode(vm)
 	}
 }
--- a/internal/load/faults_play.go
+++ b/internal/load/faults_play.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/backend"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // fault is something that goes wrong, or a planned stop, under load.
@@ -90,7 +91,7 @@
 	p.load(ctx, f)
 	playing.Wait()
 	p.wg.Wait()
-	sleepFor(ctx, settle)
+	_ = wait.For(ctx, settle)
 	c := p.tally.count(m.runs(), f.planned)
 	c.EndpointsDown = m.crashed()
 	for _, b := range m.backends {
@@ -100,15 +101,6 @@
 	return c, context.Cause(ctx)
 }
 
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // warm makes the first connections, uncounted.
 func (p *play) warm(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -18,6 +18,7 @@
 	"github.com/marlpass/marlpass/internal/platform/client"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/telemetry"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // settleBound is how long a starting node waits for the membership's first
@@ -173,7 +174,7 @@
 func (c *control) awaitContact(ctx context.Context) {
 	deadline := time.Now().Add(settleBound)
 	for !c.members.Joined() && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, refreshEvery)
+		_ = wait.For(ctx, refreshEvery)
 	}
 }
 
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -12,6 +12,7 @@
 	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/platform"
 	"github.com/marlpass/marlpass/internal/platform/lease"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Times of maintenance. Only the feeders contend, two a data centre, so ten
@@ -75,14 +76,14 @@
 
 // run does what is due until ctx ends, then gives the lease back.
 func (m *maintainer) run(ctx context.Context) {
-	wait := maintenanceLook
+	rest := maintenanceLook
 	for {
-		sleep(ctx, jitter(wait))
+		_ = wait.For(ctx, jitter(rest))
 		if ctx.Err() != nil {
 			m.release()
 			return
 		}
-		wait = m.step(ctx)
+		rest = m.step(ctx)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/platform"
 	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Times of a node's own work.
@@ -270,7 +271,7 @@
 	n.control.leave()
 	n.log.Info().Msg("node: leaving the mesh")
 	n.servers.leave()
-	sleep(ctx, leaveNotice)
+	_ = wait.For(ctx, leaveNotice)
 	n.calls.drain()
 	limit := n.set.Drain.Limit.Duration
 	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
@@ -298,12 +299,3 @@
 		n.parts.stop()
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -10,6 +10,7 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Bounds on the pauses between attempts at the platform.
@@ -230,12 +231,7 @@
 func (a *attempt) sleep(ctx context.Context) {
 	d := time.Duration(float64(a.pause) * (0.5 + rand.Float64()))
 	a.pause = min(2*a.pause, maxPause)
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = wait.For(ctx, d)
 }
 
 type claimState uint8
--- a/internal/platform/client/do.go
+++ b/internal/platform/client/do.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // operation is one call of a platform interface.
@@ -38,7 +38,7 @@
 		}
 		doubt = doubt || (op.write && f.doubtful())
 		again := !f.final && (op.idempotent || !doubt)
-		if !again || n == c.options.Tries || !pause(ctx, waits.NextBackOff()) {
+		if !again || n == c.options.Tries || wait.For(ctx, waits.NextBackOff()) != nil {
 			return c.failed(op, n, f, doubt)
 		}
 		c.metrics.retries.Inc()
@@ -93,15 +93,3 @@
 	}
 	return e
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/fake/fake.go
+++ b/internal/platform/fake/fake.go
@@ -18,6 +18,7 @@
 
 	"github.com/marlpass/marlpass/internal/platform"
 	"github.com/marlpass/marlpass/internal/platform/memory"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Store is a platform that fails on demand. It's safe for concurrent use.
@@ -95,11 +96,11 @@
 // read runs f unless a switch stops it. An ended context always gives
 // ErrUnavailable.
 func (s *Store) read(ctx context.Context, f func(view) error) error {
-	wait, err := s.admit(ctx, false)
+	delay, err := s.admit(ctx, false)
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleep(ctx, delay); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -109,14 +110,14 @@
 
 // write runs f, which changes the memory, unless a switch stops it.
 func (s *Store) write(ctx context.Context, f func() error) error {
-	wait, err := s.admit(ctx, true)
+	delay, err := s.admit(ctx, true)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleep(ctx, delay); err != nil {
 		// The store already has the request: it lands later, unseen.
-		time.AfterFunc(wait-time.Since(start), func() { _ = s.apply(f) })
+		time.AfterFunc(delay-time.Since(start), func() { _ = s.apply(f) })
 		return unknown(ctx)
 	}
 	err = s.apply(f)
@@ -142,14 +143,14 @@
 		return 0, err
 	}
 	s.mu.Lock()
-	frozen, thawed, wait := s.switches.Frozen, s.thawed, s.switches.Slow
+	frozen, thawed, delay := s.switches.Frozen, s.thawed, s.switches.Slow
 	s.mu.Unlock()
 	if !frozen {
-		return wait, nil
+		return delay, nil
 	}
 	select {
 	case <-thawed:
-		return wait, nil
+		return delay, nil
 	case <-ctx.Done():
 		if write {
 			return 0, unknown(ctx)
@@ -201,12 +202,8 @@
 	if d <= 0 {
 		return nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if wait.For(ctx, d) != nil {
 		return unavailable(ctx)
 	}
+	return nil
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -14,6 +14,7 @@
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // ErrTriedAll is returned by Pickers when every endpoint has had the call.
@@ -324,25 +325,10 @@
 	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
 		d.Retry = false
 	}
-	d.Retry = d.Retry && sleep(ctx, d.After)
+	d.Retry = d.Retry && wait.For(ctx, d.After) == nil
 	return d
 }
 
-// sleep waits for d and reports whether ctx still holds then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
