Say that a node is declared dead, not buried

Change: the field's words: declared dead, deaths, tombstone; also in the metrics (marlpass_membership_deaths_total, marlpass_membership_held_deaths_total). Conclusion: the words are those of the literature on failure detectors. No behaviour changes.

--- a/internal/capacity/parse_test.go
+++ b/internal/capacity/parse_test.go
@@ -26,7 +26,7 @@
 func TestParseGossip(t *testing.T) {
 	text := `=== RUN   TestMeasure
 n=1200 peers=16.0 idle_B/s mean=630 max=1739 messages/s=1.98 | heartbeat_B/s=745778 (1184.5x) full_B/s=71576 (113.7x)
-n=1200 lazy=14.2s urgent99=500ms urgent=1.6s applied=23.5s applied_B=11407 | 5% loss, 10 min: suspicions=124 false=124 burials=0 oldest word=31.5s
+n=1200 lazy=14.2s urgent99=500ms urgent=1.6s applied=23.5s applied_B=11407 | 5% loss, 10 min: suspicions=124 false=124 deaths=0 oldest word=31.5s
 `
 	got, err := parseGossip([]byte(text))
 	want := GossipPoint{Nodes: 1200, Bytes: 630, Busiest: 1739, Messages: 1.98, LazyMS: 14200, UrgentMS: 1600, AppliedMS: 23500, AppliedBytes: 11407}
--- a/internal/localmesh/failure_test.go
+++ b/internal/localmesh/failure_test.go
@@ -247,7 +247,7 @@
 }
 
 // What a caller would see: its data centre is cut off from everything, and
-// calls that its own backend servers could answer fail, since nodes bury what
+// calls that its own backend servers could answer fail, since nodes declare dead what
 // they cannot reach or stop serving without the platform. What an operator
 // would see: a change that is taken on one side only.
 func TestEveryDataCentreAlone(t *testing.T) {
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -14,10 +14,10 @@
 	IndirectTimeout time.Duration // of the relays' attempts together
 	Relays          int           // asked for one indirect probe
 
-	SuspectMin    time.Duration // from suspicion to burial, fully confirmed
+	SuspectMin    time.Duration // from suspicion to death, fully confirmed
 	SuspectMax    time.Duration // the same, unconfirmed
 	Confirmations int           // observers that make a suspicion fully confirmed
-	RollCall      int           // random nodes probed before a burial
+	RollCall      int           // random nodes probed before a death is declared
 	RollEvery     time.Duration // between two of these samples, when the first says no
 
 	Bridges        int           // nodes of a data centre that speak with others
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -16,9 +16,9 @@
 	ok     time.Time // last direct exchange
 	fail   time.Time // last direct failure
 
-	dead   bool
-	tomb   stamp // what was buried; only a newer record revives it
-	deadAt time.Time
+	dead      bool
+	tombstone stamp // what was declared dead; only a newer record revives it
+	deadAt    time.Time
 
 	suspicion *suspicion
 	leavingAt time.Time
@@ -125,7 +125,7 @@
 		s.entries[p.GetId()] = e
 		s.byKey[e.key] = e
 	case e.dead:
-		if !st.newer(e.tomb) {
+		if !st.newer(e.tombstone) {
 			s.answerDead(e)
 			return false
 		}
@@ -180,20 +180,20 @@
 	s.hot[e] = struct{}{}
 }
 
-// bury takes a node for dead.
-func (s *State) bury(e *entry, about stamp) {
+// declareDead takes a node for dead.
+func (s *State) declareDead(e *entry, about stamp) {
 	s.unlink(e)
 	s.clearSuspicion(e, false)
 	if e.rec.stamp().newer(about) {
 		about = e.rec.stamp()
 	}
-	e.dead, e.tomb, e.deadAt = true, about, s.now
+	e.dead, e.tombstone, e.deadAt = true, about, s.now
 	e.hot = 0
 	s.touch(e)
 	s.heatClaim(e)
 }
 
-// answerDead has the next message of this exchange say that e is buried, so
+// answerDead has the next message of this exchange say that e is dead, so
 // that the sender drops it, or, being its owner, comes back with a new record.
 func (s *State) answerDead(e *entry) {
 	if !slices.Contains(s.tell, e) {
@@ -211,10 +211,10 @@
 			delete(s.hot, e)
 		case e.dead:
 		case e.rec.State == VMLeaving && s.now.Sub(e.leavingAt) > s.cfg.LeavingFor:
-			s.bury(e, e.rec.stamp())
+			s.declareDead(e, e.rec.stamp())
 			e.claimHot = 0
 		case e.centre != s.home && s.now.Sub(e.centre.heard) > s.cfg.ForgetAfter:
-			s.bury(e, e.rec.stamp())
+			s.declareDead(e, e.rec.stamp())
 			e.claimHot = 0
 		}
 	}
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -26,14 +26,14 @@
 // A process is stopped for two minutes (a VM is moved, a debugger holds it).
 // When it goes on, every timer of it has run out and every answer is lost. A
 // user would see it turn away from all its peers at once. It must suspect none
-// of them, and the others, who buried it meanwhile, must see it again.
+// of them, and the others, who declared it dead meanwhile, must see it again.
 func TestPausedProcess(t *testing.T) {
 	w := warm(30, nil)
 	v := w.nodes[7]
 	v.paused = true
 	w.run(2 * time.Minute)
 	if _, known := w.nodes[2].View(w.now).Records[v.info.ID]; known {
-		t.Fatal("a node silent for two minutes is not buried")
+		t.Fatal("a node silent for two minutes is not declared dead")
 	}
 	before := v.Stats().Suspicions
 	v.paused = false
@@ -50,7 +50,7 @@
 
 // The links of a data centre to all others are cut for five minutes. Its
 // backend servers are well, and callers on either side may reach them again at
-// any moment. If the sides buried each other, every route across would be
+// any moment. If the sides declared each other dead, every route across would be
 // forgotten and have to be learned anew after the cut. Both must keep the last
 // endpoints as suspects and say since when.
 func TestCutOffDataCentreKeepsEndpoints(t *testing.T) {
@@ -86,13 +86,13 @@
 	}
 	w.parted = nil
 	w.mustSettle(t, 2*time.Minute)
-	if n := w.total(func(s Stats) uint64 { return s.Burials }); n > 0 {
-		t.Errorf("%d burials", n)
+	if n := w.total(func(s Stats) uint64 { return s.Deaths }); n > 0 {
+		t.Errorf("%d deaths", n)
 	}
 }
 
 // One node loses its network. From inside it looks as if every other node had
-// died. It must keep them all as suspects, while the others bury it.
+// died. It must keep them all as suspects, while the others declare it dead.
 func TestCutOffNode(t *testing.T) {
 	w := warm(25, nil)
 	lone := w.nodes[11]
@@ -104,7 +104,7 @@
 			len(view.Records), suspected(view), len(view.CutOff))
 	}
 	if _, known := w.nodes[0].View(w.now).Records[lone.info.ID]; known {
-		t.Error("the others did not bury it")
+		t.Error("the others did not declare it dead")
 	}
 	w.parted = nil
 	w.mustSettle(t, time.Minute)
@@ -119,7 +119,7 @@
 		w.stop(w.nodes[i])
 	}
 	took := w.mustSettle(t, 2*time.Minute)
-	t.Logf("buried everywhere after %v", took)
+	t.Logf("declared dead everywhere after %v", took)
 }
 
 // Three quarters of a data centre lose power and come back together a minute
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -134,7 +134,7 @@
 func (s *State) heardFrom(m *peerpb.Membership) {
 	e := s.entries[m.GetFrom()]
 	if e == nil || e.dead {
-		if e != nil && !(stamp{m.GetIncarnation(), m.GetSequence()}).newer(e.tomb) {
+		if e != nil && !(stamp{m.GetIncarnation(), m.GetSequence()}).newer(e.tombstone) {
 			s.answerDead(e)
 		}
 		return
@@ -159,7 +159,7 @@
 // askAbout asks for the sender's own record when we do not have it.
 func (s *State) askAbout(ans, m *peerpb.Membership, peer *entry) {
 	st := stamp{m.GetIncarnation(), m.GetSequence()}
-	if peer == nil || (peer.dead && st.newer(peer.tomb)) || (!peer.dead && st.newer(peer.rec.stamp())) {
+	if peer == nil || (peer.dead && st.newer(peer.tombstone)) || (!peer.dead && st.newer(peer.rec.stamp())) {
 		ans.Want = append(ans.Want, keyOf(m.GetFrom()))
 	}
 	if peer != nil && !peer.dead && m.GetIncarnation() < peer.rec.VM.Incarnation {
@@ -167,7 +167,7 @@
 	}
 }
 
-// tellDead tells of the buried nodes whose records came with the request, and
+// tellDead tells of the dead nodes whose records came with the request, and
 // of the suspicion that the other side itself is under.
 func (s *State) tellDead(m *peerpb.Membership) {
 	for _, e := range s.tell {
--- a/internal/membership/measure_faults_test.go
+++ b/internal/membership/measure_faults_test.go
@@ -39,9 +39,9 @@
 	}
 	first := w.reaches(2/float64(n), suspects)
 	all := w.reaches(1, suspects)
-	buried := w.reaches(1, func(v *vm) bool { return v == gone || v.View(w.now).Records[gone.info.ID] == nil })
-	fmt.Printf("n=%d one node dies: first suspicion after %v, all suspect after %v, all buried after %v\n",
-		n, first, first+all, first+all+buried)
+	heldDead := w.reaches(1, func(v *vm) bool { return v == gone || v.View(w.now).Records[gone.info.ID] == nil })
+	fmt.Printf("n=%d one node dies: first suspicion after %v, all suspect after %v, all hold it dead after %v\n",
+		n, first, first+all, first+all+heldDead)
 }
 
 // measureRelays compares false suspicions with and without indirect probes.
@@ -50,8 +50,8 @@
 		w := warm(n, func(c *Config) { c.Relays = relays })
 		w.loss = 0.05
 		w.run(lossMinutes * time.Minute)
-		_, falses, burials := suspicions(w)
-		fmt.Printf("n=%d 5%% loss, %d min, %d relays: false suspicions=%d burials=%d\n", n, lossMinutes, relays, falses, burials)
+		_, falses, deaths := suspicions(w)
+		fmt.Printf("n=%d 5%% loss, %d min, %d relays: false suspicions=%d deaths=%d\n", n, lossMinutes, relays, falses, deaths)
 	}
 }
 
@@ -92,9 +92,9 @@
 			recalled++
 		}
 	}
-	fmt.Printf("n=%d storm of %d: all joined after %v, all agree after %v, peak bytes/s of a node %d, joins refused %d, burials %d, recalled the version %d\n",
+	fmt.Printf("n=%d storm of %d: all joined after %v, all agree after %v, peak bytes/s of a node %d, joins refused %d, deaths %d, recalled the version %d\n",
 		n, len(gone), joined, settled, peak, w.total(func(s Stats) uint64 { return s.JoinsRefused }),
-		w.total(func(s Stats) uint64 { return s.Burials }), recalled)
+		w.total(func(s Stats) uint64 { return s.Deaths }), recalled)
 }
 
 func (w *mesh) total(f func(Stats) uint64) (sum uint64) {
--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -49,16 +49,16 @@
 
 // measures is what one size of the mesh costs.
 type measures struct {
-	n                           int
-	idleMean, idleMax           float64 // bytes a second a node, in and out
-	requests                    float64 // messages a second a node
-	peers                       float64 // distinct peers a node exchanged with
-	baseHeartbeat, baseFull     float64
-	age                         time.Duration // since the last word of a data centre, at worst
-	change, urgent, applied     time.Duration // to reach all
-	urgent99                    time.Duration // to reach 99%
-	appliedBytes                float64       // a node, for one version
-	suspicions, falses, burials uint64        // under 5% loss in lossMinutes
+	n                          int
+	idleMean, idleMax          float64 // bytes a second a node, in and out
+	requests                   float64 // messages a second a node
+	peers                      float64 // distinct peers a node exchanged with
+	baseHeartbeat, baseFull    float64
+	age                        time.Duration // since the last word of a data centre, at worst
+	change, urgent, applied    time.Duration // to reach all
+	urgent99                   time.Duration // to reach 99%
+	appliedBytes               float64       // a node, for one version
+	suspicions, falses, deaths uint64        // under 5% loss in lossMinutes
 }
 
 const lossMinutes = 10
@@ -144,7 +144,7 @@
 		w.run(time.Second)
 		m.age = max(m.age, w.oldest())
 	}
-	m.suspicions, m.falses, m.burials = s1-s0, f1-f0, b1-b0
+	m.suspicions, m.falses, m.deaths = s1-s0, f1-f0, b1-b0
 	return m
 }
 
@@ -177,13 +177,13 @@
 	return sum
 }
 
-func suspicions(w *mesh) (raised, falses, burials uint64) {
+func suspicions(w *mesh) (raised, falses, deaths uint64) {
 	for _, v := range w.nodes {
 		raised += v.stats.Suspicions
 		falses += v.stats.FalseSuspicions
-		burials += v.stats.Burials
+		deaths += v.stats.Deaths
 	}
-	return raised, falses, burials
+	return raised, falses, deaths
 }
 
 // baselines computes, from the same encoded records, what a node would send
@@ -215,7 +215,7 @@
 		m := measure(n)
 		fmt.Printf("n=%d peers=%.1f idle_B/s mean=%.0f max=%.0f messages/s=%.2f | heartbeat_B/s=%.0f (%.1fx) full_B/s=%.0f (%.1fx)\n",
 			n, m.peers, m.idleMean, m.idleMax, m.requests, m.baseHeartbeat, m.baseHeartbeat/m.idleMean, m.baseFull, m.baseFull/m.idleMean)
-		fmt.Printf("n=%d lazy=%v urgent99=%v urgent=%v applied=%v applied_B=%.0f | 5%% loss, %d min: suspicions=%d false=%d burials=%d oldest word=%v\n",
-			n, m.change, m.urgent99, m.urgent, m.applied, m.appliedBytes, lossMinutes, m.suspicions, m.falses, m.burials, m.age)
+		fmt.Printf("n=%d lazy=%v urgent99=%v urgent=%v applied=%v applied_B=%.0f | 5%% loss, %d min: suspicions=%d false=%d deaths=%d oldest word=%v\n",
+			n, m.change, m.urgent99, m.urgent, m.applied, m.appliedBytes, lossMinutes, m.suspicions, m.falses, m.deaths, m.age)
 	}
 }
--- a/internal/membership/roll.go
+++ b/internal/membership/roll.go
@@ -6,7 +6,7 @@
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 )
 
-// rollCall is a sample of the own data centre, taken before a burial.
+// rollCall is a sample of the own data centre, taken before a death is declared.
 //
 // It guards against a cut of the network, or the loss of most of a data centre,
 // that looks like the death of single nodes: their endpoints would be forgotten
@@ -24,9 +24,9 @@
 // rollFresh is how long a sample counts.
 const rollFresh = 5 * time.Second
 
-// mayBury tells whether more than half of the own data centre is well. It
+// mayDeclareDead tells whether more than half of the own data centre is well. It
 // takes a sample first, so at first it says no.
-func (s *State) mayBury() bool {
+func (s *State) mayDeclareDead() bool {
 	if s.mostSuspected(s.home) {
 		return false
 	}
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -59,7 +59,7 @@
 }
 
 // Nodes with nothing but the platform's contacts find one another, keep few
-// rows there, tell of a draining backend server within two seconds, bury one that
+// rows there, tell of a draining backend server within two seconds, declare dead one that
 // stops, and end without goroutines left.
 func TestRunners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -54,7 +54,7 @@
 
 	hot      map[*entry]struct{}
 	urgent   map[*entry]struct{}
-	tell     []*entry // buried nodes to tell the other side of
+	tell     []*entry // nodes declared dead, to tell the other side of
 	suspects map[*entry]struct{}
 
 	ringCache []*entry
--- a/internal/membership/stats.go
+++ b/internal/membership/stats.go
@@ -23,8 +23,8 @@
 	Suspicions      uint64 // raised by this node's own probes
 	FalseSuspicions uint64 // of these, refuted
 	Refutations     uint64 // of claims about this node
-	Burials         uint64 // decided by this node
-	HeldBurials     uint64 // checks at which a burial was put off, as the cut may be ours
+	Deaths          uint64 // decided by this node
+	HeldDeaths      uint64 // checks at which a declaration was put off, as the cut may be ours
 	Pauses          uint64 // gaps between ticks taken for a pause
 	Refused         uint64 // records, claims and messages over a limit
 	JoinsServed     uint64
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -102,7 +102,7 @@
 		// sender: keep it.
 		s.hold(e, about, nil)
 	default:
-		s.bury(e, about)
+		s.declareDead(e, about)
 		e.source = source
 	}
 }
@@ -110,7 +110,7 @@
 func (s *State) encodeClaim(e *entry) *peerpb.Claim {
 	if e.dead {
 		return &peerpb.Claim{
-			Id: e.rec.VM.ID, Incarnation: e.tomb.incarnation, Sequence: e.tomb.sequence, Dead: true,
+			Id: e.rec.VM.ID, Incarnation: e.tombstone.incarnation, Sequence: e.tombstone.sequence, Dead: true,
 		}
 	}
 	sp := e.suspicion
@@ -141,17 +141,17 @@
 	}
 	slices.SortFunc(due, func(a, b *entry) int { return cmp.Compare(a.key, b.key) })
 	for _, e := range due {
-		if !s.mayBury() {
-			s.stats.HeldBurials++
+		if !s.mayDeclareDead() {
+			s.stats.HeldDeaths++
 			continue
 		}
-		s.stats.Burials++
-		s.bury(e, e.suspicion.about)
+		s.stats.Deaths++
+		s.declareDead(e, e.suspicion.about)
 	}
 }
 
 // checkCutOff notes the data centres that are silent. The own one is cut off
-// when no neighbour was heard, or when too many are suspected to bury them.
+// when no neighbour was heard, or when too many are suspected to declare them dead.
 func (s *State) checkCutOff() {
 	for _, c := range s.centres {
 		since := c.heard
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -146,7 +146,7 @@
 	switch {
 	case e == nil:
 		out.Want = append(out.Want, key)
-	case e.dead && !st.newer(e.tomb):
+	case e.dead && !st.newer(e.tombstone):
 		s.answerDead(e)
 	case e.dead || st.newer(e.rec.stamp()):
 		out.Want = append(out.Want, key)
--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -42,7 +42,7 @@
 	}{
 		{"probes", s.Probes}, {"probe_failures", s.ProbeFailures},
 		{"suspicions", s.Suspicions}, {"false_suspicions", s.FalseSuspicions},
-		{"refutations", s.Refutations}, {"burials", s.Burials}, {"held_burials", s.HeldBurials},
+		{"refutations", s.Refutations}, {"deaths", s.Deaths}, {"held_deaths", s.HeldDeaths},
 		{"pauses", s.Pauses}, {"refused", s.Refused}, {"joins_served", s.JoinsServed},
 		{"joins_refused", s.JoinsRefused}, {"join_attempts", s.JoinAttempts},
 		{"syncs", s.Syncs}, {"pushes", s.Pushes}, {"views", s.Views}, {"duplicates", s.Duplicates},
