--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -38,9 +38,6 @@
 // Feeder reports whether this node reads the platform's head on a timer.
 func (s *State) Feeder() bool { return s.feed.feeder }
 
-// PlatformHead returns the newest head that the platform answered.
-func (s *State) PlatformHead() config.Version { return s.feed.head }
-
 func (s *State) scheduleFeed() {
 	f := &s.feed
 	if !s.ticked && s.others() == 0 {
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -127,8 +127,8 @@
 	return s.patience(s.cfg.SuspectMax - time.Duration(min(share, 1)*float64(span)))
 }
 
-// checkSuspects buries the nodes whose suspicion ran out. Only a node's own
-// data centre buries it; the others take its word.
+// checkSuspects declares dead the nodes whose suspicion ran out. Only a node's own
+// data centre does so; the others take its word.
 func (s *State) checkSuspects() {
 	due := make([]*entry, 0, len(s.suspects))
 	for e := range s.suspects {
