--- a/cmd/marlpass-platform/main.go
+++ b/cmd/marlpass-platform/main.go
@@ -1,4 +1,4 @@
-// Marlpass-platform is a stand-in for the platform: a transactional table and
+// Command marlpass-platform is a stand-in for the platform: a transactional table and
 // an object store in memory, served over HTTP, that fails on demand.
 package main
 
