--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -18,6 +18,7 @@
 	"github.com/marlpass/marlpass/internal/platform/client"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/telemetry"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // contactPoll is how often a starting node looks whether it was let in.
@@ -176,7 +177,7 @@
 func (c *control) awaitContact(ctx context.Context) {
 	deadline := time.Now().Add(settleBound)
 	for !c.members.Joined() && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, contactPoll)
+		_ = wait.For(ctx, contactPoll)
 	}
 }
 
