Forget the timer of an earlier use of an attempt

Cause: an attempt noted that its answer's timer was stopped, and kept the note for its next use. If that one failed in the moment in which its bound passed, finish took the timer for stopped and gave the attempt back while expire was about to run. expire then met a later call, closed its connection and had its caller told that no answer came in time. Change: newAttempt clears the note. Conclusion: a bound ends the call that it was set for, and no other.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -57,6 +57,8 @@
 	a.up, a.body = up, b
 	a.conn, a.ticket = nil, 0
 	a.replay, a.waited, a.over = false, false, false
+	// Or finish would take the timer for stopped after expire has begun.
+	a.answer.idle = false
 	a.mu.Unlock()
 	a.timer.Reset(wait)
 	return a
