Remember every claim of a key that was given up

Cause: a keeper noted one given-up claim for each key. While the platform lost answers, a submission and its resend were each refused as store-down, and the second note replaced the first. Change: claims that were given up are kept by key and nonce. One that finds another claim's row stays noted, since its own write may yet be under way.

--- a/internal/once/finish.go
+++ b/internal/once/finish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
@@ -202,20 +201,19 @@
 			break
 		}
 	}
-	k.released[key] = released{nonce: nonce, since: k.o.Now()}
+	k.released[released{key, nonce}] = k.o.Now()
 }
 
-// released is a claim that was given up without a run.
-type released struct {
-	nonce string
-	since time.Time
-}
+// released names a claim that was given up without a run. A key may have several:
+// each sending of a request that is refused while answers of the platform get
+// lost leaves one, and the row of any may be the one that stands.
+type released struct{ key, nonce string }
 
 func (k *Keeper) wasReleased(key, nonce string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	r, ok := k.released[key]
-	return ok && r.nonce == nonce
+	_, ok := k.released[released{key, nonce}]
+	return ok
 }
 
 // unclaim removes the row of a claim that was given up, if it stands.
@@ -233,10 +231,15 @@
 	if err != nil {
 		return err
 	}
-	if stands.Nonce != nonce || stands.Outcome != nil {
+	if stands.Outcome != nil {
 		k.forgetReleased(key, nonce)
 		return nil
 	}
+	if stands.Nonce != nonce {
+		// Another claim was first. Should that one be given up too, the
+		// write of this one, still under way, would meet no row.
+		return nil
+	}
 	return k.removeReleased(ctx, got)
 }
 
@@ -251,7 +254,5 @@
 func (k *Keeper) forgetReleased(key, nonce string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.released[key].nonce == nonce {
-		delete(k.released, key)
-	}
+	delete(k.released, released{key, nonce})
 }
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -324,3 +324,28 @@
 		}
 	})
 }
+
+// The platform is slow and its answers are lost. A clerk's submission is
+// refused as "store-down", and so is its resend; neither ran. The first claim
+// shows after the second was given up. The clerk sends again when the platform
+// is back, and the submission must run, not be called unknown for a day.
+func TestEveryGivenUpClaimIsRemembered(t *testing.T) {
+	bubble(t, func(t *testing.T, table *faulty) {
+		table.set(faultLateWrite)
+		k := node(table, "vm1")
+		for range 2 {
+			r := request(config.OnStoreDownRefuse)
+			r.Deadline = time.Now().Add(lateBy / 3)
+			_, err := k.Begin(background, r)
+			if got := reasonOf(t, err); got != call.ReasonStoreDown {
+				t.Fatalf("refused as %q", got)
+			}
+		}
+		time.Sleep(time.Second)
+		table.set(faultNone)
+		if err := k.Flush(background); err != nil {
+			t.Fatal(err)
+		}
+		mustRun(t, k, request(config.OnStoreDownRefuse))
+	})
+}
--- a/internal/once/upkeep.go
+++ b/internal/once/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/platform"
@@ -28,10 +29,10 @@
 			return errors.Join(errs...)
 		}
 	}
-	for key, r := range k.releasedClaims() {
-		err := k.unclaim(ctx, key, r.nonce)
-		if err == nil && k.o.Now().Sub(r.since) > releasedFor {
-			k.forgetReleased(key, r.nonce)
+	for r, since := range k.releasedClaims() {
+		err := k.unclaim(ctx, r.key, r.nonce)
+		if err == nil && k.o.Now().Sub(since) > releasedFor {
+			k.forgetReleased(r.key, r.nonce)
 		}
 		errs = append(errs, err)
 		if ctx.Err() != nil {
@@ -54,14 +55,10 @@
 	return out
 }
 
-func (k *Keeper) releasedClaims() map[string]released {
+func (k *Keeper) releasedClaims() map[released]time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := make(map[string]released, len(k.released))
-	for key, r := range k.released {
-		out[key] = r
-	}
-	return out
+	return maps.Clone(k.released)
 }
 
 // dropOld forgets what is older than Keep.
