End a caller's upload only while its call lasts

Cause: a connection that was closed with part of a body still to be sent ended the reading of that body by a deadline on the caller's connection. The transport closes such a connection up to 50 ms after the early answer was passed on. By then the caller's connection may serve its next call, which was cut off while it ran. Change: the body knows when its call is over, and sets no deadline after. Conclusion: an early answer to one call costs the next one nothing.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -44,6 +45,9 @@
 	caller  *http.ResponseController
 	touched atomic.Bool
 	ended   atomic.Bool
+
+	mu   sync.Mutex
+	over bool // the caller's connection may serve another call
 }
 
 // newStreamBody lets the answer begin before the body has ended.
@@ -70,12 +74,26 @@
 // transport's RoundTrip waits for its writer, and that waits for a caller who
 // sends nothing more. The caller would never learn that its call is lost. The
 // end of the connection onwards therefore ends the read too.
+//
+// It does nothing once the call is over. The transport closes a connection on
+// which the rest of a body was to go a while after the answer was passed on.
+// The caller's connection may serve its next call by then, which the deadline
+// would cut off.
 func (s *streamBody) abort() {
-	if s.touched.Load() && !s.ended.Load() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over && s.touched.Load() && !s.ended.Load() {
 		_ = s.caller.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// leave ends the power of abort. It must be called before the handler returns.
+func (s *streamBody) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+}
+
 // Close leaves the caller's body open: net/http closes it when the handler
 // returns, and another attempt may still need it.
 func (s *streamBody) Close() error { return nil }
@@ -125,9 +143,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// release gives the memory of a kept body back to the budget. The bytes
-// themselves are left to the collector: the transport may still read them.
+// release ends the use of the body by its call, and gives the memory of a kept
+// one back to the budget. The bytes themselves are left to the collector: the
+// transport may still read them.
 func (b *body) release() {
+	if b.stream != nil {
+		b.stream.leave()
+	}
 	if b.budget != nil {
 		b.budget.give(b.length)
 		b.budget = nil
