Count the unknown outcome of a key against no endpoint

Cause: a node that cannot tell the outcome of a key, or did not keep its answer, says so at once. The entry node took that for a failed call of the endpoint. A client that sent one lost key again and again had the endpoint ejected for it. Change: such an answer says nothing of the endpoint; it was not run there. What the caller is told stays the same. Conclusion: one key cannot take a backend server out.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -397,6 +397,11 @@
 	switch {
 	case a.refusal != nil:
 		r.Refused = a.refusal.Reason
+	case a.err != nil && ofKey(kindOf(a.err)):
+		// It is the key's earlier sending that may have run. This attempt
+		// reached no backend server, and a client that sends one lost key
+		// over and over must not make its endpoint look like a failing one.
+		r.Outcome = call.NotRun
 	case a.err != nil:
 		r.Failed = true
 	default:
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -117,6 +117,9 @@
 	unknownNotKept unknownKind = "not-kept"
 )
 
+// ofKey reports whether the kind tells of an earlier sending of the key.
+func ofKey(kind unknownKind) bool { return kind == unknownKey || kind == unknownNotKept }
+
 // unknownError is what another node said of a call that may have run.
 type unknownError struct{ kind unknownKind }
 
--- /dev/null
+++ b/internal/proxy/report_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/route"
+)
+
+// A clerk's client sends a submission again and again whose first run was lost.
+// Each time the node beside the backend server says at once that its outcome is
+// not known. The entry node counted each as a failed call and left the endpoint
+// out, which had run all that reached it well.
+func TestUnknownKeyDoesNotEjectTheEndpoint(t *testing.T) {
+	for kind, eject := range map[unknownKind]bool{
+		unknownKey: false, unknownNotKept: false, unknownLost: true, unknownWaited: true,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := route.New(route.Options{Self: "vm1", Seed: 1})
+			p.Update(now, []route.Endpoint{{ID: "a/1", Ready: true}, {ID: "b/1", Ready: true}})
+			for range 10 {
+				c, err := p.PickFixed(now, 1, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := report(&answer{err: &unknownError{kind}}, time.Millisecond)
+				c.Done(now, route.Report{Outcome: r.Outcome, Failed: r.Failed, Refused: r.Refused, Latency: r.Latency})
+			}
+			ejected := false
+			for _, e := range p.Endpoints(now) {
+				ejected = ejected || e.Ejected
+			}
+			if ejected != eject {
+				t.Errorf("ejected: %v, want %v", ejected, eject)
+			}
+			if o := (&answer{err: &unknownError{kind}}).outcome(); o != call.Unknown {
+				t.Errorf("the caller is told %v", o)
+			}
+		})
+	}
+}
