Tell nobody "not run" of a key that cannot be looked up

Cause: a resend that came while the platform was down was refused as store-down with the mark "not run". That was true of this sending, but its first one may have run, and the caller asks about the call. Believing the mark, it would charge a family anew under another key. Change: such a call is answered 503 with the reason store-down, without the mark, to be sent again with the same key. The meters count it as refused, as before, and it says nothing of the endpoint. Conclusion: the mark holds for every call with a key that reached its claim; a first sending in an outage loses the mark, and can be sent again safely.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -239,6 +239,8 @@
 	}
 	r, err := asRefusal(err)
 	switch {
+	case r != nil && r.Reason == call.ReasonStoreDown:
+		return answer{err: errStoreDown}, true
 	case r != nil:
 		return answer{refusal: r}, true
 	case errors.Is(err, ErrOutcomeUnknown):
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -387,7 +387,12 @@
 // unknown tells the caller that its call may have run.
 func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
 	now := e.Now()
-	c.class.Answered(now, now.Sub(c.start), true)
+	if kindOf(c.lost) == unknownStore {
+		// The sending itself was refused; it is no failed answer.
+		c.class.Refused(now, call.ReasonStoreDown)
+	} else {
+		c.class.Answered(now, now.Sub(c.start), true)
+	}
 	writeUnknown(w, c.lost)
 }
 
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -40,6 +40,13 @@
 // be kept for resends. An answer without its body must not pass for the answer.
 var errNotKept = errors.New("proxy: the answer was not kept")
 
+// errStoreDown means that a keyed call was not run since no claim could be
+// recorded. It is no refusal: whether an earlier sending of the key ran is
+// written in the platform alone, and a caller told "not run" then would believe
+// it of that sending too, and book anew under another key. A resend under the
+// same key is safe in any case.
+var errStoreDown = errors.New("proxy: the claim could not be recorded")
+
 // keep returns what collects the answer for the claim, or nil.
 func (h *holding) keep() func([]byte) {
 	if h == nil || h.stored == nil {
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -185,3 +185,38 @@
 		t.Fatalf("got %d, run %d times", resp.StatusCode, m.runs.Load())
 	}
 }
+
+// downKeeper is a keeper whose platform cannot be reached once down is set.
+type downKeeper struct {
+	*memoryKeeper
+	down bool
+}
+
+func (k *downKeeper) Begin(ctx context.Context, c KeyedCall) (Claim, *Stored, error) {
+	if k.down {
+		return nil, nil, &call.Refusal{Reason: call.ReasonStoreDown, Detail: "no claim"}
+	}
+	return k.memoryKeeper.Begin(ctx, c)
+}
+
+// A launch charge runs and its answer is lost. Its caller sends it again, and
+// meanwhile the platform went down. No node can tell whether the key ran. The
+// caller was told "not run", and charged the family anew.
+func TestResendWhileThePlatformIsDownIsNotCalledNotRun(t *testing.T) {
+	m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	k := &downKeeper{memoryKeeper: newMemoryKeeper()}
+	m.dest[0].Keeper, m.dest[1].Keeper = k, k
+	m.call("POST", "/charge", "x", "Idempotency-Key", "k1")
+	<-k.ended
+	k.down = true
+	resp, body, err := m.call("POST", "/charge", "x", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if why := resp.Header.Get(call.HeaderNotRun); why != "" || strings.Contains(body, `"not_run":true`) {
+		t.Errorf("told not run: %q %s", why, body)
+	}
+	if !strings.Contains(body, string(call.ReasonStoreDown)) || m.runs.Load() != 1 {
+		t.Errorf("told %s, run %d times", body, m.runs.Load())
+	}
+}
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,6 +76,9 @@
 const (
 	retryAfterUnreachable = time.Second
 	retryAfterDefault     = time.Second
+	// storeDownSpread keeps callers whose claims failed together from coming
+	// back together.
+	storeDownSpread = 4 * time.Second
 )
 
 // problem is the body of a refusal, as application/problem+json.
@@ -115,10 +119,13 @@
 	unknownWaited  unknownKind = "waited"
 	unknownKey     unknownKind = "key"
 	unknownNotKept unknownKind = "not-kept"
+	unknownStore   unknownKind = "store-down"
 )
 
 // ofKey reports whether the kind tells of an earlier sending of the key.
-func ofKey(kind unknownKind) bool { return kind == unknownKey || kind == unknownNotKept }
+func ofKey(kind unknownKind) bool {
+	return kind == unknownKey || kind == unknownNotKept || kind == unknownStore
+}
 
 // unknownError is what another node said of a call that may have run.
 type unknownError struct{ kind unknownKind }
@@ -136,6 +143,8 @@
 		return unknownKey
 	case errors.Is(err, errNotKept):
 		return unknownNotKept
+	case errors.Is(err, errStoreDown):
+		return unknownStore
 	case errors.Is(err, errWaited):
 		return unknownWaited
 	}
@@ -156,6 +165,11 @@
 	case unknownNotKept:
 		p.Status, p.Detail = http.StatusConflict, "an earlier call with this key was answered, and its answer was too large to keep"
 		p.Title = "the call has run"
+	case unknownStore:
+		p.Status, p.Reason = http.StatusServiceUnavailable, call.ReasonStoreDown
+		p.Title = "an earlier call with this key may have run"
+		p.Detail = "this sending was not run, since the claim could not be recorded; send again with the same key"
+		w.Header().Set("Retry-After", retryAfterSeconds(retryAfterDefault+rand.N(storeDownSpread)))
 	}
 	writeProblem(w, p)
 }
