Tell what operators lifted first

Cause: a node tells 32 notices, quarantined requests first. One that had found as many never told a lift: the other nodes went on refusing the request that an operator had let run again. Change: what operators lifted goes first; the order of the rest is as before. Conclusion: a lift reaches every node however much is quarantined.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -67,6 +67,8 @@
 
 func (e *Entry) expired(now time.Time) bool { return !now.Before(e.Expires) }
 
+func (e *Entry) liftedByOperator() bool { return e.Kind == KindLifted && e.By != byAnswer }
+
 // isolated reports whether the request runs at one place at a time. One that
 // was answered before is not: the most asked for lookup of a service is beside
 // every bad request, and a single endpoint could not run it for all callers.
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -369,3 +370,32 @@
 		t.Error("an answer ended the quarantine")
 	}
 }
+
+// An operator lifts a quarantine at a node that found as many bad requests as
+// its record has room for. The lift was told last, so never: every other node
+// went on refusing the request, and nobody saw why.
+func TestLiftIsToldBesideManyQuarantines(t *testing.T) {
+	a, b := newList("a"), newList("b")
+	lifted := request("lifted")
+	for i := range DefaultMaxNotices + 1 {
+		fp := lifted
+		if i > 0 {
+			fp = request("bad" + strconv.Itoa(i))
+		}
+		crash(t, a, start, "x", fp)
+		crash(t, a, start, "y", fp)
+	}
+	for _, e := range a.Entries(start) {
+		b.MergeNotices(start, "a", []membership.Notice{e.notice()})
+	}
+	if err := a.Lift(start, lifted, "ann"); err != nil {
+		t.Fatal(err)
+	}
+	b.MergeNotices(start, "a", a.Notices(start))
+	if _, blocked := b.Blocked(start, lifted); blocked {
+		t.Error("the lift was not told")
+	}
+	if n := len(a.Notices(start)); n != DefaultMaxNotices {
+		t.Errorf("%d notices, want %d", n, DefaultMaxNotices)
+	}
+}
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -62,7 +62,7 @@
 			held = append(held, e)
 		}
 	}
-	slices.SortFunc(held, func(a, b *Entry) int { return dropFirst(b, a) })
+	slices.SortFunc(held, tellFirst)
 	held = held[:min(len(held), l.opt.MaxNotices)]
 	out := make([]membership.Notice, 0, len(held))
 	for _, e := range held {
@@ -71,6 +71,22 @@
 	return out
 }
 
+// tellFirst orders entries by what other nodes must hear most: what operators
+// lifted, then as Entries does.
+//
+// It guards against a lift that never takes hold: at a node with as many
+// quarantined requests as its record has room for, every lift would come too
+// late in the order to be told, and the others would go on refusing the request.
+func tellFirst(a, b *Entry) int {
+	if x, y := a.liftedByOperator(), b.liftedByOperator(); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return dropFirst(b, a)
+}
+
 // MergeNotices takes in what another node tells. Notices of other packages are
 // passed over, and so are those that can't be read. Merging the same notice
 // again, or notices in another order, changes nothing.
