Use all slots that a backend server newly announces

Cause: what a class may use was kept at the old number of slots when a backend server announced more, and rose as reservations are released: one slot of one class every half second. Every gate began so for the calls of classes it does not know yet, since it starts with one slot. Change: a class that nothing is reserved from follows the number of slots; one that gives way keeps its reservation. Conclusion: slots stay empty only for classes that miss their targets.

--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -94,6 +94,7 @@
 // of a class that is gone too.
 func (q *Queue) Configure(now time.Time, cfg Config) {
 	cfg = cfg.withDefaults()
+	q.moveUpTo(q.cfg.Slots, cfg.Slots)
 	if q.adaptive.setSlots(cfg.Slots) {
 		for _, c := range q.ordered {
 			c.light = average{}
@@ -113,6 +114,17 @@
 	q.dispatch(now)
 }
 
+// moveUpTo lets the classes that nothing is reserved from use all of a new number
+// of slots. Otherwise a backend server that announces more slots would wait for
+// them to be released one by one, as reservations are.
+func (q *Queue) moveUpTo(old, slots int) {
+	for _, c := range q.ordered {
+		if c.upTo >= old {
+			c.upTo = slots
+		}
+	}
+}
+
 func (q *Queue) setClass(now time.Time, c Class) {
 	st := q.classes[c.Name]
 	if st == nil {
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -331,3 +331,32 @@
 		}
 	}
 }
+
+// A backend server announces itself with one slot and, once warm, with eight.
+// Nothing misses its target, yet seven slots stay empty while calls wait: what
+// a class may use was cut to the old number of slots, and given back one slot
+// of one class at a time.
+func TestMoreSlotsAreUsedAtOnce(t *testing.T) {
+	classes := []Class{{Name: "lookups"}, {Name: "photos"}}
+	q := newTestQueue(Config{Slots: 1, Classes: classes})
+	q.Configure(at(time.Second), Config{Slots: 8, Classes: classes})
+	for _, class := range []string{"lookups", "photos", "not named", "lookups"} {
+		for range 2 {
+			if e := offer(t, q, at(2*time.Second), class); !e.Started() {
+				t.Errorf("a call of %q waits beside %d of 8 slots busy", class, q.running)
+			}
+		}
+	}
+}
+
+// A class gives way to one that misses its target. A new number of slots must
+// not undo that.
+func TestMoreSlotsKeepReservations(t *testing.T) {
+	classes := []Class{{Name: "bulk"}}
+	q := newTestQueue(Config{Slots: 4, Classes: classes})
+	q.classes["bulk"].upTo = 2
+	q.Configure(at(time.Second), Config{Slots: 8, Classes: classes})
+	if got := q.classes["bulk"].upTo; got != 2 {
+		t.Errorf("may use %d slots, want 2", got)
+	}
+}
