Say that the connection ends when a body is left unread

Cause: a node lets answers begin before a body has ended. When the answer left a part of the body unread, as a refusal does, net/http read that part afterwards and then broke the connection by a panic of its own ("invalid concurrent Body.Read call"). The caller had been told nothing and sent its next call on it, of which it could not know whether it ran. Change: an answer that begins before the body has ended says Connection: close over HTTP/1. Conclusion: a refused upload costs its caller a connection, not a call.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -132,6 +132,21 @@
 // streams reports whether the body is passed on as it comes.
 func (b *body) streams() bool { return b.stream != nil }
 
+// answering must be called before the header of an answer is written.
+//
+// It guards the caller's next call. When a handler leaves a part of a body
+// unread after EnableFullDuplex, net/http reads that part once the answer is
+// out, and then breaks the connection by a panic of its own ("invalid concurrent
+// Body.Read call"). A caller that was told nothing has sent its next call by
+// then, and cannot know whether it ran. HTTP/2 has no such connection.
+func (b *body) answering(r *http.Request, h http.Header) {
+	if b.stream != nil && !b.stream.ended.Load() && r.ProtoMajor == 1 {
+		h["Connection"] = closeValue
+	}
+}
+
+var closeValue = []string{"close"}
+
 // abort breaks the caller's connection off, so that a cut answer does not look
 // whole. net/http reads on in an unfinished request body before it closes the
 // connection, for which a caller that sends nothing more would wait for ever;
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -44,3 +46,37 @@
 		})
 	}
 }
+
+// A booking is refused before its body was read, and its caller sends the next
+// one on the same connection. net/http breaks that connection after the answer
+// without a word ("invalid concurrent Body.Read call"), since the node lets
+// answers begin before the body has ended. The next booking met the break, and
+// its caller could not know whether it ran. The answer must say that the
+// connection ends, and only then.
+func TestAnswerBeforeTheEndOfTheBodyEndsTheConnection(t *testing.T) {
+	m, _ := newKeyedMesh(t, func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	for name, c := range map[string]struct {
+		length int64
+		key    string
+		ends   bool
+	}{
+		"refused unread": {-1, "k1", true},
+		"read whole":     {maxKeptBody + 1, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := strings.NewReader(strings.Repeat("x", maxKeptBody+1))
+			req, _ := http.NewRequest("POST", m.public.URL+"/", io.NopCloser(b))
+			req.ContentLength = c.length
+			req.Header.Set("Idempotency-Key", c.key)
+			resp, err := m.public.Client().Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.Close != c.ends {
+				t.Errorf("status %d: the connection ends: %v, want %v", resp.StatusCode, resp.Close, c.ends)
+			}
+		})
+	}
+}
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -78,6 +78,7 @@
 	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
 	a := d.do(ctx, now, in)
 	span.outcome(&a)
+	in.own.answering(r, w.Header())
 	d.finish(w, &a, &in.own)
 }
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -200,6 +200,7 @@
 	} else {
 		e.Meters.Unmatched(r.Reason)
 	}
+	c.body.answering(c.r, w.Header())
 	writeRefusal(w, r)
 }
 
@@ -357,6 +358,7 @@
 			e.Suspects.Answered(now, c.fp)
 		}
 	}()
+	c.body.answering(c.r, w.Header())
 	if a.held != nil {
 		p = e.Local.pass(w, a)
 	} else {
@@ -393,6 +395,7 @@
 	} else {
 		c.class.Answered(now, now.Sub(c.start), true)
 	}
+	c.body.answering(c.r, w.Header())
 	writeUnknown(w, c.lost)
 }
 
