Tell a keyed call without room that there is no room

Cause: a short body streams when the memory for kept bodies is used up, and a keyed call whose body streams was refused as a bad request: 400, mend it. Callers of sound bookings would take them for lost. Conclusion: 400 is left to calls that cannot be carried at all.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -147,6 +147,10 @@
 
 var closeValue = []string{"close"}
 
+// noRoom reports whether the body streams only because the memory for kept
+// bodies is used up.
+func (b *body) noRoom() bool { return b.streams() && b.length >= 0 && b.length <= maxKeptBody }
+
 // abort breaks the caller's connection off, so that a cut answer does not look
 // whole. net/http reads on in an unfinished request body before it closes the
 // connection, for which a caller that sends nothing more would wait for ever;
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -221,6 +221,9 @@
 	if key == "" || h.target.Idempotent || d.Keeper == nil {
 		return answer{}, false
 	}
+	if in.body.noRoom() {
+		return answer{refusal: refuse(call.ReasonOverloaded, 0, "no memory for the body")}, true
+	}
 	if in.body.streams() {
 		return answer{refusal: refuse(call.ReasonBadRequest, 0,
 			"a request with an idempotency key needs a body of known length, of at most 64 KiB")}, true
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -220,3 +220,19 @@
 		t.Errorf("told %s, run %d times", body, m.runs.Load())
 	}
 }
+
+// Many callers upload at once, and a node has no memory left to keep another
+// body. An owner's booking with a key and a short body was then answered 400,
+// mend it, and was lost; it has to be told that there is no room now.
+func TestKeyedCallBesideManyUploads(t *testing.T) {
+	m, _ := newKeyedMesh(t, func(http.ResponseWriter, *http.Request) {})
+	for _, d := range m.dest {
+		if !d.kept.take(keptBodyTotal) {
+			t.Fatal("no memory to begin with")
+		}
+	}
+	resp, _, err := m.call("POST", "/", "hull 7", "Idempotency-Key", "k1")
+	if err != nil || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonOverloaded) || m.runs.Load() != 0 {
+		t.Fatalf("got %v %v, run %d times", resp, err, m.runs.Load())
+	}
+}
