Flush many outcomes at once, and look seldom for given-up claims

Cause: Flush stored outcomes one after another, each waiting for others to share its transaction, and went on with one until its context ended. Of what a node ran under the local guard in an outage, it stored some fifty in the five seconds of a planned stop; resends of the others ran a second time. While the platform was down, the upkeep stood still in Flush, and told no lifted quarantine. It also read each given-up claim every two seconds for ten minutes, among them those of calls refused for want of room: 300 reads each.

--- a/internal/once/finish.go
+++ b/internal/once/finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/platform"
@@ -201,7 +202,7 @@
 			break
 		}
 	}
-	k.released[released{key, nonce}] = k.o.Now()
+	k.released[released{key, nonce}] = givenUp{since: k.o.Now()}
 }
 
 // released names a claim that was given up without a run. A key may have several:
@@ -209,6 +210,9 @@
 // lost leaves one, and the row of any may be the one that stands.
 type released struct{ key, nonce string }
 
+// givenUp is when a claim was given up and when its row is looked for next.
+type givenUp struct{ since, next time.Time }
+
 func (k *Keeper) wasReleased(key, nonce string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/once/keeper.go
+++ b/internal/once/keeper.go
@@ -120,9 +120,9 @@
 	flights map[string]*flight // by row key
 	// released are the claims that were given up without a run, whose rows
 	// may still stand because the platform did not confirm the removal.
-	released  map[released]time.Time // to when each was given up
-	held      int                    // flights that are kept
-	heldBytes int                    // bodies of those among them that had a row
+	released  map[released]givenUp
+	held      int // flights that are kept
+	heldBytes int // bodies of those among them that had a row
 	stats     Stats
 }
 
@@ -145,7 +145,7 @@
 	k := &Keeper{
 		o:        o,
 		flights:  make(map[string]*flight),
-		released: make(map[released]time.Time),
+		released: make(map[released]givenUp),
 	}
 	k.recent = newRecent(o.MaxGuards)
 	k.batcher = newBatcher(o.Table, o.Linger)
--- a/internal/once/upkeep.go
+++ b/internal/once/upkeep.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/marlpass/marlpass/internal/platform"
 )
 
@@ -14,35 +16,85 @@
 // shown by then.
 const releasedFor = 10 * time.Minute
 
+// flushBound bounds one Flush, so that a caller with other work to do between
+// two of them is not held up while the platform is down. A slow transaction
+// fits in it.
+const flushBound = 2 * commitTimeout
+
 // Flush tries again to store the outcomes that the platform does not have and
 // to remove the claims that were given up. Call it every few seconds.
 func (k *Keeper) Flush(ctx context.Context) error {
-	var errs []error
+	ctx, cancel := context.WithTimeout(ctx, flushBound)
+	defer cancel()
+	err := errors.Join(k.flushOutcomes(ctx), k.flushReleased(ctx))
+	k.dropOld()
+	return err
+}
+
+// flushOutcomes stores as many outcomes at a time as share a transaction.
+//
+// It guards against second runs after an outage. What this node alone remembers
+// dies with its VM; stored one after another, each waiting for others to share
+// its transaction, most of it would be lost in a planned stop.
+func (k *Keeper) flushOutcomes(ctx context.Context) error {
+	var g errgroup.Group
+	g.SetLimit(maxBatchRows)
 	for f, u := range k.unsavedFlights() {
-		err := k.store(ctx, f.key, u, true)
-		if err == nil || errors.Is(err, errTaken) {
-			k.recent.add(f.key, f.fingerprint, u.row.Outcome)
-			k.leave(f)
-		}
-		errs = append(errs, err)
 		if ctx.Err() != nil {
-			return errors.Join(errs...)
+			break
 		}
+		g.Go(func() error { return k.flushOutcome(ctx, f, u) })
+	}
+	return g.Wait()
+}
+
+func (k *Keeper) flushOutcome(ctx context.Context, f *flight, u *unsavedOutcome) error {
+	err := k.store(ctx, f.key, u, true)
+	if err == nil || errors.Is(err, errTaken) {
+		k.recent.add(f.key, f.fingerprint, u.row.Outcome)
+		k.leave(f)
 	}
-	for r, since := range k.releasedClaims() {
+	return err
+}
+
+func (k *Keeper) flushReleased(ctx context.Context) error {
+	var errs []error
+	now := k.o.Now()
+	for r, times := range k.releasedClaims() {
+		if now.Before(times.next) {
+			continue
+		}
 		err := k.unclaim(ctx, r.key, r.nonce)
-		if err == nil && k.o.Now().Sub(since) > releasedFor {
-			k.forgetReleased(r.key, r.nonce)
+		if err == nil {
+			k.looked(now, r)
 		}
 		errs = append(errs, err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	k.dropOld()
 	return errors.Join(errs...)
 }
 
+// looked notes that no row of a given-up claim stands now. The next look comes
+// after as long again: looking at every Flush, the nodes of the mesh would read
+// the claims of one outage more often than the platform can answer.
+func (k *Keeper) looked(now time.Time, r released) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	times, ok := k.released[r]
+	if !ok {
+		return
+	}
+	age := now.Sub(times.since)
+	if age > releasedFor {
+		delete(k.released, r)
+		return
+	}
+	times.next = now.Add(age)
+	k.released[r] = times
+}
+
 func (k *Keeper) unsavedFlights() map[*flight]*unsavedOutcome {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -55,7 +107,7 @@
 	return out
 }
 
-func (k *Keeper) releasedClaims() map[released]time.Time {
+func (k *Keeper) releasedClaims() map[released]givenUp {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return maps.Clone(k.released)
--- /dev/null
+++ b/internal/once/upkeep_test.go
@@ -0,0 +1,104 @@
+package once
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/platform"
+)
+
+// In an outage a node runs many bookings under the local guard. The platform
+// comes back, and the VM is replaced on plan a moment later. The outcomes were
+// stored one by one, each after its own linger, so most were gone with the VM,
+// and their resends ran a second time at other nodes.
+func TestFlushStoresManyOutcomesBeforeAStop(t *testing.T) {
+	const bookings = 300
+	bubble(t, func(t *testing.T, table *faulty) {
+		table.set(faultOutage)
+		k := node(table, "vm1")
+		keyed := func(i int) Request {
+			r := request(config.OnStoreDownLocalGuard)
+			r.Key = strconv.Itoa(i)
+			return r
+		}
+		ended, cancel := context.WithCancel(background)
+		cancel()
+		for i := range bookings {
+			if err := mustRun(t, k, keyed(i)).Finish(ended, Stored{Status: 201, Body: []byte("berth")}); err == nil {
+				t.Fatal("stored in an outage")
+			}
+		}
+		table.set(faultNone)
+		before := table.writes()
+		ctx, cancel := context.WithTimeout(background, 5*time.Second)
+		defer cancel()
+		if err := k.Flush(ctx); err != nil {
+			t.Errorf("Flush: %v", err)
+		}
+		after := table.writes()
+		other := node(table, "vm2")
+		for i := range bookings {
+			mustReplay(t, other, keyed(i), "berth")
+		}
+		t.Logf("%d transactions for %d bookings", after-before, bookings)
+		if after-before >= bookings {
+			t.Error("outcomes shared no transactions")
+		}
+	})
+}
+
+// While the platform is down a node cannot store an outcome. Its upkeep, which
+// also tells other nodes of lifted quarantines, must not stand still for that.
+func TestFlushEndsInAnOutage(t *testing.T) {
+	bubble(t, func(t *testing.T, table *faulty) {
+		table.set(faultOutage)
+		k := node(table, "vm1")
+		c := mustRun(t, k, request(config.OnStoreDownLocalGuard))
+		ended, cancel := context.WithCancel(background)
+		cancel()
+		_ = c.Finish(ended, Stored{Status: 201})
+		watchdog, stop := context.WithTimeout(background, time.Hour)
+		defer stop()
+		if err := k.Flush(watchdog); err == nil || watchdog.Err() != nil {
+			t.Errorf("Flush: %v, and the hour is over: %v", err, watchdog.Err() != nil)
+		}
+	})
+}
+
+// readCounter counts the reads of a table.
+type readCounter struct {
+	platform.Table
+	reads int
+}
+
+func (c *readCounter) Get(ctx context.Context, key string) (platform.Row, error) {
+	c.reads++
+	return c.Table.Get(ctx, key)
+}
+
+// The platform loses answers for a minute, and thousands of claims are given
+// up. It comes back, and every node reads each of them every two seconds for
+// ten minutes: more reads than the platform does, in the moment of its return.
+func TestGivenUpClaimsAreReadSeldom(t *testing.T) {
+	bubble(t, func(t *testing.T, table *faulty) {
+		c := &readCounter{Table: table}
+		k := New(Options{Table: c, Holder: "vm1"})
+		if err := mustRun(t, k, request("")).Abandon(background); err != nil {
+			t.Fatal(err)
+		}
+		c.reads = 0
+		for range releasedFor / (2 * time.Second) {
+			time.Sleep(2 * time.Second)
+			if err := k.Flush(background); err != nil {
+				t.Fatal(err)
+			}
+		}
+		t.Logf("%d reads", c.reads)
+		if c.reads < 2 || c.reads > 20 {
+			t.Errorf("%d reads, want a few", c.reads)
+		}
+	})
+}
