Bound the time left in a hop at both ends

Cause: a time left far below zero overflowed to one in centuries when it was turned into nanoseconds, as it once did in a caller's header. Change: parseHop bounds it as timeLeft does.

--- a/internal/proxy/headers_test.go
+++ b/internal/proxy/headers_test.go
@@ -109,11 +109,15 @@
 func FuzzParseHop(f *testing.F) {
 	f.Add("1500 bookings berths a")
 	f.Add("-1 a b ")
+	f.Add("-9223372036855 a b ")
 	f.Fuzz(func(t *testing.T, s string) {
 		h, ok := parseHop(s)
 		if !ok {
 			return
 		}
+		if h.left > maxDeadline || strings.HasPrefix(s, "-") && h.left > 0 {
+			t.Fatalf("%q: granted %s", s, h.left)
+		}
 		again, ok := parseHop(h.String())
 		if !ok || again != h {
 			t.Fatalf("%q: %+v became %+v", s, h, again)
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -38,8 +38,8 @@
 	if !ok1 || !ok2 || !ok3 || err != nil || class == "" || service == "" {
 		return hop{}, false
 	}
-	if n > int64(maxDeadline/time.Millisecond) {
-		n = int64(maxDeadline / time.Millisecond)
-	}
+	// Both ends: far below zero, the product overflows to a time ahead.
+	const most = int64(maxDeadline / time.Millisecond)
+	n = min(max(n, -most), most)
 	return hop{time.Duration(n) * time.Millisecond, class, service, instance}, true
 }
