Pass on a trailer whose name is part of another's

Cause: a trailer that was not announced counted as announced when its name stood within an announced one, and was lost. Change: names are compared whole. Conclusion: every trailer that came reaches the caller.

--- a/internal/proxy/entry_test.go
+++ b/internal/proxy/entry_test.go
@@ -118,3 +118,19 @@
 		t.Fatalf("got %v %v", resp, err)
 	}
 }
+
+// An archive ends in two check sums, of which only the longer name was
+// announced. The other name is a part of it, was taken for announced, and never
+// reached the exporter.
+func TestTrailerWhoseNameIsPartOfAnother(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Trailer", "X-Sum-Full")
+		io.WriteString(w, "answer")
+		w.Header().Set("X-Sum-Full", "42")
+		w.Header().Set(http.TrailerPrefix+"X-Sum", "43")
+	})
+	resp, _, err := m.call("GET", "/", "")
+	if err != nil || resp.Trailer.Get("X-Sum-Full") != "42" || resp.Trailer.Get("X-Sum") != "43" {
+		t.Fatalf("got %v, %v, trailers %v", resp, err, resp.Trailer)
+	}
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -89,6 +90,8 @@
 		resp.StatusCode == http.StatusNotModified
 }
 
+const trailerSep = ", "
+
 func announceTrailers(h http.Header, trailer http.Header) {
 	if len(trailer) == 0 {
 		return
@@ -97,15 +100,15 @@
 	for name := range trailer {
 		names = append(names, name)
 	}
-	h["Trailer"] = []string{strings.Join(names, ", ")}
+	h["Trailer"] = []string{strings.Join(names, trailerSep)}
 }
 
 // copyTrailers sets the trailers that came. Those announced are taken by their
 // name, others need the prefix.
 func copyTrailers(h http.Header, trailer http.Header) {
-	announced := first(h, "Trailer")
+	announced := strings.Split(first(h, "Trailer"), trailerSep)
 	for name, values := range trailer {
-		if !strings.Contains(announced, name) {
+		if !slices.Contains(announced, name) {
 			name = http.TrailerPrefix + name
 		}
 		h[name] = values
