Keep long idempotency keys within the platform's bound

Cause: a row's key held the caller's whole key. The platform takes no transaction with a key over 512 bytes, so one caller's long key failed the claims and outcomes of all that shared its transaction: their calls were refused as store-down, or ran under a guard of this node alone. Conclusion: no caller's key can fail another's claim.

--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -56,8 +58,20 @@
 
 func (r row) claimedAt() time.Time { return time.UnixMilli(r.ClaimedAt) }
 
+// maxKeyLength bounds the escaped key of a caller within a row's key.
+const maxKeyLength = 256
+
 // rowKey is the platform key of a request. Both parts are escaped, so that no
 // class and key can be taken for another pair.
+//
+// A long key stands there as its hash, behind a slash, which no escaped key
+// holds. The platform takes no transaction with a row's key over 512 bytes, and
+// one caller's key would fail the claims of others that share it.
 func rowKey(class, key string) string {
-	return platform.OncePrefix + url.PathEscape(class) + "/" + url.PathEscape(key)
+	prefix := platform.OncePrefix + url.PathEscape(class) + "/"
+	if escaped := url.PathEscape(key); len(escaped) <= maxKeyLength {
+		return prefix + escaped
+	}
+	sum := sha256.Sum256([]byte(key))
+	return prefix + "sha256/" + hex.EncodeToString(sum[:])
 }
