Let a key count in its service, not in its class

Cause: the row of a key was named after the class of the call. When an operator changed the classes between a sending whose answer was lost and its resend, the resend belonged to another class, found no row and ran a second time. Change: the row is named after the service. A key used for two requests of one service is refused as reused, also when their classes differ.

--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -13,7 +13,6 @@
 // Begin implements proxy.Keeper.
 func (k keeper) Begin(ctx context.Context, c proxy.KeyedCall) (proxy.Claim, *proxy.Stored, error) {
 	b, err := k.k.Begin(ctx, once.Request{
-		Class:       c.Target.Name,
 		Service:     c.Target.Service,
 		Key:         c.Key,
 		Fingerprint: c.Fingerprint,
--- a/internal/once/keeper.go
+++ b/internal/once/keeper.go
@@ -85,7 +85,9 @@
 
 // Request is one keyed request.
 type Request struct {
-	Class   string
+	// Service is what the key counts in. A class of work would not do: when
+	// an operator changes the classes between a sending and its resend, the
+	// resend would count as new and run a second time.
 	Service string
 	Key     string
 	// Fingerprint is a hash of all that makes the request: method, path and
@@ -171,7 +173,7 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 		defer cancel()
 	}
-	key := rowKey(r.Class, r.Key)
+	key := rowKey(r.Service, r.Key)
 	f, first := k.enter(key, r)
 	if !first {
 		return k.join(ctx, f, r)
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -15,7 +15,7 @@
 
 func request(rule config.OnStoreDown) Request {
 	return Request{
-		Class: "bookings", Service: "berths", Key: "a/b", Fingerprint: [32]byte{1},
+		Service: "berths", Key: "a/b", Fingerprint: [32]byte{1},
 		Rule: rule, Deadline: time.Now().Add(5 * time.Second),
 	}
 }
--- a/internal/once/property_test.go
+++ b/internal/once/property_test.go
@@ -103,7 +103,7 @@
 		rule = config.OnStoreDownWait
 	}
 	r := Request{
-		Class: "submit", Key: fmt.Sprint(s.Key), Fingerprint: [32]byte{s.Body + 1},
+		Service: "submit", Key: fmt.Sprint(s.Key), Fingerprint: [32]byte{s.Body + 1},
 		Rule: rule, Deadline: time.Now().Add(s.Deadline),
 	}
 	b, err := w.nodes[s.Node%len(w.nodes)].Begin(context.Background(), r)
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -62,13 +62,13 @@
 const maxKeyLength = 256
 
 // rowKey is the platform key of a request. Both parts are escaped, so that no
-// class and key can be taken for another pair.
+// service and key can be taken for another pair.
 //
 // A long key stands there as its hash, behind a slash, which no escaped key
 // holds. The platform takes no transaction with a row's key over 512 bytes, and
 // one caller's key would fail the claims of others that share it.
-func rowKey(class, key string) string {
-	prefix := platform.OncePrefix + url.PathEscape(class) + "/"
+func rowKey(service, key string) string {
+	prefix := platform.OncePrefix + url.PathEscape(service) + "/"
 	if escaped := url.PathEscape(key); len(escaped) <= maxKeyLength {
 		return prefix + escaped
 	}
