Keep a backend server's gate until its calls have ended

Cause: the gate of a backend server went with its lease. One too busy to renew it in time announced itself a moment later and got a new gate, which knew nothing of the calls that still ran: it was sent as many again, when it was busiest. Change: a gate is kept while its calls run, and used again if its backend server comes back; Configure ends a drain. Conclusion: the limit on running calls outlives a lapsed lease.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -38,7 +38,8 @@
 	return &Gate{now: o.Now, q: NewQueue(QueueOptions{Order: o.Order, Rand: o.Rand})}
 }
 
-// Configure takes a new configuration. Calls that run or wait are kept.
+// Configure takes a new configuration and ends a drain. Calls that run or wait
+// are kept.
 func (g *Gate) Configure(now time.Time, c Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -91,9 +91,10 @@
 }
 
 // Configure takes a new configuration. Calls that run or wait are kept, those
-// of a class that is gone too.
+// of a class that is gone too. It ends a drain.
 func (q *Queue) Configure(now time.Time, cfg Config) {
 	cfg = cfg.withDefaults()
+	q.draining = false
 	q.moveUpTo(q.cfg.Slots, cfg.Slots)
 	if q.adaptive.setSlots(cfg.Slots) {
 		for _, c := range q.ordered {
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +17,12 @@
 type gates struct {
 	mu         sync.Mutex // serialises writers
 	byInstance atomic.Pointer[map[string]*limit.Gate]
+	// gone are the gates of backend servers that left while calls ran.
+	gone map[string]*limit.Gate
 }
 
 func newGates() *gates {
-	g := new(gates)
+	g := &gates{gone: make(map[string]*limit.Gate)}
 	g.byInstance.Store(&map[string]*limit.Gate{})
 	return g
 }
@@ -27,6 +30,10 @@
 // update makes the gates fit the backend servers and the classes in force.
 // The gate of a backend server that is gone refuses those that wait. Holders
 // returns how many backend servers of a service the whole mesh has.
+//
+// A gate is kept until its last call has ended. That guards a backend server too
+// busy to renew its lease in time: it announces itself anew while its calls
+// still run, and a new gate would send it as many again.
 func (g *gates) update(now time.Time, list []announce.Backend, p *program, holders func(service string) int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -34,9 +41,13 @@
 	next := make(map[string]*limit.Gate, len(list))
 	for _, b := range list {
 		gate := old[b.Instance]
+		if gate == nil {
+			gate = g.gone[b.Instance]
+		}
 		if gate == nil {
 			gate = limit.NewGate(limit.Options{})
 		}
+		delete(g.gone, b.Instance)
 		classes := partOf(p.limits[b.Service], holders(b.Service))
 		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes})
 		next[b.Instance] = gate
@@ -45,8 +56,13 @@
 	for instance, gate := range old {
 		if next[instance] == nil {
 			gate.Drain()
+			g.gone[instance] = gate
 		}
 	}
+	maps.DeleteFunc(g.gone, func(_ string, gate *limit.Gate) bool {
+		busy, _ := gate.Load()
+		return busy == 0
+	})
 }
 
 // partOf gives each class one backend server's part of its rate.
