Record no answer that could not be passed on

Cause: when passing an answer on panicked, as net/http does on a status below 100, the call counted as answered whole. For a keyed call an empty answer was recorded, and every resend met the same panic. Change: an answer counts as cut until it was passed on. Conclusion: what is recorded for resends was passed on.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -108,6 +108,7 @@
 		a.held.end(d, p)
 		a.held.free()
 	}()
+	p.partial = true // should relay panic, as on a status that HTTP has not
 	return relay(w, a.resp, a.held.keep())
 }
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -347,7 +347,7 @@
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
-	var p passed
+	p := passed{partial: true} // should relay panic
 	defer func() {
 		now := e.Now()
 		rep := report(a, first)
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -236,3 +236,24 @@
 		t.Fatalf("got %v %v, run %d times", resp, err, m.runs.Load())
 	}
 }
+
+// A backend server answers a submission with a status that HTTP does not have,
+// and net/http panics when it is passed on. The caller got no answer, yet "no
+// answer" was recorded as the whole one, and every resend met the same panic.
+func TestAnswerThatCannotBePassedOnIsLost(t *testing.T) {
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n")
+		c.Close()
+	})
+	m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	<-k.ended
+	resp, _, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusConflict || m.runs.Load() != 1 {
+		t.Fatalf("the resend got %v, %v; events %v, run %d times", resp, err, k.events, m.runs.Load())
+	}
+}
