--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -44,6 +45,9 @@
 	caller  *http.ResponseController
 	touched atomic.Bool
 	ended   atomic.Bool
+
+	mu   sync.Mutex
+	over bool // the caller's connection may serve another call
 }
 
 // newStreamBody lets the answer begin before the body has ended.
@@ -70,12 +74,26 @@
 // transport's RoundTrip waits for its writer, and that waits for a caller who
 // sends nothing more. The caller would never learn that its call is lost. The
 // end of the connection onwards therefore ends the read too.
+//
+// It does nothing once the call is over. The transport closes a connection on
+// which the rest of a body was to go a while after the answer was passed on.
+// The caller's connection may serve its next call by then, which the deadline
+// would cut off.
 func (s *streamBody) abort() {
-	if s.touched.Load() && !s.ended.Load() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over && s.touched.Load() && !s.ended.Load() {
 		_ = s.caller.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// leave ends the power of abort. It must be called before the handler returns.
+func (s *streamBody) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+}
+
 // Close leaves the caller's body open: net/http closes it when the handler
 // returns, and another attempt may still need it.
 func (s *streamBody) Close() error { return nil }
@@ -114,6 +132,25 @@
 // streams reports whether the body is passed on as it comes.
 func (b *body) streams() bool { return b.stream != nil }
 
+// answering must be called before the header of an answer is written.
+//
+// It guards the caller's next call. When a handler leaves a part of a body
+// unread after EnableFullDuplex, net/http reads that part once the answer is
+// out, and then breaks the connection by a panic of its own ("invalid concurrent
+// Body.Read call"). A caller that was told nothing has sent its next call by
+// then, and cannot know whether it ran. HTTP/2 has no such connection.
+func (b *body) answering(r *http.Request, h http.Header) {
+	if b.stream != nil && !b.stream.ended.Load() && r.ProtoMajor == 1 {
+		h["Connection"] = closeValue
+	}
+}
+
+var closeValue = []string{"close"}
+
+// noRoom reports whether the body streams only because the memory for kept
+// bodies is used up.
+func (b *body) noRoom() bool { return b.streams() && b.length >= 0 && b.length <= maxKeptBody }
+
 // abort breaks the caller's connection off, so that a cut answer does not look
 // whole. net/http reads on in an unfinished request body before it closes the
 // connection, for which a caller that sends nothing more would wait for ever;
@@ -125,9 +162,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// release gives the memory of a kept body back to the budget. The bytes
-// themselves are left to the collector: the transport may still read them.
+// release ends the use of the body by its call, and gives the memory of a kept
+// one back to the budget. The bytes themselves are left to the collector: the
+// transport may still read them.
 func (b *body) release() {
+	if b.stream != nil {
+		b.stream.leave()
+	}
 	if b.budget != nil {
 		b.budget.give(b.length)
 		b.budget = nil
--- /dev/null
+++ b/internal/proxy/body_test.go
@@ -0,0 +1,82 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// deadlines counts the read deadlines that are set on its connection.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	set int
+}
+
+func (d *deadlines) SetReadDeadline(time.Time) error {
+	d.set++
+	return nil
+}
+
+// A survey photo is refused by the backend server before all of it was sent,
+// and its caller books a launch on the same connection. Then the transport
+// closes the connection onwards, on which the rest of the photo was to go, and
+// with it ended the reading from the caller: the launch was cut off while it
+// ran, and nobody could tell its caller whether it had.
+func TestCloseOnwardsLeavesTheCallersNextCallAlone(t *testing.T) {
+	for name, over := range map[string]bool{"in the call": false, "after it": true} {
+		t.Run(name, func(t *testing.T) {
+			w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+			r := httptest.NewRequest("POST", "/", strings.NewReader("photo"))
+			b := body{length: 5, stream: newStreamBody(w, r)}
+			b.stream.Read(make([]byte, 1))
+			c := &conn{Conn: new(sink)}
+			c.begin(b.stream)
+			want := 1
+			if over {
+				b.release()
+				want = 0
+			}
+			c.Close()
+			if w.set != want {
+				t.Errorf("the caller's connection was given %d deadlines, want %d", w.set, want)
+			}
+		})
+	}
+}
+
+// A booking is refused before its body was read, and its caller sends the next
+// one on the same connection. net/http breaks that connection after the answer
+// without a word ("invalid concurrent Body.Read call"), since the node lets
+// answers begin before the body has ended. The next booking met the break, and
+// its caller could not know whether it ran. The answer must say that the
+// connection ends, and only then.
+func TestAnswerBeforeTheEndOfTheBodyEndsTheConnection(t *testing.T) {
+	m, _ := newKeyedMesh(t, func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	for name, c := range map[string]struct {
+		length int64
+		key    string
+		ends   bool
+	}{
+		"refused unread": {-1, "k1", true},
+		"read whole":     {maxKeptBody + 1, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := strings.NewReader(strings.Repeat("x", maxKeptBody+1))
+			req, _ := http.NewRequest("POST", m.public.URL+"/", io.NopCloser(b))
+			req.ContentLength = c.length
+			req.Header.Set("Idempotency-Key", c.key)
+			resp, err := m.public.Client().Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.Close != c.ends {
+				t.Errorf("status %d: the connection ends: %v, want %v", resp.StatusCode, resp.Close, c.ends)
+			}
+		})
+	}
+}
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -78,6 +78,7 @@
 	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
 	a := d.do(ctx, now, in)
 	span.outcome(&a)
+	in.own.answering(r, w.Header())
 	d.finish(w, &a, &in.own)
 }
 
@@ -107,6 +108,7 @@
 		a.held.end(d, p)
 		a.held.free()
 	}()
+	p.partial = true // should relay panic, as on a status that HTTP has not
 	return relay(w, a.resp, a.held.keep())
 }
 
@@ -220,6 +222,9 @@
 	if key == "" || h.target.Idempotent || d.Keeper == nil {
 		return answer{}, false
 	}
+	if in.body.noRoom() {
+		return answer{refusal: refuse(call.ReasonOverloaded, 0, "no memory for the body")}, true
+	}
 	if in.body.streams() {
 		return answer{refusal: refuse(call.ReasonBadRequest, 0,
 			"a request with an idempotency key needs a body of known length, of at most 64 KiB")}, true
@@ -239,6 +244,8 @@
 	}
 	r, err := asRefusal(err)
 	switch {
+	case r != nil && r.Reason == call.ReasonStoreDown:
+		return answer{err: errStoreDown}, true
 	case r != nil:
 		return answer{refusal: r}, true
 	case errors.Is(err, ErrOutcomeUnknown):
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -201,6 +201,7 @@
 	} else {
 		e.Meters.Unmatched(r.Reason)
 	}
+	c.body.answering(c.r, w.Header())
 	writeRefusal(w, r)
 }
 
@@ -332,7 +333,7 @@
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
-	var p passed
+	p := passed{partial: true} // should relay panic
 	defer func() {
 		now := e.Now()
 		rep := report(a, first)
@@ -343,6 +344,7 @@
 			e.Suspects.Answered(now, c.fp)
 		}
 	}()
+	c.body.answering(c.r, w.Header())
 	if a.held != nil {
 		p = e.Local.pass(w, a)
 	} else {
@@ -373,7 +375,13 @@
 // unknown tells the caller that its call may have run.
 func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
 	now := e.Now()
-	c.class.Answered(now, now.Sub(c.start), true)
+	if kindOf(c.lost) == unknownStore {
+		// The sending itself was refused; it is no failed answer.
+		c.class.Refused(now, call.ReasonStoreDown)
+	} else {
+		c.class.Answered(now, now.Sub(c.start), true)
+	}
+	c.body.answering(c.r, w.Header())
 	writeUnknown(w, c.lost)
 }
 
@@ -383,6 +391,11 @@
 	switch {
 	case a.refusal != nil:
 		r.Refused = a.refusal.Reason
+	case a.err != nil && ofKey(kindOf(a.err)):
+		// It is the key's earlier sending that may have run. This attempt
+		// reached no backend server, and a client that sends one lost key
+		// over and over must not make its endpoint look like a failing one.
+		r.Outcome = call.NotRun
 	case a.err != nil:
 		r.Failed = true
 	default:
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -185,3 +185,75 @@
 		t.Fatalf("got %d, run %d times", resp.StatusCode, m.runs.Load())
 	}
 }
+
+// downKeeper is a keeper whose platform cannot be reached once down is set.
+type downKeeper struct {
+	*memoryKeeper
+	down bool
+}
+
+func (k *downKeeper) Begin(ctx context.Context, c KeyedCall) (Claim, *Stored, error) {
+	if k.down {
+		return nil, nil, &call.Refusal{Reason: call.ReasonStoreDown, Detail: "no claim"}
+	}
+	return k.memoryKeeper.Begin(ctx, c)
+}
+
+// A launch charge runs and its answer is lost. Its caller sends it again, and
+// meanwhile the platform went down. No node can tell whether the key ran. The
+// caller was told "not run", and charged the family anew.
+func TestResendWhileThePlatformIsDownIsNotCalledNotRun(t *testing.T) {
+	m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	k := &downKeeper{memoryKeeper: newMemoryKeeper()}
+	m.dest[0].Keeper, m.dest[1].Keeper = k, k
+	m.call("POST", "/charge", "x", "Idempotency-Key", "k1")
+	<-k.ended
+	k.down = true
+	resp, body, err := m.call("POST", "/charge", "x", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if why := resp.Header.Get(call.HeaderNotRun); why != "" || strings.Contains(body, `"not_run":true`) {
+		t.Errorf("told not run: %q %s", why, body)
+	}
+	if !strings.Contains(body, string(call.ReasonStoreDown)) || m.runs.Load() != 1 {
+		t.Errorf("told %s, run %d times", body, m.runs.Load())
+	}
+}
+
+// Many callers upload at once, and a node has no memory left to keep another
+// body. An owner's booking with a key and a short body was then answered 400,
+// mend it, and was lost; it has to be told that there is no room now.
+func TestKeyedCallBesideManyUploads(t *testing.T) {
+	m, _ := newKeyedMesh(t, func(http.ResponseWriter, *http.Request) {})
+	for _, d := range m.dest {
+		if !d.kept.take(keptBodyTotal) {
+			t.Fatal("no memory to begin with")
+		}
+	}
+	resp, _, err := m.call("POST", "/", "hull 7", "Idempotency-Key", "k1")
+	if err != nil || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonOverloaded) || m.runs.Load() != 0 {
+		t.Fatalf("got %v %v, run %d times", resp, err, m.runs.Load())
+	}
+}
+
+// A backend server answers a submission with a status that HTTP does not have,
+// and net/http panics when it is passed on. The caller got no answer, yet "no
+// answer" was recorded as the whole one, and every resend met the same panic.
+func TestAnswerThatCannotBePassedOnIsLost(t *testing.T) {
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n")
+		c.Close()
+	})
+	m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	<-k.ended
+	resp, _, err := m.call("POST", "/submit", "price", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusConflict || m.runs.Load() != 1 {
+		t.Fatalf("the resend got %v, %v; events %v, run %d times", resp, err, k.events, m.runs.Load())
+	}
+}
