Let a buried VM come back with a slower clock

Cause: a node's incarnation is the time of its start. A VM that died while its clock was ahead, or that is rebuilt with a slow one, starts below what its peers have buried. They answer its record with a claim of the burial, which it ignored because the claim is of another incarnation. Only the record itself would have lifted it, and a buried record is told no more. Its backend servers got no calls until the tombstones expired, 15 minutes later. Change: a node that joined within the last minute goes above a claim of a higher incarnation, as it does above a record of one. Conclusion: a clock that is wrong by an hour no longer keeps a VM out.

--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -224,6 +224,27 @@
 	}
 }
 
+// A VM dies, is buried, and is rebuilt with a clock an hour slow, or the dead
+// one's was an hour fast. Its peers no longer show its record but remember the
+// burial, which is above all that the new process says. A user would see its
+// backend servers get no calls for as long as tombstones are kept.
+func TestBuriedThenRestartedWithASlowClock(t *testing.T) {
+	w := warm(30, func(c *Config) { c.Self.Incarnation = uint64(epoch.UnixMilli()) })
+	v := w.nodes[4]
+	before := v.self.stamp()
+	w.stop(v)
+	w.run(2 * time.Minute)
+	if _, known := w.nodes[2].View(w.now).Records[v.info.ID]; known {
+		t.Fatal("a node silent for two minutes is not buried")
+	}
+	w.configure = func(c *Config) { c.Self.Incarnation = uint64(epoch.Add(-time.Hour).UnixMilli()) }
+	w.start(v)
+	w.mustSettle(t, time.Minute)
+	if !v.self.stamp().newer(before) {
+		t.Errorf("it is at %v, below %v", v.self.stamp(), before)
+	}
+}
+
 // A node leaves while a part of the mesh is cut off and then comes back with
 // the old record. The record must not bring the node back, and while it drains
 // nobody may suspect it.
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -173,7 +173,7 @@
 	if !st.newer(s.self.stamp()) {
 		return
 	}
-	if !s.joined || s.now.Sub(s.own.joinedAt) < s.cfg.LeavingFor {
+	if s.young() {
 		s.changeOwn(st.incarnation+1, false)
 		return
 	}
@@ -188,6 +188,12 @@
 	}
 }
 
+// young tells whether what is said of this node may still be about an earlier
+// process under its ID.
+func (s *State) young() bool {
+	return !s.joined || s.now.Sub(s.own.joinedAt) < s.cfg.LeavingFor
+}
+
 // Superseded tells since when another process is known to claim this node's
 // ID with a later start. The node should stop.
 func (s *State) Superseded() (time.Time, bool) {
@@ -195,7 +201,18 @@
 }
 
 // refute answers a claim about this node by a higher record.
+//
+// A claim of a higher incarnation is about an earlier process under this ID
+// whose clock was ahead of this one's. Once that process is buried, its record
+// is told no more, so acceptOwn never hears of it: the claim is all that shows
+// what to go above. Unanswered, nobody would believe this node until the
+// tombstones of the former one expire.
 func (s *State) refute(about stamp) {
+	if about.incarnation > s.self.VM.Incarnation && s.young() {
+		s.stats.Refutations++
+		s.changeOwn(about.incarnation+1, true)
+		return
+	}
 	if about.incarnation != s.self.VM.Incarnation || s.self.stamp().newer(about) || !s.own.superseded.IsZero() {
 		return
 	}
