Refuse commands until a starting node holds what the mesh holds

Cause: the platform's table was wiped, or restored from a backup, and a command reached a node that had just started, from an operator or through a peer. It held nothing, so the table's older head looked right to it. It committed a change on the old version, told "accepted", and no other node ever followed. A node that held the newest version but could not run it did the same, as only the version in force was compared. Change: the committer asks what this node holds before each attempt. While the node has not heard enough it refuses with "unavailable", which also sends the command on through peers; afterwards a head older than what it holds is refused as older-head. Informed is Ready without the demand that the version can run, so that a mesh that can't run its newest version still takes the change that mends it. Tests of node, localmesh, admin, cli, cmd and capacity pass. Conclusion: one node's start no longer begins a second history. The first node of a new mesh takes commands once it knows that it is alone, not before.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,7 +72,7 @@
 // again under its ID.
 const (
 	ReasonBusy         Reason = "busy"          // other commands kept coming first
-	ReasonUnavailable  Reason = "unavailable"   // the platform can't be reached
+	ReasonUnavailable  Reason = "unavailable"   // the platform can't be reached, or this node is starting
 	ReasonOlderHead    Reason = "older-head"    // the platform shows an older version than is known
 	ReasonOtherHistory Reason = "other-history" // the platform holds another history
 	ReasonNewerObjects Reason = "newer-objects" // this node is too old to judge the configuration
--- a/internal/command/committer.go
+++ b/internal/command/committer.go
@@ -32,6 +32,9 @@
 	// Accepted is told of each version that this committer made, once it is
 	// known to be accepted.
 	Accepted func(*config.Snapshot, *config.Delta)
+	// Held gives the newest version that the mesh is known to hold, or false
+	// while that is not known; nil if it need not be asked. See attempt.
+	Held func() (config.Version, bool)
 	// Now and Rand are the clock and a source of numbers in [0,1).
 	Now  func() time.Time
 	Rand func() float64
@@ -138,7 +141,19 @@
 
 // attempt returns a final result, or an error that says why this attempt had
 // no effect and can't have one later.
+//
+// Asking what the mesh holds guards against a second history. The platform's
+// table is wiped, or restored from a backup, and a node that has just started
+// knows of no newer version: it would accept a change to the old one, which no
+// other node follows, and tell the operator that it is accepted.
 func (s *submission) attempt(ctx context.Context) (Result, error) {
+	if s.c.o.Held != nil {
+		v, known := s.c.o.Held()
+		if !known {
+			return Result{}, errUninformed
+		}
+		s.c.reader.Observe(v)
+	}
 	head, err := s.c.reader.Head(ctx)
 	if err != nil {
 		return Result{}, err
@@ -249,9 +264,12 @@
 	}
 }
 
+// errUninformed means that this node does not know yet what the mesh holds.
+var errUninformed = errors.New("command: this node is starting and does not know yet which version the mesh holds")
+
 // givesUp reports whether another attempt would not help.
 func (s *submission) givesUp(err error) bool {
-	if errors.Is(err, ErrOtherHistory) || errors.Is(err, errNewerObjects) {
+	if errors.Is(err, ErrOtherHistory) || errors.Is(err, errNewerObjects) || errors.Is(err, errUninformed) {
 		return true
 	}
 	if !errors.Is(err, platform.ErrUnavailable) {
--- a/internal/command/committer_test.go
+++ b/internal/command/committer_test.go
@@ -221,6 +221,42 @@
 	}
 }
 
+// The platform's table is wiped while the mesh runs version 2, and an operator's
+// command reaches a node that has just started. It holds nothing, so the empty
+// table looks right to it: the operator would be told "accepted" of a change
+// that no other node ever follows.
+func TestStartingNodeAcceptsNothing(t *testing.T) {
+	_, r, _ := prepared(t)
+	h, err := r.Head(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name   string
+		held   config.Version
+		known  bool
+		reason Reason
+	}{
+		{"not heard of the mesh yet", config.Empty().Version(), false, ReasonUnavailable},
+		{"holds version 2, not in force", h.Version, true, ReasonOlderHead},
+		{"the first node of a mesh", config.Empty().Version(), true, ""},
+	}
+	for _, c := range cases {
+		wiped := newFlaky()
+		o := testOptions()
+		o.Held = func() (config.Version, bool) { return c.held, c.known }
+		reader := NewReader(wiped, wiped.Objects(), SnapshotFunc(config.Empty))
+		com := NewCommitter(reader, wiped, o)
+		res := com.Submit(ctx, set("c", 0, service("b", "")))
+		if res.Reason != c.reason || (res.Outcome == Accepted) != (c.reason == "") {
+			t.Errorf("%s: %+v", c.name, res)
+		}
+		if _, err := wiped.Store.Get(ctx, platform.HeadKey); (err == nil) != (c.reason == "") {
+			t.Errorf("%s: the head row: %v", c.name, err)
+		}
+	}
+}
+
 func childOf(t *testing.T, s *config.Snapshot) *config.Snapshot {
 	t.Helper()
 	n, _, err := s.Next([]config.Object{service("g", "")}, nil)
--- a/internal/distribute/ready.go
+++ b/internal/distribute/ready.go
@@ -61,6 +61,21 @@
 			s.inForce, s.start.by, s.start.floor)
 	case s.inForce == 0 && s.Version().Number > 0:
 		return fmt.Sprintf("version %d is held but not in force", s.Version().Number)
+	}
+	return s.uninformed()
+}
+
+// Informed reports whether this node has heard enough to hold what the mesh
+// holds, in force or not. Unlike Ready it does not ask that the version can run
+// here: a mesh that cannot run its newest version has to take the change that
+// mends it.
+func (s *State) Informed() bool {
+	return s.start.done || (s.Version().Number >= s.start.floor && s.uninformed() == "")
+}
+
+// uninformed returns what the node has yet to hear or read, or "".
+func (s *State) uninformed() string {
+	switch {
 	case len(s.claims) > 0 || s.jump != nil:
 		return "peers hold a newer version"
 	case s.feed.head.Newer(s.Version()):
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -136,6 +136,32 @@
 	}
 }
 
+// What an operator would see: a change that is accepted on a table wiped by
+// mistake, and that no node follows. The node that took it had just started and
+// had only read the empty table. It must know that it does not know yet, until
+// it holds what its peers hold; that it can't run that version is no reason.
+func TestNodeKnowsWhenItIsInformed(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ds, _ := history(t, "mesh", 2)
+	b.do(Ticked{})
+	b.do(HeadRead{Version: config.Empty().Version()})
+	if b.s.Informed() {
+		t.Fatal("informed by the platform alone")
+	}
+	b.do(Heard{Peer: "p", Version: ds[1].To})
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ds[1].To, YouHeld: 2, Ready: true}})
+	}
+	if b.s.Informed() {
+		t.Fatal("informed before it holds what its peers hold")
+	}
+	b.s.Step(b.now, b.rng, b.view, heardTell("p", ds)) // nothing comes in force
+	b.holds(2)
+	if ok, _ := b.s.Ready(); ok || !b.s.Informed() {
+		t.Fatalf("ready %t, informed %t", ok, b.s.Informed())
+	}
+}
+
 // What an operator would see: while a restored backup runs ahead of the mesh, a
 // VM that is restarted stays out of service, and goes on so when the right
 // table is back: "the platform holds a newer version". It runs what its peers
--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -156,6 +156,14 @@
 	return r.state.Ready()
 }
 
+// Held returns the newest version held, in force or not, and whether the mesh
+// is known to hold no newer one: a node that starts does not know at first.
+func (r *Runner) Held() (config.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Version(), r.state.Informed()
+}
+
 // Accepted tells of a change that this node committed itself.
 func (r *Runner) Accepted(d *config.Delta) { r.step(Accepted{d}) }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -115,6 +115,7 @@
 	held := command.SnapshotFunc(c.n.snapshot)
 	c.log = command.NewReader(c.table, c.objects, held)
 	c.commit = command.NewCommitter(c.log, c.table, command.Options{
+		Held:     func() (config.Version, bool) { return c.spread.Held() },
 		Accepted: func(_ *config.Snapshot, d *config.Delta) { c.spread.Accepted(d) },
 	})
 	c.commands = command.NewForwarder(c.commit, submitPeers{c})
