Give up a head that the platform no longer has

Cause: a starting node read the head of a wrongly restored table, and the platform went down, or the right table came back, before the log could show the other history. The newest head read was kept for good, and no head of the right table is as high, so the node stayed out of service: "the platform holds a newer version". A restart was the only way out. Change: after three older heads in a row the newest answer counts. One or two may be stale reads and change nothing. Seen: TestHeadThatIsGoneDoesNotHoldANodeBack before: not ready, as above; after: ready, and still not ready after the first older head. go test -race ./internal/distribute passes. Conclusion: the node comes into service within three reads of the right table.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -15,6 +15,7 @@
 	fails    int
 	heldThen uint64         // number held when ReadHead went out
 	head     config.Version // newest head that the platform answered
+	older    int            // heads older than that answered in a row since
 	answered bool           // the platform's last answer fits the history held
 	catchUp  time.Time      // when to read what head has more, or zero
 
@@ -27,6 +28,10 @@
 // nothing reads a snapshot from the platform rather than the deltas.
 const freshSnapshotAfter = 16
 
+// olderHeads is how many older heads in a row the platform has to answer before
+// the newest one known is given up. One may be a stale read.
+const olderHeads = 3
+
 // A starting node that has peers reads the platform's head no earlier than
 // startReadAfter, plus a random part of startReadWithin. In a storm nearly all
 // learn what they need from peers before that, and the platform is spared.
@@ -89,9 +94,7 @@
 	f.fails = 0
 	f.after = s.now.Add(s.set.Profile.HeadEvery)
 	f.answered = s.chain.relation(e.Version) != relationOther
-	if e.Version.Newer(f.head) {
-		f.head = e.Version
-	}
+	f.noteHead(e.Version)
 	switch {
 	case s.chain.relation(e.Version) == relationOther:
 		s.conflict(SourcePlatform, e.Version)
@@ -106,6 +109,20 @@
 	}
 }
 
+// noteHead keeps the newest head, so that a stale read does not undo what a
+// later version showed. A head that the platform no longer has, as that of a
+// table that was restored by mistake and replaced since, would hold a starting
+// node back for good; it shows as older heads time after time.
+func (f *feeding) noteHead(v config.Version) {
+	f.older++
+	if v.Newer(f.head) || f.older >= olderHeads {
+		f.head = v
+	}
+	if !f.head.Newer(v) {
+		f.older = 0
+	}
+}
+
 // readSince reads what the platform has and this node has not.
 func (s *State) readSince(head config.Version) {
 	if j := s.jump; j != nil && j.snapshot.Version() == head {
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -184,6 +184,33 @@
 	b.holds(2)
 }
 
+// What an operator would see: a VM that was restarted while the wrong table was
+// swapped for the right one stays out of service until it is restarted again. It
+// read the head of the wrong one, the platform went down before the log could
+// show the other history, and no head of the right table is as high.
+func TestHeadThatIsGoneDoesNotHoldANodeBack(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 2)
+	theirs, _ := history(t, "theirs", 4)
+	b.do(heardTell("p", ours))
+	b.do(HeadRead{Version: theirs[3].To})
+	b.do(PlatformRead{Err: errLost})
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[1].To, Ready: true}})
+	}
+	b.do(HeadRead{Version: ours[1].To})
+	if ok, _ := b.s.Ready(); ok {
+		t.Fatal("one read, which may be stale, undid what a later version showed")
+	}
+	for range olderHeads {
+		b.do(HeadRead{Version: ours[1].To})
+	}
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+	b.holds(2)
+}
+
 // What an operator would see: reads of the platform that rise with the number of
 // nodes that come back at once. The answer that lets a node into the mesh tells
 // it of a version before its view holds anybody; alone, as it seems, it would
