Keep the contact rows of bridges whatever the clocks say

Cause: contact rows are judged old or fresh by the difference of two clocks. A bridge whose clock is half an hour fast removed its neighbours' rows once a minute, as they were written. Nodes that started without a seed alive found only addresses that were gone. Change: the row of a node that is a bridge now is never removed, and a row that lies far ahead counts as old as one that lies far back. Seen: TestContactsSurviveWrongClocks before: the rows from the future counted as enough and the neighbour's row was removed; after: only that row is left. Conclusion: a wrong clock costs at most a row of its own.

--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -222,7 +223,9 @@
 }
 
 // readContacts also removes, on duty, the rows of the own data centre that
-// nobody refreshes any more. It reports whether other nodes there wrote so many
+// nobody refreshes any more. The clocks that say so may be wrong, this node's or
+// the writer's, so the row of a node whose duty it is now stays, and one that
+// lies far ahead is as old as one that lies far back. It reports whether other nodes there wrote so many
 // rows that one more helps nobody, as when all start with an empty table.
 func (r *Runner) readContacts(ctx context.Context, duty bool) (enough bool) {
 	ctx, cancel := context.WithTimeout(ctx, contactRead/2)
@@ -236,11 +239,12 @@
 	self, others := r.state.cfg.Self, 0
 	for _, row := range rows {
 		home := row.DataCentre == self.DataCentre
-		if duty && home && time.Since(row.At) > 3*contactEvery {
+		age := time.Since(row.At).Abs()
+		if duty && home && age > 3*contactEvery && !r.refreshes(row.ID) {
 			r.removeContact(ctx, row.Contact)
 			continue
 		}
-		if home && row.ID != self.ID && time.Since(row.At) < contactEvery {
+		if home && row.ID != self.ID && age < contactEvery {
 			others++
 		}
 		list = append(list, row.Contact)
@@ -249,6 +253,16 @@
 	return others >= 2*r.state.cfg.Bridges
 }
 
+// refreshes tells whether the node is one of the own data centre that write
+// their rows of contacts; see ContactDuty.
+func (r *Runner) refreshes(id string) (yes bool) {
+	r.peek(func(s *State) {
+		e := s.entries[id] // nil stands for this node among the bridges
+		yes = e != nil && slices.Contains(s.bridgesOf(s.home), e)
+	})
+	return yes
+}
+
 func (r *Runner) removeContact(ctx context.Context, c Contact) {
 	if err := r.contacts.Remove(ctx, c); err != nil {
 		r.log.Warn().Err(err).Str("peer", c.ID).Msg("membership: old contact not removed")
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -58,6 +58,32 @@
 	return nil
 }
 
+// The clock of one bridge is an hour fast, and four VMs that are gone wrote rows
+// when theirs were a day fast. The bridge takes the rows of its neighbours, who
+// are well, for old and removes them; the other four look fresh for a day, so
+// nobody writes a row. A herd that starts finds only addresses that are gone.
+func TestContactsSurviveWrongClocks(t *testing.T) {
+	net := &memory{peers: map[string]*Runner{}, rows: map[string]ContactRow{}}
+	self := VM{ID: "vm-0", DataCentre: "dc-0", ControlAddr: "10.0.0.1:7000"}
+	r := NewRunner(DefaultConfig(self), net, net, new(Views), zerolog.Nop())
+	r.do(func(s *State, _ time.Time) { s.accept(goodRecord(), 0) })
+	put := func(id string, at time.Time) {
+		net.rows[id] = ContactRow{Contact: Contact{ID: id, DataCentre: "dc-0", ControlAddr: id + ":7000"}, At: at}
+	}
+	now := time.Now()
+	put("vm-1", now.Add(-time.Hour)) // a bridge, and alive
+	put("vm-2", now.Add(-time.Hour)) // gone
+	for i := range 4 {
+		put(fmt.Sprintf("vm-fast-%d", i), now.Add(24*time.Hour))
+	}
+	if r.readContacts(t.Context(), true) {
+		t.Error("rows from the future count as fresh")
+	}
+	if _, there := net.rows["vm-1"]; !there || len(net.rows) != 1 {
+		t.Errorf("left %v", net.rows)
+	}
+}
+
 // Nodes with nothing but the platform's contacts find one another, keep few
 // rows there, tell of a draining backend server within two seconds, bury one that
 // stops, and end without goroutines left.
