Say what peers.alone_after does

Cause: the settings page and the comment on the field said that a starting node that reaches neither the platform nor a peer takes calls after this time, and never with 0s. It never does (TestAloneWithoutThePlatformStaysNotReady). An operator who set it to an hour as a last resort would have kept the first node of a mesh out of service for that hour. Conclusion: no behaviour changes.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -76,9 +76,10 @@
 type Peers struct {
 	// Seeds are control addresses that are tried when the platform is down.
 	Seeds []string `toml:"seeds"`
-	// AloneAfter is how long a starting node that can reach neither the
-	// platform nor any peer waits before it carries traffic with whatever it
-	// holds. Zero means that it never does.
+	// AloneAfter is how long a starting node looks for as many peers as it
+	// wants to ask, and for a second witness of a snapshot, before it makes do
+	// with one peer or with the platform alone. Zero means 10 s. A node that
+	// reaches neither peers nor the platform waits however long.
 	AloneAfter strict.Duration `toml:"alone_after"`
 }
 
