Bound requests to the admin, announce and metrics listeners

Cause: these servers bounded the header of a request and nothing after it. net/http reads on in the body of a request that was refused, so a client that sent a header with a body and fell silent held its connection for ever, with or without a token; one that read no answer held the goroutine that wrote it. The admin listener is open to the network. Change: newSideServer reads a request within 20 s and answers it within 2 minutes. Conclusion: a silent client costs one connection for 20 s.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// newServer returns an HTTP server for one part. Whole requests and answers
-// have no bound of time here: archive pulls take minutes, and the proxy bounds
-// calls by their deadlines.
+// newServer returns an HTTP server for calls. Whole requests and answers have no
+// bound of time here: archive pulls take minutes, and the proxy bounds calls by
+// their deadlines.
 func newServer(h http.Handler, log zerolog.Logger) *http.Server {
 	return &http.Server{
 		ErrorLog:          errorLog(log),
@@ -93,6 +93,27 @@
 	}
 }
 
+// Bounds of the requests that operators, backend servers and readers of metrics
+// send, from the end of the header on: their bodies are small, and no answer
+// takes longer than a command that goes through a peer.
+const (
+	sideRead  = 20 * time.Second
+	sideWrite = 2 * time.Minute
+)
+
+// newSideServer returns a server for a part that carries no calls.
+//
+// It guards against clients that fall silent. net/http reads on in the body of
+// a request that was refused, and a handler waits until its answer is taken;
+// without a bound each such client, with a token or not, holds a connection for
+// ever, until the node has no files left for calls.
+func newSideServer(h http.Handler, log zerolog.Logger) *http.Server {
+	s := newServer(h, log)
+	s.ReadTimeout = sideRead
+	s.WriteTimeout = sideWrite
+	return s
+}
+
 // errorsPerSecond bounds the lines about clients that do not speak as they
 // should: one that is set up wrongly tries again for ever.
 const errorsPerSecond = 5
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -45,6 +45,9 @@
 	with := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
 		return bound{server: newServer(h, log), ln: ln, tls: t}
 	}
+	side := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
+		return bound{server: newSideServer(h, log), ln: ln, tls: t}
+	}
 	c := n.control
 	s.traffic = []bound{
 		with(n.ln.callers, s.calls.handler(n.calls.entry.Public()), nil),
@@ -52,11 +55,10 @@
 		with(n.ln.calls, s.calls.handler(n.calls.dest), c.trust.server()),
 	}
 	s.side = []bound{
-		with(n.ln.admin, adminHandler, c.trust.admin()),
-		with(n.ln.announce, announceHandler, nil),
-		with(n.ln.metrics, n.metricsHandler(), nil),
+		side(n.ln.admin, adminHandler, c.trust.admin()),
+		side(n.ln.announce, announceHandler, nil),
+		side(n.ln.metrics, n.metricsHandler(), nil),
 	}
-
 	return s, nil
 }
 
