End the connection of a refused call whose body does not come

Cause: a caller sent the header of a call that was refused before its body was read, and no body. net/http reads the body before it sends the refusal, without a bound: the caller waited for ever, and each planned stop waited for that connection until the drain limit. Change: once the handler is done, the rest of a body may take 5 s to come. Conclusion: no refused call holds a connection or a stop.

--- a/internal/node/inflight.go
+++ b/internal/node/inflight.go
@@ -22,6 +22,9 @@
 	started  atomic.Uint64
 }
 
+// unreadBody is how long the rest of a body that nobody read may take to come.
+const unreadBody = 5 * time.Second
+
 var closeConnection = []string{"close"}
 
 // handler counts the calls that h handles.
@@ -34,9 +37,24 @@
 			w.Header()["Connection"] = closeConnection
 		}
 		h.ServeHTTP(w, r)
+		boundUnread(w, r)
 	})
 }
 
+// boundUnread bounds how long net/http reads on in a body that the handler left.
+//
+// It guards against a caller that sends the header of a call and falls silent.
+// When the call is refused, net/http reads the body before it sends the answer,
+// and without a bound the connection is never done with: a stop would wait for
+// it until the drain limit. The next request on the connection sets its own
+// bound.
+func boundUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// An error means that the connection is gone already.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBody))
+	}
+}
+
 // idleEvery is how often a leaving node looks whether its calls have ended.
 const idleEvery = 10 * time.Millisecond
 
--- /dev/null
+++ b/internal/node/inflight_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// A caller sent the header of a call that was refused, and no body. Its
+// connection was never done with, so that each planned stop of the node waited
+// until the drain limit, and the caller waited for its refusal as long.
+func TestRefusedCallWithSilentBodyEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls traffic
+		ln := servePipes(t, newServer(calls.handler(refuseAll), zerolog.Nop()))
+		conn := ln.dial()
+		defer conn.Close()
+		start := time.Now()
+		if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized || time.Since(start) > unreadBody {
+			t.Fatalf("after %s: %v, %v", time.Since(start), resp, err)
+		}
+		_, _ = io.Copy(io.Discard, conn)
+		if got := time.Since(start); got > 2*unreadBody {
+			t.Errorf("kept for %s", got)
+		}
+	})
+}
+
+// A caller whose call was refused early sent the rest of its body a moment
+// later, and used the connection again.
+func TestRefusedCallKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls traffic
+		conn := servePipes(t, newServer(calls.handler(refuseAll), zerolog.Nop())).dial()
+		defer conn.Close()
+		answers := bufio.NewReader(conn)
+		for range 3 {
+			for _, part := range []string{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n", "0123456789"} {
+				if _, err := io.WriteString(conn, part); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(unreadBody / 2)
+			}
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil || resp.Close {
+				t.Fatalf("got %v, %v", resp, err)
+			}
+			time.Sleep(10 * unreadBody) // idle
+		}
+	})
+}
