End a call whose small body does not come at its deadline

Cause: a body of up to 64 KiB is read whole before the call is sent on, and nothing bounded that read. A caller that sent the header of a call and no body held the call, its memory and its part of the budget for bodies for ever: 512 of them take all of that budget, after which no body can be sent again, and a planned stop waits for each until the drain limit. The same at the destination. Change: the read ends at the deadline of the call, which is then refused as expired. The bound is taken off once the body is there. Conclusion: the deadline bounds a call from the end of its header on.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
 )
 
 // Bounds on request bodies kept for another attempt.
@@ -81,8 +85,12 @@
 func (s *streamBody) Close() error { return nil }
 
 // takeBody prepares the body of r. Its error is that of the caller's
-// connection: the body came incomplete.
-func takeBody(w http.ResponseWriter, r *http.Request, budget *keptBodies) (body, error) {
+// connection: the body came incomplete, or not before the call's deadline.
+//
+// It guards against a caller that falls silent before the end of a small body.
+// Nothing else ends the read: the call would hold its memory for ever, and a
+// stop of the node would wait for it.
+func takeBody(w http.ResponseWriter, r *http.Request, budget *keptBodies, deadline time.Time) (body, error) {
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return body{}, nil
@@ -90,13 +98,27 @@
 		return body{length: r.ContentLength, stream: newStreamBody(w, r)}, nil
 	}
 	b := body{length: r.ContentLength, kept: make([]byte, r.ContentLength), budget: budget}
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(deadline)
 	if _, err := io.ReadFull(r.Body, b.kept); err != nil {
 		b.release()
 		return body{}, err
 	}
+	// Or net/http, which reads on to see the caller leave, would take the
+	// deadline for that.
+	_ = c.SetReadDeadline(time.Time{})
 	return b, nil
 }
 
+// refuseBody returns the refusal of a call whose body did not come in time. It
+// breaks off when the caller's connection broke: there is nobody to tell.
+func refuseBody(err error) *call.Refusal {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		panic(http.ErrAbortHandler)
+	}
+	return refuse(call.ReasonExpired, 0, "the body did not come in time")
+}
+
 // open returns the body for one attempt.
 func (b *body) open() (io.ReadCloser, int64) {
 	switch {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -64,8 +64,9 @@
 	in := inbounds.Get().(*inbound)
 	defer in.free()
 	var err error
-	if in.own, err = takeBody(w, r, &d.kept); err != nil {
-		panic(http.ErrAbortHandler)
+	if in.own, err = takeBody(w, r, &d.kept, now.Add(h.left)); err != nil {
+		writeRefusal(w, refuseBody(err))
+		return
 	}
 	retried := r.Header[retry.HeaderRetried]
 	dropHopByHop(r.Header)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -97,8 +97,9 @@
 		return
 	}
 	var err error
-	if c.body, err = takeBody(w, r, &e.kept); err != nil {
-		panic(http.ErrAbortHandler)
+	if c.body, err = takeBody(w, r, &e.kept, c.deadline); err != nil {
+		e.refuse(w, c, refuseBody(err))
+		return
 	}
 	defer c.body.release()
 	c.below = first(r.Header, retry.HeaderRetried) != ""
--- /dev/null
+++ b/internal/proxy/silent_body_test.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.done
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error   { close(l.done); return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller sent the header of a call with a small body, and no body. The call
+// held its memory for ever, past its deadline: 512 such callers took all the
+// memory for bodies that can be sent again, and a planned stop waited for each
+// until the drain limit.
+func TestCallWithSilentBodyEndsAtItsDeadline(t *testing.T) {
+	line := hop{class: "bookings", service: testService, instance: "a", left: 3 * time.Second}.String()
+	for name, c := range map[string]struct {
+		handler func(*mesh) http.Handler
+		header  string
+	}{
+		"entry":       {func(m *mesh) http.Handler { return m.entry.Public() }, call.HeaderDeadline + ": 3000"},
+		"destination": {func(m *mesh) http.Handler { return m.dest[0] }, call.HeaderHop + ": " + line},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) {})
+			synctest.Test(t, func(t *testing.T) { silentBody(t, c.handler(m), c.header) })
+			if n := m.entry.kept.used.Load() + m.dest[0].kept.used.Load(); n != 0 {
+				t.Errorf("%d bytes are still taken", n)
+			}
+		})
+	}
+}
+
+func silentBody(t *testing.T, h http.Handler, header string) {
+	client, server := net.Pipe()
+	ln := &oneConn{server, make(chan struct{})}
+	s := &http.Server{Handler: h}
+	served := make(chan struct{})
+	go func() { defer close(served); _ = s.Serve(ln) }()
+	defer func() { client.Close(); s.Close(); <-served }()
+	start := time.Now()
+	if _, err := io.WriteString(client, "POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n"+header+"\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(start); took != 3*time.Second {
+		t.Errorf("ended after %s", took)
+	}
+	if why := resp.Header.Get(call.HeaderNotRun); why != string(call.ReasonExpired) {
+		t.Errorf("got %d, not run: %q", resp.StatusCode, why)
+	}
+}
