Show no token in a refusal of settings

Cause: a refused settings file is told of in one line with the value at fault. An operator who writes a token where its hash or its file belongs had it printed, and after SIGHUP logged. Change: the value of a key whose last part names a token is told as "value not shown"; the name of a token file is shown as before. Conclusion: tokens stay out of logs and errors, also when they are misplaced.

--- a/internal/settings/strict/strict.go
+++ b/internal/settings/strict/strict.go
@@ -22,7 +22,7 @@
 type Error struct {
 	File    string
 	Key     string // dotted; empty when the file as a whole is at fault
-	Value   string // as written; empty when there is none
+	Value   string // as written; empty when there is none; Error shows no token
 	Allowed string
 }
 
@@ -32,12 +32,22 @@
 	if e.Key != "" {
 		parts = append(parts, "key "+e.Key)
 	}
-	if e.Value != "" {
+	switch {
+	case e.Value != "" && isSecret(e.Key):
+		parts = append(parts, "value not shown")
+	case e.Value != "":
 		parts = append(parts, "value "+e.Value)
 	}
 	return oneLine(strings.Join(append(parts, e.Allowed), ": "))
 }
 
+// isSecret reports whether somebody may have written a token as the value of a
+// key, where its hash or the name of its file belongs. The line goes to logs.
+func isSecret(key string) bool {
+	last := key[strings.LastIndexByte(key, '.')+1:]
+	return strings.Contains(last, "token") && !strings.HasSuffix(last, "_file")
+}
+
 // Problem returns the error for a value that decoded well but isn't allowed.
 // The allowed text completes the line, for example "allowed are 1 to 64".
 func Problem(file, key string, value any, allowed string) *Error {
--- a/internal/settings/strict/strict_test.go
+++ b/internal/settings/strict/strict_test.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// An operator wrote a token into the settings where its hash or its file belongs,
+// and sent SIGHUP. The refusal quoted the value, so the token went to the log and
+// from there to everybody who reads logs.
+func TestRefusalShowsNoToken(t *testing.T) {
+	var s struct {
+		TokenFile string `toml:"token_file"`
+		Operator  []struct {
+			TokenSHA256 string `toml:"token_sha256"`
+		} `toml:"operator"`
+	}
+	const token = "open-sesame"
+	for name, err := range map[string]error{
+		"unknown key":     Decode("f.toml", []byte("token = '"+token+"'"), &s),
+		"unknown in list": Decode("f.toml", []byte("[[operator]]\ntoken = '"+token+"'"), &s),
+		"wrong type":      Decode("f.toml", []byte("[[operator]]\ntoken_sha256 = ['"+token+"']"), &s),
+		"not allowed":     Problem("f.toml", "operator[0].token_sha256", token, "64 hexadecimal digits"),
+	} {
+		if err == nil || strings.Contains(err.Error(), token) || !strings.Contains(err.Error(), "token") {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	err := Problem("f.toml", "token_file", "/etc/token", "not there")
+	if !strings.Contains(err.Error(), `value "/etc/token"`) {
+		t.Errorf("a file's name is hidden: %v", err)
+	}
+}
+
 func TestLoadKeepsDefaults(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a.toml")
 	if err := os.WriteFile(path, []byte("wait = '2s'\n"), 0o600); err != nil {
