Name listeners that are open to the network without a certificate

Cause: a node without tls settings takes calls, control messages and operators' tokens in plain text on any address, and nothing said so after the start. Change: settings.PlainText finds listen.calls, listen.control and listen.admin that are not on loopback and have no certificate; the node logs one line for each at its start. It starts all the same, since a network may be private or encrypted below TCP. Figures: before, no line (there was no function to test); after, six tables of settings give the keys expected, and one line for each is logged. Conclusion: an operator sees in the log what is open.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 	n.log.Info().Str("vm", n.self.ID).Str("callers", a.Callers).Str("internal", a.Internal).
 		Str("calls", a.Calls).Str("control", a.Control).Str("admin", a.Admin).
 		Str("announce", a.Announce).Str("metrics", a.Metrics).Msg("node: started")
+	warnPlainText(n.log, n.set)
 }
 
 // Failed is closed when a part of the node ended without being asked to; Err
--- a/internal/node/trust.go
+++ b/internal/node/trust.go
@@ -9,6 +9,7 @@
 	"github.com/marlpass/marlpass/internal/peer"
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/settings"
+	"github.com/marlpass/marlpass/internal/telemetry"
 	"github.com/marlpass/marlpass/internal/trust"
 )
 
@@ -39,6 +40,16 @@
 	return out, err
 }
 
+// warnPlainText names the listeners that certificates should protect and do not.
+// It is no error: a network may be private, or encrypted below TCP.
+func warnPlainText(log zerolog.Logger, s settings.Node) {
+	log = telemetry.Part(log, "trust")
+	for _, key := range s.PlainText() {
+		log.Warn().Str("key", key).
+			Msg("trust: plain text on an address that is not loopback; others on the network can read and forge what goes over it")
+	}
+}
+
 // server returns the configuration for connections that other nodes open.
 func (t *trustFiles) server() *tls.Config {
 	if t.mesh == nil {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -218,6 +218,28 @@
 	}
 }
 
+// PlainText returns the keys of the listeners that are open to the network and
+// whose traffic no certificate protects, though it carries operators' tokens or
+// gives whoever reaches it a node's powers.
+func (n *Node) PlainText() []string {
+	var out []string
+	for _, l := range []struct{ key, addr, cert string }{
+		{"listen.calls", n.Listen.Calls, n.TLS.Cert},
+		{"listen.control", n.Listen.Control, n.TLS.Cert},
+		{"listen.admin", n.Listen.Admin, n.TLS.AdminCert},
+	} {
+		if l.cert == "" && !isLoopback(l.addr) {
+			out = append(out, l.key)
+		}
+	}
+	return out
+}
+
+func isLoopback(addr string) bool {
+	a, err := netip.ParseAddrPort(addr)
+	return err == nil && a.Addr().IsLoopback()
+}
+
 func overlap(a, b string) bool {
 	x, errX := netip.ParseAddrPort(a)
 	y, errY := netip.ParseAddrPort(b)
@@ -284,8 +306,7 @@
 }
 
 func (c *checker) loopback(key, v string) {
-	a, err := netip.ParseAddrPort(v)
-	if err != nil || !a.Addr().IsLoopback() {
+	if !isLoopback(v) {
 		c.problem(key, v, "a loopback address and port, such as 127.0.0.1:7801")
 	}
 }
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -59,3 +59,35 @@
 		})
 	}
 }
+
+// A node was set up on a VM with the settings of a trial, without certificates.
+// Nothing told that operators' tokens and commands between nodes crossed the
+// network in plain text, where anyone could read and send them.
+func TestPlainTextOnTheNetworkIsNamed(t *testing.T) {
+	plain := func(n *Node) { n.TLS = TLS{} }
+	tests := []struct {
+		name   string
+		change func(*Node)
+		want   string
+	}{
+		{"certificates", func(*Node) {}, ""},
+		{"none", plain, "listen.calls listen.control listen.admin"},
+		{"none between nodes", func(n *Node) { n.TLS.CA, n.TLS.Cert, n.TLS.Key = "", "", "" }, "listen.calls listen.control"},
+		{"none for operators", func(n *Node) { n.TLS.AdminCert, n.TLS.AdminKey = "", "" }, "listen.admin"},
+		{"every address", func(n *Node) { plain(n); n.Listen.Admin = "0.0.0.0:7806" }, "listen.calls listen.control listen.admin"},
+		{"loopback", func(n *Node) {
+			plain(n)
+			n.Listen.Calls, n.Listen.Control, n.Listen.Admin = "127.0.0.1:1", "127.0.0.2:1", "[::1]:1"
+		}, ""},
+	}
+	for _, test := range tests {
+		n, err := LoadNode("../../settings/trust/neg-shed.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		test.change(&n)
+		if got := strings.Join(n.PlainText(), " "); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
