Refuse a zero that an operator writes out for a target

Cause: marlpass target set took 0 for "left out". Somebody who typed -rate 0 to stop a class took off its bound instead; -priority 0, out of its range of 1 to 9, became 5. -share 0 was refused already. Change: a zero of within, deadline, percentile, rate or priority that is given as a flag or in the file is refused with exit code 2, what is allowed and what leaving it out means. The API still takes 0 for left out. Conclusion: no value means its opposite.

--- a/internal/cli/spec.go
+++ b/internal/cli/spec.go
@@ -57,6 +57,13 @@
 	return t
 }
 
+// givenFlags returns the names of the flags that were given.
+func givenFlags(fs *flag.FlagSet) map[string]bool {
+	given := make(map[string]bool)
+	fs.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	return given
+}
+
 // firstTargetFlag returns a given flag that describes a target, or "".
 func firstTargetFlag(fs *flag.FlagSet) string {
 	found := ""
@@ -68,9 +75,42 @@
 	return found
 }
 
-func (t *targetInput) read(file string) error {
-	if err := strict.Load(file, t); err != nil {
-		return &exitError{exit.Usage, err.Error()}
+// read reads the target from a file, and returns the keys that the file gives.
+func (t *targetInput) read(file string) (given map[string]bool, err error) {
+	var all map[string]any
+	if err = strict.Load(file, t); err == nil {
+		err = strict.Load(file, &all)
+	}
+	if err != nil {
+		return nil, &exitError{exit.Usage, err.Error()}
+	}
+	given = make(map[string]bool, len(all))
+	for key := range all {
+		given[key] = true
+	}
+	return given, nil
+}
+
+// checkZeros refuses a zero that was written out.
+//
+// It guards against a typo that opens what it should close. The API takes 0 for
+// "left out", so a rate of 0, meant to stop a class, would take off its bound.
+func (t *targetInput) checkZeros(file string, given map[string]bool) error {
+	const none = "0"
+	for _, v := range []struct {
+		key, value string
+		isZero     bool
+		allowed    string
+	}{
+		{"within", "0s", t.Within.Duration == 0, "allowed is more than 0; leave it out for no aim"},
+		{"deadline", "0s", t.Deadline.Duration == 0, "allowed is more than 0; leave it out for 30s"},
+		{"percentile", none, t.Percentile == 0, "allowed is more than 0 and less than 100; leave it out for 99"},
+		{"rate", none, t.Rate == 0, "allowed is more than 0; leave it out for no bound"},
+		{"priority", none, t.Priority == 0, "allowed are 1 to 9; leave it out for 5"},
+	} {
+		if given[v.key] && v.isZero {
+			return t.bad(file, v.key, v.value, v.allowed)
+		}
 	}
 	return nil
 }
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -66,14 +66,19 @@
 	t := defineTarget(fs)
 	w := defineWrite(fs)
 	return func(ctx context.Context, a *app, args []string) error {
+		given := givenFlags(fs)
 		if *file != "" {
 			if name := firstTargetFlag(fs); name != "" {
 				return usagef("-f and -%s exclude each other", name)
 			}
-			if err := t.read(*file); err != nil {
+			var err error
+			if given, err = t.read(*file); err != nil {
 				return err
 			}
 		}
+		if err := t.checkZeros(*file, given); err != nil {
+			return err
+		}
 		spec, err := t.spec(*file)
 		if err != nil {
 			return err
