Tell what an accepted change came to

Cause: marlpass target set states a target whole, and said no more than "accepted: version N". An operator saw neither that a field left out had gone back to its default, nor that nothing had changed at all, which the API tells. Change: the answer names the command that shows the difference, or says that nothing had to change; -json has "unchanged".

--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -53,8 +53,8 @@
 }
 
 func putService(spec *adminapi.ServiceSpec, name adminapi.Name) send {
-	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		return acceptedVersion(c.PutService(ctx, spec, adminapi.PutServiceParams(h.params(name))))
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Accepted, error) {
+		return acceptedAnswer(c.PutService(ctx, spec, adminapi.PutServiceParams(h.params(name))))
 	}
 }
 
@@ -74,8 +74,8 @@
 }
 
 func withdrawService(name adminapi.Name) send {
-	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		return acceptedVersion(c.WithdrawService(ctx, adminapi.WithdrawServiceParams(h.params(name))))
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Accepted, error) {
+		return acceptedAnswer(c.WithdrawService(ctx, adminapi.WithdrawServiceParams(h.params(name))))
 	}
 }
 
@@ -102,16 +102,16 @@
 	return a.write(ctx, s, h, make(adminapi.Name(name)))
 }
 
-// acceptedVersion reads a write's answer, of any operation.
-func acceptedVersion(res any, err error) (*adminapi.Version, error) {
+// acceptedAnswer reads a write's answer, of any operation.
+func acceptedAnswer(res any, err error) (*adminapi.Accepted, error) {
 	if err != nil {
 		return nil, err
 	}
 	switch r := res.(type) {
 	case *adminapi.AcceptedHeaders:
-		return &r.Response.Version, nil
+		return &r.Response, nil
 	case *adminapi.CreatedHeaders:
-		return &r.Response.Version, nil
+		return &r.Response, nil
 	case *adminapi.UnknownHeaders:
 		return nil, fmt.Errorf("%w: %s", errUnknown, r.Response.Detail)
 	}
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -90,8 +90,8 @@
 }
 
 func putTarget(spec *adminapi.TargetSpec, name adminapi.Name) send {
-	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		return acceptedVersion(c.PutTarget(ctx, spec, adminapi.PutTargetParams(h.params(name))))
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Accepted, error) {
+		return acceptedAnswer(c.PutTarget(ctx, spec, adminapi.PutTargetParams(h.params(name))))
 	}
 }
 
@@ -111,8 +111,8 @@
 }
 
 func withdrawTarget(name adminapi.Name) send {
-	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Version, error) {
-		return acceptedVersion(c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams(h.params(name))))
+	return func(ctx context.Context, c *adminapi.Client, h headers) (*adminapi.Accepted, error) {
+		return acceptedAnswer(c.WithdrawTarget(ctx, adminapi.WithdrawTargetParams(h.params(name))))
 	}
 }
 
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -85,15 +85,20 @@
 	Outcome string            `json:"outcome"`
 	Command string            `json:"command"`
 	Version *adminapi.Version `json:"version,omitempty"`
-	Problem *adminapi.Problem `json:"problem,omitempty"`
-	Detail  string            `json:"detail,omitempty"`
+	// Unchanged says that it was so already.
+	Unchanged bool              `json:"unchanged,omitempty"`
+	Problem   *adminapi.Problem `json:"problem,omitempty"`
+	Detail    string            `json:"detail,omitempty"`
+	// changed says that Version is the command's own. Of a record it is not
+	// known: the version of a command that changed nothing is somebody else's.
+	changed bool
 }
 
 // errUnknown stands for the answer 202.
 var errUnknown = errors.New("the node does not know the outcome")
 
-// send is one attempt at a write. It returns the accepted version.
-type send func(context.Context, *adminapi.Client, headers) (*adminapi.Version, error)
+// send is one attempt at a write.
+type send func(context.Context, *adminapi.Client, headers) (*adminapi.Accepted, error)
 
 // write sends a change to the servers in turn until one gives an answer that
 // settles it.
@@ -108,11 +113,15 @@
 	lost := false
 	var last error
 	for _, server := range s.servers {
-		version, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+		answer, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Accepted, error) {
 			return send(ctx, c, h)
 		})
 		if err == nil {
-			return a.report(result{Outcome: outcomeAccepted, Command: command, Version: version})
+			unchanged := answer.Unchanged.Value
+			return a.report(result{
+				Outcome: outcomeAccepted, Command: command, Version: &answer.Version,
+				Unchanged: unchanged, changed: !unchanged,
+			})
 		}
 		last = err
 		if !changedNothing(err) {
@@ -202,7 +211,7 @@
 func (a *app) printResult(r result) {
 	switch r.Outcome {
 	case outcomeAccepted:
-		fmt.Fprintf(a.env.Stdout, "accepted: version %s\n", versionText(*r.Version))
+		a.printAccepted(r)
 	case outcomeUnknown:
 		fmt.Fprintf(a.env.Stderr, "unknown: the change may or may not have taken effect (%s)\n", r.Detail)
 		fmt.Fprintf(a.env.Stderr, "ask by:  marlpass command show %s\n", r.Command)
@@ -213,3 +222,16 @@
 		}
 	}
 }
+
+// printAccepted tells how to see what the change was: a target is stated whole,
+// so what was left out went back to its default.
+func (a *app) printAccepted(r result) {
+	text := "accepted: version " + versionText(*r.Version)
+	if r.Unchanged {
+		text += "; nothing had to change"
+	}
+	fmt.Fprintln(a.env.Stdout, text)
+	if n := r.Version.Number; r.changed && n > 0 {
+		fmt.Fprintf(a.env.Stdout, "what changed: marlpass target diff %d %d\n", n-1, n)
+	}
+}
