Clean all text that the command line prints of control characters

Cause: tables were cleaned, but the detail of an unknown, refused or failed command was printed as the node sent it. Control characters in it could rewrite the line above, so that "unknown" read as "accepted". Change: these three places clean their text as tables do.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -59,12 +59,16 @@
 	case !errors.As(err, &coded):
 		coded = &exitError{exit.Failed, err.Error()}
 	}
-	if coded.text != "" {
-		fmt.Fprintln(env.Stderr, "marlpass: "+coded.text)
-	}
+	printFailure(env.Stderr, coded)
 	return coded.code
 }
 
+func printFailure(w io.Writer, e *exitError) {
+	if e.text != "" {
+		fmt.Fprintln(w, "marlpass: "+clean(e.text))
+	}
+}
+
 // command is a node of the tree of subcommands: a group with subs, or a leaf
 // with setup.
 type command struct {
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -213,10 +213,10 @@
 	case outcomeAccepted:
 		a.printAccepted(r)
 	case outcomeUnknown:
-		fmt.Fprintf(a.env.Stderr, "unknown: the change may or may not have taken effect (%s)\n", r.Detail)
+		fmt.Fprintf(a.env.Stderr, "unknown: the change may or may not have taken effect (%s)\n", clean(r.Detail))
 		fmt.Fprintf(a.env.Stderr, "ask by:  marlpass command show %s\n", r.Command)
 	default:
-		fmt.Fprintf(a.env.Stderr, "%s: %s\n", r.Outcome, r.Detail)
+		fmt.Fprintf(a.env.Stderr, "%s: %s\n", r.Outcome, clean(r.Detail))
 		if r.Problem != nil {
 			writeProblem(a.env.Stderr, r.Problem)
 		}
