Cut what a notice tells to what a record takes

Cause: a membership record takes no string above 256 bytes, and is refused whole if one is longer. The detail of a notice could be: by a path full of signs that JSON escapes, which the caller chooses, by long names of VMs, or by a lift of many crashes. The node then told of none of its suspects ("membership: notices are not told"), and entry nodes sent the bad requests on. Change: a detail is cut to 256 bytes encoded, what decides first. Lifts name crashes by their moment and a hash, so that more fit; HTML signs are not escaped. Figures: before, the new test fails at the first notice ("the record would be over a limit"); after, four kinds of path and names of 11 and 63 bytes fit at each of 24 crashes with a lift after every 8th, and the node that is told holds the same kind. Conclusion: a caller cannot keep the mesh from hearing of its request.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -60,7 +60,7 @@
 	Kind        Kind
 	What        string   // method, host and path, for operators
 	Crashes     []Crash  // those that count, by ID
-	Lifted      []string // IDs of crashes that no longer count, sorted
+	Lifted      []string // short forms of crashes that no longer count, sorted
 	Expires     time.Time
 	By          string // who lifted it: "answered", or an operator
 }
@@ -111,16 +111,17 @@
 	out := slices.Concat(a, b)
 	slices.SortFunc(out, func(x, y Crash) int { return cmp.Compare(x.ID, y.ID) })
 	out = slices.CompactFunc(out, func(x, y Crash) bool { return x.ID == y.ID })
-	out = slices.DeleteFunc(out, func(c Crash) bool { return slices.Contains(lifted, c.ID) })
+	out = slices.DeleteFunc(out, func(c Crash) bool { return slices.Contains(lifted, lift(c.ID)) })
 	return out[max(0, len(out)-maxCrashes):]
 }
 
-func (e *Entry) crashIDs() []string {
-	ids := make([]string, 0, len(e.Crashes))
+// lifts returns the short forms of the crashes, as they are lifted.
+func (e *Entry) lifts() []string {
+	out := make([]string, 0, len(e.Crashes))
 	for _, c := range e.Crashes {
-		ids = append(ids, c.ID)
+		out = append(out, lift(c.ID))
 	}
-	return ids
+	return out
 }
 
 // crashedAt takes the endpoints from the crash IDs, which end in the moment.
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -13,31 +13,14 @@
 // byAnswer is the By of an entry that an answer cleared.
 const byAnswer = "answered"
 
-// maxWhat bounds the name of a request in a notice; records are sent often.
-const maxWhat = 96
-
 // ErrNotListed means that an operator named a request that is not held.
 var ErrNotListed = errors.New("no such request is suspected or quarantined")
 
-// detail is the Detail of a notice.
-type detail struct {
-	What    string   `json:"what,omitempty"`
-	Crashes []Crash  `json:"crashes,omitempty"`
-	Lifted  []string `json:"lifted,omitempty"`
-	By      string   `json:"by,omitempty"`
-}
-
 func (e *Entry) notice() membership.Notice {
-	d := detail{What: e.What[:min(len(e.What), maxWhat)], Crashes: e.Crashes, Lifted: e.Lifted, By: e.By}
-	raw, err := json.Marshal(d)
-	if err != nil {
-		// Strings and booleans always encode.
-		panic("quarantine: " + err.Error())
-	}
 	return membership.Notice{
 		Kind:    string(e.Kind),
 		ID:      e.Fingerprint.String(),
-		Detail:  string(raw),
+		Detail:  e.detail(),
 		Expires: e.Expires.UnixMilli(),
 	}
 }
@@ -175,7 +158,7 @@
 		// crashes weigh more than one answer.
 		return
 	}
-	lifted := e.with(nil, e.crashIDs())
+	lifted := e.with(nil, e.lifts())
 	lifted.By = by
 	lifted.Expires = now.Add(l.lifetime(KindLifted))
 	next[fp] = lifted
