Pass over notices of an alert that no record could hold

Cause: the strings of a membership record are bounded, those of an alert only by the size of a message, 256 KiB. What an alert tells is kept until it expires, up to 1,024 requests: a node that means harm could fill the memory of another. Change: an alert goes by the bound of records. Conclusion: one bound for both ways on which notices come.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -175,11 +175,16 @@
 // alerts takes other nodes' alerts.
 type alerts struct{ n *Node }
 
-// Alert implements peer.Alerts.
+// Alert implements peer.Alerts. It passes over what a membership record could not
+// hold either: notices are kept until they expire, and those of a node that
+// means harm would take all the memory that control may have.
 func (a alerts) Alert(from string, ns []*peerpb.Notice) {
-	out := make([]membership.Notice, len(ns))
-	for i, n := range ns {
-		out[i] = membership.Notice{Kind: n.Kind, ID: n.Id, Detail: n.Detail, Expires: n.ExpiresMs}
+	longest := membership.DefaultLimits().String
+	out := make([]membership.Notice, 0, len(ns))
+	for _, n := range ns {
+		if max(len(n.Kind), len(n.Id), len(n.Detail)) <= longest {
+			out = append(out, membership.Notice{Kind: n.Kind, ID: n.Id, Detail: n.Detail, Expires: n.ExpiresMs})
+		}
 	}
 	a.n.calls.suspects.list.MergeNotices(time.Now(), from, out)
 }
