Print the reason's word with a refusal

Cause: the operators' page says by the word of the reason (unavailable, busy, older-head ...) what to do about a refusal. The command line printed the detail alone; the word stood in -json only.

Change: a refusal ends in the line "reason: WORD".

Conclusion: what the page tells to look up is on the screen.

--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/google/uuid"
 
+	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/settings/exit"
 )
@@ -210,6 +212,10 @@
 		fmt.Fprintf(a.env.Stderr, "%s: %s\n", r.Outcome, r.Detail)
 		if r.Problem != nil {
 			writeProblem(a.env.Stderr, r.Problem)
+			// The operators' pages say by this word what to do.
+			if reason, ok := strings.CutPrefix(r.Problem.Type, admin.TypePrefix); ok && r.Outcome == outcomeRefused {
+				fmt.Fprintf(a.env.Stderr, "reason: %s\n", clean(reason))
+			}
 		}
 	}
 }
