Give a server the time to refuse a change

Cause: each server had the timeout over twice the number of servers, 2.5 s with two and 1.25 s with four, to answer a change. A node that finds the platform with an older head reads it again for some 3 s before it refuses. The command line had given up by then and told of an unknown outcome.

Change: a server has up to 4 s to answer a change, and half of the timeout at most. A connection is given up after the old bound, so that VMs that are gone don't use up the time of the others. All of it stays within the timeout, and a part of that is left to ask for the record.

Conclusion: an operator gets the sure answer in place of a doubt.

--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -33,11 +33,22 @@
 // session is how a subcommand reaches the servers.
 type session struct {
 	servers []server
-	// each bounds one attempt. A write may ask every server twice: to take
-	// the change, and for its record after a lost answer.
+	// whole bounds a command over all servers, read one attempt at a question,
+	// and write one at a change.
+	whole, read, write time.Duration
+	// each bounds one question for a command's record. A write may ask every
+	// server twice: to take the change, and for its record after a lost answer.
 	each time.Duration
-	// whole bounds a question over all servers, and read one attempt of it.
-	whole, read time.Duration
+}
+
+// slowestWrite is how long a server may take to refuse a change in an ordinary
+// outage: it reads an older head again for some 3 s before it believes it.
+const slowestWrite = 4 * time.Second
+
+// writeBound returns the bound of one attempt to write. Half of the whole is left
+// to other servers, and to ask for the record.
+func writeBound(whole time.Duration, servers int) time.Duration {
+	return max(whole/time.Duration(2*servers), min(slowestWrite, whole/2))
 }
 
 // slowestRead is how long a server may take for an answer: a handover waits 2 s
@@ -64,14 +75,16 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := httpClient(s.CAFile)
+	whole := s.Timeout.Duration
+	client, err := httpClient(s.CAFile, whole/time.Duration(2*len(s.Servers)))
 	if err != nil {
 		return nil, err
 	}
-	whole := s.Timeout.Duration
 	out := &session{
 		each:  whole / time.Duration(2*len(s.Servers)),
-		whole: whole, read: readBound(whole, len(s.Servers)),
+		whole: whole,
+		read:  readBound(whole, len(s.Servers)),
+		write: writeBound(whole, len(s.Servers)),
 	}
 	for _, url := range s.Servers {
 		c, err := adminapi.NewClient(strings.TrimRight(url, "/")+"/v1", bearer(token), adminapi.WithClient(client))
@@ -83,8 +96,12 @@
 	return out, nil
 }
 
-func httpClient(caFile string) (*http.Client, error) {
+// httpClient returns a client that gives a server dialBound to take a connection.
+// A VM that is gone takes none, and must not use up the time of those that are
+// there; a connection that was not made has changed nothing.
+func httpClient(caFile string, dialBound time.Duration) (*http.Client, error) {
 	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = (&net.Dialer{Timeout: dialBound}).DialContext
 	t.Proxy = nil
 	if caFile != "" {
 		pem, err := os.ReadFile(caFile)
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -107,10 +107,14 @@
 // met the operator's own change; only the command's record settles it then.
 func (a *app) write(ctx context.Context, s *session, h headers, send send) error {
 	command := string(h.command.Value)
+	ctx, cancel := context.WithTimeout(ctx, s.whole)
+	defer cancel()
+	sending, stop := context.WithTimeout(ctx, s.whole-s.each)
+	defer stop()
 	lost := false
 	var last error
 	for _, server := range s.servers {
-		version, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
+		version, err := attempt(sending, s.write, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Version, error) {
 			return send(ctx, c, h)
 		})
 		if err == nil {
