--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/google/uuid"
 
+	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/gen/adminapi"
 	"github.com/marlpass/marlpass/internal/settings/exit"
 )
@@ -110,10 +112,14 @@
 // met the operator's own change; only the command's record settles it then.
 func (a *app) write(ctx context.Context, s *session, h headers, send send) error {
 	command := string(h.command.Value)
+	ctx, cancel := context.WithTimeout(ctx, s.whole)
+	defer cancel()
+	sending, stop := context.WithTimeout(ctx, s.whole-s.each)
+	defer stop()
 	lost := false
 	var last error
 	for _, server := range s.servers {
-		answer, err := attempt(ctx, s.each, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Accepted, error) {
+		answer, err := attempt(sending, s.write, server, func(ctx context.Context, c *adminapi.Client) (*adminapi.Accepted, error) {
 			return send(ctx, c, h)
 		})
 		if err == nil {
@@ -219,6 +225,10 @@
 		fmt.Fprintf(a.env.Stderr, "%s: %s\n", r.Outcome, clean(r.Detail))
 		if r.Problem != nil {
 			writeProblem(a.env.Stderr, r.Problem)
+			// The operators' pages say by this word what to do.
+			if reason, ok := strings.CutPrefix(r.Problem.Type, admin.TypePrefix); ok && r.Outcome == outcomeRefused {
+				fmt.Fprintf(a.env.Stderr, "reason: %s\n", clean(reason))
+			}
 		}
 	}
 }
