Let gates follow a version at once

Cause: gates learned of a version's classes with the node's next refresh, up to 50 ms after entry nodes may send their calls; those ran without share, rate and priority. It showed as a test of the metrics that counted four calls of a class where five were made.

Change: whoever puts a version in force updates the gates before it goes on.

Conclusion: a class is limited from its first call on.

--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/marlpass/marlpass/internal/config"
+import (
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+)
 
 // Spread hands a version to a node as if it had been accepted there.
 func (n *Node) Spread(d *config.Delta) { n.control.spread.Accepted(d) }
@@ -19,3 +23,20 @@
 
 // BreakListener closes the socket for callers under the node's feet.
 func BreakListener(n *Node) { n.ln.callers.Close() }
+
+// GateKnows reports whether every gate of the node knows the class.
+func (n *Node) GateKnows(class string) bool {
+	for _, gate := range *n.calls.gates.byInstance.Load() {
+		known := false
+		for _, s := range gate.Stats(time.Now()) {
+			known = known || s.Class == class
+		}
+		if !known {
+			return false
+		}
+	}
+	return true
+}
+
+// OfferNow puts a version in force as the spreading does.
+func (n *Node) OfferNow(s *config.Snapshot) (bool, error) { return wakingStore{n}.Offer(s) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,12 +238,20 @@
 }
 
 // wakingStore is a node's store that wakes refresh when a version was offered.
+//
+// The gates follow at once, and not with the refresh: entry nodes send calls of
+// a new class as soon as they run the version, and a gate that does not know the
+// class yet would run them without its share, rate and priority.
 type wakingStore struct{ n *Node }
 
 // Offer implements distribute.Store.
 func (s wakingStore) Offer(snap *config.Snapshot) (bool, error) {
 	defer s.n.wake()
-	return s.n.store.Offer(snap)
+	inForce, err := s.n.store.Offer(snap)
+	if inForce {
+		s.n.updateGates(time.Now())
+	}
+	return inForce, err
 }
 
 // watchID stops the traffic of a node whose VM's ID another process has taken.
