Send a guarded call nowhere else for want of room

Cause: a keyed call of a local-guard class that was refused as overloaded by the node that its key names was sent to another, and ran there under that node's guard while the platform was down. A resend went to the first node, which knew nothing of the key, and ran again. Change: of the endpoints tried, only those that take no calls are left out for such a call, as for a request that runs isolated. Figures: in the new test the two attempts reached two nodes before, and one now; a node that drains is left out as before. go test -race ./internal/proxy passes. Conclusion: a guard holds through overload. Calls of such classes cannot use the room of other endpoints.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -247,7 +247,7 @@
 		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.avoid(e.Suspects.CrashedAt(now, c.fp)))
 	}
 	if key := guardKey(c); key != "" {
-		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.tried)
+		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.closed)
 	}
 	return e.Pickers.Pick(now, c.target, c.tried)
 }
@@ -280,7 +280,9 @@
 }
 
 // guardKey returns the key of a call that one destination node guards by itself
-// when the platform is down. That holds only if its resends reach the same node.
+// when the platform is down. That holds only if its resends reach the same node,
+// so of those that were tried only the ones that take no calls are left out: a
+// call that ran elsewhere for want of room would run again when it is resent.
 func guardKey(c *entering) string {
 	if c.target.Idempotent || c.target.StoreDownRule() != config.OnStoreDownLocalGuard {
 		return ""
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // memoryKeeper keeps claims in memory.
@@ -257,3 +260,47 @@
 		t.Fatalf("the resend got %v, %v; events %v, run %d times", resp, err, k.events, m.runs.Load())
 	}
 }
+
+// fullOnce is a gate that has no room for the first call of all that share all.
+type fullOnce struct {
+	FixedLimit
+	all   *atomic.Int64
+	calls atomic.Int64
+}
+
+func (g *fullOnce) Acquire(ctx context.Context, b Backend, t *config.Target, deadline time.Time) (Permit, error) {
+	g.calls.Add(1)
+	if g.all.Add(1) == 1 {
+		return nil, &call.Refusal{Reason: call.ReasonOverloaded}
+	}
+	return g.FixedLimit.Acquire(ctx, b, t, deadline)
+}
+
+// The platform is down and a class runs under the guard of the node that its
+// key names. That node had no room for a moment, so the booking was sent on and
+// ran beside another. Its answer was lost, the resend went to the node that the
+// key names, which knew nothing of the key, and the booking ran a second time.
+func TestGuardedCallStaysWhereItsKeyLeads(t *testing.T) {
+	target := bookings()
+	target.OnStoreDown = config.OnStoreDownLocalGuard
+	m := newMesh(t, target, func(http.ResponseWriter, *http.Request) {})
+	var all atomic.Int64
+	gates := [2]*fullOnce{{all: &all}, {all: &all}}
+	for i, d := range m.dest {
+		d.Gates = gates[i]
+	}
+	resp, _, err := m.call("POST", "/", "hull 7", "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if a, b := gates[0].calls.Load(), gates[1].calls.Load(); a != 0 && b != 0 {
+		t.Errorf("%d attempts at one node, %d at the other", a, b)
+	}
+	m.dest[0].Drain()
+	m.useAll()
+	for _, key := range []string{"k1", "k2", "k3", "k4"} {
+		if resp, _, err := m.call("POST", "/", "x", "Idempotency-Key", key); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s beside a node that drains: %v, %v", key, resp, err)
+		}
+	}
+}
