End an endless answer whose caller has left at its deadline

Cause: the answer to a keyed call is read to its end when the caller leaves, for its resends. An endless one was read for as long as the backend server sent: it held its slot, and no planned stop could end in order. Change: once the caller has gone, the answer is read until the deadline of the call, and the call counts as lost then. Conclusion: a keyed call ends within its deadline or with its caller.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -109,7 +109,7 @@
 		a.held.free()
 	}()
 	p.partial = true // should relay panic, as on a status that HTTP has not
-	return relay(w, a.resp, a.held.keep())
+	return relay(w, a.resp, a.held.keep(d.Now))
 }
 
 // inbound is a call as it reached the destination.
@@ -181,12 +181,14 @@
 	backend Backend
 	target  *config.Target
 	start   time.Time
-	claim   Claim
-	permit  Permit
-	mark    quarantine.Token
-	marked  bool
-	status  int
-	stored  *Stored // what to record for the claim
+	// deadline is that of a call with a claim.
+	deadline time.Time
+	claim    Claim
+	permit   Permit
+	mark     quarantine.Token
+	marked   bool
+	status   int
+	stored   *Stored // what to record for the claim
 	// replayed says that the answer is the stored one of an earlier call.
 	replayed bool
 }
@@ -234,7 +236,7 @@
 	})
 	switch {
 	case err == nil && stored == nil:
-		h.claim, h.stored = claim, new(Stored)
+		h.claim, h.stored, h.deadline = claim, new(Stored), in.deadline
 		return answer{}, false
 	case err == nil && stored.TooLarge:
 		return answer{err: errNotKept}, true
--- a/internal/proxy/holding.go
+++ b/internal/proxy/holding.go
@@ -48,11 +48,18 @@
 var errStoreDown = errors.New("proxy: the claim could not be recorded")
 
 // keep returns what collects the answer for the claim, or nil.
-func (h *holding) keep() func([]byte) {
+//
+// The answer is wanted until the call's deadline. It guards against an endless
+// one, whose caller has left: it would hold its slot, and any planned stop, for
+// as long as the backend server sends.
+func (h *holding) keep(now func() time.Time) func([]byte) (wanted bool) {
 	if h == nil || h.stored == nil {
 		return nil
 	}
-	return h.stored.add
+	return func(p []byte) bool {
+		h.stored.add(p)
+		return now().Before(h.deadline)
+	}
 }
 
 func (s *Stored) add(p []byte) {
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -304,3 +304,41 @@
 		}
 	}
 }
+
+// A clerk's client sends a submission with a key to a path that answers with an
+// endless stream, and leaves. The call ran on for its resends, for as long as the
+// backend server sent: it held its slot, and no planned stop could end. It must
+// end at its deadline.
+func TestEndlessAnswerEndsWithItsDeadline(t *testing.T) {
+	var over atomic.Bool
+	m, k := newKeyedMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil && !over.Load() {
+			io.WriteString(w, "line\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(time.Millisecond)
+		}
+	})
+	t.Cleanup(func() { over.Store(true) })
+	var ahead atomic.Int64
+	for _, d := range m.dest {
+		d.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", m.public.URL+"/", strings.NewReader("x"))
+	req.Header.Set("Idempotency-Key", "k1")
+	resp, err := m.public.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	resp.Body.Close()
+	ahead.Store(int64(2 * maxDeadline))
+	select {
+	case <-k.ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the call runs on")
+	}
+	if k.events[0] != "lost" {
+		t.Errorf("events %v", k.events)
+	}
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -21,9 +21,9 @@
 
 // relay passes an answer on. When it returns with partial set, the caller
 // must abort the connection, so that a cut answer never looks like a whole one.
-// keep, which may be nil, sees every part of the body, also after the reader has
-// gone.
-func relay(w http.ResponseWriter, resp *http.Response, keep func([]byte)) passed {
+// keep, which may be nil, sees every part of the body. After the reader has gone
+// the body is read on while keep says that it is wanted.
+func relay(w http.ResponseWriter, resp *http.Response, keep func([]byte) (wanted bool)) passed {
 	h := w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
@@ -40,7 +40,7 @@
 // relayBody copies the body, and flushes whatever came unless it was the end
 // of it: a caller of a stream sees each part when the backend server sent it,
 // and a short answer leaves in one write.
-func relayBody(w http.ResponseWriter, resp *http.Response, keep func([]byte)) passed {
+func relayBody(w http.ResponseWriter, resp *http.Response, keep func([]byte) bool) passed {
 	flusher, _ := w.(http.Flusher)
 	if resp.ContentLength < 0 && flusher != nil {
 		flusher.Flush()
@@ -51,15 +51,14 @@
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
-			if keep != nil {
-				keep(buf[:n])
-			}
+			wanted := keep != nil && keep(buf[:n])
 			p.bytes += int64(n)
 			if !p.gone {
 				_, werr := w.Write(buf[:n])
 				p.gone = werr != nil
 			}
-			if p.gone && keep == nil {
+			if p.gone && !wanted && err != io.EOF {
+				p.partial = keep != nil
 				return p
 			}
 		}
