Bound what a peer can make a node unpack unasked

Cause: a message of a few kilobytes could carry changes that unpack to 32 MB, more once decoded, and a node hears any number of messages at once. One captured VM could end nodes that have 128 MB for all of control. Pulls have the same bound, but a node has one of them under way. Change: changes that come unasked unpack to at most 256 KB, which is also what a message may have when it is not compressed. Seen: TestToldBombIsDropped before: a change of 20 MB in a message under 8 KB was taken; after: dropped, and one of the size that nodes tell is taken. go test -race ./internal/distribute passes. Conclusion: what a message can make a node hold is in the order of its size.

--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -196,7 +196,7 @@
 		r.deps.Log.Warn().Str("peer", e.From).Err(err).Msg("distribute: drop a message")
 		return
 	}
-	ds, _, err := Unpack(e.Changes)
+	ds, _, err := unpackTold(e.Changes)
 	if err != nil {
 		r.deps.Log.Warn().Str("peer", e.From).Err(err).Msg("distribute: drop changes")
 		ds = nil
--- a/internal/distribute/runner_test.go
+++ b/internal/distribute/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +80,31 @@
 	}
 }
 
+// What an operator would see: nodes that run out of memory, one after the other.
+// One broken or captured VM tells each a few kilobytes that unpack to tens of
+// megabytes, on many connections at once. What is told is small; the rest is
+// pulled, from one peer at a time.
+func TestToldBombIsDropped(t *testing.T) {
+	r, _ := newTestRunner(t)
+	ds, _ := history(t, "booking", 1)
+	bomb := *ds[0]
+	bomb.Note = strings.Repeat("x", 20<<20)
+	e := tell(t, []*config.Delta{&bomb})
+	if n := len(e.Changes.Data); n > 8<<10 {
+		t.Fatalf("the bomb has %d bytes", n)
+	}
+	r.Heard(e)
+	if got := r.Stamp().Version; got.Number != 0 {
+		t.Fatalf("took %s from a bomb", got)
+	}
+	large := *ds[0]
+	large.Note = strings.Repeat("x", Time().PushBytes)
+	r.Heard(tell(t, []*config.Delta{&large}))
+	if r.Stamp().Version != ds[0].To {
+		t.Fatal("a change of the size that nodes tell was not used")
+	}
+}
+
 func TestRunnerDropsMalformedMessages(t *testing.T) {
 	r, _ := newTestRunner(t)
 	ds, _ := history(t, "booking", 1)
--- a/internal/distribute/wire.go
+++ b/internal/distribute/wire.go
@@ -17,11 +17,16 @@
 	// maxUnpacked bounds what a peer can make this node hold in memory by a
 	// small message that decompresses to a large one.
 	maxUnpacked = 32 << 20
+	// maxTold bounds the same for changes that a peer tells unasked. A node
+	// pulls from one peer at a time, but hears any number at once. Nodes tell
+	// no more than Profile.PushBytes, some kilobytes.
+	maxTold = 256 << 10
 )
 
 var (
 	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20)))
 	decoder = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxUnpacked)))
+	told    = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxTold)))
 )
 
 func must[T any](v T, err error) T {
@@ -59,17 +64,26 @@
 
 // Unpack decodes what Pack made. Every error is an ErrBadAnswer.
 func Unpack(p *peerpb.Packed) ([]*config.Delta, *config.Snapshot, error) {
+	return unpack(p, decoder, maxUnpacked)
+}
+
+// unpackTold is Unpack for changes that were not asked for.
+func unpackTold(p *peerpb.Packed) ([]*config.Delta, *config.Snapshot, error) {
+	return unpack(p, told, maxTold)
+}
+
+func unpack(p *peerpb.Packed, d *zstd.Decoder, limit int) ([]*config.Delta, *config.Snapshot, error) {
 	if p == nil {
 		return nil, nil, nil
 	}
 	data := p.Data
 	if p.Zstd {
 		var err error
-		if data, err = decoder.DecodeAll(p.Data, nil); err != nil {
+		if data, err = d.DecodeAll(p.Data, nil); err != nil {
 			return nil, nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 		}
 	}
-	if len(data) > maxUnpacked {
+	if len(data) > limit {
 		return nil, nil, fmt.Errorf("%w: %d bytes of changes", ErrBadAnswer, len(data))
 	}
 	c := new(peerpb.Changes)
