Start a node again that ran another history

Cause: a VM that read a wrongly restored table when it started stays out of service, and the pages say to start it again once the table is right. Its peers had seen it run a version of the other history and told it that number as the least that it must run. Where no version of the right history is as high, it stayed out of service for good, whatever its operator did. Change: what a peer was seen to run of another history counts for no more than what the node that tells it holds. Numbers above that, seen later, count whole. Seen: TestOtherHistoryIsNoFloor before: told 4 where version 2 is the newest; after: 2, and 5 once the VM was seen with 5. go test -race ./internal/distribute, go test ./internal/node ./internal/localmesh pass.

--- a/internal/distribute/jump.go
+++ b/internal/distribute/jump.go
@@ -56,7 +56,7 @@
 	}
 	if v != s.jump.snapshot.Version() {
 		s.jump.contested = true
-		s.conflict(peer, v)
+		s.reportConflict(peer, v) // the snapshot may be the one that is wrong
 		return
 	}
 	s.jumped(s.jump.snapshot, false)
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -184,6 +184,31 @@
 	b.holds(2)
 }
 
+// What an operator would see: a VM that read a wrongly restored table when it
+// started, and that stays out of service also after the table is put right and
+// it is started again, as the pages say. Its peers saw it run a version of the
+// other history that is higher than any that there is now.
+func TestOtherHistoryIsNoFloor(t *testing.T) {
+	b := newBench(t, "vm", "p")
+	ours, _ := history(t, "ours", 2)
+	theirs, _ := history(t, "theirs", 4)
+	b.do(heardTell("p", ours))
+	b.do(Heard{Peer: "vm", Version: theirs[3].To, InForce: 4, Tell: true})
+	b.do(Pulled{Peer: "vm", Answer: Answer{Version: theirs[3].To, OtherHistory: true}})
+	b.view.Records["vm"].Applied = 4 // its record of before the restart
+	empty := config.Empty().Version()
+	if a := b.s.Serve(b.view, "vm", empty, true); a.YouHeld != 2 {
+		t.Fatalf("tells the VM that it held %d", a.YouHeld)
+	}
+	b.do(Heard{Peer: "vm", Version: empty}) // restarted
+	b.wait(b.s.set.Discredit + time.Second)
+	more, _ := history(t, "ours", 5)
+	b.do(Heard{Peer: "vm", Version: more[4].To, InForce: 5})
+	if a := b.s.Serve(b.view, "vm", empty, true); a.YouHeld != 5 {
+		t.Fatalf("forgets that the VM held 5 since: %d", a.YouHeld)
+	}
+}
+
 // What an operator would see: a VM that was restarted while the wrong table was
 // swapped for the right one stays out of service until it is restarted again. It
 // read the head of the wrong one, the platform went down before the log could
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -22,6 +22,7 @@
 	claims      map[string]*claim    // newer versions, by the peer that told
 	discredited map[string]time.Time // peers not to believe until then
 	held        map[string]uint64    // highest version seen in force, by peer
+	foreign     map[string]uint64    // highest version of another history, by peer
 	pull        pulling
 	jump        *jump
 
@@ -48,6 +49,7 @@
 		claims:      make(map[string]*claim),
 		discredited: make(map[string]time.Time),
 		held:        make(map[string]uint64),
+		foreign:     make(map[string]uint64),
 		reported:    make(map[string]config.Version),
 		start:       starting{asks: make(map[string]*ask), foreign: make(map[string]bool)},
 	}
@@ -98,12 +100,7 @@
 // Serve answers a peer that holds version and asks for what follows it, or
 // with headOnly just for the rest of the answer.
 func (s *State) Serve(view *membership.View, peer string, version config.Version, headOnly bool) Answer {
-	a := Answer{Version: s.Version(), YouHeld: s.held[peer], Ready: s.start.done}
-	if view != nil {
-		if r := view.Records[peer]; r != nil {
-			a.YouHeld = max(a.YouHeld, r.Applied)
-		}
-	}
+	a := Answer{Version: s.Version(), YouHeld: s.seenAt(view, peer), Ready: s.start.done}
 	a.OtherHistory = s.chain.relation(version) == relationOther
 	if headOnly || a.OtherHistory || version.Number >= a.Version.Number {
 		return a
@@ -116,6 +113,34 @@
 	return a
 }
 
+// seenAt returns the highest version seen in force at a peer.
+//
+// A peer that ran another history, as of a table that was restored by mistake,
+// is started again to mend that. What it ran of the other history may be higher
+// than any version that there is, and must not keep it out of service then.
+func (s *State) seenAt(view *membership.View, peer string) uint64 {
+	n := s.held[peer]
+	if view != nil {
+		if r := view.Records[peer]; r != nil {
+			n = max(n, r.Applied)
+		}
+	}
+	if n <= s.foreign[peer] {
+		return min(n, s.Version().Number)
+	}
+	return n
+}
+
+// noteForeign remembers that a peer ran a version of another history.
+func (s *State) noteForeign(source string, seen config.Version) {
+	if source == SourcePlatform || source == s.set.Self {
+		return
+	}
+	if _, known := s.foreign[source]; known || len(s.foreign) < s.set.MaxPeers {
+		s.foreign[source] = max(s.foreign[source], seen.Number)
+	}
+}
+
 func (s *State) emit(a Action) { s.out = append(s.out, a) }
 
 // maxConflicts bounds the conflicts kept for the handover.
@@ -138,7 +163,13 @@
 	return true
 }
 
+// conflict takes in that a source has a version of another history.
 func (s *State) conflict(source string, seen config.Version) {
+	s.noteForeign(source, seen)
+	s.reportConflict(source, seen)
+}
+
+func (s *State) reportConflict(source string, seen config.Version) {
 	c := &Conflict{Source: source, Held: s.Version(), Seen: seen, At: s.now}
 	if !s.report(c, source, seen) {
 		return
