Let a herd come back from a cut with slower clocks

Cause: a data centre that starts anew while it is cut off has nobody near who remembers its former processes. The other data centres do, and tell each node its former record once the cut ends. If that had a faster clock, the record is above the node's, and more than a minute after its join a node takes such a record for a later process under its ID: it gave way for good, and took no more calls until somebody restarted it. Change: the minute in which a node goes above its own past begins again when another data centre becomes known for the first time since its start. Seen: TestHerdWithSlowClocksComesBackFromACut, 30 nodes, clocks an hour back, three minutes of cut. Conclusion: a former VM that comes back late still gives way, as it has met the other data centres before.

--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -64,6 +64,7 @@
 		c = &centre{name: name, key: shortKey(name), region: region, heard: s.now}
 		s.centres[name] = c
 		s.byCentre[c.key] = c
+		s.meet(name)
 	}
 	return c
 }
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -245,6 +245,36 @@
 	}
 }
 
+// A whole data centre loses its power while it is cut off, and its VMs come back
+// with clocks an hour behind those of before. Nobody there remembers them; three
+// minutes later the cut ends, and the others tell each its former record. Each
+// would take that for a later process under its ID and take no more calls.
+func TestHerdWithSlowClocksComesBackFromACut(t *testing.T) {
+	w := warm(30, func(c *Config) { c.Self.Incarnation = uint64(epoch.Add(time.Hour).UnixMilli()) })
+	w.configure = nil
+	cut := w.nodes[0].info.DataCentre
+	w.parted = func(a, b *vm) bool { return (a.info.DataCentre == cut) != (b.info.DataCentre == cut) }
+	var herd []*vm
+	for _, v := range w.nodes {
+		if v.info.DataCentre == cut {
+			herd = append(herd, v)
+			w.stop(v)
+		}
+	}
+	w.run(10 * time.Second)
+	for _, v := range herd {
+		w.start(v)
+	}
+	w.run(3 * time.Minute)
+	w.parted = nil
+	w.mustSettle(t, 2*time.Minute)
+	for _, v := range herd {
+		if _, yes := v.Superseded(); yes {
+			t.Errorf("%s gave way to its own past", v.info.ID)
+		}
+	}
+}
+
 // A node leaves while a part of the mesh is cut off and then comes back with
 // the old record. The record must not bring the node back, and while it drains
 // nobody may suspect it.
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -19,6 +19,8 @@
 	urgent     bool
 	superseded time.Time
 	joinedAt   time.Time
+	met        map[string]struct{} // data centres ever known
+	metAt      time.Time           // when the last of them became known
 }
 
 // Applied is what SetApplied tells of the configuration in force.
@@ -164,7 +166,7 @@
 // acceptOwn takes a record under this node's ID. A higher one that we did not
 // make is either our own from before the restart, or that of another process
 // that claims the ID. For the first minute after joining it is taken for the
-// former, and we go above it. After that it is a process that started later:
+// former, and we go above it; see young. After that it is a process that started later:
 // it wins, since a replaced VM must, and this one reports itself superseded
 // and raises its record no more. Both going on would raise each other without
 // end.
@@ -190,8 +192,29 @@
 
 // young tells whether what is said of this node may still be about an earlier
 // process under its ID.
+//
+// That lasts for a while after the join, and again after another data centre
+// became known for the first time. Where a whole data centre starts anew while
+// it is cut off, only the others remember its former processes, and only after
+// the cut do they say so. Had those had faster clocks, each node would take its
+// own past for a later process and carry no traffic any more.
 func (s *State) young() bool {
-	return !s.joined || s.now.Sub(s.own.joinedAt) < s.cfg.LeavingFor
+	recent := func(at time.Time) bool { return s.now.Sub(at) < s.cfg.LeavingFor }
+	return !s.joined || recent(s.own.joinedAt) || recent(s.own.metAt)
+}
+
+// meet notes that a data centre is known. Where the same message told the own
+// record before it told of the data centre, it was judged too early; it is told
+// again.
+func (s *State) meet(name string) {
+	if _, known := s.own.met[name]; known || len(s.own.met) >= maxDigest {
+		return
+	}
+	s.own.met[name] = struct{}{}
+	s.own.metAt = s.now
+	if s.own.superseded.Equal(s.now) {
+		s.own.superseded = time.Time{}
+	}
 }
 
 // Superseded tells since when another process is known to claim this node's
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -111,6 +111,7 @@
 		indirect:  map[string]*indirect{},
 		recalling: map[uint64]struct{}{},
 		cutOff:    map[string]time.Time{},
+		own:       own{met: map[string]struct{}{}},
 		lastTick:  now,
 		lastOK:    now,
 		settled:   now.Add(cfg.Settle),
