Log which node a command was carried out for

Cause: a node takes the word of another for who its operator is, and the node that committed such a command logged nothing. After a node was taken over, no log told which changes had come through it. Change: the committing node logs the peer, the operator, the team and the command of each command that it carries out for another node. peer.Submitter is given the name of the peer, which the certificate proves. Conclusion: the history names the operator, the log the node that vouched.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,6 +12,7 @@
 	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
 // Heard implements peer.Spread, and takes what answers tell.
@@ -29,13 +30,18 @@
 type peerCommands struct{ c *control }
 
 // Submit implements peer.Submitter. It goes to this node's own committer only,
-// so that no command wanders from node to node.
-func (p peerCommands) Submit(ctx context.Context, b []byte) ([]byte, error) {
+// so that no command wanders from node to node. That the operator asked for it
+// is the other node's word, so the log tells whose.
+func (p peerCommands) Submit(ctx context.Context, from string, b []byte) ([]byte, error) {
 	var cmd command.Command
 	if err := json.Unmarshal(b, &cmd); err != nil {
 		return nil, fmt.Errorf("node: decode a peer's command: %w", err)
 	}
-	return json.Marshal(p.c.commit.Submit(ctx, cmd))
+	res := p.c.commit.Submit(ctx, cmd)
+	log := telemetry.Part(p.c.n.log, "command")
+	log.Info().Str("peer", from).Str("command", cmd.ID).Str("operator", cmd.Operator).Str("team", cmd.Team).
+		Str("reason", string(res.Reason)).Msg("command: " + string(res.Outcome) + " for a peer")
+	return json.Marshal(res)
 }
 
 // commandPeers is how many peers are asked to carry a command, if there are so
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -1,15 +1,46 @@
 package node
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/command"
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/platform/memory"
 	"github.com/marlpass/marlpass/internal/quarantine"
 )
 
+// A node that somebody else ran had a change accepted in the name of an operator
+// who had not asked for it. The history named the operator, and no log of any
+// node of the mesh told through which node the command had come.
+func TestCommandOfAPeerIsLogged(t *testing.T) {
+	store := memory.New()
+	log := command.NewReader(store, store.Objects(), command.SnapshotFunc(config.Empty))
+	var out bytes.Buffer
+	c := &control{n: &Node{log: zerolog.New(&out)}, commit: command.NewCommitter(log, store, command.Options{})}
+	service := config.EncodeService(config.Service{Name: "berth", Team: "yard"})
+	cmd, err := json.Marshal(command.Command{ID: "c-1", Operator: "nimal", Team: "yard", Set: []config.Object{service}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := (peerCommands{c}).Submit(context.Background(), "vm-7", cmd); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`"peer":"vm-7"`, `"operator":"nimal"`, `"team":"yard"`, `"command":"c-1"`, "command: accepted for a peer"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in %s", want, out.String())
+		}
+	}
+}
+
 // A node that somebody else ran sent alerts whose notices were as long as a
 // message may be. Each was kept until it expired, up to 1,024 of them: hundreds
 // of megabytes, where control may have 128. Records have long been bounded.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -43,7 +43,7 @@
 	return h.answer, nil
 }
 
-func (h *handlers) Submit(_ context.Context, c []byte) ([]byte, error) {
+func (h *handlers) Submit(_ context.Context, _ string, c []byte) ([]byte, error) {
 	return append([]byte("done "), c...), nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,9 +30,9 @@
 	ServePull(*peerpb.PullRequest) (*peerpb.PullResponse, error)
 }
 
-// Submitter carries out an operator's command for another node.
+// Submitter carries out an operator's command for another node, the one named.
 type Submitter interface {
-	Submit(ctx context.Context, command []byte) ([]byte, error)
+	Submit(ctx context.Context, from string, command []byte) ([]byte, error)
 }
 
 // Alerts takes notices that cannot wait for the next membership message.
@@ -192,7 +192,7 @@
 	if err := s.admit(ctx, kindSubmit, q); err != nil {
 		return nil, err
 	}
-	result, err := s.cfg.Submitter.Submit(ctx, q.Command)
+	result, err := s.cfg.Submitter.Submit(ctx, q.From, q.Command)
 	if err != nil {
 		s.cfg.Metrics.kinds[kindSubmit].errors.Inc()
 		return nil, twirp.Unavailable.Error(err.Error())
