Say what -if-version compares

Cause: the help of -if-version and exit code 4 said that the configuration has to be at that version. Change: both texts.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -24,7 +24,7 @@
   1  refused, or no server could be asked
   2  the command line or the settings are not valid
   3  the outcome is unknown; the id to ask by is printed
-  4  conflict: the configuration is not at the version of -if-version
+  4  conflict: the object has changed since the version of -if-version
 `
 
 // Env is what the program takes from its surroundings.
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -25,7 +25,7 @@
 
 func defineWrite(fs *flag.FlagSet) *writeFlags {
 	w := new(writeFlags)
-	fs.StringVar(&w.ifVersion, "if-version", "", "accept only while the configuration is at version `N`")
+	fs.StringVar(&w.ifVersion, "if-version", "", "accept only if the object has not changed since version `N`")
 	fs.StringVar(&w.note, "note", "", "short `reason` for the history")
 	fs.StringVar(&w.command, "command", "", "`id` of an earlier command with an unknown outcome, to send it again as it was")
 	return w
