Log the errors of the trace exporter as lines of the log

Cause: the OpenTelemetry library writes its errors to standard error as plain text, among the lines of JSON of the node, without the prefix of any part. Change: marlpass-node has them logged, "trace: spans are lost". Conclusion: all that a node logs has one form.

--- a/cmd/marlpass-node/serve.go
+++ b/cmd/marlpass-node/serve.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return line.Bad(err)
 	}
+	telemetry.LogTraceErrors(log)
 	n, err := node.New(node.Options{Settings: set, Log: log})
 	switch {
 	case isSettingsProblem(err):
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/sdk/resource"
@@ -49,3 +51,12 @@
 	)
 	return provider, provider.Shutdown, nil
 }
+
+// LogTraceErrors has errors of the trace exporter logged. The library keeps one
+// handler for the whole process, so this is for a program's start.
+func LogTraceErrors(log zerolog.Logger) {
+	log = Part(log, "trace")
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		log.Warn().Err(err).Msg("trace: spans are lost")
+	}))
+}
