Take a certificate that was not valid yet once its time has come

Cause: files that could not be used were looked at again only after they changed. A renewed certificate that begins to be valid a moment later, as when the authority's clock is ahead, was refused for good; SIGHUP did not help either. The node dropped out of the mesh when the old one ran out. Change: Poll tries again as long as the last attempt failed, and logs a refusal once for each change of the files. Conclusion: a renewal that comes early needs nobody.

--- a/internal/trust/keeper.go
+++ b/internal/trust/keeper.go
@@ -38,6 +38,8 @@
 
 	mu   sync.Mutex // serialises Poll
 	seen string     // the files' signature at the last attempt
+	// failed says that the attempt failed.
+	failed bool
 }
 
 // state is one certificate and the configurations made from it. The server's
@@ -74,15 +76,25 @@
 	}
 }
 
-// Poll reads the files again if they changed. When they cannot be used, it
-// logs why, keeps what is running, and tries again once they change again.
+// Poll reads the files again if they changed or could not be used the last time.
+// When they cannot be used, it keeps what is running, and logs why once for each
+// change of the files.
+//
+// Files that did not change are tried again for the sake of a certificate that
+// is not valid yet: nobody writes it anew when its time comes.
 func (k *Keeper) Poll() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.opts.Files.signature() == k.seen {
+	changed := k.opts.Files.signature() != k.seen
+	if !changed && !k.failed {
 		return
 	}
-	if err := k.reload(); err != nil {
+	err := k.reload()
+	k.failed = err != nil
+	switch {
+	case err != nil && !changed:
+		return // told already
+	case err != nil:
 		k.opts.Log.Error().Err(err).Time("running_until", k.Expires()).
 			Msg("trust: refuse the new certificate, keep the running one")
 		return
