Name the admin port of the templates in examples

Cause: two examples of the command line used port 7443, which nothing else names; the templates and pages use 7806. Change: both examples. Conclusion: an example that is copied finds the port.

--- a/internal/cli/reads.go
+++ b/internal/cli/reads.go
@@ -151,7 +151,7 @@
 	return &command{
 		name:     "status",
 		summary:  "Show the state of the node that answers.",
-		examples: []string{"marlpass status", "marlpass status -server https://10.0.0.1:7443"},
+		examples: []string{"marlpass status", "marlpass status -server https://10.0.0.1:7806"},
 		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
 			return func(ctx context.Context, a *app, args []string) error {
 				if err := noArgs(args); err != nil {
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -114,7 +114,7 @@
 func badServer(server string) string {
 	u, err := url.Parse(server)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return "allowed is a URL such as https://10.0.0.1:7443"
+		return "allowed is a URL such as https://10.0.0.1:7806"
 	}
 	if u.User != nil || u.RawQuery != "" || u.Fragment != "" || strings.Trim(u.Path, "/") != "" {
 		return "allowed is a URL of scheme, host and port alone"
