--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -91,9 +91,11 @@
 }
 
 // Configure takes a new configuration. Calls that run or wait are kept, those
-// of a class that is gone too.
+// of a class that is gone too. It ends a drain.
 func (q *Queue) Configure(now time.Time, cfg Config) {
 	cfg = cfg.withDefaults()
+	q.draining = false
+	q.moveUpTo(q.cfg.Slots, cfg.Slots)
 	if q.adaptive.setSlots(cfg.Slots) {
 		for _, c := range q.ordered {
 			c.light = average{}
@@ -113,6 +115,17 @@
 	q.dispatch(now)
 }
 
+// moveUpTo lets the classes that nothing is reserved from use all of a new number
+// of slots. Otherwise a backend server that announces more slots would wait for
+// them to be released one by one, as reservations are.
+func (q *Queue) moveUpTo(old, slots int) {
+	for _, c := range q.ordered {
+		if c.upTo >= old {
+			c.upTo = slots
+		}
+	}
+}
+
 func (q *Queue) setClass(now time.Time, c Class) {
 	st := q.classes[c.Name]
 	if st == nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -18,8 +18,12 @@
 	"github.com/marlpass/marlpass/internal/platform/client"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/telemetry"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
+// contactPoll is how often a starting node looks whether it was let in.
+const contactPoll = 50 * time.Millisecond
+
 // settleBound is how long a starting node waits for the membership's first
 // contact before it looks for versions with what it has.
 const settleBound = 3 * time.Second
@@ -115,6 +119,7 @@
 	held := command.SnapshotFunc(c.n.snapshot)
 	c.log = command.NewReader(c.table, c.objects, held)
 	c.commit = command.NewCommitter(c.log, c.table, command.Options{
+		Held:     func() (config.Version, bool) { return c.spread.Held() },
 		Accepted: func(_ *config.Snapshot, d *config.Delta) { c.spread.Accepted(d) },
 	})
 	c.commands = command.NewForwarder(c.commit, submitPeers{c})
@@ -131,7 +136,7 @@
 		set.AloneAfter = d
 	}
 	c.spread = distribute.NewRunner(set, distribute.Deps{
-		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: n.store,
+		Views: &n.views, Platform: feed.New(c.log), Client: c.peers, Store: wakingStore{n},
 		Log: telemetry.Part(n.log, "distribute"),
 		OnFinding: func(f distribute.Finding) {
 			c.findings.add(f.Kind())
@@ -173,7 +178,7 @@
 func (c *control) awaitContact(ctx context.Context) {
 	deadline := time.Now().Add(settleBound)
 	for !c.members.Joined() && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, refreshEvery)
+		_ = wait.For(ctx, contactPoll)
 	}
 }
 
