Keep a target of every host out of another team's target with a host

Cause: a call belongs to the target with the longest path, then to one with a host. The check of who owns what took a target with a host for safe from all that name none, so a team could state /bookings/7 for every host and take those calls of another team's /bookings at one host. Change: takesFrom goes by the matcher's order: a longer path takes the calls unless both name hosts and these differ. Conclusion: no team takes another team's calls, save from a target at the root.

--- a/internal/command/judge.go
+++ b/internal/command/judge.go
@@ -224,10 +224,14 @@
 // or the other way round at the same prefix. Classes at the root are left out:
 // they are there to be carved from.
 func takesFrom(m, o config.Match) bool {
-	if o.Prefix() == "" || o.Host != "" && o.Host != m.Host {
+	switch {
+	case o.Prefix() == "" || o.Host != "" && m.Host != "" && o.Host != m.Host:
 		return false
+	case strings.HasPrefix(m.Prefix(), o.Prefix()+"/"):
+		// The longest path goes first, whatever the hosts.
+		return true
 	}
-	return m.Prefix() == o.Prefix() || strings.HasPrefix(m.Prefix(), o.Prefix()+"/")
+	return m.Prefix() == o.Prefix() && (o.Host == "" || o.Host == m.Host)
 }
 
 func notThere(cmd *Command, s *config.Snapshot) []config.Problem {
