Bound the names of operators and teams in a command

Cause: settings bound these names, a command that a peer passes on did not: a node that means harm could put 256 KiB into every version, for all nodes to take. Change: a command with a name of over 63 bytes is malformed. Conclusion: all parts of a command are bounded.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -15,6 +15,9 @@
 	MaxObjects    = 128
 	MaxBytes      = 256 << 10
 	MaxNoteLength = 512
+	// MaxNameLength bounds the names of operators and teams, as settings do. A
+	// peer that passes a command on could make them as long as a message.
+	MaxNameLength = 63
 )
 
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -149,6 +152,8 @@
 		return "the command id must be 1 to 64 of A-Z, a-z, 0-9, '.', '_', '-' and begin with a letter or digit"
 	case c.Operator == "" || c.Team == "":
 		return "the operator and the team must be named"
+	case max(len(c.Operator), len(c.Team)) > MaxNameLength:
+		return fmt.Sprintf("the names of the operator and the team must have at most %d bytes", MaxNameLength)
 	case n == 0 || n > MaxObjects:
 		return fmt.Sprintf("a command must set or withdraw 1 to %d objects", MaxObjects)
 	case size > MaxBytes:
--- a/internal/command/committer_test.go
+++ b/internal/command/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -46,6 +47,9 @@
 	}{
 		{"no id", ReasonMalformed, set("", 0, service("b", ""))},
 		{"nothing to do", ReasonMalformed, set("c", 0)},
+		// From a peer that means harm: it would go to every node with the version.
+		{"a long operator", ReasonMalformed, Command{ID: "c", Operator: strings.Repeat("o", 64), Team: "t", Set: []config.Object{service("b", "")}}},
+		{"a long team", ReasonMalformed, Command{ID: "c", Operator: "o", Team: strings.Repeat("t", 64), Set: []config.Object{service("b", "")}}},
 		{"an object twice", ReasonMalformed, set("c", 0, service("b", ""), service("b", "x"))},
 		{"the id of another command", ReasonIDReused, set("p1", 0, service("b", ""))},
 		{"another team's service", ReasonForbidden, set("c", 0, foreignService("o"))},
