Say in the handover that changes in force are not listed

Cause: with an older or another head on the platform, its log lacks changes that the mesh runs. The handover listed what the log held as all changes since the given time: with an empty platform "none", while version 8 was in force. And a line of the admin API's log named its part twice, as the node and the API's server each set it.

Change: such a handover says that not all changes could be read, and why. The server takes the logger as it is given, as the other parts do.

Conclusion: the next shift isn't told that nothing was changed.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -56,7 +56,7 @@
 		lifter:    o.Lifter,
 		operators: o.Operators,
 		now:       o.Now,
-		log:       o.Log.With().Str("part", "admin").Logger(),
+		log:       o.Log,
 		slots:     make(chan struct{}, n),
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -62,4 +62,8 @@
 		in.Platform.LastAnswer = time.Now()
 	}
 	in.History, in.HistoryErr = r.history(ctx, h, query.HistoryFilter{Since: in.Since, Limit: handoverChanges})
+	if history != nil && in.HistoryErr == nil {
+		// The platform's log lacks changes that are in force, or has others.
+		in.HistoryErr = history
+	}
 }
