Follow the pages on certificates, tokens and quarantine in a test

Cause: nothing ran what these pages tell on the programs themselves. The page on certificates said that no name in one is looked at, and the command line does look at that of the admin API; the one on installing left the template's operator in place, whose hash belongs to no token.

Change: a second script renews a certificate, tries an expired one, adds an operator by SIGHUP, and takes a request into quarantine and out of it, and drains a backend server.

--- a/internal/processtest/commands_test.go
+++ b/internal/processtest/commands_test.go
@@ -93,13 +93,18 @@
 
 // terminate sends SIGTERM to programs whose arguments name a word:
 // terminate WORD...
-func terminate(ts *testscript.TestScript, _ bool, args []string) {
-	for _, word := range args {
+func terminate(ts *testscript.TestScript, _ bool, args []string) { signal(ts, syscall.SIGTERM, args) }
+
+// hangUp sends SIGHUP to programs whose arguments name a word: hangup WORD...
+func hangUp(ts *testscript.TestScript, _ bool, args []string) { signal(ts, syscall.SIGHUP, args) }
+
+func signal(ts *testscript.TestScript, s syscall.Signal, words []string) {
+	for _, word := range words {
 		found := false
 		for _, c := range ts.BackgroundCmds() {
 			if strings.Contains(strings.Join(c.Args, " "), word) && c.ProcessState == nil {
 				found = true
-				ts.Check(c.Process.Signal(syscall.SIGTERM))
+				ts.Check(c.Process.Signal(s))
 			}
 		}
 		if !found {
@@ -108,6 +113,33 @@
 	}
 }
 
+// metric waits until a node's metrics match: metric VM PATTERN
+func metric(ts *testscript.TestScript, _ bool, args []string) {
+	want := regexp.MustCompile("(?m)" + args[1])
+	await(ts, args[1], func() bool {
+		resp, err := http.Get("http://" + ts.Getenv(args[0]+"_metrics") + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		page, err := io.ReadAll(resp.Body)
+		return err == nil && want.Match(page)
+	})
+}
+
+// crash sends a call that crashes the backend server which runs it: crash PATH VM
+func crash(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+ts.Getenv(args[1]+"_callers")+args[0], nil)
+	ts.Check(err)
+	req.Header.Set(backend.HeaderCrash, "1")
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		ts.Fatalf("the backend server did not crash")
+	}
+}
+
 // callWhole calls through each named node and wants the whole answer to that very
 // call, or with ! a refusal that is marked as not run: call PATH VM...
 func callWhole(ts *testscript.TestScript, neg bool, args []string) {
--- a/internal/processtest/site_test.go
+++ b/internal/processtest/site_test.go
@@ -10,9 +10,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -73,6 +75,7 @@
 	}
 	env.Values[downloadKey{}] = new(http.Response)
 	ca := trusttest.NewCA(t)
+	env.Values[caKey{}] = ca
 	for _, v := range vms {
 		if err := writeNode(env, ca, v, addresses); err != nil {
 			return err
@@ -112,6 +115,21 @@
 	return hex.EncodeToString(sum[:])
 }
 
+type caKey struct{}
+
+// renewed is when a renewed certificate runs out.
+var renewed = time.Now().Add(48 * time.Hour)
+
+// renew writes a new certificate over a VM's: renew VM good|expired
+func renew(ts *testscript.TestScript, _ bool, args []string) {
+	leaf := trusttest.Leaf{ID: trust.Identity{Mesh: mesh, VM: args[0]}, NotAfter: renewed}
+	if args[1] == "expired" {
+		leaf.NotBefore, leaf.NotAfter = time.Now().Add(-2*time.Hour), time.Now().Add(-time.Hour)
+	}
+	ts.Value(caKey{}).(*trusttest.CA).Write(ts.MkAbs(args[0]), leaf)
+	ts.Setenv("renewed", regexp.QuoteMeta(fmt.Sprint(float64(renewed.Unix()))))
+}
+
 // writeOperator writes the command line's settings file.
 func writeOperator(env *testscript.Env, addresses map[string]string) error {
 	dir := filepath.Join(env.WorkDir, ".config")
