Ask every contact before a starting node counts as alone

Cause: a starting node drew whom to ask to join from all contacts each time. With one seed down it could draw that one until it took itself to be the first of the mesh, after ten seconds. With an empty platform it then served by version 0 while its peers held version 8.

Change: until a node has joined it draws from the contacts that were asked least.

Conclusion: a seed that is up is asked before a node goes on alone. A node that reaches none and finds an empty platform still takes itself to be the first.

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -24,6 +24,7 @@
 	contacts []Contact
 	nextJoin time.Time
 	attempts int
+	asked    map[string]int // how often each address was asked before it joined
 
 	tokens   float64
 	tokensAt time.Time
@@ -58,6 +59,7 @@
 
 func (s *State) startJoining() {
 	s.started = s.now
+	s.asked = map[string]int{}
 	s.tokens, s.tokensAt = s.cfg.JoinBurst, s.now
 	for _, addr := range s.cfg.Seeds {
 		s.addContact(Contact{ControlAddr: addr})
@@ -134,6 +136,9 @@
 		return
 	}
 	s.attempts++
+	if !s.joined {
+		s.asked[c.ControlAddr]++
+	}
 	s.stats.JoinAttempts++
 	m := &peerpb.Membership{Kind: peerpb.Kind_KIND_JOIN}
 	m.Records = []*peerpb.Record{encodeRecord(&s.self)}
@@ -154,12 +159,33 @@
 			return c, true
 		}
 	}
+	if !s.joined {
+		list = s.leastAsked(list)
+	}
 	if len(list) == 0 {
 		return Contact{}, false
 	}
 	return list[s.rnd.IntN(len(list))], true
 }
 
+// leastAsked returns the contacts that were asked least often. Drawn from all, a
+// contact that is down may be drawn until the node takes itself to be the first of
+// the mesh; with an empty platform it would then serve by version 0.
+func (s *State) leastAsked(list []Contact) []Contact {
+	var out []Contact
+	least := 0
+	for _, c := range list {
+		n := s.asked[c.ControlAddr]
+		if len(out) == 0 || n < least {
+			out, least = out[:0], n
+		}
+		if n == least {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // strangers returns the contacts at addresses that belong to no known node.
 func (s *State) strangers() []Contact {
 	if !s.amBridge() || len(s.contacts) == 0 {
