--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -134,7 +134,7 @@
 		}),
 		byNodes(Line{
 			ID: "change-cpu", Name: "processor time of a node for one change", Unit: "ms",
-			Mechanism: "`config.Delta.Apply`, `Check`, compile; then new views as nodes are known to hold the version, each with `membership.State.View` and `node` pickers.update over all records",
+			Mechanism: "`config.Delta.Apply`, `Check`, compile; then new views as nodes are known to hold the version, each with `membership.State.View` and `node` pickers.update over what changed",
 			Fit:       NewFit(Linear, r.restPoints(timeProfile, cpu)),
 		}),
 		byNodes(Line{
@@ -274,7 +274,7 @@
 			Fit: NewFit(Linear, r.benchPoints("ViewAfterOneChange", "sec/op", 1e3)),
 		}),
 		records(Line{
-			ID: "pickers-time", Name: "pickers updated from a view", Unit: "ms", Mechanism: "`node` pickers.update, `route.Picker.Update`",
+			ID: "pickers-time", Name: "pickers updated from a view with one changed record", Unit: "ms", Mechanism: "`node` pickers.update, `route.Picker.Update`",
 			Fit: NewFit(Linear, r.benchPoints("Pickers", "sec/op", 1e3)),
 		}),
 		byTargets(Line{ID: "version-heap", Name: "heap of the version in force", Unit: "MB", Mechanism: "`config.Snapshot`, `match.Matcher`"},
