Let destinations refuse a suspect that runs elsewhere

Cause: only entry nodes kept a suspect at its chosen endpoint. One that had not heard of the crash sent a copy to any endpoint, and two copies at one moment crashed a third. Change: a destination that holds the request as a suspect, and sees another endpoint chosen for it, refuses it as pinned-elsewhere. The entry node then goes by the fixed choice. After two refusals, or when a closed endpoint was passed over, the next endpoint takes it. Conclusion: entry nodes that know less no longer add crashes in the model; copies that start before any alert still do.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -57,6 +57,7 @@
 		log:     telemetry.Part(n.log, "quarantine"),
 		alerter: n.control,
 		changed: n.control.notices,
+		chosen:  c.pickers.fixed,
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -240,6 +240,11 @@
 	return newChoice(c), nil
 }
 
+// fixed returns the ID of the endpoint that PickFixed picks, or "".
+func (p *pickers) fixed(now time.Time, service string, key uint64, avoid []string) string {
+	return p.of(service).Fixed(now, key, avoid)
+}
+
 // choice gives route.Choice the shape that the proxy asks for. It is used again
 // after Done.
 type choice struct{ c route.Choice }
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -36,6 +36,8 @@
 	alerter alerter
 	// changed is given this node's own notices, the same ones again included.
 	changed func([]membership.Notice)
+	// chosen returns the endpoint of a service that a key chooses, or "".
+	chosen  func(now time.Time, service string, key uint64, avoid []string) string
 	checks  sync.Map // backend ID to struct{}, while a check is under way
 	running sync.WaitGroup
 }
@@ -67,6 +69,13 @@
 // Answered implements proxy.Suspects.
 func (s *suspects) Answered(now time.Time, fp quarantine.Fingerprint) { s.list.Answered(now, fp) }
 
+// Pinned implements proxy.Suspects.
+func (s *suspects) Pinned(now time.Time, b proxy.Backend, fp quarantine.Fingerprint) *call.Refusal {
+	return s.list.Pinned(now, fp, b.Instance, func(avoid []string) string {
+		return s.chosen(now, b.Service, fp.Key(), avoid)
+	})
+}
+
 // Start implements proxy.Suspects.
 func (s *suspects) Start(now time.Time, b proxy.Backend, fp quarantine.Fingerprint, what quarantine.Request) (quarantine.Token, error) {
 	return s.list.Start(now, fp, b.Instance, what)
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -69,6 +69,7 @@
 		return
 	}
 	retried := r.Header[retry.HeaderRetried]
+	h.settled = first(r.Header, headerSettled) != ""
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	if retried != nil {
@@ -278,6 +279,11 @@
 	}
 	if d.Suspects != nil {
 		fp := fingerprintOf(in.r, in.header, in.body)
+		if !in.hop.settled {
+			if r := d.Suspects.Pinned(now, h.backend, fp); r != nil {
+				return r, nil
+			}
+		}
 		what := quarantine.Request{Method: in.r.Method, Host: in.r.Host, Path: in.r.URL.Path}
 		mark, err := d.Suspects.Start(now, h.backend, fp, what)
 		if err != nil {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -72,7 +72,9 @@
 	deadline time.Time
 	tried    []string
 	// closed are the endpoints tried that take no calls.
-	closed   []string
+	closed []string
+	// pinned are the endpoints that refused a suspect as pinned to another.
+	pinned   []string
 	n        int // attempts made
 	fp       quarantine.Fingerprint
 	isolated bool // to be run at one place at a time
@@ -85,7 +87,7 @@
 
 // free gives c back for another call.
 func (c *entering) free() {
-	*c = entering{tried: c.tried[:0], closed: c.closed[:0]}
+	*c = entering{tried: c.tried[:0], closed: c.closed[:0], pinned: c.pinned[:0]}
 	enterings.Put(c)
 }
 
@@ -230,6 +232,7 @@
 		if takesNone(a.refusal) {
 			c.closed = append(c.closed, ep.ID)
 		}
+		c.notePinned(&a, ep)
 		last = a.refusal
 		if a.err != nil {
 			c.lost = a.err
@@ -263,10 +266,25 @@
 // used up, while all others could run it. An endpoint that takes no calls runs
 // no suspect, so at most one endpoint still does.
 func (c *entering) avoid(crashed []string) []string {
-	if len(c.closed) == 0 {
+	if len(c.closed)+len(c.pinned) == 0 {
 		return crashed
 	}
-	return append(slices.Clip(crashed), c.closed...)
+	return slices.Concat(crashed, c.closed, c.pinned)
+}
+
+// notePinned makes the next attempt run isolated after a destination said that
+// the request is a suspect and pinned to another endpoint. This node may know
+// nothing of the crash.
+func (c *entering) notePinned(a *answer, ep Endpoint) {
+	if a.refusal != nil && a.refusal.Reason == call.ReasonPinned {
+		c.isolated = true
+		c.pinned = append(c.pinned, ep.ID)
+	}
+}
+
+// settled reports whether the next endpoint has to take the suspect.
+func (c *entering) settled() bool {
+	return c.isolated && (len(c.closed) > 0 || len(c.pinned) >= quarantine.MaxPinned)
 }
 
 // takesNone reports whether the refusal says that the endpoint takes no calls.
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -303,7 +303,7 @@
 	m.dest[0].Backends = held{{Service: "surveys", Addr: "127.0.0.1:1", State: membership.BackendReady}}
 	rec := httptest.NewRecorder()
 	r := httptest.NewRequest("POST", "/book", nil)
-	r.Header.Set(call.HeaderHop, hop{time.Second, "bookings", testService, ""}.String())
+	r.Header.Set(call.HeaderHop, hop{left: time.Second, class: "bookings", service: testService}.String())
 	m.dest[0].ServeHTTP(rec, r)
 	if rec.Code != http.StatusMisdirectedRequest || rec.Header().Get(call.HeaderNotRun) != string(call.ReasonNotHeld) {
 		t.Fatalf("got %d %v", rec.Code, rec.Header())
--- a/internal/proxy/headers_test.go
+++ b/internal/proxy/headers_test.go
@@ -90,9 +90,9 @@
 
 func TestHopRoundTrip(t *testing.T) {
 	for _, h := range []hop{
-		{1500 * time.Millisecond, "bookings", "berths", "a"},
-		{0, "x", "y", ""},
-		{-time.Second, "x", "y", "z"},
+		{left: 1500 * time.Millisecond, class: "bookings", service: "berths", instance: "a"},
+		{left: 0, class: "x", service: "y", instance: ""},
+		{left: -time.Second, class: "x", service: "y", instance: "z"},
 	} {
 		got, ok := parseHop(h.String())
 		if !ok || got != h {
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -14,8 +14,17 @@
 	class    string
 	service  string
 	instance string
+	// settled says that the call was refused as pinned to another endpoint
+	// often enough, or that its endpoint takes no calls. It travels in
+	// headerSettled, which only suspects carry.
+	settled bool
 }
 
+// headerSettled marks, between nodes, a suspect that this endpoint must take.
+const headerSettled = "Marlpass-Settled"
+
+var settledValue = []string{"1"}
+
 // String encodes h. Names hold no spaces: config.Check sees to it.
 func (h hop) String() string {
 	b := make([]byte, 0, 64)
@@ -41,5 +50,5 @@
 	// Both ends: far below zero, the product overflows to a time ahead.
 	const most = int64(maxDeadline / time.Millisecond)
 	n = min(max(n, -most), most)
-	return hop{time.Duration(n) * time.Millisecond, class, service, instance}, true
+	return hop{left: time.Duration(n) * time.Millisecond, class: class, service: service, instance: instance}, true
 }
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -167,6 +167,9 @@
 	Broke(now time.Time, fp quarantine.Fingerprint, endpoint string)
 	Answered(now time.Time, fp quarantine.Fingerprint)
 
+	// Pinned returns the refusal of a suspect that has to run at another
+	// endpoint than b, or nil.
+	Pinned(now time.Time, b Backend, fp quarantine.Fingerprint) *call.Refusal
 	// Start notes that the request is about to run. Its error is a
 	// *call.Refusal.
 	Start(now time.Time, b Backend, fp quarantine.Fingerprint, what quarantine.Request) (quarantine.Token, error)
--- a/internal/proxy/quiet_test.go
+++ b/internal/proxy/quiet_test.go
@@ -122,6 +122,8 @@
 	return nil
 }
 
+func (l listed) Pinned(time.Time, Backend, quarantine.Fingerprint) *call.Refusal { return nil }
+
 func (l listed) Start(time.Time, Backend, quarantine.Fingerprint, quarantine.Request) (quarantine.Token, error) {
 	return quarantine.Token{}, nil
 }
@@ -199,6 +201,9 @@
 func (suspectAll) Broke(time.Time, quarantine.Fingerprint, string)           {}
 func (suspectAll) Answered(time.Time, quarantine.Fingerprint)                {}
 func (suspectAll) Done(time.Time, Backend, quarantine.Token, quarantine.End) {}
+func (suspectAll) Pinned(time.Time, Backend, quarantine.Fingerprint) *call.Refusal {
+	return nil
+}
 func (suspectAll) Start(time.Time, Backend, quarantine.Fingerprint, quarantine.Request) (quarantine.Token, error) {
 	return quarantine.Token{}, nil
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -24,10 +24,14 @@
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
 	}
+	h.settled = c.settled()
 	if e.Local != nil && ep.VM == e.Self {
 		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
 		return c.ofPart(now, h.left, a)
 	}
+	if h.settled {
+		header[headerSettled] = settledValue
+	}
 	a := e.Upstreams.send(ctx, now, &outbound{
 		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
 		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
--- a/internal/quarantine/mesh_test.go
+++ b/internal/quarantine/mesh_test.go
@@ -21,6 +21,8 @@
 	up    []bool
 	runs  []meshRun
 	downs int // backend servers taken down
+	// unchecked leaves the choice of a suspect's endpoint to entry nodes.
+	unchecked bool
 }
 
 type meshRun struct {
@@ -80,6 +82,14 @@
 // send starts a run and reports whether it was started.
 func (m *mesh) send(entry int, fp Fingerprint, random int) bool {
 	at := m.choose(entry, fp, random)
+	var pinned []string
+	for range MaxPinned {
+		if at < 0 || !m.pinnedElsewhere(at, fp) {
+			break
+		}
+		pinned = append(pinned, endpointID(at))
+		at = m.home(fp, append(m.lists[entry].CrashedAt(m.now, fp), pinned...))
+	}
 	if at < 0 {
 		return false
 	}
@@ -91,6 +101,19 @@
 	return true
 }
 
+// pinnedElsewhere reports whether the destination refuses a suspect.
+func (m *mesh) pinnedElsewhere(at int, fp Fingerprint) bool {
+	if m.unchecked {
+		return false
+	}
+	return m.lists[at].Pinned(m.now, fp, "b", func(avoid []string) string {
+		if home := m.home(fp, avoid); home >= 0 {
+			return endpointID(home)
+		}
+		return ""
+	}) != nil
+}
+
 // answer ends run i well.
 func (m *mesh) answer(i int) {
 	r := m.runs[i]
@@ -125,6 +148,13 @@
 	}
 }
 
+// tellSome tells the nodes from first up to last.
+func (m *mesh) tellSome(from, first, last int, ns []membership.Notice) {
+	for to := first; to < last; to++ {
+		m.tell(from, to, ns)
+	}
+}
+
 // A few resends of one request take down a service, or all bookings are refused
 // after one bad one. Callers send a bad request and harmless ones through any
 // nodes, runs end in any order, and backend servers come back. If an alert
@@ -248,9 +278,19 @@
 		{5, 100 * time.Millisecond, 20 * time.Millisecond},
 		{5, 100 * time.Millisecond, 500 * time.Millisecond},
 		{20, 100 * time.Millisecond, 20 * time.Millisecond},
+		{20, 100 * time.Millisecond, 500 * time.Millisecond},
 	} {
-		ours, worst := downs(c.callers, c.resend, c.alert, true)
-		base, _ := downs(c.callers, c.resend, c.alert, false)
+		for _, late := range []time.Duration{c.alert, time.Second} {
+			before, beforeWorst := downs(c.callers, c.resend, c.alert, late, true, true)
+			after, afterWorst := downs(c.callers, c.resend, c.alert, late, true, false)
+			t.Logf("%2d callers, a resend each %v, alerts after %v, at other entry nodes %v: entry alone %.2f on average, %d at worst; checked %.2f, %d",
+				c.callers, c.resend, c.alert, late, before, beforeWorst, after, afterWorst)
+			if after > before || afterWorst > beforeWorst {
+				t.Errorf("the check takes down more")
+			}
+		}
+		ours, worst := downs(c.callers, c.resend, c.alert, c.alert, true, false)
+		base, _ := downs(c.callers, c.resend, c.alert, c.alert, false, false)
 		t.Logf("%2d callers, a resend each %v, alerts after %v: taken down %.2f on average, %d at worst; without quarantine %.1f in 5 s",
 			c.callers, c.resend, c.alert, ours, worst, base)
 		if ours >= base {
@@ -265,10 +305,10 @@
 // downs returns how many backend servers one bad request took down, as a mean
 // over seeds and at worst. Callers send it again some time after it broke or was
 // refused.
-func downs(callers int, resend, alert time.Duration, quarantine bool) (mean float64, worst int) {
+func downs(callers int, resend, alert, late time.Duration, quarantine, unchecked bool) (mean float64, worst int) {
 	const seeds = 10
 	for seed := range uint64(seeds) {
-		n := downsOnce(rand.New(rand.NewPCG(1, seed)), callers, resend, alert, quarantine)
+		n := downsOnce(rand.New(rand.NewPCG(1, seed)), callers, resend, alert, late, quarantine, unchecked)
 		mean += float64(n) / seeds
 		worst = max(worst, n)
 	}
@@ -286,9 +326,15 @@
 	restartAfter = 2 * time.Second
 )
 
-func downsOnce(rng *rand.Rand, callers int, resend, alert time.Duration, quarantine bool) int {
-	const nodes = 20
+// Callers come in through the last nodes, which hold no endpoint and hear of a
+// crash after late.
+func downsOnce(rng *rand.Rand, callers int, resend, alert, late time.Duration, quarantine, unchecked bool) int {
+	const nodes, endpoints = 40, 20
 	m, bad := newMesh(nodes), request("bad")
+	m.unchecked = unchecked
+	for i := endpoints; i < nodes; i++ {
+		m.up[i] = false
+	}
 	var todo []timed
 	after := func(d time.Duration, run func()) { todo = append(todo, timed{m.now.Add(d), run}) }
 	crash := func(at, entry int) {
@@ -302,14 +348,15 @@
 			return
 		}
 		m.lists[entry].Broke(m.now, bad, endpointID(at))
-		after(alert, func() { m.tellAll(at, ns) })
+		after(alert, func() { m.tellSome(at, 0, endpoints, ns) })
+		after(late, func() { m.tellSome(at, endpoints, nodes, ns) })
 	}
 	for i := range callers {
-		entry := i % nodes
+		entry := endpoints + i%endpoints
 		var send func()
 		again := func() { after(time.Duration(rng.ExpFloat64()*float64(resend)), send) }
 		send = func() {
-			if !m.send(entry, bad, rng.IntN(nodes)) {
+			if !m.send(entry, bad, rng.IntN(endpoints)) {
 				again()
 				return
 			}
@@ -359,3 +406,56 @@
 		}
 	}
 }
+
+// A third backend server goes down after one crash that all nodes of the service
+// heard of. Two copies come at one moment through entry nodes that have not heard
+// of it; each sends its copy to another endpoint, and both go down.
+func TestCopiesThroughNodesThatKnowLess(t *testing.T) {
+	const nodes, entries = 7, 2
+	for i := range 20 {
+		fp := request(fmt.Sprint(i))
+		for first := range nodes - entries {
+			m := newMesh(nodes)
+			m.up[5], m.up[6] = false, false
+			m.send(0, fp, first)
+			ns, _ := m.crash(first)
+			m.tellSome(first, 0, nodes-entries, ns)
+			m.up[first] = true
+			m.send(5, fp, first+1)
+			m.send(6, fp, first+2)
+			if len(m.runs) != 1 || m.runs[0].at == first {
+				t.Fatalf("request %d, crash at %d: runs %+v", i, first, m.runs)
+			}
+		}
+	}
+}
+
+// A harmless suspect is refused for ten minutes, since the node that it comes to
+// can't tell which endpoint is chosen, or since a crash that proves nothing put
+// it on the list. It must be run.
+func TestPinnedRefusesOnlyWhatRunsElsewhere(t *testing.T) {
+	m, fp := newMesh(2), request("harmless")
+	m.send(0, fp, 0)
+	ns, _ := m.crash(0)
+	m.tellAll(0, ns)
+	for name, tt := range map[string]struct {
+		fp     Fingerprint
+		chosen string
+		pinned bool
+	}{
+		"another endpoint": {fp, endpointID(0), true},
+		"this endpoint":    {fp, endpointID(1), false},
+		"unknown":          {fp, "", false},
+		"no suspect":       {request("other"), endpointID(0), false},
+	} {
+		r := m.lists[1].Pinned(m.now, tt.fp, "b", func(avoid []string) string {
+			if !slices.Equal(avoid, []string{endpointID(0)}) {
+				t.Errorf("%s: avoids %v", name, avoid)
+			}
+			return tt.chosen
+		})
+		if (r != nil) != tt.pinned || r != nil && r.RetryAfter <= 0 {
+			t.Errorf("%s: got %v", name, r)
+		}
+	}
+}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -203,14 +203,14 @@
 
 const (
 	kindCall kind = iota // lies with the call or the whole mesh
-	kindGone             // this endpoint takes no calls; the others do
+	kindGone             // this endpoint does not take the call; others do
 	kindFull             // this endpoint has no room; the others may be short too
 	kindRate             // this endpoint's part of the class's rate is used up
 )
 
 func kindOf(r call.Reason) kind {
 	switch r {
-	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable:
+	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable, call.ReasonPinned:
 		return kindGone
 	case call.ReasonOverloaded, call.ReasonOverShare, call.ReasonBackend:
 		return kindFull
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -215,18 +215,31 @@
 // avoid are taken only if no other is open. They must be the same at all nodes,
 // so what this call tried before doesn't belong there.
 func (p *Picker) PickFixed(now time.Time, key uint64, avoid []string) (Choice, error) {
-	ms := p.millis(now)
-	all := p.table.Load().all
-	s := highest(all, ms, key, avoid)
-	if s == nil {
-		s = highest(all, ms, key, nil)
-	}
+	s := p.fixed(now, key, avoid)
 	if s == nil {
 		return Choice{}, noEndpoint()
 	}
 	return p.choose(s, false), nil
 }
 
+// Fixed returns the ID of the endpoint that PickFixed picks, or "" if there is
+// none. No call is counted for it.
+func (p *Picker) Fixed(now time.Time, key uint64, avoid []string) string {
+	if s := p.fixed(now, key, avoid); s != nil {
+		return s.ep.Load().ID
+	}
+	return ""
+}
+
+func (p *Picker) fixed(now time.Time, key uint64, avoid []string) *state {
+	ms := p.millis(now)
+	all := p.table.Load().all
+	if s := highest(all, ms, key, avoid); s != nil {
+		return s
+	}
+	return highest(all, ms, key, nil)
+}
+
 // highest returns the open endpoint with the highest rank for key.
 func highest(all []*state, now int64, key uint64, avoid []string) *state {
 	var best *state
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -265,6 +265,9 @@
 	for key := range uint64(50) {
 		a, err := p.PickFixed(simStart, key, nil)
 		b, _ := q.PickFixed(simStart, key, nil)
+		if id := q.Fixed(simStart, key, nil); id != b.Endpoint().ID {
+			t.Fatalf("picks %s, says %s", b.Endpoint().ID, id)
+		}
 		if err != nil || a.Endpoint().ID != b.Endpoint().ID {
 			t.Fatalf("key %d: %v and %v", key, a.Endpoint(), b.Endpoint())
 		}
