Answer a hold of seconds with 503 and Retry-After

Cause: a request that broke at two endpoints is held back for 3 s, and its caller was told 422 without Retry-After, as for a quarantine, and gave up. Change: the reason held-back, 503 with Retry-After. The faults command counts it among the lockouts, as it did before under quarantined. Conclusion: 422 tells of a quarantine only.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -51,6 +51,7 @@
 	ReasonExpired     Reason = "deadline-passed"    // the deadline passed before the call was run
 	ReasonDraining    Reason = "draining"           // the endpoint takes no new calls
 	ReasonQuarantined Reason = "quarantined"        // the request has crashed backend servers
+	ReasonHeldBack    Reason = "held-back"          // calls with the request broke at two endpoints a moment ago
 	ReasonPinned      Reason = "pinned-elsewhere"   // the suspect request runs at another endpoint only
 	ReasonNotReady    Reason = "not-ready"          // the node may not carry traffic yet
 	ReasonInternal    Reason = "internal-only"      // the class is not open to outside callers
--- a/internal/load/faults_caller.go
+++ b/internal/load/faults_caller.go
@@ -206,7 +206,7 @@
 	if why := resp.Header.Get(call.HeaderNotRun); why != "" {
 		s.notRun++
 		s.reasons = append(s.reasons, why)
-		s.locked = s.locked || why == string(call.ReasonQuarantined)
+		s.locked = s.locked || why == string(call.ReasonQuarantined) || why == string(call.ReasonHeldBack)
 		s.reused = s.reused || why == string(call.ReasonKeyReused)
 		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusMisdirectedRequest {
 			return sendNotRun
--- a/internal/proxy/pinned_test.go
+++ b/internal/proxy/pinned_test.go
@@ -76,3 +76,22 @@
 		t.Fatalf("got %v %q %v, run %d times", resp, body, err, m.runs.Load())
 	}
 }
+
+// A booking broke at two endpoints within a second, and its resend is held back
+// for the rest of three. Its caller was told 422 without Retry-After, took the
+// booking for refused for good and gave up.
+func TestHeldBackRequestMayComeBack(t *testing.T) {
+	m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	m.entry.Suspects = listed{quarantine.New(time.Now(), quarantine.Options{Self: "vm9"})}
+	for i := range m.eps {
+		m.useOnly(i)
+		if resp, _, err := m.call("POST", "/", "x"); err != nil || resp.StatusCode != http.StatusBadGateway {
+			t.Fatalf("got %v %v", resp, err)
+		}
+	}
+	resp, _, err := m.call("POST", "/", "x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "3" ||
+		resp.Header.Get(call.HeaderNotRun) != string(call.ReasonHeldBack) {
+		t.Fatalf("got %v %v", resp, err)
+	}
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -104,8 +104,17 @@
 	return Entry{}, false
 }
 
-// Refuse returns the refusal for a blocked request.
+// Refuse returns the refusal for a blocked request. One that is not quarantined
+// is held back for seconds, and its caller must be told to come back: a refusal
+// that reads as final would make it give up a harmless booking.
 func (e *Entry) Refuse(now time.Time) *call.Refusal {
+	if e.Kind != KindQuarantined {
+		return &call.Refusal{
+			Reason:     call.ReasonHeldBack,
+			RetryAfter: e.Expires.Sub(now),
+			Detail:     "calls with request " + e.Fingerprint.String() + " broke at two endpoints a moment ago",
+		}
+	}
 	return &call.Refusal{
 		Reason:     call.ReasonQuarantined,
 		RetryAfter: e.Expires.Sub(now),
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -260,7 +260,7 @@
 	}
 	l.Broke(start, fp, "b2")
 	e, blocked := l.Blocked(start, fp)
-	if !blocked || e.Refuse(start).RetryAfter != DefaultHold {
+	if !blocked || e.Refuse(start).RetryAfter != DefaultHold || e.Refuse(start).Reason != call.ReasonHeldBack {
 		t.Errorf("after two breaks: %v %+v", blocked, e)
 	}
 	if _, blocked := l.Blocked(start.Add(DefaultHold), fp); blocked {
