--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/quarantine"
@@ -17,9 +13,6 @@
 	"github.com/marlpass/marlpass/internal/wait"
 )
 
-// ErrTriedAll is returned by Pickers when every endpoint has had the call.
-var ErrTriedAll = errors.New("proxy: every endpoint was tried")
-
 // EntryParts are what an Entry is made of. Admitter and Suspects may be nil.
 type EntryParts struct {
 	Self      string // this node's VM
@@ -190,24 +183,6 @@
 	return refuse(call.ReasonNoRoute, 0, "")
 }
 
-// refuse tells the caller that its call was not run, unless an earlier attempt
-// may have run. An idempotent call is sent again after such an attempt; when
-// the next one is refused, that refusal speaks for the attempt alone, and a
-// caller told "not run" would believe it of the call.
-func (e *Entry) refuse(w http.ResponseWriter, c *entering, r *call.Refusal) {
-	if c.lost != nil {
-		e.unknown(w, c)
-		return
-	}
-	if c.class != nil {
-		c.class.Refused(e.Now(), r.Reason)
-	} else {
-		e.Meters.Unmatched(r.Reason)
-	}
-	c.body.answering(c.r, w.Header())
-	writeRefusal(w, r)
-}
-
 // run makes attempts until one is answered or none may follow.
 func (e *Entry) run(ctx context.Context, w http.ResponseWriter, c *entering, s span) {
 	var last *call.Refusal
@@ -247,69 +222,6 @@
 	}
 }
 
-func (e *Entry) pick(now time.Time, c *entering) (Choice, error) {
-	if c.isolated {
-		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.avoid(e.Suspects.CrashedAt(now, c.fp)))
-	}
-	if key := guardKey(c); key != "" {
-		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.closed)
-	}
-	return e.Pickers.Pick(now, c.target, c.tried)
-}
-
-// avoid returns the endpoints that an isolated call must not or cannot run at.
-//
-// Those that crashed with the call are the same at every node, so that all
-// choose the same endpoint. The closed ones are added since the chosen endpoint
-// may be down for another reason, such as an earlier crash that this node knows
-// nothing of. An innocent call would else be sent to it until its attempts are
-// used up, while all others could run it. An endpoint that takes no calls runs
-// no suspect, so at most one endpoint still does.
-func (c *entering) avoid(crashed []string) []string {
-	if len(c.closed)+len(c.pinned) == 0 {
-		return crashed
-	}
-	return slices.Concat(crashed, c.closed, c.pinned)
-}
-
-// notePinned makes the next attempt run isolated after a destination said that
-// the request is a suspect and pinned to another endpoint. This node may know
-// nothing of the crash.
-func (c *entering) notePinned(a *answer, ep Endpoint) {
-	if a.refusal != nil && a.refusal.Reason == call.ReasonPinned {
-		c.isolated = true
-		c.pinned = append(c.pinned, ep.ID)
-	}
-}
-
-// settled reports whether the next endpoint has to take the suspect.
-func (c *entering) settled() bool {
-	return c.isolated && (len(c.closed) > 0 || len(c.pinned) >= quarantine.MaxPinned)
-}
-
-// takesNone reports whether the refusal says that the endpoint takes no calls.
-func takesNone(r *call.Refusal) bool {
-	if r == nil {
-		return false
-	}
-	switch r.Reason {
-	case call.ReasonUnreachable, call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady:
-		return true
-	}
-	return false
-}
-
-// guardKey returns the key of a call that one destination node guards by itself
-// when the platform is down. That holds only if its resends reach the same node,
-// so of those that were tried only the ones that take no calls are left out: a
-// call that ran elsewhere for want of room would run again when it is resent.
-func guardKey(c *entering) string {
-	if c.target.Idempotent || c.target.StoreDownRule() != config.OnStoreDownLocalGuard {
-		return ""
-	}
-	return first(c.r.Header, call.HeaderKey)
-}
-
 // broke tells the suspects of a call that broke at ep, and asks whether the
 // next attempt has to run isolated.
 func (e *Entry) broke(c *entering, ep Endpoint) {
@@ -321,19 +233,6 @@
 	c.isolated = e.Suspects.Isolated(now, c.fp)
 }
 
-// pickRefusal returns the refusal of a call that no endpoint can take: last,
-// that of the attempt before, if every endpoint was tried.
-func pickRefusal(err error, last *call.Refusal) *call.Refusal {
-	var r *call.Refusal
-	switch {
-	case errors.As(err, &r):
-		return r
-	case last != nil:
-		return last
-	}
-	return refuse(call.ReasonNoEndpoint, 0, "")
-}
-
 // again decides on another attempt, and waits for it as told.
 func (e *Entry) again(ctx context.Context, c *entering, a *answer) retry.Decision {
 	now := e.Now()
@@ -350,77 +249,3 @@
 	d.Retry = d.Retry && wait.For(ctx, d.After) == nil
 	return d
 }
-
-// answer passes the answer on and reports it.
-func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
-	first := e.Now().Sub(sent)
-	p := passed{partial: true} // should relay panic
-	defer func() {
-		now := e.Now()
-		rep := report(a, first)
-		rep.Failed = rep.Failed || p.partial
-		choice.Done(now, rep)
-		c.class.Answered(now, now.Sub(c.start), rep.Failed)
-		if e.Suspects != nil && !p.partial {
-			e.Suspects.Answered(now, c.fp)
-		}
-	}()
-	c.body.answering(c.r, w.Header())
-	if a.held != nil {
-		p = e.Local.pass(w, a)
-	} else {
-		p = relay(w, a.resp, nil)
-		a.resp.Body.Close()
-	}
-	if p.partial || p.gone {
-		c.body.abort()
-	}
-}
-
-var finalValue = []string{"1"}
-
-// giveUp tells the caller what is known of the last attempt, and when to come
-// back. A backend server that is told so for a call of its own can pass the
-// mark on with its refusal, and no node further up will retry in vain.
-func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer, d retry.Decision) {
-	w.Header()[retry.HeaderFinal] = finalValue
-	if a.refusal != nil {
-		r := *a.refusal
-		r.RetryAfter = max(r.RetryAfter, d.ComeBack)
-		e.refuse(w, c, &r)
-		return
-	}
-	e.unknown(w, c)
-}
-
-// unknown tells the caller that its call may have run.
-func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
-	now := e.Now()
-	if kindOf(c.lost) == unknownStore {
-		// The sending itself was refused; it is no failed answer.
-		c.class.Refused(now, call.ReasonStoreDown)
-	} else {
-		c.class.Answered(now, now.Sub(c.start), true)
-	}
-	c.body.answering(c.r, w.Header())
-	writeUnknown(w, c.lost)
-}
-
-// report tells the picker how an attempt went.
-func report(a *answer, latency time.Duration) Report {
-	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load}
-	switch {
-	case a.refusal != nil:
-		r.Refused = a.refusal.Reason
-	case a.err != nil && ofKey(kindOf(a.err)):
-		// It is the key's earlier sending that may have run. This attempt
-		// reached no backend server, and a client that sends one lost key
-		// over and over must not make its endpoint look like a failing one.
-		r.Outcome = call.NotRun
-	case a.err != nil:
-		r.Failed = true
-	default:
-		r.Failed = a.resp.StatusCode >= http.StatusInternalServerError
-	}
-	return r
-}
--- /dev/null
+++ b/internal/proxy/entry_answer.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/retry"
+)
+
+// answer passes the answer on and reports it.
+func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
+	first := e.Now().Sub(sent)
+	p := passed{partial: true} // should relay panic
+	defer func() {
+		now := e.Now()
+		rep := report(a, first)
+		rep.Failed = rep.Failed || p.partial
+		choice.Done(now, rep)
+		c.class.Answered(now, now.Sub(c.start), rep.Failed)
+		if e.Suspects != nil && !p.partial {
+			e.Suspects.Answered(now, c.fp)
+		}
+	}()
+	c.body.answering(c.r, w.Header())
+	if a.held != nil {
+		p = e.Local.pass(w, a)
+	} else {
+		p = relay(w, a.resp, nil)
+		a.resp.Body.Close()
+	}
+	if p.partial || p.gone {
+		c.body.abort()
+	}
+}
+
+// refuse tells the caller that its call was not run, unless an earlier attempt
+// may have run. An idempotent call is sent again after such an attempt; when
+// the next one is refused, that refusal speaks for the attempt alone, and a
+// caller told "not run" would believe it of the call.
+func (e *Entry) refuse(w http.ResponseWriter, c *entering, r *call.Refusal) {
+	if c.lost != nil {
+		e.unknown(w, c)
+		return
+	}
+	if c.class != nil {
+		c.class.Refused(e.Now(), r.Reason)
+	} else {
+		e.Meters.Unmatched(r.Reason)
+	}
+	c.body.answering(c.r, w.Header())
+	writeRefusal(w, r)
+}
+
+var finalValue = []string{"1"}
+
+// giveUp tells the caller what is known of the last attempt, and when to come
+// back. A backend server that is told so for a call of its own can pass the
+// mark on with its refusal, and no node further up will retry in vain.
+func (e *Entry) giveUp(w http.ResponseWriter, c *entering, a *answer, d retry.Decision) {
+	w.Header()[retry.HeaderFinal] = finalValue
+	if a.refusal != nil {
+		r := *a.refusal
+		r.RetryAfter = max(r.RetryAfter, d.ComeBack)
+		e.refuse(w, c, &r)
+		return
+	}
+	e.unknown(w, c)
+}
+
+// unknown tells the caller that its call may have run.
+func (e *Entry) unknown(w http.ResponseWriter, c *entering) {
+	now := e.Now()
+	if kindOf(c.lost) == unknownStore {
+		// The sending itself was refused; it is no failed answer.
+		c.class.Refused(now, call.ReasonStoreDown)
+	} else {
+		c.class.Answered(now, now.Sub(c.start), true)
+	}
+	c.body.answering(c.r, w.Header())
+	writeUnknown(w, c.lost)
+}
+
+// report tells the picker how an attempt went.
+func report(a *answer, latency time.Duration) Report {
+	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load}
+	switch {
+	case a.refusal != nil:
+		r.Refused = a.refusal.Reason
+	case a.err != nil && ofKey(kindOf(a.err)):
+		// It is the key's earlier sending that may have run. This attempt
+		// reached no backend server, and a client that sends one lost key
+		// over and over must not make its endpoint look like a failing one.
+		r.Outcome = call.NotRun
+	case a.err != nil:
+		r.Failed = true
+	default:
+		r.Failed = a.resp.StatusCode >= http.StatusInternalServerError
+	}
+	return r
+}
