Give back the rate of calls that never start

Cause: a class's rate was spent when a call came, also if the full queue then refused it, it gave way, expired or its caller left. Under overload a class ran less than its stated rate and the rest was refused as over-rate. Change: such a call gives its part back, within the burst. Conclusion: TestCallThatNeverStartsSpendsNoRate fails without it in all three cases. No figure of the throughput under overload was taken.

--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -114,6 +114,7 @@
 
 func (q *Queue) refuseWaiting(now time.Time, e *Entry, reason call.Reason, detail string) {
 	q.remove(e)
+	e.class.rate.GiveBack(now)
 	q.events = append(q.events, Event{Entry: e, Refusal: q.refuse(now, e.class, reason, detail)})
 }
 
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -203,6 +203,7 @@
 		return nil
 	}
 	if r := q.admit(now, e); r != nil {
+		c.rate.GiveBack(now)
 		return r
 	}
 	e.state = entryWaiting
@@ -236,6 +237,7 @@
 		return false
 	}
 	q.remove(e)
+	e.class.rate.GiveBack(now)
 	if e.class.expired(e, now) {
 		e.class.stats.Expired++
 	}
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -145,6 +145,38 @@
 	}
 }
 
+// Archive pulls may run ten times a second. A full queue refuses one, or its
+// caller gives up while it waits, or it gives way, and nothing was run. The next
+// one, sent when a slot is free, was refused as over the rate.
+func TestCallThatNeverStartsSpendsNoRate(t *testing.T) {
+	classes := []Class{{Name: "pulls", RatePerSecond: 10, Priority: 1}, {Name: "lookups", Priority: 9}}
+	for name, loses := range map[string]func(t *testing.T, q *Queue){
+		"refused": func(t *testing.T, q *Queue) {
+			offer(t, q, at(0), "lookups")
+			wantReason(t, q.Offer(at(0), &Entry{}, "pulls", time.Time{}), call.ReasonOverloaded)
+		},
+		"gives up": func(t *testing.T, q *Queue) {
+			if !q.Abandon(at(0), offer(t, q, at(0), "pulls")) {
+				t.Error("did not wait")
+			}
+		},
+		"gives way": func(t *testing.T, q *Queue) {
+			offer(t, q, at(0), "pulls")
+			offer(t, q, at(0), "lookups")
+			wantReason(t, q.Events()[0].Refusal, call.ReasonOverloaded)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newTestQueue(Config{Slots: 1, MaxWaiting: 1, Classes: classes})
+			first := offer(t, q, at(0), "lookups")
+			loses(t, q)
+			q.Done(at(0), first, Result{})
+			offer(t, q, at(0), "pulls")
+			wantReason(t, q.Offer(at(0), &Entry{}, "pulls", time.Time{}), call.ReasonOverRate)
+		})
+	}
+}
+
 func TestDrainRefusesWaitingAndNew(t *testing.T) {
 	q := newTestQueue(Config{Slots: 1})
 	running := offer(t, q, at(0), "x")
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -48,6 +48,19 @@
 	r.l.SetBurstAt(now, max(1, int(perSecond*burstSeconds)))
 }
 
+// GiveBack takes back that a call was allowed, since it was never started.
+//
+// It guards the rate of a class under overload: were each call that a full queue
+// refuses to count, a class would be refused as over its rate while far fewer of
+// its calls run.
+func (r *Rate) GiveBack(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// A Reservation can't be cancelled once its moment has passed, which for an
+	// allowed call is at once. The limiter itself bounds its tokens to the burst.
+	r.l.ReserveN(now, -1)
+}
+
 // Allow reports whether a call may go now and, if not, when to come back.
 func (r *Rate) Allow(now time.Time) (ok bool, retryAfter time.Duration) {
 	r.mu.Lock()
--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -26,6 +26,25 @@
 	}
 }
 
+// A class that was refused often by full queues gave back more than it had taken,
+// and then ran far over its rate at once. What is given back stays in the burst.
+func TestGivenBackStaysWithinTheBurst(t *testing.T) {
+	r := NewRate(simStart, 10)
+	for range 50 {
+		r.GiveBack(simStart)
+	}
+	if ok, _ := r.Allow(simStart); !ok {
+		t.Fatal("the first call was refused")
+	}
+	if ok, after := r.Allow(simStart); ok || after != 100*time.Millisecond {
+		t.Errorf("Allow = %v, %v; want a refusal for 100 ms", ok, after)
+	}
+	r.GiveBack(simStart)
+	if ok, _ := r.Allow(simStart); !ok {
+		t.Error("what was given back is lost")
+	}
+}
+
 const (
 	rateBackends = 9
 	rateGroup    = 3 // backend servers a data centre
