Let holds end by time

Cause: the count of holds at an entry node fell only at the next break, so after one broken call each answer took a lock until then. Change: the latest end of a hold takes the place of the count. Conclusion: TestHoldsEndByThemselves fails with the count.

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -17,9 +17,9 @@
 
 // holds keeps an entry node from sending a broken call to one endpoint after
 // another before the destination nodes have told whether it crashed them. It is
-// read on each call's path, where the count of holds is nearly always zero.
+// read on each call's path, where hardly ever a hold is in force.
 type holds struct {
-	count atomic.Int64
+	until atomic.Int64 // Unix nanoseconds of the last hold's end, or zero
 	mu    sync.Mutex
 	byFP  map[Fingerprint]*hold
 }
@@ -46,11 +46,15 @@
 			old.endpoints[1] = endpoint
 		}
 	}
-	h.count.Store(int64(len(h.byFP)))
+	h.until.Store(max(h.until.Load(), now.Add(d).UnixNano()))
 }
 
+// active reports whether a hold may be in force. It goes by time alone, so that
+// it turns false when the last hold ends, and not at the next break.
+func (h *holds) active(now time.Time) bool { return now.UnixNano() < h.until.Load() }
+
 func (h *holds) get(now time.Time, fp Fingerprint) (hold, bool) {
-	if h.count.Load() == 0 {
+	if !h.active(now) {
 		return hold{}, false
 	}
 	h.mu.Lock()
@@ -84,7 +88,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.byFP, fp)
-	h.count.Store(int64(len(h.byFP)))
+	if len(h.byFP) == 0 {
+		h.until.Store(0)
+	}
 }
 
 // Broke notes at the entry node that a call broke at an endpoint, given as
@@ -102,7 +108,7 @@
 // Answered notes at the entry node that a call was answered.
 func (l *List) Answered(now time.Time, fp Fingerprint) {
 	l.answered.note(now, fp)
-	if l.held.count.Load() > 0 {
+	if l.held.active(now) {
 		l.held.drop(fp)
 	}
 }
