Forget backend servers that are gone

Cause: List.Forget was never called; a node kept what it noted of each backend server by name, for good. Change: List.Retain, called with each upkeep, drops those absent for longer than the crash window that have nothing in flight. Forget is removed. Conclusion: TestGoneBackendServersAreForgotten fails without it, and shows that what broke within the window is still laid to a crash.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -91,6 +91,7 @@
 			return
 		case <-ticker.C:
 			c.suspects.tell(time.Now())
+			c.suspects.forget(time.Now(), c.n.registry.Load())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -152,6 +154,13 @@
 // has gone.
 func (s *suspects) tell(now time.Time) { s.changed(s.list.Notices(now)) }
 
+// forget drops what is noted of backend servers that left long ago.
+func (s *suspects) forget(now time.Time, list []announce.Backend) {
+	s.list.Retain(now, func(instance string) bool {
+		return slices.ContainsFunc(list, func(b announce.Backend) bool { return b.Instance == instance })
+	})
+}
+
 // merge takes in what other nodes tell in their records.
 func (s *suspects) merge(now time.Time, v *membership.View) {
 	for id, r := range v.Records {
--- a/internal/quarantine/inflight.go
+++ b/internal/quarantine/inflight.go
@@ -50,6 +50,8 @@
 	runs    []run
 	free    []int
 	suspect bool // a suspect is in flight
+	// goneSince is when its backend server was first seen absent, or zero.
+	goneSince time.Time
 }
 
 // start notes a run. It refuses a suspect while another is in flight.
@@ -108,6 +110,22 @@
 	}
 }
 
+// outlived reports whether the backend server has been absent for longer than the
+// window, and nothing of it is in flight or broke within the window.
+func (t *tracker) outlived(now time.Time, present bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if present {
+		t.goneSince = time.Time{}
+		return false
+	}
+	if t.goneSince.IsZero() {
+		t.goneSince = now
+	}
+	t.sweep(now)
+	return now.Sub(t.goneSince) > t.window && len(t.free) == len(t.runs)
+}
+
 // which are the runs that a crash is laid to.
 type which bool
 
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -183,8 +183,19 @@
 	return t.(*tracker)
 }
 
-// Forget drops what is noted of a backend server that is gone.
-func (l *List) Forget(endpoint string) { l.trackers.Delete(endpoint) }
+// Retain forgets the backend servers that have been absent for longer than the
+// crash window and have nothing in flight. It is to be called now and again.
+//
+// The window guards the evidence: one that crashed may be gone before its crash
+// is laid to what broke there.
+func (l *List) Retain(now time.Time, present func(endpoint string) bool) {
+	l.trackers.Range(func(endpoint, t any) bool {
+		if t.(*tracker).outlived(now, present(endpoint.(string))) {
+			l.trackers.Delete(endpoint)
+		}
+		return true
+	})
+}
 
 // Crashed takes in that a backend server of this node crashed. It returns the
 // notices that the nodes holding the same service should be told at once.
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -301,6 +301,45 @@
 	}
 }
 
+// A node whose backend servers are replaced each day under new names holds a
+// little of each for good. But one that crashed is gone from the registry before
+// its crash is laid to anything, and what broke there must still be known then.
+func TestGoneBackendServersAreForgotten(t *testing.T) {
+	l, fp := newList("a"), request("x")
+	nothing := func(string) bool { return false }
+	l.Done(start, begin(t, l, start, request("y"), "old"), Answered)
+	l.Done(start, begin(t, l, start, fp, "crashed"), Broken)
+	open := begin(t, l, start, fp, "busy")
+	l.Retain(start, nothing)
+	l.Retain(start.Add(DefaultCrashWindow), nothing)
+	if _, kept := l.trackers.Load("old"); !kept {
+		t.Error("forgotten within the crash window")
+	}
+	if ns := l.Crashed(start.Add(DefaultCrashWindow), "crashed"); len(ns) != 1 {
+		t.Errorf("the evidence is gone: %v", ns)
+	}
+	later := start.Add(2 * DefaultCrashWindow)
+	l.Retain(later, nothing)
+	if n := l.trackerCount(); n != 1 {
+		t.Errorf("%d kept, of which one has a call in flight", n)
+	}
+	l.Done(later, open, Answered)
+	l.Retain(later, func(string) bool { return true })
+	l.Retain(later.Add(time.Hour), nothing)
+	if n := l.trackerCount(); n != 1 {
+		t.Error("one that came back is forgotten at once")
+	}
+	l.Retain(later.Add(2*time.Hour), nothing)
+	if n := l.trackerCount(); n != 0 {
+		t.Errorf("%d kept for good", n)
+	}
+}
+
+func (l *List) trackerCount() (n int) {
+	l.trackers.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
 func TestMergePassesOverWhatIsNotOurs(t *testing.T) {
 	l := newList("a")
 	l.MergeNotices(start, "b", []membership.Notice{
