Ask a lone full endpoint once

Cause: the proxy never set retry.Input.TriedAll, so with every endpoint tried a call refused for want of room was sent to the same ones again: a lone full endpoint was asked three times. Change: pickers tell whether what was tried is all that takes calls. Conclusion: no figure of a whole service under overload was taken.

--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -240,6 +240,11 @@
 	return newChoice(c), nil
 }
 
+// TriedAll implements proxy.Pickers.
+func (p *pickers) TriedAll(now time.Time, t *config.Target, tried []string) bool {
+	return p.of(t.Service).TriedAll(now, tried)
+}
+
 // fixed returns the ID of the endpoint that PickFixed picks, or "".
 func (p *pickers) fixed(now time.Time, service string, key uint64, avoid []string) string {
 	return p.of(service).Fixed(now, key, avoid)
--- a/internal/proxy/baseline.go
+++ b/internal/proxy/baseline.go
@@ -51,6 +51,14 @@
 	return (*plainChoice)(&all[key%uint64(len(all))]), nil
 }
 
+// TriedAll reports whether every endpoint was tried.
+func (p *RoundRobin) TriedAll(_ time.Time, t *config.Target, tried []string) bool {
+	m := p.endpoints.Load()
+	return m == nil || !slices.ContainsFunc((*m)[t.Service], func(ep Endpoint) bool {
+		return !slices.Contains(tried, ep.ID)
+	})
+}
+
 type plainChoice Endpoint
 
 // Endpoint returns the endpoint.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -241,7 +241,7 @@
 		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: c.deadline.Sub(now),
 		Refusal: a.refusal, BodyReplayable: c.body.reusable(),
 		Final: a.refusal != nil && a.refusal.Detail == detailDeep,
-		Below: c.below,
+		Below: c.below, TriedAll: e.Pickers.TriedAll(now, c.target, c.tried),
 	})
 	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
 		d.Retry = false
--- a/internal/proxy/pinned_test.go
+++ b/internal/proxy/pinned_test.go
@@ -32,10 +32,17 @@
 	return refuse(call.ReasonPinned, time.Second, "")
 }
 
-// anyEndpoint picks in turn, whatever was tried, as a picker does that has
-// nothing left.
+// anyEndpoint gives a tried endpoint again when nothing else is left, as the
+// node's picker does.
 type anyEndpoint struct{ *RoundRobin }
 
+func (p anyEndpoint) Pick(now time.Time, t *config.Target, tried []string) (Choice, error) {
+	if c, err := p.RoundRobin.Pick(now, t, tried); err == nil {
+		return c, nil
+	}
+	return p.RoundRobin.Pick(now, t, nil)
+}
+
 func (p anyEndpoint) PickFixed(now time.Time, t *config.Target, _ uint64, _ []string) (Choice, error) {
 	return p.Pick(now, t, nil)
 }
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -75,6 +75,8 @@
 	// PickFixed picks by key alone, so that every node picks the same. The
 	// endpoints in avoid are left out as long as there are others.
 	PickFixed(now time.Time, t *config.Target, key uint64, avoid []string) (Choice, error)
+	// TriedAll reports whether tried holds every endpoint that takes calls.
+	TriedAll(now time.Time, t *config.Target, tried []string) bool
 }
 
 // Retrier decides whether a call is sent again. Called is told of each call
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -55,6 +55,8 @@
 		{"overloaded everywhere", func(in *Input) { in.Refusal, in.TriedAll = refusal(call.ReasonOverloaded), true }, WhyUseless, false},
 		{"over its rate here", func(in *Input) { in.Refusal = refusal(call.ReasonOverRate) }, WhyElsewhere, true},
 		{"over its rate everywhere", func(in *Input) { in.Refusal, in.TriedAll = refusal(call.ReasonOverRate), true }, WhyUseless, false},
+		{"a suspect pinned elsewhere", func(in *Input) { in.Refusal = refusal(call.ReasonPinned) }, WhyElsewhere, true},
+		{"a suspect held back", func(in *Input) { in.Refusal = refusal(call.ReasonHeldBack) }, WhyUseless, false},
 		{"below a retry, over its rate", func(in *Input) { in.Below, in.Refusal = true, refusal(call.ReasonOverRate) }, WhyBelow, false},
 		{"quarantined", func(in *Input) { in.Refusal = refusal(call.ReasonQuarantined) }, WhyUseless, false},
 		{"no endpoint", func(in *Input) { in.Refusal = refusal(call.ReasonNoEndpoint) }, WhyUseless, false},
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -222,6 +222,13 @@
 	return p.choose(s, false), nil
 }
 
+// TriedAll reports whether tried holds every endpoint that takes calls. Pick then
+// gives one of them again.
+func (p *Picker) TriedAll(now time.Time, tried []string) bool {
+	ms := p.millis(now)
+	return !slices.ContainsFunc(p.table.Load().all, func(s *state) bool { return usable(s, ms, tried) })
+}
+
 // Fixed returns the ID of the endpoint that PickFixed picks, or "" if there is
 // none. No call is counted for it.
 func (p *Picker) Fixed(now time.Time, key uint64, avoid []string) string {
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -260,6 +260,27 @@
 	}
 }
 
+// A service with one endpoint that is full: each call was sent to it three times,
+// since nobody noticed that there was no other to try.
+func TestTriedAllThatTakeCalls(t *testing.T) {
+	eps := endpoints(3)
+	eps[2].Draining = true
+	p := picker(Options{}, eps)
+	for _, tt := range []struct {
+		tried []string
+		want  bool
+	}{
+		{nil, false},
+		{[]string{"e0"}, false},
+		{[]string{"e0", "e2"}, false},
+		{[]string{"e1", "e0"}, true},
+	} {
+		if got := p.TriedAll(simStart, tt.tried); got != tt.want {
+			t.Errorf("tried %v: %v", tt.tried, got)
+		}
+	}
+}
+
 func TestPickFixed(t *testing.T) {
 	p, q := picker(Options{}, endpoints(9)), picker(Options{Seed: 5}, endpoints(9))
 	for key := range uint64(50) {
