--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -57,6 +57,7 @@
 		log:     telemetry.Part(n.log, "quarantine"),
 		alerter: n.control,
 		changed: n.control.notices,
+		chosen:  c.pickers.fixed,
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
@@ -90,6 +91,7 @@
 			return
 		case <-ticker.C:
 			c.suspects.tell(time.Now())
+			c.suspects.forget(time.Now(), c.n.registry.Load())
 			if err := c.keeper.Flush(ctx); err != nil && ctx.Err() == nil {
 				c.n.log.Warn().Err(err).Msg("once: outcomes are not stored yet")
 			}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -36,6 +38,8 @@
 	alerter alerter
 	// changed is given this node's own notices, the same ones again included.
 	changed func([]membership.Notice)
+	// chosen returns the endpoint of a service that a key chooses, or "".
+	chosen  func(now time.Time, service string, key uint64, avoid []string) string
 	checks  sync.Map // backend ID to struct{}, while a check is under way
 	running sync.WaitGroup
 }
@@ -67,6 +71,13 @@
 // Answered implements proxy.Suspects.
 func (s *suspects) Answered(now time.Time, fp quarantine.Fingerprint) { s.list.Answered(now, fp) }
 
+// Pinned implements proxy.Suspects.
+func (s *suspects) Pinned(now time.Time, b proxy.Backend, fp quarantine.Fingerprint) *call.Refusal {
+	return s.list.Pinned(now, fp, b.Instance, func(avoid []string) string {
+		return s.chosen(now, b.Service, fp.Key(), avoid)
+	})
+}
+
 // Start implements proxy.Suspects.
 func (s *suspects) Start(now time.Time, b proxy.Backend, fp quarantine.Fingerprint, what quarantine.Request) (quarantine.Token, error) {
 	return s.list.Start(now, fp, b.Instance, what)
@@ -143,6 +154,13 @@
 // has gone.
 func (s *suspects) tell(now time.Time) { s.changed(s.list.Notices(now)) }
 
+// forget drops what is noted of backend servers that left long ago.
+func (s *suspects) forget(now time.Time, list []announce.Backend) {
+	s.list.Retain(now, func(instance string) bool {
+		return slices.ContainsFunc(list, func(b announce.Backend) bool { return b.Instance == instance })
+	})
+}
+
 // merge takes in what other nodes tell in their records.
 func (s *suspects) merge(now time.Time, v *membership.View) {
 	for id, r := range v.Records {
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -75,6 +75,8 @@
 	// PickFixed picks by key alone, so that every node picks the same. The
 	// endpoints in avoid are left out as long as there are others.
 	PickFixed(now time.Time, t *config.Target, key uint64, avoid []string) (Choice, error)
+	// TriedAll reports whether tried holds every endpoint that takes calls.
+	TriedAll(now time.Time, t *config.Target, tried []string) bool
 }
 
 // Retrier decides whether a call is sent again. Called is told of each call
@@ -167,6 +169,9 @@
 	Broke(now time.Time, fp quarantine.Fingerprint, endpoint string)
 	Answered(now time.Time, fp quarantine.Fingerprint)
 
+	// Pinned returns the refusal of a suspect that has to run at another
+	// endpoint than b, or nil.
+	Pinned(now time.Time, b Backend, fp quarantine.Fingerprint) *call.Refusal
 	// Start notes that the request is about to run. Its error is a
 	// *call.Refusal.
 	Start(now time.Time, b Backend, fp quarantine.Fingerprint, what quarantine.Request) (quarantine.Token, error)
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -104,8 +104,17 @@
 	return Entry{}, false
 }
 
-// Refuse returns the refusal for a blocked request.
+// Refuse returns the refusal for a blocked request. One that is not quarantined
+// is held back for seconds, and its caller must be told to come back: a refusal
+// that reads as final would make it give up a harmless booking.
 func (e *Entry) Refuse(now time.Time) *call.Refusal {
+	if e.Kind != KindQuarantined {
+		return &call.Refusal{
+			Reason:     call.ReasonHeldBack,
+			RetryAfter: e.Expires.Sub(now),
+			Detail:     "calls with request " + e.Fingerprint.String() + " broke at two endpoints a moment ago",
+		}
+	}
 	return &call.Refusal{
 		Reason:     call.ReasonQuarantined,
 		RetryAfter: e.Expires.Sub(now),
@@ -174,8 +183,19 @@
 	return t.(*tracker)
 }
 
-// Forget drops what is noted of a backend server that is gone.
-func (l *List) Forget(endpoint string) { l.trackers.Delete(endpoint) }
+// Retain forgets the backend servers that have been absent for longer than the
+// crash window and have nothing in flight. It is to be called now and again.
+//
+// The window guards the evidence: one that crashed may be gone before its crash
+// is laid to what broke there.
+func (l *List) Retain(now time.Time, present func(endpoint string) bool) {
+	l.trackers.Range(func(endpoint, t any) bool {
+		if t.(*tracker).outlived(now, present(endpoint.(string))) {
+			l.trackers.Delete(endpoint)
+		}
+		return true
+	})
+}
 
 // Crashed takes in that a backend server of this node crashed. It returns the
 // notices that the nodes holding the same service should be told at once.
