--- a/internal/distribute/chain.go
+++ b/internal/distribute/chain.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -21,12 +22,14 @@
 	head     *config.Snapshot
 	deltas   []*config.Delta // oldest first; the last one leads to head
 	bytes    int
+	past     []config.Version // known ancestors of head, oldest first, gaps allowed
 	maxCount int
 	maxBytes int
+	maxPast  int
 }
 
 func newChain(maxCount, maxBytes int) *chain {
-	return &chain{head: config.Empty(), maxCount: maxCount, maxBytes: maxBytes}
+	return &chain{head: config.Empty(), maxCount: maxCount, maxBytes: maxBytes, maxPast: maxPast}
 }
 
 func (c *chain) version() config.Version { return c.head.Version() }
@@ -37,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	c.remember(c.version())
 	c.head = next
 	c.deltas = append(c.deltas, d)
 	c.bytes += deltaSize(d)
@@ -57,11 +61,32 @@
 	}
 }
 
-// jump replaces the chain by a snapshot that no delta led to.
+// jump replaces the chain by a snapshot that no delta led to, but that is known
+// to descend from the head.
 func (c *chain) jump(s *config.Snapshot) {
+	c.remember(c.version())
+	if v := s.Version(); v.Number > c.version().Number+1 {
+		c.remember(config.Version{Number: v.Number - 1, Hash: s.Parent()})
+	}
 	c.head, c.deltas, c.bytes = s, nil, 0
 }
 
+// maxPast bounds the ancestors remembered by number and hash: 160 KB, and four
+// days of 930 changes. They outlast the deltas, so that a node that was cut off
+// for longer than those reach back can still be told that its version is in
+// the history.
+const maxPast = 4096
+
+func (c *chain) remember(v config.Version) {
+	if v.Number == 0 {
+		return
+	}
+	if len(c.past) >= c.maxPast {
+		c.past = slices.Delete(c.past, 0, len(c.past)-c.maxPast+1)
+	}
+	c.past = append(c.past, v)
+}
+
 // relation compares v with every version that the chain still knows.
 func (c *chain) relation(v config.Version) relation {
 	if v.Number == 0 {
@@ -86,12 +111,13 @@
 	if n+1 == head.Number {
 		return c.head.Parent(), true
 	}
-	if n > head.Number || n+uint64(len(c.deltas)) < head.Number {
+	i, ok := slices.BinarySearchFunc(c.past, n, func(v config.Version, n uint64) int {
+		return cmp.Compare(v.Number, n)
+	})
+	if !ok {
 		return config.Hash{}, false
 	}
-	// The parent of the delta to n+1.
-	i := len(c.deltas) - int(head.Number-n)
-	return c.deltas[i].From.Hash, true
+	return c.past[i].Hash, true
 }
 
 // since returns the deltas that lead from v to the head, or false when they
--- a/internal/distribute/doc.go
+++ b/internal/distribute/doc.go
@@ -16,6 +16,7 @@
 //
 // A delta is applied only if its parent is the version held and the result has
 // the promised hash. A whole snapshot, which proves its own content but not
-// that it descends from the version held, needs a second witness. A version
-// that belongs to another history is reported as a Conflict and never followed.
+// that it descends from the version held, needs a second witness and a peer that
+// has both versions in its history. A version that belongs to another history is
+// reported as a Conflict and never followed.
 package distribute
--- a/internal/distribute/event.go
+++ b/internal/distribute/event.go
@@ -62,6 +62,8 @@
 	YouHeld      uint64
 	Ready        bool
 	OtherHistory bool
+	// KnowsHeld says that the asker's Held is in the peer's history.
+	KnowsHeld bool
 }
 
 // Pulled is the outcome of Pull.
@@ -118,10 +120,12 @@
 // PlatformRead.
 type ReadSnapshot struct{ Version config.Version }
 
-// Pull asks a peer for what follows Version; answered by Pulled.
+// Pull asks a peer for what follows Version, and whether it has Held in its
+// history; answered by Pulled.
 type Pull struct {
 	Peer    string
 	Version config.Version
+	Held    config.Version
 }
 
 // Ask asks a peer for its version and for what it saw this node hold; answered
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -123,8 +123,10 @@
 // readSince reads what the platform has and this node has not.
 func (s *State) readSince(head config.Version) {
 	if j := s.jump; j != nil && j.snapshot.Version() == head {
-		s.jumped(j.snapshot, false)
-		return
+		j.witnessed = true
+		if s.tryJump() || j.from == SourcePlatform {
+			return
+		}
 	}
 	s.feed.busy = true
 	if s.Version().Number == 0 && head.Number > freshSnapshotAfter {
@@ -157,9 +159,7 @@
 	case e.Err != nil:
 		s.readFailed()
 	case e.Snapshot != nil:
-		if e.Snapshot.Version().Newer(s.Version()) {
-			s.jumped(e.Snapshot, true)
-		}
+		s.platformJump(e.Snapshot)
 	default:
 		s.readOn(e.Deltas)
 	}
--- a/internal/distribute/finding.go
+++ b/internal/distribute/finding.go
@@ -65,16 +65,16 @@
 // Kind implements Finding.
 func (b *BadPeer) Kind() string { return "bad_peer" }
 
-// Unconfirmed tells of a snapshot that was dropped because the other peers that
-// were asked did not know its version. Its sender may be ahead of all of them,
-// as when the others are cut off, or may have made it up.
+// Unconfirmed tells of a snapshot that was dropped because no other peer knew
+// its version, or nobody showed that it descends from the version held. Its
+// sender may be ahead of all, have another history, or have made it up.
 type Unconfirmed struct {
 	Peer    string
 	Version config.Version
 }
 
 func (u *Unconfirmed) Error() string {
-	return fmt.Sprintf("distribute: no second peer knows version %d (%s) of peer %s",
+	return fmt.Sprintf("distribute: nobody confirms that version %d (%s) of %s follows the one held",
 		u.Version.Number, u.Version.Hash.Short(), u.Peer)
 }
 
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -226,7 +226,7 @@
 	}
 }
 
-func (m *mesh) ask(a, b *node, v config.Version, headOnly bool, done func(Answer, error)) {
+func (m *mesh) ask(a, b *node, v, held config.Version, headOnly bool, done func(Answer, error)) {
 	life := a.life
 	finished := false
 	finish := func(ans Answer, err error) {
@@ -235,9 +235,10 @@
 			done(ans, err)
 		}
 	}
-	m.count(&peerpb.PullRequest{From: a.id, Version: v.Number, Hash: v.Hash[:]}, 0)
+	m.count(&peerpb.PullRequest{From: a.id, Version: v.Number, Hash: v.Hash[:], Held: held.Number, HeldHash: held.Hash[:]}, 0)
 	m.send(a, b, func() {
 		ans := b.state.Serve(m.view, a.id, v, headOnly)
+		ans.KnowsHeld = b.state.Knows(held)
 		packed, err := Pack(ans.Deltas, ans.Snapshot)
 		if err != nil {
 			panic(err)
@@ -272,11 +273,11 @@
 		m.tell(n, a)
 	case Pull:
 		m.pulls++
-		m.ask(n, m.nodes[a.Peer], a.Version, false, func(ans Answer, err error) {
+		m.ask(n, m.nodes[a.Peer], a.Version, a.Held, false, func(ans Answer, err error) {
 			m.step(n, Pulled{Peer: a.Peer, Answer: ans, Err: err})
 		})
 	case Ask:
-		m.ask(n, m.nodes[a.Peer], a.Version, true, func(ans Answer, err error) {
+		m.ask(n, m.nodes[a.Peer], a.Version, a.Version, true, func(ans Answer, err error) {
 			m.step(n, Asked{Peer: a.Peer, Answer: ans, Err: err})
 		})
 	default:
--- a/internal/distribute/jump.go
+++ b/internal/distribute/jump.go
@@ -8,48 +8,91 @@
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
-// jump is a snapshot from a peer that waits for a second witness.
+// jump is a snapshot that waits for a second witness and for its descent to be
+// shown.
 //
 // A snapshot proves its content by its hash, but not that it descends from the
 // version held here: a peer of another history, or a lying one, could send any.
 // So it is taken only when a second peer, or the platform, has that very
-// version in its history. With nobody else to ask, one authenticated peer is
-// enough after Settings.AloneAfter.
+// version, and a peer that has it has the version held here in its history too.
+// Peers that started lately know neither more nor less of another history than
+// of this one: any number of them agreeing is no proof of descent. Every version
+// descends from the empty one, so a node that holds nothing needs the second
+// witness alone; with nobody else to ask, one authenticated peer is enough
+// after Settings.AloneAfter.
 type jump struct {
 	snapshot  *config.Snapshot
 	from      string
 	since     time.Time
 	after     time.Time // when to ask the next witness
 	tried     map[string]bool
-	contested bool // some other peer answered, and did not confirm
+	witnessed bool           // a second source has the version
+	descent   config.Version // the newest version that it is shown to follow
+	contested bool           // some other peer answered, and did not confirm
 }
 
 // considerJump takes a snapshot from a peer.
-func (s *State) considerJump(peer string, snap *config.Snapshot) {
-	if !snap.Version().Newer(s.Version()) {
+func (s *State) considerJump(p pulling, a Answer) {
+	v := a.Snapshot.Version()
+	if !v.Newer(s.Version()) {
 		return
 	}
-	if j := s.jump; j != nil {
-		s.witness(peer, snap.Version())
+	if s.jump != nil {
+		s.witness(p.peer, v)
 		return
 	}
-	s.jump = &jump{
-		snapshot: snap, from: peer, since: s.now, after: s.now,
-		tried: map[string]bool{peer: true},
+	s.jump = s.newJump(p.peer, a.Snapshot)
+	s.jump.witnessed = s.feed.head == v
+	if a.KnowsHeld {
+		s.jump.descent = p.held
+	}
+	for peer, c := range s.claims {
+		if peer != p.peer && c.version == v {
+			s.jump.witnessed = true
+		}
+	}
+	s.tryJump()
+}
+
+func (s *State) newJump(from string, snap *config.Snapshot) *jump {
+	return &jump{
+		snapshot: snap, from: from, since: s.now, after: s.now,
+		tried: map[string]bool{from: true},
 	}
-	if s.feed.head == snap.Version() {
-		s.jumped(snap, false)
+}
+
+// platformJump takes a snapshot from the platform, which sends one where its
+// log does not reach back to the version held. The platform's table may have
+// been replaced by one of another history meanwhile.
+func (s *State) platformJump(snap *config.Snapshot) {
+	if !snap.Version().Newer(s.Version()) {
 		return
 	}
-	for _, p := range sortedKeys(s.claims) {
-		if p != peer && s.claims[p].version == snap.Version() {
-			s.jumped(snap, false)
-			return
-		}
+	j := s.newJump(SourcePlatform, snap)
+	j.witnessed = true
+	if old := s.jump; old != nil && old.snapshot.Version() == snap.Version() {
+		j.descent = old.descent
+	}
+	s.jump = j
+	s.tryJump()
+}
+
+// tryJump takes the jump if it is witnessed and shown to follow the version
+// held. It reports whether it did.
+func (s *State) tryJump() bool {
+	j := s.jump
+	if !j.witnessed || !s.descends(j) {
+		return false
 	}
+	s.jumped(j.snapshot, j.from == SourcePlatform)
+	return true
 }
 
-// witness takes the jump if a second peer names its version.
+func (s *State) descends(j *jump) bool {
+	return s.Version().Number == 0 || j.descent == s.Version()
+}
+
+// witness takes in that a peer names a version.
 func (s *State) witness(peer string, v config.Version) {
 	if s.jump == nil || peer == s.jump.from || v.Number != s.jump.snapshot.Version().Number {
 		return
@@ -59,20 +102,27 @@
 		s.reportConflict(peer, v) // the snapshot may be the one that is wrong
 		return
 	}
-	s.jumped(s.jump.snapshot, false)
+	s.jump.witnessed = true
+	s.tryJump()
 }
 
 // confirm takes the answer of a peer that was asked to witness the jump.
-func (s *State) confirm(peer string, a Answer) {
-	v := s.jump.snapshot.Version()
+func (s *State) confirm(p pulling, a Answer) {
+	j := s.jump
+	v := j.snapshot.Version()
 	follows := len(a.Deltas) > 0 && a.Deltas[0].From == v
-	if peer == s.jump.from || (a.Version != v && !follows) {
-		s.jump.contested = true
+	if p.peer == j.from || a.OtherHistory || (a.Version != v && !follows) {
+		j.contested = true
 		return
 	}
-	s.jumped(s.jump.snapshot, false)
-	s.takeAnswer(peer, a)
-	s.afterPull(peer, a.Version)
+	j.witnessed = true
+	if a.KnowsHeld {
+		j.descent = p.held
+	}
+	if s.tryJump() {
+		s.takeAnswer(p, a)
+		s.afterPull(p.peer, a.Version)
+	}
 }
 
 // scheduleJump asks the next witness, and in the end decides without one.
@@ -103,19 +153,19 @@
 	s.startPull(peer, j.snapshot.Version())
 }
 
-// decideJump ends the wait for a witness. If others answered and none knew the
-// version, its sender is not believed for a while; if nobody else could be
-// asked, its word has to do.
+// decideJump ends the wait. If nobody showed that the version follows the one
+// held, or others answered and none knew it, its sender is not believed for a
+// while; if only nobody else could be asked, its word has to do.
 func (s *State) decideJump() {
 	j := s.jump
-	s.jump = nil
-	if j.contested {
-		v := j.snapshot.Version()
-		s.report(&Unconfirmed{Peer: j.from, Version: v}, j.from, v)
-		s.discredit(j.from)
+	if s.descends(j) && !j.contested {
+		s.jumped(j.snapshot, j.from == SourcePlatform)
 		return
 	}
-	s.jumped(j.snapshot, false)
+	s.jump = nil
+	v := j.snapshot.Version()
+	s.report(&Unconfirmed{Peer: j.from, Version: v}, j.from, v)
+	s.discredit(j.from)
 }
 
 // pickWitness returns a live peer that was not tried, a claimant first.
--- a/internal/distribute/perform.go
+++ b/internal/distribute/perform.go
@@ -60,10 +60,10 @@
 		}
 		r.step(PlatformRead{Snapshot: s, Err: err})
 	case Pull:
-		ans, err := r.pull(ctx, a.Peer, a.Version, false)
+		ans, err := r.pull(ctx, a, false)
 		r.step(Pulled{Peer: a.Peer, Answer: ans, Err: err})
 	case Ask:
-		ans, err := r.pull(ctx, a.Peer, a.Version, true)
+		ans, err := r.pull(ctx, Pull{Peer: a.Peer, Version: a.Version, Held: a.Version}, true)
 		r.step(Asked{Peer: a.Peer, Answer: ans, Err: err})
 	}
 }
@@ -137,15 +137,18 @@
 	return "", errUnlisted
 }
 
-func (r *Runner) pull(ctx context.Context, peer string, v config.Version, headOnly bool) (Answer, error) {
-	addr, err := r.addr(peer)
+func (r *Runner) pull(ctx context.Context, p Pull, headOnly bool) (Answer, error) {
+	addr, err := r.addr(p.Peer)
 	if err != nil {
 		return Answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	req := &peerpb.PullRequest{Version: v.Number, Hash: v.Hash[:], HeadOnly: headOnly}
-	resp, err := r.deps.Client.Pull(ctx, peer, addr, req)
+	req := &peerpb.PullRequest{
+		Version: p.Version.Number, Hash: p.Version.Hash[:], HeadOnly: headOnly,
+		Held: p.Held.Number, HeldHash: p.Held.Hash[:],
+	}
+	resp, err := r.deps.Client.Pull(ctx, p.Peer, addr, req)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -160,7 +163,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	a := Answer{Version: v, YouHeld: m.YouHeld, Ready: m.Ready, OtherHistory: m.OtherHistory}
+	a := Answer{Version: v, YouHeld: m.YouHeld, Ready: m.Ready, OtherHistory: m.OtherHistory, KnowsHeld: m.KnowsHeld}
 	a.Deltas, a.Snapshot, err = Unpack(m.Changes)
 	return a, err
 }
@@ -172,8 +175,13 @@
 	if err != nil {
 		return nil, err
 	}
+	held, err := versionFromProto(req.Held, req.HeldHash)
+	if err != nil {
+		return nil, err
+	}
 	r.mu.Lock()
 	a := r.state.Serve(r.deps.Views.Load(), req.From, v, req.HeadOnly)
+	a.KnowsHeld = r.state.Knows(held)
 	r.mu.Unlock()
 	packed, err := r.pack(a)
 	if err != nil {
@@ -185,6 +193,7 @@
 	return &peerpb.PullResponse{
 		Version: a.Version.Number, Hash: a.Version.Hash[:], Changes: packed,
 		YouHeld: a.YouHeld, Ready: a.Ready, OtherHistory: a.OtherHistory,
+		KnowsHeld: a.KnowsHeld,
 	}, nil
 }
 
--- a/internal/distribute/pull.go
+++ b/internal/distribute/pull.go
@@ -20,6 +20,7 @@
 type pulling struct {
 	peer    string // empty when none is
 	version config.Version
+	held    config.Version
 }
 
 // maxPullFails is how many failed pulls in a row drop a peer's claim.
@@ -111,8 +112,8 @@
 }
 
 func (s *State) startPull(peer string, v config.Version) {
-	s.pull = pulling{peer: peer, version: v}
-	s.emit(Pull{Peer: peer, Version: v})
+	s.pull = pulling{peer: peer, version: v, held: s.Version()}
+	s.emit(Pull{Peer: peer, Version: v, Held: s.Version()})
 }
 
 // chooseClaim picks the peer to pull from: one with the highest version, since
@@ -154,34 +155,34 @@
 		return
 	}
 	a := e.Answer
+	if s.jump != nil && s.jump.snapshot.Version() == p.version {
+		s.confirm(p, a)
+		return
+	}
 	if a.OtherHistory {
 		s.conflict(p.peer, a.Version)
 		s.discredit(p.peer)
 		return
 	}
-	if s.jump != nil && s.jump.snapshot.Version() == p.version {
-		s.confirm(p.peer, a)
-		return
-	}
-	if !s.takeAnswer(p.peer, a) {
+	if !s.takeAnswer(p, a) {
 		return
 	}
 	s.afterPull(p.peer, a.Version)
 }
 
 // takeAnswer uses the changes of an answer.
-func (s *State) takeAnswer(peer string, a Answer) bool {
-	if len(a.Deltas) > 0 && !s.applyDeltas(peer, a.Deltas) {
+func (s *State) takeAnswer(p pulling, a Answer) bool {
+	if len(a.Deltas) > 0 && !s.applyDeltas(p.peer, a.Deltas) {
 		return false
 	}
 	if a.Snapshot == nil {
 		return true
 	}
 	if a.Snapshot.Version() != a.Version {
-		s.bad(peer, ErrBadAnswer)
+		s.bad(p.peer, ErrBadAnswer)
 		return false
 	}
-	s.considerJump(peer, a.Snapshot)
+	s.considerJump(p, a)
 	return true
 }
 
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -113,6 +113,9 @@
 	return a
 }
 
+// Knows reports whether v is certain to be in the history of the version held.
+func (s *State) Knows(v config.Version) bool { return s.chain.relation(v) == relationHeld }
+
 // seenAt returns the highest version seen in force at a peer.
 //
 // A peer that ran another history, as of a table that was restored by mistake,
--- a/internal/distribute/wire_test.go
+++ b/internal/distribute/wire_test.go
@@ -78,6 +78,7 @@
 
 func TestChainKnowsItsPast(t *testing.T) {
 	c := newChain(3, 1<<20)
+	c.maxPast = 3
 	ds, _ := history(t, "booking", 6)
 	other, _ := history(t, "other", 8)
 	for _, d := range ds {
@@ -113,6 +114,29 @@
 	}
 }
 
+// A chain knows versions long after their deltas are gone, and those before a
+// jump, so that it can tell a node that was cut off that its history is this.
+func TestChainKnowsVersionsWithoutDeltas(t *testing.T) {
+	c := newChain(1, 1<<20)
+	ds, _ := history(t, "booking", 4)
+	_, far := history(t, "booking", 9)
+	for _, d := range ds {
+		if err := c.apply(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.jump(far)
+	for _, d := range ds {
+		if got := c.relation(d.To); got != relationHeld {
+			t.Errorf("version %d: %d", d.To.Number, got)
+		}
+	}
+	other, _ := history(t, "other", 2)
+	if got := c.relation(other[1].To); got != relationOther {
+		t.Errorf("version 2 of another history: %d", got)
+	}
+}
+
 // Every node of a data centre is told exactly once, whoever begins.
 func TestTreeReachesEachNodeOnce(t *testing.T) {
 	b := newBench(t)
