Remember the newest refused version

Cause: a store that had refused version 2 and then was offered version 1 late, refused too, told of version 1, though it promises the newest version that could not be put in force. The handover then hid the one that matters. Change: an older refused version no longer replaces a newer one. The last check of TestStoreNeverGoesBackAndNeverHalf was wrong: it asked for the refused version offered last. It now asks after every offer for the newest refused one that is ahead of the running one, which is as strict, and also looks after offers that were not refused. Conclusion: the store does what its comment says.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -85,13 +85,21 @@
 	}
 	p, err := s.compileWhole(n)
 	if err != nil {
-		s.refused.Store(&Refused{Version: n.Version(), Err: err})
+		s.refuse(&Refused{Version: n.Version(), Err: err})
 		return false, err
 	}
 	s.current.Store(&InForce[P]{Snapshot: n, Program: p})
 	return true, nil
 }
 
+// refuse remembers the newest refused version. An older one, offered late,
+// would hide it from the handover. The caller holds mu.
+func (s *Store[P]) refuse(r *Refused) {
+	if last := s.refused.Load(); last == nil || !last.Version.Newer(r.Version) {
+		s.refused.Store(r)
+	}
+}
+
 func otherHistory(running Version, n *Snapshot) bool {
 	v := n.Version()
 	switch v.Number {
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -39,6 +39,7 @@
 			t.Fatal(err)
 		}
 		var highest uint64
+		var newest Version // refused
 		for range rapid.IntRange(1, 30).Draw(t, "offers") {
 			n := rapid.SampledFrom(versions).Draw(t, "offer")
 			was := store.Load()
@@ -56,11 +57,44 @@
 			if r != nil && r.Version.Number <= highest {
 				t.Fatal("tells of a refused version that is behind the running one")
 			}
-			if bad[n.Version()] && n.Version().Number > highest && (r == nil || r.Version != n.Version()) {
-				t.Fatal("does not tell of the refused version")
+			if bad[n.Version()] && n.Version().Newer(newest) {
+				newest = n.Version()
 			}
+			if newest.Number > highest && (r == nil || r.Version != newest) {
+				t.Fatal("does not tell of the newest refused version")
+			}
+		}
+	})
+}
+
+// What an operator would see: version 2 cannot run here, but the handover tells
+// of version 1 only. Offers cross in flight, and 1, refused as well, came late.
+func TestStoreTellsOfTheNewestRefused(t *testing.T) {
+	store, err := NewStore(func(s *Snapshot) (int, error) {
+		if s.Version().Number > 0 {
+			return 0, errCompile
 		}
+		return 0, nil
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, _, err := Empty().Next([]Object{EncodeService(Service{Name: "s", Team: "t"})}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, _, err := one.Next([]Object{EncodeService(Service{Name: "u", Team: "t"})}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []*Snapshot{two, one} {
+		if _, err := store.Offer(n); !errors.Is(err, errCompile) {
+			t.Fatal(err)
+		}
+	}
+	if r := store.Refused(); r == nil || r.Version != two.Version() {
+		t.Fatalf("tells of %+v", r)
+	}
 }
 
 // The platform's table is restored from a backup and operators go on from
