Choose feeders among suspect neighbours too

Cause: a node that heard none of its data centre's nodes took itself for the only one, so for a feeder. With the network between the nodes broken and the platform reachable, each node read the platform's head every second. Change: where more of the data centre's nodes are suspect than live, the two feeders are chosen among both. A node that is not chosen reads at random times, so seldom that all of a data centre together read about as often as one feeder.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -22,6 +22,11 @@
 	// The role, for the view it was worked out from.
 	view   *membership.View
 	feeder bool
+
+	// standby is the mean time between the reads of a node that is no feeder
+	// but cannot tell whether the feeders are there, or zero.
+	standby   time.Duration
+	standbyAt time.Time
 }
 
 // freshSnapshotAfter is the number of versions above which a node that holds
@@ -52,8 +57,7 @@
 		return
 	}
 	if f.view != s.view || s.view == nil {
-		f.view = s.view
-		f.feeder = isFeeder(s.view, s.set.Self, s.set.DataCentre)
+		s.takeRole()
 	}
 	if f.after.IsZero() {
 		f.after = s.now.Add(s.firstRead())
@@ -65,14 +69,38 @@
 		}
 	}
 	wanted := f.feeder || !s.start.done || s.jump != nil
-	if !wanted || f.busy || s.now.Before(f.after) {
+	due := wanted && !s.now.Before(f.after)
+	standbyDue := f.standby > 0 && !s.now.Before(f.standbyAt)
+	if f.busy || !due && !standbyDue {
 		return
 	}
 	f.busy = true
+	f.standbyAt = s.now.Add(s.jitter(2 * f.standby))
 	f.heldThen = s.Version().Number
 	s.emit(ReadHead{})
 }
 
+// takeRole works out whether this node is a feeder.
+//
+// Where most of the data centre is suspect, the chosen feeders may be gone for
+// good, or be just as well and unheard. The others then read too, but so seldom
+// that all of them together make about one read more in HeadEvery, however
+// many they are.
+func (s *State) takeRole() {
+	f := &s.feed
+	f.view = s.view
+	ids, unsure := feederChoice(s.view, s.set.Self, s.set.DataCentre)
+	f.feeder = isFeeder(ids, s.set.Self, s.set.DataCentre)
+	if f.feeder || !unsure {
+		f.standby = 0
+		return
+	}
+	if f.standby == 0 {
+		f.standbyAt = s.now.Add(s.jitter(2 * s.set.Profile.HeadEvery * time.Duration(len(ids))))
+	}
+	f.standby = s.set.Profile.HeadEvery * time.Duration(len(ids))
+}
+
 // firstRead returns how long to wait before the first read of the head.
 func (s *State) firstRead() time.Duration {
 	if s.feed.feeder || s.others() == 0 {
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -32,7 +32,8 @@
 	nodes   map[string]*node
 	ids     []string
 	view    *membership.View
-	log     []*config.Delta // the platform's
+	views   map[string]*membership.View // of nodes that see less than view
+	log     []*config.Delta             // the platform's
 	head    *config.Snapshot
 	down    bool
 	headLag int // versions by which the platform's answers are old
@@ -92,6 +93,7 @@
 func newMesh(n, dcs int, seed uint64, set func(id, dc string) Settings) *mesh {
 	m := &mesh{
 		set: set, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		views: make(map[string]*membership.View),
 		nodes: make(map[string]*node), head: config.Empty(), probe: time.Second,
 		drop: func() bool { return false }, double: func() bool { return false },
 		extra: func() time.Duration { return 0 }, cut: func(a, b string) bool { return false },
@@ -258,7 +260,11 @@
 
 // step feeds one event to a node and carries out its actions.
 func (m *mesh) step(n *node, ev Event) {
-	for _, a := range n.state.Step(m.now, m.rng, m.view, ev) {
+	view := m.view
+	if v := m.views[n.id]; v != nil {
+		view = v
+	}
+	for _, a := range n.state.Step(m.now, m.rng, view, ev) {
 		m.perform(n, a)
 	}
 }
--- a/internal/distribute/tree.go
+++ b/internal/distribute/tree.go
@@ -56,9 +56,32 @@
 	return out
 }
 
-// isFeeder reports whether self is among the first nodes of its data centre.
-func isFeeder(v *membership.View, self, dc string) bool {
-	order := ranked("feeder/"+dc+"/", live(v, self, dc)[dc])
+// feederChoice returns the nodes among which the feeders of data centre dc are
+// chosen: the live ones, or with them the suspect ones where those are most.
+//
+// A node that is cut off from its neighbours suspects them all. If it chose
+// among the live ones, itself, each node would be a feeder, and the platform,
+// which it may still reach, would get a read a second from every one.
+func feederChoice(v *membership.View, self, dc string) (ids []string, unsure bool) {
+	ids = live(v, self, dc)[dc]
+	if v == nil {
+		return ids, false
+	}
+	var suspect []string
+	for id, r := range v.Records {
+		if id != self && r.VM.DataCentre == dc && r.State == membership.VMSuspect {
+			suspect = append(suspect, id)
+		}
+	}
+	if len(suspect) <= len(ids) {
+		return ids, false
+	}
+	return append(ids, suspect...), true
+}
+
+// isFeeder reports whether self is among the first of a data centre's nodes.
+func isFeeder(ids []string, self, dc string) bool {
+	order := ranked("feeder/"+dc+"/", ids)
 	return slices.Contains(order[:min(feedersPerDC, len(order))], self)
 }
 
