Bound commands as a peer gets them

Cause: a command was bounded by its objects' own bytes, 256 KB, and a peer's message by 256 KB too. JSON escapes, names and the rest made a large command more than a peer takes, so that it ended as unknown where the platform could not be reached, though nobody had carried it out. Change: a command is bounded by its JSON, 240 KB; larger ones are refused as malformed at once. Conclusion: what a node takes fits through a peer. The admin API reads 32 KB at most, so its callers see no difference.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -12,8 +12,11 @@
 
 // Bounds on one command.
 const (
-	MaxObjects    = 128
-	MaxBytes      = 256 << 10
+	MaxObjects = 128
+	// MaxBytes bounds the JSON of a command, the form in which a node passes it
+	// to a peer. It leaves room under the 256 KB that a peer takes, so that no
+	// command is taken that can't be passed on.
+	MaxBytes      = 240 << 10
 	MaxNoteLength = 512
 	// MaxNameLength bounds the names of operators and teams, as settings do. A
 	// peer that passes a command on could make them as long as a message.
@@ -143,11 +146,10 @@
 // malformed returns why the command can't be judged at all, or "".
 func (c *Command) malformed() string {
 	n := len(c.Set) + len(c.Unset)
-	size := 0
-	for _, o := range c.Set {
-		size += len(o.Raw)
-	}
+	encoded, err := json.Marshal(c)
 	switch {
+	case err != nil:
+		return "the command can't be encoded: " + err.Error()
 	case !idPattern.MatchString(c.ID):
 		return "the command id must be 1 to 64 of A-Z, a-z, 0-9, '.', '_', '-' and begin with a letter or digit"
 	case c.Operator == "" || c.Team == "":
@@ -156,8 +158,8 @@
 		return fmt.Sprintf("the names of the operator and the team must have at most %d bytes", MaxNameLength)
 	case n == 0 || n > MaxObjects:
 		return fmt.Sprintf("a command must set or withdraw 1 to %d objects", MaxObjects)
-	case size > MaxBytes:
-		return fmt.Sprintf("a command must have at most %d bytes", MaxBytes)
+	case len(encoded) > MaxBytes:
+		return fmt.Sprintf("a command must have at most %d bytes as JSON", MaxBytes)
 	case len(c.Note) > MaxNoteLength:
 		return fmt.Sprintf("the note must have at most %d bytes", MaxNoteLength)
 	case len(c.touched()) != n:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/command"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/peer"
@@ -323,6 +324,18 @@
 	}
 }
 
+// The largest command that a node takes must fit through a peer, with what is
+// added on the way. Otherwise it ends as unknown when the platform can't be
+// reached from here, though nobody carried it out.
+func TestLargestCommandFits(t *testing.T) {
+	s := serve(t, "b", nil, peer.NewMetrics(metrics.NewSet()))
+	c, _ := client(t, mesh, "a", nil)
+	largest := make([]byte, command.MaxBytes+len(`,"repeat":true`))
+	if _, err := c.Submit(context.Background(), s.addr, largest); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // BenchmarkExchange reports the bytes on the wire of one small exchange over a
 // kept connection, both ways, and of opening the connection.
 func BenchmarkExchange(b *testing.B) {
