Leave out the held version where it is the one asked about

Cause: each pull and question of a starting node named the same version twice. Change: held and its hash are sent only where they differ from version. Conclusion: showing descent costs bytes only where it is asked for.

--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -237,7 +237,9 @@
 			done(ans, err)
 		}
 	}
-	m.count(&peerpb.PullRequest{From: a.id, Version: v.Number, Hash: v.Hash[:], Held: held.Number, HeldHash: held.Hash[:]}, 0)
+	request := pullToProto(Pull{Version: v, Held: held}, headOnly)
+	request.From = a.id
+	m.count(request, 0)
 	m.send(a, b, func() {
 		ans := b.state.Serve(m.view, a.id, v, headOnly)
 		ans.KnowsHeld = b.state.Knows(held)
--- a/internal/distribute/perform.go
+++ b/internal/distribute/perform.go
@@ -144,17 +144,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	req := &peerpb.PullRequest{
-		Version: p.Version.Number, Hash: p.Version.Hash[:], HeadOnly: headOnly,
-		Held: p.Held.Number, HeldHash: p.Held.Hash[:],
-	}
-	resp, err := r.deps.Client.Pull(ctx, p.Peer, addr, req)
+	resp, err := r.deps.Client.Pull(ctx, p.Peer, addr, pullToProto(p, headOnly))
 	if err != nil {
 		return Answer{}, err
 	}
 	return answerFromProto(resp)
 }
 
+func pullToProto(p Pull, headOnly bool) *peerpb.PullRequest {
+	q := &peerpb.PullRequest{Version: p.Version.Number, Hash: p.Version.Hash[:], HeadOnly: headOnly}
+	if p.Held != p.Version {
+		q.Held, q.HeldHash = p.Held.Number, p.Held.Hash[:]
+	}
+	return q
+}
+
 func answerFromProto(m *peerpb.PullResponse) (Answer, error) {
 	if m.RetryAfterMs > 0 {
 		return Answer{}, &BusyError{RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond}
@@ -175,9 +179,11 @@
 	if err != nil {
 		return nil, err
 	}
-	held, err := versionFromProto(req.Held, req.HeldHash)
-	if err != nil {
-		return nil, err
+	held := v
+	if len(req.HeldHash) > 0 {
+		if held, err = versionFromProto(req.Held, req.HeldHash); err != nil {
+			return nil, err
+		}
 	}
 	r.mu.Lock()
 	a := r.state.Serve(r.deps.Views.Load(), req.From, v, req.HeadOnly)
