--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -32,7 +32,8 @@
 	nodes   map[string]*node
 	ids     []string
 	view    *membership.View
-	log     []*config.Delta // the platform's
+	views   map[string]*membership.View // of nodes that see less than view
+	log     []*config.Delta             // the platform's
 	head    *config.Snapshot
 	down    bool
 	headLag int // versions by which the platform's answers are old
@@ -92,6 +93,7 @@
 func newMesh(n, dcs int, seed uint64, set func(id, dc string) Settings) *mesh {
 	m := &mesh{
 		set: set, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		views: make(map[string]*membership.View),
 		nodes: make(map[string]*node), head: config.Empty(), probe: time.Second,
 		drop: func() bool { return false }, double: func() bool { return false },
 		extra: func() time.Duration { return 0 }, cut: func(a, b string) bool { return false },
@@ -226,7 +228,7 @@
 	}
 }
 
-func (m *mesh) ask(a, b *node, v config.Version, headOnly bool, done func(Answer, error)) {
+func (m *mesh) ask(a, b *node, v, held config.Version, headOnly bool, done func(Answer, error)) {
 	life := a.life
 	finished := false
 	finish := func(ans Answer, err error) {
@@ -235,9 +237,12 @@
 			done(ans, err)
 		}
 	}
-	m.count(&peerpb.PullRequest{From: a.id, Version: v.Number, Hash: v.Hash[:]}, 0)
+	request := pullToProto(Pull{Version: v, Held: held}, headOnly)
+	request.From = a.id
+	m.count(request, 0)
 	m.send(a, b, func() {
 		ans := b.state.Serve(m.view, a.id, v, headOnly)
+		ans.KnowsHeld = b.state.Knows(held)
 		packed, err := Pack(ans.Deltas, ans.Snapshot)
 		if err != nil {
 			panic(err)
@@ -257,7 +262,11 @@
 
 // step feeds one event to a node and carries out its actions.
 func (m *mesh) step(n *node, ev Event) {
-	for _, a := range n.state.Step(m.now, m.rng, m.view, ev) {
+	view := m.view
+	if v := m.views[n.id]; v != nil {
+		view = v
+	}
+	for _, a := range n.state.Step(m.now, m.rng, view, ev) {
 		m.perform(n, a)
 	}
 }
@@ -272,11 +281,11 @@
 		m.tell(n, a)
 	case Pull:
 		m.pulls++
-		m.ask(n, m.nodes[a.Peer], a.Version, false, func(ans Answer, err error) {
+		m.ask(n, m.nodes[a.Peer], a.Version, a.Held, false, func(ans Answer, err error) {
 			m.step(n, Pulled{Peer: a.Peer, Answer: ans, Err: err})
 		})
 	case Ask:
-		m.ask(n, m.nodes[a.Peer], a.Version, true, func(ans Answer, err error) {
+		m.ask(n, m.nodes[a.Peer], a.Version, a.Version, true, func(ans Answer, err error) {
 			m.step(n, Asked{Peer: a.Peer, Answer: ans, Err: err})
 		})
 	default:
