Test the descent answer over the wire

Cause: the question and the answer about the held version were tested in the state machine, not through their messages. Conclusion: the wire carries what the rule needs.

--- a/internal/distribute/runner_test.go
+++ b/internal/distribute/runner_test.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// A peer that asks about a snapshot is told over the wire whether the version
+// that it holds is in the history, and is never told so of another history's.
+func TestAnswerTellsWhetherItKnowsTheHeldVersion(t *testing.T) {
+	r, _ := newTestRunner(t)
+	ds, snap := history(t, "booking", 3)
+	other, _ := history(t, "other", 3)
+	r.Heard(tell(t, ds))
+	v := snap.Version()
+	for _, c := range []struct {
+		pull Pull
+		want bool
+	}{
+		{Pull{Version: v, Held: ds[0].To}, true},
+		{Pull{Version: ds[0].To, Held: ds[0].To}, true},
+		{Pull{Version: v, Held: other[0].To}, false},
+		{Pull{Version: other[0].To, Held: other[0].To}, false},
+		{Pull{Version: v, Held: config.Version{Number: 9, Hash: v.Hash}}, false},
+	} {
+		m, err := r.ServePull(pullToProto(c.pull, false))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a, err := answerFromProto(m); err != nil || a.KnowsHeld != c.want {
+			t.Errorf("%v: %v, %v", c.pull, a.KnowsHeld, err)
+		}
+	}
+}
+
 // What an operator would see: nodes that run out of memory, one after the other.
 // One broken or captured VM tells each a few kilobytes that unpack to tens of
 // megabytes, on many connections at once. What is told is small; the rest is
