--- a/cmd/marlpass-node/serve.go
+++ b/cmd/marlpass-node/serve.go
@@ -17,6 +17,7 @@
 	"github.com/marlpass/marlpass/internal/settings/exit"
 	"github.com/marlpass/marlpass/internal/telemetry"
 	"github.com/marlpass/marlpass/internal/trust"
+	"github.com/marlpass/marlpass/platform"
 )
 
 // process is one run of the program.
@@ -35,7 +36,11 @@
 		return line.Bad(err)
 	}
 	telemetry.LogTraceErrors(log)
-	n, err := node.New(node.Options{Settings: set, Log: log})
+	options := node.Options{Settings: set, Log: log}
+	if set.Platform.Form == settings.FormRows {
+		platform.Adapt(&options, set, log)
+	}
+	n, err := node.New(options)
 	switch {
 	case isSettingsProblem(err):
 		return line.Bad(err)
--- a/internal/announce/check.go
+++ b/internal/announce/check.go
@@ -32,13 +32,17 @@
 	if !a.Addr().IsLoopback() {
 		return &FieldError{"address", "must be on loopback"}
 	}
+	return checkPort(a)
+}
+
+func checkPort(a netip.AddrPort) error {
 	if a.Port() == 0 {
 		return &FieldError{"address", "must have a port other than 0"}
 	}
 	return nil
 }
 
-func check(a Announcement) error {
+func check(a Announcement, l Limits) error {
 	switch {
 	case !validName(a.Instance):
 		return &FieldError{"instance", "must be lower-case letters, digits and hyphens, at most 63"}
@@ -51,6 +55,9 @@
 	case a.State < membership.BackendStarting || a.State > membership.BackendDraining:
 		return &FieldError{"state", "must be starting, ready or draining"}
 	}
+	if l.AnyAddress {
+		return checkPort(a.Address)
+	}
 	return checkAddress(a.Address)
 }
 
--- a/internal/announce/errors.go
+++ b/internal/announce/errors.go
@@ -8,6 +8,9 @@
 // Errors of the registry.
 var (
 	ErrTooMany = errors.New("announce: too many backend servers on this VM")
+	// ErrStale means that an announcement is older than what is known: it comes
+	// late, or from an instance that has left or was replaced.
+	ErrStale = errors.New("announce: the announcement is older than what is known")
 	// ErrNotLoopback means that a listen address would be open to the network.
 	ErrNotLoopback = errors.New("announce: the address is not on loopback")
 )
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -26,6 +26,9 @@
 type Limits struct {
 	TTL time.Duration // how long a silent backend server is kept
 	Max int           // backend servers at once
+	// AnyAddress lets backend servers be reached at other addresses than
+	// loopback, where the platform says which one is theirs.
+	AnyAddress bool
 }
 
 // RenewEvery returns how often a backend server should renew.
@@ -39,6 +42,11 @@
 	Slots    int
 	State    membership.BackendState
 	Load     int // calls that it runs or queues
+	// Sequence grows with each announcement of an instance; zero where the
+	// announcements come in order anyway.
+	Sequence uint64
+	// ColdFor is how much longer the backend server is slow after its start.
+	ColdFor time.Duration
 }
 
 // Backend is one backend server under a lease.
@@ -93,6 +101,17 @@
 // Visible reports whether the node's record in the mesh has to be raised.
 func (c Change) Visible() bool { return c.Kind != Renewed }
 
+// Visible returns those changes that the mesh has to hear of.
+func Visible(all []Change) []Change {
+	var out []Change
+	for _, c := range all {
+		if c.Visible() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // Registry holds the backend servers of one VM.
 type Registry struct {
 	limits Limits
@@ -100,6 +119,7 @@
 
 	mu        sync.Mutex // serialises writers
 	lastSweep time.Time
+	gone      goneInstances
 }
 
 // NewRegistry returns an empty registry.
@@ -119,11 +139,14 @@
 // Put announces a backend server or renews its lease. It returns what changed,
 // which includes any backend server that the new one took the place of.
 func (r *Registry) Put(now time.Time, a Announcement) ([]Change, error) {
-	if err := check(a); err != nil {
+	if err := check(a, r.limits); err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stale(a) {
+		return nil, ErrStale
+	}
 	list, changes := r.without(a.Address, a.Instance)
 	b := Backend{Announcement: a, Addr: a.Address.String(), LoadAt: now, Expires: now.Add(r.limits.TTL)}
 	at, known := find(list, a.Instance)
@@ -157,6 +180,7 @@
 	var gone []Change
 	for _, b := range r.Load() {
 		if b.Address == address && b.Instance != instance {
+			r.gone.add(b.Announcement)
 			gone = append(gone, Change{Kind: Replaced, Backend: b, Was: b.State})
 			continue
 		}
@@ -199,6 +223,9 @@
 	defer r.mu.Unlock()
 	list := slices.Clone(r.Load())
 	at, known := find(list, instance)
+	if known {
+		r.gone.add(list[at].Announcement)
+	}
 	if !known || (address.IsValid() && list[at].Address != address) {
 		return nil
 	}
@@ -237,6 +264,46 @@
 	return gone
 }
 
+// stale reports whether an announcement is older than what is known of its
+// instance.
+//
+// It guards against announcements that a cut held up. One of an instance that
+// has left, or whose address another has taken, would bring it back, and calls
+// would be sent to a backend server that is no longer there; one that was sent
+// before "draining" would put the instance back into service.
+func (r *Registry) stale(a Announcement) bool {
+	if a.Sequence == 0 {
+		return false
+	}
+	if r.gone.has(a.Instance) {
+		return true
+	}
+	list := r.Load()
+	at, known := find(list, a.Instance)
+	return known && a.Sequence <= list[at].Sequence
+}
+
+// maxGone bounds the instances remembered as gone. One VM has one backend server
+// at a time, and announcements come late by seconds.
+const maxGone = 64
+
+// goneInstances are the last instances that left or were replaced, oldest first.
+// Only those are kept whose announcements carry a sequence, since others may
+// come back under the same name.
+type goneInstances struct{ names []string }
+
+func (g *goneInstances) add(a Announcement) {
+	if a.Sequence == 0 || g.has(a.Instance) {
+		return
+	}
+	if len(g.names) >= maxGone {
+		g.names = g.names[1:]
+	}
+	g.names = append(g.names, a.Instance)
+}
+
+func (g *goneInstances) has(instance string) bool { return slices.Contains(g.names, instance) }
+
 func (r *Registry) publish(list []Backend) { r.list.Store(&list) }
 
 func find(list []Backend, instance string) (int, bool) {
--- a/internal/announce/server.go
+++ b/internal/announce/server.go
@@ -61,13 +61,7 @@
 
 // tell passes on the changes that the mesh has to hear of.
 func (s *Server) tell(all []Change) {
-	var visible []Change
-	for _, c := range all {
-		if c.Visible() {
-			visible = append(visible, c)
-		}
-	}
-	if len(visible) > 0 {
+	if visible := Visible(all); len(visible) > 0 {
 		s.onChange(visible)
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,6 +71,7 @@
 	ReasonTeamFull  Reason = "team-full"   // the team would hold too many objects
 	ReasonConflict  Reason = "conflict"    // what it touches has changed since Base
 	ReasonNotFound  Reason = "not-found"   // an object to withdraw is not there
+	ReasonElsewhere Reason = "elsewhere"   // the configuration is changed elsewhere, not through this mesh
 	ReasonLost      Reason = "answer-lost" // with Unknown: the platform's or a peer's answer was lost
 )
 
@@ -180,6 +181,9 @@
 	return hex.EncodeToString(sum[:]), nil
 }
 
+// Refuse returns the result of a command that is refused before it is judged.
+func (c Command) Refuse(r Reason, detail string) Result { return c.result(Refused, r, detail) }
+
 func (c *Command) result(o Outcome, r Reason, detail string) Result {
 	return Result{Command: c.ID, Outcome: o, Reason: r, Detail: detail}
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -81,13 +81,27 @@
 }
 
 func (s *Snapshot) checkService(name string, t *Target) []Problem {
-	if t.Service == "" || s.services[t.Service] != nil {
-		return nil
+	var ps []Problem
+	if t.Service != "" {
+		ps = s.missing(ps, name, "service", t.Service)
 	}
-	return []Problem{{
-		Key: Key{KindTarget, name}, Field: "service", Missing: []string{t.Service},
-		Reason: fmt.Sprintf("the service %q is not in the mesh", t.Service),
-	}}
+	for _, p := range t.Split {
+		if p.Service != t.Service {
+			ps = s.missing(ps, name, "split", p.Service)
+		}
+	}
+	return ps
+}
+
+// missing adds the problem of a target that needs a service that is not there.
+func (s *Snapshot) missing(ps []Problem, target, field, service string) []Problem {
+	if s.services[service] != nil {
+		return ps
+	}
+	return append(ps, Problem{
+		Key: Key{KindTarget, target}, Field: field, Missing: []string{service},
+		Reason: fmt.Sprintf("the service %q is not in the mesh", service),
+	})
 }
 
 // checkMatches refuses two classes that the rule of Match can't tell apart.
@@ -121,7 +135,7 @@
 	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
 
-func (p Problem) isMissingService() bool { return p.Field == "service" && len(p.Missing) == 1 }
+func (p Problem) isMissingService() bool { return len(p.Missing) == 1 }
 
 func sortProblems(ps []Problem) {
 	sort.SliceStable(ps, func(i, j int) bool {
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -17,6 +17,9 @@
 	MaxDescriptionLength = 512
 	MaxDeadline          = time.Hour
 	MaxRatePerSecond     = 1e6
+	MaxParts             = 16
+	MaxWeight            = 1 << 20
+	MaxAttempts          = 64
 )
 
 var (
@@ -74,6 +77,7 @@
 	c.methods(t.Match.Methods)
 	c.times(t)
 	c.bounds(t)
+	c.split(t)
 	c.want(oneOf(t.Audience, "", AudiencePublic, AudienceInternal), "audience",
 		"must be %q or %q", AudiencePublic, AudienceInternal)
 	c.want(oneOf(t.OnStoreDown, "", OnStoreDownRefuse, OnStoreDownWait, OnStoreDownLocalGuard), "on_store_down",
@@ -133,6 +137,8 @@
 		"must be between 1 and %d, or 0 for the default", limit)
 	c.want(t.AnswerWithinMS >= 0 && t.AnswerWithinMS <= limit, "answer_within_ms",
 		"must be between 1 and %d, or 0 for no aim", limit)
+	c.want(t.TimeoutMS >= 0 && t.TimeoutMS <= limit, "timeout_ms",
+		"must be between 1 and %d, or 0 for no bound", limit)
 	c.want(t.AnswerWithinMS <= t.Deadline().Milliseconds(), "answer_within_ms",
 		"must not be longer than the deadline, %d ms", t.Deadline().Milliseconds())
 	c.want(t.Percentile >= 0 && t.Percentile < 100, "percentile",
@@ -147,4 +153,22 @@
 	c.want(ok, "priority", "must be between %d and %d, or 0 for the default", MinPriority, MaxPriority)
 }
 
+// split checks the parts. One of them must get calls, and Service must be the
+// first, since nodes of an older version go by it alone.
+func (c *checker) split(t *Target) {
+	c.want(t.Attempts >= 0 && t.Attempts <= MaxAttempts, "attempts",
+		"must be between 1 and %d, or 0 for the default", MaxAttempts)
+	if len(t.Split) == 0 {
+		return
+	}
+	total := 0
+	for _, p := range t.Split {
+		c.want(p.Weight >= 0 && p.Weight <= MaxWeight, "split", "a weight must be between 0 and %d", MaxWeight)
+		total += p.Weight
+	}
+	c.want(total > 0, "split", "must have a part with a weight over 0")
+	c.want(len(t.Split) <= MaxParts, "split", "must have at most %d parts", MaxParts)
+	c.want(t.Split[0].Service == t.Service, "split", "must begin with the target's service")
+}
+
 func oneOf[T comparable](v T, allowed ...T) bool { return slices.Contains(allowed, v) }
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -144,6 +144,23 @@
 	Audience Audience `json:"audience,omitempty"`
 	// OnStoreDown is OnStoreDownRefuse when empty.
 	OnStoreDown OnStoreDown `json:"on_store_down,omitempty"`
+	// Split shares the calls out over several services. Empty sends all of
+	// them to Service; otherwise Service is that of the first part.
+	Split []Part `json:"split,omitempty"`
+	// Attempts is the largest number of backend servers that one call is sent
+	// to; zero leaves it to the retry policy.
+	Attempts int `json:"attempts,omitempty"`
+	// TimeoutMS bounds a call of this class whatever its caller allows; zero
+	// means no bound.
+	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+}
+
+// Part is one part of a split.
+type Part struct {
+	Service string `json:"service"`
+	// Weight is the part's share of the calls relative to the other weights.
+	// A part of weight zero gets none.
+	Weight int `json:"weight"`
 }
 
 // Defaults for fields that a target leaves out.
@@ -168,6 +185,10 @@
 	return time.Duration(t.DeadlineMS) * time.Millisecond
 }
 
+// Timeout returns the bound on a call whatever its caller allows, or zero for
+// none.
+func (t *Target) Timeout() time.Duration { return time.Duration(t.TimeoutMS) * time.Millisecond }
+
 // PercentileOrDefault returns the percentile aimed at.
 func (t *Target) PercentileOrDefault() float64 {
 	if t.Percentile == 0 {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -93,6 +93,14 @@
 	return build(number, parent, objects, nil)
 }
 
+// Succeed builds a snapshot of a version that was accepted elsewhere. Its hash
+// depends on the number and the objects alone, so that every node comes to the
+// same version by itself. Before, which may be nil, is an earlier snapshot, whose
+// decoded objects are shared.
+func Succeed(before *Snapshot, number uint64, objects []Object) (*Snapshot, error) {
+	return build(number, Hash{}, objects, before)
+}
+
 // build is New, with the decoded form of objects that from holds as well taken
 // from there. Versions of one history share most objects, and a node holds
 // several versions at once.
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -106,7 +106,8 @@
 	case running.Number:
 		return v.Hash != running.Hash
 	case running.Number + 1:
-		return n.Parent() != running.Hash
+		// A version that was accepted elsewhere names no parent.
+		return n.Parent() != running.Hash && n.Parent() != Hash{}
 	}
 	return false
 }
--- /dev/null
+++ b/internal/follow/runner.go
@@ -0,0 +1,303 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/wait"
+)
+
+// Source gives the versions that were accepted elsewhere.
+type Source interface {
+	// Next waits for a version newer than the last one that it returned, and
+	// returns the newest. It returns nil without an error when there was none
+	// within the source's own bound on waiting.
+	Next(ctx context.Context) (*config.Snapshot, error)
+}
+
+// ErrBadAnswer marks a peer's answer that holds no version that can be used.
+var ErrBadAnswer = errors.New("follow: the peer's answer holds no whole version")
+
+const (
+	// tickEvery is how often the state is asked whether a pull is due.
+	tickEvery = 50 * time.Millisecond
+	// pullTimeout bounds one pull: a version is tens of kilobytes, and a peer
+	// that cannot send them in this time is no help.
+	pullTimeout = time.Second
+	// sourceRetry and sourceRetryMax bound the full-jitter waits between reads
+	// of a source that fails. Together 1,200 nodes then read at most 800 times
+	// a second while it is down.
+	sourceRetry    = 100 * time.Millisecond
+	sourceRetryMax = 1500 * time.Millisecond
+	maxShift       = 5
+	// maxTimeline bounds the versions whose times are kept.
+	maxTimeline = 64
+)
+
+// Deps are what a Runner works with.
+type Deps struct {
+	Source Source
+	Views  *membership.Views
+	Client distribute.Client
+	Store  distribute.Store
+	Log    zerolog.Logger
+}
+
+// Runner follows a source and serves what it holds to peers.
+type Runner struct {
+	deps Deps
+
+	mu       sync.Mutex // guards state, rng, timeline; not held across I/O
+	state    *State
+	rng      *rand.Rand
+	timeline []distribute.Timing
+
+	offering sync.Mutex // one version is put in force at a time
+	held     atomic.Pointer[config.Snapshot]
+	inForce  atomic.Uint64
+	packed   atomic.Pointer[packedVersion]
+}
+
+type packedVersion struct {
+	version config.Version
+	packed  *peerpb.Packed
+}
+
+// NewRunner returns a runner for a node that has just started.
+func NewRunner(set Settings, deps Deps) *Runner {
+	r := &Runner{
+		deps: deps, state: NewState(set, time.Now()),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	r.held.Store(config.Empty())
+	return r
+}
+
+// Run follows the source and pulls from peers until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { r.follow(ctx) })
+	wg.Go(func() { r.learn(ctx) })
+	wg.Wait()
+}
+
+// follow takes what the source has.
+func (r *Runner) follow(ctx context.Context) {
+	fails := 0
+	for ctx.Err() == nil {
+		snap, err := r.deps.Source.Next(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		r.noteSource(err)
+		if err != nil {
+			fails++
+			limit := min(sourceRetry<<min(fails, maxShift), sourceRetryMax)
+			_ = wait.For(ctx, rand.N(limit))
+			continue
+		}
+		fails = 0
+		if snap != nil {
+			r.offer(snap, "source")
+		}
+	}
+}
+
+// noteSource logs when the source is lost and when it is back.
+func (r *Runner) noteSource(err error) {
+	r.mu.Lock()
+	was := r.state.Failing()
+	r.state.Source(time.Now(), err == nil)
+	r.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		r.deps.Log.Warn().Err(err).Uint64("held", r.Stamp().Version.Number).
+			Msg("follow: the source of versions does not answer, peers are asked")
+	case err == nil && was:
+		r.deps.Log.Info().Uint64("held", r.Stamp().Version.Number).Msg("follow: the source of versions answers")
+	}
+}
+
+// learn pulls from peers what the source does not bring.
+func (r *Runner) learn(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.mu.Lock()
+		peer, due := r.state.Pull(time.Now(), r.rng, r.deps.Views.Load())
+		r.mu.Unlock()
+		if due {
+			r.pull(ctx, peer)
+		}
+	}
+}
+
+func (r *Runner) pull(ctx context.Context, peer string) {
+	defer func() {
+		r.mu.Lock()
+		r.state.Pulled(time.Now(), peer)
+		r.mu.Unlock()
+	}()
+	snap, err := r.fetch(ctx, peer)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.deps.Log.Debug().Str("peer", peer).Err(err).Msg("follow: a peer did not give its version")
+		}
+		return
+	}
+	if snap != nil {
+		r.offer(snap, peer)
+	}
+}
+
+// fetch returns the version of a peer if it is newer than the one held.
+func (r *Runner) fetch(ctx context.Context, peer string) (*config.Snapshot, error) {
+	rec := r.deps.Views.Load().Records[peer]
+	if rec == nil {
+		return nil, fmt.Errorf("%w: %s is not in the membership", ErrBadAnswer, peer)
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	v := r.Stamp().Version
+	resp, err := r.deps.Client.Pull(ctx, peer, rec.VM.ControlAddr,
+		&peerpb.PullRequest{Version: v.Number, Hash: v.Hash[:]})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Changes == nil {
+		return nil, nil
+	}
+	_, snap, err := distribute.Unpack(resp.Changes)
+	if err != nil {
+		return nil, err
+	}
+	if snap == nil {
+		return nil, ErrBadAnswer
+	}
+	return snap, nil
+}
+
+// offer puts a version in force if it is newer than all that was seen.
+//
+// One that does not compile counts as seen: the running version stays in force,
+// and the same version is not fetched over and over.
+func (r *Runner) offer(snap *config.Snapshot, from string) {
+	r.offering.Lock()
+	defer r.offering.Unlock()
+	v := snap.Version()
+	r.mu.Lock()
+	newer := r.state.Take(v)
+	r.mu.Unlock()
+	if !newer {
+		return
+	}
+	start := time.Now()
+	inForce, err := r.deps.Store.Offer(snap)
+	r.held.Store(snap)
+	if err != nil || !inForce {
+		r.deps.Log.Error().Uint64("version", v.Number).Str("from", from).Err(err).
+			Msg("follow: the version cannot be put in force, the running one stays")
+		return
+	}
+	r.inForce.Store(v.Number)
+	r.mu.Lock()
+	r.timeline = append(r.timeline, distribute.Timing{Version: v, Accepted: start, InForce: time.Now()})
+	if len(r.timeline) > maxTimeline {
+		r.timeline = r.timeline[1:]
+	}
+	r.mu.Unlock()
+	r.deps.Log.Info().Uint64("version", v.Number).Str("from", from).Dur("took", time.Since(start)).
+		Msg("follow: version in force")
+}
+
+// Stamp returns what messages carry of this node's versions.
+func (r *Runner) Stamp() distribute.Stamp {
+	v := r.held.Load().Version()
+	return distribute.Stamp{Version: v, Behind: v.Number - min(r.inForce.Load(), v.Number)}
+}
+
+// Held returns the newest version held, and whether the source answers, so that
+// there is none newer.
+func (r *Runner) Held() (config.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Held(), !r.state.Failing()
+}
+
+// Ready reports whether the node may carry traffic, and if not, why.
+func (r *Runner) Ready() (bool, string) {
+	if r.inForce.Load() == 0 {
+		return false, "no version is known yet"
+	}
+	return true, ""
+}
+
+// Heard takes the version that a message of a peer carried.
+func (r *Runner) Heard(e *peerpb.Envelope) {
+	if e.Version <= r.held.Load().Version().Number {
+		return
+	}
+	v := config.Version{Number: e.Version}
+	if len(e.Hash) != config.HashSize {
+		r.deps.Log.Warn().Str("peer", e.From).Msg("follow: drop a version without its hash")
+		return
+	}
+	copy(v.Hash[:], e.Hash)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Heard(time.Now(), e.From, v)
+}
+
+// ServePull answers a peer's pull with the whole version if it is newer than the
+// peer's. It is packed once a version: many peers ask for the same one.
+func (r *Runner) ServePull(q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
+	snap := r.held.Load()
+	v := snap.Version()
+	resp := &peerpb.PullResponse{Version: v.Number, Hash: v.Hash[:], Ready: r.inForce.Load() > 0}
+	if q.HeadOnly || v.Number <= q.Version {
+		return resp, nil
+	}
+	if p := r.packed.Load(); p != nil && p.version == v {
+		resp.Changes = p.packed
+		return resp, nil
+	}
+	packed, err := distribute.Pack(nil, snap)
+	if err != nil {
+		return nil, err
+	}
+	r.packed.Store(&packedVersion{v, packed})
+	resp.Changes = packed
+	return resp, nil
+}
+
+// Timeline returns when the latest versions came into force, oldest first.
+func (r *Runner) Timeline() []distribute.Timing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]distribute.Timing(nil), r.timeline...)
+}
+
+// Accepted does nothing: versions are accepted elsewhere.
+func (r *Runner) Accepted(*config.Delta) {}
+
+// Conflicts returns nil: versions accepted elsewhere have one history.
+func (r *Runner) Conflicts() []*distribute.Conflict { return nil }
+
+// Feeder reports false: every node follows the source itself.
+func (r *Runner) Feeder() bool { return false }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -46,6 +46,9 @@
 	JoinBurst      float64       // full states served back to back
 	AloneAfter     time.Duration // without an answer, a node counts as the first
 	RecallTimeout  time.Duration // until peers' answers to a recall count as lost
+	// WriteContactEarly makes a node that starts write its row of contacts
+	// before it has joined, and read those of others until it has.
+	WriteContactEarly bool
 
 	Limits Limits
 }
@@ -62,6 +65,33 @@
 	Contacts int // addresses remembered for joining
 }
 
+// Swift returns cfg with the times of a mesh that has no seeds and must be whole
+// within seconds of its start, and whose nodes carry no version of the history
+// that being alone could harm.
+//
+// Nodes find each other by the platform's contact rows alone, so a starting one
+// writes its row at once and is alone early: where all start together, one has
+// to be the first. Probes go out twice as often, which halves the time until a
+// node that is gone is suspected; a mesh of some hundred nodes spends about 1 KB/s
+// a node on them.
+func Swift(cfg Config) Config {
+	cfg.PushChanges = true
+	cfg.WriteContactEarly = true
+	cfg.AloneAfter = 1500 * time.Millisecond
+	cfg.JoinBackoff = 100 * time.Millisecond
+	cfg.JoinBackoffMax = time.Second
+	cfg.JoinsPerSecond = 32
+	cfg.JoinBurst = 32
+	cfg.ProbeEvery = time.Second
+	cfg.ProbeTimeout = 500 * time.Millisecond
+	cfg.IndirectTimeout = time.Second
+	cfg.SyncEvery = 5 * time.Second
+	cfg.BridgeEvery = 2 * time.Second
+	cfg.FarBridgeEvery = 3 * time.Second
+	cfg.RaiseEvery = 250 * time.Millisecond
+	return cfg
+}
+
 // DefaultConfig returns the settings for the mesh of 1,200 nodes.
 func DefaultConfig(self VM) Config {
 	return Config{
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -27,6 +27,9 @@
 	contactEvery = 10 * time.Minute
 	// contactRead is the time between two reads while they can help.
 	contactRead = 10 * time.Second
+	// contactStart is the time between two reads of a node that has not joined,
+	// where the rows are the only way to find others.
+	contactStart = 400 * time.Millisecond
 	// contactCheck is the time between two reads by the nodes whose duty it is
 	// to write one: nodes that started together may have formed several meshes.
 	contactCheck = time.Minute
@@ -202,9 +205,12 @@
 func (r *Runner) keepContacts(ctx context.Context) error {
 	var written, read time.Time
 	for ctx.Err() == nil {
-		var want, duty bool
-		r.peek(func(s *State) { want, duty = s.WantContacts(), s.ContactDuty() })
-		due := duty && time.Since(written) >= contactEvery
+		var want, duty, early bool
+		r.peek(func(s *State) {
+			want, duty = s.WantContacts(), s.ContactDuty()
+			early = s.cfg.WriteContactEarly && !s.Joined()
+		})
+		due := (duty || early) && time.Since(written) >= contactEvery
 		enough := false
 		if want || due || (duty && time.Since(read) >= contactCheck) {
 			read = time.Now()
@@ -214,6 +220,9 @@
 			written = time.Now()
 		}
 		wait := contactRead/2 + time.Duration(rand.Int64N(int64(contactRead)))
+		if early {
+			wait = contactStart/2 + time.Duration(rand.Int64N(int64(contactStart)))
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -49,7 +49,7 @@
 		upstreams: n.upstreams(),
 		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
-		retries:   new(retries),
+		retries:   &retries{set: n.set.Retries},
 		endTrace:  endTrace,
 	}
 	c.suspects = &suspects{
@@ -64,11 +64,12 @@
 	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
+		Dialect: n.o.Dialect,
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
-		Meters: c.meters, Tracer: tracer,
+		Meters: c.meters, Tracer: tracer, Dialect: n.o.Dialect,
 	}, c.pickers))
 	return c, nil
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,8 @@
 	"github.com/marlpass/marlpass/internal/command/feed"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/follow"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/peer"
 	"github.com/marlpass/marlpass/internal/platform"
@@ -28,6 +30,21 @@
 // contact before it looks for versions with what it has.
 const settleBound = 3 * time.Second
 
+// spread brings versions to this node and serves them to others: from the mesh's
+// own log by a distribute.Runner, or from elsewhere by a follow.Runner.
+type spread interface {
+	Run(context.Context)
+	Heard(*peerpb.Envelope)
+	ServePull(*peerpb.PullRequest) (*peerpb.PullResponse, error)
+	Stamp() distribute.Stamp
+	Held() (config.Version, bool)
+	Ready() (bool, string)
+	Accepted(*config.Delta)
+	Conflicts() []*distribute.Conflict
+	Timeline() []distribute.Timing
+	Feeder() bool
+}
+
 // control is what a node does apart from calls: membership, the spreading of
 // versions, operators' commands, and the platform behind them.
 type control struct {
@@ -40,13 +57,13 @@
 	objects platform.Objects
 
 	members    *membership.Runner
-	spread     *distribute.Runner
+	spread     spread
 	peers      *peer.Client
 	server     *peer.Server
 	peerSum    *peer.Metrics
 	log        *command.Reader
 	commit     *command.Committer
-	commands   *command.Forwarder
+	commands   command.Submitter
 	maintainer *maintainer
 
 	findings tally        // by kind
@@ -103,6 +120,9 @@
 	cfg := membership.DefaultConfig(n.self)
 	cfg.Seeds = n.set.Peers.Seeds
 	cfg.PushChanges = n.set.Profile == settings.ProfileTime
+	if n.o.Source != nil {
+		cfg = membership.Swift(cfg)
+	}
 	if n.o.Membership != nil {
 		n.o.Membership(&cfg)
 	}
@@ -123,10 +143,20 @@
 		Accepted: func(_ *config.Snapshot, d *config.Delta) { c.spread.Accepted(d) },
 	})
 	c.commands = command.NewForwarder(c.commit, submitPeers{c})
+	if c.n.o.Source != nil {
+		c.commands = acceptedElsewhere{}
+	}
 }
 
 func (c *control) wireSpread() {
 	n := c.n
+	if n.o.Source != nil {
+		c.spread = follow.NewRunner(follow.Defaults(n.self.ID), follow.Deps{
+			Source: n.o.Source, Views: &n.views, Client: c.peers, Store: wakingStore{n},
+			Log: telemetry.Part(n.log, "follow"),
+		})
+		return
+	}
 	profile := distribute.Time()
 	if n.set.Profile == settings.ProfileBytes {
 		profile = distribute.Bytes()
@@ -168,7 +198,9 @@
 	p.run("membership", c.members.Run)
 	p.run("maintenance", func(ctx context.Context) error { c.maintainer.run(ctx); return nil })
 	p.run("distribute", func(ctx context.Context) error {
-		c.awaitContact(ctx)
+		if c.n.o.Source == nil {
+			c.awaitContact(ctx)
+		}
 		c.spread.Run(ctx)
 		return nil
 	})
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -24,6 +24,7 @@
 // so that a node either starts whole or not at all.
 type listeners struct {
 	callers, internal, calls, control, admin, announce, metrics net.Listener
+	ready                                                       net.Listener // nil when the settings name no address
 }
 
 // openListeners opens all sockets, or none.
@@ -40,7 +41,11 @@
 		{"admin", l.Admin, &out.admin},
 		{"announce", l.Announce, &out.announce},
 		{"metrics", l.Metrics, &out.metrics},
+		{"ready", l.Ready, &out.ready},
 	} {
+		if a.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", a.addr)
 		if err != nil {
 			out.close()
@@ -56,7 +61,7 @@
 }
 
 func (l *listeners) close() {
-	for _, ln := range l.all() {
+	for _, ln := range append(l.all(), l.ready) {
 		if ln != nil {
 			ln.Close()
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -20,6 +20,9 @@
 		if n.control.client != nil {
 			n.control.client.Metrics().WritePrometheus(w)
 		}
+		if n.o.Metrics != nil {
+			n.o.Metrics.WritePrometheus(w)
+		}
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,17 +5,21 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/follow"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/platform"
+	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/settings"
 	"github.com/marlpass/marlpass/internal/wait"
 )
@@ -33,9 +37,19 @@
 type Options struct {
 	Settings settings.Node
 	Log      zerolog.Logger
-	// Table and Objects replace the platform client, for tests.
+	// Table and Objects replace the platform client.
 	Table   platform.Table
 	Objects platform.Objects
+	// Source, if set, gives the versions that are accepted elsewhere; operators'
+	// commands are then refused here.
+	Source follow.Source
+	// Metrics, if set, are served with the node's own.
+	Metrics *metrics.Set
+	// Dialect, if set, says what calls look like outside the mesh.
+	Dialect proxy.Dialect
+	// Announce, if set, makes the handler by which backend servers announce
+	// themselves. It must call changed after every change of the registry.
+	Announce func(r *announce.Registry, changed func([]announce.Change)) http.Handler
 	// Membership changes the membership's settings, for measurements.
 	Membership func(*membership.Config)
 	// Dial opens the connections to other nodes, backend servers and the
@@ -108,7 +122,10 @@
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
 	}
 	n.reports = &reports{n: n}
-	n.registry = announce.NewRegistry(announce.Limits{TTL: announce.DefaultTTL, Max: announce.DefaultMax})
+	n.registry = announce.NewRegistry(announce.Limits{
+		TTL: n.set.Announce.TTLOr(announce.DefaultTTL), Max: announce.DefaultMax,
+		AnyAddress: n.set.Platform.Form == settings.FormRows,
+	})
 	var err error
 	if n.control, err = newControl(n); err != nil {
 		return err
@@ -216,6 +233,7 @@
 	if v != done.view {
 		n.calls.pickers.update(now, v)
 		n.calls.suspects.merge(now, v)
+		n.calls.retries.setNodes(len(v.Records))
 	}
 	if f.Snapshot != done.snapshot || r != done.refused {
 		n.control.applied(f.Snapshot, r)
@@ -317,7 +335,7 @@
 	n.control.leave()
 	n.log.Info().Msg("node: leaving the mesh")
 	n.servers.leave()
-	_ = wait.For(ctx, leaveNotice)
+	_ = wait.For(ctx, n.set.Drain.NoticeOr(leaveNotice))
 	n.calls.drain()
 	limit := n.set.Drain.Limit.Duration
 	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
--- a/internal/node/program.go
+++ b/internal/node/program.go
@@ -21,34 +21,72 @@
 	if err != nil {
 		return nil, err
 	}
+	splits := splitsOf(s)
 	p := &program{
-		Program: proxy.Program{Matcher: matcher{m}, Targets: s, Version: s.Version()},
-		limits:  make(map[string][]limit.Class),
+		Program: proxy.Program{
+			Matcher: matcher{m, splits}, Targets: targets{s, splits}, Version: s.Version(),
+		},
+		limits: make(map[string][]limit.Class),
 	}
 	for _, t := range s.Targets() {
-		p.limits[t.Service] = append(p.limits[t.Service], limit.Class{
-			Name:         t.Name,
-			Share:        t.Share,
-			Priority:     t.PriorityOrDefault(),
-			AnswerWithin: t.AnswerWithin(),
-			// Of the whole mesh; gates take their part of it.
-			RatePerSecond: t.RatePerSecond,
-		})
+		if split := splits[t.Name]; split != nil {
+			for _, part := range split.parts {
+				p.limit(part)
+			}
+			continue
+		}
+		p.limit(t)
 	}
 	return p, nil
 }
 
-// matcher gives match.Matcher the shape that the proxy asks for.
-type matcher struct{ m *match.Matcher }
+// limit adds a class to those of its service.
+func (p *program) limit(t *config.Target) {
+	p.limits[t.Service] = append(p.limits[t.Service], limit.Class{
+		Name:         t.Name,
+		Share:        t.Share,
+		Priority:     t.PriorityOrDefault(),
+		AnswerWithin: t.AnswerWithin(),
+		// Of the whole mesh; gates take their part of it.
+		RatePerSecond: t.RatePerSecond,
+	})
+}
+
+// matcher gives match.Matcher the shape that the proxy asks for, and draws the
+// part of a split that a call goes to.
+type matcher struct {
+	m      *match.Matcher
+	splits map[string]*split
+}
 
 func (m matcher) Match(host, path, method string) (*config.Target, bool) {
 	c := m.m.Match(host, path, method)
 	if c == nil {
 		return nil, false
 	}
+	if split := m.splits[c.Target.Name]; split != nil {
+		return split.draw(), true
+	}
 	return c.Target, true
 }
 
+// targets finds the class of a call that another node matched.
+type targets struct {
+	s      *config.Snapshot
+	splits map[string]*split
+}
+
+// Target implements proxy.Targets.
+func (t targets) Target(name, service string) *config.Target {
+	if split := t.splits[name]; split != nil {
+		return split.part(service)
+	}
+	if target := t.s.Target(name); target != nil && target.Service == service {
+		return target
+	}
+	return nil
+}
+
 // programs gives the proxy the program in force.
 type programs struct{ store *config.Store[*program] }
 
--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -2,21 +2,76 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/marlpass/marlpass/internal/retry"
+	"github.com/marlpass/marlpass/internal/settings"
 )
 
+// Parts of what the settings allow the whole mesh that its nodes really use.
+//
+// A call that was sent again makes its own calls again, and those count at the
+// service further down beside that one's own retries; half of the ratio leaves
+// room for them. Of the slack, one half may be saved up and the other is earned
+// within the window, so that no window sees more than the whole.
+const (
+	ratioPart = 0.5
+	slackPart = 0.5
+)
+
+// boundedTries is how many nodes a call is offered to where its class bounds how
+// many backend servers may get it.
+const boundedTries = 6
+
+// boundedBurst is how many retries a node may save up of its calls' part, where
+// the settings bound those of the whole mesh.
+const boundedBurst = 4
+
 // retries keeps one retry.Policy, with its budget, for each service.
 type retries struct {
+	set       settings.Retries
+	nodes     atomic.Int64 // that share the slack
 	byService sync.Map
 	why       tally // decisions by their reason
 }
 
+// setNodes tells how many nodes share what the settings allow the mesh.
+func (r *retries) setNodes(n int) {
+	if r.set.Slack == 0 || r.nodes.Swap(int64(n)) == int64(n) {
+		return
+	}
+	r.byService.Range(func(_, p any) bool {
+		r.share(p.(*retry.Policy))
+		return true
+	})
+}
+
+// share gives a policy this node's part of the slack.
+func (r *retries) share(p *retry.Policy) {
+	if r.set.Slack == 0 {
+		return
+	}
+	part := r.set.Slack * slackPart / float64(max(r.nodes.Load(), 1))
+	p.SetFloor(part/r.set.Window.Seconds(), part)
+}
+
+func (r *retries) options() retry.Options {
+	if r.set.Slack == 0 {
+		return retry.Options{Budget: retry.BudgetOptions{Ratio: r.set.Ratio}}
+	}
+	return retry.Options{
+		MaxAttempts: boundedTries, CountReached: true,
+		Budget: retry.BudgetOptions{Ratio: r.set.Ratio * ratioPart, Burst: boundedBurst},
+	}
+}
+
 func (r *retries) policy(service string) *retry.Policy {
 	if p, ok := r.byService.Load(service); ok {
 		return p.(*retry.Policy)
 	}
-	p, _ := r.byService.LoadOrStore(service, retry.New(retry.Options{}))
+	fresh := retry.New(r.options())
+	r.share(fresh)
+	p, _ := r.byService.LoadOrStore(service, fresh)
 	return p.(*retry.Policy)
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	s.announce = announce.NewServer(n.registry, time.Now, n.backendsChanged)
-	announceHandler, err := s.announce.Handler()
+	announceHandler, err := n.announceHandler(s.announce)
 	if err != nil {
 		return nil, err
 	}
@@ -59,9 +59,28 @@
 		side(n.ln.announce, announceHandler, nil),
 		side(n.ln.metrics, n.metricsHandler(), nil),
 	}
+	if n.ln.ready != nil {
+		s.side = append(s.side, side(n.ln.ready, http.HandlerFunc(n.readyHandler), nil))
+	}
 	return s, nil
 }
 
+// announceHandler returns the handler for backend servers that announce
+// themselves.
+func (n *Node) announceHandler(own *announce.Server) (http.Handler, error) {
+	if n.o.Announce != nil {
+		return n.o.Announce(n.registry, n.backendsChanged), nil
+	}
+	return own.Handler()
+}
+
+// readyHandler answers every request with 200 while the node takes calls.
+func (n *Node) readyHandler(w http.ResponseWriter, _ *http.Request) {
+	if ok, why := n.Ready(); !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+	}
+}
+
 func (n *Node) adminHandler() (http.Handler, error) {
 	var err error
 	if n.operators, err = admin.NewOperators(operatorSettings(n.set)); err != nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -133,6 +133,16 @@
 	a.up.retire()
 }
 
+// kill closes the connection of an attempt whose answer has begun, so that no
+// later call reads what is still on its way there.
+func (a *attempt) kill() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.kill(a.ticket)
+	}
+}
+
 // expired reports whether a bound ended the attempt.
 func (a *attempt) expired() bool {
 	a.mu.Lock()
@@ -149,12 +159,9 @@
 	vm     string        // the node at addr, or empty for a backend server
 	wait   time.Duration // bound on the answer's beginning
 	stall  time.Duration // bound between two parts of the answer
-	extra  [2]extraHeader
+	extra  AttemptHeaders
 }
 
-// extraHeader is a header that a node adds to a request.
-type extraHeader struct{ name, value string }
-
 // sending is what the transport is given of one attempt, and may read for as
 // long as it likes. It is one allocation, and not used again.
 type sending struct {
@@ -179,6 +186,14 @@
 	held *holding
 }
 
+// kill ends an answer that must not be passed on, and its connection.
+func (a *answer) kill() {
+	if b, ok := a.resp.Body.(*answerBody); ok {
+		b.attempt.kill()
+	}
+	a.resp.Body.Close()
+}
+
 // outcome returns what is known of the attempt.
 func (a *answer) outcome() call.Outcome {
 	switch {
@@ -190,6 +205,11 @@
 	return call.Unknown
 }
 
+// reached reports whether a backend server got the attempt, or may have.
+func (a *answer) reached() bool {
+	return a.refusal == nil || a.refusal.Reason == call.ReasonBackend
+}
+
 // broke reports whether the connection broke under the attempt, here or at the
 // destination, as it does when a backend server crashes.
 //
@@ -232,9 +252,9 @@
 	out.URL = &s.url
 	out.RequestURI = ""
 	for i, x := range o.extra {
-		if x.name != "" {
-			s.values[i][0] = x.value
-			o.header[x.name] = s.values[i][:]
+		if x.Name != "" {
+			s.values[i][0] = x.Value
+			o.header[x.Name] = s.values[i][:]
 		}
 	}
 	out.Header = o.header
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -27,6 +27,7 @@
 	Upstreams *Upstreams
 	Meters    *Meters
 	Tracer    *Tracer
+	Dialect   Dialect          // marlpass's own when nil
 	Now       func() time.Time // time.Now when nil
 }
 
@@ -44,6 +45,9 @@
 	if p.Now == nil {
 		p.Now = time.Now
 	}
+	if p.Dialect == nil {
+		p.Dialect = ownDialect{}
+	}
 	return &Destination{DestinationParts: p}
 }
 
@@ -172,7 +176,7 @@
 // matched the call and not know its class yet: the call then runs by the
 // strictest rules, as not idempotent and with the default priority.
 func (d *Destination) target(h hop) *config.Target {
-	if t := d.Programs.Program().Targets.Target(h.class); t != nil && t.Service == h.service {
+	if t := d.Programs.Program().Targets.Target(h.class, h.service); t != nil {
 		return t
 	}
 	return &config.Target{Name: h.class, Service: h.service}
@@ -342,22 +346,24 @@
 	if h.claim != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
-	nonce, ms := attemptHeaders(left)
 	a := d.Upstreams.send(ctx, now, &outbound{
 		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, wait: left, stall: stallOf(h.target),
-		extra: [2]extraHeader{nonce, ms},
+		extra: d.Dialect.Attempt(left, h.backend.Instance),
 	})
 	if a.resp == nil {
 		return a
 	}
-	if refusal := refusedByBackend(a.resp.Header, nonce.value); refusal != nil {
-		a.resp.Body.Close()
-		return answer{refusal: refusal}
-	}
-	a.load = parseLoad(a.resp.Header)
-	if a.load.Known {
-		a.loadHeader = a.resp.Header[call.HeaderLoad][:1]
+	read := d.Dialect.Read(in.header, a.resp)
+	switch {
+	case read.Refusal != nil:
+		// The rest is short, and read for the connection to be used again.
+		discard(a.resp)
+		return answer{refusal: read.Refusal}
+	case read.Err != nil:
+		a.kill()
+		return answer{err: read.Err}
 	}
+	a.load, a.loadHeader = read.Load, loadValue(read.Load)
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
 	h.status = a.resp.StatusCode
--- /dev/null
+++ b/internal/proxy/dialect.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// Dialect says how calls look outside the mesh: to callers and to backend
+// servers. Between nodes they always look the same.
+type Dialect interface {
+	// Arrive returns how long the call may take, and sets in h what only this
+	// node may say of where the call came from. ok is false when the caller
+	// asked for something that is no time.
+	Arrive(h http.Header, t *config.Target) (left time.Duration, ok bool)
+	// Attempt returns the headers that one attempt adds for the backend server.
+	// Left is rounded down, so that a hop never grants more than there is.
+	Attempt(left time.Duration, instance string) AttemptHeaders
+	// Read judges the beginning of a backend server's answer. Sent is the whole
+	// header of the attempt, with what Attempt added.
+	Read(sent http.Header, resp *http.Response) Reading
+	// Refused returns the status that tells a caller of a refusal, and the
+	// value of Retry-After, empty for none.
+	Refused(r *call.Refusal) (status int, retryAfter string)
+}
+
+// AttemptHeaders are the headers that one attempt adds. Those without a name
+// are left out.
+type AttemptHeaders [3]Header
+
+// Header is one header of a request.
+type Header struct{ Name, Value string }
+
+// Reading is what the beginning of a backend server's answer says.
+type Reading struct {
+	// Refusal is set when the backend server said that it did not run the call.
+	Refusal *call.Refusal
+	// Err is set when the answer is not that of this attempt or cannot be
+	// passed on. The call may have run.
+	Err  error
+	Load Load
+}
+
+// ownDialect is the one of marlpass itself.
+type ownDialect struct{}
+
+// Arrive implements Dialect.
+func (ownDialect) Arrive(h http.Header, t *config.Target) (time.Duration, bool) {
+	left, ok := timeLeft(h, t.Deadline())
+	if t.TimeoutMS > 0 {
+		left = min(left, t.Timeout())
+	}
+	return left, ok
+}
+
+// Attempt implements Dialect.
+func (ownDialect) Attempt(left time.Duration, _ string) AttemptHeaders {
+	nonce, ms := attemptHeaders(left)
+	return AttemptHeaders{nonce, ms}
+}
+
+// Read implements Dialect.
+func (ownDialect) Read(sent http.Header, resp *http.Response) Reading {
+	return Reading{
+		Refusal: refusedByBackend(resp.Header, first(sent, call.HeaderAttempt)),
+		Load:    parseLoad(resp.Header),
+	}
+}
+
+// Refused implements Dialect.
+func (ownDialect) Refused(r *call.Refusal) (int, string) {
+	status := statusOf(r.Reason)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		return status, retryAfterSeconds(r.RetryAfter)
+	}
+	return status, ""
+}
+
+// loadValue encodes a load as nodes send it to each other.
+func loadValue(l Load) []string {
+	if !l.Known {
+		return nil
+	}
+	return []string{strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Slots)}
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -25,6 +25,7 @@
 	Upstreams *Upstreams
 	Meters    *Meters // of the calls that enter here; its own when nil
 	Tracer    *Tracer
+	Dialect   Dialect          // marlpass's own when nil
 	Now       func() time.Time // time.Now when nil
 }
 
@@ -42,6 +43,9 @@
 	if p.Meters == nil {
 		p.Meters = NewMeters()
 	}
+	if p.Dialect == nil {
+		p.Dialect = ownDialect{}
+	}
 	return &Entry{EntryParts: p}
 }
 
@@ -69,6 +73,7 @@
 	// pinned are the endpoints that refused a suspect as pinned to another.
 	pinned   []string
 	n        int // attempts made
+	reached  int // attempts that a backend server got, or may have
 	fp       quarantine.Fingerprint
 	isolated bool // to be run at one place at a time
 	below    bool // the call is part of one that is being retried
@@ -157,9 +162,9 @@
 	}
 	c.target = t
 	c.class = e.Meters.Class(t)
-	left, ok := timeLeft(c.r.Header, t.Deadline())
+	left, ok := e.Dialect.Arrive(c.r.Header, t)
 	if !ok {
-		return refuse(call.ReasonBadRequest, 0, call.HeaderDeadline+" is not a number of milliseconds")
+		return refuse(call.ReasonBadRequest, 0, "the deadline is not a number of milliseconds")
 	}
 	if left <= 0 {
 		return refuse(call.ReasonExpired, 0, "")
@@ -202,6 +207,9 @@
 			e.answer(w, c, choice, &a, now)
 			return
 		}
+		if a.reached() {
+			c.reached++
+		}
 		choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
 		c.tried = append(c.tried, ep.ID)
 		if takesNone(a.refusal) {
@@ -239,6 +247,7 @@
 	d := e.Retrier.Decide(c.target.Service, retry.Input{
 		Now: now, Outcome: a.outcome(), Idempotent: c.target.Idempotent,
 		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: c.deadline.Sub(now),
+		Reached: c.reached, MaxReached: c.target.Attempts,
 		Refusal: a.refusal, BodyReplayable: c.body.reusable(),
 		Final: a.refusal != nil && a.refusal.Detail == detailDeep,
 		Below: c.below, TriedAll: e.Pickers.TriedAll(now, c.target, c.tried),
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -49,7 +49,7 @@
 		e.Meters.Unmatched(r.Reason)
 	}
 	c.body.answering(c.r, w.Header())
-	writeRefusal(w, r)
+	writeRefused(w, r, e.Dialect)
 }
 
 var finalValue = []string{"1"}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -95,13 +95,13 @@
 // attemptHeaders returns what a backend server is told of the attempt: a fresh
 // nonce, and the time left, rounded down so that a hop never grants more than
 // there is. The two values share their memory.
-func attemptHeaders(left time.Duration) (nonce, ms extraHeader) {
+func attemptHeaders(left time.Duration) (nonce, ms Header) {
 	b := make([]byte, 0, 32)
 	b = strconv.AppendUint(b, rand.Uint64(), 16)
 	n := len(b)
 	b = strconv.AppendInt(b, int64(left/time.Millisecond), 10)
 	s := string(b)
-	return extraHeader{call.HeaderAttempt, s[:n]}, extraHeader{call.HeaderDeadline, s[n:]}
+	return Header{call.HeaderAttempt, s[:n]}, Header{call.HeaderDeadline, s[n:]}
 }
 
 // parseLoad reads "busy/slots".
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -90,16 +90,19 @@
 	NotRun bool        `json:"not_run"`
 }
 
-// writeRefusal answers that the call was not run.
-func writeRefusal(w http.ResponseWriter, r *call.Refusal) {
+// writeRefusal answers another node that the call was not run.
+func writeRefusal(w http.ResponseWriter, r *call.Refusal) { writeRefused(w, r, ownDialect{}) }
+
+// writeRefused answers that the call was not run, as d says it.
+func writeRefused(w http.ResponseWriter, r *call.Refusal, d Dialect) {
 	h := w.Header()
 	h.Set(call.HeaderNotRun, string(r.Reason))
 	if r.Detail == detailDeep {
 		h.Set(headerDeep, "1")
 	}
-	status := statusOf(r.Reason)
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	status, after := d.Refused(r)
+	if after != "" {
+		h.Set("Retry-After", after)
 	}
 	writeProblem(w, problem{
 		Title: "the call was not run", Status: status,
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -20,9 +20,10 @@
 // Program is the configuration in force, as one call sees it.
 type Program struct {
 	Matcher Matcher
-	// Targets finds a class by its name, for calls that another node matched.
+	// Targets finds a class by its name and the service that its call goes to,
+	// for calls that another node matched. It returns nil for none.
 	Targets interface {
-		Target(name string) *config.Target
+		Target(name, service string) *config.Target
 	}
 	Version config.Version
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -20,8 +20,8 @@
 	return o.t, strings.HasPrefix(path, o.t.Match.PathPrefix)
 }
 
-func (o one) Target(name string) *config.Target {
-	if name == o.t.Name {
+func (o one) Target(name, service string) *config.Target {
+	if name == o.t.Name && service == o.t.Service {
 		return o.t
 	}
 	return nil
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -34,7 +34,7 @@
 	}
 	a := e.Upstreams.send(ctx, now, &outbound{
 		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
-		extra: [2]extraHeader{{call.HeaderHop, h.String()}},
+		extra: AttemptHeaders{{call.HeaderHop, h.String()}},
 	})
 	return c.ofPart(now, h.left, readNode(a))
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -42,8 +42,9 @@
 // calls. Nodes need not agree on anything: where each holds to the ratio, the
 // mesh does.
 type Budget struct {
-	ratio   int64 // thousandths of a retry for each call
-	perSec  int64 // thousandths of a retry for each second
+	ratio   int64        // thousandths of a retry for each call
+	perSec  atomic.Int64 // thousandths of a retry for each second
+	floor   atomic.Int64 // the most that is saved up of them
 	burst   int64
 	balance atomic.Int64
 	// filled is when the floor was last paid in, Unix nanoseconds.
@@ -55,11 +56,17 @@
 	setDefault(&o.Floor, DefaultFloor)
 	setDefault(&o.Burst, DefaultBurst)
 	b.ratio = int64(o.Ratio * priceWhole)
-	b.perSec = int64(o.Floor * priceWhole)
+	b.perSec.Store(int64(o.Floor * priceWhole))
+	b.floor.Store(floorBurst * priceWhole)
 	b.burst = int64(o.Burst) * priceWhole
 	b.balance.Store(min(b.burst, floorBurst*priceWhole))
 }
 
+func (b *Budget) setFloor(perSecond, burst float64) {
+	b.perSec.Store(int64(perSecond * priceWhole))
+	b.floor.Store(int64(burst * priceWhole))
+}
+
 func (b *Budget) deposit() { b.add(b.ratio, b.burst) }
 
 // add pays in, up to limit. A balance already above it stays as it is.
@@ -95,11 +102,11 @@
 		b.filled.CompareAndSwap(0, ns)
 		return
 	}
-	earned := int64(float64(ns-last) / float64(time.Second) * float64(b.perSec))
+	earned := int64(float64(ns-last) / float64(time.Second) * float64(b.perSec.Load()))
 	if earned <= 0 || !b.filled.CompareAndSwap(last, ns) {
 		return
 	}
-	b.add(earned, floorBurst*priceWhole)
+	b.add(earned, b.floor.Load())
 }
 
 // emptiness returns how much of the budget is spent, 0 to 1.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -43,6 +43,10 @@
 	ComeBack    time.Duration // the least that a client is told to wait
 	ComeBackMax time.Duration
 	Budget      BudgetOptions
+	// CountReached makes only those retries draw on the budget in full that
+	// follow an attempt which reached a backend server: a first one is no
+	// further load, whatever was refused before it.
+	CountReached bool
 	// Rand must be safe for concurrent use; nil takes the runtime's source.
 	Rand rand.Source
 }
@@ -84,7 +88,11 @@
 	Now        time.Time
 	Outcome    call.Outcome
 	Idempotent bool
-	Attempt    int           // attempts made so far, at least one
+	Attempt    int // attempts made so far, at least one
+	// Reached is how many of them a backend server got, and MaxReached how many
+	// may; zero means no bound.
+	Reached    int
+	MaxReached int
 	Elapsed    time.Duration // since the call came in
 	Remaining  time.Duration // until its deadline
 	// Refusal is set when the attempt was refused.
@@ -128,6 +136,10 @@
 	ComeBack time.Duration
 }
 
+// SetFloor replaces what the budget may spend whatever the calls: perSecond
+// retries a second, of which it may save up to burst.
+func (p *Policy) SetFloor(perSecond, burst float64) { p.budget.setFloor(perSecond, burst) }
+
 // Called counts a call. It fills the budget, so it must be told once for each
 // call that comes in, and not for retries.
 func (p *Policy) Called() { p.budget.deposit() }
@@ -171,7 +183,7 @@
 		return WhyBelow, true
 	case in.Outcome == call.NotRun && !helps(in):
 		return WhyUseless, true
-	case in.Attempt >= p.opt.MaxAttempts:
+	case in.Attempt >= p.opt.MaxAttempts || in.MaxReached > 0 && in.Reached >= in.MaxReached:
 		return WhyAttempts, true
 	}
 	return "", false
@@ -226,6 +238,12 @@
 // cost nothing either, and a class far over its rate makes many; they are
 // cheaper still, so that they leave some of what the calls pay in.
 func (p *Policy) price(in Input) int64 {
+	if p.opt.CountReached {
+		if in.Reached > 0 {
+			return priceWhole
+		}
+		return priceRate
+	}
 	if in.Outcome != call.NotRun || in.Refusal == nil {
 		return priceWhole
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -37,6 +37,8 @@
 	TLS       TLS        `toml:"tls"`
 	Operators []Operator `toml:"operator"`
 	Drain     Drain      `toml:"drain"`
+	Retries   Retries    `toml:"retries"`
+	Announce  Announce   `toml:"announce"`
 	Log       Log        `toml:"log"`
 	Trace     Trace      `toml:"trace"`
 }
@@ -46,6 +48,11 @@
 	ID         string `toml:"id"`
 	Region     string `toml:"region"`
 	DataCentre string `toml:"data_centre"`
+	// Service is the service of the backend server on this VM, where the
+	// platform tells it beforehand.
+	Service string `toml:"service"`
+	// Backend is that backend server's address, as IP:port.
+	Backend string `toml:"backend"`
 }
 
 // Listen holds the addresses that the node listens on, each as IP:port.
@@ -64,12 +71,51 @@
 	Announce string `toml:"announce"`
 	// Metrics serves /metrics, /healthz and /readyz.
 	Metrics string `toml:"metrics"`
+	// Ready, if set, answers every request with 200 while the node takes calls
+	// and 503 otherwise, for load balancers that ask at an address of their own.
+	Ready string `toml:"ready"`
 }
 
 // Platform says where the platform's table and object store are.
 type Platform struct {
 	URL     string          `toml:"url"`
 	Timeout strict.Duration `toml:"timeout"`
+	// Form is FormOwn, or FormRows where an adapter stands between.
+	Form string `toml:"form"`
+}
+
+// Forms of the platform.
+const (
+	// FormOwn speaks the platform API of marlpass itself.
+	FormOwn = "own"
+	// FormRows speaks to a platform that keeps rows and blobs, in which the
+	// operators' configuration is a row.
+	FormRows = "rows"
+)
+
+// Announce says how backend servers announce themselves.
+type Announce struct {
+	// TTL is how long a silent backend server is kept; zero means 3 s.
+	TTL strict.Duration `toml:"ttl"`
+}
+
+// TTLOr returns the TTL, or def where none is set.
+func (a Announce) TTLOr(def time.Duration) time.Duration {
+	if a.TTL.Duration == 0 {
+		return def
+	}
+	return a.TTL.Duration
+}
+
+// Retries bounds what retries may add to the load of a service over the whole
+// mesh.
+type Retries struct {
+	// Ratio is how many retries there may be for each call; zero means 0.1.
+	Ratio float64 `toml:"ratio"`
+	// Slack is how many more there may be in each window, whatever the calls.
+	Slack float64 `toml:"slack"`
+	// Window is the span over which Slack is counted.
+	Window strict.Duration `toml:"window"`
 }
 
 // Peers holds what is needed for first contact.
@@ -105,6 +151,17 @@
 type Drain struct {
 	// Limit is how long calls in flight may go on after a stop was asked for.
 	Limit strict.Duration `toml:"limit"`
+	// Notice is how long a node that stops goes on taking calls, so that
+	// whoever sends them learns of it; zero means 2 s.
+	Notice strict.Duration `toml:"notice"`
+}
+
+// NoticeOr returns the notice, or def where none is set.
+func (d Drain) NoticeOr(def time.Duration) time.Duration {
+	if d.Notice.Duration == 0 {
+		return def
+	}
+	return d.Notice.Duration
 }
 
 // Log says what is logged.
@@ -136,7 +193,7 @@
 			Announce: "127.0.0.1:7804",
 			Metrics:  "127.0.0.1:7805",
 		},
-		Platform: Platform{Timeout: strict.Duration{Duration: DefaultPlatformTimeout}},
+		Platform: Platform{Form: FormOwn, Timeout: strict.Duration{Duration: DefaultPlatformTimeout}},
 		Drain:    Drain{Limit: strict.Duration{Duration: DefaultDrainLimit}},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{Sample: 0.01},
@@ -171,7 +228,7 @@
 	c.name("vm.id", n.VM.ID)
 	c.name("vm.region", n.VM.Region)
 	c.name("vm.data_centre", n.VM.DataCentre)
-	n.Listen.check(&c)
+	n.Listen.check(&c, n.Platform.Form)
 	c.url("platform.url", n.Platform.URL)
 	c.within("platform.timeout", n.Platform.Timeout, time.Millisecond, maxPlatformTimeout)
 	for i, s := range n.Peers.Seeds {
@@ -181,6 +238,9 @@
 	n.TLS.check(&c)
 	n.checkOperators(&c)
 	c.within("drain.limit", n.Drain.Limit, 0, maxDrainLimit)
+	c.within("drain.notice", n.Drain.Notice, 0, maxDrainLimit)
+	c.within("announce.ttl", n.Announce.TTL, 0, time.Hour)
+	n.checkForm(&c)
 	c.oneOf("log.level", n.Log.Level, telemetry.LogLevels...)
 	if n.Trace.Endpoint != "" {
 		c.url("trace.otlp_endpoint", n.Trace.Endpoint)
@@ -191,14 +251,43 @@
 	return c.err
 }
 
-func (l *Listen) check(c *checker) {
+// checkForm checks what only one form of the platform asks for.
+func (n *Node) checkForm(c *checker) {
+	c.oneOf("platform.form", n.Platform.Form, FormOwn, FormRows)
+	if n.VM.Backend != "" || n.Platform.Form == FormRows {
+		c.addr("vm.backend", n.VM.Backend)
+	}
+	if n.Platform.Form == FormRows && n.VM.Service == "" {
+		c.problem("vm.service", n.VM.Service, "the service of the backend server on this VM")
+	}
+	r := n.Retries
+	if r.Ratio < 0 || r.Ratio > 1 {
+		c.problem("retries.ratio", r.Ratio, "a number from 0 to 1")
+	}
+	if r.Slack < 0 {
+		c.problem("retries.slack", r.Slack, "a number of at least 0")
+	}
+	if r.Slack > 0 {
+		c.within("retries.window", r.Window, time.Second, time.Hour)
+	}
+}
+
+func (l *Listen) check(c *checker, form string) {
 	c.addr("listen.callers", l.Callers)
 	c.loopback("listen.internal", l.Internal)
 	c.addr("listen.calls", l.Calls)
 	c.addr("listen.control", l.Control)
 	c.addr("listen.admin", l.Admin)
-	c.loopback("listen.announce", l.Announce)
+	if form == FormRows {
+		// Where the platform fixes the address, it also keeps others from it.
+		c.addr("listen.announce", l.Announce)
+	} else {
+		c.loopback("listen.announce", l.Announce)
+	}
 	c.addr("listen.metrics", l.Metrics)
+	if l.Ready != "" {
+		c.addr("listen.ready", l.Ready)
+	}
 	l.checkTwice(c)
 }
 
@@ -208,7 +297,7 @@
 	list := []struct{ key, addr string }{
 		{"listen.callers", l.Callers}, {"listen.internal", l.Internal}, {"listen.calls", l.Calls},
 		{"listen.control", l.Control}, {"listen.admin", l.Admin}, {"listen.announce", l.Announce},
-		{"listen.metrics", l.Metrics},
+		{"listen.metrics", l.Metrics}, {"listen.ready", l.Ready},
 	}
 	for i, b := range list {
 		for _, a := range list[:i] {
