--- a/internal/announce/registry_test.go
+++ b/internal/announce/registry_test.go
@@ -220,3 +220,43 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// A backend server crashes behind a cut. Another starts at its address. Then the
+// cut heals, and the heartbeats of the first arrive: taken in, they would bring
+// back an instance that is gone, and calls meant for it would be refused.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	r := NewRegistry(Limits{TTL: time.Minute, Max: 4, AnyAddress: true})
+	now := time.Unix(1000, 0)
+	put := func(instance string, sequence uint64, s membership.BackendState) error {
+		_, err := r.Put(now, Announcement{
+			Instance: instance, Service: "berth", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			Slots: 6, State: s, Sequence: sequence,
+		})
+		return err
+	}
+	for _, step := range []struct {
+		instance string
+		sequence uint64
+		state    membership.BackendState
+		want     error
+	}{
+		{"old", 4, membership.BackendReady, nil},
+		{"old", 4, membership.BackendReady, ErrStale},
+		{"old", 3, membership.BackendReady, ErrStale},
+		{"old", 6, membership.BackendDraining, nil},
+		{"old", 5, membership.BackendReady, ErrStale},
+		{"new", 1, membership.BackendReady, nil},
+		{"old", 7, membership.BackendReady, ErrStale},
+	} {
+		if err := put(step.instance, step.sequence, step.state); !errors.Is(err, step.want) {
+			t.Errorf("%s %d: got %v, want %v", step.instance, step.sequence, err, step.want)
+		}
+	}
+	if l := r.Load(); len(l) != 1 || l[0].Instance != "new" {
+		t.Fatalf("held: %+v", l)
+	}
+	r.Withdraw("new", netip.AddrPort{})
+	if err := put("new", 2, membership.BackendReady); !errors.Is(err, ErrStale) {
+		t.Errorf("an instance that left came back: %v", err)
+	}
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -61,7 +61,7 @@
 func packages(t *testing.T) map[string]*build.Package {
 	t.Helper()
 	found := map[string]*build.Package{}
-	for _, top := range []string{"cmd", "internal"} {
+	for _, top := range []string{"cmd", "internal", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, top), func(dir string, d fs.DirEntry, err error) error {
 			if err != nil || !d.IsDir() {
 				return err
@@ -110,13 +110,14 @@
 
 // decisions are the packages that take the clock as an argument.
 var decisions = []string{
-	"call", "config", "config/match", "distribute", "limit", "membership", "once",
+	"call", "config", "config/match", "distribute", "follow", "limit", "membership", "once",
 	"quarantine", "query", "retry", "route",
 }
 
 // runners are the files in them that wait, or run the decisions by the clock.
 var runners = []string{
 	"distribute/perform.go", "distribute/runner.go",
+	"follow/runner.go",
 	"limit/gate.go",
 	"membership/runner.go",
 	"once/batcher.go", "once/claim.go",
--- /dev/null
+++ b/internal/node/split_test.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"math"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// Operators send a tenth of the lookups to a new service. Drawn independently, the
+// part of a few hundred calls is off by several in a hundred, and with few calls a
+// node the new service may get none for a while.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	target := &config.Target{Name: "t", Service: "old", Split: []config.Part{
+		{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off", Weight: 0},
+	}}
+	s := newSplit(target)
+	for _, calls := range []int{20, 300, 5000} {
+		got := make(map[string]int)
+		for range calls {
+			got[s.draw().Service]++
+		}
+		if off := math.Abs(float64(got["new"]) - float64(calls)*0.1); off > 2 {
+			t.Errorf("of %d calls %d went to the new service", calls, got["new"])
+		}
+		if got["off"] > 0 {
+			t.Errorf("%d calls went to a part of weight 0", got["off"])
+		}
+	}
+	if s.part("new").Service != "new" || s.part("else") != nil || len(s.part("new").Split) != 0 {
+		t.Error("the parts are not found by their services")
+	}
+}
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -201,3 +201,30 @@
 		p.Decide(in)
 	}
 }
+
+// A node is replaced, and its neighbours refuse what it held before a backend
+// server got it. Those tries are no load on anyone and must not use up what the
+// mesh may repeat; tries that a backend server got must, and end at the class's
+// bound.
+func TestOnlyReachedAttemptsDrawOnTheBudget(t *testing.T) {
+	p := New(Options{Rand: newSeeded(1), CountReached: true, MaxAttempts: 6, Budget: BudgetOptions{Ratio: 0.1, Burst: 4}})
+	p.SetFloor(0, 2)
+	for i := range 100 {
+		p.Called()
+		in := input(func(in *Input) { in.Refusal = refusal(call.ReasonOverloaded) })
+		if d := p.Decide(in); !d.Retry {
+			t.Fatalf("call %d: %+v", i, d)
+		}
+	}
+	spent := 0
+	for p.Decide(input(func(in *Input) { in.Reached = 1 })).Retry {
+		spent++
+	}
+	if spent == 0 || spent > 4 {
+		t.Errorf("%d retries from a budget of 4", spent)
+	}
+	d := New(Options{Rand: newSeeded(1), CountReached: true}).Decide(input(func(in *Input) { in.Reached, in.MaxReached = 2, 2 }))
+	if d.Retry || d.Why != WhyAttempts {
+		t.Errorf("a third backend server where two are allowed: %+v", d)
+	}
+}
