--- a/cmd/marlpass-node/main.go
+++ b/cmd/marlpass-node/main.go
@@ -51,7 +51,7 @@
 		return line.Bad(err)
 	}
 	if !*check {
-		return serve(line, *file, set, stderr)
+		return serve(line, *file, set, stdout)
 	}
 	if err := node.Check(set); err != nil {
 		return line.Bad(err)
--- a/cmd/marlpass-node/serve.go
+++ b/cmd/marlpass-node/serve.go
@@ -30,13 +30,15 @@
 }
 
 // serve runs the node until it is told to stop or fails.
-func serve(line *program.Line, file string, set settings.Node, stderr io.Writer) int {
-	log, setLevel, err := telemetry.NewLeveledLogger(stderr, set.Log.Level)
+func serve(line *program.Line, file string, set settings.Node, stdout io.Writer) int {
+	lines := telemetry.NewLossy(stdout)
+	defer lines.Close()
+	log, setLevel, err := telemetry.NewLeveledLogger(lines, set.Log.Level)
 	if err != nil {
 		return line.Bad(err)
 	}
 	telemetry.LogTraceErrors(log)
-	options := node.Options{Settings: set, Log: log}
+	options := node.Options{Settings: set, Log: log, LostLines: lines.Lost}
 	if set.Platform.Form == settings.FormRows {
 		platform.Adapt(&options, set, log)
 	}
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -272,15 +272,12 @@
 // would be sent to a backend server that is no longer there; one that was sent
 // before "draining" would put the instance back into service.
 func (r *Registry) stale(a Announcement) bool {
-	if a.Sequence == 0 {
-		return false
-	}
 	if r.gone.has(a.Instance) {
 		return true
 	}
 	list := r.Load()
 	at, known := find(list, a.Instance)
-	return known && a.Sequence <= list[at].Sequence
+	return known && list[at].Sequence > 0 && a.Sequence <= list[at].Sequence
 }
 
 // maxGone bounds the instances remembered as gone. One VM has one backend server
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -68,6 +68,9 @@
 	Name        string `json:"name"`
 	Team        string `json:"team"`
 	Description string `json:"description,omitempty"`
+	// HealthPath is where the service's backend servers say whether they are
+	// well; empty where they don't.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Audience says which callers may use a class of work.
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -186,18 +187,29 @@
 	return out
 }
 
-// strangers returns the contacts at addresses that belong to no known node.
+// strangers returns the contacts at addresses that belong to no known node, and
+// where nodes were that left or died.
+//
+// A node that starts again while the platform is down has nobody to ask. It comes
+// back at its address, where those that remember it find it; left to itself it
+// would know no endpoint, and refuse every call until the platform is back.
 func (s *State) strangers() []Contact {
-	if !s.amBridge() || len(s.contacts) == 0 {
+	if !s.amBridge() {
 		return nil
 	}
+	list := slices.Clone(s.contacts)
 	known := make(map[string]struct{}, len(s.entries))
-	for _, e := range s.entries {
-		known[e.rec.VM.ControlAddr] = struct{}{}
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		vm := &s.entries[id].rec.VM
+		if s.entries[id].dead || s.entries[id].rec.State == VMLeaving {
+			list = append(list, Contact{ID: id, DataCentre: vm.DataCentre, ControlAddr: vm.ControlAddr})
+			continue
+		}
+		known[vm.ControlAddr] = struct{}{}
 	}
-	return slices.DeleteFunc(slices.Clone(s.contacts), func(c Contact) bool {
+	return slices.DeleteFunc(list, func(c Contact) bool {
 		_, ok := known[c.ControlAddr]
-		return ok
+		return ok || c.ControlAddr == ""
 	})
 }
 
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -7,6 +7,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/once"
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/quarantine"
@@ -27,6 +28,7 @@
 	meters    *proxy.Meters
 	retries   *retries
 	draining  atomic.Bool
+	decisions *decisions.Log
 	endTrace  func(context.Context) error
 }
 
@@ -50,6 +52,7 @@
 		nodes:     n.upstreams().Secured(n.control.trust.secure()),
 		meters:    proxy.NewMeters(),
 		retries:   &retries{set: n.set.Retries},
+		decisions: decisions.New(telemetry.Part(n.log, "calls"), n.o.LostLines),
 		endTrace:  endTrace,
 	}
 	c.suspects = &suspects{
@@ -64,13 +67,13 @@
 	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
-		Dialect: n.o.Dialect,
+		Dialect: n.o.Dialect, Decisions: c.decisions,
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer, Dialect: n.o.Dialect,
-		WaitOut: n.o.Source != nil,
+		WaitOut: n.o.Source != nil, Decisions: c.decisions,
 	}, c.pickers))
 	return c, nil
 }
@@ -90,10 +93,14 @@
 func (c *callPath) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
+	summary := time.NewTicker(decisions.SummaryEvery)
+	defer summary.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-summary.C:
+			c.decisions.Summarise()
 		case <-ticker.C:
 			c.suspects.tell(time.Now())
 			c.suspects.forget(time.Now(), c.n.registry.Load())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,12 +37,17 @@
 type Options struct {
 	Settings settings.Node
 	Log      zerolog.Logger
+	// LostLines, if set, returns how many lines the log's writer has dropped
+	// since it was last asked.
+	LostLines func() uint64
 	// Table and Objects replace the platform client.
 	Table   platform.Table
 	Objects platform.Objects
 	// Source, if set, gives the versions that are accepted elsewhere; operators'
 	// commands are then refused here.
 	Source follow.Source
+	// Probe, if set, asks the backend server at an address who it is.
+	Probe func(ctx context.Context, address, path string) (announce.Announcement, error)
 	// Metrics, if set, are served with the node's own.
 	Metrics *metrics.Set
 	// Dialect, if set, says what calls look like outside the mesh.
@@ -179,6 +184,7 @@
 	n.servers.start(n.parts)
 	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
 	n.parts.run("quiet", func(ctx context.Context) error { n.quiet.run(ctx); return nil })
+	n.parts.run("discover", func(ctx context.Context) error { n.discover(ctx); <-ctx.Done(); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
 	a := n.Addrs()
 	n.log.Info().Str("vm", n.self.ID).Str("callers", a.Callers).Str("internal", a.Internal).
@@ -332,10 +338,9 @@
 	start := time.Now()
 	n.parts.leaving.Store(true)
 	n.leaving.Store(true)
-	n.control.leave()
 	n.log.Info().Msg("node: leaving the mesh")
 	n.servers.leave()
-	_ = wait.For(ctx, n.set.Drain.NoticeOr(leaveNotice))
+	n.giveNotice(ctx)
 	n.calls.drain()
 	limit := n.set.Drain.Limit.Duration
 	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
@@ -353,6 +358,20 @@
 	return nil
 }
 
+// giveNotice goes on taking calls until whoever sends them has learned that the
+// node leaves. Callers learn it by its readiness, which they ask for now and then,
+// and the other nodes at once by the membership. So those may be told later: till
+// then the backend server here runs calls of the whole mesh.
+func (n *Node) giveNotice(ctx context.Context) {
+	notice, word := n.set.Drain.NoticeOr(leaveNotice), n.set.Drain.Word.Duration
+	if word > 0 {
+		_ = wait.For(ctx, notice-word)
+		notice = word
+	}
+	n.control.leave()
+	_ = wait.For(ctx, notice)
+}
+
 // Kill ends the node at once, as a crash would. It is for tests.
 func (n *Node) Kill() {
 	n.once.Do(func() {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -11,6 +11,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
@@ -28,6 +29,8 @@
 	Meters    *Meters
 	Tracer    *Tracer
 	Dialect   Dialect          // marlpass's own when nil
+	// Decisions takes a line for each decision that needs one; nil writes none.
+	Decisions *decisions.Log
 	Now       func() time.Time // time.Now when nil
 }
 
@@ -142,12 +145,14 @@
 func (d *Destination) do(ctx context.Context, now time.Time, in *inbound) answer {
 	b, t, refusal := d.check(now, in)
 	if refusal != nil {
+		d.logTurned(now, in, b, refusal)
 		return answer{refusal: refusal}
 	}
 	d.inFlight.Add(1)
 	a := d.hold(ctx, now, in, b, t)
 	if a.resp == nil {
 		d.inFlight.Add(-1)
+		d.logEnd(now, in, b, &a)
 	}
 	return a
 }
@@ -280,6 +285,7 @@
 			return asRefusal(err)
 		}
 		h.permit = permit
+		d.logWait(now, in, h)
 	}
 	if d.Suspects != nil {
 		fp := fingerprintOf(in.r, in.header, in.body)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -12,6 +12,8 @@
 // Dialect says how calls look outside the mesh: to callers and to backend
 // servers. Between nodes they always look the same.
 type Dialect interface {
+	// ID returns what a call is called in the logs of all nodes, or "".
+	ID(h http.Header) string
 	// Arrive returns how long the call may take, and sets in h what only this
 	// node may say of where the call came from. ok is false when the caller
 	// asked for something that is no time.
@@ -47,6 +49,12 @@
 // ownDialect is the one of marlpass itself.
 type ownDialect struct{}
 
+// headerRequestID is how callers of marlpass itself may name a call.
+const headerRequestID = "X-Request-Id"
+
+// ID implements Dialect.
+func (ownDialect) ID(h http.Header) string { return first(h, headerRequestID) }
+
 // Arrive implements Dialect.
 func (ownDialect) Arrive(h http.Header, t *config.Target) (time.Duration, bool) {
 	left, ok := timeLeft(h, t.Deadline())
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
 	"github.com/marlpass/marlpass/internal/wait"
@@ -26,6 +27,8 @@
 	Meters    *Meters // of the calls that enter here; its own when nil
 	Tracer    *Tracer
 	Dialect   Dialect // marlpass's own when nil
+	// Decisions takes a line for each decision that needs one; nil writes none.
+	Decisions *decisions.Log
 	// WaitOut gives every attempt all of the call's time, where an endpoint that
 	// is at work must not be given up. Connections that went silent are then
 	// found by the kernel's probes alone.
@@ -69,8 +72,10 @@
 	target   *config.Target
 	class    *ClassMeter
 	body     body
+	id       string // what the logs call it
 	start    time.Time
 	deadline time.Time
+	version  uint64 // of the configuration that matched it
 	tried    []string
 	// closed are the endpoints tried that take no calls.
 	closed []string
@@ -97,6 +102,7 @@
 	c := enterings.Get().(*entering)
 	defer c.free()
 	c.r, c.start = r, e.Now()
+	c.id = e.Dialect.ID(r.Header)
 	if refusal := e.match(c, internal); refusal != nil {
 		e.refuse(w, c, refusal)
 		return
@@ -157,7 +163,9 @@
 	if wantsUpgrade(c.r) {
 		return refuse(call.ReasonBadRequest, 0, "upgrades are not carried")
 	}
-	t, ok := e.Programs.Program().Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
+	p := e.Programs.Program()
+	c.version = p.Version.Number
+	t, ok := p.Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
 	if !ok {
 		return e.unmatched(c)
 	}
@@ -234,10 +242,12 @@
 		if a.broke() {
 			e.broke(c, ep)
 		}
-		if d := e.again(ctx, c, &a); !d.Retry {
+		d := e.again(ctx, c, &a)
+		if !d.Retry {
 			e.giveUp(w, c, &a, d)
 			return
 		}
+		e.logRetry(c, ep, &a, d)
 	}
 }
 
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -11,6 +11,7 @@
 // answer passes the answer on and reports it.
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
+	endpoint := choice.Endpoint().ID // the choice is used again after Done
 	p := passed{partial: true} // should relay panic
 	defer func() {
 		now := e.Now()
@@ -18,6 +19,7 @@
 		rep.Failed = rep.Failed || p.partial
 		choice.Done(now, rep)
 		c.class.Answered(now, now.Sub(c.start), rep.Failed)
+		e.logAnswer(now, c, endpoint, a, p)
 		if e.Suspects != nil && !p.partial {
 			e.Suspects.Answered(now, c.fp)
 		}
@@ -48,6 +50,7 @@
 	} else {
 		e.Meters.Unmatched(r.Reason)
 	}
+	e.logRefusal(c, r)
 	c.body.answering(c.r, w.Header())
 	writeRefused(w, r, e.Dialect)
 }
@@ -77,6 +80,7 @@
 	} else {
 		c.class.Answered(now, now.Sub(c.start), true)
 	}
+	e.logUnknown(now, c)
 	c.body.answering(c.r, w.Header())
 	writeUnknown(w, c.lost)
 }
--- /dev/null
+++ b/internal/proxy/entry_log.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/decisions"
+	"github.com/marlpass/marlpass/internal/retry"
+)
+
+// line begins a line about c, with what every one of them tells.
+func (e *Entry) line(now time.Time, k decisions.Kind, c *entering) *zerolog.Event {
+	l := e.Decisions.Line(now, k, c.id)
+	if l == nil {
+		return nil
+	}
+	if c.target != nil {
+		l.Str("class", c.target.Name).Str("service", c.target.Service)
+	}
+	return l.Uint64("version", c.version).Int("attempts", c.n).Int("reached", c.reached).
+		Int64("after_ms", now.Sub(c.start).Milliseconds())
+}
+
+// left returns how many milliseconds of c's time are left.
+func (c *entering) left(now time.Time) int64 { return c.deadline.Sub(now).Milliseconds() }
+
+func (e *Entry) logRefusal(c *entering, r *call.Refusal) {
+	now := e.Now()
+	e.line(now, decisions.Refused, c).Str("reason", string(r.Reason)).Str("detail", r.Detail).
+		Int64("left_ms", c.left(now)).Int64("come_back_ms", r.RetryAfter.Milliseconds()).
+		Msg("entry: refuse the call as not run")
+}
+
+func (e *Entry) logUnknown(now time.Time, c *entering) {
+	e.line(now, decisions.Unknown, c).AnErr("cause", c.lost).Int64("left_ms", c.left(now)).
+		Strs("tried", c.tried).Msg("entry: tell the caller that the call may have run")
+}
+
+func (e *Entry) logRetry(c *entering, ep Endpoint, a *answer, d retry.Decision) {
+	now := e.Now()
+	l := e.line(now, decisions.Retried, c).Str("endpoint", ep.ID).Str("why", string(d.Why)).Int64("left_ms", c.left(now))
+	if a.refusal != nil {
+		l = l.Str("reason", string(a.refusal.Reason)).Str("detail", a.refusal.Detail)
+	}
+	l.AnErr("cause", a.err).Msg("entry: send the call to another endpoint")
+}
+
+// logAnswer tells of an answer that was not as it should be, and counts the rest.
+func (e *Entry) logAnswer(now time.Time, c *entering, endpoint string, a *answer, p passed) {
+	took, aim := now.Sub(c.start), c.target.AnswerWithin()
+	kind, text := decisions.Kind(""), ""
+	switch {
+	case p.partial || p.gone:
+		kind, text = decisions.Cut, "entry: the answer broke off, or its caller left"
+	case a.resp.StatusCode >= http.StatusInternalServerError:
+		kind, text = decisions.Failed, "entry: pass on the backend server's failure"
+	case aim > 0 && took > aim:
+		kind, text = decisions.Late, "entry: the answer is later than the class aims at"
+	default:
+		e.Decisions.Answered(c.target.Name, endpoint)
+		return
+	}
+	e.line(now, kind, c).Str("endpoint", endpoint).Int("status", a.resp.StatusCode).
+		Int64("aim_ms", aim.Milliseconds()).Int64("bytes", p.bytes).Bool("partial", p.partial).Msg(text)
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -154,6 +154,9 @@
 	// Notice is how long a node that stops goes on taking calls, so that
 	// whoever sends them learns of it; zero means 2 s.
 	Notice strict.Duration `toml:"notice"`
+	// Word is how long before the end of the notice the other nodes are told;
+	// zero means at its begin.
+	Word strict.Duration `toml:"word"`
 }
 
 // NoticeOr returns the notice, or def where none is set.
@@ -240,6 +243,7 @@
 	c.within("drain.limit", n.Drain.Limit, 0, maxDrainLimit)
 	c.within("drain.notice", n.Drain.Notice, 0, maxDrainLimit)
 	c.within("announce.ttl", n.Announce.TTL, 0, time.Hour)
+	c.within("drain.word", n.Drain.Word, 0, n.Drain.NoticeOr(time.Second))
 	n.checkForm(&c)
 	c.oneOf("log.level", n.Log.Level, telemetry.LogLevels...)
 	if n.Trace.Endpoint != "" {
