--- a/internal/membership/join_test.go
+++ b/internal/membership/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 )
@@ -32,3 +33,32 @@
 		}
 	}
 }
+
+// A rolling restart stops a node while the platform is down. It starts again at
+// its address with nobody to ask: no seeds, and no rows of contacts. It knew no
+// endpoint and refused every call until the platform was back. Those that
+// remember its address have to find it.
+func TestRestartedNodeIsFoundByTheOthers(t *testing.T) {
+	for _, how := range []string{"leaves", "crashes"} {
+		alone := false
+		w := newMesh(8, 2, func(c *Config) {
+			*c = Swift(*c)
+			if alone {
+				c.Seeds = nil
+			}
+		})
+		w.run(20 * time.Second)
+		v := w.nodes[3]
+		if how == "leaves" {
+			v.Leave(w.now)
+			w.run(2 * time.Second)
+		}
+		v.up = false
+		w.run(time.Second)
+		alone = true
+		w.start(v)
+		if took, ok := w.runUntil(10*time.Second, w.settled); !ok {
+			t.Errorf("a node that %s is not found within %v: %s", how, took, w.unsettled())
+		}
+	}
+}
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -208,7 +208,9 @@
 		var want, duty, early bool
 		r.peek(func(s *State) {
 			want, duty = s.WantContacts(), s.ContactDuty()
-			early = s.cfg.WriteContactEarly && !s.Joined()
+			// One that took itself to be the first, since the platform was down as
+			// well, goes on looking: it serves nobody until it finds the others.
+			early = s.cfg.WriteContactEarly && (!s.joined || s.live == 0)
 		})
 		due := (duty || early) && time.Since(written) >= contactEvery
 		enough := false
