Weigh data centres by the size of the answers

Small calls stayed in their own data centre until it was short, and waited there beside free slots elsewhere. Change: on this platform the picker compares the best of two near endpoints to the best of two far ones, with the mean size of the class's answers over 48 KB as the cost of the way. The picker and the retry budget go by the monotonic clock.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -45,7 +45,7 @@
 	}
 	c := &callPath{
 		n:         n,
-		pickers:   newPickers(n.self),
+		pickers:   newPickers(n.self, n.o.Source != nil),
 		gates:     newGates(),
 		keeper:    once.New(once.Options{Table: n.control.table, Holder: n.self.ID}),
 		upstreams: n.upstreams(),
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -29,13 +30,15 @@
 	entries   int                         // entry nodes that the subsets go by
 	byService atomic.Pointer[map[string]*route.Picker]
 	none      *route.Picker // of a service that no node holds
+	sizes     answerSizes
+	weighed   bool // see route.Options
 	ready     atomic.Pointer[map[string]int]
 	plain     *proxy.RoundRobin // fed as well if not nil; see Policies
 }
 
-func newPickers(self membership.VM) *pickers {
+func newPickers(self membership.VM, weighed bool) *pickers {
 	p := &pickers{
-		self: self, endpoints: make(map[string][]route.Endpoint),
+		self: self, weighed: weighed, endpoints: make(map[string][]route.Endpoint),
 		none: route.New(route.Options{Self: self.ID}),
 	}
 	p.byService.Store(&map[string]*route.Picker{})
@@ -65,6 +68,7 @@
 		if picker == nil {
 			picker = route.New(route.Options{
 				Self: p.self.ID, DataCentre: p.self.DataCentre, Region: p.self.Region,
+				Weighed: p.weighed,
 			})
 			next[service] = picker
 		}
@@ -215,20 +219,20 @@
 // Pick implements proxy.Pickers.
 func (p *pickers) Pick(now time.Time, t *config.Target, tried []string) (proxy.Choice, error) {
 	picker := p.of(t.Service)
-	pick := picker.Pick
-	switch {
-	case t.RatePerSecond > 0 && len(tried) > 0:
+	size := p.sizes.of(t.Name)
+	var c route.Choice
+	var err error
+	if t.RatePerSecond > 0 && len(tried) > 0 {
 		// Every endpoint has an equal part of the rate. Where most callers
 		// are in one data centre, what is left is in the others.
-		pick = picker.PickAnywhere
-	case t.Idempotent:
-		pick = picker.PickRepeatable
+		c, err = picker.PickAnywhere(now, tried)
+	} else {
+		c, err = picker.PickFor(now, route.Ask{Tried: tried, Repeatable: t.Idempotent, Far: size.far()})
 	}
-	c, err := pick(now, tried)
 	if err != nil {
 		return nil, err
 	}
-	return newChoice(c), nil
+	return newChoice(c, size), nil
 }
 
 // PickFixed implements proxy.Pickers.
@@ -237,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newChoice(c), nil
+	return newChoice(c, p.sizes.of(t.Name)), nil
 }
 
 // TriedAll implements proxy.Pickers.
@@ -252,13 +256,16 @@
 
 // choice gives route.Choice the shape that the proxy asks for. It is used again
 // after Done.
-type choice struct{ c route.Choice }
+type choice struct {
+	c    route.Choice
+	size *answerSize
+}
 
 var choices = sync.Pool{New: func() any { return new(choice) }}
 
-func newChoice(c route.Choice) *choice {
+func newChoice(c route.Choice, size *answerSize) *choice {
 	out := choices.Get().(*choice)
-	out.c = c
+	out.c, out.size = c, size
 	return out
 }
 
@@ -274,6 +281,9 @@
 		Latency: r.Latency,
 		Load:    route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
 	})
+	if r.Outcome == call.Ran && !r.Failed {
+		c.size.add(r.Bytes)
+	}
 	*c = choice{}
 	choices.Put(c)
 }
--- a/internal/node/pickers_bench_test.go
+++ b/internal/node/pickers_bench_test.go
@@ -32,7 +32,7 @@
 }
 
 func pickersOf(n int) *pickers {
-	p := newPickers(membership.VM{ID: "vm-0", DataCentre: "dc-0", Region: "region-0"})
+	p := newPickers(membership.VM{ID: "vm-0", DataCentre: "dc-0", Region: "region-0"}, false)
 	p.update(time.Unix(0, 0), viewOf(n))
 	return p
 }
--- a/internal/node/pickers_test.go
+++ b/internal/node/pickers_test.go
@@ -28,14 +28,14 @@
 	self := membership.VM{ID: "vm-0", DataCentre: "dc-0", Region: "region-0"}
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		p := newPickers(self)
+		p := newPickers(self, false)
 		view := &membership.View{Self: self.ID, Records: map[string]*membership.Seen{}}
 		for range rapid.IntRange(1, 12).Draw(t, "views") {
 			view = changed(t, view)
 			p.update(now, view)
 			now = now.Add(time.Second)
 		}
-		fresh := newPickers(self)
+		fresh := newPickers(self, false)
 		fresh.update(now, view)
 		for _, service := range services {
 			if got, want := endpointIDs(p, service, now), endpointIDs(fresh, service, now); !slices.Equal(got, want) {
--- a/internal/node/report_test.go
+++ b/internal/node/report_test.go
@@ -30,7 +30,7 @@
 // classes alike: the largest report there is.
 func busy(now time.Time) (*reports, []*config.Target) {
 	n := &Node{self: membership.VM{ID: "neg-shed-001"}}
-	n.calls = &callPath{meters: proxy.NewMeters(), pickers: newPickers(n.self)}
+	n.calls = &callPath{meters: proxy.NewMeters(), pickers: newPickers(n.self, false)}
 	rng := rand.New(rand.NewPCG(1, 2))
 	var targets []*config.Target
 	for i := range townServices * townClasses {
--- /dev/null
+++ b/internal/node/sizes.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+)
+
+// farBytes is the size of an answer whose way to another data centre weighs as
+// much as one full set of slots at the endpoint. The users pay 9,000 of credit for
+// a gigabyte between data centres, so that 100 KB cost about what a lookup is
+// worth: an answer of that size should go there only when the near endpoints
+// could not give it in time, with two full sets of slots waiting.
+const farBytes = 48 << 10
+
+// sizeWeight is the weight of one answer in the mean size of its class.
+const sizeWeight = 0.1
+
+// answerSizes keep the mean size of the answers of each class.
+type answerSizes struct{ byClass sync.Map }
+
+func (a *answerSizes) of(class string) *answerSize {
+	if s, ok := a.byClass.Load(class); ok {
+		return s.(*answerSize)
+	}
+	s, _ := a.byClass.LoadOrStore(class, new(answerSize))
+	return s.(*answerSize)
+}
+
+// answerSize is a moving mean in bytes, as the bits of a float64.
+type answerSize struct{ bits atomic.Uint64 }
+
+func (s *answerSize) add(n int64) {
+	for {
+		old := s.bits.Load()
+		mean := math.Float64frombits(old)
+		next := mean + sizeWeight*(float64(n)-mean)
+		if old == 0 {
+			next = float64(n)
+		}
+		if s.bits.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// far returns what the way to another data centre weighs; see route.Ask.
+func (s *answerSize) far() float64 { return math.Float64frombits(s.bits.Load()) / farBytes }
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -17,6 +17,7 @@
 		now := e.Now()
 		rep := report(a, first)
 		rep.Failed = rep.Failed || p.partial
+		rep.Bytes = p.bytes
 		choice.Done(now, rep)
 		c.class.Answered(now, now.Sub(c.start), rep.Failed)
 		e.logAnswer(now, c, endpoint, a, p)
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -60,6 +60,7 @@
 	Refused call.Reason // why it was not run, or empty
 	Latency time.Duration
 	Load    Load
+	Bytes   int64 // of the answer's body, if it came whole
 }
 
 // Choice is an endpoint picked for one attempt. Done must be called once, and
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -47,8 +47,10 @@
 	floor   atomic.Int64 // the most that is saved up of them
 	burst   int64
 	balance atomic.Int64
-	// filled is when the floor was last paid in, Unix nanoseconds.
-	filled atomic.Int64
+	// filled is when the floor was last paid in. It goes by the monotonic
+	// clock: after a jump of the time of day back, nothing would be paid in for
+	// as long as the jump was wide.
+	filled atomic.Pointer[time.Time]
 }
 
 func (b *Budget) init(o BudgetOptions) {
@@ -96,14 +98,13 @@
 // payFloor pays in what the floor earned since the last time. Only one of
 // several concurrent callers pays it.
 func (b *Budget) payFloor(now time.Time) {
-	ns := now.UnixNano()
 	last := b.filled.Load()
-	if last == 0 {
-		b.filled.CompareAndSwap(0, ns)
+	if last == nil {
+		b.filled.CompareAndSwap(nil, &now)
 		return
 	}
-	earned := int64(float64(ns-last) / float64(time.Second) * float64(b.perSec.Load()))
-	if earned <= 0 || !b.filled.CompareAndSwap(last, ns) {
+	earned := int64(now.Sub(*last).Seconds() * float64(b.perSec.Load()))
+	if earned <= 0 || !b.filled.CompareAndSwap(last, &now) {
 		return
 	}
 	b.add(earned, b.floor.Load())
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -37,6 +37,11 @@
 	// Forget is the time in which observed failures and latency fade to a
 	// half when no new ones come.
 	Forget time.Duration
+	// Weighed makes the Picker weigh the endpoints of all data centres of the
+	// region against each other, by what Ask says of the way, rather than take
+	// the near ones first. It is for meshes whose data centres are close and
+	// have few endpoints each.
+	Weighed bool
 	// MaxEjected is the largest share of the service's endpoints that may be
 	// ejected at once.
 	MaxEjected float64
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -18,7 +18,7 @@
 	loadAge   int64
 	forget    int64
 
-	epoch   atomic.Int64 // Unix milliseconds of the first Update, less one
+	epoch   atomic.Pointer[time.Time] // a millisecond before the first Update
 	seed    atomic.Uint64
 	turns   atomic.Uint64
 	latency average // mean latency of the service, milliseconds
@@ -44,6 +44,7 @@
 // table is the immutable picture that Pick reads.
 type table struct {
 	near    [tiers][]*state // the node's subset, without ejected endpoints
+	own     []*state // those of near on this node's VM
 	ejected []*state
 	all     []*state // every endpoint of the service, in order of preference
 }
@@ -86,8 +87,25 @@
 func (c Choice) Trial() bool { return c.trial }
 
 // millis turns a moment into the Picker's own count; it is at least one.
+//
+// It goes by the monotonic clock. The time of day may jump by seconds: back, all
+// that was observed would not age for that long, and an ejected endpoint not be
+// tried; ahead, all of it would be forgotten at once.
 func (p *Picker) millis(t time.Time) int64 {
-	return max(1, t.UnixMilli()-p.epoch.Load())
+	epoch := p.epoch.Load()
+	if epoch == nil {
+		return 1
+	}
+	return max(1, t.Sub(*epoch).Milliseconds())
+}
+
+// moment is the inverse of millis.
+func (p *Picker) moment(ms int64) time.Time {
+	epoch := p.epoch.Load()
+	if epoch == nil {
+		return time.Time{}
+	}
+	return epoch.Add(time.Duration(ms) * time.Millisecond)
 }
 
 const splitMixStep = 0x9e3779b97f4a7c15
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -11,7 +11,8 @@
 func (p *Picker) Update(now time.Time, eps []Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := p.epoch.CompareAndSwap(0, now.UnixMilli()-1)
+	epoch := now.Add(-time.Millisecond)
+	first := p.epoch.CompareAndSwap(nil, &epoch)
 	ms := p.millis(now)
 	next := make(map[string]*state, len(eps))
 	for i := range eps {
@@ -76,14 +77,14 @@
 		byTier[n] = append(byTier[n], s)
 	}
 	for n, list := range byTier {
-		t.take(tier(n), list, p.subsetSize(tier(n), len(list)))
+		t.take(tier(n), list, p.subsetSize(tier(n), len(list)), p.opt.Self)
 	}
 	p.table.Store(t)
 }
 
 // take puts the first size endpoints that are not ejected in the subset, and
 // the ejected ones that came before them among those to be tried.
-func (t *table) take(n tier, list []*state, size int) {
+func (t *table) take(n tier, list []*state, size int, self string) {
 	for _, s := range list {
 		if len(t.near[n]) == size {
 			return
@@ -93,6 +94,9 @@
 			continue
 		}
 		t.near[n] = append(t.near[n], s)
+		if s.ep.Load().VM == self {
+			t.own = append(t.own, s)
+		}
 	}
 }
 
@@ -144,7 +148,7 @@
 		Failures:     s.failing(ms, p.forget),
 	}
 	if st.Ejected {
-		st.NextTrial = time.UnixMilli(s.nextTrial.Load() + p.epoch.Load())
+		st.NextTrial = p.moment(s.nextTrial.Load())
 	}
 	return st
 }
--- /dev/null
+++ b/internal/route/weigh.go
@@ -0,0 +1,69 @@
+package route
+
+import "time"
+
+// Ask says what a pick is for.
+type Ask struct {
+	// Tried are the endpoints that have had the call already.
+	Tried []string
+	// Repeatable says that the call may be sent again whatever happens to it.
+	Repeatable bool
+	// Far is what an endpoint in another data centre costs more, in the measure
+	// of the cost: 1 is as much as all of its slots taken. It only counts where
+	// Options.Weighed is set.
+	Far float64
+}
+
+// nearPart is the part of Ask.Far that an endpoint on another VM of the own data
+// centre costs more: its answer crosses two links, though no data centre's border.
+const nearPart = 0.25
+
+// PickFor picks an endpoint for what a says. See Pick.
+func (p *Picker) PickFor(now time.Time, a Ask) (Choice, error) {
+	if !p.opt.Weighed {
+		if a.Repeatable {
+			return p.PickRepeatable(now, a.Tried)
+		}
+		return p.Pick(now, a.Tried)
+	}
+	ms := p.millis(now)
+	t := p.table.Load()
+	if len(a.Tried) == 0 {
+		overdue := int64(overdueFactor)
+		if a.Repeatable {
+			overdue = 1
+		}
+		if s := t.dueTrial(ms, overdue); s != nil {
+			return p.choose(s, true), nil
+		}
+	}
+	if s := p.weigh(t, ms, a); s != nil {
+		return p.choose(s, false), nil
+	}
+	return p.pick(ms, a.Tried, overdueFactor)
+}
+
+// weigh compares the best of two endpoints of the own data centre to the best of
+// two of the region's others. Where the way counts, the endpoint on the own VM is
+// compared as well.
+func (p *Picker) weigh(t *table, now int64, a Ask) *state {
+	var best *state
+	var bestCost float64
+	take := func(s *state, cost float64) {
+		if s != nil && (best == nil || cost < bestCost) {
+			best, bestCost = s, cost
+		}
+	}
+	near, cost := p.bestOfTwo(t.near[tierOwn], now, a.Tried)
+	take(near, cost+nearPart*a.Far)
+	region, cost := p.bestOfTwo(t.near[tierRegion], now, a.Tried)
+	take(region, cost+a.Far)
+	if a.Far > 0 {
+		for _, s := range t.own {
+			if usable(s, now, a.Tried) {
+				take(s, p.cost(s, now))
+			}
+		}
+	}
+	return best
+}
