Read answers whole before passing them on, and pace bulk on slow links

Change: a destination reads answers of known length whole, within an eighth of the memory, which frees the slot and shows broken ones before they have begun; what is behind the first 16 KB of an answer goes out at 80% of the link's rate, in chunks of 4 KB. Late lines tell waiting and running.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -64,16 +64,18 @@
 	}
 	tracer := proxy.NewTracer(provider)
 	programs := programs{n.store}
+	link := proxy.NewLink(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
+		Spool: n.spool(), Link: link,
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer, Dialect: n.o.Dialect,
-		WaitOut: n.o.Source != nil, Decisions: c.decisions,
+		WaitOut: n.o.Source != nil, Decisions: c.decisions, Link: link,
 	}, c.pickers))
 	return c, nil
 }
@@ -88,6 +90,18 @@
 	return proxy.NewUpstreams(proxy.SlowProbing)
 }
 
+// spoolPart is the part of the process's memory that answers on their way may
+// take. The rest of a node of 1,200 needs about 30 MB, of the smallest VMs' 112.
+const spoolPart = 8
+
+// spool returns what takes answers in, where the memory is known.
+func (n *Node) spool() *proxy.Spool {
+	if n.set.VM.MemoryMB == 0 {
+		return nil
+	}
+	return proxy.NewSpool(int64(n.set.VM.MemoryMB) << 20 / spoolPart)
+}
+
 // upkeep tells what this node holds of suspects, and stores outcomes that the
 // platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -12,6 +12,7 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
+	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
@@ -28,7 +29,11 @@
 	Upstreams *Upstreams
 	Meters    *Meters
 	Tracer    *Tracer
-	Dialect   Dialect          // marlpass's own when nil
+	Dialect   Dialect // marlpass's own when nil
+	// Spool, if set, takes answers in before they are passed on, and Link paces
+	// those that go to other VMs.
+	Spool *Spool
+	Link  *Link
 	// Decisions takes a line for each decision that needs one; nil writes none.
 	Decisions *decisions.Log
 	Now       func() time.Time // time.Now when nil
@@ -88,7 +93,7 @@
 	a := d.do(ctx, now, in)
 	span.outcome(&a)
 	in.own.answering(r, w.Header())
-	d.finish(w, &a, &in.own)
+	d.finish(d.Link.pace(ctx, w), &a, &in.own)
 }
 
 // finish writes the answer to the entry node.
@@ -103,6 +108,7 @@
 		if len(a.loadHeader) > 0 {
 			w.Header()[call.HeaderLoad] = a.loadHeader
 		}
+		w.Header()[headerTook] = []string{a.took.String()}
 		p := d.pass(w, a)
 		if p.partial || p.gone {
 			b.abort()
@@ -222,6 +228,7 @@
 		return answer{refusal: refusal}
 	}
 	a := d.forward(ctx, in, h)
+	a.took = took{wait: h.start.Sub(now), run: d.Now().Sub(h.start)}
 	if a.resp == nil {
 		h.failed(d, &a)
 		h.free()
@@ -378,5 +385,21 @@
 		h.stored.Header = a.resp.Header.Clone()
 	}
 	a.held = h
+	return d.spool(a, h)
+}
+
+// spool reads the answer whole, where that is asked for, and frees the backend
+// server's slot.
+func (d *Destination) spool(a answer, h *holding) answer {
+	tried, err := d.Spool.read(a.resp)
+	if !tried {
+		return a
+	}
+	if err != nil {
+		return answer{err: err}
+	}
+	now := d.Now()
+	failed := h.status >= http.StatusInternalServerError
+	h.release(now, limit.Result{Latency: now.Sub(h.start), Failed: failed})
 	return a
 }
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -12,7 +12,7 @@
 func (e *Entry) answer(w http.ResponseWriter, c *entering, choice Choice, a *answer, sent time.Time) {
 	first := e.Now().Sub(sent)
 	endpoint := choice.Endpoint().ID // the choice is used again after Done
-	p := passed{partial: true} // should relay panic
+	p := passed{partial: true}       // should relay panic
 	defer func() {
 		now := e.Now()
 		rep := report(a, first)
--- a/internal/proxy/entry_log.go
+++ b/internal/proxy/entry_log.go
@@ -64,5 +64,6 @@
 		return
 	}
 	e.line(now, kind, c).Str("endpoint", endpoint).Int("status", a.resp.StatusCode).
+		Int64("waited_ms", a.took.wait.Milliseconds()).Int64("ran_ms", a.took.run.Milliseconds()).
 		Int64("aim_ms", aim.Milliseconds()).Int64("bytes", p.bytes).Bool("partial", p.partial).Msg(text)
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -91,6 +91,7 @@
 		return answer{err: &unknownError{unknownKind(kind)}}
 	}
 	a.load = parseLoad(a.resp.Header)
+	a.took = parseTook(a.resp.Header)
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
 	return a
--- /dev/null
+++ b/internal/proxy/spool_test.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func response(length int64, body io.Reader) *http.Response {
+	return &http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body), Header: http.Header{}}
+}
+
+// A backend server's answer breaks off in its middle. Passed on as it came, the
+// caller's connection had to be broken off as well; read first, the call can go to
+// another endpoint.
+func TestSpoolSeesBrokenAnswers(t *testing.T) {
+	s := NewSpool(1 << 20)
+	if tried, err := s.read(response(10, strings.NewReader("half"))); !tried || !errors.Is(err, errBroken) {
+		t.Errorf("broken: %v %v", tried, err)
+	}
+	if s.used.Load() != 0 {
+		t.Errorf("%d bytes are kept of an answer that broke off", s.used.Load())
+	}
+	resp := response(4, strings.NewReader("good"))
+	if tried, err := s.read(resp); !tried || err != nil || s.used.Load() != 4 {
+		t.Errorf("whole: %v %v, %d bytes", tried, err, s.used.Load())
+	}
+	if b, err := io.ReadAll(resp.Body); string(b) != "good" || err != nil {
+		t.Errorf("%q %v", b, err)
+	}
+	resp.Body.Close()
+	resp.Body.Close()
+	if s.used.Load() != 0 {
+		t.Errorf("%d bytes are kept of an answer that was passed on", s.used.Load())
+	}
+}
+
+// What must not be read whole: answers of unknown length, which may be endless,
+// those over the bound, and those for which there is no memory left.
+func TestSpoolPassesOnTheRest(t *testing.T) {
+	s := NewSpool(8)
+	for _, n := range []int64{-1, 0, 9, maxSpooled + 1} {
+		if tried, err := s.read(response(n, strings.NewReader("x"))); tried || err != nil {
+			t.Errorf("length %d: %v %v", n, tried, err)
+		}
+	}
+	if tried, _ := (*Spool)(nil).read(response(1, strings.NewReader("x"))); tried {
+		t.Error("a nil spool read an answer")
+	}
+}
+
+// Downloads fill a slow link's queue, and lookups wait behind them. The first part
+// of each answer goes out at once; what follows keeps to the pace.
+func TestLinkPacesBulkOnly(t *testing.T) {
+	const bytesPerSecond = 1 << 20
+	l := NewLink(bytesPerSecond * 8 / 1e6 / bulkPart)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // whoever waits for the pace is told so at once
+	w := httptest.NewRecorder()
+	small, err := l.pace(ctx, w).Write(make([]byte, bulkFrom))
+	if small != bulkFrom || err != nil {
+		t.Errorf("a small answer: %d bytes, %v", small, err)
+	}
+	large, err := l.pace(ctx, w).Write(make([]byte, 2*bulkFrom))
+	if large >= 2*bulkFrom || err == nil {
+		t.Errorf("a large answer: %d bytes, %v", large, err)
+	}
+	now := time.Now()
+	if l.bulk.ReserveN(now, bulkChunk).DelayFrom(now) < 0 || NewLink(0) != nil {
+		t.Error("the pace of a link")
+	}
+	var b bytes.Buffer
+	_, _ = b.ReadFrom(w.Body)
+	if b.Len() != small+large {
+		t.Errorf("%d bytes came, %d were written", b.Len(), small+large)
+	}
+}
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -44,7 +44,7 @@
 // table is the immutable picture that Pick reads.
 type table struct {
 	near    [tiers][]*state // the node's subset, without ejected endpoints
-	own     []*state // those of near on this node's VM
+	own     []*state        // those of near on this node's VM
 	ejected []*state
 	all     []*state // every endpoint of the service, in order of preference
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -53,6 +53,10 @@
 	Service string `toml:"service"`
 	// Backend is that backend server's address, as IP:port.
 	Backend string `toml:"backend"`
+	// LinkMbps is the rate of the VM's link; zero paces nothing.
+	LinkMbps float64 `toml:"link_mbps"`
+	// MemoryMB is what the process may use; zero means that nothing is known.
+	MemoryMB int `toml:"memory_mb"`
 }
 
 // Listen holds the addresses that the node listens on, each as IP:port.
@@ -264,6 +268,12 @@
 	if n.Platform.Form == FormRows && n.VM.Service == "" {
 		c.problem("vm.service", n.VM.Service, "the service of the backend server on this VM")
 	}
+	if n.VM.LinkMbps < 0 {
+		c.problem("vm.link_mbps", n.VM.LinkMbps, "megabits a second, or 0")
+	}
+	if n.VM.MemoryMB < 0 {
+		c.problem("vm.memory_mb", n.VM.MemoryMB, "megabytes, or 0")
+	}
 	r := n.Retries
 	if r.Ratio < 0 || r.Ratio > 1 {
 		c.problem("retries.ratio", r.Ratio, "a number from 0 to 1")
