Let two feeders a data centre follow the source

Change: two feeders of each data centre follow the source and tell the others what has changed since the version before; a pull is answered with the changes as well, where the asker's version is known. Nodes check what comes by its hash.

--- /dev/null
+++ b/internal/distribute/roles.go
@@ -0,0 +1,50 @@
+package distribute
+
+import (
+	"slices"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+)
+
+// Feeds reports whether self is one of the nodes of data centre dc that read the
+// platform for the others.
+func Feeds(v *membership.View, self, dc string) bool {
+	ids, _ := feederChoice(v, self, dc)
+	return isFeeder(ids, self, dc)
+}
+
+// directTells is how many nodes of a data centre a feeder tells by itself. In
+// larger ones a tree passes a version on, so that no node sends more than these.
+const directTells = 32
+
+// ToTell returns the nodes of data centre dc that self tells of a version once it
+// holds it: a feeder all others, or the upper part of a tree where they are many,
+// and in such a tree every other node those below it. Nodes whose views differ get
+// slightly different trees; whoever is missed hears by the membership.
+func ToTell(v *membership.View, self, dc string) []string {
+	ids := live(v, self, dc)[dc]
+	order := ranked("feeder/"+dc+"/", ids)
+	at := slices.Index(order, self)
+	if len(order) <= directTells+feedersPerDC {
+		if at >= feedersPerDC {
+			return nil
+		}
+		return slices.Delete(slices.Clone(order), at, at+1)
+	}
+	// Both feeders stand at the root, one in place of the other.
+	if at < feedersPerDC {
+		other := slices.Delete(slices.Clone(order[:feedersPerDC]), at, at+1)
+		return append(other, order[feedersPerDC:feedersPerDC+directTells]...)
+	}
+	below := (at-feedersPerDC+1)*directTells + feedersPerDC
+	return order[min(below, len(order)):min(below+directTells, len(order))]
+}
+
+// UnpackTold is Unpack for changes that a peer sent unasked, with a lower bound on
+// their size.
+func UnpackTold(p *peerpb.Packed) ([]*config.Delta, error) {
+	ds, _, err := unpackTold(p)
+	return ds, err
+}
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -2,12 +2,15 @@
 // keeps the configuration in the platform, to one node, and never back to an
 // older one.
 //
-// Every node follows the source itself. Each version's hash depends on its
-// content alone, so nodes that read the same version hold the same snapshot. A
-// node that the source does not answer learns from the others: every message
-// between nodes tells the sender's version, and a node that hears of a newer one
-// pulls it from whoever told. While the source fails altogether it also asks one
-// peer after another unasked.
+// Two nodes of each data centre, its feeders, follow the source, so that reads do
+// not grow with the mesh; a node that has just started reads it once. A feeder tells
+// the others of its data centre what has changed. Each version's hash depends on its
+// content alone, so nodes that come by the same version in different ways hold the
+// same snapshot, and each checks what it was sent.
+//
+// Whoever is missed learns by the way: every message between nodes mentions the
+// sender's version, and a node that hears of a newer one pulls it from whoever
+// mentioned it. While the source fails a feeder also asks one peer after another.
 //
 // State decides whom to ask and when, without a clock of its own. Runner carries
 // that out.
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
@@ -46,6 +48,14 @@
 	// this makes a quarter of the reads. A version is in force within 2 s of its
 	// acceptance, so less than a third of that may be spent here.
 	sourcePause = 600 * time.Millisecond
+	// roleEvery is how often a node that is no feeder looks whether it became one.
+	roleEvery = 100 * time.Millisecond
+	// tellTimeout bounds one tell, and maxTells those under way.
+	tellTimeout = time.Second
+	maxTells    = 8
+	// maxRecent bounds the versions kept to tell what has changed since. A node
+	// that is further behind gets the whole of the newest.
+	maxRecent = 16
 	// maxTimeline bounds the versions whose times are kept.
 	maxTimeline = 64
 )
@@ -62,12 +72,15 @@
 // Runner follows a source and serves what it holds to peers.
 type Runner struct {
 	deps Deps
+	set  Settings
 
 	mu       sync.Mutex // guards state, rng, timeline; not held across I/O
 	state    *State
 	rng      *rand.Rand
 	timeline []distribute.Timing
+	recent   []*config.Snapshot // the last that were held, oldest first
 
+	tells    *semaphore.Weighted
 	offering sync.Mutex // one version is put in force at a time
 	held     atomic.Pointer[config.Snapshot]
 	inForce  atomic.Uint64
@@ -82,7 +95,7 @@
 // NewRunner returns a runner for a node that has just started.
 func NewRunner(set Settings, deps Deps) *Runner {
 	r := &Runner{
-		deps: deps, state: NewState(set, time.Now()),
+		deps: deps, set: set, state: NewState(set, time.Now()), tells: semaphore.NewWeighted(maxTells),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.held.Store(config.Empty())
@@ -101,6 +114,10 @@
 func (r *Runner) follow(ctx context.Context) {
 	fails := 0
 	for ctx.Err() == nil {
+		if !r.Feeder() {
+			_ = wait.For(ctx, roleEvery)
+			continue
+		}
 		snap, err := r.deps.Source.Next(ctx)
 		if ctx.Err() != nil {
 			return
@@ -189,14 +206,16 @@
 	if resp.Changes == nil {
 		return nil, nil
 	}
-	_, snap, err := distribute.Unpack(resp.Changes)
-	if err != nil {
+	ds, snap, err := distribute.Unpack(resp.Changes)
+	switch {
+	case err != nil:
 		return nil, err
+	case snap != nil:
+		return snap, nil
+	case len(ds) == 1:
+		return ds[0].Patch(r.held.Load())
 	}
-	if snap == nil {
-		return nil, ErrBadAnswer
-	}
-	return snap, nil
+	return nil, ErrBadAnswer
 }
 
 // offer puts a version in force if it is newer than all that was seen.
@@ -215,7 +234,9 @@
 	}
 	start := time.Now()
 	inForce, err := r.deps.Store.Offer(snap)
-	r.held.Store(snap)
+	before := r.held.Swap(snap)
+	r.remember(before)
+	r.tellOthers(snap, before)
 	if err != nil || !inForce {
 		r.deps.Log.Error().Uint64("version", v.Number).Str("from", from).Err(err).
 			Msg("follow: the version cannot be put in force, the running one stays")
@@ -254,11 +275,71 @@
 	return true, ""
 }
 
+// remember keeps a version that was held, to tell what has changed since.
+func (r *Runner) remember(s *config.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent = append(r.recent, s)
+	if len(r.recent) > maxRecent {
+		r.recent = r.recent[1:]
+	}
+}
+
+// tellOthers tells the nodes that wait for this one what has changed.
+func (r *Runner) tellOthers(snap, before *config.Snapshot) {
+	view := r.deps.Views.Load()
+	peers := distribute.ToTell(view, r.set.Self, r.set.DataCentre)
+	if len(peers) == 0 || before.Version().Number == 0 {
+		return
+	}
+	packed, err := distribute.Pack([]*config.Delta{snap.Since(before)}, nil)
+	if err != nil {
+		r.deps.Log.Error().Err(err).Msg("follow: tell without the changes")
+	}
+	for _, p := range peers {
+		if rec := view.Records[p]; rec != nil {
+			go r.tell(rec.VM.ControlAddr, p, packed)
+		}
+	}
+}
+
+// tell tells one peer. One that is missed hears of the version in passing.
+func (r *Runner) tell(addr, peer string, packed *peerpb.Packed) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if r.tells.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer r.tells.Release(1)
+	if err := r.deps.Client.Tell(ctx, addr, packed); err != nil {
+		r.deps.Log.Debug().Str("peer", peer).Err(err).Msg("follow: a peer was not told")
+	}
+}
+
+// told puts the version of a tell in force, if what came with it leads there from
+// the version held.
+func (r *Runner) told(e *peerpb.Envelope) bool {
+	ds, err := distribute.UnpackTold(e.Changes)
+	if err != nil || len(ds) != 1 {
+		return false
+	}
+	snap, err := ds[0].Patch(r.held.Load())
+	if err != nil {
+		return false
+	}
+	r.offer(snap, e.From)
+	return true
+}
+
 // Heard takes the version that a message of a peer carried.
 func (r *Runner) Heard(e *peerpb.Envelope) {
 	if e.Version <= r.held.Load().Version().Number {
 		return
 	}
+	tell := e.Changes != nil
+	if tell && r.told(e) {
+		return
+	}
 	v := config.Version{Number: e.Version}
 	if len(e.Hash) != config.HashSize {
 		r.deps.Log.Warn().Str("peer", e.From).Msg("follow: drop a version without its hash")
@@ -267,6 +348,10 @@
 	copy(v.Hash[:], e.Hash)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if tell {
+		r.state.Told(time.Now(), e.From, v)
+		return
+	}
 	r.state.Heard(time.Now(), e.From, v)
 }
 
@@ -279,6 +364,11 @@
 	if q.HeadOnly || v.Number <= q.Version {
 		return resp, nil
 	}
+	if d := r.since(q, snap); d != nil {
+		var err error
+		resp.Changes, err = distribute.Pack([]*config.Delta{d}, nil)
+		return resp, err
+	}
 	if p := r.packed.Load(); p != nil && p.version == v {
 		resp.Changes = p.packed
 		return resp, nil
@@ -292,6 +382,19 @@
 	return resp, nil
 }
 
+// since returns what has changed since the version that a peer holds, or nil when
+// that version is not known here.
+func (r *Runner) since(q *peerpb.PullRequest, snap *config.Snapshot) *config.Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.recent {
+		if v := s.Version(); v.Number > 0 && v.Number == q.Version && bytes.Equal(v.Hash[:], q.Hash) {
+			return snap.Since(s)
+		}
+	}
+	return nil
+}
+
 // Timeline returns when the latest versions came into force, oldest first.
 func (r *Runner) Timeline() []distribute.Timing {
 	r.mu.Lock()
@@ -305,5 +408,9 @@
 // Conflicts returns nil: versions accepted elsewhere have one history.
 func (r *Runner) Conflicts() []*distribute.Conflict { return nil }
 
-// Feeder reports false: every node follows the source itself.
-func (r *Runner) Feeder() bool { return false }
+// Feeder reports whether this node follows the source for its data centre.
+func (r *Runner) Feeder() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Feeds(r.deps.Views.Load())
+}
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -6,14 +6,17 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // Settings bound how a node learns from its peers.
 type Settings struct {
 	Self string
-	// PullDelay is how long a version that a peer told of may take to come
-	// from the source before it is pulled from the peer.
+	// DataCentre is that of this node.
+	DataCentre string
+	// PullDelay is how long a version that a peer's message mentioned may take to
+	// come from the source, or to be told, before it is pulled from the peer.
 	PullDelay time.Duration
 	// AskEvery is the mean time between two peers asked while the source fails.
 	AskEvery time.Duration
@@ -25,13 +28,13 @@
 
 // Defaults returns the settings of a node.
 //
-// PullDelay is the pause that a node makes between two versions from the source
-// (sourcePause) and several answers of a healthy store, of about 10 ms.
+// PullDelay is the pause that a feeder makes between two versions from the source
+// (sourcePause), several answers of a healthy store, of about 10 ms, and a tell.
 // AskEvery makes a node that is cut off from the store learn of a version within
 // about a second, half of what it has to be in force.
-func Defaults(self string) Settings {
+func Defaults(self, dataCentre string) Settings {
 	return Settings{
-		Self: self, PullDelay: 900 * time.Millisecond, AskEvery: 500 * time.Millisecond,
+		Self: self, DataCentre: dataCentre, PullDelay: 900 * time.Millisecond, AskEvery: 500 * time.Millisecond,
 		PullGap: 200 * time.Millisecond, MaxClaims: 64,
 	}
 }
@@ -63,6 +66,13 @@
 	}
 }
 
+// Feeds reports whether this node follows the source for its data centre. One
+// that holds nothing yet does in any case: it has just started, and what it needs
+// is a version, soon.
+func (s *State) Feeds(view *membership.View) bool {
+	return s.held.Number == 0 || distribute.Feeds(view, s.set.Self, s.set.DataCentre)
+}
+
 // Held returns the newest version that this node has seen whole.
 func (s *State) Held() config.Version { return s.held }
 
@@ -92,6 +102,13 @@
 	s.failing = !ok
 }
 
+// Told notes that a peer told of a version outright, and not in passing: whatever
+// it sent could not be used, so the version is pulled at once.
+func (s *State) Told(now time.Time, peer string, v config.Version) {
+	s.Heard(now.Add(-s.set.PullDelay), peer, v)
+	s.nextPull = now
+}
+
 // Heard notes what a peer holds.
 func (s *State) Heard(now time.Time, peer string, v config.Version) {
 	if !v.Newer(s.held) {
--- a/internal/follow/state_test.go
+++ b/internal/follow/state_test.go
@@ -16,7 +16,7 @@
 func view(ids ...string) *membership.View {
 	v := &membership.View{Self: "me", Records: make(map[string]*membership.Seen)}
 	for _, id := range append(ids, "me") {
-		v.Records[id] = &membership.Seen{Record: membership.Record{VM: membership.VM{ID: id}, State: membership.VMAlive}}
+		v.Records[id] = &membership.Seen{Record: membership.Record{VM: membership.VM{ID: id, DataCentre: "dc"}, State: membership.VMAlive}}
 	}
 	return v
 }
@@ -30,7 +30,7 @@
 }
 
 func newNode(t *testing.T) *node {
-	return &node{State: NewState(Defaults("me"), start), t: t, rng: rand.New(rand.NewPCG(1, 2)), now: start}
+	return &node{State: NewState(Defaults("me", "dc"), start), t: t, rng: rand.New(rand.NewPCG(1, 2)), now: start}
 }
 
 func (n *node) pull(after time.Duration, v *membership.View, want string) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -151,7 +151,7 @@
 func (c *control) wireSpread() {
 	n := c.n
 	if n.o.Source != nil {
-		c.spread = follow.NewRunner(follow.Defaults(n.self.ID), follow.Deps{
+		c.spread = follow.NewRunner(follow.Defaults(n.self.ID, n.self.DataCentre), follow.Deps{
 			Source: n.o.Source, Views: &n.views, Client: c.peers, Store: wakingStore{n},
 			Log: telemetry.Part(n.log, "follow"),
 		})
@@ -179,7 +179,10 @@
 func (c *control) wireMaintenance() {
 	m := newMaintainer(c.table, c.n.self.ID, time.Now)
 	m.log = telemetry.Part(c.n.log, "maintenance")
-	m.duty = func() bool { return c.spread.Feeder() && !c.n.leaving.Load() }
+	m.duty = func() bool {
+		// The rows of versions accepted elsewhere are not this mesh's to keep.
+		return c.n.o.Source == nil && c.spread.Feeder() && !c.n.leaving.Load()
+	}
 	m.compact = command.NewCompactor(c.log, c.table, c.objects, command.CompactOptions{})
 	m.trim = c.n.calls.keeper
 	c.maintainer = m
