--- a/cmd/marlpass-node/serve.go
+++ b/cmd/marlpass-node/serve.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return line.Bad(err)
 	}
+	log = log.With().Str("vm", set.VM.ID).Logger()
 	telemetry.LogTraceErrors(log)
 	options := node.Options{Settings: set, Log: log, LostLines: lines.Lost}
 	if set.Platform.Form == settings.FormRows {
--- a/internal/cli/tree.go
+++ b/internal/cli/tree.go
@@ -19,6 +19,7 @@
 			statusCommand(),
 			commandGroup(),
 			quarantineGroup(),
+			explainCommand(),
 		},
 	}
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -134,3 +134,18 @@
 	}
 	return fmt.Sprintf("BackendState(%d)", uint8(s))
 }
+
+// String returns the state in a word.
+func (s VMState) String() string {
+	switch s {
+	case VMAlive:
+		return "alive"
+	case VMSuspect:
+		return "suspect"
+	case VMLeaving:
+		return "leaving"
+	case VMDead:
+		return "dead"
+	}
+	return fmt.Sprintf("VMState(%d)", uint8(s))
+}
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -55,6 +55,7 @@
 		decisions: decisions.New(telemetry.Part(n.log, "calls"), n.o.LostLines),
 		endTrace:  endTrace,
 	}
+	c.pickers.onEject = c.logEjection
 	c.suspects = &suspects{
 		list:    quarantine.New(time.Now(), quarantine.Options{Self: n.self.ID}),
 		log:     telemetry.Part(n.log, "quarantine"),
@@ -102,6 +103,11 @@
 	return proxy.NewSpool(int64(n.set.VM.MemoryMB) << 20 / spoolPart)
 }
 
+func (c *callPath) logEjection(endpoint string, ejected bool, failing float64) {
+	c.n.log.Info().Str("part", "route").Str("endpoint", endpoint).Bool("ejected", ejected).
+		Float64("failing", failing).Msg("route: an endpoint is ejected for its failures, or back")
+}
+
 // upkeep tells what this node holds of suspects, and stores outcomes that the
 // platform lacks, until ctx ends.
 func (c *callPath) upkeep(ctx context.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,7 @@
 	n.parts.run("discover", func(ctx context.Context) error { n.discover(ctx); <-ctx.Done(); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
 	a := n.Addrs()
-	n.log.Info().Str("vm", n.self.ID).Str("callers", a.Callers).Str("internal", a.Internal).
+	n.log.Info().Str("callers", a.Callers).Str("internal", a.Internal).
 		Str("calls", a.Calls).Str("control", a.Control).Str("admin", a.Admin).
 		Str("announce", a.Announce).Str("metrics", a.Metrics).Msg("node: started")
 	warnPlainText(n.log, n.set)
@@ -237,6 +237,7 @@
 func (n *Node) refreshOnce(now time.Time, done *refreshed) {
 	v, f, r := n.views.Load(), n.store.Load(), n.store.Refused()
 	if v != done.view {
+		n.logView(done.view, v)
 		n.calls.pickers.update(now, v)
 		n.calls.suspects.merge(now, v)
 		n.calls.retries.setNodes(len(v.Records))
@@ -296,7 +297,7 @@
 	}
 	n.superseded.Store(true)
 	n.calls.dest.Drain()
-	n.log.Error().Str("vm", n.self.ID).Time("since", since).
+	n.log.Error().Time("since", since).
 		Msg("node: another process runs under this VM's id; this one takes no more calls, stop it")
 }
 
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -32,6 +32,7 @@
 	none      *route.Picker // of a service that no node holds
 	sizes     answerSizes
 	weighed   bool // see route.Options
+	onEject   func(endpoint string, ejected bool, failing float64)
 	ready     atomic.Pointer[map[string]int]
 	plain     *proxy.RoundRobin // fed as well if not nil; see Policies
 }
@@ -68,7 +69,7 @@
 		if picker == nil {
 			picker = route.New(route.Options{
 				Self: p.self.ID, DataCentre: p.self.DataCentre, Region: p.self.Region,
-				Weighed: p.weighed,
+				Weighed: p.weighed, OnEject: p.onEject,
 			})
 			next[service] = picker
 		}
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -36,6 +36,7 @@
 	}
 	s.ejected.Store(true)
 	s.trialsOK.Store(0)
+	p.tellEjected(s, now)
 	p.scheduleTrial(s, now, p.opt.EjectFor.Milliseconds())
 	p.rebuild()
 }
@@ -85,5 +86,12 @@
 	s.failures.clear()
 	s.results.Store(0)
 	s.rampFrom.Store(now)
+	p.tellEjected(s, now)
 	p.rebuild()
 }
+
+func (p *Picker) tellEjected(s *state, now int64) {
+	if p.opt.OnEject != nil {
+		p.opt.OnEject(s.ep.Load().ID, s.ejected.Load(), s.failing(now, p.forget))
+	}
+}
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -49,6 +49,9 @@
 	// doubles it up to EjectMax.
 	EjectFor time.Duration
 	EjectMax time.Duration
+	// OnEject, if set, is told of each endpoint that is ejected, or back. It is
+	// called under a lock of the Picker and must not block.
+	OnEject func(endpoint string, ejected bool, failing float64)
 }
 
 func (o Options) withDefaults() Options {
