Do not start calls with too little time left

Change: a waiting call with less than half of its class's mean service time left is refused as not run.

--- a/internal/limit/class.go
+++ b/internal/limit/class.go
@@ -122,6 +122,23 @@
 	return c.AnswerWithin - time.Duration(c.serviceHigh.value)
 }
 
+// hopelessPart is the part of the mean service time below which the time left to a
+// call is too short to start it.
+const hopelessPart = 0.5
+
+// hopeless reports whether e, started now, would hardly be answered by its deadline.
+//
+// It guards against work that is thrown away, and against a booking whose caller is
+// told that nobody knows whether it ran: both begin with a call that got its slot
+// when there was no time left to run it. Refused, it may be sent again.
+func (c *classState) hopeless(e *Entry, now time.Time) bool {
+	if e.deadline.IsZero() || c.service.count < minLight {
+		return false
+	}
+	least := time.Duration(hopelessPart * float64(c.service.duration()))
+	return e.deadline.Sub(now) < least
+}
+
 // expired reports whether e can no longer be answered by its deadline.
 func (c *classState) expired(e *Entry, now time.Time) bool {
 	return !e.deadline.IsZero() && !now.Before(e.deadline)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -348,6 +348,10 @@
 		q.refuseWaiting(now, e, call.ReasonExpired, "waited past its deadline")
 		return
 	}
+	if c.hopeless(e, now) {
+		q.refuseWaiting(now, e, call.ReasonExpired, "too little time left to run")
+		return
+	}
 	newest := c.waiting.Back().Value.(*Entry)
 	if !q.options.NoPrediction && c.late(e, now) && !c.late(newest, now) {
 		q.refuseWaiting(now, e, call.ReasonOverloaded, "waited past the answer time of its class")
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -385,3 +385,34 @@
 		t.Errorf("may use %d slots, want 2", got)
 	}
 }
+
+// A booking waits for a slot until a tenth of a second of its time is left, where
+// bookings take three times that. Started, it is cut off at its deadline: its work
+// is lost, and its caller told that nobody knows whether it ran. It has to be refused
+// while it is certain that it did not.
+func TestHopelessCallsAreNotStarted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQueue(QueueOptions{Rand: rand.New(rand.NewPCG(1, 2))})
+	q.Configure(now, Config{Slots: 1, Classes: []Class{{Name: "book"}}})
+	for range minLight {
+		var e Entry
+		if r := q.Offer(now, &e, "book", now.Add(time.Second)); r != nil {
+			t.Fatal(r)
+		}
+		now = now.Add(300 * time.Millisecond)
+		q.Done(now, &e, Result{Latency: 300 * time.Millisecond})
+	}
+	var running, waiting Entry
+	if r := q.Offer(now, &running, "book", now.Add(time.Second)); r != nil {
+		t.Fatal(r)
+	}
+	if r := q.Offer(now, &waiting, "book", now.Add(400*time.Millisecond)); r != nil {
+		t.Fatal(r)
+	}
+	now = now.Add(300 * time.Millisecond)
+	q.Done(now, &running, Result{Latency: 300 * time.Millisecond})
+	ev := q.Events()
+	if len(ev) != 1 || ev[0].Refusal == nil || ev[0].Refusal.Reason != call.ReasonExpired {
+		t.Errorf("events: %+v", ev)
+	}
+}
