--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -12,7 +13,22 @@
 // platform for the others.
 func Feeds(v *membership.View, self, dc string) bool {
 	ids, _ := feederChoice(v, self, dc)
-	return isFeeder(ids, self, dc)
+	order := byLink(v, ranked("feeder/"+dc+"/", ids))
+	return slices.Contains(order[:min(feedersPerDC, len(order))], self)
+}
+
+// byLink puts the nodes with the fastest links first. Feeders read every version
+// whole, some hundred kilobytes, and tell all others; over a link of 5 Mbit/s each
+// read takes half a second, in which the calls there stand still.
+func byLink(v *membership.View, order []string) []string {
+	link := func(id string) uint32 {
+		if v == nil || v.Records[id] == nil {
+			return 0
+		}
+		return v.Records[id].VM.LinkMbps
+	}
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(link(b), link(a)) })
+	return order
 }
 
 // directTells is how many nodes of a data centre a feeder tells by itself. In
@@ -25,7 +41,7 @@
 // slightly different trees; whoever is missed hears by the membership.
 func ToTell(v *membership.View, self, dc string) []string {
 	ids := live(v, self, dc)[dc]
-	order := ranked("feeder/"+dc+"/", ids)
+	order := byLink(v, ranked("feeder/"+dc+"/", ids))
 	at := slices.Index(order, self)
 	if len(order) <= directTells+feedersPerDC {
 		if at >= feedersPerDC {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -38,6 +38,8 @@
 	ControlAddr string // host:port for messages between nodes
 	CallAddr    string // host:port for calls from other nodes
 	AdminAddr   string // host:port of the admin API
+	// LinkMbps is the rate of the VM's link in Mbit/s; zero if it is not known.
+	LinkMbps uint32
 	// Incarnation is larger for every start of a node under the same ID.
 	Incarnation uint64
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	n.self = membership.VM{
 		ID: n.set.VM.ID, Region: n.set.VM.Region, DataCentre: n.set.VM.DataCentre,
 		ControlAddr: a.Control, CallAddr: a.Calls, AdminAddr: a.Admin,
+		LinkMbps: uint32(n.set.VM.LinkMbps),
 	}
 	n.reports = &reports{n: n}
 	n.registry = announce.NewRegistry(announce.Limits{
