Bound and steer large answers by the links that they cross

Late lookups of 0.3 s spent 0.23 s on the way: downloads of 90 KB fill the links of 5 Mbit/s of whoever sends and whoever receives them. What callers get from the node of their own VM crosses no link (trial). Change: calls whose answers would wait for the link beyond half of their class's answer time are turned away before they run (link-full); entry nodes hear of the wait and pick by it; the bulk of one answer takes at most 0.4 of the receiver's link, and all bulk together 0.6 of the sender's.

--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -76,7 +76,7 @@
 		Self: n.self.ID, Programs: programs, Admitter: admission{c}, Pickers: c.pickers,
 		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer, Dialect: n.o.Dialect,
-		WaitOut: n.o.Source != nil, Decisions: c.decisions, Link: link,
+		WaitOut: n.o.Source != nil, Decisions: c.decisions,
 	}, c.pickers))
 	return c, nil
 }
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -279,8 +279,8 @@
 		Outcome: r.Outcome,
 		Failed:  r.Failed,
 		Refused: r.Refused,
-		Latency: r.Latency,
-		Load:    route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
+		Latency: r.Latency, LinkWait: r.LinkWait,
+		Load: route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
 	})
 	if r.Outcome == call.Ran && !r.Failed {
 		c.size.add(r.Bytes)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -181,6 +181,8 @@
 	load    Load
 	// loadHeader is the load as the backend server sent it.
 	loadHeader []string
+	// linkWait is how long large answers wait for the destination's link.
+	linkWait time.Duration
 	// took is what the time at the destination went into.
 	took took
 	// held is what the call holds at this node until its answer has been
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -82,6 +82,7 @@
 	}
 	retried := r.Header[retry.HeaderRetried]
 	h.settled = first(r.Header, headerSettled) != ""
+	far := parseRate(r.Header)
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
 	if retried != nil {
@@ -90,16 +91,34 @@
 	ctx, span := d.Tracer.startRemote(r, "destination", h.class)
 	defer span.end()
 	in.r, in.header, in.body, in.hop, in.deadline = r, r.Header, &in.own, h, now.Add(h.left)
-	a := d.do(ctx, now, in)
+	a := d.doRemote(ctx, now, in)
 	span.outcome(&a)
 	in.own.answering(r, w.Header())
-	d.finish(d.Link.pace(ctx, w), &a, &in.own)
+	defer d.Link.free(in.reserved)
+	d.finish(d.Link.pace(ctx, w, far), &a, &in.own)
+}
+
+// doRemote runs a call whose answer goes out over this VM's link.
+func (d *Destination) doRemote(ctx context.Context, now time.Time, in *inbound) answer {
+	expected, refusal := d.Link.expect(d.target(in.hop))
+	if refusal != nil {
+		d.logTurned(now, in, Backend{}, refusal)
+		return answer{refusal: refusal}
+	}
+	a := d.do(ctx, now, in)
+	if a.resp == nil {
+		d.Link.free(expected)
+		return a
+	}
+	in.reserved = d.Link.settle(in.hop.class, expected, max(a.resp.ContentLength, 0))
+	return a
 }
 
 // finish writes the answer to the entry node.
 func (d *Destination) finish(w http.ResponseWriter, a *answer, b *body) {
 	switch {
 	case a.refusal != nil:
+		d.setLinkWait(w.Header())
 		writeRefusal(w, a.refusal)
 	case a.err != nil:
 		w.Header()[headerUnknown] = []string{string(kindOf(a.err))}
@@ -108,6 +127,7 @@
 		if len(a.loadHeader) > 0 {
 			w.Header()[call.HeaderLoad] = a.loadHeader
 		}
+		d.setLinkWait(w.Header())
 		w.Header()[headerTook] = []string{a.took.String()}
 		p := d.pass(w, a)
 		if p.partial || p.gone {
@@ -135,6 +155,7 @@
 	own      body // what body points to when another node sent the call
 	hop      hop
 	deadline time.Time
+	reserved int64 // of the link, for the answer
 }
 
 var inbounds = sync.Pool{New: func() any { return new(inbound) }}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -27,8 +27,6 @@
 	Meters    *Meters // of the calls that enter here; its own when nil
 	Tracer    *Tracer
 	Dialect   Dialect // marlpass's own when nil
-	// Link, if set, paces large answers to callers.
-	Link *Link
 	// Decisions takes a line for each decision that needs one; nil writes none.
 	Decisions *decisions.Log
 	// WaitOut gives every attempt all of the call's time, where an endpoint that
@@ -103,7 +101,6 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, internal bool) {
 	c := enterings.Get().(*entering)
 	defer c.free()
-	w = e.Link.pace(r.Context(), w)
 	c.r, c.start = r, e.Now()
 	c.id = e.Dialect.ID(r.Header)
 	if refusal := e.match(c, internal); refusal != nil {
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -88,7 +88,7 @@
 
 // report tells the picker how an attempt went.
 func report(a *answer, latency time.Duration) Report {
-	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load}
+	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait}
 	switch {
 	case a.refusal != nil:
 		r.Refused = a.refusal.Reason
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -3,8 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // Bounds of what large answers may take of a VM's link.
@@ -14,41 +21,130 @@
 	bulkFrom = 16 << 10
 	// bulkPart is the part of the link that bulk may fill. The rest carries
 	// small answers and the nodes' own messages, which take about a tenth.
-	bulkPart = 0.8
+	bulkPart = 0.6
 	// bulkChunk is what is written of bulk in one go: at the slowest links in
 	// use, of 5 Mbit/s, 7 ms.
 	bulkChunk = 4 << 10
 )
 
-// Link paces the large answers that leave this VM.
+// bytesPerMbit is a megabit in bytes.
+const bytesPerMbit = 1e6 / 8
+
+// answerPart is the part of the receiving VM's link that the bulk of one answer may
+// take. Two at once then still leave room for what else arrives there.
+const answerPart = 0.4
+
+// linkPart is the part of a class's answer time that a large answer may wait for
+// the link. Behind it there is still the run itself and the way.
+const linkPart = 0.5
+
+// Link paces the large answers that leave this VM, and refuses calls whose answers
+// it could not carry in time.
 //
 // It guards small answers against large ones. A few downloads at once fill the
 // queue in front of a slow link, and every lookup behind them is as late as they
 // are: at 5 Mbit/s and 85% of use, by some hundred milliseconds for each call. With
-// the bulk held back here, the queue in front of the link stays short.
-type Link struct{ bulk *rate.Limiter }
+// the bulk held back here, the queue in front of the link stays short. What waits
+// here is bounded as well: a download that would come too late is turned away
+// before it runs, while another VM's link may have room.
+type Link struct {
+	mbps float64
+	bulk *rate.Limiter
+	// waiting are the bytes of bulk that are to go out, expected ones included.
+	waiting atomic.Int64
+	sizes   sync.Map // class to *linkSize
+}
+
+// linkSize is the mean size of a class's answers, in bytes.
+type linkSize struct{ mean atomic.Int64 }
+
+// linkSizeWeight is the weight of one answer in that mean, as a divisor.
+const linkSizeWeight = 8
 
 // NewLink returns the pace of a link, or nil, which paces nothing, for zero.
 func NewLink(mbps float64) *Link {
 	if mbps <= 0 {
 		return nil
 	}
-	const bitsPerByte, mega = 8, 1e6
-	return &Link{rate.NewLimiter(rate.Limit(mbps*mega/bitsPerByte*bulkPart), bulkChunk)}
+	return &Link{mbps: mbps, bulk: rate.NewLimiter(rate.Limit(mbps*bytesPerMbit*bulkPart), bulkChunk)}
+}
+
+// Wait returns how long a large answer that came now would wait.
+func (l *Link) Wait() time.Duration {
+	if l == nil {
+		return 0
+	}
+	return time.Duration(float64(l.waiting.Load()) / float64(l.bulk.Limit()) * float64(time.Second))
+}
+
+// expect reserves room for an answer of the class, and returns what was reserved.
+// A refusal means that the answer would wait too long.
+func (l *Link) expect(t *config.Target) (int64, *call.Refusal) {
+	if l == nil {
+		return 0, nil
+	}
+	n := l.size(t.Name).mean.Load() - bulkFrom
+	if n <= 0 {
+		return 0, nil
+	}
+	wait := l.Wait()
+	if aim := t.AnswerWithin(); aim > 0 && wait > time.Duration(linkPart*float64(aim)) {
+		return 0, refuse(call.ReasonLinkFull, wait, "the VM's link has no room in time")
+	}
+	l.waiting.Add(n)
+	return n, nil
+}
+
+func (l *Link) size(class string) *linkSize {
+	if s, ok := l.sizes.Load(class); ok {
+		return s.(*linkSize)
+	}
+	s, _ := l.sizes.LoadOrStore(class, new(linkSize))
+	return s.(*linkSize)
 }
 
-// pace returns a writer of one answer over the link.
-func (l *Link) pace(ctx context.Context, w http.ResponseWriter) http.ResponseWriter {
+// settle replaces what was expected of an answer by its real size, and returns what
+// is now reserved.
+func (l *Link) settle(class string, expected, size int64) int64 {
+	if l == nil {
+		return 0
+	}
+	s := &l.size(class).mean
+	if old := s.Load(); old == 0 {
+		s.Store(size)
+	} else {
+		s.Store(old + (size-old)/linkSizeWeight)
+	}
+	real := max(size-bulkFrom, 0)
+	l.waiting.Add(real - expected)
+	return real
+}
+
+// free gives up a reservation.
+func (l *Link) free(reserved int64) {
+	if l != nil {
+		l.waiting.Add(-reserved)
+	}
+}
+
+// pace returns a writer of one answer over the link to a VM whose own link has the
+// given rate in Mbit/s, zero if it is not known.
+func (l *Link) pace(ctx context.Context, w http.ResponseWriter, far float64) http.ResponseWriter {
 	if l == nil {
 		return w
 	}
-	return &pacedWriter{ResponseWriter: w, link: l, ctx: ctx}
+	p := &pacedWriter{ResponseWriter: w, link: l, ctx: ctx}
+	if far > 0 {
+		p.own = rate.NewLimiter(rate.Limit(far*bytesPerMbit*answerPart), bulkChunk)
+	}
+	return p
 }
 
 // pacedWriter holds the bulk of an answer to the pace of its link.
 type pacedWriter struct {
 	http.ResponseWriter
 	link *Link
+	own  *rate.Limiter // of this answer, or nil
 	ctx  context.Context
 	sent int
 }
@@ -70,7 +166,7 @@
 	for done < len(b) {
 		part := b[done:min(done+bulkChunk, len(b))]
 		if p.sent >= bulkFrom {
-			if err := p.link.bulk.WaitN(p.ctx, len(part)); err != nil {
+			if err := p.wait(len(part)); err != nil {
 				return done, err
 			}
 		}
@@ -86,3 +182,32 @@
 	}
 	return done, nil
 }
+
+// wait waits until n bytes of bulk may go out.
+func (p *pacedWriter) wait(n int) error {
+	if p.own != nil {
+		if err := p.own.WaitN(p.ctx, n); err != nil {
+			return err
+		}
+	}
+	return p.link.bulk.WaitN(p.ctx, n)
+}
+
+// headerLinkRate tells a destination the rate of the entry node's link, in Mbit/s.
+const headerLinkRate = "Marlpass-Link-Mbps"
+
+// setRate notes the rate of this VM's link in a call to another node.
+func (l *Link) setRate(h http.Header) {
+	if l != nil {
+		h[headerLinkRate] = []string{strconv.FormatFloat(l.mbps, 'f', -1, 64)}
+	}
+}
+
+// parseRate returns the rate that setRate noted, or zero.
+func parseRate(h http.Header) float64 {
+	mbps, err := strconv.ParseFloat(first(h, headerLinkRate), 64)
+	if err != nil || !(mbps > 0) {
+		return 0
+	}
+	return mbps
+}
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -61,6 +61,8 @@
 	Latency time.Duration
 	Load    Load
 	Bytes   int64 // of the answer's body, if it came whole
+	// LinkWait is how long large answers wait for the endpoint's link.
+	LinkWait time.Duration
 }
 
 // Choice is an endpoint picked for one attempt. Done must be called once, and
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -32,6 +32,9 @@
 	if h.settled {
 		header[headerSettled] = settledValue
 	}
+	if e.Local != nil {
+		e.Local.Link.setRate(header)
+	}
 	a := e.Upstreams.send(ctx, now, &outbound{
 		in: c.r, header: header, body: &c.body, addr: ep.Addr, vm: ep.VM, wait: h.left, stall: stallOf(c.target),
 		extra: AttemptHeaders{{call.HeaderHop, h.String()}},
@@ -82,15 +85,17 @@
 	if a.resp == nil {
 		return a
 	}
+	wait := parseLinkWait(a.resp.Header)
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r}
+		return answer{refusal: r, linkWait: wait}
 	}
 	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
 		return answer{err: &unknownError{unknownKind(kind)}}
 	}
 	a.load = parseLoad(a.resp.Header)
+	a.linkWait = wait
 	a.took = parseTook(a.resp.Header)
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
--- a/internal/proxy/spool_test.go
+++ b/internal/proxy/spool_test.go
@@ -63,11 +63,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // whoever waits for the pace is told so at once
 	w := httptest.NewRecorder()
-	small, err := l.pace(ctx, w).Write(make([]byte, bulkFrom))
+	small, err := l.pace(ctx, w, 0).Write(make([]byte, bulkFrom))
 	if small != bulkFrom || err != nil {
 		t.Errorf("a small answer: %d bytes, %v", small, err)
 	}
-	large, err := l.pace(ctx, w).Write(make([]byte, 2*bulkFrom))
+	large, err := l.pace(ctx, w, 0).Write(make([]byte, 2*bulkFrom))
 	if large >= 2*bulkFrom || err == nil {
 		t.Errorf("a large answer: %d bytes, %v", large, err)
 	}
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -22,6 +22,9 @@
 	s := c.s
 	own := s.outstanding.Add(-1)
 	verdict := judge(r)
+	if r.Refused == "" || r.Refused == call.ReasonLinkFull {
+		s.linkWait.set(float64(r.LinkWait)/float64(time.Millisecond), now)
+	}
 	if verdict != verdictFailed {
 		// What fails at once is idle, and says so; it must not lower the
 		// mean that the others are compared to.
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -42,6 +42,8 @@
 	Refused call.Reason
 	Latency time.Duration
 	Load    Load
+	// LinkWait is how long large answers wait for the endpoint's link.
+	LinkWait time.Duration
 }
 
 // EndpointStatus is what a Picker holds true of an endpoint, for operators.
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -32,6 +32,7 @@
 	latency     average // milliseconds, of answers that were no failure
 	failures    average // share of failed calls
 	others      average // reported busy slots less this node's own calls
+	linkWait    average // milliseconds that large answers wait for its link
 	results     atomic.Int64
 
 	rampFrom   atomic.Int64 // start of the slow start; 0 for none
--- a/internal/route/weigh.go
+++ b/internal/route/weigh.go
@@ -18,6 +18,24 @@
 // centre costs more: its answer crosses two links, though no data centre's border.
 const nearPart = 0.25
 
+// largeFar is the Ask.Far from which an answer counts as large, so that the wait
+// for the endpoint's link counts too.
+const largeFar = 0.4
+
+// linkWaitUnit is the wait for a link that weighs as much as all slots taken: about
+// the time in which a full set of slots is free again.
+const linkWaitUnit = 200 // ms
+
+// linkCost is what waiting for the endpoint's link adds to the cost of a large
+// answer. What was heard of it fades as quickly as the wait itself does.
+func (p *Picker) linkCost(s *state, now int64) float64 {
+	ms, age, ok := s.linkWait.load(now)
+	if !ok {
+		return 0
+	}
+	return ms * fade(age, linkWaitUnit) / linkWaitUnit
+}
+
 // PickFor picks an endpoint for what a says. See Pick.
 func (p *Picker) PickFor(now time.Time, a Ask) (Choice, error) {
 	if !p.opt.Weighed {
@@ -50,7 +68,13 @@
 	var best *state
 	var bestCost float64
 	take := func(s *state, cost float64) {
-		if s != nil && (best == nil || cost < bestCost) {
+		if s == nil {
+			return
+		}
+		if a.Far > largeFar && s.ep.Load().VM != p.opt.Self {
+			cost += p.linkCost(s, now)
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
