Leave more of slow links to small answers

Change: 0.55 and 0.3. A starting node reads the contacts until it knows somebody, not until it has joined.

--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -210,7 +210,9 @@
 			want, duty = s.WantContacts(), s.ContactDuty()
 			// One that took itself to be the first, since the platform was down as
 			// well, goes on looking: it serves nobody until it finds the others.
-			early = s.cfg.WriteContactEarly && (!s.joined || s.live == 0)
+			early = s.cfg.WriteContactEarly && s.live == 0
+			// One that knows somebody has whom to ask for the rest.
+			want = want && (s.joined || early || !s.cfg.WriteContactEarly)
 		})
 		due := (duty || early) && time.Since(written) >= contactEvery
 		enough := false
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -21,7 +21,7 @@
 	bulkFrom = 16 << 10
 	// bulkPart is the part of the link that bulk may fill. The rest carries
 	// small answers and the nodes' own messages, which take about a tenth.
-	bulkPart = 0.6
+	bulkPart = 0.55
 	// bulkChunk is what is written of bulk in one go: at the slowest links in
 	// use, of 5 Mbit/s, 7 ms.
 	bulkChunk = 4 << 10
@@ -32,7 +32,7 @@
 
 // answerPart is the part of the receiving VM's link that the bulk of one answer may
 // take. Two at once then still leave room for what else arrives there.
-const answerPart = 0.4
+const answerPart = 0.3
 
 // linkPart is the part of a class's answer time that a large answer may wait for
 // the link. Behind it there is still the run itself and the way.
