Add a randomized soak of real processes

Cause: the users ask for a soak that injects faults from outside of the processes and checks the promises from what callers and backend servers see.

--- /dev/null
+++ b/cmd/marlpass-soak/main.go
@@ -0,0 +1,80 @@
+// Command marlpass-soak runs real nodes under random faults and checks the promises.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/program"
+	"github.com/marlpass/marlpass/internal/settings/exit"
+	"github.com/marlpass/marlpass/platform/soak"
+)
+
+const usage = `marlpass-soak runs marlpass-node as several processes on loopback, injects the
+faults of a seed from outside, and checks from what callers and backend servers see
+that the promises hold.
+
+Usage:
+  marlpass-soak -node FILE [-seed N] [-seeds N] [-for DURATION] [-vms N] [-dir DIR]
+
+Examples:
+  marlpass-soak -node bin/marlpass-node -seed 17
+  marlpass-soak -node bin/marlpass-node -seed 100 -seeds 50 -for 20s
+
+Exit codes: 0 all promises held, 1 one did not, 2 bad flags.
+
+Flags:
+`
+
+var errFlags = errors.New("-node is missing, or a number is not positive; see -h")
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	line := program.NewLine("marlpass-soak", usage, stdout, stderr)
+	binary := line.String("node", "", "`FILE` of marlpass-node")
+	seed := line.Uint64("seed", 1, "first seed")
+	seeds := line.Int("seeds", 1, "how many seeds, one after the other")
+	length := line.Duration("for", 20*time.Second, "how long faults come, a seed")
+	vms := line.Int("vms", 6, "nodes")
+	dir := line.String("dir", "", "`DIR` for settings and logs; a temporary one if empty")
+	if code, ok := line.Read(args); !ok {
+		return code
+	}
+	if *binary == "" || *seeds < 1 || *vms < 1 || *length <= 0 {
+		return line.Bad(errFlags)
+	}
+	if *dir == "" {
+		var err error
+		if *dir, err = os.MkdirTemp("", "marlpass-soak"); err != nil {
+			return line.Failed(err)
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := exit.OK
+	for n := range uint64(*seeds) {
+		logs, err := soak.Logs(*dir, *seed+n)
+		if err != nil {
+			return line.Failed(err)
+		}
+		r, err := soak.Run(ctx, soak.Options{
+			Seed: *seed + n, Length: *length, VMs: *vms, Binary: *binary, Dir: logs, Log: stderr, Recovery: true,
+		})
+		if err != nil {
+			return line.Failed(err)
+		}
+		r.Report(stdout)
+		if len(r.Violations) > 0 {
+			fmt.Fprintln(stdout, "  logs:", logs)
+			code = exit.Failed
+		}
+	}
+	return code
+}
