Keep idle connections for half as long as backend servers do

Cause: backend servers close idle connections after 10 s, this node kept them for 30; a booking sent in the moment of the close is reset, and nobody knows if it ran. Change: 5 s on this platform.

--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -35,6 +35,7 @@
 	// secure is nil for plain connections.
 	secure Secure
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	kept   time.Duration // how long an idle connection is kept
 }
 
 // Secure turns a new connection into one on which vm itself has been proved to
@@ -54,6 +55,7 @@
 	Idle, Every time.Duration // before the first probe, and between probes
 	Count       int           // probes without an answer that end the connection
 	Unacked     time.Duration // bytes without an acknowledgement that end it
+	Kept        time.Duration // how long an idle connection is kept
 }
 
 // SlowProbing is for meshes whose calls are also given up when an answer takes
@@ -62,13 +64,22 @@
 // connection within 2 s, and survives a lost packet.
 var (
 	SlowProbing = Probing{
-		Idle: keepAliveIdle, Every: keepAliveEvery, Count: keepAliveCount, Unacked: unackedBound,
+		Idle: keepAliveIdle, Every: keepAliveEvery, Count: keepAliveCount, Unacked: unackedBound, Kept: IdleBound,
 	}
-	SwiftProbing = Probing{Idle: time.Second, Every: time.Second, Count: 2, Unacked: 1500 * time.Millisecond}
+	SwiftProbing = Probing{Idle: time.Second, Every: time.Second, Count: 2, Unacked: 1500 * time.Millisecond, Kept: swiftKept}
 )
 
+// swiftKept is half of the ten seconds after which the users' backend servers close
+// an idle connection. A booking sent in that moment is reset, and nobody can tell
+// whether it ran.
+const swiftKept = 5 * time.Second
+
 // NewUpstreams returns empty pools. They open connections over TCP.
-func NewUpstreams(p Probing) *Upstreams { return NewUpstreamsBy(p.dialer().DialContext) }
+func NewUpstreams(p Probing) *Upstreams {
+	u := NewUpstreamsBy(p.dialer().DialContext)
+	u.kept = p.Kept
+	return u
+}
 
 func (p Probing) dialer() *net.Dialer {
 	return &net.Dialer{
@@ -79,7 +90,7 @@
 
 // NewUpstreamsBy returns empty pools that open connections by dial.
 func NewUpstreamsBy(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Upstreams {
-	return &Upstreams{dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return &Upstreams{kept: IdleBound, dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, DialBound)
 		defer cancel()
 		return dial(ctx, network, addr)
@@ -166,7 +177,7 @@
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdlePerAddr,
 		MaxIdleConnsPerHost:    maxIdlePerAddr,
-		IdleConnTimeout:        IdleBound,
+		IdleConnTimeout:        u.kept,
 		ExpectContinueTimeout:  expectContinue,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         transportBuffer,
