Pace an answer by its size and its class's answer time

Change: the bulk of one answer takes the part of the receiver's link that brings it there within 0.4 of the aim, between 0.3 and 0.7; all bulk together three quarters of the sender's link less 1 Mbit/s for small answers.

--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -95,7 +95,11 @@
 	span.outcome(&a)
 	in.own.answering(r, w.Header())
 	defer d.Link.free(in.reserved)
-	d.finish(d.Link.pace(ctx, w, far), &a, &in.own)
+	size := int64(-1)
+	if a.resp != nil {
+		size = a.resp.ContentLength
+	}
+	d.finish(d.Link.pace(ctx, w, d.target(in.hop), far, size), &a, &in.own)
 }
 
 // doRemote runs a call whose answer goes out over this VM's link.
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -19,9 +19,14 @@
 	// bulkFrom is how much of an answer goes out at once; what is behind it is
 	// bulk. Answers to lookups have a few kilobytes.
 	bulkFrom = 16 << 10
-	// bulkPart is the part of the link that bulk may fill. The rest carries
-	// small answers and the nodes' own messages, which take about a tenth.
-	bulkPart = 0.55
+	// bulkPart is the part of the link that bulk may fill together with small
+	// answers. Beyond three quarters the queue in front of a link grows quickly.
+	bulkPart = 0.75
+	// smallMbps is what small answers and the nodes' own messages are taken to
+	// need, in Mbit/s: about those of 60 calls a second. bulkLeast is the part of
+	// the link that bulk gets in any case.
+	smallMbps = 1.0
+	bulkLeast = 0.3
 	// bulkChunk is what is written of bulk in one go: at the slowest links in
 	// use, of 5 Mbit/s, 7 ms.
 	bulkChunk = 4 << 10
@@ -30,9 +35,15 @@
 // bytesPerMbit is a megabit in bytes.
 const bytesPerMbit = 1e6 / 8
 
-// answerPart is the part of the receiving VM's link that the bulk of one answer may
-// take. Two at once then still leave room for what else arrives there.
-const answerPart = 0.3
+// The bulk of one answer takes the part of the receiving VM's link that brings it
+// there within answerAim of its class's answer time, but at least answerLeast, so
+// that it ends at all, and at most answerMost, so that what else arrives there gets
+// through.
+const (
+	answerAim   = 0.4
+	answerLeast = 0.3
+	answerMost  = 0.7
+)
 
 // linkPart is the part of a class's answer time that a large answer may wait for
 // the link. Behind it there is still the run itself and the way.
@@ -66,7 +77,8 @@
 	if mbps <= 0 {
 		return nil
 	}
-	return &Link{mbps: mbps, bulk: rate.NewLimiter(rate.Limit(mbps*bytesPerMbit*bulkPart), bulkChunk)}
+	bulk := max(mbps*bulkPart-smallMbps, mbps*bulkLeast)
+	return &Link{mbps: mbps, bulk: rate.NewLimiter(rate.Limit(bulk*bytesPerMbit), bulkChunk)}
 }
 
 // Wait returns how long a large answer that came now would wait.
@@ -127,19 +139,29 @@
 	}
 }
 
-// pace returns a writer of one answer over the link to a VM whose own link has the
-// given rate in Mbit/s, zero if it is not known.
-func (l *Link) pace(ctx context.Context, w http.ResponseWriter, far float64) http.ResponseWriter {
+// pace returns a writer of one answer of a class over the link to a VM whose own
+// link has the given rate in Mbit/s, zero if it is not known. Size is that of the
+// answer, or negative.
+func (l *Link) pace(ctx context.Context, w http.ResponseWriter, t *config.Target, far float64, size int64) http.ResponseWriter {
 	if l == nil {
 		return w
 	}
 	p := &pacedWriter{ResponseWriter: w, link: l, ctx: ctx}
 	if far > 0 {
-		p.own = rate.NewLimiter(rate.Limit(far*bytesPerMbit*answerPart), bulkChunk)
+		p.own = rate.NewLimiter(rate.Limit(answerRate(t, far*bytesPerMbit, size)), bulkChunk)
 	}
 	return p
 }
 
+// answerRate returns the pace of one answer, and takes and returns bytes a second.
+func answerRate(t *config.Target, link float64, size int64) float64 {
+	aimed := 0.0
+	if aim := t.AnswerWithin(); aim > 0 && size > 0 {
+		aimed = float64(size) / (answerAim * aim.Seconds())
+	}
+	return min(max(aimed, link*answerLeast), link*answerMost)
+}
+
 // pacedWriter holds the bulk of an answer to the pace of its link.
 type pacedWriter struct {
 	http.ResponseWriter
--- a/internal/proxy/spool_test.go
+++ b/internal/proxy/spool_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 func response(length int64, body io.Reader) *http.Response {
@@ -59,15 +61,15 @@
 // of each answer goes out at once; what follows keeps to the pace.
 func TestLinkPacesBulkOnly(t *testing.T) {
 	const bytesPerSecond = 1 << 20
-	l := NewLink(bytesPerSecond * 8 / 1e6 / bulkPart)
+	l := NewLink(bytesPerSecond / bytesPerMbit)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // whoever waits for the pace is told so at once
 	w := httptest.NewRecorder()
-	small, err := l.pace(ctx, w, 0).Write(make([]byte, bulkFrom))
+	small, err := l.pace(ctx, w, new(config.Target), 0, -1).Write(make([]byte, bulkFrom))
 	if small != bulkFrom || err != nil {
 		t.Errorf("a small answer: %d bytes, %v", small, err)
 	}
-	large, err := l.pace(ctx, w, 0).Write(make([]byte, 2*bulkFrom))
+	large, err := l.pace(ctx, w, new(config.Target), 0, -1).Write(make([]byte, 2*bulkFrom))
 	if large >= 2*bulkFrom || err == nil {
 		t.Errorf("a large answer: %d bytes, %v", large, err)
 	}
@@ -81,3 +83,26 @@
 		t.Errorf("%d bytes came, %d were written", b.Len(), small+large)
 	}
 }
+
+// An export of 280 KB should be there within 0.8 s over a link of 11 Mbit/s; a
+// picture of 90 KB has more time over one of 5. At a fixed part of the link, one of
+// the two is too late or the other keeps lookups waiting.
+func TestAnswerRateFollowsTheAim(t *testing.T) {
+	for _, c := range []struct {
+		aimMS, size int64
+		mbps, want  float64 // parts of the link
+	}{
+		{800, 280_000, 11, 0.636},
+		{1000, 90_000, 5, 0.36},
+		{1000, 20_000, 5, answerLeast},
+		{1000, 540_000, 5, answerMost},
+		{0, 90_000, 5, answerLeast},
+		{1000, -1, 5, answerLeast},
+	} {
+		link := c.mbps * bytesPerMbit
+		got := answerRate(&config.Target{AnswerWithinMS: c.aimMS}, link, c.size) / link
+		if got < c.want-0.01 || got > c.want+0.01 {
+			t.Errorf("%+v: %.3f of the link", c, got)
+		}
+	}
+}
