Turn large answers away earlier when a link is full

Cause: an answer that waits half of its aim for the link, is paced over 0.4 of it and runs besides is late; the late ones fill the links of the others. Change: a quarter in place of half.

--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -47,7 +47,7 @@
 
 // linkPart is the part of a class's answer time that a large answer may wait for
 // the link. Behind it there is still the run itself and the way.
-const linkPart = 0.5
+const linkPart = 0.25
 
 // Link paces the large answers that leave this VM, and refuses calls whose answers
 // it could not carry in time.
