--- /dev/null
+++ b/internal/follow/tell.go
@@ -0,0 +1,90 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+)
+
+// remember keeps a version that was held, to tell what has changed since.
+func (r *Runner) remember(s *config.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent = append(r.recent, s)
+	if len(r.recent) > maxRecent {
+		r.recent = r.recent[1:]
+	}
+}
+
+// tellOthers tells the nodes that wait for this one what has changed.
+func (r *Runner) tellOthers(snap, before *config.Snapshot) {
+	view := r.deps.Views.Load()
+	peers := distribute.ToTell(view, r.set.Self, r.set.DataCentre)
+	if len(peers) == 0 || before.Version().Number == 0 {
+		return
+	}
+	packed, err := distribute.Pack([]*config.Delta{snap.Since(before)}, nil)
+	if err != nil {
+		r.deps.Log.Error().Err(err).Msg("follow: tell without the changes")
+	}
+	for _, p := range peers {
+		if rec := view.Records[p]; rec != nil {
+			go r.tell(rec.VM.ControlAddr, p, packed)
+		}
+	}
+}
+
+// tell tells one peer. One that is missed hears of the version in passing.
+func (r *Runner) tell(addr, peer string, packed *peerpb.Packed) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if r.tells.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer r.tells.Release(1)
+	if err := r.deps.Client.Tell(ctx, addr, packed); err != nil {
+		r.deps.Log.Debug().Str("peer", peer).Err(err).Msg("follow: a peer was not told")
+	}
+}
+
+// told puts the version of a tell in force, if what came with it leads there from
+// the version held.
+func (r *Runner) told(e *peerpb.Envelope) bool {
+	ds, err := distribute.UnpackTold(e.Changes)
+	if err != nil || len(ds) != 1 {
+		return false
+	}
+	snap, err := ds[0].Patch(r.held.Load())
+	if err != nil {
+		return false
+	}
+	r.offer(snap, e.From)
+	return true
+}
+
+// Heard takes the version that a message of a peer carried.
+func (r *Runner) Heard(e *peerpb.Envelope) {
+	if e.Version <= r.held.Load().Version().Number {
+		return
+	}
+	tell := e.Changes != nil
+	if tell && r.told(e) {
+		return
+	}
+	v := config.Version{Number: e.Version}
+	if len(e.Hash) != config.HashSize {
+		r.deps.Log.Warn().Str("peer", e.From).Msg("follow: drop a version without its hash")
+		return
+	}
+	copy(v.Hash[:], e.Hash)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if tell {
+		r.state.Told(time.Now(), e.From, v)
+		return
+	}
+	r.state.Heard(time.Now(), e.From, v)
+}
