State a call's bound and attempts through the admin API

Cause: targets have a timeout and a number of attempts since the users' configuration needs them, and operators of marlpass's own meshes could not state them. Change: timeout_ms and attempts in the admin API, -bound and -attempts on the command line (-timeout is that of the command itself). Splits by weight stay out: operators state targets, never weights.

--- a/internal/admin/shapes.go
+++ b/internal/admin/shapes.go
@@ -31,6 +31,8 @@
 		Priority:       s.Priority.Or(0),
 		Audience:       config.Audience(s.Audience.Or("")),
 		OnStoreDown:    config.OnStoreDown(s.OnStoreDown.Or("")),
+		TimeoutMS:      s.TimeoutMs.Or(0),
+		Attempts:       s.Attempts.Or(0),
 	}
 }
 
@@ -54,6 +56,8 @@
 			Priority:       adminapi.OptInt{Value: t.Priority, Set: t.Priority != 0},
 			Audience:       adminapi.OptAudience{Value: adminapi.Audience(t.Audience), Set: t.Audience != ""},
 			OnStoreDown:    adminapi.OptOnStoreDown{Value: adminapi.OnStoreDown(t.OnStoreDown), Set: t.OnStoreDown != ""},
+			TimeoutMs:      adminapi.OptInt64{Value: t.TimeoutMS, Set: t.TimeoutMS != 0},
+			Attempts:       adminapi.OptInt{Value: t.Attempts, Set: t.Attempts != 0},
 		},
 	}
 }
--- a/internal/cli/spec.go
+++ b/internal/cli/spec.go
@@ -27,6 +27,8 @@
 	Internal    bool            `toml:"internal"`
 	OnStoreDown string          `toml:"on_store_down"`
 	Deadline    strict.Duration `toml:"deadline"`
+	Bound       strict.Duration `toml:"bound"`
+	Attempts    int             `toml:"attempts"`
 }
 
 // targetFlags are the flags that describe a target; they exclude -f.
@@ -34,6 +36,7 @@
 	"service": true, "host": true, "path": true, "methods": true, "idempotent": true,
 	"within": true, "percentile": true, "share": true, "rate": true, "priority": true,
 	"internal": true, "on-store-down": true, "deadline": true,
+	"bound": true, "attempts": true,
 }
 
 func defineTarget(fs *flag.FlagSet) *targetInput {
@@ -54,6 +57,8 @@
 	fs.BoolVar(&t.Internal, "internal", false, "open to backend servers only")
 	fs.StringVar(&t.OnStoreDown, "on-store-down", "", "refuse, wait or local-guard: keyed calls while the platform is down (default refuse)")
 	fs.DurationVar(&t.Deadline.Duration, "deadline", 0, "bound on a call whose caller sent none (default 30s)")
+	fs.DurationVar(&t.Bound.Duration, "bound", 0, "longest `time` of a call, whatever its caller allows (default: none)")
+	fs.IntVar(&t.Attempts, "attempts", 0, "the most backend servers that one call is sent to (default: as the retry policy says)")
 	return t
 }
 
@@ -104,6 +109,8 @@
 	}{
 		{"within", "0s", t.Within.Duration == 0, "allowed is more than 0; leave it out for no aim"},
 		{"deadline", "0s", t.Deadline.Duration == 0, "allowed is more than 0; leave it out for 30s"},
+		{"bound", "0s", t.Bound.Duration == 0, "allowed is more than 0; leave it out for no bound"},
+		{"attempts", none, t.Attempts == 0, "allowed are 1 to 64; leave it out for the default"},
 		{"percentile", none, t.Percentile == 0, "allowed is more than 0 and less than 100; leave it out for 99"},
 		{"rate", none, t.Rate == 0, "allowed is more than 0; leave it out for no bound"},
 		{"priority", none, t.Priority == 0, "allowed are 1 to 9; leave it out for 5"},
@@ -119,7 +126,7 @@
 // they differ.
 var inputNames = map[string]string{
 	"match.host": "host", "match.path_prefix": "path", "match.methods": "methods",
-	"answer_within_ms": "within", "deadline_ms": "deadline", "rate_per_second": "rate", "audience": "internal",
+	"answer_within_ms": "within", "deadline_ms": "deadline", "timeout_ms": "bound", "rate_per_second": "rate", "audience": "internal",
 }
 
 // spec returns the target as the API takes it. It checks the input's own
@@ -140,6 +147,10 @@
 	if err != nil {
 		return nil, t.bad(file, "deadline", t.Deadline.String(), "allowed are whole milliseconds from 1ms up")
 	}
+	timeout, err := wholeMS(t.Bound.Duration)
+	if err != nil {
+		return nil, t.bad(file, "bound", t.Bound.String(), "allowed are whole milliseconds from 1ms up")
+	}
 	s := &adminapi.TargetSpec{
 		Service:        adminapi.Name(t.Service),
 		Match:          adminapi.Match{Host: optString(t.Host), PathPrefix: t.Path, Methods: t.Methods},
@@ -151,6 +162,8 @@
 		RatePerSecond:  adminapi.OptFloat64{Value: t.Rate, Set: t.Rate != 0},
 		Priority:       adminapi.OptInt{Value: t.Priority, Set: t.Priority != 0},
 		OnStoreDown:    adminapi.OptOnStoreDown{Value: adminapi.OnStoreDown(t.OnStoreDown), Set: t.OnStoreDown != ""},
+		TimeoutMs:      adminapi.OptInt64{Value: timeout, Set: timeout != 0},
+		Attempts:       adminapi.OptInt{Value: t.Attempts, Set: t.Attempts != 0},
 	}
 	if t.Internal {
 		s.Audience.SetTo(adminapi.AudienceInternal)
--- a/internal/gen/adminapi/oas_json_gen.go
+++ b/internal/gen/adminapi/oas_json_gen.go
@@ -5781,9 +5781,21 @@
 			s.OnStoreDown.Encode(e)
 		}
 	}
+	{
+		if s.TimeoutMs.Set {
+			e.FieldStart("timeout_ms")
+			s.TimeoutMs.Encode(e)
+		}
+	}
+	{
+		if s.Attempts.Set {
+			e.FieldStart("attempts")
+			s.Attempts.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfTargetSpec = [11]string{
+var jsonFieldsNameOfTargetSpec = [13]string{
 	0:  "service",
 	1:  "match",
 	2:  "idempotent",
@@ -5795,6 +5807,8 @@
 	8:  "priority",
 	9:  "audience",
 	10: "on_store_down",
+	11: "timeout_ms",
+	12: "attempts",
 }
 
 // Decode decodes TargetSpec from json.
@@ -5916,6 +5930,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"on_store_down\"")
 			}
+		case "timeout_ms":
+			if err := func() error {
+				s.TimeoutMs.Reset()
+				if err := s.TimeoutMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"timeout_ms\"")
+			}
+		case "attempts":
+			if err := func() error {
+				s.Attempts.Reset()
+				if err := s.Attempts.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"attempts\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
--- a/internal/gen/adminapi/oas_schemas_gen.go
+++ b/internal/gen/adminapi/oas_schemas_gen.go
@@ -3116,6 +3116,8 @@
 	Priority       OptInt         `json:"priority"`
 	Audience       OptAudience    `json:"audience"`
 	OnStoreDown    OptOnStoreDown `json:"on_store_down"`
+	TimeoutMs      OptInt64       `json:"timeout_ms"`
+	Attempts       OptInt         `json:"attempts"`
 }
 
 // GetService returns the value of Service.
@@ -3173,6 +3175,16 @@
 	return s.OnStoreDown
 }
 
+// GetTimeoutMs returns the value of TimeoutMs.
+func (s *TargetSpec) GetTimeoutMs() OptInt64 {
+	return s.TimeoutMs
+}
+
+// GetAttempts returns the value of Attempts.
+func (s *TargetSpec) GetAttempts() OptInt {
+	return s.Attempts
+}
+
 // SetService sets the value of Service.
 func (s *TargetSpec) SetService(val Name) {
 	s.Service = val
@@ -3228,6 +3240,16 @@
 	s.OnStoreDown = val
 }
 
+// SetTimeoutMs sets the value of TimeoutMs.
+func (s *TargetSpec) SetTimeoutMs(val OptInt64) {
+	s.TimeoutMs = val
+}
+
+// SetAttempts sets the value of Attempts.
+func (s *TargetSpec) SetAttempts(val OptInt) {
+	s.Attempts = val
+}
+
 // Ref: #/components/schemas/TargetState
 type TargetState struct {
 	Name       string           `json:"name"`
--- a/internal/gen/adminapi/oas_validators_gen.go
+++ b/internal/gen/adminapi/oas_validators_gen.go
@@ -1966,6 +1966,62 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.TimeoutMs.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           3600000,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "timeout_ms",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Attempts.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           64,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "attempts",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
