--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -278,6 +278,7 @@
 	c.c.Done(now, route.Report{
 		Outcome: r.Outcome,
 		Failed:  r.Failed,
+		Left:    r.Left,
 		Refused: r.Refused,
 		Latency: r.Latency, LinkWait: r.LinkWait,
 		Load: route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -97,6 +99,10 @@
 		// reached no backend server, and a client that sends one lost key
 		// over and over must not make its endpoint look like a failing one.
 		r.Outcome = call.NotRun
+	case errors.Is(a.err, context.Canceled):
+		// The caller left, which says nothing of the endpoint. Counted as
+		// failures, impatient callers would have its healthy endpoints ejected.
+		r.Left = true
 	case a.err != nil:
 		r.Failed = true
 	default:
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -56,7 +56,9 @@
 	Outcome call.Outcome
 	// Failed says that the attempt gave no good answer: a server error, a
 	// cut answer, or none.
-	Failed  bool
+	Failed bool
+	// Left says that the caller left before there was an answer.
+	Left    bool
 	Refused call.Reason // why it was not run, or empty
 	Latency time.Duration
 	Load    Load
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -75,6 +75,9 @@
 	default:
 		return verdictNone
 	}
+	if r.Left {
+		return verdictNone
+	}
 	if r.Failed || r.Outcome == call.Unknown {
 		return verdictFailed
 	}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -38,6 +38,8 @@
 	Outcome call.Outcome
 	// Failed says that the answer was a server error or was broken off.
 	Failed bool
+	// Left says that the caller left before there was an answer.
+	Left bool
 	// Refused is the reason of a refusal, empty when there was none.
 	Refused call.Reason
 	Latency time.Duration
--- a/internal/route/weigh_test.go
+++ b/internal/route/weigh_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
 )
 
 // Records are spread over four data centres, one backend server each. Survey
@@ -56,3 +58,28 @@
 		t.Errorf("with half of the near slots taken, %d of 100 small answers wait there", n)
 	}
 }
+
+// Owners lose patience and leave before their answers. Each such call counted as one
+// that failed, and healthy endpoints were ejected while the others got their calls
+// as well.
+func TestCallersWhoLeaveEjectNobody(t *testing.T) {
+	p := picker(Options{}, endpoints(4))
+	left := Report{Outcome: call.Unknown, Left: true}
+	picks(t, p, simStart, 200, func(string) Report { return left })
+	for _, e := range p.Endpoints(simStart) {
+		if e.Ejected || e.Failures > 0 {
+			t.Errorf("%s: ejected %v, failing %v", e.Endpoint.ID, e.Ejected, e.Failures)
+		}
+	}
+	lost := Report{Outcome: call.Unknown, Failed: true}
+	picks(t, p, simStart, 200, func(string) Report { return lost })
+	ejected := 0
+	for _, e := range p.Endpoints(simStart) {
+		if e.Ejected {
+			ejected++
+		}
+	}
+	if ejected == 0 {
+		t.Error("endpoints whose calls are lost stay")
+	}
+}
