Bound new connections to 0.3 s where data centres are close

Change: a new connection has 0.3 s on this platform. Leaving unreachable endpoints out for half a second as well was tried and not kept. Kept for silent cuts.

--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -36,6 +36,8 @@
 	secure Secure
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	kept   time.Duration // how long an idle connection is kept
+	// dialBound is how long a new connection may take.
+	dialBound time.Duration
 }
 
 // Secure turns a new connection into one on which vm itself has been proved to
@@ -56,6 +58,7 @@
 	Count       int           // probes without an answer that end the connection
 	Unacked     time.Duration // bytes without an acknowledgement that end it
 	Kept        time.Duration // how long an idle connection is kept
+	Dial        time.Duration // until a new connection stands
 }
 
 // SlowProbing is for meshes whose calls are also given up when an answer takes
@@ -64,11 +67,16 @@
 // connection within 2 s, and survives a lost packet.
 var (
 	SlowProbing = Probing{
-		Idle: keepAliveIdle, Every: keepAliveEvery, Count: keepAliveCount, Unacked: unackedBound, Kept: IdleBound,
+		Idle: keepAliveIdle, Every: keepAliveEvery, Count: keepAliveCount, Unacked: unackedBound, Kept: IdleBound, Dial: DialBound,
 	}
-	SwiftProbing = Probing{Idle: time.Second, Every: time.Second, Count: 2, Unacked: 1500 * time.Millisecond, Kept: swiftKept}
+	SwiftProbing = Probing{Idle: time.Second, Every: time.Second, Count: 2, Unacked: 1500 * time.Millisecond, Kept: swiftKept, Dial: swiftDial}
 )
 
+// swiftDial is some hundred times the way between two data centres of one region.
+// A VM behind a cut doesn't answer at all, and a call that waits a second for it is
+// late; one whose first packet was lost goes to another endpoint as not run.
+const swiftDial = 300 * time.Millisecond
+
 // swiftKept is half of the ten seconds after which the users' backend servers close
 // an idle connection. A booking sent in that moment is reset, and nobody can tell
 // whether it ran.
@@ -77,7 +85,7 @@
 // NewUpstreams returns empty pools. They open connections over TCP.
 func NewUpstreams(p Probing) *Upstreams {
 	u := NewUpstreamsBy(p.dialer().DialContext)
-	u.kept = p.Kept
+	u.kept, u.dialBound = p.Kept, p.Dial
 	return u
 }
 
@@ -90,11 +98,13 @@
 
 // NewUpstreamsBy returns empty pools that open connections by dial.
 func NewUpstreamsBy(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Upstreams {
-	return &Upstreams{kept: IdleBound, dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, DialBound)
+	u := &Upstreams{kept: IdleBound, dialBound: DialBound}
+	u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, u.dialBound)
 		defer cancel()
 		return dial(ctx, network, addr)
-	}}
+	}
+	return u
 }
 
 // Secured makes u ask s for every connection to another node. It must be called
