Check the new settings' bad values, and say where a weight comes from

Cause: the new keys had no test of what is refused; a comment gave one deployment's price as the origin of a constant. Change: eight cases in the settings' table; the comment names the range. Measured: the package's tests pass.

--- a/internal/node/sizes.go
+++ b/internal/node/sizes.go
@@ -7,10 +7,10 @@
 )
 
 // farBytes is the size of an answer whose way to another data centre weighs as
-// much as one full set of slots at the endpoint. The users pay 9,000 of credit for
-// a gigabyte between data centres, so that 100 KB cost about what a lookup is
-// worth: an answer of that size should go there only when the near endpoints
-// could not give it in time, with two full sets of slots waiting.
+// much as one full set of slots at the endpoint. Bytes between the users' data
+// centres are dear: at their prices the way of 100 to 200 KB costs as much as the
+// answer brings. One of that size should go there only when the near endpoints could
+// not give it in time, with two or more full sets of slots waiting.
 const farBytes = 48 << 10
 
 // sizeWeight is the weight of one answer in the mean size of its class.
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -37,6 +37,14 @@
 		{"token", `token_sha256 = "0000`, `token_sha256 = "secret0000`, `key operator[0].token_sha256`},
 		{"unknown key", `[drain]`, "[drain]\nlimits = 3", `key drain.limits: value 3: unknown key`},
 		{"wrong type", `id = "neg-shed-01"`, `id = 7`, `key vm.id: value 7: allowed is a string`},
+		{"form", `timeout = "2s"`, "timeout = \"2s\"\nform = \"blobs\"", `key platform.form: value "blobs": one of own, rows`},
+		{"no backend server", `timeout = "2s"`, "timeout = \"2s\"\nform = \"rows\"", `key vm.backend: value "": an IP address and port`},
+		{"link", `id = "neg-shed-01"`, "id = \"neg-shed-01\"\nlink_mbps = -1.0", `key vm.link_mbps: value -1: megabits a second`},
+		{"memory", `id = "neg-shed-01"`, "id = \"neg-shed-01\"\nmemory_mb = -1", `key vm.memory_mb: value -1: megabytes`},
+		{"retries", `[drain]`, "[retries]\nratio = 2.0\n[drain]", `key retries.ratio: value 2: a number from 0 to 1`},
+		{"window", `[drain]`, "[retries]\nslack = 5.0\n[drain]", `key retries.window: value 0s: a duration from 1s`},
+		{"word", `[drain]`, "[drain]\nnotice = \"1s\"\nword = \"2s\"", `key drain.word: value 2s: a duration from 0s to 1s`},
+		{"ready", `metrics = "10.20.1.11:7805"`, "metrics = \"10.20.1.11:7805\"\nready = \"here\"", `key listen.ready: value "here": an IP address and port`},
 		{"name", `id = "neg-shed-01"`, `id = "Neg Shed"`, `key vm.id: value "Neg Shed": 1 to 63 characters`},
 	}
 	for _, test := range tests {
