Take the grace and the heartbeat from the settings

Cause: the template fixed what follows from a deployment's bounds: a stop of 5.2 s under a grace of 6 s, and 8 s until a silent backend server is given up.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -344,7 +344,7 @@
 	n.servers.leave()
 	n.giveNotice(ctx)
 	n.calls.drain()
-	limit := n.set.Drain.Limit.Duration
+	limit := n.set.Drain.LimitWithin(n.set.Drain.NoticeOr(leaveNotice))
 	ctx, cancel := context.WithTimeout(ctx, limit+stopGrace)
 	defer cancel()
 	cut := n.servers.drain(ctx, limit)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,6 +41,8 @@
 	c.within("drain.limit", n.Drain.Limit, 0, maxDrainLimit)
 	c.within("drain.notice", n.Drain.Notice, 0, maxDrainLimit)
 	c.within("announce.ttl", n.Announce.TTL, 0, time.Hour)
+	c.within("drain.grace", n.Drain.Grace, 0, maxDrainLimit)
+	c.within("announce.renew", n.Announce.Renew, 0, time.Hour)
 	c.within("drain.word", n.Drain.Word, 0, n.Drain.NoticeOr(time.Second))
 	n.checkForm(&c)
 	c.oneOf("log.level", n.Log.Level, telemetry.LogLevels...)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -94,12 +94,18 @@
 type Announce struct {
 	// TTL is how long a silent backend server is kept; zero means 3 s.
 	TTL strict.Duration `toml:"ttl"`
+	// Renew is how often backend servers announce themselves, where they decide
+	// that and not the node; the TTL is then several times as long.
+	Renew strict.Duration `toml:"renew"`
 }
 
+// renewals is how many announcements in a row may be late or lost.
+const renewals = 5
+
 // TTLOr returns the TTL, or def where none is set.
 func (a Announce) TTLOr(def time.Duration) time.Duration {
 	if a.TTL.Duration == 0 {
-		return def
+		return max(def, renewals*a.Renew.Duration)
 	}
 	return a.TTL.Duration
 }
@@ -154,6 +160,21 @@
 	// Word is how long before the end of the notice the other nodes are told;
 	// zero means at its begin.
 	Word strict.Duration `toml:"word"`
+	// Grace is how long the platform waits for the process to end before it
+	// kills it; zero means that it waits.
+	Grace strict.Duration `toml:"grace"`
+}
+
+// endMargin is kept free of the grace for closing connections and the log.
+const endMargin = 700 * time.Millisecond
+
+// LimitWithin returns the limit, cut so that it ends within the grace if the notice
+// takes as long as given.
+func (d Drain) LimitWithin(notice time.Duration) time.Duration {
+	if d.Grace.Duration == 0 {
+		return d.Limit.Duration
+	}
+	return max(0, min(d.Limit.Duration, d.Grace.Duration-notice-endMargin))
 }
 
 // NoticeOr returns the notice, or def where none is set.
