Read the node's log from standard output in its program's tests

Cause: logs go to standard output now; the tests of cmd/marlpass-node waited for them on standard error until their patience ended. Measured: go test ./cmd/marlpass-node passes.

--- a/cmd/marlpass-node/serve_test.go
+++ b/cmd/marlpass-node/serve_test.go
@@ -40,7 +40,7 @@
 func start(t *testing.T, file string) *running {
 	t.Helper()
 	r := &running{t: t, cmd: exec.Command("marlpass-node", "-config", file), lines: make(chan line, 1000)}
-	stderr, err := r.cmd.StderrPipe()
+	stdout, err := r.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +50,7 @@
 	t.Cleanup(func() { _ = r.cmd.Process.Kill(); _ = r.cmd.Wait() })
 	go func() {
 		defer close(r.lines)
-		for s := bufio.NewScanner(stderr); s.Scan(); {
+		for s := bufio.NewScanner(stdout); s.Scan(); {
 			var l line
 			if json.Unmarshal(s.Bytes(), &l) == nil {
 				r.lines <- l
