--- a/internal/proxy/spool_test.go
+++ b/internal/proxy/spool_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
 )
@@ -73,9 +72,11 @@
 	if large >= 2*bulkFrom || err == nil {
 		t.Errorf("a large answer: %d bytes, %v", large, err)
 	}
-	now := time.Now()
-	if l.bulk.ReserveN(now, bulkChunk).DelayFrom(now) < 0 || NewLink(0) != nil {
-		t.Error("the pace of a link")
+	if got, want := float64(l.bulk.Limit()), bytesPerSecond*bulkPart-smallMbps*bytesPerMbit; got != want {
+		t.Errorf("bulk goes at %.0f bytes a second, not %.0f", got, want)
+	}
+	if NewLink(0) != nil {
+		t.Error("a link of unknown rate is paced")
 	}
 	var b bytes.Buffer
 	_, _ = b.ReadFrom(w.Body)
