Bound callers as the operators' configuration says

Cause: the row's limits were not read. Headers were bound at marlpass's own 64 KiB, bodies not at all, idle connections at two minutes. Change: a version holds one object 'callers' (headers, bodies, header time, idle time), decoded from the row's limits. Callers' servers ask it for each request: a header is measured exactly, and a raised idle bound holds for connections that already lie idle.

No command of the admin API sets the object yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -61,6 +61,7 @@
 	ReasonUnreachable Reason = "unreachable"        // no connection to the endpoint could be made
 	ReasonBackend     Reason = "refused-by-backend" // the backend server said that it did not run it
 	ReasonBadRequest  Reason = "bad-request"        // the request cannot be forwarded at all
+	ReasonTooLarge    Reason = "too-large"          // the body is longer than callers may send
 )
 
 // Refusal tells that a call was not run, why, and when to come back. It is the
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -64,6 +64,7 @@
 	for name, v := range s.services {
 		ps = append(ps, v.check(name)...)
 	}
+	ps = append(ps, s.callers.check()...)
 	for name, t := range s.targets {
 		ps = append(ps, t.check(name)...)
 		ps = append(ps, s.checkService(name, t)...)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -72,6 +72,7 @@
 	objects  []Object // sorted by key
 	services map[string]*Service
 	targets  map[string]*Target
+	callers  Callers
 	// undecoded is why some object could not be decoded, or nil.
 	undecoded error
 }
@@ -166,6 +167,8 @@
 			return err
 		}
 		s.targets[o.Key.Name] = v
+	case KindCallers:
+		return s.decodeCallers(o)
 	default:
 		return &ObjectError{Key: o.Key, Reason: "has an unknown kind"}
 	}
--- a/internal/node/program.go
+++ b/internal/node/program.go
@@ -25,6 +25,7 @@
 	p := &program{
 		Program: proxy.Program{
 			Matcher: matcher{m, splits}, Targets: targets{s, splits}, Version: s.Version(),
+			MaxBody: s.Callers().BodyBytes,
 		},
 		limits: make(map[string][]limit.Class),
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -79,10 +80,18 @@
 // callerServer returns a server for callers, who may send calls ahead.
 func (n *Node) callerServer(h http.Handler, log zerolog.Logger) *pipeline.Server {
 	return &pipeline.Server{
-		Handler: h, Ahead: n.calls.entry.MayRunAhead, Log: log,
-		Limits: func() pipeline.Limits {
-			return pipeline.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: proxy.ServerIdle}
-		},
+		Handler: h, Ahead: n.calls.entry.MayRunAhead, Log: log, Limits: n.callerLimits,
+	}
+}
+
+// callerLimits returns what the version in force allows callers, and the node's
+// own bounds where it says nothing.
+func (n *Node) callerLimits() pipeline.Limits {
+	stated := n.store.Load().Snapshot.Callers()
+	return pipeline.Limits{
+		HeaderBytes:   cmp.Or(int(stated.HeaderBytes), maxHeaderBytes),
+		HeaderTimeout: cmp.Or(stated.HeaderTimeout(), headerTimeout),
+		IdleTimeout:   cmp.Or(stated.IdleTimeout(), proxy.ServerIdle),
 	}
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,6 +34,7 @@
 type conn struct {
 	s      *Server
 	nc     net.Conn
+	remote string // the client's address
 	lr     *limitedReader
 	br     *bufio.Reader
 	wmu    sync.Mutex // guards bw
@@ -52,7 +54,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, lr: &limitedReader{r: nc}, bw: bufio.NewWriterSize(nc, writeBuffer)}
+	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr().String(), lr: &limitedReader{r: nc}, bw: bufio.NewWriterSize(nc, writeBuffer)}
 	c.br = bufio.NewReaderSize(c.lr, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.room = sync.NewCond(&c.mu)
@@ -100,23 +102,17 @@
 
 // next reads the header of the next request.
 func (c *conn) next() (*http.Request, error) {
-	l := c.s.Limits()
-	if err := c.nc.SetReadDeadline(deadline(l.IdleTimeout)); err != nil {
-		return nil, err
-	}
-	c.lr.left = -1
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.awaitFirst(); err != nil {
 		return nil, err
 	}
 	if !c.beginRead() {
 		return nil, errLast
 	}
+	l := c.s.Limits()
 	if err := c.nc.SetReadDeadline(deadline(l.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	c.lr.left = l.HeaderBytes + headerSlack
-	r, err := http.ReadRequest(c.br)
-	c.lr.left = -1
+	r, err := c.readHeader(l.HeaderBytes)
 	if err != nil {
 		return nil, &requestError{err}
 	}
@@ -127,10 +123,63 @@
 		return nil, &requestError{errNoHost}
 	}
 	r.Close = r.Close || !r.ProtoAtLeast(1, 1)
-	r.RemoteAddr = c.nc.RemoteAddr().String()
+	r.RemoteAddr = c.remote
 	return r, nil
 }
 
+// awaitFirst waits for the first byte of the next request.
+//
+// The bound on idle connections is asked for again when it has passed. Operators
+// may raise it at any time; a client that goes by the new bound would otherwise
+// send its next request into a connection that is being closed.
+func (c *conn) awaitFirst() error {
+	c.lr.left = -1
+	began := time.Now()
+	for {
+		bound := c.s.Limits().IdleTimeout
+		if bound > 0 && time.Since(began) >= bound {
+			return os.ErrDeadlineExceeded
+		}
+		left := bound
+		if bound > 0 {
+			left -= time.Since(began)
+		}
+		if err := c.boundIdle(left); err != nil {
+			return err
+		}
+		_, err := c.br.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) < bound {
+			return err
+		}
+	}
+}
+
+// boundIdle sets how long the client may stay quiet from now on. It fails once the
+// last answer was sent: setting the bound then would undo that of closing, and the
+// connection would stay open until the client ends it.
+func (c *conn) boundIdle(left time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errLast
+	}
+	return c.nc.SetReadDeadline(deadline(left))
+}
+
+// readHeader reads the header of a request, which may take up to most bytes. What
+// comes behind it in one piece may be its body, and does not count.
+func (c *conn) readHeader(most int) (*http.Request, error) {
+	before := c.br.Buffered()
+	c.lr.left = most + headerSlack
+	r, err := http.ReadRequest(c.br)
+	taken := before + most + headerSlack - c.lr.left - c.br.Buffered()
+	c.lr.left = -1
+	if err == nil && taken > most {
+		return nil, errHeaderTooLarge
+	}
+	return r, err
+}
+
 func deadline(d time.Duration) time.Time {
 	if d <= 0 {
 		return time.Time{}
@@ -196,6 +245,13 @@
 	return false
 }
 
+// itsTurn is the turn of a request that nothing is due before.
+var itsTurn = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // enqueue adds a request to those due, once there is room and its turn allows. It
 // reports false when the client has left. A request whose reading began before the
 // connection was to end is still taken: the answer before it did not say so.
@@ -213,11 +269,12 @@
 	if c.gone {
 		return false
 	}
+	e.turn = itsTurn
+	if len(c.due) > 0 {
+		e.turn = make(chan struct{})
+	}
 	c.due = append(c.due, e)
 	c.last = c.last || e.req.Close
-	if len(c.due) == 1 {
-		close(e.turn)
-	}
 	return true
 }
 
@@ -228,7 +285,7 @@
 	if len(c.due) == 0 || c.due[0] != e {
 		return
 	}
-	c.due = c.due[1:]
+	c.due = slices.Delete(c.due, 0, 1)
 	if len(c.due) > 0 {
 		close(c.due[0].turn)
 	}
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +218,56 @@
 		t.Error(err)
 	}
 }
+
+// Operators bound headers at 8 KiB, and a client sends 9 KiB beside a request that
+// keeps within it. What the read buffer holds beyond a header must not count for it,
+// nor be allowed to it.
+func TestHeaderBoundIsExact(t *testing.T) {
+	limits := func() Limits {
+		return Limits{HeaderBytes: 8 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	}
+	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) })
+	const frame = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\nX: \r\n\r\n"
+	for _, c := range []struct {
+		over int
+		want string
+	}{{0, "200"}, {1, "431"}} {
+		conn, r := start(t, &Server{Handler: echo, Limits: limits})
+		x := strings.Repeat("x", 8<<10-len(frame)+c.over)
+		body := strings.Repeat("b", 3000)
+		send(t, conn, "POST / HTTP/1.1\nHost: h\nContent-Length: 3000\nX: "+x+"\n\n"+body)
+		if got := answer(t, r); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%d bytes over: %.40q", c.over, got)
+		}
+	}
+}
+
+// Operators raise the bound on idle connections from 20 ms to an hour while a
+// client's connection lies idle. The client goes by the new bound; closed by the
+// old one, the connection took its next request with it.
+func TestRaisedIdleBoundHoldsAtOnce(t *testing.T) {
+	var raised atomic.Bool
+	asked := make(chan struct{}, 16)
+	s := &Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		Limits: func() Limits {
+			l := Limits{HeaderBytes: 8 << 10, HeaderTimeout: time.Minute, IdleTimeout: 20 * time.Millisecond}
+			if raised.Load() {
+				l.IdleTimeout = time.Hour
+			}
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+			return l
+		},
+	}
+	conn, r := start(t, s)
+	<-asked // the wait for the first request has begun, under the short bound
+	raised.Store(true)
+	<-asked // the short bound has passed, and the new one is known
+	send(t, conn, "GET / HTTP/1.1\nHost: h\n\n")
+	if got := answer(t, r); got != "204 " {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -49,23 +49,42 @@
 	caller  *http.ResponseController
 	touched atomic.Bool
 	ended   atomic.Bool
+	// room is how many bytes more may come; negative for any number.
+	room int64
 
 	mu   sync.Mutex
 	over bool // the caller's connection may serve another call
 }
 
 // newStreamBody lets the answer begin before the body has ended.
-func newStreamBody(w http.ResponseWriter, r *http.Request) *streamBody {
+func newStreamBody(w http.ResponseWriter, r *http.Request, most int64) *streamBody {
 	c := http.NewResponseController(w)
 	// HTTP/2 needs no such leave and says so with an error.
 	_ = c.EnableFullDuplex()
-	return &streamBody{ReadCloser: r.Body, caller: c}
+	s := &streamBody{ReadCloser: r.Body, caller: c, room: -1}
+	if most > 0 {
+		s.room = most
+	}
+	return s
 }
 
+// errBodyTooLong ends a body of unknown length that grew past its bound. The
+// transport gives it back as the error of the attempt, which is therefore not taken
+// for the crash of a backend server.
+var errBodyTooLong = errors.New("proxy: the body is longer than callers may send")
+
 // Read marks the body as used before it reads.
 func (s *streamBody) Read(p []byte) (int, error) {
 	s.touched.Store(true)
 	n, err := s.ReadCloser.Read(p)
+	if s.room >= 0 {
+		if int64(n) > s.room {
+			// The end of the body is still to come: the caller's connection
+			// cannot serve another call.
+			return 0, errBodyTooLong
+		}
+		s.room -= int64(n)
+	}
 	if err != nil {
 		s.ended.Store(true)
 	}
@@ -102,18 +121,19 @@
 // returns, and another attempt may still need it.
 func (s *streamBody) Close() error { return nil }
 
-// takeBody prepares the body of r. Its error is that of the caller's
+// takeBody prepares the body of r, of which no more than most bytes are read
+// unless most is zero. Its error is that of the caller's
 // connection: the body came incomplete, or not before the call's deadline.
 //
 // It guards against a caller that falls silent before the end of a small body.
 // Nothing else ends the read: the call would hold its memory for ever, and a
 // stop of the node would wait for it.
-func takeBody(w http.ResponseWriter, r *http.Request, budget *keptBodies, deadline time.Time) (body, error) {
+func takeBody(w http.ResponseWriter, r *http.Request, budget *keptBodies, deadline time.Time, most int64) (body, error) {
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return body{}, nil
 	case r.ContentLength < 0 || r.ContentLength > maxKeptBody || !budget.take(r.ContentLength):
-		return body{length: r.ContentLength, stream: newStreamBody(w, r)}, nil
+		return body{length: r.ContentLength, stream: newStreamBody(w, r, most)}, nil
 	}
 	b := body{length: r.ContentLength, kept: make([]byte, r.ContentLength), budget: budget}
 	c := http.NewResponseController(w)
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -30,7 +30,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
 			r := httptest.NewRequest("POST", "/", strings.NewReader("photo"))
-			b := body{length: 5, stream: newStreamBody(w, r)}
+			b := body{length: 5, stream: newStreamBody(w, r, 0)}
 			b.stream.Read(make([]byte, 1))
 			c := &conn{Conn: new(sink)}
 			c.begin(b.stream)
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -75,7 +75,7 @@
 	in := inbounds.Get().(*inbound)
 	defer in.free()
 	var err error
-	if in.own, err = takeBody(w, r, &d.kept, now.Add(h.left)); err != nil {
+	if in.own, err = takeBody(w, r, &d.kept, now.Add(h.left), 0); err != nil {
 		writeRefusal(w, refuseBody(err))
 		return
 	}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -76,6 +76,7 @@
 	start    time.Time
 	deadline time.Time
 	version  uint64 // of the configuration that matched it
+	maxBody  int64  // bytes; zero for no bound
 	tried    []string
 	// closed are the endpoints tried that take no calls.
 	closed []string
@@ -104,11 +105,15 @@
 	c.r, c.start = r, e.Now()
 	c.id = e.Dialect.ID(r.Header)
 	if refusal := e.match(c, internal); refusal != nil {
+		if refusal.Reason == call.ReasonTooLarge {
+			// What is still to come of the body would be read as a next call.
+			w.Header()["Connection"] = closeValue
+		}
 		e.refuse(w, c, refusal)
 		return
 	}
 	var err error
-	if c.body, err = takeBody(w, r, &e.kept, c.deadline); err != nil {
+	if c.body, err = takeBody(w, r, &e.kept, c.deadline, c.maxBody); err != nil {
 		e.refuse(w, c, refuseBody(err))
 		return
 	}
@@ -174,6 +179,10 @@
 	}
 	c.target = t
 	c.class = e.Meters.Class(t)
+	if p.MaxBody > 0 && c.r.ContentLength > p.MaxBody {
+		return refuse(call.ReasonTooLarge, 0, "")
+	}
+	c.maxBody = p.MaxBody
 	left, ok := e.Dialect.Arrive(c.r.Header, t)
 	if !ok {
 		return refuse(call.ReasonBadRequest, 0, "the deadline is not a number of milliseconds")
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -123,6 +123,7 @@
 	unknownKey     unknownKind = "key"
 	unknownNotKept unknownKind = "not-kept"
 	unknownStore   unknownKind = "store-down"
+	unknownTooLong unknownKind = "too-large"
 )
 
 // ofKey reports whether the kind tells of an earlier sending of the key.
@@ -150,6 +151,8 @@
 		return unknownStore
 	case errors.Is(err, errWaited):
 		return unknownWaited
+	case errors.Is(err, errBodyTooLong):
+		return unknownTooLong
 	}
 	return unknownLost
 }
@@ -163,6 +166,8 @@
 	switch kindOf(err) {
 	case unknownWaited:
 		p.Status, p.Detail = http.StatusGatewayTimeout, "no answer came within the deadline"
+	case unknownTooLong:
+		p.Status, p.Detail = http.StatusRequestEntityTooLarge, "the body grew longer than callers may send"
 	case unknownKey:
 		p.Status, p.Detail = http.StatusConflict, "an earlier call with this key may have run, and its answer is not known"
 	case unknownNotKept:
@@ -205,6 +210,8 @@
 		return http.StatusUnprocessableEntity
 	case call.ReasonBadRequest:
 		return http.StatusBadRequest
+	case call.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -26,6 +26,8 @@
 		Target(name, service string) *config.Target
 	}
 	Version config.Version
+	// MaxBody bounds the body of a call, in bytes; zero means no bound.
+	MaxBody int64
 }
 
 // Programs gives the program in force. It is called once for each call.
