--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -22,7 +23,7 @@
 	handler http.Handler
 	// turn is closed when all answers before this one were sent.
 	turn chan struct{}
-	// finished is closed when the handler has returned.
+	// finished is closed when the handler has returned; nil without a body.
 	finished chan struct{}
 
 	header http.Header
@@ -40,9 +41,10 @@
 func newExchange(c *conn, r *http.Request) *exchange {
 	e := &exchange{
 		c: c, handler: c.s.Handler, header: make(http.Header),
-		turn: make(chan struct{}), finished: make(chan struct{}), left: -1,
+		left: -1,
 	}
 	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
+		e.finished = make(chan struct{})
 		e.body = &requestBody{e: e, r: r.Body, done: make(chan struct{})}
 		e.body.expected = r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 		r.Body = e.body
@@ -77,7 +79,9 @@
 
 // handle calls the handler, and reports false when the answer was broken off.
 func (e *exchange) handle() (whole bool) {
-	defer close(e.finished)
+	if e.finished != nil {
+		defer close(e.finished)
+	}
 	defer func() {
 		if v := recover(); v != nil {
 			e.c.recovered(v)
@@ -162,11 +166,8 @@
 	if e.closes = e.c.closesWith(e, wanted || e.left < 0 && e.chunked == nil && e.hasBody()); e.closes {
 		h["Connection"] = []string{"close"}
 	}
-	if h["Date"] == nil {
-		h["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
-	}
 	w := e.c.bw
-	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(e.status) + " " + http.StatusText(e.status) + "\r\n")
+	e.writeStatus(w)
 	_ = h.Write(w)
 	_, _ = w.WriteString("\r\n")
 	_, err := e.send(e.held.Bytes())
@@ -174,6 +175,22 @@
 	return err
 }
 
+// writeStatus writes the status line, and the date unless the handler set one. The
+// writer keeps its first error for the flush.
+func (e *exchange) writeStatus(w *bufio.Writer) {
+	line := append(w.AvailableBuffer(), "HTTP/1.1 "...)
+	line = strconv.AppendInt(line, int64(e.status), 10)
+	line = append(line, ' ')
+	line = append(line, http.StatusText(e.status)...)
+	line = append(line, "\r\n"...)
+	if e.header["Date"] == nil {
+		line = append(line, "Date: "...)
+		line = time.Now().UTC().AppendFormat(line, http.TimeFormat)
+		line = append(line, "\r\n"...)
+	}
+	_, _ = w.Write(line)
+}
+
 // frame decides how the end of the body is told.
 func (e *exchange) frame(whole bool) {
 	h := e.header
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -227,7 +227,11 @@
 
 // parseRate returns the rate that setRate noted, or zero.
 func parseRate(h http.Header) float64 {
-	mbps, err := strconv.ParseFloat(first(h, headerLinkRate), 64)
+	value := first(h, headerLinkRate)
+	if value == "" {
+		return 0 // unknown links are the rule, and an error costs an allocation
+	}
+	mbps, err := strconv.ParseFloat(value, 64)
 	if err != nil || !(mbps > 0) {
 		return 0
 	}
--- a/internal/proxy/link_wait.go
+++ b/internal/proxy/link_wait.go
@@ -18,7 +18,11 @@
 
 // parseLinkWait returns zero for a header that is not there or says nothing.
 func parseLinkWait(h http.Header) time.Duration {
-	ms, err := strconv.ParseInt(first(h, headerLinkWait), 10, 32)
+	value := first(h, headerLinkWait)
+	if value == "" {
+		return 0 // most answers have none, and an error costs an allocation
+	}
+	ms, err := strconv.ParseInt(value, 10, 32)
 	if err != nil || ms < 0 {
 		return 0
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -105,6 +105,9 @@
 // copyTrailers sets the trailers that came. Those announced are taken by their
 // name, others need the prefix.
 func copyTrailers(h http.Header, trailer http.Header) {
+	if len(trailer) == 0 {
+		return
+	}
 	announced := strings.Split(first(h, "Trailer"), trailerSep)
 	for name, values := range trailer {
 		if !slices.Contains(announced, name) {
