Log how a gate's slots were used when it turned a call away

Cause: 'turned' lines gave busy and slots as 0 unless the backend server itself refused, so the input that decided was missing. Change: the line holds what the gate had: calls that run, its limit, calls that wait, and the announced slots.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -62,6 +62,13 @@
 	return g.q.Load()
 }
 
+// Waiting returns how many calls wait.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.waiting
+}
+
 // Stats returns the state of each class, by name. The class with an empty name
 // stands for all that the configuration does not name.
 func (g *Gate) Stats(now time.Time) []ClassStats {
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -67,7 +67,7 @@
 	programs := programs{n.store}
 	link := proxy.NewLink(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationParts(proxy.DestinationParts{
-		Programs: programs, Backends: backends{n.registry}, Gates: c.gates,
+		Programs: programs, Backends: backends{n.registry}, Gates: c.gates, SlotUse: c.gates.use,
 		Keeper: keeper{c.keeper}, Suspects: c.suspects, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
 		Spool: n.spool(), Link: link,
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -75,6 +75,16 @@
 	return out
 }
 
+// use returns how the slots of a backend server are used; zeros if it has gone.
+func (g *gates) use(b proxy.Backend) proxy.SlotUse {
+	gate := (*g.byInstance.Load())[b.Instance]
+	if gate == nil {
+		return proxy.SlotUse{}
+	}
+	busy, limit := gate.Load()
+	return proxy.SlotUse{Busy: busy, Limit: limit, Waiting: gate.Waiting()}
+}
+
 // Acquire implements proxy.Gates.
 func (g *gates) Acquire(ctx context.Context, b proxy.Backend, t *config.Target, deadline time.Time) (proxy.Permit, error) {
 	gate := (*g.byInstance.Load())[b.Instance]
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -20,9 +20,12 @@
 // DestinationParts are what a Destination is made of. Gates, Keeper and
 // Suspects may be nil; then nothing is queued, claimed or quarantined.
 type DestinationParts struct {
-	Programs  Programs
-	Backends  Backends
-	Gates     Gates
+	Programs Programs
+	Backends Backends
+	Gates    Gates
+	// SlotUse tells how a backend server's slots are used, for the logs; it may be
+	// nil.
+	SlotUse   func(Backend) SlotUse
 	Keeper    Keeper
 	Suspects  Suspects
 	Upstreams *Upstreams
--- a/internal/proxy/destination_log.go
+++ b/internal/proxy/destination_log.go
@@ -30,15 +30,24 @@
 	now := d.Now()
 	after := now.Sub(start).Milliseconds()
 	if a.refusal != nil {
+		use := d.slotUse(b, a)
 		d.line(now, decisions.TurnedBy, in, b).Str("reason", string(a.refusal.Reason)).Str("detail", a.refusal.Detail).
-			Int64("after_ms", after).Int("busy", a.load.Busy).Int("slots", a.load.Slots).
-			Msg("destination: turn the call away as not run")
+			Int64("after_ms", after).Int("busy", use.Busy).Int("limit", use.Limit).Int("waiting", use.Waiting).
+			Int("slots", b.Slots).Msg("destination: turn the call away as not run")
 		return
 	}
 	d.line(now, decisions.Dropped, in, b).AnErr("cause", a.err).Int64("after_ms", after).
 		Msg("destination: the backend server gave no answer that can be passed on")
 }
 
+// slotUse returns what b said of itself with its refusal, or else what its gate says.
+func (d *Destination) slotUse(b Backend, a *answer) SlotUse {
+	if a.load.Known || d.SlotUse == nil {
+		return SlotUse{Busy: a.load.Busy, Limit: a.load.Slots}
+	}
+	return d.SlotUse(b)
+}
+
 func (d *Destination) logWait(start time.Time, in *inbound, h *holding) {
 	now := d.Now()
 	waited := now.Sub(start)
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -103,6 +103,13 @@
 	Acquire(ctx context.Context, b Backend, t *config.Target, deadline time.Time) (Permit, error)
 }
 
+// SlotUse tells how a gate uses its backend server's slots.
+type SlotUse struct {
+	Busy    int // calls that run
+	Limit   int // calls that may run, up to the announced slots
+	Waiting int // calls that wait for a slot
+}
+
 // Backend is a backend server of this VM.
 type Backend struct {
 	Service  string
