Show where calls' time goes, the retries left, and endpoints left out

Cause: the metrics had latencies by class only; waiting, running and the way could be told apart by single log lines alone, and an empty retry budget only by decisions. Change: histograms a service and part (marlpass_call_part_seconds), from what the destination tells with each answer; gauges of the retry budget left and of ejected endpoints. Series are by service, so big configurations add none. ClassTotals and the parts share one histogram type.

--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,12 @@
 	for _, t := range c.meters.Totals() {
 		writeClass(p, &t)
 	}
+	c.meters.PartTimes(func(service string, part proxy.Part, h proxy.Histogram) {
+		writeHistogram(p, "marlpass_call_part_seconds", h, "service", service, "part", string(part))
+	})
+	c.retries.each(func(service string, left float64) {
+		p.gauge("marlpass_call_retry_budget", left, "service", service)
+	})
 	for why, n := range c.retries.why.all() {
 		p.counter("marlpass_call_retry_decisions_total", n, "why", why)
 	}
@@ -39,15 +46,19 @@
 	}
 	p.counter("marlpass_call_failed_total", t.Failed, "class", t.Class)
 	p.counter("marlpass_call_in_target_total", t.InTarget, "class", t.Class)
-	for _, b := range t.Buckets {
+	writeHistogram(p, "marlpass_call_duration_seconds", t.Answered, "class", t.Class)
+}
+
+func writeHistogram(p page, name string, h proxy.Histogram, l ...string) {
+	for _, b := range h.Buckets {
 		le := "+Inf"
 		if !math.IsInf(b.Within, 1) {
 			le = strconv.FormatFloat(b.Within, 'g', -1, 64)
 		}
-		p.counter("marlpass_call_duration_seconds_bucket", b.Calls, "class", t.Class, "le", le)
+		p.counter(name+"_bucket", b.Calls, append(slices.Clip(l), "le", le)...)
 	}
-	p.gauge("marlpass_call_duration_seconds_sum", t.Seconds, "class", t.Class)
-	p.counter("marlpass_call_duration_seconds_count", t.Answered, "class", t.Class)
+	p.gauge(name+"_sum", h.Seconds, l...)
+	p.counter(name+"_count", h.Count, l...)
 }
 
 // writeGates tells how the classes share the slots of the backend servers here.
@@ -93,4 +104,7 @@
 	for service, n := range *c.pickers.ready.Load() {
 		p.gauge("marlpass_service_endpoints_ready", float64(n), "service", service)
 	}
+	for service, picker := range *c.pickers.byService.Load() {
+		p.gauge("marlpass_service_endpoints_ejected", float64(picker.Ejected()), "service", service)
+	}
 }
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -28,11 +28,16 @@
 		`marlpass_call_duration_seconds_bucket{class="lookups",le="+Inf"}`: 5,
 		`marlpass_call_failed_total{class="lookups"}`:                      0,
 		`marlpass_call_refused_total{class="",reason="no-route"}`:          1,
+		`marlpass_call_part_seconds_count{service="berths",part="way"}`:    5,
+		`marlpass_call_part_seconds_count{service="berths",part="wait"}`:   5,
+		`marlpass_call_part_seconds_count{service="berths",part="run"}`:    5,
+		`marlpass_call_retry_budget{service="berths"}`:                     3.5,
+		`marlpass_service_endpoints_ejected{service="berths"}`:             0,
 		`marlpass_config_version_in_force`:                                 3,
 		`marlpass_service_endpoints_ready{service="berths"}`:               1,
-		`marlpass_node_ready`:                                              1,
-		`marlpass_node_calls_in_flight`:                                    0,
-		`marlpass_membership_nodes`:                                        2,
+		`marlpass_node_ready`:           1,
+		`marlpass_node_calls_in_flight`: 0,
+		`marlpass_membership_nodes`:     2,
 	} {
 		w.reaches(entry, name, want)
 	}
--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -75,6 +75,14 @@
 	return p.(*retry.Policy)
 }
 
+// each calls visit with the repeats that each service's calls have left here.
+func (r *retries) each(visit func(service string, left float64)) {
+	r.byService.Range(func(service, p any) bool {
+		visit(service.(string), p.(*retry.Policy).Left())
+		return true
+	})
+}
+
 // Called implements proxy.Retrier.
 func (r *retries) Called(service string) { r.policy(service).Called() }
 
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -22,6 +22,7 @@
 		rep.Bytes = p.bytes
 		choice.Done(now, rep)
 		c.class.Answered(now, now.Sub(c.start), rep.Failed)
+		e.Meters.parts.add(c.target.Service, now.Sub(c.start), a.took)
 		e.logAnswer(now, c, endpoint, a, p)
 		if e.Suspects != nil && !p.partial {
 			e.Suspects.Answered(now, c.fp)
--- a/internal/proxy/meters.go
+++ b/internal/proxy/meters.go
@@ -54,6 +54,7 @@
 	byClass sync.Map
 	// other counts refusals of calls that belong to no class.
 	other totals
+	parts partTimes
 }
 
 // NewMeters returns empty meters.
--- /dev/null
+++ b/internal/proxy/part_times.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+)
+
+// Part is where the time of an answered call went.
+type Part string
+
+// The parts of a call's time.
+const (
+	// PartWay is all that the two others leave: both nodes, the way between
+	// them, and attempts that gave no answer.
+	PartWay Part = "way"
+	// PartWait is the wait for a slot of the backend server.
+	PartWait Part = "wait"
+	// PartRun is the time at the backend server, until its answer was there.
+	PartRun Part = "run"
+)
+
+// partTimes holds a histogram a part for each service. Services are few, so the
+// number of series stays bounded however many classes there are.
+type partTimes struct{ byService sync.Map }
+
+// serviceTimes are the histograms of one service.
+type serviceTimes struct{ way, wait, run histogram }
+
+// add takes in an answered call that took total in all.
+func (p *partTimes) add(service string, total time.Duration, t took) {
+	v, ok := p.byService.Load(service)
+	if !ok {
+		v, _ = p.byService.LoadOrStore(service, new(serviceTimes))
+	}
+	s := v.(*serviceTimes)
+	s.way.add(total - t.wait - t.run)
+	s.wait.add(t.wait)
+	s.run.add(t.run)
+}
+
+// PartTimes calls visit with the histogram of each part of each service that
+// calls which entered here went to.
+func (m *Meters) PartTimes(visit func(service string, p Part, h Histogram)) {
+	m.parts.byService.Range(func(service, v any) bool {
+		s := v.(*serviceTimes)
+		visit(service.(string), PartWay, s.way.read())
+		visit(service.(string), PartWait, s.wait.read())
+		visit(service.(string), PartRun, s.run.read())
+		return true
+	})
+}
--- a/internal/proxy/totals.go
+++ b/internal/proxy/totals.go
@@ -20,15 +20,37 @@
 type totals struct {
 	failed   atomic.Uint64
 	inTarget atomic.Uint64
-	micros   atomic.Uint64
-	counts   [lastPower - firstPower + 2]atomic.Uint64 // the last has no bound
-	refused  sync.Map                                  // call.Reason to *atomic.Uint64
+	times    histogram
+	refused  sync.Map // call.Reason to *atomic.Uint64
+}
+
+// histogram counts times since the start of the node.
+type histogram struct {
+	micros atomic.Uint64                             // the sum
+	counts [lastPower - firstPower + 2]atomic.Uint64 // the last has no bound
+}
+
+func (h *histogram) add(d time.Duration) {
+	us := uint64(max(d.Microseconds(), 0))
+	h.micros.Add(us)
+	h.counts[powerOf(us)].Add(1)
+}
+
+func (h *histogram) read() Histogram {
+	out := Histogram{Seconds: float64(h.micros.Load()) / 1e6}
+	for i := range h.counts {
+		out.Count += h.counts[i].Load()
+		within := math.Inf(1)
+		if i < len(h.counts)-1 {
+			within = float64(uint64(1)<<(firstPower+i)) / 1e6
+		}
+		out.Buckets = append(out.Buckets, Bucket{within, out.Count})
+	}
+	return out
 }
 
 func (t *totals) answered(latency time.Duration, failed, inTarget bool) {
-	us := uint64(max(latency.Microseconds(), 0))
-	t.micros.Add(us)
-	t.counts[powerOf(us)].Add(1)
+	t.times.add(latency)
 	switch {
 	case failed:
 		t.failed.Add(1)
@@ -62,15 +84,20 @@
 	Calls  uint64
 }
 
+// Histogram counts times at this node since its start.
+type Histogram struct {
+	Count   uint64
+	Seconds float64  // the sum of all
+	Buckets []Bucket // each includes those before it
+}
+
 // ClassTotals count the calls of a class at this node since its start.
 type ClassTotals struct {
 	Class    string
-	Answered uint64 // with any status, those that failed included
-	Failed   uint64 // server errors, cut answers and unknown outcomes
-	InTarget uint64 // good answers within the target's time
-	Seconds  float64
+	Answered Histogram // with any status, those that failed included
+	Failed   uint64    // server errors, cut answers and unknown outcomes
+	InTarget uint64    // good answers within the target's time
 	Refused  map[call.Reason]uint64
-	Buckets  []Bucket // each includes those before it
 }
 
 // Totals returns the counts of every class that this node has seen, and under
@@ -94,15 +121,7 @@
 func (t *totals) read(class string) ClassTotals {
 	out := ClassTotals{
 		Class: class, Failed: t.failed.Load(), InTarget: t.inTarget.Load(),
-		Seconds: float64(t.micros.Load()) / 1e6, Refused: make(map[call.Reason]uint64),
-	}
-	for i := range t.counts {
-		out.Answered += t.counts[i].Load()
-		within := math.Inf(1)
-		if i < len(t.counts)-1 {
-			within = float64(uint64(1)<<(firstPower+i)) / 1e6
-		}
-		out.Buckets = append(out.Buckets, Bucket{within, out.Answered})
+		Answered: t.times.read(), Refused: make(map[call.Reason]uint64),
 	}
 	t.refused.Range(func(why, n any) bool {
 		out.Refused[why.(call.Reason)] = n.(*atomic.Uint64).Load()
--- a/internal/proxy/totals_test.go
+++ b/internal/proxy/totals_test.go
@@ -20,11 +20,11 @@
 	c.Refused(now, call.ReasonOverloaded)
 	c.Refused(now, call.ReasonOverloaded)
 	got := m.Totals()[0]
-	if got.Answered != 6 || got.InTarget != 3 || got.Failed != 1 || got.Refused[call.ReasonOverloaded] != 2 {
+	if got.Answered.Count != 6 || got.InTarget != 3 || got.Failed != 1 || got.Refused[call.ReasonOverloaded] != 2 {
 		t.Errorf("%+v", got)
 	}
 	want := map[float64]uint64{0.000256: 2, 0.000512: 3, 0.001024: 4, 0.032768: 5, 33.554432: 5, math.Inf(1): 6}
-	for _, b := range got.Buckets {
+	for _, b := range got.Answered.Buckets {
 		if n, ok := want[b.Within]; ok && n != b.Calls {
 			t.Errorf("within %g s: %d, want %d", b.Within, b.Calls, n)
 		}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -110,6 +110,9 @@
 	b.add(earned, b.floor.Load())
 }
 
+// left returns how many retries are left.
+func (b *Budget) left() float64 { return float64(b.balance.Load()) / priceWhole }
+
 // emptiness returns how much of the budget is spent, 0 to 1.
 func (b *Budget) emptiness() float64 {
 	return 1 - float64(b.balance.Load())/float64(b.burst)
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -140,6 +140,9 @@
 // retries a second, of which it may save up to burst.
 func (p *Policy) SetFloor(perSecond, burst float64) { p.budget.setFloor(perSecond, burst) }
 
+// Left returns how many retries the budget has left at present.
+func (p *Policy) Left() float64 { return p.budget.left() }
+
 // Called counts a call. It fills the budget, so it must be told once for each
 // call that comes in, and not for retries.
 func (p *Policy) Called() { p.budget.deposit() }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -72,6 +72,19 @@
 // told, the node uses every endpoint.
 func (p *Picker) SetEntryNodes(n int) { p.entries.Store(int64(n)) }
 
+// Ejected returns how many endpoints are left out for their failures.
+func (p *Picker) Ejected() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.states {
+		if s.ejected.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // Choice is a picked endpoint. Done must be called once for each.
 type Choice struct {
 	p     *Picker
