--- a/internal/decisions/explain.go
+++ b/internal/decisions/explain.go
@@ -45,6 +45,8 @@
 	AimMS    int64  `json:"aim_ms"`
 	ComeBack int64  `json:"come_back_ms"`
 	Busy     int    `json:"busy"`
+	Limit    int    `json:"limit"`
+	Waiting  int    `json:"waiting"`
 	Slots    int    `json:"slots"`
 	Message  string `json:"message"`
 }
@@ -147,6 +149,8 @@
 	number("attempts", int64(l.Attempts), "")
 	number("reached", int64(l.Reached), "")
 	number("busy", int64(l.Busy), "")
+	number("limit", int64(l.Limit), "")
+	number("waiting", int64(l.Waiting), "")
 	number("slots", int64(l.Slots), "")
 	number("after", l.AfterMS, "ms")
 	number("waited", l.WaitedMS, "ms")
