Let the soak find guards taken out, and cuts at planned work

Cause: the soak's checks were shown to fail by the ledger's test only, and a cut at a planned stop was not checked. Change: nodes built with the tag 'defects' can have one of five guards taken out; the soak plays them with -defect.

--- a/cmd/marlpass-soak/main.go
+++ b/cmd/marlpass-soak/main.go
@@ -8,9 +8,12 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/program"
 	"github.com/marlpass/marlpass/internal/settings/exit"
 	"github.com/marlpass/marlpass/platform/soak"
@@ -22,17 +25,20 @@
 
 Usage:
   marlpass-soak -node FILE [-seed N] [-seeds N] [-for DURATION] [-vms N] [-dir DIR]
+                [-defect NAME]
 
 Examples:
   marlpass-soak -node bin/marlpass-node -seed 17
   marlpass-soak -node bin/marlpass-node -seed 100 -seeds 50 -for 20s
+  go build -tags defects -o bin/defective-node ./cmd/marlpass-node
+  marlpass-soak -node bin/defective-node -defect resend-unknown -seeds 5
 
 Exit codes: 0 all promises held, 1 one did not, 2 bad flags.
 
 Flags:
 `
 
-var errFlags = errors.New("-node is missing, or a number is not positive; see -h")
+var errFlags = errors.New("-node is missing, a number is not positive, or there is no such defect; see -h")
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
@@ -43,11 +49,12 @@
 	seeds := line.Int("seeds", 1, "how many seeds, one after the other")
 	length := line.Duration("for", 20*time.Second, "how long faults come, a seed")
 	vms := line.Int("vms", 6, "nodes")
+	flaw := line.String("defect", "", "guard to take out of nodes built with the tag defects: `NAME` of "+names())
 	dir := line.String("dir", "", "`DIR` for settings and logs; a temporary one if empty")
 	if code, ok := line.Read(args); !ok {
 		return code
 	}
-	if *binary == "" || *seeds < 1 || *vms < 1 || *length <= 0 {
+	if *binary == "" || *seeds < 1 || *vms < 1 || *length <= 0 || !known(*flaw) {
 		return line.Bad(errFlags)
 	}
 	if *dir == "" {
@@ -66,6 +73,7 @@
 		}
 		r, err := soak.Run(ctx, soak.Options{
 			Seed: *seed + n, Length: *length, VMs: *vms, Binary: *binary, Dir: logs, Log: stderr, Recovery: true,
+			Defect: defect.Name(*flaw),
 		})
 		if err != nil {
 			return line.Failed(err)
@@ -78,3 +86,16 @@
 	}
 	return code
 }
+
+// names returns the names of all defects.
+func names() string {
+	var out []string
+	for _, n := range defect.All {
+		out = append(out, string(n))
+	}
+	return strings.Join(out, ", ")
+}
+
+func known(flaw string) bool {
+	return flaw == "" || slices.Contains(defect.All, defect.Name(flaw))
+}
--- /dev/null
+++ b/internal/defect/defect.go
@@ -0,0 +1,30 @@
+// Package defect takes single guards out of a node, so that the fault soak can show
+// that it finds what each guards against. That works only in builds with the tag
+// "defects", where the environment variable Variable names the defect. In all other
+// builds On is constant and the compiler leaves nothing of it.
+package defect
+
+// Variable names the environment variable that chooses the defect of a process.
+const Variable = "MARLPASS_DEFECT"
+
+// Name is one defect.
+type Name string
+
+// The defects.
+const (
+	// ResendUnknown sends a call that must run once again after an attempt that
+	// may have run.
+	ResendUnknown Name = "resend-unknown"
+	// RefuseUnknown tells callers that a call was not run when nobody knows.
+	RefuseUnknown Name = "refuse-unknown"
+	// KeepCaller passes on what the caller says of where its call began.
+	KeepCaller Name = "keep-caller"
+	// ForgetLeaving acknowledges that a backend server is leaving, and goes on
+	// sending it calls.
+	ForgetLeaving Name = "forget-leaving"
+	// StopAtOnce ends a planned stop without waiting for calls in flight.
+	StopAtOnce Name = "stop-at-once"
+)
+
+// All lists the defects.
+var All = []Name{ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/follow"
 	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/platform"
@@ -332,6 +333,10 @@
 // that was hit.
 func (n *Node) Shutdown(ctx context.Context) error {
 	var err error
+	if defect.On(defect.StopAtOnce) {
+		n.Kill()
+		return nil
+	}
 	n.once.Do(func() { err = n.shutdown(ctx) })
 	return err
 }
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/retry"
 )
 
@@ -163,6 +164,9 @@
 		Title: "the call may have run", Status: http.StatusBadGateway,
 		Detail: "the connection broke before an answer came",
 	}
+	if defect.On(defect.RefuseUnknown) {
+		p.Status = http.StatusServiceUnavailable
+	}
 	switch kindOf(err) {
 	case unknownWaited:
 		p.Status, p.Detail = http.StatusGatewayTimeout, "no answer came within the deadline"
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/defect"
 )
 
 // Headers that keep retries at one level.
@@ -171,7 +172,7 @@
 	switch in.Outcome {
 	case call.NotRun:
 	case call.Unknown:
-		if !in.Idempotent {
+		if !in.Idempotent && !defect.On(defect.ResendUnknown) {
 			return WhyMayHaveRun, true
 		}
 	default:
