Tell of peers that were not reached, and test how a backend server is found

Cause: tells and pulls of versions that failed were logged at debug level only, so at the default level a node that learned a version late left no trace of why. discover.go had no test of its own. Change: a line each, at most five a second, all counted as findings not_told and not_given. TestRestartedNodeAsksItsBackendServer (does not end without discover).

--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -66,6 +66,8 @@
 	Client distribute.Client
 	Store  distribute.Store
 	Log    zerolog.Logger
+	// OnFinding counts findings; it may be nil.
+	OnFinding func(Finding)
 }
 
 // Runner follows a source and serves what it holds to peers.
@@ -84,6 +86,7 @@
 	held     atomic.Pointer[config.Snapshot]
 	inForce  atomic.Uint64
 	packed   atomic.Pointer[packedVersion]
+	misses   zerolog.Logger
 }
 
 type packedVersion struct {
@@ -95,7 +98,7 @@
 func NewRunner(set Settings, deps Deps) *Runner {
 	r := &Runner{
 		deps: deps, set: set, state: NewState(set, time.Now()), tells: semaphore.NewWeighted(maxTells),
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), misses: sparing(deps.Log),
 	}
 	r.held.Store(config.Empty())
 	return r
@@ -179,7 +182,7 @@
 	snap, err := r.fetch(ctx, peer)
 	if err != nil {
 		if ctx.Err() == nil {
-			r.deps.Log.Debug().Str("peer", peer).Err(err).Msg("follow: a peer did not give its version")
+			r.missed(FindingNotGiven, peer, err, "follow: a peer did not give its version")
 		}
 		return
 	}
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -46,7 +46,7 @@
 	}
 	defer r.tells.Release(1)
 	if err := r.deps.Client.Tell(ctx, addr, packed); err != nil {
-		r.deps.Log.Debug().Str("peer", peer).Err(err).Msg("follow: a peer was not told")
+		r.missed(FindingNotTold, peer, err, "follow: a peer was not told of a version")
 	}
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -153,7 +153,8 @@
 	if n.o.Source != nil {
 		c.spread = follow.NewRunner(follow.Defaults(n.self.ID, n.self.DataCentre), follow.Deps{
 			Source: n.o.Source, Views: &n.views, Client: c.peers, Store: wakingStore{n},
-			Log: telemetry.Part(n.log, "follow"),
+			Log:       telemetry.Part(n.log, "follow"),
+			OnFinding: func(f follow.Finding) { c.findings.add(string(f)) },
 		})
 		return
 	}
--- /dev/null
+++ b/internal/node/discover_test.go
@@ -0,0 +1,62 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/localmesh"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/node"
+)
+
+// A node is restarted, and its backend server runs on. It had to wait for the next
+// heartbeat, a second or more, during which the backend server stood idle. It has to
+// ask, again while there is no answer, and only where versions say how.
+func TestRestartedNodeAsksItsBackendServer(t *testing.T) {
+	var asked atomic.Int64
+	probe := func(_ context.Context, address, path string) (announce.Announcement, error) {
+		if path != "/well" || address != "10.0.0.9:80" {
+			t.Errorf("asked %s%s", address, path)
+		}
+		if asked.Add(1) == 1 {
+			return announce.Announcement{}, errors.New("it is just starting")
+		}
+		return announce.Announcement{
+			Instance: "i-1", Address: netip.MustParseAddrPort("127.0.0.1:9"), Slots: 6,
+			State: membership.BackendReady, Sequence: 1,
+		}, nil
+	}
+	versions, err := config.Succeed(nil, 5, []config.Object{
+		config.EncodeService(config.Service{Name: service, Team: "t", HealthPath: "/well"}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := startMesh(t, 2, func(vm *localmesh.VM, o *node.Options) {
+		o.Probe, o.Source = probe, &oneVersion{snap: versions}
+		o.Settings.VM.Service, o.Settings.VM.Backend = service, "10.0.0.9:80"
+	})
+	w.must(w.WaitEndpoints(w.ctx, service, 2))
+	if n := asked.Load(); n < 3 {
+		t.Errorf("asked %d times", n)
+	}
+}
+
+// oneVersion is a source that has one version.
+type oneVersion struct {
+	snap *config.Snapshot
+	told atomic.Bool
+}
+
+func (o *oneVersion) Next(ctx context.Context) (*config.Snapshot, error) {
+	if o.told.CompareAndSwap(false, true) {
+		return o.snap, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
