--- /dev/null
+++ b/internal/decisions/bench_test.go
@@ -0,0 +1,32 @@
+package decisions
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/telemetry"
+)
+
+// What a decision costs: one that gets a line, through the writer that never blocks,
+// and one that is only counted.
+func BenchmarkDecision(b *testing.B) {
+	out := telemetry.NewLossy(io.Discard)
+	defer out.Close()
+	now := time.Now()
+	for name, perLine := range map[string]time.Duration{"line": time.Second / PerSecond, "left out": 0} {
+		b.Run(name, func(b *testing.B) {
+			l := New(zerolog.New(out).With().Timestamp().Str("vm", "vm-1").Logger(), nil)
+			for i := range b.N {
+				l.Line(now.Add(time.Duration(i)*perLine), Late, "0123456789abcdef").
+					Str("class", "lookups").Str("service", "berths").Uint64("version", 7).
+					Int("attempts", 1).Int("reached", 1).Int64("after_ms", 812).
+					Str("endpoint", "vm-2/i-1").Int("status", 200).Int64("waited_ms", 204).
+					Int64("ran_ms", 590).Int64("aim_ms", 800).Int64("bytes", 1024).Bool("partial", false).
+					Msg("entry: the answer is later than the class aims at")
+			}
+		})
+	}
+}
