--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -121,6 +121,11 @@
 	if body != "" {
 		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	}
+	return m.do(r)
+}
+
+// do sends a request and returns its answer and body.
+func (m *mesh) do(r *http.Request) (*http.Response, string, error) {
 	resp, err := m.public.Client().Do(r)
 	if err != nil {
 		return nil, "", err
--- a/internal/proxy/toolong_test.go
+++ b/internal/proxy/toolong_test.go
@@ -58,13 +58,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	resp, err := m.public.Client().Do(r)
-	if err != nil {
-		return nil, "", err
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
+	return m.do(r)
 }
 
 // innocents fails its test when a request is taken for one that crashes.
