Wait for the destination's word before an upload's body is sent

The body, begun, could not go to another endpoint, and where the far end closed over the unread bytes the refusal was lost, and the caller told 'may have run'.

Backend servers get no Expect, so nothing else waits longer.

--- /dev/null
+++ b/internal/proxy/late_refusal_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+// refusesLate refuses every call after a while in its queue.
+type refusesLate struct{ after time.Duration }
+
+func (g refusesLate) Acquire(ctx context.Context, _ Backend, _ *config.Target, _ time.Time) (Permit, error) {
+	select {
+	case <-time.After(g.after):
+	case <-ctx.Done():
+	}
+	return nil, &call.Refusal{Reason: call.ReasonDraining}
+}
+
+// An upload waits at one endpoint for a slot, for longer than net/http waits for
+// "100 Continue" by default, and is then refused. The entry node had begun to send
+// the body unasked: it could not be sent to the next endpoint any more, and where
+// the refusal was lost with the connection, which had unread bytes, the caller was
+// told "may have run" of a booking that no backend server had seen.
+func TestUploadRefusedLateGoesElsewhere(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		io.WriteString(w, strconv.FormatInt(n, 10))
+	})
+	m.dest[0].Gates = refusesLate{after: 1200 * time.Millisecond}
+	m.picks.next.Store(^uint64(0)) // the next pick is dest[0]
+	_, body, err := m.call("POST", "/photos", strings.Repeat("x", 4*maxKeptBody))
+	if err != nil || body != strconv.Itoa(4*maxKeptBody) {
+		t.Fatalf("got %q %v", body, err)
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -23,10 +23,19 @@
 	keepAliveCount  = 3
 	unackedBound    = 10 * time.Second
 	maxHeaderBytes  = 64 << 10
-	expectContinue  = time.Second
 	transportBuffer = 8 << 10
 )
 
+// expectContinue bounds the wait of a streaming body for the destination's word, in
+// effect by the attempt's own bound alone.
+//
+// Destinations always say whether they want the body, some after the call has waited
+// for a slot. A body sent unasked before that could not be sent to another endpoint,
+// and the refusal that follows it is lost whenever the far end closes its connection
+// over the unread bytes: the caller would be told "may have run" of an upload that
+// reached no backend server. Backend servers are sent no Expect.
+const expectContinue = maxDeadline
+
 // Upstreams keeps one pool of connections for each node, or for each address
 // of a backend server, so that all connections to it can be retired together.
 type Upstreams struct {
