Send the answers that are ready when a stop gives up on the ones before them

The client sends ahead; its report was answered at 4.556 s and waited behind a call that hung at its backend server. At the limit all connections were closed, with the ready answer on them.

At the limit the calls still handled are now cancelled first, which answers them as failed, and what waits behind them follows, within 300 ms. A broken answer of which nothing was sent yet is answered 502 in its turn, where it took the answers behind it along.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/admin"
@@ -24,8 +25,10 @@
 	// traffic carries calls; side serves operators, backend servers and
 	// metrics.
 	traffic, side []bound
-	announce      *announce.Server
-	calls         traffic
+	// callers are those of traffic whose clients may send ahead.
+	callers  []*pipeline.Server
+	announce *announce.Server
+	calls    traffic
 }
 
 // bound is a server with the socket it serves.
@@ -61,9 +64,13 @@
 		return bound{server: newSideServer(h, log), ln: ln, tls: t}
 	}
 	c := n.control
+	s.callers = []*pipeline.Server{
+		n.callerServer(s.calls.handler(n.calls.entry.Public()), log),
+		n.callerServer(s.calls.handler(n.calls.entry.Internal()), log),
+	}
 	s.traffic = []bound{
-		{server: n.callerServer(s.calls.handler(n.calls.entry.Public()), log), ln: n.ln.callers},
-		{server: n.callerServer(s.calls.handler(n.calls.entry.Internal()), log), ln: n.ln.internal},
+		{server: s.callers[0], ln: n.ln.callers},
+		{server: s.callers[1], ln: n.ln.internal},
 		with(n.ln.calls, s.calls.handler(n.calls.dest), c.trust.server()),
 	}
 	s.side = []bound{
@@ -141,15 +148,38 @@
 // connection.
 func (s *servers) leave() { s.calls.leaving.Store(true) }
 
+// giveUpFor is how long answers may take to go out once the calls in flight were
+// given up: some ways to the farthest data centre and back. It fits into what a stop
+// keeps free of the platform's grace.
+const giveUpFor = 300 * time.Millisecond
+
 // drain waits for the calls in flight, up to limit, and then closes the sockets
-// for calls. It returns how many calls are left, which will be cut off.
+// for calls. It returns how many calls were left, which were given up.
 func (s *servers) drain(ctx context.Context, limit time.Duration) int64 {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if s.calls.wait(ctx) == nil && s.shut(ctx) == nil {
+	if s.calls.wait(bounded) == nil && s.shut(bounded) == nil {
 		return 0
 	}
-	return s.calls.inFlight.Load()
+	left := s.calls.inFlight.Load()
+	s.giveUp(ctx)
+	return left
+}
+
+// giveUp ends the calls of callers with an answer of this node's own, behind which
+// the answers that are ready still go out.
+func (s *servers) giveUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, giveUpFor)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, p := range s.callers {
+		all.Go(func() {
+			if err := p.GiveUp(ctx); err != nil {
+				s.n.log.Warn().Err(err).Msg("node: answers were still due when the time to send them was over")
+			}
+		})
+	}
+	all.Wait()
 }
 
 // shut closes the sockets for calls, and the connections once they are idle.
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -41,6 +41,10 @@
 	bw     *bufio.Writer
 	ctx    context.Context
 	cancel context.CancelFunc
+	// work is the context of the requests. It ends with ctx, or before it when the
+	// server gives up on requests whose answers may still be sent.
+	work     context.Context
+	stopWork context.CancelFunc
 
 	mu sync.Mutex // guards the rest
 	// due are the requests that were read and are not answered, oldest first.
@@ -57,6 +61,7 @@
 	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr().String(), lr: &limitedReader{r: nc}, bw: bufio.NewWriterSize(nc, writeBuffer)}
 	c.br = bufio.NewReaderSize(c.lr, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.work, c.stopWork = context.WithCancel(c.ctx)
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -49,7 +49,7 @@
 		e.body.expected = r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 		r.Body = e.body
 	}
-	e.req = r.WithContext(c.ctx)
+	e.req = r.WithContext(c.work)
 	return e
 }
 
@@ -58,7 +58,8 @@
 // run handles the request and sends the answer in its turn.
 func (e *exchange) run() {
 	defer e.c.answered(e)
-	if !e.handle() || !e.await() || !e.complete() {
+	whole := e.handle() || e.standIn()
+	if !whole || !e.await() || !e.complete() {
 		// Whoever waits behind is answered by nobody on this connection.
 		e.cut()
 		return
@@ -102,6 +103,22 @@
 	}
 }
 
+// standIn puts an answer in the place of one that broke off before any of it was
+// sent, and reports whether it could.
+//
+// It guards the answers behind it. With the connection closed here they would be
+// lost, though backend servers have made them. A request with a body has no such
+// answer: what is left of the body would be read as the next request.
+func (e *exchange) standIn() bool {
+	if e.sent || !e.bodyless() || e.c.ctx.Err() != nil {
+		return false
+	}
+	e.header = make(http.Header)
+	e.held.Reset()
+	e.status = http.StatusBadGateway
+	return true
+}
+
 // Header implements http.ResponseWriter.
 func (e *exchange) Header() http.Header { return e.header }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// GiveUp cancels the requests that are still handled, and returns when every answer
+// that is due was sent, or with ctx's error. It is for a planned stop that takes too
+// long, after Shutdown and before Close.
+//
+// It guards the answers behind the ones that don't come. On a connection whose client
+// sends ahead, an answer that is ready waits for the ones before it; closed at the
+// limit of the stop, the connection would lose it as well. Cancelled, the requests
+// before it are answered as failed, and it follows.
+func (s *Server) GiveUp(ctx context.Context) error {
+	s.mu.Lock()
+	for c := range s.conns {
+		c.stopWork()
+	}
+	s.mu.Unlock()
+	return s.Shutdown(ctx)
+}
+
 // closeIdle closes the connections on which nothing is due, and returns how many
 // are left.
 func (s *Server) closeIdle() int {
