Know backend servers by their start as well as by their id

Cause: a backend server that starts again under its id numbers its heartbeats anew. The registry took them for late ones of the process before, or of one that had left, and it would never have come back. And a heartbeat with an unknown state counted as ready, one with a service that nobody gave out took the place of the one at its address.

Change: announcements and withdrawals carry the start. A newer start replaces the old one under its id or address; what an older one says changes nothing. What the picker observed of the old process is dropped with it.

--- /dev/null
+++ b/internal/announce/gone.go
@@ -0,0 +1,43 @@
+package announce
+
+import "slices"
+
+// maxGone bounds the instances remembered as gone. One VM has one backend server
+// at a time, and announcements come late by seconds.
+const maxGone = 64
+
+// goneInstances are the last instances that left or were replaced, oldest first,
+// each with the start of its last incarnation that did. Only those are kept that
+// tell their start or number their announcements: others may come back under the
+// same name.
+type goneInstances struct{ list []goneInstance }
+
+type goneInstance struct {
+	name    string
+	started int64 // Unix ms; zero where an instance doesn't come back
+}
+
+func (g *goneInstances) add(a Announcement) {
+	if a.Sequence == 0 && a.Started == 0 {
+		return
+	}
+	if at := g.find(a.Instance); at >= 0 {
+		g.list[at].started = max(g.list[at].started, a.Started)
+		return
+	}
+	if len(g.list) >= maxGone {
+		g.list = g.list[1:]
+	}
+	g.list = append(g.list, goneInstance{a.Instance, a.Started})
+}
+
+// has reports whether the incarnation that a tells of has gone, or one that
+// started after it.
+func (g *goneInstances) has(a Announcement) bool {
+	at := g.find(a.Instance)
+	return at >= 0 && a.Started <= g.list[at].started
+}
+
+func (g *goneInstances) find(name string) int {
+	return slices.IndexFunc(g.list, func(i goneInstance) bool { return i.name == name })
+}
--- a/internal/announce/property_test.go
+++ b/internal/announce/property_test.go
@@ -31,7 +31,7 @@
 				a.State = membership.BackendState(rapid.IntRange(1, 3).Draw(t, "state"))
 				_, _ = r.Put(now, a) // refused when full
 			case 2:
-				r.Withdraw(instance, address)
+				r.Withdraw(Withdrawal{Instance: instance, Address: address})
 			case 3:
 				r.Expire(now)
 				for _, b := range r.Load() {
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -42,7 +42,10 @@
 	Slots    int
 	State    membership.BackendState
 	Load     int // calls that it runs or queues
-	// Sequence grows with each announcement of an instance; zero where the
+	// Started is when this incarnation of the instance began, in Unix milliseconds;
+	// zero where an instance has a new name after each start.
+	Started int64
+	// Sequence grows with each announcement of an incarnation; zero where the
 	// announcements come in order anyway.
 	Sequence uint64
 	// ColdFor is how much longer the backend server is slow after its start.
@@ -120,6 +123,8 @@
 	mu        sync.Mutex // serialises writers
 	lastSweep time.Time
 	gone      goneInstances
+
+	refused atomic.Uint64
 }
 
 // NewRegistry returns an empty registry.
@@ -136,6 +141,13 @@
 // change the list.
 func (r *Registry) Load() []Backend { return *r.list.Load() }
 
+// CountRefused counts an announcement that could not be read or named something
+// that is not there.
+func (r *Registry) CountRefused() { r.refused.Add(1) }
+
+// Refused returns how many announcements were refused as such.
+func (r *Registry) Refused() uint64 { return r.refused.Load() }
+
 // Put announces a backend server or renews its lease. It returns what changed,
 // which includes any backend server that the new one took the place of.
 func (r *Registry) Put(now time.Time, a Announcement) ([]Change, error) {
@@ -189,12 +201,13 @@
 	return list, gone
 }
 
-// compare tells how an announcement differs from the one before. Another
+// compare tells how an announcement differs from the one before. Another start,
 // address or service under the same instance is another backend server: what
 // was known of the old one, such as its being warm, does not hold for it.
 func compare(old Backend, a Announcement) ChangeKind {
+	restarted := old.Started != 0 && old.Started != a.Started
 	switch {
-	case old.Address != a.Address || old.Service != a.Service:
+	case restarted || old.Address != a.Address || old.Service != a.Service:
 		return Replaced
 	case old.State != a.State || old.Slots != a.Slots:
 		return Changed
@@ -212,21 +225,36 @@
 	return now
 }
 
-// Withdraw removes a backend server. A valid address removes it only while it
-// has that address.
+// Withdrawal names the backend server that leaves.
+type Withdrawal struct {
+	Instance string
+	// Address, if valid, must be the one that the backend server has.
+	Address netip.AddrPort
+	// Started is when the incarnation that leaves began; zero where it is not told.
+	Started int64
+}
+
+// Withdraw removes a backend server.
 //
-// The address guards against a late withdrawal: a backend server restarts on
-// another port under the same instance, and the old process withdraws last.
-// Without the address the new one would vanish until its next renewal.
-func (r *Registry) Withdraw(instance string, address netip.AddrPort) []Change {
+// Address and Started guard against a late withdrawal: a backend server restarts
+// under the same instance, and the old process withdraws last. Without them the new
+// one would vanish until its next renewal.
+func (r *Registry) Withdraw(w Withdrawal) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := slices.Clone(r.Load())
-	at, known := find(list, instance)
-	if known {
-		r.gone.add(list[at].Announcement)
+	at, known := find(list, w.Instance)
+	if !known || w.Started != 0 && w.Started < list[at].Started {
+		r.gone.add(Announcement{Instance: w.Instance, Started: w.Started})
+		return nil
+	}
+	r.gone.add(list[at].Announcement)
+	if w.Started > list[at].Started {
+		// The one that leaves has begun after the one that is known, and none of
+		// its announcements arrived.
+		r.gone.add(Announcement{Instance: w.Instance, Started: w.Started})
 	}
-	if !known || (address.IsValid() && list[at].Address != address) {
+	if w.Address.IsValid() && list[at].Address != w.Address {
 		return nil
 	}
 	gone := list[at]
@@ -264,43 +292,31 @@
 	return gone
 }
 
-// stale reports whether an announcement is older than what is known of its
-// instance.
+// stale reports whether an announcement is older than what is known of its instance
+// or of its address, where only one process can listen.
 //
-// It guards against announcements that a cut held up. One of an instance that
+// It guards against announcements that a cut held up. One of an incarnation that
 // has left, or whose address another has taken, would bring it back, and calls
 // would be sent to a backend server that is no longer there; one that was sent
 // before "draining" would put the instance back into service.
 func (r *Registry) stale(a Announcement) bool {
-	if r.gone.has(a.Instance) {
+	if r.gone.has(a) {
 		return true
 	}
-	list := r.Load()
-	at, known := find(list, a.Instance)
-	return known && list[at].Sequence > 0 && a.Sequence <= list[at].Sequence
-}
-
-// maxGone bounds the instances remembered as gone. One VM has one backend server
-// at a time, and announcements come late by seconds.
-const maxGone = 64
-
-// goneInstances are the last instances that left or were replaced, oldest first.
-// Only those are kept whose announcements carry a sequence, since others may
-// come back under the same name.
-type goneInstances struct{ names []string }
-
-func (g *goneInstances) add(a Announcement) {
-	if a.Sequence == 0 || g.has(a.Instance) {
-		return
-	}
-	if len(g.names) >= maxGone {
-		g.names = g.names[1:]
+	for _, b := range r.Load() {
+		if b.Instance != a.Instance && b.Address != a.Address {
+			continue
+		}
+		if a.Started != b.Started {
+			return a.Started < b.Started
+		}
+		if b.Instance == a.Instance && b.Sequence > 0 && a.Sequence <= b.Sequence {
+			return true
+		}
 	}
-	g.names = append(g.names, a.Instance)
+	return false
 }
 
-func (g *goneInstances) has(instance string) bool { return slices.Contains(g.names, instance) }
-
 func (r *Registry) publish(list []Backend) { r.list.Store(&list) }
 
 func find(list []Backend, instance string) (int, bool) {
--- a/internal/announce/registry_test.go
+++ b/internal/announce/registry_test.go
@@ -152,12 +152,12 @@
 	old, successor := berth("a", "127.0.0.1:1"), berth("a", "127.0.0.1:2")
 	put(t, r, start, old)
 	put(t, r, start, successor)
-	wantKinds(t, r.Withdraw("a", old.Address))
+	wantKinds(t, r.Withdraw(Withdrawal{Instance: "a", Address: old.Address}))
 	if len(r.Load()) != 1 {
 		t.Fatal("the successor is gone")
 	}
-	wantKinds(t, r.Withdraw("a", successor.Address), Withdrawn)
-	wantKinds(t, r.Withdraw("a", netip.AddrPort{}))
+	wantKinds(t, r.Withdraw(Withdrawal{Instance: "a", Address: successor.Address}), Withdrawn)
+	wantKinds(t, r.Withdraw(Withdrawal{Instance: "a"}))
 }
 
 func TestSilentBackendExpires(t *testing.T) {
@@ -199,7 +199,7 @@
 	changed := berth("b", "127.0.0.1:1")
 	changed.Slots = 1
 	put(t, r, start, changed)
-	r.Withdraw("b", netip.AddrPort{})
+	r.Withdraw(Withdrawal{Instance: "b"})
 	if len(before) != 1 || before[0].Instance != "b" || before[0].Slots != 6 {
 		t.Errorf("the list changed to %+v", before)
 	}
@@ -255,7 +255,7 @@
 	if l := r.Load(); len(l) != 1 || l[0].Instance != "new" {
 		t.Fatalf("held: %+v", l)
 	}
-	r.Withdraw("new", netip.AddrPort{})
+	r.Withdraw(Withdrawal{Instance: "new"})
 	if err := put("new", 2, membership.BackendReady); !errors.Is(err, ErrStale) {
 		t.Errorf("an instance that left came back: %v", err)
 	}
--- a/internal/announce/server.go
+++ b/internal/announce/server.go
@@ -111,7 +111,7 @@
 			return err
 		}
 	}
-	h.s.tell(h.s.registry.Withdraw(string(p.Instance), address))
+	h.s.tell(h.s.registry.Withdraw(Withdrawal{Instance: string(p.Instance), Address: address}))
 	return nil
 }
 
--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -12,6 +12,7 @@
 	c.writeConfig(p)
 	c.writeMembership(p)
 	c.writeMaintenance(p)
+	p.counter("marlpass_announce_refused_total", c.n.registry.Refused())
 	c.writeAges(p, time.Now())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,8 +54,8 @@
 	// Dialect, if set, says what calls look like outside the mesh.
 	Dialect proxy.Dialect
 	// Announce, if set, makes the handler by which backend servers announce
-	// themselves. It must call changed after every change of the registry.
-	Announce func(r *announce.Registry, changed func([]announce.Change)) http.Handler
+	// themselves.
+	Announce func(AnnounceParts) http.Handler
 	// Membership changes the membership's settings, for measurements.
 	Membership func(*membership.Config)
 	// Dial opens the connections to other nodes, backend servers and the
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -106,11 +106,28 @@
 // themselves.
 func (n *Node) announceHandler(own *announce.Server) (http.Handler, error) {
 	if n.o.Announce != nil {
-		return n.o.Announce(n.registry, n.backendsChanged), nil
+		return n.o.Announce(AnnounceParts{Registry: n.registry, Known: n.knowsService, Changed: n.backendsChanged}), nil
 	}
 	return own.Handler()
 }
 
+// AnnounceParts are what a handler for announcements is made of.
+type AnnounceParts struct {
+	Registry *announce.Registry
+	// Known reports whether a service is in the configuration in force, or the one
+	// that this VM's settings name.
+	Known func(service string) bool
+	// Changed must be called after every change of the registry.
+	Changed func([]announce.Change)
+}
+
+// knowsService keeps a name that nobody gave out from taking the place of the
+// backend server that is here. Before the first configuration, only the settings
+// tell of a service.
+func (n *Node) knowsService(name string) bool {
+	return name == n.set.VM.Service || n.store.Load().Snapshot.Service(name) != nil
+}
+
 // readyHandler answers every request with 200 while the node takes calls.
 func (n *Node) readyHandler(w http.ResponseWriter, _ *http.Request) {
 	if ok, why := n.Ready(); !ok {
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -43,12 +43,7 @@
 		return
 	}
 	if old != nil {
-		// A restart under the same ID: what was seen before is of another
-		// process.
-		s.failures.clear()
-		s.latency.clear()
-		s.results.Store(0)
-		s.ejected.Store(false)
+		s.forgetProcess()
 	}
 	age := now.Sub(e.ReadySince)
 	if age >= p.opt.SlowStart {
@@ -60,6 +55,19 @@
 	s.rampFrom.Store(ms - age.Milliseconds())
 }
 
+// forgetProcess drops what was observed of the process that ran before under the
+// same ID. Kept, its load would keep calls away from an idle backend server, and its
+// last word that it takes none would do so for seconds.
+func (s *state) forgetProcess() {
+	for _, a := range []*average{&s.failures, &s.latency, &s.others, &s.linkWait} {
+		a.clear()
+	}
+	s.results.Store(0)
+	s.refusedTil.Store(0)
+	s.ejected.Store(false)
+	s.trialsOK.Store(0)
+}
+
 // rebuild makes the table anew. The caller holds mu.
 func (p *Picker) rebuild() {
 	t := &table{all: make([]*state, 0, len(p.states))}
