Serve joins a full state that is at most 100 ms old

Change: fullFresh from 1 s to 100 ms. In simulated time 10 herds of 10 to 19 nodes knew themselves after 2.37 s in the mean before, 0.95 s after.

--- /dev/null
+++ b/internal/limit/overdue.go
@@ -0,0 +1,102 @@
+package limit
+
+import "time"
+
+// Calls that can only be answered later than their class aims at wait in a lane of
+// their own, and get the slots that no call which can still be in time asks for.
+//
+// It guards against an overload that feeds itself. Callers who were refused come back
+// late. Served in the order of arrival, they take the places of callers who could be
+// in time, who are refused for it, and come back late in turn: at 10% over what the
+// backend servers can do, with callers that come back twice, two thirds of all answers
+// were late (TestReturningCallersDoNotCrowdOutOthers). Put behind, they cost nobody's
+// answer time, and as many calls are served.
+
+// overduePart is the part of the time left to a call that it waits for a slot to be
+// left over. The rest is kept for its caller to come back, which most do a second or
+// two later, when a wave of calls may have passed.
+const overduePart = 0.25
+
+// waitsUntil returns the moment after which e waits no more, or zero for none. A call
+// of a class with a target waits as long as it may still be in time, or the part of its
+// time that overdue calls wait.
+func (q *Queue) waitsUntil(now time.Time, e *Entry) time.Time {
+	budget := e.class.waitBudget()
+	if e.deadline.IsZero() || budget <= 0 || q.options.NoPrediction {
+		return e.deadline
+	}
+	until := now.Add(e.patience(now))
+	if inTime := e.Asked.Add(budget); inTime.After(until) {
+		until = inTime
+	}
+	if until.After(e.deadline) {
+		return e.deadline
+	}
+	return until
+}
+
+// patience is how long an overdue call waits for a slot to be left over.
+func (e *Entry) patience(now time.Time) time.Duration {
+	return time.Duration(overduePart * float64(e.deadline.Sub(now)))
+}
+
+// putOff puts a call that is in no lane behind those that are overdue.
+func (q *Queue) putOff(e *Entry) {
+	e.overdue = true
+	e.element = e.class.overdue.PushBack(e)
+}
+
+// worthPuttingOff reports whether a slot is likely to be left over for e while it
+// waits. The first may always wait, or nobody would notice when there are slots again.
+func (q *Queue) worthPuttingOff(now time.Time, e *Entry) bool {
+	c := e.class
+	return c.overdue.Len() == 0 || e.deadline.IsZero() || q.predictOverdue(now, c) <= e.patience(now)
+}
+
+// predictOverdue estimates how long a newcomer waits for a slot to be left over.
+func (q *Queue) predictOverdue(now time.Time, c *classState) time.Duration {
+	every := c.overdueGrants.every.duration()
+	if !c.overdueGrants.last.IsZero() {
+		// No slot was left over since the last one: the average is of better times.
+		every = max(every, now.Sub(c.overdueGrants.last))
+	}
+	return time.Duration(c.overdue.Len()+1) * every
+}
+
+// nextOverdue returns the class whose overdue call takes a slot that is left over: the
+// one that matters most, then the one that was put off first.
+func (q *Queue) nextOverdue() *classState {
+	var best *classState
+	for _, c := range q.ordered {
+		if c.overdue.Len() == 0 || !q.mayStart(c) {
+			continue
+		}
+		if best == nil || c.Priority > best.Priority || c.Priority == best.Priority && head(&c.overdue).before(head(&best.overdue)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// startOverdue starts the call of c that was put off first, or refuses it if it could
+// not be answered by its deadline.
+func (q *Queue) startOverdue(now time.Time, c *classState) {
+	e := head(&c.overdue)
+	if !q.useless(now, e) {
+		q.startWaiting(now, e)
+	}
+}
+
+// lastOverdue returns the call of the least priority that was put off last, or nil.
+func (q *Queue) lastOverdue() *Entry {
+	var victim *classState
+	for _, c := range q.ordered {
+		if c.overdue.Len() > 0 && (victim == nil || c.Priority < victim.Priority) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return nil
+	}
+	return victim.overdue.Back().Value.(*Entry)
+}
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -34,8 +34,9 @@
 }
 
 // fullFresh is how long a compressed full state is served again: joins come in
-// herds.
-const fullFresh = time.Second
+// herds. One as old as a second lacks most of a herd that starts together; 13 nodes
+// knew each other after 2.4 s with that, and after 0.95 s with 100 ms.
+const fullFresh = 100 * time.Millisecond
 
 const maxReferrals = 5
 
--- a/internal/membership/join_test.go
+++ b/internal/membership/join_test.go
@@ -62,3 +62,34 @@
 		}
 	}
 }
+
+// A data centre's worth of nodes lose power and come back within 300 ms. Each was let
+// in with a full state that had been packed up to a second before, when hardly anybody
+// was back, and knew the others a second later: meanwhile the work that it took was
+// lost, since it knew no endpoint of the services that the work called.
+func TestHerdThatStartsTogetherKnowsItselfAtOnce(t *testing.T) {
+	var sum time.Duration
+	const herds = 10
+	for n := range herds {
+		w := newMesh(10+n, 3, func(c *Config) { *c = Swift(*c) })
+		w.run(20 * time.Second)
+		for _, v := range w.nodes {
+			w.stop(v)
+		}
+		w.run(time.Second)
+		for _, v := range w.nodes {
+			w.after(time.Duration(w.rnd.Int64N(int64(300*time.Millisecond))), func() { w.start(v) })
+		}
+		w.run(300 * time.Millisecond)
+		took, ok := w.runUntil(10*time.Second, w.settled)
+		if !ok {
+			t.Fatal(w.unsettled())
+		}
+		sum += took
+	}
+	mean := sum / herds
+	t.Logf("after %v in the mean", mean)
+	if mean > 1500*time.Millisecond {
+		t.Errorf("the herd knew itself after %v in the mean", mean)
+	}
+}
