Say refusals between nodes in short, and in milliseconds

Change: no body, no Date, the time to come back in a header of its own; the rate of fast links and headers of the users' wire that are set anew anyway are left out of the hop.

--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -218,9 +218,13 @@
 // headerLinkRate tells a destination the rate of the entry node's link, in Mbit/s.
 const headerLinkRate = "Marlpass-Link-Mbps"
 
+// fastMbps is the rate from which a link needs no pacing: the largest answers that
+// are taken in whole, of a megabyte, go over it in some 40 ms.
+const fastMbps = 200
+
 // setRate notes the rate of this VM's link in a call to another node.
 func (l *Link) setRate(h http.Header) {
-	if l != nil {
+	if l != nil && l.mbps < fastMbps {
 		h[headerLinkRate] = []string{strconv.FormatFloat(l.mbps, 'f', -1, 64)}
 	}
 }
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -62,13 +62,36 @@
 	if why == "" {
 		return nil
 	}
-	r := &call.Refusal{Reason: call.Reason(why), RetryAfter: parseRetryAfter(h)}
+	r := &call.Refusal{Reason: call.Reason(why), RetryAfter: parseComeBack(h), Detail: first(h, headerDetail)}
 	if first(h, headerDeep) != "" {
 		r.Detail = detailDeep
 	}
 	return r
 }
 
+const (
+	// headerComeBack tells, between nodes, in how many milliseconds the refusing
+	// node expects to have room. Retry-After has whole seconds, in which a queue
+	// drains several times over.
+	headerComeBack = "Marlpass-Come-Back"
+	// headerDetail says, between nodes, what the logs are to say of a refusal.
+	headerDetail = "Marlpass-Detail"
+)
+
+// parseComeBack returns when to come back; a node of an earlier version says it as
+// callers are told.
+func parseComeBack(h http.Header) time.Duration {
+	value := first(h, headerComeBack)
+	if value == "" {
+		return parseRetryAfter(h)
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 || ms > maxRetryAfterSeconds*1000 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // headerDeep marks, between nodes, a refusal that began in a deeper call.
 const headerDeep = "Marlpass-Deep"
 
@@ -91,8 +114,26 @@
 	NotRun bool        `json:"not_run"`
 }
 
-// writeRefusal answers another node that the call was not run.
-func writeRefusal(w http.ResponseWriter, r *call.Refusal) { writeRefused(w, r, ownDialect{}) }
+// writeRefusal answers another node that the call was not run. It has no body and
+// nothing else that only people read: under overload most of what goes between data
+// centres are refusals, and a problem document makes each two and a half times as long.
+func writeRefusal(w http.ResponseWriter, r *call.Refusal) {
+	h := w.Header()
+	h[call.HeaderNotRun] = []string{string(r.Reason)}
+	h["Date"] = nil
+	if r.RetryAfter > 0 {
+		h[headerComeBack] = []string{strconv.FormatInt(r.RetryAfter.Milliseconds(), 10)}
+	}
+	switch r.Detail {
+	case "":
+	case detailDeep:
+		h[headerDeep] = []string{"1"}
+	default:
+		h[headerDetail] = []string{r.Detail}
+	}
+	status, _ := ownDialect{}.Refused(r)
+	w.WriteHeader(status)
+}
 
 // writeRefused answers that the call was not run, as d says it.
 func writeRefused(w http.ResponseWriter, r *call.Refusal, d Dialect) {
