--- a/internal/limit/class.go
+++ b/internal/limit/class.go
@@ -121,9 +121,6 @@
 // overShare reports whether the class holds its share or more.
 func (c *classState) overShare(limit int) bool { return c.running >= c.shareSlots(limit) }
 
-func (c *classState) onceLane() *list.List    { return &c.once }
-func (c *classState) overdueLane() *list.List { return &c.overdue }
-
 func (c *classState) lanes() [3]*list.List { return [3]*list.List{&c.once, &c.waiting, &c.overdue} }
 
 // queued returns how many calls of the class wait.
--- a/internal/limit/overdue.go
+++ b/internal/limit/overdue.go
@@ -18,14 +18,20 @@
 // overduePart is the part of the time left to a call that it waits for a slot to be
 // left over. The rest is kept for its caller to come back, which most do a second or
 // two later, when a wave of calls may have passed.
-const overduePart = 0.25
+const overduePart = 0.15
+
+// inTimePart is the part of the answer time, less the mean run, for which a call waits
+// at one backend server. What is left serves for another one. Waiting until the last
+// moment, refused callers had waited twice as long for nothing.
+const inTimePart = 0.5
 
 // waitsUntil returns the moment after which e waits no more, or zero for none. A call
 // of a class with a target waits as long as it may still be in time, or the part of its
 // time that overdue calls wait.
 func (q *Queue) waitsUntil(now time.Time, e *Entry) time.Time {
-	budget := e.class.waitBudget()
-	budget = max(budget, e.class.AnswerWithin-e.class.service.duration())
+	c := e.class
+	common := float64(c.AnswerWithin - c.service.duration())
+	budget := max(c.waitBudget(), time.Duration(inTimePart*common))
 	if e.Once || e.deadline.IsZero() || budget <= 0 || q.options.NoPrediction {
 		return e.deadline
 	}
@@ -67,12 +73,22 @@
 	return time.Duration(c.overdue.Len()+1) * every
 }
 
-// first returns the class of highest priority with a call in that lane, then the one
-// whose call there came first.
-func (q *Queue) first(lane func(*classState) *list.List) *classState {
+// firstOnce returns the class of highest priority with a call that never comes back,
+// then the one whose call came first. Reservations don't bind them: a class far inside
+// its target gives way to others, and lookups of work in progress are always far inside.
+func (q *Queue) firstOnce() *classState {
+	return q.first(func(c *classState) *list.List { return &c.once }, func(*classState) bool { return true })
+}
+
+// firstOverdue returns the same of those overdue that may take a slot.
+func (q *Queue) firstOverdue() *classState {
+	return q.first(func(c *classState) *list.List { return &c.overdue }, q.mayStart)
+}
+
+func (q *Queue) first(lane func(*classState) *list.List, may func(*classState) bool) *classState {
 	var best *classState
 	for _, c := range q.ordered {
-		if lane(c).Len() == 0 {
+		if lane(c).Len() == 0 || !may(c) {
 			continue
 		}
 		if best == nil || c.Priority > best.Priority || c.Priority == best.Priority && head(lane(c)).before(head(lane(best))) {
--- /dev/null
+++ b/internal/pipeline/body.go
@@ -0,0 +1,86 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+)
+
+// requestBody is the body of a request.
+type requestBody struct {
+	e        *exchange
+	mu       sync.Mutex // a handler's transport may read on beside drain
+	r        io.ReadCloser
+	expected bool // the client waits for 100 Continue
+	once     sync.Once
+	done     chan struct{} // closed at the body's end
+	failed   bool
+}
+
+// errBodyGone is returned to who reads a body after the answer is complete.
+var errBodyGone = errors.New("pipeline: the request's body is no longer read")
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed {
+		return 0, errBodyGone
+	}
+	if b.expected {
+		b.expected = false
+		if err := b.invite(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.r.Read(p)
+	if err == io.EOF {
+		b.once.Do(func() { close(b.done) })
+	}
+	return n, err
+}
+
+// invite tells the client to send the body.
+func (b *requestBody) invite() error {
+	if !b.e.await() {
+		return context.Canceled
+	}
+	b.e.c.wmu.Lock()
+	defer b.e.c.wmu.Unlock()
+	if b.e.sent {
+		return nil // the answer is there before the body
+	}
+	if _, err := b.e.c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return b.e.c.bw.Flush()
+}
+
+// Close implements io.Closer. The rest of the body is read by drain.
+func (b *requestBody) Close() error { return nil }
+
+func (b *requestBody) ended() bool {
+	select {
+	case <-b.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// drain reads what the handler left of the body, and reports whether the
+// connection can serve another request.
+func (b *requestBody) drain() bool {
+	if b.ended() {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failed = true
+	if b.expected {
+		return false // the client may or may not send it
+	}
+	n, err := io.CopyN(io.Discard, b.r, maxDrained)
+	return err == io.EOF && n < maxDrained
+}
