--- a/internal/proxy/entry_log.go
+++ b/internal/proxy/entry_log.go
@@ -20,6 +20,9 @@
 	if c.target != nil {
 		l.Str("class", c.target.Name).Str("service", c.target.Service)
 	}
+	if before := c.start.Sub(c.asked); before > 0 {
+		l.Int64("before_ms", before.Milliseconds()) // since the caller first asked and was refused
+	}
 	return l.Uint64("version", c.version).Int("attempts", c.n).Int("reached", c.reached).
 		Int64("after_ms", now.Sub(c.start).Milliseconds())
 }
