--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/marlpass/marlpass/internal/decisions"
@@ -13,15 +14,41 @@
 func explainCommand() *command {
 	return &command{
 		name:    "explain",
-		args:    "CALL FILE...",
-		summary: "Join what several nodes logged of one call into a time line.",
+		args:    "[-overview] [CALL] FILE...",
+		summary: "Join what several nodes logged of one call into a time line, or count what decided many.",
 		detail: "CALL is the id that the caller sent. The files are logs of nodes; lines of other\n" +
-			"calls are passed over. No server is asked.",
-		examples: []string{"marlpass explain 4611bc0cff906d90 neg-yard-2.log neg-shed-1.log"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
-			return func(_ context.Context, a *app, args []string) error { return explain(a, args) }
+			"calls are passed over. With -overview no CALL is given: the lines of all calls are\n" +
+			"counted by what decided them. No server is asked.",
+		examples: []string{
+			"marlpass explain 4611bc0cff906d90 neg-yard-2.log neg-shed-1.log",
+			"marlpass explain -overview neg-yard-2.log neg-shed-1.log",
 		},
+		setup: func(f *flag.FlagSet) func(context.Context, *app, []string) error {
+			overview := f.Bool("overview", false, "count the lines of all calls by what decided them")
+			return func(_ context.Context, a *app, args []string) error {
+				if *overview {
+					return explainMany(a, args)
+				}
+				return explain(a, args)
+			}
+		},
+	}
+}
+
+// overviewRows is how many rows an overview has: a screen.
+const overviewRows = 40
+
+func explainMany(a *app, files []string) error {
+	if len(files) == 0 {
+		return usagef("at least one FILE is needed; see marlpass explain -h")
+	}
+	var o decisions.Overview
+	for _, name := range files {
+		if err := readLog(name, o.Read); err != nil {
+			return usagef("%s: %v", name, err)
+		}
 	}
+	return o.Print(a.env.Stdout, overviewRows)
 }
 
 func explain(a *app, args []string) error {
@@ -31,11 +58,14 @@
 	id := args[0]
 	var lines []decisions.Line
 	for _, name := range args[1:] {
-		found, err := linesOf(name, id)
+		err := readLog(name, func(r io.Reader) error {
+			found, err := decisions.Find(r, id)
+			lines = append(lines, found...)
+			return err
+		})
 		if err != nil {
 			return usagef("%s: %v", name, err)
 		}
-		lines = append(lines, found...)
 	}
 	if len(lines) == 0 {
 		return fmt.Errorf("no file has a line about the call %s: it was answered as it should be, "+
@@ -45,11 +75,11 @@
 	return nil
 }
 
-func linesOf(name, id string) (lines []decisions.Line, err error) {
+func readLog(name string, read func(io.Reader) error) (err error) {
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
-	return decisions.Find(f, id)
+	return read(f)
 }
--- a/internal/decisions/explain.go
+++ b/internal/decisions/explain.go
@@ -44,6 +44,8 @@
 	RanMS    int64  `json:"ran_ms"`
 	AimMS    int64  `json:"aim_ms"`
 	ComeBack int64  `json:"come_back_ms"`
+	BeforeMS int64  `json:"before_ms"`
+	Once     bool   `json:"once"`
 	Busy     int    `json:"busy"`
 	Limit    int    `json:"limit"`
 	Waiting  int    `json:"waiting"`
@@ -61,10 +63,20 @@
 }
 
 // Find reads a log and returns its lines about the call id and those made for it.
-// Text before a line's JSON, as a collector may put there, is passed over. It
-// returns ErrNotALog when no line of r is JSON.
+// It returns ErrNotALog when no line of r is JSON.
 func Find(r io.Reader, id string) ([]Line, error) {
 	var out []Line
+	err := eachLine(r, func(l *Line) {
+		if l.of(id) {
+			out = append(out, *l)
+		}
+	})
+	return out, err
+}
+
+// eachLine calls f for each line of a log that tells of a decision about a call. Text
+// before a line's JSON, as a collector may put there, is passed over.
+func eachLine(r io.Reader, f func(*Line)) error {
 	known := false
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 64<<10), maxLine)
@@ -78,17 +90,17 @@
 			continue // a line that was cut, or is no line of a log
 		}
 		known = true
-		if l.Decision != "" && l.of(id) {
-			out = append(out, l)
+		if l.Decision != "" {
+			f(&l)
 		}
 	}
 	switch {
 	case s.Err() != nil:
-		return nil, s.Err()
+		return s.Err()
 	case !known:
-		return nil, ErrNotALog
+		return ErrNotALog
 	}
-	return out, nil
+	return nil
 }
 
 // Explain prints the lines of one call as a time line, and what decided how it
@@ -152,6 +164,7 @@
 	number("limit", int64(l.Limit), "")
 	number("waiting", int64(l.Waiting), "")
 	number("slots", int64(l.Slots), "")
+	number("before", l.BeforeMS, "ms")
 	number("after", l.AfterMS, "ms")
 	number("waited", l.WaitedMS, "ms")
 	number("ran", l.RanMS, "ms")
@@ -159,5 +172,8 @@
 	number("left", l.LeftMS, "ms")
 	number("come_back", l.ComeBack, "ms")
 	number("version", int64(l.Version), "")
+	if l.Once {
+		b.WriteString(" once")
+	}
 	return b.String()
 }
--- a/internal/decisions/explain_test.go
+++ b/internal/decisions/explain_test.go
@@ -109,7 +109,7 @@
 			}
 		}
 	}
-	sources := sourceText(t, "../proxy", "../node", "../follow")
+	sources := sourceText(t, "../proxy", "../node", "../follow", "../../platform/announce")
 	for _, m := range regexp.MustCompile("`((?:node|follow|membership|announce|route): [^`.]+)`").FindAllStringSubmatch(string(page), -1) {
 		if !strings.Contains(sources, m[1]) {
 			t.Errorf("the page tells of %q, which no node writes", m[1])
