Keep an acknowledged leave or drain that the node knew nothing else of

Change: where instances have fresh names, every instance that leaves is remembered, heard of before or not; one whose lease ends while it drains is remembered as gone.

Conclusion: the word binds whoever was told it; what a predecessor process was told before it ended is still not known to the next one, except through the probe of the backend server.

--- a/internal/announce/gone.go
+++ b/internal/announce/gone.go
@@ -7,10 +7,15 @@
 const maxGone = 64
 
 // goneInstances are the last instances that left or were replaced, oldest first,
-// each with the start of its last incarnation that did. Only those are kept that
-// tell their start or number their announcements: others may come back under the
-// same name.
-type goneInstances struct{ list []goneInstance }
+// each with the start of its last incarnation that did. Unless all are kept, only
+// those are that tell their start or number their announcements: others may come
+// back under the same name.
+type goneInstances struct {
+	list []goneInstance
+	// keepAll keeps those as well of which no announcement has arrived: a node that
+	// started a moment ago hears an instance leave that it never heard announce itself.
+	keepAll bool
+}
 
 type goneInstance struct {
 	name    string
@@ -18,7 +23,7 @@
 }
 
 func (g *goneInstances) add(a Announcement) {
-	if a.Sequence == 0 && a.Started == 0 {
+	if !g.keepAll && a.Sequence == 0 && a.Started == 0 {
 		return
 	}
 	if at := g.find(a.Instance); at >= 0 {
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -29,6 +29,10 @@
 	// AnyAddress lets backend servers be reached at other addresses than
 	// loopback, where the platform says which one is theirs.
 	AnyAddress bool
+	// FreshNames says that an instance which left or was replaced comes back only
+	// with a later start, and else under a new name. Its word to leave then binds
+	// also where it is the first that was heard of it.
+	FreshNames bool
 }
 
 // RenewEvery returns how often a backend server should renew.
@@ -129,7 +133,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry(l Limits) *Registry {
-	r := &Registry{limits: l}
+	r := &Registry{limits: l, gone: goneInstances{keepAll: l.FreshNames}}
 	r.list.Store(&[]Backend{})
 	return r
 }
@@ -283,6 +287,7 @@
 		if b.Expires.After(now) {
 			kept = append(kept, b)
 		} else {
+			r.keepDrained(b)
 			gone = append(gone, Change{Kind: Expired, Backend: b, Was: b.State})
 		}
 	}
@@ -292,6 +297,16 @@
 	return gone
 }
 
+// keepDrained remembers a backend server that fell silent while it drained.
+//
+// It guards against its late heartbeats. With its lease its number was forgotten, and
+// one that a cut had held up since before the drain would put it back into service.
+func (r *Registry) keepDrained(b Backend) {
+	if b.State == membership.BackendDraining {
+		r.gone.add(b.Announcement)
+	}
+}
+
 // stale reports whether an announcement is older than what is known of its instance
 // or of its address, where only one process can listen.
 //
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,9 +129,10 @@
 		LinkMbps: uint32(n.set.VM.LinkMbps),
 	}
 	n.reports = &reports{n: n}
+	rows := n.set.Platform.Form == settings.FormRows
 	n.registry = announce.NewRegistry(announce.Limits{
 		TTL: n.set.Announce.TTLOr(announce.DefaultTTL), Max: announce.DefaultMax,
-		AnyAddress: n.set.Platform.Form == settings.FormRows,
+		AnyAddress: rows, FreshNames: rows,
 	})
 	var err error
 	if n.control, err = newControl(n); err != nil {
