Judge peers' answers to a starting node by the history it holds now

A restarted node asks peers while it holds nothing, so their versions are newer and no conflict. Then it reads another history from the platform, ahead of them. The answers had been counted when they came, so the node became ready, for good, with a version that no other node ran.

Change: an answer keeps the version that the peer held, and is judged when readiness is. A peer that turns out to run another history is asked again.

Before: TestAnswersAreJudgedByTheHistoryHeld fails.

Conclusion: mended. Such a node still has to be started again once the platform holds the right history; it doesn't rejoin by itself.

--- a/internal/distribute/ready.go
+++ b/internal/distribute/ready.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
@@ -14,8 +15,6 @@
 	asks  map[string]*ask // by peer
 	floor uint64          // highest version that a peer saw in force here
 	by    string          // the peer that saw it
-	// foreign holds the peers that run another history than this node.
-	foreign map[string]bool
 }
 
 // maxForeign is how many peers of another history keep a starting node from
@@ -26,11 +25,23 @@
 type ask struct {
 	busy     bool
 	answered bool
-	ready    bool // the peer carried traffic when it answered
+	ready    bool           // the peer carried traffic when it answered
+	version  config.Version // that the peer held then
+	other    bool           // the peer said that it runs another history
 	fails    int
 	after    time.Time
 }
 
+// runsOther reports whether the peer that answered runs another history than this node.
+//
+// It goes by the version held now. A node that asked while it held nothing may take
+// another history from the platform after that, as of a table restored by mistake.
+// Judged when they came, the answers would count for it, and it would serve callers
+// from a configuration that no other node runs.
+func (s *State) runsOther(a *ask) bool {
+	return a.other || a.answered && s.chain.relation(a.version) == relationOther
+}
+
 // Ready reports whether the node may carry traffic, and if not, why.
 //
 // A node keeps nothing on disk. A restarted one must not serve an older version
@@ -49,7 +60,6 @@
 	if !s.start.done && s.waitingFor() == "" {
 		s.start.done = true
 		clear(s.start.asks)
-		clear(s.start.foreign)
 	}
 }
 
@@ -81,16 +91,30 @@
 	case s.feed.head.Newer(s.Version()):
 		return "the platform holds a newer version"
 	}
-	if n := len(s.start.foreign); n > 0 && n >= min(maxForeign, s.others()) {
+	if n := s.foreignAsked(); n > 0 && n >= min(maxForeign, s.others()) {
 		return fmt.Sprintf("%d peers run another history than version %d (%s) held here",
 			n, s.Version().Number, s.Version().Hash.Short())
 	}
 	return s.waitingForAnswers()
 }
 
+// foreignAsked counts the peers asked that run another history.
+func (s *State) foreignAsked() int {
+	n := 0
+	for _, a := range s.start.asks {
+		if s.runsOther(a) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *State) waitingForAnswers() string {
 	answered, ready := 0, 0
 	for _, a := range s.start.asks {
+		if s.runsOther(a) {
+			continue
+		}
 		if a.answered {
 			answered++
 		}
@@ -133,7 +157,7 @@
 	}
 	need := s.set.AskPeers
 	for _, a := range s.start.asks {
-		if a.busy || a.ready {
+		if a.busy || a.ready && !s.runsOther(a) {
 			need--
 		}
 	}
@@ -154,7 +178,7 @@
 
 func (s *State) mayAsk(peer string) bool {
 	a := s.start.asks[peer]
-	return a == nil || (!a.busy && !a.ready && !s.now.Before(a.after))
+	return a == nil || !a.busy && (!a.ready || s.runsOther(a)) && !s.now.Before(a.after)
 }
 
 func (s *State) asked(e Asked) {
@@ -171,13 +195,11 @@
 	if e.Answer.YouHeld > s.start.floor {
 		s.start.floor, s.start.by = e.Answer.YouHeld, e.Peer
 	}
-	if e.Answer.OtherHistory || s.chain.relation(e.Answer.Version) == relationOther {
-		s.start.foreign[e.Peer] = true
+	a.answered, a.ready = true, e.Answer.Ready
+	a.version, a.other = e.Answer.Version, e.Answer.OtherHistory
+	if s.runsOther(a) {
 		s.conflict(e.Peer, e.Answer.Version)
 		return
 	}
-	delete(s.start.foreign, e.Peer)
-	a.answered = true
-	a.ready = e.Answer.Ready
 	s.heard(Heard{Peer: e.Peer, Version: e.Answer.Version, Tell: true})
 }
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -136,6 +136,37 @@
 	}
 }
 
+// What an operator would see: the same, where the peers were asked first. While the
+// node holds nothing their versions are newer, and no conflict. Then it reads the
+// restored table, which is ahead of them. Their answers counted for it, and it served
+// callers, for good, from a configuration that no other node ran.
+func TestAnswersAreJudgedByTheHistoryHeld(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 3)
+	theirs, _ := history(t, "theirs", 4)
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[2].To, Ready: true}})
+	}
+	b.do(HeadRead{Version: theirs[3].To})
+	b.do(PlatformRead{Deltas: theirs})
+	b.holds(4)
+	asked := 0
+	for range 300 {
+		for _, a := range b.wait(tickEvery) {
+			if a, ok := a.(Ask); ok {
+				asked++
+				b.do(Asked{Peer: a.Peer, Answer: Answer{Version: ours[2].To, Ready: true, OtherHistory: true}})
+			}
+		}
+		if ok, _ := b.s.Ready(); ok {
+			t.Fatal("ready with another history than its peers")
+		}
+	}
+	if asked == 0 || len(b.s.Conflicts()) == 0 {
+		t.Errorf("asked %d times more, %d conflicts", asked, len(b.s.Conflicts()))
+	}
+}
+
 // What an operator would see: a change that is accepted on a table wiped by
 // mistake, and that no node follows. The node that took it had just started and
 // had only read the empty table. It must know that it does not know yet, until
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -51,7 +51,7 @@
 		held:        make(map[string]uint64),
 		foreign:     make(map[string]uint64),
 		reported:    make(map[string]config.Version),
-		start:       starting{asks: make(map[string]*ask), foreign: make(map[string]bool)},
+		start:       starting{asks: make(map[string]*ask)},
 	}
 }
 
