Let a call look for a free slot before it waits

An entry node makes some seven calls a second over 148 endpoints, so what it knows of one is long out of date, and its choice is as good as chance.

Change: a call is first offered to up to four endpoints of its data centre and two of others that start it at once or refuse it at once, the own VM's first, then those whose last answer told of a free slot. Answers tell the gate's load, calls that wait included. Looks end where under 0.1 of the offers find a free slot, far ones under 0.3.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -46,6 +46,7 @@
 	ReasonNotHeld     Reason = "service-not-held"   // this node does not hold the service
 	ReasonNoEndpoint  Reason = "no-endpoint"        // no endpoint of the service is known
 	ReasonOverloaded  Reason = "overloaded"         // the queue is full or would outlast the deadline
+	ReasonBusy        Reason = "busy"               // no slot is free now, and the call was not to wait for one
 	ReasonLinkFull    Reason = "link-full"          // the VM's link cannot carry the answer in time
 	ReasonOverShare   Reason = "over-share"         // the class holds its share and others wait
 	ReasonOverRate    Reason = "over-rate"          // the class is over its stated rate
--- a/internal/limit/config.go
+++ b/internal/limit/config.go
@@ -87,6 +87,7 @@
 	Started  uint64
 	Done     uint64
 	Refused  uint64
+	Busy     uint64 // calls that were not to wait, and found no free slot
 	OverRate uint64
 	Expired  uint64
 	OnTarget uint64 // answers within AnswerWithin, the wait included
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -94,6 +94,8 @@
 	// Deadline is when the caller leaves; zero means that only the context bounds
 	// the wait.
 	Deadline time.Time
+	// NoWait refuses the call at once as busy if no slot is free now.
+	NoWait bool
 }
 
 // Acquire waits for a permit. The error is a *call.Refusal, or ctx.Err() when
@@ -101,7 +103,7 @@
 func (g *Gate) Acquire(ctx context.Context, class string, t Times) (*Permit, error) {
 	p := &Permit{g: g}
 	e := &p.e
-	e.Asked, e.Once = t.Asked, t.Once
+	e.Asked, e.Once, e.NoWait = t.Asked, t.Once, t.NoWait
 	g.mu.Lock()
 	r := g.q.Offer(g.now(), e, class, t.Deadline)
 	if r != nil {
@@ -124,8 +126,8 @@
 func (p *Permit) await(ctx context.Context, answer <-chan *call.Refusal) (*Permit, error) {
 	g, e := p.g, &p.e
 	var expire <-chan time.Time
-	if !e.until.IsZero() {
-		t := time.NewTimer(e.until.Sub(g.now()))
+	if until := e.WaitsUntil(); !until.IsZero() {
+		t := time.NewTimer(until.Sub(g.now()))
 		defer t.Stop()
 		expire = t.C
 	}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -30,6 +30,8 @@
 	Asked time.Time
 	// Once says that the caller will not come back when it is refused.
 	Once bool
+	// NoWait says that the call is to start now or be refused as busy.
+	NoWait bool
 
 	class    *classState
 	arrived  time.Time
@@ -219,6 +221,12 @@
 		q.start(now, e)
 		return nil
 	}
+	if e.NoWait {
+		// No miss of the class: its call goes on to look for a free slot elsewhere.
+		c.rate.GiveBack(now)
+		c.stats.Busy++
+		return &call.Refusal{Reason: call.ReasonBusy}
+	}
 	if r := q.admit(now, e); r != nil {
 		c.rate.GiveBack(now)
 		return r
@@ -237,6 +245,10 @@
 // Started reports whether the call holds a slot.
 func (e *Entry) Started() bool { return e.state == entryRunning }
 
+// WaitsUntil returns the moment after which a call that waits must be given to Expire, or
+// zero for none.
+func (e *Entry) WaitsUntil() time.Time { return e.until }
+
 // Done takes the slot of a call that has ended.
 func (q *Queue) Done(now time.Time, e *Entry, r Result) {
 	if e.state != entryRunning {
--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -18,6 +18,9 @@
 	c.meters.PartTimes(func(service string, part proxy.Part, h proxy.Histogram) {
 		writeHistogram(p, "marlpass_call_part_seconds", h, "service", service, "part", string(part))
 	})
+	c.entry.FreeShares(func(service string, share float64) {
+		p.gauge("marlpass_call_free_slot_ratio", share, "service", service)
+	})
 	c.retries.each(func(service string, left float64) {
 		p.gauge("marlpass_call_retry_budget", left, "service", service)
 	})
@@ -73,6 +76,7 @@
 			p.counter("marlpass_gate_started_total", s.Started, l...)
 			p.counter("marlpass_gate_done_total", s.Done, l...)
 			p.counter("marlpass_gate_refused_total", s.Refused, l...)
+			p.counter("marlpass_gate_busy_total", s.Busy, l...)
 			p.counter("marlpass_gate_over_rate_total", s.OverRate, l...)
 			p.counter("marlpass_gate_expired_total", s.Expired, l...)
 			p.counter("marlpass_gate_on_target_total", s.OnTarget, l...)
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -218,17 +218,19 @@
 }
 
 // Pick implements proxy.Pickers.
-func (p *pickers) Pick(now time.Time, t *config.Target, tried []string) (proxy.Choice, error) {
+func (p *pickers) Pick(now time.Time, t *config.Target, a proxy.Ask) (proxy.Choice, error) {
 	picker := p.of(t.Service)
 	size := p.sizes.of(t.Name)
 	var c route.Choice
 	var err error
-	if t.RatePerSecond > 0 && len(tried) > 0 {
+	if a.Look != proxy.LookNot {
+		c, err = picker.Look(now, a.Look == proxy.LookNear, a.Tried)
+	} else if t.RatePerSecond > 0 && len(a.Tried) > 0 {
 		// Every endpoint has an equal part of the rate. Where most callers
 		// are in one data centre, what is left is in the others.
-		c, err = picker.PickAnywhere(now, tried)
+		c, err = picker.PickAnywhere(now, a.Tried)
 	} else {
-		c, err = picker.PickFor(now, route.Ask{Tried: tried, Repeatable: t.Idempotent, Far: size.far()})
+		c, err = picker.PickFor(now, route.Ask{Tried: a.Tried, Repeatable: t.Idempotent, Far: size.far()})
 	}
 	if err != nil {
 		return nil, err
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -179,8 +179,6 @@
 	// expired says that the attempt ended because its bound passed.
 	expired bool
 	load    Load
-	// loadHeader is the load as the backend server sent it.
-	loadHeader []string
 	// linkWait is how long large answers wait for the destination's link.
 	linkWait time.Duration
 	// took is what the time at the destination went into.
--- a/internal/proxy/baseline.go
+++ b/internal/proxy/baseline.go
@@ -24,8 +24,11 @@
 // Set replaces the endpoints, by service.
 func (p *RoundRobin) Set(byService map[string][]Endpoint) { p.endpoints.Store(&byService) }
 
-// Pick returns the next endpoint that was not tried.
-func (p *RoundRobin) Pick(_ time.Time, t *config.Target, tried []string) (Choice, error) {
+// Pick returns the next endpoint that was not tried. No call looks around with it.
+func (p *RoundRobin) Pick(_ time.Time, t *config.Target, a Ask) (Choice, error) {
+	if a.Look != LookNot {
+		return nil, ErrTriedAll
+	}
 	m := p.endpoints.Load()
 	if m == nil || len((*m)[t.Service]) == 0 {
 		return nil, refuse(call.ReasonNoEndpoint, 0, t.Service)
@@ -34,7 +37,7 @@
 	at := p.next.Add(1)
 	for i := range all {
 		ep := &all[(at+uint64(i))%uint64(len(all))]
-		if !slices.Contains(tried, ep.ID) {
+		if !slices.Contains(a.Tried, ep.ID) {
 			return (*plainChoice)(ep), nil
 		}
 	}
@@ -45,7 +48,7 @@
 func (p *RoundRobin) PickFixed(now time.Time, t *config.Target, key uint64, tried []string) (Choice, error) {
 	m := p.endpoints.Load()
 	if len(tried) > 0 || m == nil || len((*m)[t.Service]) == 0 {
-		return p.Pick(now, t, tried)
+		return p.Pick(now, t, Ask{Tried: tried})
 	}
 	all := (*m)[t.Service]
 	return (*plainChoice)(&all[key%uint64(len(all))]), nil
@@ -108,6 +111,9 @@
 		return fixedPermit{slots}, nil
 	default:
 	}
+	if times.NoWait {
+		return nil, refuse(call.ReasonBusy, 0, "")
+	}
 	timer := time.NewTimer(time.Until(times.Deadline))
 	defer timer.Stop()
 	select {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -87,6 +87,7 @@
 	h.settled = first(r.Header, headerSettled) != ""
 	h.waited = parseWaited(r.Header)
 	h.once = first(r.Header, headerOnce) != ""
+	h.noWait = first(r.Header, headerNoWait) != ""
 	far := parseRate(r.Header)
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
@@ -134,8 +135,8 @@
 		writeUnknown(w, a.err)
 	default:
 		w.Header()["Date"] = nil // the caller's own node sets it
-		if len(a.loadHeader) > 0 {
-			w.Header()[call.HeaderLoad] = a.loadHeader
+		if load := d.loadAfter(a); load.Known {
+			w.Header()[call.HeaderLoad] = loadValue(load)
 		}
 		d.setLinkWait(w.Header())
 		w.Header()[headerTook] = []string{a.took.String()}
@@ -146,6 +147,21 @@
 	}
 }
 
+// loadAfter returns the load of the backend server once this call has ended. Its gate
+// knows of the calls that wait there, of which the backend server knows nothing; calls
+// that were given up and run on are known to the backend server alone.
+func (d *Destination) loadAfter(a *answer) Load {
+	if d.SlotUse == nil || a.held == nil || a.held.replayed {
+		return a.load
+	}
+	use := d.SlotUse(a.held.backend)
+	busy := use.Busy + use.Waiting
+	if a.held.permit != nil {
+		busy-- // this call holds its slot until its answer is passed on
+	}
+	return Load{Busy: max(busy, a.load.Busy-1, 0), Slots: use.Limit, Known: use.Limit > 0}
+}
+
 // pass relays the answer and ends the holding.
 func (d *Destination) pass(w http.ResponseWriter, a *answer) (p passed) {
 	defer func() {
@@ -189,7 +205,9 @@
 	a := d.hold(ctx, now, in, b, t)
 	if a.resp == nil {
 		d.inFlight.Add(-1)
-		d.logEnd(now, in, b, &a)
+		if !a.busy() {
+			d.logEnd(now, in, b, &a)
+		}
 	}
 	return a
 }
@@ -318,7 +336,7 @@
 // enter waits for a slot and asks whether the request is suspected.
 func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
 	if d.Gates != nil {
-		times := limit.Times{Asked: now.Add(-in.hop.waited), Once: in.hop.once, Deadline: startBy(now, in.deadline)}
+		times := limit.Times{Asked: now.Add(-in.hop.waited), Once: in.hop.once, NoWait: in.hop.noWait, Deadline: startBy(now, in.deadline)}
 		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, times)
 		if err != nil {
 			return asRefusal(err)
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -47,7 +47,7 @@
 		a.kill()
 		return answer{err: read.Err}
 	}
-	a.load, a.loadHeader = read.Load, loadValue(read.Load)
+	a.load = read.Load
 	dropHopByHop(a.resp.Header)
 	dropOwn(a.resp.Header)
 	h.status = a.resp.StatusCode
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -41,6 +41,7 @@
 	EntryParts
 	kept    keptBodies
 	returns returns
+	free    freeShares
 }
 
 // NewEntry returns an Entry.
@@ -81,6 +82,7 @@
 	version  uint64 // of the configuration that matched it
 	maxBody  int64  // bytes; zero for no bound
 	tried    []string
+	search   search // for a free slot
 	// closed are the endpoints tried that take no calls.
 	closed []string
 	// pinned are the endpoints that refused a suspect as pinned to another.
@@ -98,7 +100,7 @@
 
 // free gives c back for another call.
 func (c *entering) free() {
-	*c = entering{tried: c.tried[:0], closed: c.closed[:0], pinned: c.pinned[:0]}
+	*c = entering{tried: c.tried[:0], search: search{looked: c.search.looked[:0]}, closed: c.closed[:0], pinned: c.pinned[:0]}
 	enterings.Put(c)
 }
 
@@ -236,6 +238,13 @@
 		ep := choice.Endpoint()
 		a := e.attempt(ctx, now, c, ep)
 		s.outcome(&a)
+		e.noteOffer(c, &a)
+		if a.busy() && ctx.Err() == nil {
+			choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
+			c.search.missed(ep.ID)
+			c.n-- // a look is no attempt: nothing further down was asked to run it
+			continue
+		}
 		if a.resp != nil {
 			e.answer(w, c, choice, &a, now)
 			return
--- a/internal/proxy/entry_log.go
+++ b/internal/proxy/entry_log.go
@@ -23,6 +23,9 @@
 	if before := c.start.Sub(c.asked); before > 0 {
 		l.Int64("before_ms", before.Milliseconds()) // since the caller first asked and was refused
 	}
+	if n := len(c.search.looked); n > 0 {
+		l.Int("looks", n)
+	}
 	return l.Uint64("version", c.version).Int("attempts", c.n).Int("reached", c.reached).
 		Int64("after_ms", now.Sub(c.start).Milliseconds())
 }
--- a/internal/proxy/entry_pick.go
+++ b/internal/proxy/entry_pick.go
@@ -16,13 +16,17 @@
 var ErrTriedAll = errors.New("proxy: every endpoint was tried")
 
 func (e *Entry) pick(now time.Time, c *entering) (Choice, error) {
+	c.search.look = LookNot
 	if c.isolated {
 		return e.Pickers.PickFixed(now, c.target, c.fp.Key(), c.avoid(e.Suspects.CrashedAt(now, c.fp)))
 	}
 	if key := guardKey(c); key != "" {
 		return e.Pickers.PickFixed(now, c.target, xxhash.Sum64String(key), c.closed)
 	}
-	return e.Pickers.Pick(now, c.target, c.tried)
+	if choice := e.lookUp(now, c); choice != nil {
+		return choice, nil
+	}
+	return e.Pickers.Pick(now, c.target, Ask{Tried: c.tried})
 }
 
 // avoid returns the endpoints that an isolated call must not or cannot run at.
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -25,8 +25,16 @@
 	// once says that the caller will not come back when it is refused. It travels
 	// in headerOnce.
 	once bool
+	// noWait says that the call is to start now or be refused as busy. It travels
+	// in headerNoWait.
+	noWait bool
 }
 
+// headerNoWait marks, between nodes, a call that looks for a free slot.
+const headerNoWait = "Marlpass-No-Wait"
+
+var noWaitValue = []string{"1"}
+
 // headerOnce marks, between nodes, a call that is lost when it is refused.
 const headerOnce = "Marlpass-Once"
 
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -76,10 +76,28 @@
 	Done(now time.Time, r Report)
 }
 
-// Pickers picks endpoints. The IDs in tried have had the call already and come
-// last, or not at all when only they are left; then err is ErrTriedAll.
+// Look says which endpoints a call looks at for a free slot.
+type Look uint8
+
+// The ways to look.
+const (
+	LookNot  Look = iota // the call may wait at the endpoint
+	LookNear             // at those of the own data centre
+	LookFar              // at those of the region's others
+)
+
+// Ask says what a pick is for.
+type Ask struct {
+	// Tried are the IDs of endpoints that have had the call already. They come last,
+	// or not at all when only they are left.
+	Tried []string
+	Look  Look
+}
+
+// Pickers picks endpoints. When only those of Ask.Tried are left, it gives one of
+// them or the error ErrTriedAll, and to a call that looks always an error.
 type Pickers interface {
-	Pick(now time.Time, t *config.Target, tried []string) (Choice, error)
+	Pick(now time.Time, t *config.Target, a Ask) (Choice, error)
 	// PickFixed picks by key alone, so that every node picks the same. The
 	// endpoints in avoid are left out as long as there are others.
 	PickFixed(now time.Time, t *config.Target, key uint64, avoid []string) (Choice, error)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -13,7 +13,7 @@
 // attempt sends the call to one endpoint.
 func (e *Entry) attempt(ctx context.Context, now time.Time, c *entering, ep Endpoint) answer {
 	header := c.r.Header
-	if c.n > 1 {
+	if c.n > 1 || len(c.search.looked) > 0 {
 		// The transport may still be reading the header of the attempt before.
 		header = header.Clone()
 	}
@@ -22,7 +22,7 @@
 	}
 	h := hop{
 		left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance,
-		waited: now.Sub(c.asked), once: e.returns.never(c.target.Name),
+		waited: now.Sub(c.asked), once: e.returns.never(c.target.Name), noWait: c.search.look != LookNot,
 	}
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
@@ -39,6 +39,10 @@
 	if h.once {
 		header[headerOnce] = onceValue
 	}
+	delete(header, headerNoWait) // of the offer before
+	if h.noWait {
+		header[headerNoWait] = noWaitValue
+	}
 	if e.Local != nil {
 		e.Local.Link.setRate(header)
 	}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -239,7 +239,7 @@
 	switch r {
 	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable, call.ReasonPinned:
 		return kindGone
-	case call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
+	case call.ReasonBusy, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
 		return kindFull
 	case call.ReasonOverRate:
 		return kindRate
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -38,6 +38,7 @@
 		s.failures.add(0, failureWeight, now)
 		s.results.Add(1)
 		p.takeLatency(s, now, r.Latency)
+		p.noteFree(s, now, r.Load)
 	case verdictFull:
 		p.takeFull(s, now)
 	case verdictClosed:
@@ -68,7 +69,7 @@
 	case "":
 	case call.ReasonUnreachable:
 		return verdictFailed
-	case call.ReasonOverloaded, call.ReasonOverShare, call.ReasonBackend:
+	case call.ReasonBusy, call.ReasonOverloaded, call.ReasonOverShare, call.ReasonBackend:
 		return verdictFull
 	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady:
 		return verdictClosed
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -24,6 +24,7 @@
 	latency average // mean latency of the service, milliseconds
 	others  average // mean load by other nodes, per slot
 	entries atomic.Int64
+	free    hints
 
 	table atomic.Pointer[table]
 
