--- /dev/null
+++ b/internal/proxy/entry_run.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/retry"
+	"github.com/marlpass/marlpass/internal/wait"
+)
+
+// run makes attempts until one is answered or none may follow.
+func (e *Entry) run(ctx context.Context, w http.ResponseWriter, c *entering, s span) {
+	var last *call.Refusal
+	for {
+		now := e.Now()
+		choice, err := e.pick(now, c)
+		if err != nil {
+			w.Header()[retry.HeaderFinal] = finalValue
+			e.refuse(w, c, pickRefusal(err, last))
+			return
+		}
+		c.n++
+		ep := choice.Endpoint()
+		a := e.attempt(ctx, now, c, ep)
+		s.outcome(&a)
+		e.noteOffer(c, &a)
+		if a.resp != nil {
+			e.answer(w, c, choice, &a, now)
+			return
+		}
+		choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
+		if a.busy() && ctx.Err() == nil {
+			c.search.missed(ep.ID)
+			c.n-- // a look is no attempt: nothing further down was asked to run it
+			continue
+		}
+		e.noteUnanswered(c, ep, &a)
+		last = a.refusal
+		d := e.again(ctx, c, &a)
+		if !d.Retry {
+			e.giveUp(w, c, &a, d)
+			return
+		}
+		e.logRetry(c, ep, &a, d)
+	}
+}
+
+// noteUnanswered keeps what an attempt without an answer says for the next one.
+func (e *Entry) noteUnanswered(c *entering, ep Endpoint, a *answer) {
+	if a.reached() {
+		c.reached++
+	}
+	c.tried = append(c.tried, ep.ID)
+	if takesNone(a.refusal) {
+		c.closed = append(c.closed, ep.ID)
+	}
+	c.notePinned(a, ep)
+	if a.err != nil {
+		c.lost = a.err
+	}
+	if a.broke() {
+		e.broke(c, ep)
+	}
+}
+
+// overdue reports whether c has waited longer than its class aims at.
+func (c *entering) overdue(now time.Time) bool {
+	aim := c.target.AnswerWithin()
+	return aim > 0 && now.Sub(c.asked) > aim
+}
+
+// broke tells the suspects of a call that broke at ep, and asks whether the
+// next attempt has to run isolated.
+func (e *Entry) broke(c *entering, ep Endpoint) {
+	if e.Suspects == nil {
+		return
+	}
+	now := e.Now()
+	e.Suspects.Broke(now, c.fp, ep.ID)
+	c.isolated = e.Suspects.Isolated(now, c.fp)
+}
+
+// again decides on another attempt, and waits for it as told.
+func (e *Entry) again(ctx context.Context, c *entering, a *answer) retry.Decision {
+	now := e.Now()
+	d := e.Retrier.Decide(c.target.Service, retry.Input{
+		Now: now, Outcome: a.outcome(), Idempotent: c.target.Idempotent,
+		Attempt: c.n, Elapsed: now.Sub(c.start), Remaining: c.deadline.Sub(now),
+		Reached: c.reached, MaxReached: c.target.Attempts,
+		Refusal: a.refusal, BodyReplayable: c.body.reusable(),
+		Final: a.refusal != nil && a.refusal.Detail == detailDeep,
+		Below: c.below, TriedAll: e.Pickers.TriedAll(now, c.target, c.tried),
+		Once: e.returns.never(c.target.Name), Overdue: c.overdue(now),
+	})
+	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
+		d.Retry = false
+	}
+	d.Retry = d.Retry && wait.For(ctx, d.After) == nil
+	return d
+}
