--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -66,7 +66,7 @@
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.q.waiting
+	return g.q.Waiting()
 }
 
 // Stats returns the state of each class, by name. The class with an empty name
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -180,6 +180,9 @@
 // Load returns the calls running and the present limit.
 func (q *Queue) Load() (busy, slots int) { return q.running, q.Limit() }
 
+// Waiting returns how many calls wait.
+func (q *Queue) Waiting() int { return q.waiting }
+
 // Drain refuses the calls that wait and all that come.
 func (q *Queue) Drain(now time.Time) {
 	q.draining = true
--- a/internal/proxy/look_model_test.go
+++ b/internal/proxy/look_model_test.go
@@ -202,6 +202,12 @@
 	m.events(now, to)
 }
 
+// loadOf is what a node tells of its backend server.
+func loadOf(n *modelNode) route.Load {
+	busy, slots := n.queue.Load()
+	return route.Load{Busy: busy + n.queue.Waiting(), Slots: slots, Present: true}
+}
+
 func (m *model) events(now time.Time, n *modelNode) {
 	for _, ev := range append([]limit.Event(nil), n.queue.Events()...) {
 		if own := m.owners[ev.Entry]; own != nil {
@@ -233,13 +239,10 @@
 	m.at(now.Add(took), func(now time.Time) {
 		to.queue.Done(now, e, limit.Result{Latency: took})
 		m.events(now, to)
-		busy, slots := to.queue.Load()
+		l := loadOf(to)
 		m.at(now.Add(way), func(now time.Time) {
 			c.from.free.add(waited < startedAtOnce)
-			choice.Done(now, route.Report{
-				Outcome: call.Ran, Latency: now.Sub(sent),
-				Load: route.Load{Busy: busy, Slots: slots, Present: true},
-			})
+			choice.Done(now, route.Report{Outcome: call.Ran, Latency: now.Sub(sent), Load: l})
 			if c.waited {
 				m.waited++
 			}
