--- a/internal/decisions/explain.go
+++ b/internal/decisions/explain.go
@@ -36,6 +36,7 @@
 	Why      string `json:"why"`
 	Status   int    `json:"status"`
 	Version  uint64 `json:"version"`
+	Looks    int    `json:"looks"`
 	Attempts int    `json:"attempts"`
 	Reached  int    `json:"reached"`
 	AfterMS  int64  `json:"after_ms"`
@@ -158,6 +159,7 @@
 	text("state", l.State)
 	text("class", l.Class)
 	number("status", int64(l.Status), "")
+	number("looks", int64(l.Looks), "")
 	number("attempts", int64(l.Attempts), "")
 	number("reached", int64(l.Reached), "")
 	number("busy", int64(l.Busy), "")
--- a/internal/decisions/explain_test.go
+++ b/internal/decisions/explain_test.go
@@ -22,7 +22,7 @@
 	dest := New(zerolog.New(&b).With().Str("vm", "vm-2").Logger(), nil)
 	now := time.Unix(1000, 0)
 	dest.Line(now, TurnedBy, "c1").Int64("time", 1000).Str("reason", "overloaded").Int("busy", 6).Msg("destination: turn the call away as not run")
-	entry.Line(now, Refused, "c1").Int64("time", 1004).Int("attempts", 1).Str("reason", "overloaded").Msg("entry: refuse the call as not run")
+	entry.Line(now, Refused, "c1").Int64("time", 1004).Int("looks", 2).Int("attempts", 1).Str("reason", "overloaded").Msg("entry: refuse the call as not run")
 	entry.Line(now, Refused, "c2").Int64("time", 1004).Msg("entry: refuse the call as not run")
 	dest.Line(now, TurnedBy, "c1.d").Int64("time", 1002).Msg("destination: turn the call away as not run")
 	stamped := "2026-12-01 collector: " + b.String() + "cut {\"dec"
@@ -39,8 +39,8 @@
 	want := `call c1: 3 lines
   +0 ms  vm-2  destination: turn the call away as not run reason="overloaded" busy=6
   +2 ms  vm-2  destination: turn the call away as not run (call .d)
-  +4 ms  vm-1  entry: refuse the call as not run reason="overloaded" attempts=1
-decided by: entry: refuse the call as not run reason="overloaded" attempts=1
+  +4 ms  vm-1  entry: refuse the call as not run reason="overloaded" looks=2 attempts=1
+decided by: entry: refuse the call as not run reason="overloaded" looks=2 attempts=1
 `
 	if out.String() != want {
 		t.Errorf("got\n%s", out.String())
