--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -11,6 +11,9 @@
 // fail, when it is in its slow start and when the membership suspects its VM.
 // What an endpoint says of its own load counts for less the older it is.
 //
+// A call that looks for a free slot, rather than for one to wait for, is sent to the
+// endpoint on its own VM or to one whose last answer told of a free slot (Look).
+//
 // Endpoints whose calls fail are ejected, never more than a set share of the
 // service, and return by single real calls. docs/design/picking.md gives the
 // reasons and the figures.
--- a/internal/route/look.go
+++ b/internal/route/look.go
@@ -20,7 +20,8 @@
 	hintFor = 300
 )
 
-// hint is an endpoint that had a free slot when it answered.
+// hint is an endpoint that had a free slot when it answered. One that has left the mesh
+// since then refuses the call, as any that is on its way when an endpoint leaves.
 type hint struct {
 	s  *state
 	at int64 // ms
