Retire silent connections also when the node before gives the call up first

The entry node counts the call's deadline from an earlier moment than the destination. Where it gave up first, the destination saw a caller that left, so its attempt ended without its own bound passing, and the idle connections to the same address stayed. The next call was led onto one of them and waited out its deadline. A fault of the product, not of the test: on a host where a switch forgot connections a booking could wait out a second deadline.

Ruled out: the first call not reaching a silent connection at all (1,200 runs beside twelve processes have none left).

Change: an attempt whose caller leaves within 100 ms of the bound retires the idle connections as one whose bound passed. One that leaves earlier doesn't.

Before: 6 of 12 processes of 100 runs each failed, beside each other with the race detector; TestCallerGoneAtTheDeadlineRetiresSilentConnections fails each time. After: 1,200 of 1,200 runs passed, and both new tests.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -133,6 +133,26 @@
 	a.up.retire()
 }
 
+// deadlineSkew is how much earlier than at this node a call may end at the node before. Each
+// node counts the deadline from the moment it reads the call, so the one before is ahead by
+// the way between two regions, or by a wait for the processor of a busy VM.
+const deadlineSkew = 100 * time.Millisecond
+
+// left is called when the node before, or the caller, has given the call up. Where it did so
+// about when the bound would have passed here, the bound has passed, and what is done then
+// is done now.
+//
+// Without it a backend server whose connections were forgotten keeps the other ones in its
+// pool whenever the entry node gives up first, and each next call waits out a whole deadline.
+func (a *attempt) left(bound time.Time) {
+	if time.Until(bound) > deadlineSkew {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.up.retire()
+}
+
 // kill closes the connection of an attempt whose answer has begun, so that no
 // later call reads what is still on its way there.
 func (a *attempt) kill() {
@@ -240,6 +260,9 @@
 		err = errWaited
 		resp.Body.Close()
 	}
+	if errors.Is(err, context.Canceled) {
+		a.left(now.Add(o.wait))
+	}
 	return a.failed(err)
 }
 
--- a/internal/proxy/silent_test.go
+++ b/internal/proxy/silent_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -102,6 +104,87 @@
 	}
 }
 
+// silentPool returns a pool with two idle connections to a server that has forgotten both,
+// and what sends a call that must be answered within wait.
+func silentPool(t *testing.T) (f *forgetful, send func(ctx context.Context, wait time.Duration) answer) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f = &forgetful{Listener: l}
+	var together sync.WaitGroup
+	together.Add(2)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			together.Done()
+			together.Wait() // so that each has a connection of its own
+		}
+	}))
+	s.Listener.Close()
+	s.Listener = f
+	s.Start()
+	t.Cleanup(s.Close)
+	ups := NewUpstreams(SlowProbing)
+	t.Cleanup(ups.Close)
+	path := "/warm"
+	send = func(ctx context.Context, wait time.Duration) answer {
+		r := httptest.NewRequest("POST", path, nil)
+		return ups.send(ctx, time.Now(), &outbound{in: r, header: http.Header{}, body: new(body),
+			addr: l.Addr().String(), wait: wait, stall: wait})
+	}
+	var warm sync.WaitGroup
+	for range 2 {
+		warm.Go(func() {
+			if a := send(t.Context(), maxDeadline); a.resp != nil {
+				discard(a.resp)
+			}
+		})
+	}
+	warm.Wait()
+	path = "/book"
+	f.forget()
+	return f, send
+}
+
+// A switch forgets all connections to a backend server. The entry node counts the deadline
+// from an earlier moment than the destination and gives the call up first, so the
+// destination sees a caller that leaves. The next call must not find the other silent
+// connection and wait out a deadline as well.
+func TestCallerGoneAtTheDeadlineRetiresSilentConnections(t *testing.T) {
+	f, send := silentPool(t)
+	const bound = 300 * time.Millisecond
+	leaving, leave := context.WithCancel(t.Context())
+	time.AfterFunc(bound-deadlineSkew/2, leave)
+	if a := send(leaving, bound); a.resp != nil || a.refusal != nil {
+		t.Fatalf("on a silent connection: %v", a)
+	}
+	a := send(t.Context(), time.Second)
+	if a.resp == nil {
+		t.Fatalf("after it: %v", a.err)
+	}
+	discard(a.resp)
+	if n := f.accepted.Load(); n != 3 {
+		t.Fatalf("%d connections were opened, want 3", n)
+	}
+}
+
+// A caller that leaves long before its deadline says nothing about connections: the idle
+// ones stay, or impatient callers would cost a busy backend server a new connection a call.
+func TestCallerGoneEarlyRetiresNothing(t *testing.T) {
+	f, send := silentPool(t)
+	leaving, leave := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, leave)
+	if a := send(leaving, maxDeadline); a.resp != nil || a.refusal != nil {
+		t.Fatalf("on a silent connection: %v", a)
+	}
+	if a := send(t.Context(), 50*time.Millisecond); a.resp != nil || a.refusal != nil {
+		t.Fatalf("the other connection was not used: %v", a)
+	}
+	if n := f.accepted.Load(); n != 2 {
+		t.Fatalf("%d connections were opened, want 2", n)
+	}
+}
+
 // Something between node and backend server has forgotten the connection:
 // requests vanish and no answer comes. The caller gets its answer within the
 // deadline, and is not told that the call was not run.
