--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // Transport carries a request to the node at addr and its answer back.
@@ -30,6 +31,11 @@
 	// contactStart is the time between two reads of a node that has not joined,
 	// where the rows are the only way to find others.
 	contactStart = 800 * time.Millisecond
+	// contactSpread is the time over which nodes that start together spread their first
+	// look at the rows: some answers of the platform long, so that the first few write theirs
+	// and the others find enough to join. At once, each finds none, writes its own, and has to
+	// look again.
+	contactSpread = 100 * time.Millisecond
 	// contactCheck is the time between two reads by the nodes whose duty it is
 	// to write one: nodes that started together may have formed several meshes.
 	contactCheck = time.Minute
@@ -204,6 +210,9 @@
 // few nodes whose duty it is, writes the own one.
 func (r *Runner) keepContacts(ctx context.Context) error {
 	var written, read time.Time
+	if r.state.cfg.WriteContactEarly {
+		_ = wait.For(ctx, rand.N(contactSpread))
+	}
 	for ctx.Err() == nil {
 		var want, duty, early bool
 		r.peek(func(s *State) {
@@ -223,14 +232,11 @@
 		if due && !enough && r.writeContact(ctx) {
 			written = time.Now()
 		}
-		wait := contactRead/2 + time.Duration(rand.Int64N(int64(contactRead)))
+		pause := contactRead/2 + time.Duration(rand.Int64N(int64(contactRead)))
 		if early {
-			wait = contactStart/2 + time.Duration(rand.Int64N(int64(contactStart)))
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+			pause = contactStart/2 + time.Duration(rand.Int64N(int64(contactStart)))
 		}
+		_ = wait.For(ctx, pause)
 	}
 	return nil
 }
