--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -1,14 +1,12 @@
 package limit
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/testseed"
-	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) { testseed.Main(m, nil) }
@@ -92,41 +90,6 @@
 	wantReason(t, events[0].Refusal, call.ReasonOverloaded)
 }
 
-// Archive pulls have had to give way until one slot is all that they are let
-// up to, and lookups hold it. A pull must still get the second slot, or archive
-// pulls would wait for as long as lookups keep coming.
-func TestReservationLeavesEachClassOneSlot(t *testing.T) {
-	q := newTestQueue(Config{Slots: 3, Classes: []Class{{Name: "archive"}, {Name: "lookups"}}})
-	q.classes["archive"].upTo = 1
-	offer(t, q, at(0), "lookups")
-	if !offer(t, q, at(0), "archive").Started() {
-		t.Error("the first pull waits")
-	}
-	if offer(t, q, at(0), "archive").Started() {
-		t.Error("the second pull took a reserved slot")
-	}
-	if !offer(t, q, at(0), "lookups").Started() {
-		t.Error("a lookup waits while a slot is free")
-	}
-}
-
-// Two classes have given way to each other in turn. When both miss their
-// targets, one of them must be let up to the limit again; otherwise slots stand
-// idle in the middle of an overload.
-func TestClassThatMissesIsLetUpToTheLimit(t *testing.T) {
-	q := newTestQueue(Config{Slots: 6, Classes: []Class{
-		{Name: "a", AnswerWithin: time.Second}, {Name: "b", AnswerWithin: time.Second, Priority: 9},
-	}})
-	for _, name := range []string{"a", "b"} {
-		q.classes[name].upTo = 1
-		q.classes[name].window.refused = 1
-	}
-	q.Tick(at(time.Minute))
-	if got := q.classes["b"].upTo; got != 6 {
-		t.Errorf("the class that misses is let up to %d of 6 slots", got)
-	}
-}
-
 func TestRateOfClassIsBounded(t *testing.T) {
 	q := newTestQueue(Config{Slots: 100, Classes: []Class{{Name: "x", RatePerSecond: RateOf(100, 10)}}})
 	admitted := 0
@@ -189,203 +152,6 @@
 	}
 }
 
-// A backend server announces 12 slots and has 3, so calls beyond three only
-// slow each other down. The limit must fall well below what was announced.
-func TestLimitFallsWhenSlotsAreOverstated(t *testing.T) {
-	s := simulation{
-		classes: usualMix()[1:2], slots: 12, real: 3, lasts: 60 * time.Second, seed: 1, attempts: 1,
-		// Light load first, or there is nothing to compare with.
-		load: 0.5, loadLater: 6,
-	}
-	got := s.run().limit
-	if got > 6 {
-		t.Errorf("limit %d of 12 announced and 3 real slots", got)
-	}
-	s.real = 12
-	if got := s.run().limit; got < 11 {
-		t.Errorf("limit %d of 12 honest slots", got)
-	}
-}
-
-// A backend server becomes four times slower at any load, which fewer calls at
-// once would not mend. The limit must not stay down for it.
-func TestLimitRecoversWhenAllIsSlower(t *testing.T) {
-	s := simulation{
-		classes: usualMix()[1:2], slots: 6, real: 6, lasts: 60 * time.Second, seed: 1, attempts: 1,
-		load: 0.4, lag: 4, lagFrom: 10 * time.Second,
-	}
-	if got := s.run().limit; got < 4 {
-		t.Errorf("limit %d of 6 slots", got)
-	}
-}
-
-func TestShedLowersLimit(t *testing.T) {
-	q := newTestQueue(Config{Slots: 8})
-	for i := range 4 {
-		now := at(time.Duration(i) * time.Second)
-		q.Done(now, offer(t, q, now, "x"), Result{Shed: true})
-	}
-	q.Tick(at(5 * time.Second))
-	if q.Limit() > 5 {
-		t.Errorf("limit %d after three windows with refusals, of 8", q.Limit())
-	}
-}
-
-// Whatever comes in whatever order, a queue never runs more than the announced
-// slots, starts or refuses each call once, starts none past its deadline, and
-// leaves no slot idle for ever while calls wait.
-func TestQueueKeepsItsBounds(t *testing.T) {
-	classes := []Class{
-		{Name: "a", AnswerWithin: 20 * time.Millisecond},
-		{Name: "b", AnswerWithin: time.Second, Priority: 2, Share: 0.3},
-		{Name: "c", Priority: 9},
-	}
-	rapid.Check(t, func(t *rapid.T) {
-		slots := rapid.IntRange(1, 8).Draw(t, "slots")
-		q := newTestQueue(Config{Slots: slots, Classes: classes, MaxWaiting: 10})
-		now := simStart
-		var running, waiting []*Entry
-		check := func() {
-			for _, ev := range q.Events() {
-				i := indexOf(waiting, ev.Entry)
-				if i < 0 {
-					t.Fatal("an event for a call that does not wait")
-				}
-				waiting = append(waiting[:i], waiting[i+1:]...)
-				if ev.Refusal != nil {
-					continue
-				}
-				if !ev.Entry.deadline.IsZero() && !now.Before(ev.Entry.deadline) {
-					t.Fatal("started past its deadline")
-				}
-				running = append(running, ev.Entry)
-			}
-			if busy, limit := q.Load(); busy != len(running) || limit > slots || limit < 1 {
-				t.Fatalf("busy %d, running %d, limit %d", busy, len(running), limit)
-			}
-			if len(running) > slots || q.waiting != len(waiting) || len(waiting) > 10 {
-				t.Fatalf("running %d, waiting %d and %d", len(running), q.waiting, len(waiting))
-			}
-			if len(running) == 0 && len(waiting) > 0 {
-				t.Fatal("calls wait while all slots are free")
-			}
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"offer": func(t *rapid.T) {
-				e := &Entry{}
-				class := rapid.SampledFrom([]string{"a", "b", "c", "gone"}).Draw(t, "class")
-				var deadline time.Time
-				if ms := rapid.IntRange(0, 200).Draw(t, "deadline"); ms > 0 {
-					deadline = now.Add(time.Duration(ms) * time.Millisecond)
-				}
-				if q.Offer(now, e, class, deadline) == nil {
-					waiting = append(waiting, e)
-				}
-				if e.Started() && q.waiting < len(waiting) && indexOfEvent(q, e) < 0 {
-					waiting = waiting[:len(waiting)-1]
-					running = append(running, e)
-				}
-				check()
-			},
-			"done": func(t *rapid.T) {
-				if len(running) == 0 {
-					t.Skip()
-				}
-				i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
-				e := running[i]
-				running = append(running[:i], running[i+1:]...)
-				q.Done(now, e, Result{Latency: now.Sub(e.started), Failed: rapid.Bool().Draw(t, "failed"),
-					Shed: rapid.IntRange(0, 9).Draw(t, "shed") == 0})
-				q.Done(now, e, Result{}) // a second release does nothing
-				check()
-			},
-			"abandon": func(t *rapid.T) {
-				if len(waiting) == 0 {
-					t.Skip()
-				}
-				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "which")
-				e := waiting[i]
-				if !q.Abandon(now, e) {
-					t.Fatal("a waiting call could not be abandoned")
-				}
-				waiting = append(waiting[:i], waiting[i+1:]...)
-				check()
-			},
-			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
-				q.Tick(now)
-				check()
-			},
-		})
-	})
-}
-
-func indexOf(es []*Entry, e *Entry) int {
-	for i, o := range es {
-		if o == e {
-			return i
-		}
-	}
-	return -1
-}
-
-func indexOfEvent(q *Queue, e *Entry) int {
-	for i, ev := range q.events {
-		if ev.Entry == e {
-			return i
-		}
-	}
-	return -1
-}
-
-// All classes call at four times what the backend server can do, once and with
-// callers that send again. What is answered of the class with the tightest
-// target must be in time, and the backend server must be kept busy.
-func TestTightestTargetHoldsAtFourTimesCapacity(t *testing.T) {
-	us, base := ours(0), baseline()
-	us.lasts, base.lasts = 5*time.Second, 5*time.Second
-	for _, attempts := range []int{1, 4} {
-		r := us.simulate(4, attempts, nil)
-		c := r.classes["lookups"]
-		if c.answered == 0 || percent(c.onTarget, c.answered) < 95 || r.useful < 0.9 {
-			t.Error(fmt.Sprintf("attempts %d: ", attempts) + row("ours", r))
-		}
-		b := base.simulate(4, attempts, nil).classes["lookups"]
-		if c.onTarget <= b.onTarget {
-			t.Errorf("%d lookups on target, baseline %d", c.onTarget, b.onTarget)
-		}
-	}
-}
-
-// A backend server announces itself with one slot and, once warm, with eight.
-// Nothing misses its target, yet seven slots stay empty while calls wait: what
-// a class may use was cut to the old number of slots, and given back one slot
-// of one class at a time.
-func TestMoreSlotsAreUsedAtOnce(t *testing.T) {
-	classes := []Class{{Name: "lookups"}, {Name: "photos"}}
-	q := newTestQueue(Config{Slots: 1, Classes: classes})
-	q.Configure(at(time.Second), Config{Slots: 8, Classes: classes})
-	for _, class := range []string{"lookups", "photos", "not named", "lookups"} {
-		for range 2 {
-			if e := offer(t, q, at(2*time.Second), class); !e.Started() {
-				t.Errorf("a call of %q waits beside %d of 8 slots busy", class, q.running)
-			}
-		}
-	}
-}
-
-// A class gives way to one that misses its target. A new number of slots must
-// not undo that.
-func TestMoreSlotsKeepReservations(t *testing.T) {
-	classes := []Class{{Name: "bulk"}}
-	q := newTestQueue(Config{Slots: 4, Classes: classes})
-	q.classes["bulk"].upTo = 2
-	q.Configure(at(time.Second), Config{Slots: 8, Classes: classes})
-	if got := q.classes["bulk"].upTo; got != 2 {
-		t.Errorf("may use %d slots, want 2", got)
-	}
-}
-
 // A booking waits for a slot until a tenth of a second of its time is left, where
 // bookings take three times that. Started, it is cut off at its deadline: its work
 // is lost, and its caller told that nobody knows whether it ran. It has to be refused
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -15,6 +15,9 @@
 	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
+// flushEvery is the time between two looks for outcomes that the platform lacks.
+const flushEvery = 2 * time.Second
+
 // callPath holds what a call goes through at this node.
 type callPath struct {
 	n         *Node
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -4,7 +4,18 @@
 // A node starts in this order. All sockets are opened. Control starts: the
 // membership makes first contact, and the node learns the newest version from
 // its peers and the platform. Only when it holds at least what its peers saw it
-// hold does it carry traffic; until then calls are refused as not run. A stop
-// goes the other way: the node tells the mesh that it leaves, refuses new
-// calls, lets those in flight finish up to a limit, and closes control last.
+// hold does it carry traffic; until then calls wait for a moment, or are refused as
+// not run. A stop goes the other way: the node tells the mesh that it leaves, refuses
+// new calls, lets those in flight finish up to a limit, and closes control last.
+//
+// The files by their job:
+//
+//   - one node's life: node, start, refresh, stop, parts, reload, quiet;
+//   - sockets and servers: listeners, servers, inflight, trust;
+//   - calls: callpath, program, split, gates, backends, discover, keeper, pickers,
+//     sizes, retries, policies, suspects;
+//   - control: control, peers, elsewhere, maintenance, maintenance_figures;
+//   - what operators ask for: reader, observe, report, report_wire, handover,
+//     handover_findings, handover_quarantine;
+//   - metrics and logs: metrics, metrics_calls, metrics_control, tally, view_log.
 package node
