--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,8 +10,6 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
-	"github.com/marlpass/marlpass/internal/limit"
-	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
 )
@@ -212,36 +208,6 @@
 	return a
 }
 
-// check refuses what can be refused without waiting.
-func (d *Destination) check(now time.Time, in *inbound) (Backend, *config.Target, *call.Refusal) {
-	var none Backend
-	if d.draining.Load() {
-		return none, nil, refuse(call.ReasonDraining, 0, "")
-	}
-	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
-	switch {
-	case !ok:
-		return none, nil, refuse(call.ReasonNotHeld, 0, in.hop.service)
-	case b.State == membership.BackendDraining:
-		return none, nil, refuse(call.ReasonDraining, 0, "")
-	case b.State != membership.BackendReady:
-		return none, nil, refuse(call.ReasonNotReady, 0, "")
-	case !now.Before(in.deadline):
-		return none, nil, refuse(call.ReasonExpired, 0, "")
-	}
-	return b, d.target(in.hop), nil
-}
-
-// target finds the class here. A node may be a version behind the one that
-// matched the call and not know its class yet: the call then runs by the
-// strictest rules, as not idempotent and with the default priority.
-func (d *Destination) target(h hop) *config.Target {
-	if t := d.Programs.Program().Targets.Target(h.class, h.service); t != nil {
-		return t
-	}
-	return &config.Target{Name: h.class, Service: h.service}
-}
-
 // holding is what a call holds at its destination while it runs.
 type holding struct {
 	backend Backend
@@ -284,105 +250,3 @@
 	}
 	return a
 }
-
-// claim makes sure that a keyed call runs once. done says that a is the answer.
-func (d *Destination) claim(ctx context.Context, in *inbound, h *holding) (a answer, done bool) {
-	key := first(in.header, call.HeaderKey)
-	if key == "" || h.target.Idempotent || d.Keeper == nil {
-		return answer{}, false
-	}
-	if in.body.noRoom() {
-		return answer{refusal: refuse(call.ReasonOverloaded, 0, "no memory for the body")}, true
-	}
-	if in.body.streams() {
-		return answer{refusal: refuse(call.ReasonBadRequest, 0,
-			"a request with an idempotency key needs a body of known length, of at most 64 KiB")}, true
-	}
-	claim, stored, err := d.Keeper.Begin(ctx, KeyedCall{
-		Target: h.target, Key: key, Fingerprint: fingerprint(in), Deadline: in.deadline,
-	})
-	switch {
-	case err == nil && stored == nil:
-		h.claim, h.stored, h.deadline = claim, new(Stored), in.deadline
-		return answer{}, false
-	case err == nil && stored.TooLarge:
-		return answer{err: errNotKept}, true
-	case err == nil:
-		h.replayed = true
-		return answer{resp: stored.response(in.r), held: h}, true
-	}
-	r, err := asRefusal(err)
-	switch {
-	case r != nil && r.Reason == call.ReasonStoreDown:
-		return answer{err: errStoreDown}, true
-	case r != nil:
-		return answer{refusal: r}, true
-	case errors.Is(err, ErrOutcomeUnknown):
-		return answer{err: err}, true
-	}
-	return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
-}
-
-// fingerprint tells one request from another under the same key.
-func fingerprint(in *inbound) [32]byte {
-	s := sha256.New()
-	s.Write([]byte(in.r.Method + " " + in.r.URL.RequestURI() + "\n" + in.hop.service + "\n"))
-	s.Write(in.body.kept)
-	var f [32]byte
-	s.Sum(f[:0])
-	return f
-}
-
-// enter waits for a slot and asks whether the request is suspected.
-func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
-	if d.Gates != nil {
-		times := limit.Times{Asked: now.Add(-in.hop.waited), Once: in.hop.once, NoWait: in.hop.noWait, Deadline: startBy(now, in.deadline)}
-		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, times)
-		if err != nil {
-			return asRefusal(err)
-		}
-		h.permit = permit
-		d.logWait(now, in, h)
-	}
-	if d.Suspects != nil {
-		fp := fingerprintOf(in.r, in.header, in.body)
-		if !in.hop.settled {
-			if r := d.Suspects.Pinned(now, h.backend, fp); r != nil {
-				return r, nil
-			}
-		}
-		what := quarantine.Request{Method: in.r.Method, Host: in.r.Host, Path: in.r.URL.Path}
-		mark, err := d.Suspects.Start(now, h.backend, fp, what)
-		if err != nil {
-			return asRefusal(err)
-		}
-		h.mark, h.marked = mark, true
-	}
-	return nil, nil
-}
-
-// Bounds on the time that is set aside for a refusal to reach the entry node.
-const (
-	maxWordTime  = 20 * time.Millisecond
-	wordTimePart = 8 // of the time left
-)
-
-// startBy returns the moment after which a call is not started any more.
-//
-// It guards against "may have run" for a call that never ran. If a call could
-// wait for its slot until its deadline, the refusal would leave this node in the
-// moment in which the entry node, whose own bound has passed, breaks the
-// connection off. A booking's caller would be told that nobody knows, and could
-// not send it again. A call that starts so late would not be answered in time.
-func startBy(now, deadline time.Time) time.Time {
-	return deadline.Add(-min(maxWordTime, deadline.Sub(now)/wordTimePart))
-}
-
-// asRefusal returns the refusal that err is, or err.
-func asRefusal(err error) (*call.Refusal, error) {
-	var r *call.Refusal
-	if errors.As(err, &r) {
-		return r, nil
-	}
-	return nil, err
-}
--- /dev/null
+++ b/internal/proxy/destination_claim.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// claim makes sure that a keyed call runs once. done says that a is the answer.
+func (d *Destination) claim(ctx context.Context, in *inbound, h *holding) (a answer, done bool) {
+	key := first(in.header, call.HeaderKey)
+	if key == "" || h.target.Idempotent || d.Keeper == nil {
+		return answer{}, false
+	}
+	if in.body.noRoom() {
+		return answer{refusal: refuse(call.ReasonOverloaded, 0, "no memory for the body")}, true
+	}
+	if in.body.streams() {
+		return answer{refusal: refuse(call.ReasonBadRequest, 0,
+			"a request with an idempotency key needs a body of known length, of at most 64 KiB")}, true
+	}
+	claim, stored, err := d.Keeper.Begin(ctx, KeyedCall{
+		Target: h.target, Key: key, Fingerprint: fingerprint(in), Deadline: in.deadline,
+	})
+	switch {
+	case err == nil && stored == nil:
+		h.claim, h.stored, h.deadline = claim, new(Stored), in.deadline
+		return answer{}, false
+	case err == nil && stored.TooLarge:
+		return answer{err: errNotKept}, true
+	case err == nil:
+		h.replayed = true
+		return answer{resp: stored.response(in.r), held: h}, true
+	}
+	r, err := asRefusal(err)
+	switch {
+	case r != nil && r.Reason == call.ReasonStoreDown:
+		return answer{err: errStoreDown}, true
+	case r != nil:
+		return answer{refusal: r}, true
+	case errors.Is(err, ErrOutcomeUnknown):
+		return answer{err: err}, true
+	}
+	return answer{refusal: refuse(call.ReasonExpired, 0, "the claim was not made in time")}, true
+}
+
+// fingerprint tells one request from another under the same key.
+func fingerprint(in *inbound) [32]byte {
+	s := sha256.New()
+	s.Write([]byte(in.r.Method + " " + in.r.URL.RequestURI() + "\n" + in.hop.service + "\n"))
+	s.Write(in.body.kept)
+	var f [32]byte
+	s.Sum(f[:0])
+	return f
+}
