Mention a version to the feeders of other data centres at once

They heard of a version by the exchanges between data centres, every 2 s, and pulled it 0.9 s after that. Promised are 2 s.

Change: the first feeder of each data centre mentions a version to the first of each other one. Who doesn't get it from the store within 0.9 s pulls it.

--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -58,6 +58,28 @@
 	return order[min(below, len(order)):min(below+directTells, len(order))]
 }
 
+// ToMention returns the first feeder of each other data centre, if self is that of dc. They
+// are told that there is a version, and not what has changed: each reads it by itself.
+//
+// It guards against a data centre whose feeders the platform keeps waiting, while it answers
+// all others. Such feeders don't know yet that they can't read, and hear of a version only by
+// the exchanges between data centres, some seconds apart. Told at once, they pull it as soon
+// as it is overdue.
+func ToMention(v *membership.View, self, dc string) []string {
+	var out []string
+	for other, ids := range live(v, self, dc) {
+		first := byLink(v, ranked("feeder/"+other+"/", ids))[0]
+		if other == dc && first != self {
+			return nil
+		}
+		if other != dc {
+			out = append(out, first)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // UnpackTold is Unpack for changes that a peer sent unasked, with a lower bound on
 // their size.
 func UnpackTold(p *peerpb.Packed) ([]*config.Delta, error) {
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -7,6 +7,7 @@
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // remember keeps a version that was held, to tell what has changed since.
@@ -22,16 +23,23 @@
 // tellOthers tells the nodes that wait for this one what has changed. Of a first version
 // it tells that there is one, for the others to pull; one that a peer gave is news to nobody.
 func (r *Runner) tellOthers(snap, before *config.Snapshot, from string) {
+	if before.Version().Number == 0 && from != fromSource {
+		return
+	}
 	view := r.deps.Views.Load()
+	r.tellAll(view, distribute.ToMention(view, r.set.Self, r.set.DataCentre), nil)
 	peers := distribute.ToTell(view, r.set.Self, r.set.DataCentre)
-	first := before.Version().Number == 0
-	if len(peers) == 0 || first && from != fromSource {
+	if len(peers) == 0 {
 		return
 	}
 	packed, err := r.changesSince(snap, before)
 	if err != nil {
 		r.deps.Log.Error().Err(err).Msg("follow: tell without the changes")
 	}
+	r.tellAll(view, peers, packed)
+}
+
+func (r *Runner) tellAll(view *membership.View, peers []string, packed *peerpb.Packed) {
 	for _, p := range peers {
 		if rec := view.Records[p]; rec != nil {
 			go r.tell(rec.VM.ControlAddr, p, packed)
