--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -80,7 +80,8 @@
 	undecoded error
 	// unsound holds what is wrong with single objects, whatever the others say.
 	unsound map[Key][]Problem
-	// problems is all that Check finds.
+	// problems returns all that Check finds. It is looked for once, since a version is checked
+	// before it is compiled and again by whoever compiles it.
 	problems func() []Problem
 }
 
@@ -171,8 +172,8 @@
 	}
 }
 
-// decode adds the typed form of o, and what is wrong with it. Unknown fields are refused: they come from
-// a newer writer, and running a target without them would not be what its
+// decode adds the typed form of o, and what is wrong with it. Unknown fields are refused:
+// they come from a newer writer, and running a target without them would not be what its
 // operator stated.
 func (s *Snapshot) decode(o Object) error {
 	switch o.Key.Kind {
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -3,10 +3,12 @@
 // older one.
 //
 // Two nodes of each data centre, its feeders, follow the source, so that reads do
-// not grow with the mesh; a node that has just started reads it once. A feeder tells
-// the others of its data centre what has changed. Each version's hash depends on its
-// content alone, so nodes that come by the same version in different ways hold the
-// same snapshot, and each checks what it was sent.
+// not grow with the mesh. A feeder tells the others of its data centre what has changed,
+// and the first of them mentions the version to the first of each other data centre. A
+// node that has just started reads the source once if its link is fast, and asks its
+// peers first if it is slow; see State.Feeds. Each version's hash depends on its content
+// alone, so nodes that come by the same version in different ways hold the same snapshot,
+// and each checks what it was sent.
 //
 // Whoever is missed learns by the way: every message between nodes mentions the
 // sender's version, and a node that hears of a newer one pulls it from whoever
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -138,13 +138,13 @@
 // the way between two regions, or by a wait for the processor of a busy VM.
 const deadlineSkew = 100 * time.Millisecond
 
-// left is called when the node before, or the caller, has given the call up. Where it did so
-// about when the bound would have passed here, the bound has passed, and what is done then
-// is done now.
+// givenUp is called when the node before, or the caller, has given the call up. Where it did
+// so about when the bound would have passed here, the bound counts as passed: the idle
+// connections to the same address are closed.
 //
 // Without it a backend server whose connections were forgotten keeps the other ones in its
 // pool whenever the entry node gives up first, and each next call waits out a whole deadline.
-func (a *attempt) left(bound time.Time) {
+func (a *attempt) givenUp(bound time.Time) {
 	if time.Until(bound) > deadlineSkew {
 		return
 	}
@@ -261,7 +261,7 @@
 		resp.Body.Close()
 	}
 	if errors.Is(err, context.Canceled) {
-		a.left(now.Add(o.wait))
+		a.givenUp(now.Add(o.wait))
 	}
 	return a.failed(err)
 }
