--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -1,7 +1,6 @@
 package distribute
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/marlpass/marlpass/internal/agenda"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -27,8 +27,7 @@
 	set     func(id, dc string) Settings
 	now     time.Time
 	rng     *rand.Rand
-	queue   events
-	order   uint64
+	queue   agenda.Agenda
 	nodes   map[string]*node
 	ids     []string
 	view    *membership.View
@@ -62,29 +61,6 @@
 	fail    func(*config.Snapshot) error
 }
 
-type event struct {
-	at    time.Time
-	order uint64
-	run   func()
-}
-
-type events []event
-
-func (q events) Len() int      { return len(q) }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q events) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].order < q[j].order
-}
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // httpOverhead stands for what HTTP and TLS add to one exchange, both ways: of
 // the 383 bytes that BenchmarkExchange of internal/peer gives for one over
 // mutual TLS, its two envelopes take 136.
@@ -110,16 +86,14 @@
 }
 
 func (m *mesh) after(d time.Duration, f func()) {
-	m.order++
-	heap.Push(&m.queue, event{m.now.Add(d), m.order, f})
+	m.queue.At(m.now.Add(d), func(time.Time) { f() })
 }
 
 func (m *mesh) run(d time.Duration) {
 	end := m.now.Add(d)
-	for len(m.queue) > 0 && !m.queue[0].at.After(end) {
-		e := heap.Pop(&m.queue).(event)
-		m.now = e.at
-		e.run()
+	for at, do, ok := m.queue.Next(end); ok; at, do, ok = m.queue.Next(end) {
+		m.now = at
+		do(at)
 	}
 	m.now = end
 }
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -1,11 +1,11 @@
 package limit
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/agenda"
 	"github.com/marlpass/marlpass/internal/call"
 )
 
@@ -77,35 +77,10 @@
 	work     time.Duration
 }
 
-type simEvent struct {
-	at  time.Time
-	seq int
-	do  func(now time.Time)
-}
-
-type agenda []simEvent
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].seq < a[j].seq
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(simEvent)) }
-func (a *agenda) Pop() any {
-	old := *a
-	e := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return e
-}
-
 type simRun struct {
 	simulation
 	rand   *rand.Rand
-	agenda agenda
-	seq    int
+	agenda agenda.Agenda
 	queue  *Queue
 	owners map[*Entry]*simCall
 	out    simResult
@@ -136,20 +111,14 @@
 		r.arrivals(c)
 	}
 	r.queue.Configure(simStart, cfg)
-	for len(r.agenda) > 0 {
-		e := heap.Pop(&r.agenda).(simEvent)
-		e.do(e.at)
-	}
+	r.agenda.Run()
 	r.out.useful = float64(r.useful) / float64(time.Duration(s.real)*s.lasts)
 	r.out.limit = r.queue.Limit()
 	r.out.queue = r.queue
 	return r.out
 }
 
-func (r *simRun) at(t time.Time, do func(time.Time)) {
-	r.seq++
-	heap.Push(&r.agenda, simEvent{t, r.seq, do})
-}
+func (r *simRun) at(t time.Time, do func(time.Time)) { r.agenda.At(t, do) }
 
 // arrivals schedules Poisson arrivals of a class, each scheduling the next.
 func (r *simRun) arrivals(c *simClass) {
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/marlpass/marlpass/internal/agenda"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/testseed"
 )
@@ -31,8 +31,7 @@
 	rnd    *rand.Rand
 	nodes  []*vm
 	byAddr map[string]*vm
-	events events
-	number uint64
+	events agenda.Agenda
 
 	loss, double float64
 	delayMax     time.Duration
@@ -54,30 +53,6 @@
 	life   int
 }
 
-type event struct {
-	at     time.Time
-	number uint64
-	run    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].number < e[j].number
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // newMesh makes n nodes, spread over the data centres in turn. Two thirds of
 // the data centres are in one region.
 func newMesh(n, centres int, configure func(*Config)) *mesh {
@@ -141,8 +116,7 @@
 }
 
 func (w *mesh) at(t time.Time, run func()) {
-	w.number++
-	heap.Push(&w.events, event{at: t, number: w.number, run: run})
+	w.events.At(t, func(time.Time) { run() })
 }
 
 func (w *mesh) after(d time.Duration, run func()) { w.at(w.now.Add(d), run) }
@@ -154,10 +128,9 @@
 // run lets virtual time go on.
 func (w *mesh) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for at, do, ok := w.events.Next(end); ok; at, do, ok = w.events.Next(end) {
+		w.now = at
+		do(at)
 	}
 	w.now = end
 }
--- a/internal/proxy/look_model_test.go
+++ b/internal/proxy/look_model_test.go
@@ -1,12 +1,12 @@
 package proxy
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/agenda"
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/route"
@@ -53,30 +53,6 @@
 	waited   bool // at an endpoint, or was refused by one where it would have waited
 }
 
-type modelEvent struct {
-	at  time.Time
-	seq int
-	do  func(time.Time)
-}
-
-type modelAgenda []modelEvent
-
-func (a modelAgenda) Len() int { return len(a) }
-func (a modelAgenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].seq < a[j].seq
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a modelAgenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *modelAgenda) Push(x any)   { *a = append(*a, x.(modelEvent)) }
-func (a *modelAgenda) Pop() any {
-	old := *a
-	e := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return e
-}
-
 type model struct {
 	looks  bool
 	load   float64
@@ -84,8 +60,7 @@
 	nodes  []*modelNode
 	byID   map[string]*modelNode
 	rng    *rand.Rand
-	agenda modelAgenda
-	seq    int
+	agenda agenda.Agenda
 	start  time.Time
 	owners map[*limit.Entry]func(now time.Time, refused *call.Refusal)
 
@@ -118,10 +93,7 @@
 	return m
 }
 
-func (m *model) at(t time.Time, do func(time.Time)) {
-	m.seq++
-	heap.Push(&m.agenda, modelEvent{t, m.seq, do})
-}
+func (m *model) at(t time.Time, do func(time.Time)) { m.agenda.At(t, do) }
 
 // restartInTurn makes half of the endpoints come back one after the other, as new, over the
 // measured time. What a restart itself takes is left out.
@@ -158,10 +130,7 @@
 		m.at(m.start.Add(time.Duration(m.rng.ExpFloat64()*every)), arrive)
 	}
 	m.at(m.start.Add(modelWarm), func(time.Time) { m.calls, m.waited, m.inTime, m.offers = 0, 0, 0, 0 })
-	for len(m.agenda) > 0 {
-		e := heap.Pop(&m.agenda).(modelEvent)
-		e.do(e.at)
-	}
+	m.agenda.Run()
 }
 
 // pick returns the endpoint that the next offer goes to, and whether it is to wait there.
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -1,13 +1,13 @@
 package route
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/agenda"
 	"github.com/marlpass/marlpass/internal/call"
 )
 
@@ -60,34 +60,9 @@
 	done(now time.Time, token any, r Report)
 }
 
-type simEvent struct {
-	at  time.Time
-	seq int
-	run func(now time.Time)
-}
-
-type simQueueOf []simEvent
-
-func (q simQueueOf) Len() int { return len(q) }
-func (q simQueueOf) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q simQueueOf) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueueOf) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueueOf) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 type sim struct {
 	now    time.Time
-	events simQueueOf
-	seq    int
+	events agenda.Agenda
 	rng    *rand.Rand
 	eps    []*simEndpoint
 	mixed  bool
@@ -187,17 +162,15 @@
 		}
 	}
 	s.at(0, arrive)
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.run(e.at)
-	}
+	s.events.Run()
 	return s.out
 }
 
 func (s *sim) at(d time.Duration, run func(time.Time)) {
-	s.seq++
-	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, run: run})
+	s.events.At(s.now.Add(d), func(now time.Time) {
+		s.now = now
+		run(now)
+	})
 }
 
 func (s *sim) call(p simPolicy, dc string) {
