Refuse an answer over the bound before it is encoded

What was seen: TestMessagesAreBounded ends with "context deadline exceeded" or "timeout awaiting response headers" where "too large" is due. No caller has met it.

Cause: the answering node encodes the whole answer, 16 MB, before its first byte leaves; only the asking node knows a bound, and learns the length with the header. Shown by a trial that gave each step a time, race detector, three processes beside five busy ones: of the 300 ms that the client has, 1 to 23 ms go by until the handler ends and 120 to 370 ms in the encoding; 59 of 198 runs failed. In use each question for such a version would take 33 MB and a good part of a second of a small VM, and be asked again.

Change: the answering node measures the message, which encodes nothing, and refuses with a line and a count, for all five kinds. The asking node's own check stays, and has a test of its own, since this one no longer comes to it.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -95,15 +97,20 @@
 func client(t testing.TB, meshName, vm string, conf *tls.Config) (*peer.Client, *peer.Metrics) {
 	t.Helper()
 	m := peer.NewMetrics(metrics.NewSet())
+	return clientWith(t, meshName, vm, conf, limits(), m), m
+}
+
+func clientWith(t testing.TB, meshName, vm string, conf *tls.Config, l peer.Limits, m *peer.Metrics) *peer.Client {
+	t.Helper()
 	c, err := peer.NewClient(peer.ClientConfig{
-		Mesh: meshName, VM: vm, TLS: conf, Limits: limits(), Metrics: m,
+		Mesh: meshName, VM: vm, TLS: conf, Limits: l, Metrics: m,
 		Sender: sender, Heard: func(*peerpb.Envelope) {},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	return c, m
+	return c
 }
 
 func keep(t testing.TB, ca *trusttest.CA, id trust.Identity, m *peer.Metrics) *trust.Keeper {
@@ -309,6 +316,11 @@
 	}
 }
 
+// A version grows over the bound on answers. Each node that asked for it kept its peer busy
+// with encoding the whole of it, and dropped it by its announced length. On a busy machine
+// the question ran out of its time first, here 300 ms, and said so instead of "too large": of
+// the 300 ms up to the client's end, 120 to 370 went into the encoding of 16 MB (59 of 198
+// runs failed beside five busy processes), and 1 to 23 into all that came before it.
 func TestMessagesAreBounded(t *testing.T) {
 	s := serve(t, "b", nil, peer.NewMetrics(metrics.NewSet()))
 	c, _ := client(t, mesh, "a", nil)
@@ -324,6 +336,29 @@
 	}
 }
 
+// A peer that runs another version of the program, or lies, sends more than the bound,
+// announced or not. The asking node must not hold it in memory.
+func TestLargeAnswerIsNotRead(t *testing.T) {
+	for name, length := range map[string]string{"announced": "2000000", "in chunks": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				w.Write(make([]byte, 2_000_000))
+			}))
+			defer s.Close()
+			l := limits()
+			l.Answers = 1_000_000
+			c := clientWith(t, mesh, "a", nil, l, peer.NewMetrics(metrics.NewSet()))
+			_, err := c.Pull(context.Background(), "b", s.Listener.Addr().String(), &peerpb.PullRequest{})
+			if err == nil || !strings.Contains(err.Error(), "too large") {
+				t.Errorf("an answer over the bound: %v", err)
+			}
+		})
+	}
+}
+
 // The largest command that a node takes must fit through a peer, with what is
 // added on the way. Otherwise it ends as unknown when the platform can't be
 // reached from here, though nobody carried it out.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -148,8 +148,22 @@
 	GetFrom() string
 }
 
-func (s *service) answered(k kind, m proto.Message) {
-	s.cfg.Metrics.kinds[k].bytesOut.Add(proto.Size(m))
+// answered counts an answer, and refuses one that the asking node would not take.
+//
+// It guards against a version over the bound. The answer is encoded whole before its first
+// byte leaves, and the asking node drops it by its announced length, and asks again. On a
+// small VM each of these questions would take the memory of two such answers and a good part
+// of a second of its core. The size is known before anything is encoded.
+func (s *service) answered(k kind, m proto.Message) error {
+	size := proto.Size(m)
+	if int64(size) > s.cfg.Limits.Answers {
+		s.cfg.Metrics.kinds[k].errors.Inc()
+		s.cfg.Log.Error().Str("kind", string(k)).Int("bytes", size).Int64("bound", s.cfg.Limits.Answers).
+			Msg("peer: refuse to send an answer over the bound")
+		return twirp.ResourceExhausted.Error(errTooLarge.Error())
+	}
+	s.cfg.Metrics.kinds[k].bytesOut.Add(size)
+	return nil
 }
 
 // Exchange implements peerpb.Peer.
@@ -168,7 +182,9 @@
 	}
 	out := seal(s.cfg.Mesh, s.cfg.VM, s.cfg.Sender())
 	out.Membership = m
-	s.answered(k, out)
+	if err := s.answered(k, out); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
@@ -183,7 +199,9 @@
 		return nil, twirp.InvalidArgument.Error(err.Error())
 	}
 	a.From = s.cfg.VM
-	s.answered(kindPull, a)
+	if err := s.answered(kindPull, a); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
@@ -198,7 +216,9 @@
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
 	a := &peerpb.SubmitResponse{Result: result}
-	s.answered(kindSubmit, a)
+	if err := s.answered(kindSubmit, a); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
@@ -222,7 +242,9 @@
 		return nil, twirp.InternalErrorWith(err)
 	}
 	a := &peerpb.ReportResponse{From: s.cfg.VM, Report: report}
-	s.answered(kindReport, a)
+	if err := s.answered(kindReport, a); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
