Let nodes notice that they are cut off from those that tell them of versions

What callers saw: 404 on a route that was added over 2 s before, or a call run by the service that a route had before, at a VM that reached the platform all the while.

Cause: a node that is no feeder waits to be told. That nobody tells it looks like a calm time. Only the membership would notice, which probes one neighbour a second in turn and takes three steps to suspect one.

Change: each node asks those that tell it whether they are there, every 0.5 s, or less often where more than eight ask the same one. Where none answers within 0.35 s it reads the source until one does. The answer names the version, so a lost tell is made good. A store that has dropped the changes since a node's last question is not lost: the node asks again at once instead of waiting and asking its peers.

--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -12,11 +12,38 @@
 // Feeds reports whether self is one of the nodes of data centre dc that read the
 // platform for the others.
 func Feeds(v *membership.View, self, dc string) bool {
-	ids, _ := feederChoice(v, self, dc)
-	order := byLink(v, ranked("feeder/"+dc+"/", ids))
+	order := feederOrder(v, self, dc)
 	return slices.Contains(order[:min(feedersPerDC, len(order))], self)
 }
 
+// feederOrder returns the nodes of data centre dc, its feeders first.
+func feederOrder(v *membership.View, self, dc string) []string {
+	ids, _ := feederChoice(v, self, dc)
+	return byLink(v, ranked("feeder/"+dc+"/", ids))
+}
+
+// Tellers returns the nodes that self depends on for versions, in the order in which it asks
+// them whether they are there, and how many nodes at most ask the first of them; none for a
+// feeder. They are the feeders, which half of the nodes ask the other way about. In a tree
+// the node above comes first, then a feeder.
+func Tellers(v *membership.View, self, dc string) (tellers []string, askers int) {
+	order := feederOrder(v, self, dc)
+	at := slices.Index(order, self)
+	if at < feedersPerDC {
+		return nil, 0
+	}
+	tellers = slices.Clone(order[:feedersPerDC])
+	if at%2 == 1 {
+		slices.Reverse(tellers)
+	}
+	if at >= feedersPerDC+directTells {
+		above := (at-feedersPerDC)/directTells + 1
+		return []string{order[above], tellers[0]}, directTells
+	}
+	told := min(len(order)-feedersPerDC, directTells)
+	return tellers, (told + 1) / 2
+}
+
 // byLink puts the nodes with the fastest links first. Feeders read every version
 // whole, some hundred kilobytes, and tell all others; over a link of 5 Mbit/s each
 // read takes half a second, in which the calls there stand still.
--- a/internal/follow/contact_test.go
+++ b/internal/follow/contact_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +48,7 @@
 	peers   map[string]reach
 	given   config.Version // by Next, the last time
 	reads   int            // of the source
+	behind  bool           // the source has dropped its changes
 }
 
 // newFeederless starts the node, and returns once it holds the first version.
@@ -116,6 +118,11 @@
 	for {
 		f.mu.Lock()
 		f.reads++
+		if f.behind {
+			f.behind = false
+			f.mu.Unlock()
+			return nil, ErrBehind
+		}
 		newest, changed := f.newest, f.changed
 		if newest.Version().Newer(f.given) {
 			f.given = newest.Version()
@@ -203,3 +210,64 @@
 		})
 	}
 }
+
+// The feeders answer, and the source is theirs to read: a node that asks them all the while
+// must not begin to read it as well, nor where one of the two is gone for a time.
+func TestLeavesTheSourceToItsFeeders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := newFeederless(t, ctx)
+		before := f.reads
+		feeders, _ := f.feeders()
+		for _, r := range []reach{silent, refuses, reaches} {
+			f.set(r, feeders[0])
+			time.Sleep(10 * time.Second)
+		}
+		if f.reads != before {
+			t.Errorf("the source was read %d times", f.reads-before)
+		}
+		f.accept() // and nobody tells of it
+		time.Sleep(time.Second)
+		f.holds(2)
+	})
+}
+
+// A cut ends. Only the feeders may read the source from then on, or every node of a data
+// centre that once was cut off would keep a question open there.
+func TestGivesTheSourceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := newFeederless(t, ctx)
+		feeders, _ := f.feeders()
+		f.set(silent, feeders...)
+		time.Sleep(3 * time.Second)
+		if !f.runner.Feeder() {
+			t.Fatal("the node doesn't read the source")
+		}
+		f.set(reaches, feeders...)
+		time.Sleep(time.Second)
+		if f.runner.Feeder() {
+			t.Error("the node still reads the source")
+		}
+	})
+}
+
+// A source was not asked for a while and keeps no changes from then. It answers: neither may
+// the logs say that it is lost, nor may the node ask all its peers.
+func TestSourceWithoutHistoryIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := newFeederless(t, ctx)
+		f.set(silent, slices.Collect(maps.Keys(f.view.Records))...)
+		f.behind = true
+		f.accept()
+		time.Sleep(inForceWithin)
+		f.holds(2)
+		if f.behind || f.runner.state.Failing() {
+			t.Error("the source counts as failing")
+		}
+	})
+}
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -10,6 +10,10 @@
 // alone, so nodes that come by the same version in different ways hold the same snapshot,
 // and each checks what it was sent.
 //
+// Each other node asks those that tell it, all the while, whether they are there. One whom
+// nobody answers, behind a cut or because they are gone, reads the source by itself until
+// one of them answers again; see contact.
+//
 // Whoever is missed learns by the way: every message between nodes mentions the
 // sender's version, and a node that hears of a newer one pulls it from whoever
 // mentioned it. While the source fails a feeder also asks one peer after another.
--- a/internal/follow/missed.go
+++ b/internal/follow/missed.go
@@ -15,6 +15,8 @@
 	FindingNotTold Finding = "not_told"
 	// FindingNotGiven is a peer that did not give the version that it spoke of.
 	FindingNotGiven Finding = "not_given"
+	// FindingNoFeeder is a time in which no feeder answered this node.
+	FindingNoFeeder Finding = "no_feeder"
 )
 
 // missedLines is how many lines a second tell of peers that were not reached. In a
@@ -28,8 +30,13 @@
 
 // missed tells that a peer was not reached.
 func (r *Runner) missed(f Finding, peer string, err error, text string) {
+	r.found(f)
+	r.misses.Info().Str("peer", peer).Err(err).Msg(text)
+}
+
+// found counts f.
+func (r *Runner) found(f Finding) {
 	if r.deps.OnFinding != nil {
 		r.deps.OnFinding(f)
 	}
-	r.misses.Info().Str("peer", peer).Err(err).Msg(text)
 }
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -30,6 +30,10 @@
 // ErrNone is what a Source returns while nothing was accepted yet.
 var ErrNone = errors.New("follow: no version is accepted yet")
 
+// ErrBehind is what a Source returns that answers, but was not asked for longer than it keeps
+// what has changed. Asked again, it gives the newest version whole.
+var ErrBehind = errors.New("follow: the changes since are not kept any more")
+
 // ErrBadAnswer marks a peer's answer that holds no version that can be used.
 var ErrBadAnswer = errors.New("follow: the peer's answer holds no whole version")
 
@@ -119,6 +123,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.follow(ctx) })
 	wg.Go(func() { r.learn(ctx) })
+	wg.Go(func() { r.keepContact(ctx) })
 	wg.Wait()
 }
 
@@ -139,6 +144,11 @@
 			_ = wait.For(ctx, nonePause)
 			continue
 		}
+		if errors.Is(err, ErrBehind) {
+			r.noteSource(nil)
+			_ = wait.For(ctx, rand.N(sourceRetry))
+			continue
+		}
 		r.noteSource(err)
 		if err != nil {
 			fails++
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -72,6 +72,7 @@
 	nextAsk  time.Time // while the source fails
 	pulling  bool
 	nextPull time.Time
+	contact  contact
 }
 
 // NewState returns the state of a node that holds nothing. Until the source has
@@ -88,7 +89,8 @@
 const fastLink = 50
 
 // Feeds reports whether this node is to follow the source. The feeders of its data centre
-// are, and a node that holds nothing while no peer could give it a version.
+// are, a node whose feeders don't answer, and one that holds nothing while no peer could give
+// it a version.
 //
 // On a slow link such a node asks its peers first. The source holds the whole document,
 // uncompressed, and what a peer gives takes a twentieth of the bytes and a third of the work. When
@@ -97,8 +99,8 @@
 func (s *State) Feeds(now time.Time, view *membership.View) bool {
 	age := now.Sub(s.started)
 	switch {
-	case s.held.Number > 0 || s.none:
-		return distribute.Feeds(view, s.set.Self, s.set.DataCentre)
+	case s.fed():
+		return s.contact.lost || distribute.Feeds(view, s.set.Self, s.set.DataCentre)
 	case s.set.LinkMbps == 0 || s.set.LinkMbps >= fastLink:
 		return true
 	case age < s.set.JoinFirst:
@@ -163,6 +165,9 @@
 // Told notes that a peer told of a version outright, and not in passing: whatever
 // it sent could not be used, so the version is pulled at once.
 func (s *State) Told(now time.Time, peer string, v config.Version) {
+	if !v.Newer(s.held) {
+		return
+	}
 	s.Heard(now.Add(-s.set.PullDelay), peer, v)
 	s.nextPull = now
 }
