End a starting node that is left alone with a history that is gone

What callers saw: a VM that started while the platform held a table restored by mistake refuses its calls after the right table is back, until somebody starts its node again.

Cause: it is not ready, since its peers run another history, and nothing leads from the version that it holds to theirs.

Change: a node that has never carried traffic and holds a history which neither two peers nor the platform, in three answers in a row, have ends by itself (Runner.Run returns ErrStranded, which ends the node as a failed part does), and starts without memory. One that carries traffic never does. Both are tests of the state machine.

--- a/internal/distribute/event.go
+++ b/internal/distribute/event.go
@@ -12,6 +12,9 @@
 // Platform returns it from Since; the state machine then reads a snapshot.
 var ErrCompacted = errors.New("distribute: the deltas were compacted away")
 
+// ErrStranded ends a Runner whose node is to be started again; see State.Stranded.
+var ErrStranded = errors.New("distribute: neither the peers nor the platform have the history held here")
+
 // ErrBadAnswer marks an answer that could not be decoded or verified.
 var ErrBadAnswer = errors.New("distribute: the answer could not be verified")
 
--- a/internal/distribute/ready.go
+++ b/internal/distribute/ready.go
@@ -91,13 +91,33 @@
 	case s.feed.head.Newer(s.Version()):
 		return "the platform holds a newer version"
 	}
-	if n := s.foreignAsked(); n > 0 && n >= min(maxForeign, s.others()) {
+	if n, yes := s.foreignPeers(); yes {
 		return fmt.Sprintf("%d peers run another history than version %d (%s) held here",
 			n, s.Version().Number, s.Version().Hash.Short())
 	}
 	return s.waitingForAnswers()
 }
 
+// foreignPeers reports whether so many peers run another history that this node is the odd
+// one out.
+func (s *State) foreignPeers() (n int, yes bool) {
+	n = s.foreignAsked()
+	return n, n > 0 && n >= min(maxForeign, s.others())
+}
+
+// Stranded reports whether neither the peers nor the platform have the history that this
+// node holds, and has never carried traffic with.
+//
+// It guards against a node that started while the platform held a table that was restored by
+// mistake. Once the right table is back, no change leads from what it holds to what all
+// others run: it would refuse its callers until somebody starts it again. Its platform's head
+// counts only when several answers in a row agree; see noteHead.
+func (s *State) Stranded() bool {
+	_, foreign := s.foreignPeers()
+	head := s.feed.head
+	return !s.start.done && foreign && head.Number > 0 && s.chain.relation(head) == relationOther
+}
+
 // foreignAsked counts the peers asked that run another history.
 func (s *State) foreignAsked() int {
 	n := 0
--- a/internal/distribute/restart_test.go
+++ b/internal/distribute/restart_test.go
@@ -167,6 +167,64 @@
 	}
 }
 
+// What an operator would see: a table is restored by mistake, a VM starts and takes its
+// history, the right table is put back, and the VM refuses its callers until somebody starts
+// it again. Nothing leads from what it holds to what all others run, and it never carried
+// traffic with it, so it has to end by itself and start without memory. It must not as long
+// as the platform holds that history: started again it would only take it once more.
+func TestNodeOfAHistoryThatIsGoneEnds(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 5)
+	theirs, _ := history(t, "theirs", 4)
+	b.do(HeadRead{Version: theirs[3].To})
+	b.do(PlatformRead{Deltas: theirs})
+	b.holds(4)
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[2].To, Ready: true, OtherHistory: true}})
+	}
+	for range 10 {
+		b.do(HeadRead{Version: theirs[3].To})
+		if b.s.Stranded() {
+			t.Fatal("ends while the platform has its history")
+		}
+	}
+	b.do(HeadRead{Version: ours[2].To})
+	if b.s.Stranded() {
+		t.Fatal("ends for a single older head, which may be a stale read")
+	}
+	for range olderHeads {
+		b.do(HeadRead{Version: ours[2].To})
+	}
+	if !b.s.Stranded() {
+		t.Fatal("holds on to a history that nobody has")
+	}
+}
+
+// What an operator would see: a node that carries traffic stops, and its callers with it,
+// because the platform was given another table. What is in force stays in force.
+func TestNodeThatCarriesTrafficNeverEndsForAnotherHistory(t *testing.T) {
+	b := newBench(t, "p", "q", "r")
+	ours, _ := history(t, "ours", 3)
+	theirs, _ := history(t, "theirs", 5)
+	b.do(HeadRead{Version: ours[2].To})
+	b.do(PlatformRead{Deltas: ours})
+	for _, p := range []string{"p", "q", "r"} {
+		b.do(Asked{Peer: p, Answer: Answer{Version: ours[2].To, Ready: true}})
+	}
+	b.wait(tickEvery)
+	if ok, why := b.s.Ready(); !ok {
+		t.Fatal(why)
+	}
+	for range 2 * olderHeads {
+		b.do(HeadRead{Version: theirs[2].To})
+		b.do(Heard{Peer: "p", Version: theirs[2].To, Tell: true})
+		b.wait(tickEvery)
+	}
+	if b.s.Stranded() {
+		t.Fatal("ends though it carries traffic")
+	}
+}
+
 // What an operator would see: a change that is accepted on a table wiped by
 // mistake, and that no node follows. The node that took it had just started and
 // had only read the empty table. It must know that it does not know yet, until
--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -122,21 +122,31 @@
 	return r
 }
 
-// Run drives the state until ctx ends, then waits for what is in flight.
-func (r *Runner) Run(ctx context.Context) {
+// Run drives the state until ctx ends, then waits for what is in flight and returns nil. It
+// returns ErrStranded earlier if the node has to be started again.
+func (r *Runner) Run(ctx context.Context) error {
 	defer r.stop()
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
 		r.step(Ticked{})
+		if r.stranded() {
+			return ErrStranded
+		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-t.C:
 		}
 	}
 }
 
+func (r *Runner) stranded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Stranded()
+}
+
 // stop ends what is in flight and waits for it.
 func (r *Runner) stop() {
 	r.mu.Lock()
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -118,13 +118,14 @@
 	return r
 }
 
-// Run follows the source and pulls from peers until ctx ends.
-func (r *Runner) Run(ctx context.Context) {
+// Run follows the source and pulls from peers until ctx ends. It returns nil.
+func (r *Runner) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() { r.follow(ctx) })
 	wg.Go(func() { r.learn(ctx) })
 	wg.Go(func() { r.keepContact(ctx) })
 	wg.Wait()
+	return nil
 }
 
 // follow takes what the source has.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -33,7 +33,8 @@
 // spread brings versions to this node and serves them to others: from the mesh's
 // own log by a distribute.Runner, or from elsewhere by a follow.Runner.
 type spread interface {
-	Run(context.Context)
+	// Run returns an error if the node has to be started again.
+	Run(context.Context) error
 	Heard(*peerpb.Envelope)
 	ServePull(*peerpb.PullRequest) (*peerpb.PullResponse, error)
 	Stamp() distribute.Stamp
@@ -205,8 +206,7 @@
 		if c.n.o.Source == nil {
 			c.awaitContact(ctx)
 		}
-		c.spread.Run(ctx)
-		return nil
+		return c.spread.Run(ctx)
 	})
 }
 
