--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/marlpass/marlpass/internal/config"
-	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
@@ -106,10 +104,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// UnpackTold is Unpack for changes that a peer sent unasked, with a lower bound on
-// their size.
-func UnpackTold(p *peerpb.Packed) ([]*config.Delta, error) {
-	ds, _, err := unpackTold(p)
-	return ds, err
-}
--- a/internal/distribute/wire.go
+++ b/internal/distribute/wire.go
@@ -67,6 +67,13 @@
 	return unpack(p, decoder, maxUnpacked)
 }
 
+// UnpackTold is Unpack for changes that a peer sent unasked, with a lower bound on
+// their size.
+func UnpackTold(p *peerpb.Packed) ([]*config.Delta, error) {
+	ds, _, err := unpackTold(p)
+	return ds, err
+}
+
 // unpackTold is Unpack for changes that were not asked for.
 func unpackTold(p *peerpb.Packed) ([]*config.Delta, *config.Snapshot, error) {
 	return unpack(p, told, maxTold)
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -10,6 +10,12 @@
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
+const (
+	// tellTimeout bounds one tell, and maxTells those under way.
+	tellTimeout = time.Second
+	maxTells    = 8
+)
+
 // remember keeps a version that was held, to tell what has changed since.
 func (r *Runner) remember(s *config.Snapshot) {
 	r.mu.Lock()
