--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -107,7 +107,7 @@
 
 // doRemote runs a call whose answer goes out over this VM's link.
 func (d *Destination) doRemote(ctx context.Context, now time.Time, in *inbound) answer {
-	expected, refusal := d.Link.expect(d.target(in.hop))
+	expected, refusal := d.Link.expect(d.target(in.hop), d.linkPart(in))
 	if refusal != nil {
 		d.logTurned(now, in, Backend{}, refusal)
 		return answer{refusal: refusal}
@@ -121,6 +121,22 @@
 	return a
 }
 
+// linkPart returns the part of its answer time that a large answer to a call may wait for
+// the link.
+func (d *Destination) linkPart(in *inbound) float64 {
+	if in.hop.noWait || d.SlotUse == nil {
+		return linkPart
+	}
+	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
+	if !ok {
+		return linkPart
+	}
+	if use := d.SlotUse(b); use.Waiting > 0 || use.Busy >= use.Limit {
+		return linkPart
+	}
+	return freePart
+}
+
 // finish writes the answer to the entry node.
 func (d *Destination) finish(w http.ResponseWriter, a *answer, b *body) {
 	switch {
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -31,7 +31,7 @@
 			return
 		}
 		choice.Done(e.Now(), report(&a, e.Now().Sub(now)))
-		if a.busy() && ctx.Err() == nil {
+		if c.search.failed(&a) && ctx.Err() == nil {
 			c.search.missed(ep.ID)
 			c.n-- // a look is no attempt: nothing further down was asked to run it
 			continue
--- a/internal/proxy/look.go
+++ b/internal/proxy/look.go
@@ -66,7 +66,14 @@
 	return LookFar
 }
 
-// missed notes that the endpoint looked at has no free slot.
+// failed reports whether a look has found no room: no free slot, or none for a large answer
+// on the link of the endpoint's VM. A look asks nothing of an endpoint, so the next one is
+// asked as if nothing had been.
+func (s *search) failed(a *answer) bool {
+	return a.busy() || s.look != LookNot && a.refusal != nil && a.refusal.Reason == call.ReasonLinkFull
+}
+
+// missed notes that the endpoint looked at has no room.
 func (s *search) missed(endpoint string) {
 	s.looked = append(s.looked, endpoint)
 	if s.look == LookFar {
