--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -97,15 +97,6 @@
 	told      map[string]bool     // nodes that have answered to a final record
 }
 
-// history is what a server has counted, by tick.
-type history struct {
-	version string
-	last    map[string]Counts
-	recent  []map[string]Counts // oldest first, at most window
-	rate    float64             // calls a second
-	at      time.Time
-}
-
 // NewConductor returns the conductor of an order, where record is what lasts of the
 // service's rollouts and elapsed the time since the order as far as this node knows.
 func NewConductor(set Settings, now time.Time, o Order, r Record, token uint64, elapsed time.Duration) *Conductor {
@@ -225,29 +216,6 @@
 	return ""
 }
 
-// condemned returns why the target version is worse than the baseline, or "": over the
-// whole time, or lately.
-func (c *Conductor) condemned() string {
-	var whole, late Evidence
-	for _, s := range c.sampled() {
-		h := c.counts[s.key()]
-		if h == nil {
-			continue
-		}
-		all, lately := h.last, sinceAll(h.last, h.recent[0])
-		if c.record.Phase == Draining {
-			// The times of the two are no longer those of the same seconds.
-			all = untimed(all)
-		}
-		if s.Version == c.order.Target {
-			whole.Canaries, late.Canaries = append(whole.Canaries, all), append(late.Canaries, lately)
-		} else {
-			whole.Baseline, late.Baseline = append(whole.Baseline, all), append(late.Baseline, lately)
-		}
-	}
-	return cmp.Or(Compare(whole), Compare(late))
-}
-
 // drained reports whether no call runs at the baseline, at any node in reach.
 func (c *Conductor) drained() bool {
 	for _, s := range c.servers {
@@ -258,151 +226,6 @@
 	return true
 }
 
-// canaries returns the servers of the target version that take calls while the rollout
-// runs: so many that their speeds are as mixed as the baseline's, and each gets a call a
-// tick.
-func (c *Conductor) canaries() []Server {
-	target := slices.DeleteFunc(c.of(true), func(s Server) bool { return !s.Reachable })
-	n := int(c.rate() * c.set.Share * c.set.Tick.Seconds())
-	return spread(target, min(max(n, fewestCanaries), mostCanaries))
-}
-
-// sampled returns the servers whose counts are compared.
-func (c *Conductor) sampled() []Server {
-	canaries := c.canaries()
-	if !c.expanding.IsZero() || c.record.Phase != Running {
-		canaries = spread(c.of(true), mostCanaries)
-	}
-	return append(slices.Clone(canaries), spread(c.of(false), mostBaseline)...)
-}
-
-// spread returns n of the servers, evenly spaced in their order, so that they lie in
-// several data centres.
-func spread(servers []Server, n int) []Server {
-	if len(servers) <= n {
-		return servers
-	}
-	out := make([]Server, n)
-	for i := range out {
-		out[i] = servers[i*len(servers)/n]
-	}
-	return out
-}
-
-// Messages returns what is to be told to which nodes now.
-func (c *Conductor) Messages() []Message {
-	grants := make(map[string]Grant)
-	switch {
-	case c.record.Phase.Final():
-		for _, s := range c.servers {
-			if !c.told[s.VM] {
-				grants[s.VM] = Grant{}
-			}
-		}
-	case c.record.Phase == Draining || !c.expanding.IsZero():
-		for _, s := range c.of(true) {
-			grants[s.VM] = Grant{Kind: GrantOpen, For: c.set.Lapse}
-		}
-		for _, s := range c.of(false) {
-			if c.record.Phase == Draining && !c.held[s.key()] {
-				grants[s.VM] = Grant{}
-			}
-		}
-	}
-	if !c.record.Phase.Final() {
-		c.sample(grants)
-	}
-	return c.messages(grants)
-}
-
-// sample adds those whose counts are compared; while the rollout runs, the canaries get
-// their part of the calls.
-func (c *Conductor) sample(grants map[string]Grant) {
-	for _, s := range c.sampled() {
-		if _, told := grants[s.VM]; !told {
-			grants[s.VM] = Grant{}
-		}
-	}
-	if c.record.Phase == Running && c.expanding.IsZero() {
-		c.grant(c.canaries(), grants)
-	}
-}
-
-// grant gives the canaries their calls until the next tick. What doesn't divide goes to
-// other ones each time.
-func (c *Conductor) grant(canaries []Server, grants map[string]Grant) {
-	n := len(canaries)
-	if n == 0 {
-		return
-	}
-	whole := firstCalls * n
-	if rate := c.rate(); rate > 0 {
-		c.owed += rate * c.set.Share * c.set.Tick.Seconds()
-		whole = int(c.owed)
-		c.owed -= float64(whole)
-	}
-	for i, s := range canaries {
-		calls := whole / n
-		if (i+c.ticks)%n < whole%n {
-			calls++
-		}
-		grants[s.VM] = Grant{Kind: GrantLimited, Calls: calls, For: c.set.Lapse}
-	}
-	c.ticks++
-}
-
-// rate returns the calls a second of the whole service, or zero if it isn't known.
-func (c *Conductor) rate() float64 {
-	var rate float64
-	known := 0
-	for _, h := range c.counts {
-		if h.version != c.order.Target && h.rate > 0 {
-			rate += h.rate
-			known++
-		}
-	}
-	if known == 0 {
-		return 0
-	}
-	return rate / float64(known) * float64(len(c.of(false)))
-}
-
-func (c *Conductor) messages(grants map[string]Grant) []Message {
-	vms := make([]string, 0, len(grants))
-	for vm := range grants {
-		vms = append(vms, vm)
-	}
-	slices.Sort(vms)
-	out := make([]Message, len(vms))
-	for i, vm := range vms {
-		out[i] = Message{VM: vm, Instruction: Instruction{
-			Service: c.order.Service, Order: c.order.Revision, Target: c.order.Target,
-			Token: c.token, Phase: c.record.Phase, Replaced: c.record.Replaced, Grant: grants[vm],
-		}}
-	}
-	return out
-}
-
-// Answered takes in what the node of a VM said of its servers, to a message of the phase
-// that stands.
-func (c *Conductor) Answered(now time.Time, vm string, answers []Answer) {
-	c.told[vm] = true
-	for _, a := range answers {
-		key := Server{VM: vm, Instance: a.Instance}.key()
-		c.held[key] = c.record.Phase == Draining && a.Held && a.InFlight == 0
-		h := c.counts[key]
-		if h == nil {
-			h = &history{version: a.Version, at: now}
-			c.counts[key] = h
-		} else if passed := now.Sub(h.at); passed > 0 {
-			h.rate = float64(calls(sinceAll(a.Counts, h.last))) / passed.Seconds()
-		}
-		h.last, h.at = a.Counts, now
-		h.recent = append(h.recent, a.Counts)
-		h.recent = h.recent[max(0, len(h.recent)-window):]
-	}
-}
-
 // Told reports whether all nodes in reach have answered to the final record.
 func (c *Conductor) Told() bool {
 	for _, s := range c.servers {
--- /dev/null
+++ b/internal/rollout/evidence.go
@@ -0,0 +1,58 @@
+package rollout
+
+import (
+	"cmp"
+	"time"
+)
+
+// history is what a server has counted, by tick.
+type history struct {
+	version string
+	last    map[string]Counts
+	recent  []map[string]Counts // oldest first, at most window
+	rate    float64             // calls a second
+	at      time.Time
+}
+
+// Answered takes in what the node of a VM said of its servers, to a message of the phase
+// that stands.
+func (c *Conductor) Answered(now time.Time, vm string, answers []Answer) {
+	c.told[vm] = true
+	for _, a := range answers {
+		key := Server{VM: vm, Instance: a.Instance}.key()
+		c.held[key] = c.record.Phase == Draining && a.Held && a.InFlight == 0
+		h := c.counts[key]
+		if h == nil {
+			h = &history{version: a.Version, at: now}
+			c.counts[key] = h
+		} else if passed := now.Sub(h.at); passed > 0 {
+			h.rate = float64(calls(sinceAll(a.Counts, h.last))) / passed.Seconds()
+		}
+		h.last, h.at = a.Counts, now
+		h.recent = append(h.recent, a.Counts)
+		h.recent = h.recent[max(0, len(h.recent)-window):]
+	}
+}
+
+// condemned returns why the target version is worse than the baseline, or "": over the
+// whole time, or lately.
+func (c *Conductor) condemned() string {
+	var whole, late Evidence
+	for _, s := range c.sampled() {
+		h := c.counts[s.key()]
+		if h == nil {
+			continue
+		}
+		all, lately := h.last, sinceAll(h.last, h.recent[0])
+		if c.record.Phase == Draining {
+			// The times of the two are no longer those of the same seconds.
+			all = untimed(all)
+		}
+		if s.Version == c.order.Target {
+			whole.Canaries, late.Canaries = append(whole.Canaries, all), append(late.Canaries, lately)
+		} else {
+			whole.Baseline, late.Baseline = append(whole.Baseline, all), append(late.Baseline, lately)
+		}
+	}
+	return cmp.Or(Compare(whole), Compare(late))
+}
