--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -85,6 +85,7 @@
 	h.waited = parseWaited(r.Header)
 	h.once = first(r.Header, headerOnce) != ""
 	h.noWait = first(r.Header, headerNoWait) != ""
+	h.spare = first(r.Header, headerSpare) != ""
 	far := parseRate(r.Header)
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
@@ -107,7 +108,7 @@
 
 // doRemote runs a call whose answer goes out over this VM's link.
 func (d *Destination) doRemote(ctx context.Context, now time.Time, in *inbound) answer {
-	expected, refusal := d.Link.expect(d.target(in.hop), d.linkPart(in))
+	expected, refusal := d.Link.expect(d.target(in.hop), in.hop.linkPart())
 	if refusal != nil {
 		d.logTurned(now, in, Backend{}, refusal)
 		return answer{refusal: refusal}
@@ -123,18 +124,11 @@
 
 // linkPart returns the part of its answer time that a large answer to a call may wait for
 // the link.
-func (d *Destination) linkPart(in *inbound) float64 {
-	if in.hop.noWait || d.SlotUse == nil {
-		return linkPart
+func (h hop) linkPart() float64 {
+	if h.spare && !h.noWait {
+		return sparePart
 	}
-	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
-	if !ok {
-		return linkPart
-	}
-	if use := d.SlotUse(b); use.Waiting > 0 || use.Busy >= use.Limit {
-		return linkPart
-	}
-	return freePart
+	return linkPart
 }
 
 // finish writes the answer to the entry node.
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -47,11 +47,11 @@
 
 // linkPart is the part of a class's answer time that a large answer may wait for the link
 // where calls wait for slots, or where another VM may have room. Behind it there is still the
-// run itself and the way. freePart is that part for a call which would take a slot that is
-// free: a late answer is worth more than a refusal, and takes nothing from anybody.
+// run itself and the way. sparePart is that part where the service has slots to spare: a late
+// answer is worth more than a refusal then, and takes nothing from anybody.
 const (
-	linkPart = 0.25
-	freePart = 0.75
+	linkPart  = 0.25
+	sparePart = 0.75
 )
 
 // Link paces the large answers that leave this VM, and refuses calls whose answers
