Compare versions by the counts of servers that answer at the same time only

Cause: nodes that were lost didn't answer, and their last counts, of the time before, stood for the baseline, while the canaries that were left counted the failures of that second. Now a server whose node didn't answer the last messages tells nothing.

--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -88,6 +88,7 @@
 	token   uint64
 	started time.Time // when the order was given, as far as is known
 
+	round     int       // of messages; answers to it are evidence of the same time
 	owed      float64   // calls that the canaries may still get
 	ticks     int       // in which canaries were given calls
 	expanding time.Time // when all servers of the target version were opened, or zero
--- a/internal/rollout/conductor_test.go
+++ b/internal/rollout/conductor_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// Guards against a good version that is condemned as many nodes are lost: the calls of those
+// that are left fail, at both versions, and most of the baseline's counts are of the time before.
+func TestLostNodesCondemnNobody(t *testing.T) {
+	for seed := range *seeds {
+		m := newModel(seed, 62, 1300, 14*time.Second, nil)
+		m.conduct()
+		for m.now.Sub(m.begin) < 8*time.Second {
+			if m.now.Sub(m.begin) == 4*time.Second {
+				m.failing = 0.3
+				for i, s := range m.servers {
+					s.Reachable = s.Version == newVersion || i%8 == 0
+				}
+			}
+			m.tick()
+		}
+		if m.record.Phase == RolledBack {
+			t.Fatalf("seed %d: %s", seed, m.record.Reason)
+		}
+	}
+}
+
 // Guards against a conductor that is lost at any moment: the next one goes on, and meanwhile a
 // bad version takes no more than its last grant.
 func TestLostConductor(t *testing.T) {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -11,6 +11,7 @@
 	last    map[string]Counts
 	recent  []map[string]Counts // oldest first, at most window
 	rate    float64             // calls a second
+	round   int                 // of messages that it last answered
 	at      time.Time
 }
 
@@ -28,19 +29,20 @@
 		} else if passed := now.Sub(h.at); passed > 0 {
 			h.rate = float64(calls(sinceAll(a.Counts, h.last))) / passed.Seconds()
 		}
-		h.last, h.at = a.Counts, now
+		h.last, h.at, h.round = a.Counts, now, c.round
 		h.recent = append(h.recent, a.Counts)
 		h.recent = h.recent[max(0, len(h.recent)-window):]
 	}
 }
 
 // condemned returns why the target version is worse than the baseline, or "": over the
-// whole time, or lately.
+// whole time, or lately. Servers whose nodes didn't answer the last messages tell nothing:
+// as many nodes are lost, those that are left would be held against the time before.
 func (c *Conductor) condemned() string {
 	var whole, late Evidence
 	for _, s := range c.sampled() {
 		h := c.counts[s.key()]
-		if h == nil {
+		if h == nil || h.round != c.round {
 			continue
 		}
 		all, lately := h.last, sinceAll(h.last, h.recent[0])
--- a/internal/rollout/grants.go
+++ b/internal/rollout/grants.go
@@ -35,6 +35,7 @@
 
 // Messages returns what is to be told to which nodes now.
 func (c *Conductor) Messages() []Message {
+	c.round++
 	grants := make(map[string]Grant)
 	switch {
 	case c.record.Phase.Final():
