--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -85,7 +85,6 @@
 	h.waited = parseWaited(r.Header)
 	h.once = first(r.Header, headerOnce) != ""
 	h.noWait = first(r.Header, headerNoWait) != ""
-	h.spare = first(r.Header, headerSpare) != ""
 	far := parseRate(r.Header)
 	dropHopByHop(r.Header)
 	dropOwn(r.Header)
@@ -108,7 +107,7 @@
 
 // doRemote runs a call whose answer goes out over this VM's link.
 func (d *Destination) doRemote(ctx context.Context, now time.Time, in *inbound) answer {
-	expected, refusal := d.Link.expect(d.target(in.hop), in.hop.linkPart())
+	expected, refusal := d.Link.expect(d.target(in.hop))
 	if refusal != nil {
 		d.logTurned(now, in, Backend{}, refusal)
 		return answer{refusal: refusal}
@@ -122,15 +121,6 @@
 	return a
 }
 
-// linkPart returns the part of its answer time that a large answer to a call may wait for
-// the link.
-func (h hop) linkPart() float64 {
-	if h.spare && !h.noWait {
-		return sparePart
-	}
-	return linkPart
-}
-
 // finish writes the answer to the entry node.
 func (d *Destination) finish(w http.ResponseWriter, a *answer, b *body) {
 	switch {
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -28,20 +28,13 @@
 	// noWait says that the call is to start now or be refused as busy. It travels
 	// in headerNoWait.
 	noWait bool
-	// spare says that the service has slots to spare. It travels in headerSpare.
-	spare bool
 }
 
-// headerSpare marks, between nodes, a call of a service that has slots to spare.
-const headerSpare = "Marlpass-Spare"
-
 // headerNoWait marks, between nodes, a call that looks for a free slot.
 const headerNoWait = "Marlpass-No-Wait"
 
 var noWaitValue = []string{"1"}
 
-var spareValue = []string{"1"}
-
 // headerOnce marks, between nodes, a call that is lost when it is refused.
 const headerOnce = "Marlpass-Once"
 
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -45,14 +45,9 @@
 	answerMost  = 0.7
 )
 
-// linkPart is the part of a class's answer time that a large answer may wait for the link
-// where calls wait for slots, or where another VM may have room. Behind it there is still the
-// run itself and the way. sparePart is that part where the service has slots to spare: a late
-// answer is worth more than a refusal then, and takes nothing from anybody.
-const (
-	linkPart  = 0.25
-	sparePart = 0.75
-)
+// linkPart is the part of a class's answer time that a large answer may wait for
+// the link. Behind it there is still the run itself and the way.
+const linkPart = 0.25
 
 // Link paces the large answers that leave this VM, and refuses calls whose answers
 // it could not carry in time.
@@ -95,8 +90,8 @@
 }
 
 // expect reserves room for an answer of the class, and returns what was reserved.
-// A refusal means that the answer would wait for longer than part of its answer time.
-func (l *Link) expect(t *config.Target, part float64) (int64, *call.Refusal) {
+// A refusal means that the answer would wait too long.
+func (l *Link) expect(t *config.Target) (int64, *call.Refusal) {
 	if l == nil {
 		return 0, nil
 	}
@@ -105,7 +100,7 @@
 		return 0, nil
 	}
 	wait := l.Wait()
-	if aim := t.AnswerWithin(); aim > 0 && wait > time.Duration(part*float64(aim)) {
+	if aim := t.AnswerWithin(); aim > 0 && wait > time.Duration(linkPart*float64(aim)) {
 		return 0, refuse(call.ReasonLinkFull, wait, "the VM's link has no room in time")
 	}
 	l.waiting.Add(n)
--- a/internal/proxy/look.go
+++ b/internal/proxy/look.go
@@ -31,9 +31,6 @@
 	// nodes and links.
 	nearLeast = 0.1
 	farLeast  = 0.3
-	// spareLeast is that share from which a service has slots to spare: a call that holds
-	// one for longer than it runs takes it from nobody.
-	spareLeast = 0.5
 	// offerWeight is the weight of one offer in that share.
 	offerWeight = 0.05
 	// startedAtOnce is the longest wait of a call that got a free slot.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -23,7 +23,6 @@
 	h := hop{
 		left: e.patience(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance,
 		waited: now.Sub(c.asked), once: e.returns.never(c.target.Name), noWait: c.search.look != LookNot,
-		spare: e.free.of(c.target.Service).load() >= spareLeast,
 	}
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
@@ -44,10 +43,6 @@
 	if h.noWait {
 		header[headerNoWait] = noWaitValue
 	}
-	delete(header, headerSpare)
-	if h.spare && !h.noWait {
-		header[headerSpare] = spareValue
-	}
 	if e.Local != nil {
 		e.Local.Link.setRate(header)
 	}
