Take the decision on what a server takes apart from putting it in force

No change of behaviour but one: with several backend servers beside a node, a lapsed grant of any of them is looked after, not only of the first.

--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -166,14 +166,7 @@
 func (r *rollouts) admit(now time.Time, s *versionedServer) {
 	was := s.admission.Load()
 	g := r.guard(s.service)
-	met := r.met(s)
-	a := g.Admit(now, s.version, met)
-	if r.n.o.Orders == nil {
-		a = rollout.Admission{Open: true}
-	}
-	if at, ask := g.AskAt(s.version, met); ask && !a.Open && !now.Before(at) {
-		r.read(s.service)
-	}
+	a := r.decide(now, s, g)
 	s.settled = s.settled || a.Open && now.Sub(r.started) >= settleAfter
 	if was != nil && was.Admission == a {
 		return
@@ -184,11 +177,27 @@
 		next.closes = now.Add(handoverNotice)
 	}
 	s.admission.Store(next)
-	if was == nil && a.Open || was != nil && was.Open == a.Open && was.Limited == a.Limited {
-		return
+	if was == nil && !a.Open || was != nil && (was.Open != a.Open || was.Limited != a.Limited) {
+		r.logChange(s, a, g.Record())
 	}
+}
+
+// decide returns what a server takes now, and has the table asked where that can't be told.
+func (r *rollouts) decide(now time.Time, s *versionedServer, g *rollout.Guard) rollout.Admission {
+	if r.n.o.Orders == nil {
+		return rollout.Admission{Open: true}
+	}
+	met := r.met(s)
+	a := g.Admit(now, s.version, met)
+	if at, ask := g.AskAt(s.version, met); ask && !a.Open && !now.Before(at) {
+		r.read(s.service)
+	}
+	return a
+}
+
+func (r *rollouts) logChange(s *versionedServer, a rollout.Admission, record rollout.Record) {
 	r.log.Info().Str("service", s.service).Str("version", s.version).Bool("open", a.Open).Bool("limited", a.Limited).
-		Str("target", g.Record().Target).Str("phase", string(g.Record().Phase)).Msg("rollout: what a backend server takes has changed")
+		Str("target", record.Target).Str("phase", string(record.Phase)).Msg("rollout: what a backend server takes has changed")
 }
 
 func (r *rollouts) guard(service string) *rollout.Guard {
@@ -242,10 +251,12 @@
 
 // changing reports whether what a server takes may have changed by itself.
 func (r *rollouts) changing(now time.Time) bool {
+	starting := now.Sub(r.started) < settleAfter
 	for _, s := range *r.servers.Load() {
 		a := s.admission.Load()
-		if !a.Open || !a.Until.IsZero() && !now.Before(a.Until) || now.Sub(r.started) < settleAfter {
-			return s.version != ""
+		lapsed := !a.Until.IsZero() && !now.Before(a.Until)
+		if s.version != "" && (starting || lapsed || !a.Open) {
+			return true
 		}
 	}
 	return false
