Don't judge a version by the moment in which many nodes are lost

By reading: nodes that were killed come back with counts from zero, while the failures of that moment stay with the few canaries that weren't. Now, where more than 0.15 of the sampled nodes didn't answer or started again, counting starts anew, and nothing is judged for 1.5 s.

Also: a rollout whose servers were lost after all had been opened had no verdict, and kept taking calls; it is rolled back at its end.

--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -88,10 +88,12 @@
 	token   uint64
 	started time.Time // when the order was given, as far as is known
 
-	round     int       // of messages; answers to it are evidence of the same time
-	owed      float64   // calls that the canaries may still get
-	ticks     int       // in which canaries were given calls
-	expanding time.Time // when all servers of the target version were opened, or zero
+	round     int             // of messages; answers to it are evidence of the same time
+	asked     map[string]bool // nodes that the last messages went to
+	owed      float64         // calls that the canaries may still get
+	ticks     int             // in which canaries were given calls
+	calmAt    time.Time       // when a comparison is no longer disturbed
+	expanding time.Time       // when all servers of the target version were opened, or zero
 	servers   []Server
 	counts    map[string]*history // by server
 	held      map[string]bool     // baseline servers that take no calls and run none
@@ -150,17 +152,17 @@
 	if c.record.Phase.Final() {
 		return c.record, false
 	}
-	if why := c.condemned(); why != "" {
-		return c.to(RolledBack, why), true
-	}
-	switch c.record.Phase {
-	case Draining:
-		if c.drained() {
-			return c.to(Completed, "no call runs at the baseline"), true
+	if !c.disturbed(now) {
+		if why := c.condemned(); why != "" {
+			return c.to(RolledBack, why), true
 		}
-	case Running:
+	}
+	if c.record.Phase == Running {
 		return c.stepRunning(now)
 	}
+	if c.drained() {
+		return c.to(Completed, "no call runs at the baseline"), true
+	}
 	return c.record, false
 }
 
@@ -171,7 +173,7 @@
 		return c.to(Draining, "no worse than the baseline"), true
 	case missing == "" && c.expanding.IsZero() && left <= c.set.Finish:
 		c.expanding = now
-	case left <= c.set.Decide && c.expanding.IsZero():
+	case left <= c.set.Decide && (missing != "" || c.expanding.IsZero()):
 		return c.to(RolledBack, "no evidence in time: "+cmp.Or(missing, "not all servers were in service")), true
 	}
 	return c.record, false
--- a/internal/rollout/conductor_test.go
+++ b/internal/rollout/conductor_test.go
@@ -95,6 +95,46 @@
 	}
 }
 
+// Guards against a good version that is condemned for the failures of the moment in which many
+// nodes are killed, which hit some servers more than others; a bad one is found all the same.
+func TestManyKilledNodes(t *testing.T) {
+	for _, bad := range []*fault{nil, &faults[0]} {
+		for seed := range *seeds {
+			m := newModel(seed, 62, 1300, 14*time.Second, bad)
+			m.conduct()
+			for m.now.Sub(m.begin) < m.order.Within+m.set.Finish {
+				if m.now.Sub(m.begin) == 4*time.Second {
+					m.killHalf()
+				}
+				m.tick()
+			}
+			want := Completed
+			if bad != nil {
+				want = RolledBack
+			}
+			part := float64(m.exposed) / float64(m.total)
+			if m.record.Phase != want || bad != nil && (part > exposure || m.late > 0) {
+				t.Fatalf("seed %d: %s (%s), %.3f of the calls, %d too late", seed, m.record.Phase, m.record.Reason, part, m.late)
+			}
+		}
+	}
+}
+
+// Guards against a rollout without a verdict: its servers are lost after all of them were opened.
+func TestServersLostAtTheEnd(t *testing.T) {
+	m := newModel(1, 19, 400, 14*time.Second, nil)
+	m.conduct()
+	for m.now.Sub(m.begin) < m.order.Within+time.Second {
+		if m.now.Sub(m.begin) == 8500*time.Millisecond {
+			m.servers = m.servers[:len(m.servers)-15]
+		}
+		m.tick()
+	}
+	if m.record.Phase != RolledBack {
+		t.Errorf("%s: %s", m.record.Phase, m.record.Reason)
+	}
+}
+
 // Guards against a conductor that is lost at any moment: the next one goes on, and meanwhile a
 // bad version takes no more than its last grant.
 func TestLostConductor(t *testing.T) {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -5,13 +5,22 @@
 	"time"
 )
 
+const (
+	// disturbedFrom is the part of the sampled nodes whose loss disturbs a comparison, and
+	// calmAfter how long it does.
+	disturbedFrom = 0.15
+	calmAfter     = 1500 * time.Millisecond
+)
+
 // history is what a server has counted, by tick.
 type history struct {
 	version string
+	first   map[string]Counts // since when the whole time counts
 	last    map[string]Counts
 	recent  []map[string]Counts // oldest first, at most window
 	rate    float64             // calls a second
 	round   int                 // of messages that it last answered
+	reset   bool                // its node has started again since the answer before
 	at      time.Time
 }
 
@@ -27,6 +36,7 @@
 			h = &history{version: a.Version, at: now}
 			c.counts[key] = h
 		} else if passed := now.Sub(h.at); passed > 0 {
+			h.reset = calls(a.Counts) < calls(h.last)
 			h.rate = float64(calls(sinceAll(a.Counts, h.last))) / passed.Seconds()
 		}
 		h.last, h.at, h.round = a.Counts, now, c.round
@@ -35,6 +45,36 @@
 	}
 }
 
+// disturbed notes whether many nodes were lost or started again between two rounds, and
+// reports whether that was lately.
+//
+// It guards a good version. The loss of many nodes at once fails calls for a moment, in
+// numbers that differ from server to server, and takes with it what was counted of them. What
+// was counted until then tells nothing of a version any more, and the moment itself neither.
+func (c *Conductor) disturbed(now time.Time) bool {
+	lost, known := 0, 0
+	for _, s := range c.sampled() {
+		h := c.counts[s.key()]
+		if h == nil || !c.asked[s.VM] {
+			continue
+		}
+		known++
+		if h.reset || h.round != c.round {
+			lost++
+		}
+	}
+	if float64(lost) > disturbedFrom*float64(known) {
+		c.calmAt = now.Add(calmAfter)
+	}
+	if !now.Before(c.calmAt) {
+		return false
+	}
+	for _, h := range c.counts {
+		h.first, h.recent = h.last, h.recent[len(h.recent)-1:]
+	}
+	return true
+}
+
 // condemned returns why the target version is worse than the baseline, or "": over the
 // whole time, or lately. Servers whose nodes didn't answer the last messages tell nothing:
 // as many nodes are lost, those that are left would be held against the time before.
@@ -45,7 +85,7 @@
 		if h == nil || h.round != c.round {
 			continue
 		}
-		all, lately := h.last, sinceAll(h.last, h.recent[0])
+		all, lately := sinceAll(h.last, h.first), sinceAll(h.last, h.recent[0])
 		if c.record.Phase == Draining {
 			// The times of the two are no longer those of the same seconds.
 			all = untimed(all)
--- a/internal/rollout/grants.go
+++ b/internal/rollout/grants.go
@@ -114,8 +114,10 @@
 
 func (c *Conductor) messages(grants map[string]Grant) []Message {
 	vms := make([]string, 0, len(grants))
+	c.asked = make(map[string]bool, len(grants))
 	for vm := range grants {
 		vms = append(vms, vm)
+		c.asked[vm] = true
 	}
 	slices.Sort(vms)
 	out := make([]Message, len(vms))
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// killHalf kills and restarts the nodes of every second server. For a moment half of the calls
+// fail at those servers of the new version that are left.
+func (m *model) killHalf() {
+	for i, s := range m.servers {
+		if i%2 == 0 {
+			s.guard, s.tally = Guard{}, new(Tally)
+			s.guard.Learn(m.now, m.order, m.record)
+		} else if s.Version == newVersion {
+			for n := range 6 {
+				s.tally.Add(modelClass, time.Second, true, n%2 == 0)
+			}
+		}
+	}
+}
+
 // stopped counts the calls that the end of the baseline cuts off.
 func (m *model) stopped() {
 	if m.record.Phase != Completed {
