Ask for more failures where a version fails a little more than the baseline

Suspected, not traced: nodes beside new servers have just started, and their servers' own calls are refused more often while the mesh is short. A difference under 0.15 now takes 16 failures.

--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -19,8 +19,12 @@
 	condemnSigmas = 4.5
 	// failExcess is by how much a share of failures has to lie above the baseline's.
 	failExcess = 0.03
-	// failFewest is the fewest failures that condemn a version.
+	// failFewest is the fewest failures that condemn a version, and mildFewest where its
+	// share of failures lies less than failPlain above the baseline's: the nodes beside new
+	// servers have just started, and fail a few more calls when the mesh is in trouble.
 	failFewest = 5
+	mildFewest = 16
+	failPlain  = 0.15
 	// slowFewest is the fewest answers by which slowness is judged, and mixedFewest by which
 	// their variance is.
 	slowFewest  = 40
@@ -91,6 +95,9 @@
 		return ""
 	}
 	c, b := share(canary.Failed, canary.Calls), share(baseline.Failed, baseline.Calls)
+	if c < b+failPlain && canary.Failed < mildFewest {
+		return ""
+	}
 	if c < b+failExcess || sigmas(canary.Failed, canary.Calls, baseline.Failed, baseline.Calls) < condemnSigmas {
 		return ""
 	}
