Refuse calls that waited at a canary whose version was rolled back meanwhile

A call that waited for a slot of a canary was run there also after the verdict, since a closed server was taken for a baseline that drains. Now only a baseline runs what waited there.

--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -115,14 +115,14 @@
 		return nil
 	}
 	a := s.admission.Load()
-	if !a.Limited {
-		// Calls that waited for a slot while the server was closed are still run:
-		// it isn't drained before they have ended.
-		return nil
-	}
-	if !a.takes(now) || a.left.Add(-1) < 0 {
+	switch {
+	case a.Limited && (!a.takes(now) || a.left.Add(-1) < 0):
 		return errVersionQuota
+	case !a.Open && a.closes.IsZero():
+		return errVersionHeld
 	}
+	// Calls that waited for a slot while a baseline was closed are still run: it isn't
+	// drained before they have ended.
 	return nil
 }
 
