Judge a version only while the baseline takes calls as well

Cause: at 13 s all records servers begin to refuse half of their calls. The baseline drained by then and ran none, so its share was of the time before. All calls moved to the new servers and back within seconds. Now nothing is judged once the baseline drains: there is nothing of the same time to hold a version against. What this gives up: a version that turns bad in the last three seconds or so is completed.

--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -152,11 +152,6 @@
 	if c.record.Phase.Final() {
 		return c.record, false
 	}
-	if !c.disturbed(now) {
-		if why := c.condemned(); why != "" {
-			return c.to(RolledBack, why), true
-		}
-	}
 	if c.record.Phase == Running {
 		return c.stepRunning(now)
 	}
@@ -166,7 +161,15 @@
 	return c.record, false
 }
 
+// stepRunning judges the target version while the baseline takes calls as well. Once that
+// drains there is nothing of the same time to hold it against, and any trouble of the service
+// would condemn it.
 func (c *Conductor) stepRunning(now time.Time) (Record, bool) {
+	if !c.disturbed(now) {
+		if why := c.condemned(); why != "" {
+			return c.to(RolledBack, why), true
+		}
+	}
 	left := c.Left(now)
 	switch missing := c.missing(); {
 	case missing == "" && !c.expanding.IsZero() && now.Sub(c.expanding) >= c.set.Expand:
--- a/internal/rollout/conductor_test.go
+++ b/internal/rollout/conductor_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// Guards against a good version that is condemned for trouble of the whole service which comes as
+// the baseline drains and runs no calls any more.
+func TestTroubleAsTheBaselineDrains(t *testing.T) {
+	for seed := range *seeds {
+		m := newModel(seed, 62, 1300, 14*time.Second, nil)
+		m.conduct()
+		for m.now.Sub(m.begin) < m.order.Within+time.Second {
+			if m.record.Phase == Draining {
+				m.failing = 0.5
+			}
+			m.tick()
+		}
+		if m.record.Phase != Completed || m.cut > 0 {
+			t.Fatalf("seed %d: %s (%s), %d calls cut off", seed, m.record.Phase, m.record.Reason, m.cut)
+		}
+	}
+}
+
 // Guards against a rollout without a verdict: its servers are lost after all of them were opened.
 func TestServersLostAtTheEnd(t *testing.T) {
 	m := newModel(1, 19, 400, 14*time.Second, nil)
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -130,15 +130,6 @@
 	return out
 }
 
-// untimed returns the counts without times.
-func untimed(counts map[string]Counts) map[string]Counts {
-	out := make(map[string]Counts, len(counts))
-	for class, c := range counts {
-		out[class] = Counts{Calls: c.Calls, Failed: c.Failed}
-	}
-	return out
-}
-
 // calls returns the calls of all classes.
 func calls(counts map[string]Counts) uint32 {
 	var n uint32
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -86,10 +86,6 @@
 			continue
 		}
 		all, lately := sinceAll(h.last, h.first), sinceAll(h.last, h.recent[0])
-		if c.record.Phase == Draining {
-			// The times of the two are no longer those of the same seconds.
-			all = untimed(all)
-		}
 		if s.Version == c.order.Target {
 			whole.Canaries, late.Canaries = append(whole.Canaries, all), append(late.Canaries, lately)
 		} else {
