Compare failures round by round

Cause: at 13 s all records servers begin to refuse half of their calls. The new servers' part of the calls had just grown, so most of theirs were of that moment, and of the baseline's few. Now each half second is compared by itself, and what the baseline's failures lead to expect is summed up.

--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -10,14 +11,45 @@
 type Evidence struct {
 	// Canaries and Baseline hold the counts of each server by class.
 	Canaries, Baseline []map[string]Counts
+	// Failures are the canaries' by class, against what the baseline's lead to expect.
+	Failures map[string]Failures
+}
+
+// Failures are the failed calls of the canaries of some class, summed over rounds.
+type Failures struct {
+	Calls, Failed uint32
+	// Expected is how many would have failed at the baseline in the same rounds, and
+	// Variance that of the difference.
+	Expected, Variance float64
+}
+
+// Add adds the counts of one round. Rounds are compared one by one: the canaries' part of the
+// calls differs from round to round, and so does the share that fails anywhere.
+func (f *Failures) Add(canary, baseline Counts) {
+	n, m := float64(canary.Calls), float64(baseline.Calls)
+	if n == 0 || m == 0 {
+		return
+	}
+	share := (float64(baseline.Failed) + 0.5) / (m + 1)
+	f.Calls += canary.Calls
+	f.Failed += canary.Failed
+	f.Expected += n * share
+	f.Variance += n * share * (1 - share) * (1 + n/m)
+}
+
+func (f *Failures) merge(other Failures) {
+	f.Calls += other.Calls
+	f.Failed += other.Failed
+	f.Expected += other.Expected
+	f.Variance += other.Variance
 }
 
 // Bounds of a comparison.
 const (
-	// condemnSigmas is by how many standard deviations a share has to lie above the
-	// baseline's. Some dozen classes are compared twice a second for minutes.
+	// condemnSigmas is by how many standard deviations failures have to lie above what is
+	// expected. Some dozen classes are compared twice a second for minutes.
 	condemnSigmas = 4.5
-	// failExcess is by how much a share of failures has to lie above the baseline's.
+	// failExcess is by how much their share has to lie above the baseline's.
 	failExcess = 0.03
 	// failFewest is the fewest failures that condemn a version, and mildFewest where its
 	// share of failures lies less than failPlain above the baseline's: the nodes beside new
@@ -52,14 +84,8 @@
 // there are several canaries, two of them have to show the fault: one alone may be a
 // faulty server.
 func Compare(e Evidence) string {
-	canary, baseline := sum(e.Canaries), sum(e.Baseline)
-	classes := make([]string, 0, len(canary))
-	for class := range canary {
-		classes = append(classes, class)
-	}
-	slices.Sort(classes)
-	for _, class := range classes {
-		if why := failing(canary[class], baseline[class]); why != "" && shown(e.Canaries, class, hasFailed) {
+	for _, class := range slices.Sorted(maps.Keys(sum(e.Canaries))) {
+		if why := failing(e.Failures[class]); why != "" && shown(e.Canaries, class, hasFailed) {
 			return fmt.Sprintf("class %s: %s", class, why)
 		}
 		if why := slow(e, class); why != "" {
@@ -90,18 +116,19 @@
 	return n >= min(2, len(servers))
 }
 
-func failing(canary, baseline Counts) string {
-	if canary.Failed < failFewest {
-		return ""
+func failing(f Failures) string {
+	excess := (float64(f.Failed) - f.Expected) / float64(max(f.Calls, 1))
+	fewest := uint32(failFewest)
+	if excess < failPlain {
+		fewest = mildFewest
 	}
-	c, b := share(canary.Failed, canary.Calls), share(baseline.Failed, baseline.Calls)
-	if c < b+failPlain && canary.Failed < mildFewest {
+	if f.Failed < fewest || excess < failExcess {
 		return ""
 	}
-	if c < b+failExcess || sigmas(canary.Failed, canary.Calls, baseline.Failed, baseline.Calls) < condemnSigmas {
+	if float64(f.Failed)-f.Expected < condemnSigmas*math.Sqrt(f.Variance+1) {
 		return ""
 	}
-	return fmt.Sprintf("%d of %d calls failed, %d of %d of the baseline", canary.Failed, canary.Calls, baseline.Failed, baseline.Calls)
+	return fmt.Sprintf("%d of %d calls failed, %.1f were to be expected by the baseline", f.Failed, f.Calls, f.Expected)
 }
 
 // slow holds the answer times of one class against each other, as logarithms.
@@ -163,20 +190,3 @@
 	}
 	return out
 }
-
-func share(part, whole uint32) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
-// sigmas returns by how many standard deviations the share a of n lies above b of m.
-// One more of each kind is counted at both, so that a few calls prove little.
-func sigmas(a, n, b, m uint32) float64 {
-	nf, mf := float64(n)+2, float64(m)+2
-	p, q := (float64(a)+1)/nf, (float64(b)+1)/mf
-	pooled := (float64(a) + float64(b) + 2) / (nf + mf)
-	deviation := math.Sqrt(pooled * (1 - pooled) * (1/nf + 1/mf))
-	return (p - q) / deviation
-}
--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -95,9 +95,11 @@
 	calmAt    time.Time       // when a comparison is no longer disturbed
 	expanding time.Time       // when all servers of the target version were opened, or zero
 	servers   []Server
-	counts    map[string]*history // by server
-	held      map[string]bool     // baseline servers that take no calls and run none
-	told      map[string]bool     // nodes that have answered to a final record
+	counts    map[string]*history   // by server
+	rounds    []map[string]Failures // of the last rounds, oldest first, by class
+	failures  map[string]Failures   // of all rounds
+	held      map[string]bool       // baseline servers that take no calls and run none
+	told      map[string]bool       // nodes that have answered to a final record
 }
 
 // NewConductor returns the conductor of an order, where record is what lasts of the
@@ -108,7 +110,7 @@
 	}
 	return &Conductor{
 		set: set, order: o, record: r, token: token, started: now.Add(-max(elapsed, 0)),
-		counts: make(map[string]*history), held: make(map[string]bool), told: make(map[string]bool),
+		counts: make(map[string]*history), failures: make(map[string]Failures), held: make(map[string]bool), told: make(map[string]bool),
 	}
 }
 
@@ -166,6 +168,7 @@
 // would condemn it.
 func (c *Conductor) stepRunning(now time.Time) (Record, bool) {
 	if !c.disturbed(now) {
+		c.collect()
 		if why := c.condemned(); why != "" {
 			return c.to(RolledBack, why), true
 		}
--- a/internal/rollout/conductor_test.go
+++ b/internal/rollout/conductor_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// Guards against a good version that is condemned for trouble of the whole service which begins
+// after all of its servers were opened: most of their calls are of that moment, few of the
+// baseline's.
+func TestTroubleAfterAllServersOpened(t *testing.T) {
+	for seed := range *seeds {
+		m := newModel(seed, 62, 1300, 14*time.Second, nil)
+		m.conduct()
+		for m.now.Sub(m.begin) < m.order.Within+time.Second {
+			if e := m.conductor.expanding; !e.IsZero() && m.now.Sub(e) >= m.set.Tick {
+				m.failing = 0.3
+			}
+			m.tick()
+		}
+		if m.record.Phase != Completed || m.cut > 0 {
+			t.Fatalf("seed %d: %s (%s), %d calls cut off", seed, m.record.Phase, m.record.Reason, m.cut)
+		}
+	}
+}
+
 // Guards against a good version that is condemned for trouble of the whole service which comes as
 // the baseline drains and runs no calls any more.
 func TestTroubleAsTheBaselineDrains(t *testing.T) {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -16,6 +16,7 @@
 type history struct {
 	version string
 	first   map[string]Counts // since when the whole time counts
+	prev    map[string]Counts // answered before last
 	last    map[string]Counts
 	recent  []map[string]Counts // oldest first, at most window
 	rate    float64             // calls a second
@@ -39,7 +40,7 @@
 			h.reset = calls(a.Counts) < calls(h.last)
 			h.rate = float64(calls(sinceAll(a.Counts, h.last))) / passed.Seconds()
 		}
-		h.last, h.at, h.round = a.Counts, now, c.round
+		h.prev, h.last, h.at, h.round = h.last, a.Counts, now, c.round
 		h.recent = append(h.recent, a.Counts)
 		h.recent = h.recent[max(0, len(h.recent)-window):]
 	}
@@ -72,14 +73,51 @@
 	for _, h := range c.counts {
 		h.first, h.recent = h.last, h.recent[len(h.recent)-1:]
 	}
+	c.rounds, c.failures = nil, make(map[string]Failures)
 	return true
 }
 
+// collect takes in the failures of the last round.
+func (c *Conductor) collect() {
+	canaries, baseline := make(map[string]Counts), make(map[string]Counts)
+	for _, s := range c.sampled() {
+		h := c.counts[s.key()]
+		if h == nil || h.round != c.round {
+			continue
+		}
+		to := baseline
+		if s.Version == c.order.Target {
+			to = canaries
+		}
+		addAll(to, sinceAll(h.last, h.prev))
+	}
+	round := make(map[string]Failures)
+	for class, counts := range canaries {
+		var f Failures
+		f.Add(counts, baseline[class])
+		round[class] = f
+	}
+	c.rounds = append(c.rounds, round)
+	c.rounds = c.rounds[max(0, len(c.rounds)-window):]
+	mergeAll(c.failures, round)
+}
+
+func mergeAll(to, from map[string]Failures) {
+	for class, f := range from {
+		sum := to[class]
+		sum.merge(f)
+		to[class] = sum
+	}
+}
+
 // condemned returns why the target version is worse than the baseline, or "": over the
 // whole time, or lately. Servers whose nodes didn't answer the last messages tell nothing:
 // as many nodes are lost, those that are left would be held against the time before.
 func (c *Conductor) condemned() string {
-	var whole, late Evidence
+	whole, late := Evidence{Failures: c.failures}, Evidence{Failures: make(map[string]Failures)}
+	for _, round := range c.rounds {
+		mergeAll(late.Failures, round)
+	}
 	for _, s := range c.sampled() {
 		h := c.counts[s.key()]
 		if h == nil || h.round != c.round {
