Take signals in from the first moment of a node's process

Cause: a process that nobody has told to take SIGHUP is ended by it, and the node did so only after it had read its settings and opened its sockets; a reload that comes right after a start, on a busy machine, fell into that. Now it listens before anything else. What is left is the time until main begins.

--- a/cmd/marlpass-node/main.go
+++ b/cmd/marlpass-node/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 
 	"github.com/marlpass/marlpass/internal/node"
 	"github.com/marlpass/marlpass/internal/program"
@@ -37,6 +38,8 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, stdout, stderr io.Writer) int {
+	signals := listen()
+	defer signal.Stop(signals)
 	line := program.NewLine("marlpass-node", usage, stdout, stderr)
 	file := line.String("config", "", "settings `FILE` (TOML)")
 	check := line.Bool("check", false, "check the settings and the certificates that they name, and end")
@@ -51,7 +54,7 @@
 		return line.Bad(err)
 	}
 	if !*check {
-		return serve(line, *file, set, stdout)
+		return serve(line, *file, set, signals, stdout)
 	}
 	if err := node.Check(set); err != nil {
 		return line.Bad(err)
--- a/cmd/marlpass-node/serve.go
+++ b/cmd/marlpass-node/serve.go
@@ -37,8 +37,18 @@
 // (18.6 s for 16.1, of 17 nodes on one day).
 const collectAt = 40
 
+// listen takes in the signals from now on.
+//
+// It guards against a reload that ends a node which has just been started: until somebody
+// listens, SIGHUP ends a process.
+func listen() chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 // serve runs the node until it is told to stop or fails.
-func serve(line *program.Line, file string, set settings.Node, stdout io.Writer) int {
+func serve(line *program.Line, file string, set settings.Node, signals chan os.Signal, stdout io.Writer) int {
 	debug.SetGCPercent(collectAt)
 	lines := telemetry.NewLossy(stdout)
 	defer lines.Close()
@@ -59,9 +69,7 @@
 	case err != nil:
 		return line.Failed(err)
 	}
-	p := &process{file: file, node: n, log: log, setLevel: setLevel, signals: make(chan os.Signal, 4)}
-	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(p.signals)
+	p := &process{file: file, node: n, log: log, setLevel: setLevel, signals: signals}
 	n.Start()
 	return p.run()
 }
