--- a/internal/follow/contact_test.go
+++ b/internal/follow/contact_test.go
@@ -114,7 +114,7 @@
 }
 
 // Next implements Source.
-func (f *feederless) Next(ctx context.Context) (*config.Snapshot, error) {
+func (f *feederless) Next(ctx context.Context, _ time.Duration) (*config.Snapshot, error) {
 	for {
 		f.mu.Lock()
 		f.reads++
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -12,10 +12,9 @@
 
 // Source gives the versions that were accepted elsewhere.
 type Source interface {
-	// Next waits for a version newer than the last one that it returned, and
-	// returns the newest. It returns nil without an error when there was none
-	// within the source's own bound on waiting.
-	Next(ctx context.Context) (*config.Snapshot, error)
+	// Next waits up to hold for a version newer than the last one that it returned, and
+	// returns the newest. It returns nil without an error when there was none.
+	Next(ctx context.Context, hold time.Duration) (*config.Snapshot, error)
 }
 
 // ErrNone is what a Source returns while nothing was accepted yet.
@@ -40,6 +39,9 @@
 	// this makes a quarter of the reads. A version is in force within 2 s of its
 	// acceptance, so less than a third of that may be spent here.
 	sourcePause = 600 * time.Millisecond
+	// sourceHold is how long the source holds a question before it answers that there is
+	// nothing new. Long, since platforms charge for every question.
+	sourceHold = 25 * time.Second
 	// nonePause is how long a node waits that was told that there is no version yet: until
 	// it has joined, and knows whether it is a feeder.
 	nonePause = time.Second
@@ -56,7 +58,7 @@
 			_ = wait.For(ctx, roleEvery)
 			continue
 		}
-		snap, err := r.deps.Source.Next(ctx)
+		snap, err := r.deps.Source.Next(ctx, sourceHold)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/node/discover_test.go
+++ b/internal/node/discover_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
@@ -53,7 +54,7 @@
 	told atomic.Bool
 }
 
-func (o *oneVersion) Next(ctx context.Context) (*config.Snapshot, error) {
+func (o *oneVersion) Next(ctx context.Context, _ time.Duration) (*config.Snapshot, error) {
 	if o.told.CompareAndSwap(false, true) {
 		return o.snap, nil
 	}
