Tell in every message when the source last confirmed the version held

What was missing to tell the incident's hypotheses apart: a node that hears nothing new can't be told, in its log, from one whose feeders are without an answer.

Change, no decision uses it yet: each message and each answer to a pull says how old the newest answer of the source is that makes the sender's version the newest, and which node had it. The node keeps the newest it hears of (State.Confirm), shows it as marlpass_config_confirmed_age_seconds, and logs when a feeder answers it with an old one, and when that ends. The line of a source that fails says both as well.

--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -59,6 +59,8 @@
 type Stamp struct {
 	Version config.Version
 	Behind  uint64 // how far the version in force lies behind Version
+	// Confirmed tells when the source of versions was last heard, or nil.
+	Confirmed *peerpb.Confirmation
 }
 
 // Timing tells when one version was accepted and came into force here. The two
--- a/internal/follow/ask.go
+++ b/internal/follow/ask.go
@@ -10,6 +10,9 @@
 	"github.com/marlpass/marlpass/internal/wait"
 )
 
+// oldConfirmation is the age of a confirmation from which on the log tells of it.
+const oldConfirmation = 2 * time.Second
+
 // keepContact asks those that tell this node whether they are there.
 func (r *Runner) keepContact(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -63,8 +66,26 @@
 	regained := r.state.Answered()
 	r.state.Told(time.Now(), teller, v)
 	r.mu.Unlock()
+	r.confirm(resp.Confirmed, resp.Version)
+	r.noteConfirmedAge(teller)
 	if regained {
 		r.deps.Log.Info().Str("peer", teller).Uint64("held", r.Stamp().Version.Number).
 			Msg("follow: a feeder answers again")
 	}
 }
+
+// noteConfirmedAge logs when what feeders answer ceases to be confirmed, and is again.
+func (r *Runner) noteConfirmedAge(teller string) {
+	age, reader := r.ConfirmedAge()
+	old := age > oldConfirmation
+	if r.unconfirmed.Swap(old) == old {
+		return
+	}
+	line := r.deps.Log.Info().Str("peer", teller).Uint64("held", r.Stamp().Version.Number).
+		Dur("confirmed_ago", age).Str("confirmed_by", reader)
+	if old {
+		line.Msg("follow: a feeder answers, and has had no answer of the source for some time")
+	} else {
+		line.Msg("follow: the source has confirmed the version held")
+	}
+}
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -47,7 +47,7 @@
 		r.state.Pulled(time.Now(), peer)
 		r.mu.Unlock()
 	}()
-	snap, err := r.fetch(ctx, peer)
+	resp, snap, err := r.fetch(ctx, peer)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.missed(FindingNotGiven, peer, err, "follow: a peer did not give its version")
@@ -57,13 +57,14 @@
 	if snap != nil {
 		r.offer(snap, peer)
 	}
+	r.confirm(resp.Confirmed, resp.Version)
 }
 
-// fetch returns the version of a peer if it is newer than the one held.
-func (r *Runner) fetch(ctx context.Context, peer string) (*config.Snapshot, error) {
+// fetch returns a peer's answer, and its version if it is newer than the one held.
+func (r *Runner) fetch(ctx context.Context, peer string) (*peerpb.PullResponse, *config.Snapshot, error) {
 	rec := r.deps.Views.Load().Records[peer]
 	if rec == nil {
-		return nil, fmt.Errorf("%w: %s is not in the membership", ErrBadAnswer, peer)
+		return nil, nil, fmt.Errorf("%w: %s is not in the membership", ErrBadAnswer, peer)
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
@@ -71,8 +72,14 @@
 	resp, err := r.deps.Client.Pull(ctx, peer, rec.VM.ControlAddr,
 		&peerpb.PullRequest{Version: v.Number, Hash: v.Hash[:]})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	snap, err := r.unpack(resp)
+	return resp, snap, err
+}
+
+// unpack returns the version that an answer leads to, or nil if it brings none.
+func (r *Runner) unpack(resp *peerpb.PullResponse) (*config.Snapshot, error) {
 	if resp.Changes == nil {
 		return nil, nil
 	}
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -52,6 +52,8 @@
 	inForce  atomic.Uint64
 	packed   atomic.Pointer[packedVersion]
 	misses   zerolog.Logger
+	// unconfirmed says that the log has told of an old confirmation.
+	unconfirmed atomic.Bool
 }
 
 type packedVersion struct {
@@ -117,7 +119,43 @@
 // Stamp returns what messages carry of this node's versions.
 func (r *Runner) Stamp() distribute.Stamp {
 	v := r.held.Load().Version()
-	return distribute.Stamp{Version: v, Behind: v.Number - min(r.inForce.Load(), v.Number)}
+	return distribute.Stamp{
+		Version: v, Behind: v.Number - min(r.inForce.Load(), v.Number), Confirmed: r.confirmation(time.Now()),
+	}
+}
+
+// confirmation returns what messages tell of it, or nil if there is nothing to tell.
+func (r *Runner) confirmation(now time.Time) *peerpb.Confirmation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	age, reader := r.state.ConfirmedAge(now)
+	if reader == "" {
+		return nil
+	}
+	return &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: reader}
+}
+
+// confirm takes what a peer that holds the version number tells of it. That an older version
+// was the newest at some time confirms the one held as well.
+func (r *Runner) confirm(c *peerpb.Confirmation, number uint64) {
+	if c == nil || number > r.held.Load().Version().Number {
+		return
+	}
+	now := time.Now()
+	age := min(time.Duration(c.AgeMs)*time.Millisecond, maxConfirmedAge)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Confirm(now.Add(-age), c.Reader)
+}
+
+// maxConfirmedAge bounds what a message can say; older is as good as never.
+const maxConfirmedAge = time.Hour
+
+// ConfirmedAge tells since when nothing has confirmed the version held, and by whom.
+func (r *Runner) ConfirmedAge() (age time.Duration, reader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.ConfirmedAge(time.Now())
 }
 
 // Held returns the newest version held, and whether the source answers, so that
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -13,7 +13,7 @@
 func (r *Runner) ServePull(q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	snap := r.held.Load()
 	v := snap.Version()
-	resp := &peerpb.PullResponse{Version: v.Number, Hash: v.Hash[:], Ready: r.inForce.Load() > 0}
+	resp := &peerpb.PullResponse{Version: v.Number, Hash: v.Hash[:], Ready: r.inForce.Load() > 0, Confirmed: r.Stamp().Confirmed}
 	if q.HeadOnly || v.Number <= q.Version {
 		return resp, nil
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -72,6 +72,7 @@
 			_ = wait.For(ctx, rand.N(sourceRetry))
 			continue
 		}
+		answered := time.Now()
 		r.noteSource(err)
 		if err != nil {
 			fails++
@@ -82,6 +83,9 @@
 		fails = 0
 		if snap != nil {
 			r.offer(snap, fromSource)
+		}
+		r.noteRead(answered)
+		if snap != nil {
 			_ = wait.For(ctx, sourcePause)
 		}
 	}
@@ -94,6 +98,14 @@
 	r.state.None(time.Now())
 }
 
+// noteRead notes that the source has said at some time that no version is newer than the one
+// held now.
+func (r *Runner) noteRead(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Confirm(at, r.set.Self)
+}
+
 // noteSource logs when the source is lost and when it is back.
 func (r *Runner) noteSource(err error) {
 	r.mu.Lock()
@@ -102,7 +114,9 @@
 	r.mu.Unlock()
 	switch {
 	case err != nil && !was:
+		age, reader := r.ConfirmedAge()
 		r.deps.Log.Warn().Err(err).Uint64("held", r.Stamp().Version.Number).
+			Dur("confirmed_ago", age).Str("confirmed_by", reader).
 			Msg("follow: the source of versions does not answer, peers are asked")
 	case err == nil && was:
 		r.deps.Log.Info().Uint64("held", r.Stamp().Version.Number).Msg("follow: the source of versions answers")
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -73,6 +73,8 @@
 	pulling  bool
 	nextPull time.Time
 	contact  contact
+	// confirmed tells how far what is held can be trusted to be the newest.
+	confirmed confirmation
 }
 
 // NewState returns the state of a node that holds nothing. Until the source has
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -91,6 +91,11 @@
 
 // Heard takes the version that a message of a peer carried.
 func (r *Runner) Heard(e *peerpb.Envelope) {
+	r.hear(e)
+	r.confirm(e.Confirmed, e.Version)
+}
+
+func (r *Runner) hear(e *peerpb.Envelope) {
 	if e.Version <= r.held.Load().Version().Number {
 		return
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -195,7 +195,7 @@
 // sender is what every message of this node carries.
 func (c *control) sender() peer.Sender {
 	s := c.spread.Stamp()
-	return peer.Sender{Incarnation: c.n.self.Incarnation, Version: s.Version, Behind: s.Behind}
+	return peer.Sender{Incarnation: c.n.self.Incarnation, Version: s.Version, Behind: s.Behind, Confirmed: s.Confirmed}
 }
 
 // start serves the peers and starts the work of control.
--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -20,6 +20,9 @@
 	stamp := c.spread.Stamp()
 	p.gauge("marlpass_config_version_held", float64(stamp.Version.Number))
 	p.gauge("marlpass_config_version_in_force", float64(c.n.Version().Number))
+	if c := stamp.Confirmed; c != nil {
+		p.gauge("marlpass_config_confirmed_age_seconds", (time.Duration(c.AgeMs) * time.Millisecond).Seconds())
+	}
 	p.flag("marlpass_config_refused", c.n.store.Refused() != nil)
 	p.flag("marlpass_config_feeder", c.spread.Feeder())
 	for kind, n := range c.findings.all() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,6 +36,8 @@
 	Incarnation uint64
 	Version     config.Version
 	Behind      uint64
+	// Confirmed tells when the source of versions was last heard, or nil.
+	Confirmed *peerpb.Confirmation
 }
 
 // Limits bound the client and the server.
@@ -186,7 +188,7 @@
 func seal(mesh, vm string, s Sender) *peerpb.Envelope {
 	e := &peerpb.Envelope{
 		Mesh: mesh, From: vm, Incarnation: s.Incarnation,
-		Version: s.Version.Number, Behind: s.Behind,
+		Version: s.Version.Number, Behind: s.Behind, Confirmed: s.Confirmed,
 	}
 	if s.Version.Number > 0 {
 		e.Hash = s.Version.Hash[:]
