Make the versions of the test mesh as a source makes them

A node that missed one could not patch what a peer gave it ("the result does not have the promised hash"), which no real mesh shows. The check and its bound are unchanged.

--- a/internal/follow/silent_test.go
+++ b/internal/follow/silent_test.go
@@ -38,6 +38,7 @@
 
 	mu       sync.Mutex
 	newest   *config.Snapshot
+	services []config.Object // of the newest version
 	accepted []acceptedAt
 	changed  chan struct{} // closed when newest changes
 	delay    time.Duration // of each answer of the source
@@ -112,8 +113,9 @@
 func (m *meshOfNodes) accept() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	name := fmt.Sprint("s", m.newest.Version().Number)
-	next, _, err := m.newest.Next([]config.Object{config.EncodeService(config.Service{Name: name, Team: "berths"})}, nil)
+	number := m.newest.Version().Number + 1
+	m.services = append(m.services, config.EncodeService(config.Service{Name: fmt.Sprint("s", number), Team: "berths"}))
+	next, err := config.Succeed(m.newest, number, m.services)
 	if err != nil {
 		m.t.Fatal(err)
 	}
