Read the source where no feeder's version is confirmed

What callers saw: 404 on a route whose version was acknowledged over 2 s (2.5 s) before, at a VM that reaches the platform all the while.

Cause: two nodes of each data centre read for the others, and those took their silence for a time without changes. A feeder whose question the store doesn't answer doesn't know it for 2 s, or 27 s where the store held it, and says nothing of it: it goes on answering that it is there, so no other node read, though a third of them could.

Change: an answer counts by the age of the newest answer of the source behind it. - The first feeder of a data centre has the source answer every 0.6 s (confirmEvery) and tells the second one, which keeps its question open for 25 s as before, and withdraws it where it has to read in the first one's place. - Each other node asks when its confirmation is 0.85 s old, later by rank. Where no feeder has a newer one it reads the source, reports to the feeders, and stops once a feeder has the answer of another node. Depth in a tree is allowed for. - A feeder takes the source for lost from the age, not from the error 2 s later.

Why it holds: whoever reaches the source asks it at the latest 0.85 s and a step by rank after the last answer that anybody near it had, whatever its feeders do; silence alone never counts.

--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -20,26 +20,55 @@
 	return byLink(v, ranked("feeder/"+dc+"/", ids))
 }
 
-// Tellers returns the nodes that self depends on for versions, in the order in which it asks
-// them whether they are there, and how many nodes at most ask the first of them; none for a
-// feeder. They are the feeders, which half of the nodes ask the other way about. In a tree
-// the node above comes first, then a feeder.
-func Tellers(v *membership.View, self, dc string) (tellers []string, askers int) {
+// Place is where a node stands among those of its data centre by which versions come to it.
+type Place struct {
+	// Rank is the node's place in the order in which nodes are to read the platform. The first
+	// two are the feeders.
+	Rank    int
+	Feeders []string
+	// Tellers are the nodes that this one depends on for versions, in the order in which it asks
+	// them whether they are there. They are the feeders, which half of the nodes ask the other
+	// way about; in a tree the node above, then a feeder. A feeder has none.
+	Tellers []string
+	// Askers is how many nodes at most ask the first teller.
+	Askers int
+	// Depth is how many tells a version takes from a feeder to this node.
+	Depth int
+}
+
+// PlaceOf returns the place of self in data centre dc.
+func PlaceOf(v *membership.View, self, dc string) Place {
 	order := feederOrder(v, self, dc)
-	at := slices.Index(order, self)
-	if at < feedersPerDC {
-		return nil, 0
+	p := Place{Rank: slices.Index(order, self), Feeders: order[:min(feedersPerDC, len(order))]}
+	if p.Rank < feedersPerDC {
+		return p
 	}
-	tellers = slices.Clone(order[:feedersPerDC])
-	if at%2 == 1 {
-		slices.Reverse(tellers)
+	p.Tellers = slices.Clone(p.Feeders)
+	if p.Rank%2 == 1 {
+		slices.Reverse(p.Tellers)
 	}
-	if at >= feedersPerDC+directTells {
-		above := (at-feedersPerDC)/directTells + 1
-		return []string{order[above], tellers[0]}, directTells
+	if p.Depth = depth(p.Rank); p.Depth > 1 {
+		p.Tellers = []string{order[above(p.Rank)], p.Tellers[0]}
+		p.Askers = directTells
+		return p
 	}
 	told := min(len(order)-feedersPerDC, directTells)
-	return tellers, (told + 1) / 2
+	p.Askers = (told + 1) / 2
+	return p
+}
+
+// above returns the rank of the node that tells the one of a rank over those that the feeders
+// tell by themselves.
+func above(rank int) int { return (rank-feedersPerDC)/directTells + 1 }
+
+func depth(rank int) int {
+	switch {
+	case rank < feedersPerDC:
+		return 0
+	case rank < feedersPerDC+directTells:
+		return 1
+	}
+	return 1 + depth(above(rank))
 }
 
 // byLink puts the nodes with the fastest links first. Feeders read every version
--- a/internal/follow/ask.go
+++ b/internal/follow/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -10,23 +11,21 @@
 	"github.com/marlpass/marlpass/internal/wait"
 )
 
-// oldConfirmation is the age of a confirmation from which on the log tells of it.
-const oldConfirmation = 2 * time.Second
-
-// keepContact asks those that tell this node whether they are there.
+// keepContact asks those that tell this node whether what it holds is the newest.
 func (r *Runner) keepContact(ctx context.Context) {
 	for ctx.Err() == nil {
 		view := r.deps.Views.Load()
 		r.mu.Lock()
-		teller, due := r.state.Ask(view)
+		teller, due := r.state.Ask(time.Now(), view)
 		r.mu.Unlock()
 		if due {
 			r.ask(ctx, teller, view)
 		}
+		r.withdraw()
 		r.mu.Lock()
-		pause := r.state.AskIn()
+		pause := r.state.AskIn(time.Now(), view)
 		r.mu.Unlock()
-		_ = wait.For(ctx, pause)
+		_ = wait.For(ctx, min(pause, roleEvery))
 	}
 }
 
@@ -42,50 +41,50 @@
 	case err != nil:
 		r.noteMissed(teller, view, err)
 	default:
-		r.noteAnswered(teller, resp)
+		r.noteAnswered(teller, view, resp)
 	}
 }
 
 func (r *Runner) noteMissed(teller string, view *membership.View, err error) {
 	r.mu.Lock()
-	lost := r.state.Missed(teller, view)
+	lost := r.state.Missed(time.Now(), teller, view)
 	r.mu.Unlock()
-	if !lost {
-		return
+	if lost {
+		r.noteLost(teller, err)
 	}
-	r.found(FindingNoFeeder)
-	r.deps.Log.Warn().Str("peer", teller).Err(err).Uint64("held", r.Stamp().Version.Number).
-		Msg("follow: no feeder answers, this node reads the source")
 }
 
 // noteAnswered also pulls a newer version that was not told here.
-func (r *Runner) noteAnswered(teller string, resp *peerpb.PullResponse) {
+func (r *Runner) noteAnswered(teller string, view *membership.View, resp *peerpb.PullResponse) {
 	v := config.Version{Number: resp.Version}
 	copy(v.Hash[:], resp.Hash)
+	answer := Answer{
+		Known: resp.Confirmed != nil, Reader: resp.Confirmed.GetReader(),
+		Age: time.Duration(resp.Confirmed.GetAgeMs()) * time.Millisecond,
+	}
+	now := time.Now()
 	r.mu.Lock()
-	regained := r.state.Answered()
-	r.state.Told(time.Now(), teller, v)
+	lost, regained := r.state.Answered(now, teller, answer, view)
+	r.state.Told(now, teller, v)
 	r.mu.Unlock()
 	r.confirm(resp.Confirmed, resp.Version)
-	r.noteConfirmedAge(teller)
-	if regained {
+	switch {
+	case lost:
+		r.noteLost(teller, errUnconfirmed)
+	case regained:
 		r.deps.Log.Info().Str("peer", teller).Uint64("held", r.Stamp().Version.Number).
-			Msg("follow: a feeder answers again")
+			Dur("confirmed_ago", answer.Age).Str("confirmed_by", answer.Reader).
+			Msg("follow: a feeder confirms the version held again")
 	}
 }
 
-// noteConfirmedAge logs when what feeders answer ceases to be confirmed, and is again.
-func (r *Runner) noteConfirmedAge(teller string) {
+// errUnconfirmed is why a node reads the source whose feeders answer.
+var errUnconfirmed = errors.New("follow: the source leaves the feeder without an answer")
+
+func (r *Runner) noteLost(teller string, err error) {
+	r.found(FindingNoFeeder)
 	age, reader := r.ConfirmedAge()
-	old := age > oldConfirmation
-	if r.unconfirmed.Swap(old) == old {
-		return
-	}
-	line := r.deps.Log.Info().Str("peer", teller).Uint64("held", r.Stamp().Version.Number).
-		Dur("confirmed_ago", age).Str("confirmed_by", reader)
-	if old {
-		line.Msg("follow: a feeder answers, and has had no answer of the source for some time")
-	} else {
-		line.Msg("follow: the source has confirmed the version held")
-	}
+	r.deps.Log.Warn().Str("peer", teller).Err(err).Uint64("held", r.Stamp().Version.Number).
+		Dur("confirmed_ago", age).Str("confirmed_by", reader).
+		Msg("follow: no feeder confirms the version held, this node reads the source")
 }
--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -17,6 +17,13 @@
 	}
 }
 
+// Read notes that the source has told this node at some time that no version is newer than the
+// one held.
+func (s *State) Read(at time.Time) {
+	s.answered = at
+	s.Confirm(at, s.set.Self)
+}
+
 // ConfirmedAge returns for how long nothing has confirmed the version held, and whose
 // reading of the source did so last. It is the time since the start if nothing ever did.
 func (s *State) ConfirmedAge(now time.Time) (age time.Duration, reader string) {
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -9,39 +10,76 @@
 )
 
 const (
-	// askEvery is the time between two questions of a node to those that tell it, and
-	// askTimeout bounds one. Cut off right after an answer, a node knows that it is after
-	// askEvery and two questions, 1.2 s, which leaves it the rest of the 2 s within which a
-	// version is in force for reading the source.
-	askEvery   = 500 * time.Millisecond
+	// confirmEvery is the longest time between two answers that a node takes from the source
+	// while others depend on its reading: the source holds a question for so long, and the node
+	// pauses for so long after a version.
+	confirmEvery = 600 * time.Millisecond
+	// sourceHold is for how long the source holds a question of a node whose reading nobody
+	// depends on. Long, since platforms charge for every question.
+	sourceHold = 25 * time.Second
+	// staleAfter is the age from which on a confirmation shows that whoever reads the source
+	// gets no answer. Over confirmEvery it leaves time for an answer and its way.
+	staleAfter = confirmEvery + 250*time.Millisecond
+	// askTimeout bounds a question to a teller.
 	askTimeout = 350 * time.Millisecond
-	// askersAtOnce is how many nodes ask one that often. Where more depend on it they ask
-	// less often, so that it answers 16 questions a second, some 5 KB/s, at most.
-	askersAtOnce = 8
+	// askMargin is how long a node waits for a confirmation that is due before it asks.
+	askMargin = 20 * time.Millisecond
+	// askGap is the least time between two questions of a node whose last one was answered, and
+	// askEvery the time between those of a node whose tellers confirm nothing, or don't tell how
+	// old their confirmation is.
+	askGap   = 100 * time.Millisecond
+	askEvery = 500 * time.Millisecond
+	// askTreeEvery is the time between the questions of a node below others in a tree, of which
+	// many ask the same one.
+	askTreeEvery = 2 * time.Second
+	// askStep is what the nodes of one group leave to those of the group before, which may read
+	// the source and confirm it to all. The first group has askFirst nodes, and each other one as
+	// many as all before it.
+	askStep  = 100 * time.Millisecond
+	askFirst = 4
 )
 
-// contact is what a node that is no feeder knows of those that it depends on.
+// contact is what a node knows of those that it depends on for versions.
 //
-// It guards against a node that is cut off from its feeders, or whose feeders are gone, and
-// that the platform would answer. Nothing comes to it any more, which looks like a calm time:
-// it would send calls by its old version until the membership takes the feeders for gone,
-// some seconds later than the version has to be in force. So it asks all the while whether
-// they are there, and reads the source by itself from the moment at which nobody answers.
+// It guards against a node that the source would answer and that is told nothing: because it
+// is cut off from its tellers, they are gone, or the source leaves them without an answer.
+// All of these look like a time without changes.
 type contact struct {
-	missed []string // those that did not answer since the last answer
-	lost   bool     // nobody answers
-	askers int      // how many ask the same node, at most
+	missed  []string // tellers that confirmed nothing since one last did
+	lost    bool     // no teller confirms the version held, so this node reads the source
+	nextAsk time.Time
 }
 
-// Ask returns the node to ask now. Answered or Missed must follow. There is none for a
+// Answer is what a teller says of the version that it holds.
+type Answer struct {
+	// Known is unset for a node that doesn't tell when its version was confirmed.
+	Known  bool
+	Age    time.Duration // of the newest confirmation
+	Reader string        // who had it from the source
+}
+
+// placeIn returns the place of this node in a view.
+func (s *State) placeIn(view *membership.View) distribute.Place {
+	if s.placed != view || view == nil {
+		s.placed, s.place = view, distribute.PlaceOf(view, s.set.Self, s.set.DataCentre)
+		if s.place.Rank == 1 {
+			s.place.Tellers = s.place.Feeders[:1]
+		}
+	}
+	return s.place
+}
+
+// Ask returns the node to ask now. Answered or Missed must follow. There is none for the first
 // feeder, or while the node waits for its first version.
-func (s *State) Ask(view *membership.View) (teller string, due bool) {
-	tellers, askers := distribute.Tellers(view, s.set.Self, s.set.DataCentre)
-	if !s.fed() || len(tellers) == 0 {
+func (s *State) Ask(now time.Time, view *membership.View) (teller string, due bool) {
+	if !s.asks(view) {
 		s.contact = contact{}
 		return "", false
 	}
-	s.contact.askers = askers
+	if s.AskIn(now, view) > 0 {
+		return "", false
+	}
+	tellers := s.placeIn(view).Tellers
 	for _, id := range tellers {
 		if !slices.Contains(s.contact.missed, id) {
 			return id, true
@@ -51,38 +89,106 @@
 	return tellers[0], true
 }
 
+// asks reports whether this node depends on others that it can ask.
+func (s *State) asks(view *membership.View) bool {
+	return s.fed() && len(s.placeIn(view).Tellers) > 0
+}
+
+// AskIn returns when to ask again. Where one did not confirm the version the next is asked at once.
+func (s *State) AskIn(now time.Time, view *membership.View) time.Duration {
+	c := &s.contact
+	switch {
+	case !s.asks(view):
+		return askEvery
+	case len(c.missed) > 0:
+		return 0
+	case c.lost:
+		return c.nextAsk.Sub(now)
+	}
+	age, _ := s.ConfirmedAge(now)
+	return max(s.askAge(view)-age, c.nextAsk.Sub(now))
+}
+
+// askAge is the age of the confirmation from which on this node asks for a newer one. It grows
+// with the rank: of many nodes that find it too old, the first then read the source, and the
+// others are answered by what these have read.
+func (s *State) askAge(view *membership.View) time.Duration {
+	place := s.placeIn(view)
+	group := bits.Len(uint(max(place.Rank, 0) / askFirst))
+	return s.confirmedWithin(place, 0) + askMargin + askStep*time.Duration(group)
+}
+
+// confirmedWithin is the age that the confirmation of a teller has at most while the source
+// answers: of a feeder, or of a node above this one in a tree.
+func (s *State) confirmedWithin(place distribute.Place, teller int) time.Duration {
+	if place.Depth < 2 || teller > 0 {
+		return staleAfter
+	}
+	return staleAfter + askTreeEvery*time.Duration(place.Depth-1)
+}
+
 // fed reports whether versions come to the node by others, if it is no feeder.
 func (s *State) fed() bool { return s.held.Number > 0 || s.none }
 
-// Answered notes that one of them answered, and reports whether nobody did before.
-func (s *State) Answered() (regained bool) {
-	regained = s.contact.lost
-	s.contact.missed, s.contact.lost = nil, false
+// Answered notes what a teller answered. It reports whether the node has lost its contact with
+// this, or has it again.
+func (s *State) Answered(now time.Time, teller string, a Answer, view *membership.View) (lost, regained bool) {
+	place := s.placeIn(view)
+	if a.Known && a.Age > s.confirmedWithin(place, slices.Index(place.Tellers, teller)) {
+		return s.Missed(now, teller, view), false
+	}
+	c := &s.contact
+	c.missed, c.nextAsk = nil, now.Add(askGap)
+	if !a.Known {
+		c.nextAsk = now.Add(askEvery)
+	}
+	if c.lost && a.Known && a.Reader == s.set.Self {
+		c.nextAsk = now.Add(askEvery) // it is this node's reading that the teller has heard of
+		return false, false
+	}
+	regained = c.lost
+	c.lost = false
 	if regained {
-		s.failing = false // reading the source is up to the feeders again
+		s.failing = false // reading the source is up to others again
 	}
-	return regained
+	return false, regained
 }
 
-// Missed notes that one did not answer, and reports whether it was the last of them.
-func (s *State) Missed(teller string, view *membership.View) (lost bool) {
+// Missed notes that a teller did not answer, or that its answer confirms nothing. It reports
+// whether it was the last of them.
+func (s *State) Missed(now time.Time, teller string, view *membership.View) (lost bool) {
 	c := &s.contact
 	c.missed = append(c.missed, teller)
-	tellers, _ := distribute.Tellers(view, s.set.Self, s.set.DataCentre)
-	for _, id := range tellers {
+	for _, id := range s.placeIn(view).Tellers {
 		if !slices.Contains(c.missed, id) {
 			return false
 		}
 	}
 	lost = !c.lost
-	c.missed, c.lost = nil, true
+	c.missed, c.lost, c.nextAsk = nil, true, now.Add(askEvery)
 	return lost
 }
 
-// AskIn returns when to ask again. Where one did not answer the next is asked at once.
-func (s *State) AskIn() time.Duration {
-	if len(s.contact.missed) > 0 {
-		return 0
+// Reads reports whether other nodes depend on this one's reading of the source, so that it
+// must be answered soon: on the first feeder's, and on that of a node that nobody confirms
+// its version to.
+func (s *State) Reads(view *membership.View) bool {
+	return s.contact.lost || s.placeIn(view).Rank == 0
+}
+
+// Hold is for how long the source may hold a question that this node asks now.
+func (s *State) Hold(now time.Time, view *membership.View) time.Duration {
+	if !s.Reads(view) {
+		return sourceHold
+	}
+	return max(0, confirmEvery-now.Sub(s.answered))
+}
+
+// Reports returns the nodes to tell of each answer of the source: the feeders, which others ask.
+func (s *State) Reports(view *membership.View) []string {
+	if !s.Reads(view) {
+		return nil
 	}
-	return askEvery * time.Duration(max(s.contact.askers, askersAtOnce)) / askersAtOnce
+	feeders := slices.Clone(s.placeIn(view).Feeders)
+	return slices.DeleteFunc(feeders, func(id string) bool { return id == s.set.Self })
 }
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -10,9 +10,14 @@
 // alone, so nodes that come by the same version in different ways hold the same snapshot,
 // and each checks what it was sent.
 //
-// Each other node asks those that tell it, all the while, whether they are there. One whom
-// nobody answers, behind a cut or because they are gone, reads the source by itself until
-// one of them answers again; see contact.
+// Silence of the feeders may mean that nothing has changed, or that they get no answer. So each
+// message says how old the newest answer of the source is that confirms the sender's version.
+// The first feeder has the source answer every confirmEvery, and tells the second. Each other
+// node asks a feeder once its confirmation has grown old. Where no feeder has a newer one, since
+// the source leaves them without an answer, they are behind a cut, or gone, the node reads the
+// source by itself, and reports to the feeders what it reads and that it was answered, so that
+// one such node serves its data centre. It stops when a feeder has the answer of another node.
+// Nodes of a higher rank ask a little later, so that few read; see contact.
 //
 // Whoever is missed learns by the way: every message between nodes mentions the
 // sender's version, and a node that hears of a newer one pulls it from whoever
--- a/internal/follow/missed.go
+++ b/internal/follow/missed.go
@@ -15,7 +15,7 @@
 	FindingNotTold Finding = "not_told"
 	// FindingNotGiven is a peer that did not give the version that it spoke of.
 	FindingNotGiven Finding = "not_given"
-	// FindingNoFeeder is a time in which no feeder answered this node.
+	// FindingNoFeeder is a time in which no feeder confirmed the version of this node.
 	FindingNoFeeder Finding = "no_feeder"
 )
 
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -51,9 +51,8 @@
 	held     atomic.Pointer[config.Snapshot]
 	inForce  atomic.Uint64
 	packed   atomic.Pointer[packedVersion]
+	question atomic.Pointer[question] // that the source holds, or nil
 	misses   zerolog.Logger
-	// unconfirmed says that the log has told of an old confirmation.
-	unconfirmed atomic.Bool
 }
 
 type packedVersion struct {
@@ -99,6 +98,9 @@
 	inForce, err := r.deps.Store.Offer(snap)
 	before := r.held.Swap(snap)
 	r.remember(before)
+	if from == fromSource {
+		r.noteRead(start)
+	}
 	r.tellOthers(snap, before, from)
 	if err != nil || !inForce {
 		r.deps.Log.Error().Uint64("version", v.Number).Str("from", from).Err(err).
@@ -124,21 +126,18 @@
 	}
 }
 
-// confirmation returns what messages tell of it, or nil if there is nothing to tell.
+// confirmation returns what messages tell of it.
 func (r *Runner) confirmation(now time.Time) *peerpb.Confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, reader := r.state.ConfirmedAge(now)
-	if reader == "" {
-		return nil
-	}
 	return &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: reader}
 }
 
 // confirm takes what a peer that holds the version number tells of it. That an older version
 // was the newest at some time confirms the one held as well.
 func (r *Runner) confirm(c *peerpb.Confirmation, number uint64) {
-	if c == nil || number > r.held.Load().Version().Number {
+	if c.GetReader() == "" || number > r.held.Load().Version().Number {
 		return
 	}
 	now := time.Now()
--- a/internal/follow/silent_test.go
+++ b/internal/follow/silent_test.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// slow has the source answer after some time from now on.
+func (m *meshOfNodes) slow(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delay = delay
+}
+
 func (m *meshOfNodes) read() (reads int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -342,3 +349,67 @@
 		}
 	}
 }
+
+// Guards against a source that every node of a data centre asks while it answers all of them.
+func TestCalmSourceIsAskedByItsFeeders(t *testing.T) {
+	startCodec(t)
+	for _, size := range []int{3, 24, 60} {
+		withMesh(t, []int{size}, func(m *meshOfNodes) {
+			before := m.askedByOthers()
+			m.storm(10*time.Second, 300*time.Millisecond)
+			m.storm(20*time.Second, time.Minute)
+			if asked := m.askedByOthers() - before; asked > 0 {
+				t.Errorf("%d nodes: nodes that are no feeders asked the source %d times", size, asked)
+			}
+		})
+	}
+}
+
+// askedByOthers counts the questions of nodes that are no feeders.
+func (m *meshOfNodes) askedByOthers() (asked int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.nodes {
+		if !distribute.Feeds(n.views.Load(), n.id, n.runner.set.DataCentre) {
+			asked += n.asked
+		}
+	}
+	return asked
+}
+
+// Guards against a flood of questions from nodes that all take their feeders for silent, where
+// the source is down or merely slow. 1,200 nodes may ask 2,000 times a second.
+func TestSilentOrSlowSourceIsNotFlooded(t *testing.T) {
+	startCodec(t)
+	const length = 10 * time.Second
+	for _, size := range []int{24, 240} {
+		withMesh(t, []int{size}, func(m *meshOfNodes) {
+			bound := size * int(length/time.Second)
+			asked := func(what string, during func()) {
+				before := m.read()
+				during()
+				reads := m.read() - before
+				t.Logf("%d nodes, %s: %d questions in %v", size, what, reads, length)
+				if reads > bound {
+					t.Errorf("%d nodes, %s: %d questions in %v, want %d at most", size, what, reads, length, bound)
+				}
+			}
+			asked("silent for all", func() {
+				m.silence(func(*meshNode) bool { return true })
+				time.Sleep(length)
+				m.silence(func(*meshNode) bool { return false })
+			})
+			time.Sleep(meshSettles)
+			for _, delay := range []time.Duration{300 * time.Millisecond, time.Second} {
+				m.slow(delay)
+				asked(fmt.Sprint("slow by ", delay), func() { time.Sleep(length) })
+				asked(fmt.Sprint("changes, slow by ", delay), func() {
+					for range length / (500 * time.Millisecond) {
+						m.accept()
+						time.Sleep(500 * time.Millisecond)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -34,14 +34,6 @@
 	sourceRetry    = 100 * time.Millisecond
 	sourceRetryMax = 1500 * time.Millisecond
 	maxShift       = 5
-	// sourcePause is how long a node that got a version waits before it asks for
-	// the next one. In a storm only the newest counts: with changes each 160 ms
-	// this makes a quarter of the reads. A version is in force within 2 s of its
-	// acceptance, so less than a third of that may be spent here.
-	sourcePause = 600 * time.Millisecond
-	// sourceHold is how long the source holds a question before it answers that there is
-	// nothing new. Long, since platforms charge for every question.
-	sourceHold = 25 * time.Second
 	// nonePause is how long a node waits that was told that there is no version yet: until
 	// it has joined, and knows whether it is a feeder.
 	nonePause = time.Second
@@ -50,6 +42,12 @@
 	roleEvery = 50 * time.Millisecond
 )
 
+// question is one that the source holds.
+type question struct {
+	hold time.Duration
+	stop context.CancelFunc
+}
+
 // follow takes what the source has.
 func (r *Runner) follow(ctx context.Context) {
 	fails := 0
@@ -58,21 +56,22 @@
 			_ = wait.For(ctx, roleEvery)
 			continue
 		}
-		snap, err := r.deps.Source.Next(ctx, sourceHold)
-		if ctx.Err() != nil {
+		snap, err := r.next(ctx)
+		answered := time.Now()
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if errors.Is(err, ErrNone) {
+		case errors.Is(err, errWithdrawn):
+			continue
+		case errors.Is(err, ErrNone):
 			r.noteNone()
 			_ = wait.For(ctx, nonePause)
 			continue
-		}
-		if errors.Is(err, ErrBehind) {
+		case errors.Is(err, ErrBehind):
 			r.noteSource(nil)
 			_ = wait.For(ctx, rand.N(sourceRetry))
 			continue
 		}
-		answered := time.Now()
 		r.noteSource(err)
 		if err != nil {
 			fails++
@@ -85,17 +84,60 @@
 			r.offer(snap, fromSource)
 		}
 		r.noteRead(answered)
+		r.report()
 		if snap != nil {
-			_ = wait.For(ctx, sourcePause)
+			// In a storm only the newest version counts.
+			_ = wait.For(ctx, confirmEvery-time.Since(answered))
 		}
 	}
 }
 
+// errWithdrawn means that this node withdrew a question, to ask one that is held less long.
+var errWithdrawn = errors.New("follow: the question was withdrawn")
+
+// next asks the source for a newer version.
+func (r *Runner) next(ctx context.Context) (*config.Snapshot, error) {
+	bounded, stop := context.WithCancel(ctx)
+	defer stop()
+	q := &question{r.hold(), stop}
+	r.question.Store(q)
+	snap, err := r.deps.Source.Next(bounded, q.hold)
+	r.question.Store(nil)
+	if err != nil && bounded.Err() != nil {
+		return nil, errWithdrawn
+	}
+	return snap, err
+}
+
+// hold is for how long the source may hold a question of this node now.
+func (r *Runner) hold() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Hold(time.Now(), r.deps.Views.Load())
+}
+
+// withdraw ends a question that is held longer than it may be now.
+func (r *Runner) withdraw() {
+	if q := r.question.Load(); q != nil && q.hold > confirmEvery && r.hold() <= confirmEvery {
+		q.stop()
+	}
+}
+
+// report tells those that others ask that the source has answered.
+func (r *Runner) report() {
+	view := r.deps.Views.Load()
+	r.mu.Lock()
+	peers := r.state.Reports(view)
+	r.mu.Unlock()
+	r.tellAll(view, peers, nil)
+}
+
 // noteNone notes that the source answers, and has nothing yet.
 func (r *Runner) noteNone() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state.None(time.Now())
+	r.state.Read(time.Now())
 }
 
 // noteRead notes that the source has said at some time that no version is newer than the one
@@ -103,7 +145,7 @@
 func (r *Runner) noteRead(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.Confirm(at, r.set.Self)
+	r.state.Read(at)
 }
 
 // noteSource logs when the source is lost and when it is back.
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -75,6 +75,10 @@
 	contact  contact
 	// confirmed tells how far what is held can be trusted to be the newest.
 	confirmed confirmation
+	answered  time.Time // when the source last answered this node
+	// place is the node's in the view placed.
+	place  distribute.Place
+	placed *membership.View
 }
 
 // NewState returns the state of a node that holds nothing. Until the source has
@@ -102,7 +106,7 @@
 	age := now.Sub(s.started)
 	switch {
 	case s.fed():
-		return s.contact.lost || distribute.Feeds(view, s.set.Self, s.set.DataCentre)
+		return s.contact.lost || s.placeIn(view).Depth == 0
 	case s.set.LinkMbps == 0 || s.set.LinkMbps >= fastLink:
 		return true
 	case age < s.set.JoinFirst:
@@ -130,6 +134,22 @@
 // Failing reports whether the source did not answer last time.
 func (s *State) Failing() bool { return s.failing }
 
+// sourceless reports whether the node gets no answer of the source that it is to read. A feeder
+// takes it from the age of its confirmation before its question fails.
+func (s *State) sourceless(now time.Time, view *membership.View) bool {
+	if !s.fed() {
+		return s.failing
+	}
+	if s.placeIn(view).Depth > 0 {
+		return s.failing && s.contact.lost
+	}
+	if s.answered.IsZero() {
+		return s.failing
+	}
+	age, _ := s.ConfirmedAge(now)
+	return s.failing || age > staleAfter
+}
+
 // Take notes that a version was seen whole, and reports whether it is newer than
 // the one held.
 func (s *State) Take(v config.Version) bool {
@@ -206,7 +226,7 @@
 // claimed returns a peer that told of a newer version long enough ago.
 func (s *State) claimed(now time.Time, rng *rand.Rand, view *membership.View) (string, bool) {
 	delay := s.set.PullDelay
-	if s.failing || s.held.Number == 0 {
+	if s.sourceless(now, view) || s.held.Number == 0 {
 		delay = 0
 	}
 	var due []string
@@ -227,7 +247,7 @@
 
 // unasked returns a peer to ask while the source fails.
 func (s *State) unasked(now time.Time, rng *rand.Rand, view *membership.View) (string, bool) {
-	if !s.failing || now.Before(s.nextAsk) {
+	if !s.sourceless(now, view) || now.Before(s.nextAsk) {
 		return "", false
 	}
 	every := s.set.AskEvery
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -35,6 +36,9 @@
 	view := r.deps.Views.Load()
 	r.tellAll(view, distribute.ToMention(view, r.set.Self, r.set.DataCentre), nil)
 	peers := distribute.ToTell(view, r.set.Self, r.set.DataCentre)
+	if from == fromSource {
+		peers = r.withFeeders(peers, view)
+	}
 	if len(peers) == 0 {
 		return
 	}
@@ -45,6 +49,19 @@
 	r.tellAll(view, peers, packed)
 }
 
+// withFeeders adds the feeders to peers: they tell the others of what this node has read in
+// their place.
+func (r *Runner) withFeeders(peers []string, view *membership.View) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range r.state.Reports(view) {
+		if !slices.Contains(peers, id) {
+			peers = append(peers, id)
+		}
+	}
+	return peers
+}
+
 func (r *Runner) tellAll(view *membership.View, peers []string, packed *peerpb.Packed) {
 	for _, p := range peers {
 		if rec := view.Records[p]; rec != nil {
