Let the test's forgotten connections end by a deadline

Cause, from the stack: TestCallerGoneEarlyRetiresNothing had passed its checks and waited for its server to close. The server's background read of the answer before had taken the first byte of the next request after the connection was forgotten, and the fixture's Read then waited for a close only, where a real connection ends a read at its deadline, by which net/http stops that read. So a fault of the fixture: forgotten connections now drop what comes, and end by a deadline or a close as real ones do. No check is changed.

--- a/internal/proxy/silent_test.go
+++ b/internal/proxy/silent_test.go
@@ -32,30 +32,24 @@
 		return nil, err
 	}
 	f.accepted.Add(1)
-	return &forgottenConn{Conn: c, of: f, epoch: f.epoch.Load(), closed: make(chan struct{})}, nil
+	return &forgottenConn{Conn: c, of: f, epoch: f.epoch.Load()}, nil
 }
 
 type forgottenConn struct {
 	net.Conn
-	of     *forgetful
-	epoch  int64
-	once   sync.Once
-	closed chan struct{}
+	of    *forgetful
+	epoch int64
 }
 
-// Read delivers nothing any more once the connection was forgotten.
+// Read delivers nothing any more once the connection was forgotten. It ends like any other, by
+// a deadline or a close.
 func (c *forgottenConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err == nil && c.epoch < c.of.epoch.Load() {
-		<-c.closed
-		return 0, net.ErrClosed
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || c.epoch == c.of.epoch.Load() {
+			return n, err
+		}
 	}
-	return n, err
-}
-
-func (c *forgottenConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
 }
 
 // A switch forgets every open connection to a backend server; new ones work.
