Show the incident's cause in meshes on marlpass's own platform

The same cause looked for elsewhere: in internal/distribute two feeders a data centre read the platform as well.

--- a/internal/distribute/harness_platform_test.go
+++ b/internal/distribute/harness_platform_test.go
@@ -19,6 +19,10 @@
 			}
 		})
 	}
+	if m.silent != nil && m.silent(n) {
+		m.after(platformTimeout, func() { reply(lostRead(a)) })
+		return
+	}
 	switch a := a.(type) {
 	case ReadHead:
 		if m.down {
@@ -42,6 +46,14 @@
 	}
 }
 
+// lostRead is what a read ends with that got no answer.
+func lostRead(a Action) Event {
+	if _, head := a.(ReadHead); head {
+		return HeadRead{Err: errLost}
+	}
+	return PlatformRead{Err: errLost}
+}
+
 func (m *mesh) platformHead() config.Version {
 	i := len(m.log) - m.headLag
 	if i <= 0 {
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -35,7 +35,8 @@
 	log     []*config.Delta             // the platform's
 	head    *config.Snapshot
 	down    bool
-	headLag int // versions by which the platform's answers are old
+	silent  func(*node) bool // whom the platform leaves without an answer
+	headLag int              // versions by which the platform's answers are old
 	drop    func() bool
 	double  func() bool
 	extra   func() time.Duration
