Count the pause of a failed question from when it was asked

What callers would see: a VM that the store answers again goes on with an old version for up to 3.5 s while the store leaves all others of its data centre without an answer.

Cause: a question without an answer takes its time-out, 2 s, and a pause of up to 1.5 s came on top. The pause is there for failures that come at once; a time-out has been one already.

--- a/internal/follow/silent_test.go
+++ b/internal/follow/silent_test.go
@@ -413,3 +413,22 @@
 		})
 	}
 }
+
+// Guards against versions that come late on a node that the source answers again, kept by a question
+// that was not answered and by the pause after it.
+func TestNodeAnsweredAgainHoldsVersionsInTime(t *testing.T) {
+	startCodec(t)
+	for moment := time.Duration(0); moment < 4*time.Second; moment += 100 * time.Millisecond {
+		for _, one := range []int{0, 3} {
+			t.Run(fmt.Sprintf("after_%v_node_%d", moment, one), func(t *testing.T) {
+				withMesh(t, []int{6}, func(m *meshOfNodes) {
+					m.silence(func(*meshNode) bool { return true })
+					time.Sleep(10*time.Second + moment)
+					reaching := m.ids[one]
+					m.silence(func(n *meshNode) bool { return n.id != reaching })
+					m.storm(8*time.Second, 400*time.Millisecond)
+				})
+			})
+		}
+	}
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -56,6 +56,7 @@
 			_ = wait.For(ctx, roleEvery)
 			continue
 		}
+		asked := time.Now()
 		snap, err := r.next(ctx)
 		answered := time.Now()
 		switch {
@@ -76,7 +77,8 @@
 		if err != nil {
 			fails++
 			limit := min(sourceRetry<<min(fails, maxShift), sourceRetryMax)
-			_ = wait.For(ctx, rand.N(limit))
+			// A question that ended at its time-out has been a pause by itself.
+			_ = wait.For(ctx, rand.N(limit)-answered.Sub(asked))
 			continue
 		}
 		fails = 0
