Leave a returning source to its feeders first

Cause: every node that is turned away asks again within 0.75 s on average, the feeders as well. So when the store returns, a third of the mesh reads the whole document, over links of 7 Mbit/s, before a feeder has read and confirmed it.

Change: a node that reads in place of feeders asks again after 1.5 to 2 s, a feeder within 0.5 s.

--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -176,6 +176,11 @@
 	return s.contact.lost || s.placeIn(view).Rank == 0
 }
 
+// StandsIn reports whether this node reads the source in place of its feeders.
+func (s *State) StandsIn(view *membership.View) bool {
+	return s.contact.lost && s.placeIn(view).Depth > 0
+}
+
 // Hold is for how long the source may hold a question that this node asks now.
 func (s *State) Hold(now time.Time, view *membership.View) time.Duration {
 	if !s.Reads(view) {
--- a/internal/follow/silent_test.go
+++ b/internal/follow/silent_test.go
@@ -28,7 +28,10 @@
 	inTouchAfter = 3 * time.Second
 )
 
-var errSilent = errors.New("no answer within the time")
+var (
+	errSilent  = errors.New("no answer within the time")
+	errRefused = errors.New("turned away")
+)
 
 // meshOfNodes is a mesh whose nodes follow one source, in virtual time.
 type meshOfNodes struct {
@@ -43,6 +46,8 @@
 	changed  chan struct{} // closed when newest changes
 	delay    time.Duration // of each answer of the source
 	reads    int           // questions to the source
+	refuses  bool          // the source turns every question away at once
+	given    int           // versions that the source gave, each whole
 }
 
 type acceptedAt struct {
@@ -204,15 +209,19 @@
 	held := time.After(hold)
 	for {
 		n.m.mu.Lock()
-		silent, newest, changed := n.silent, n.m.newest, n.m.changed
+		silent, newest, changed, refuses := n.silent, n.m.newest, n.m.changed, n.m.refuses
 		n.m.mu.Unlock()
 		switch {
+		case refuses:
+			time.Sleep(sourceAnswer)
+			return nil, errRefused
 		case silent:
 			<-ctx.Done()
 			return nil, errSilent
 		case newest.Version().Newer(n.given):
 			time.Sleep(delay)
 			n.given = newest.Version()
+			n.m.gave()
 			return newest, nil
 		}
 		select {
@@ -228,6 +237,20 @@
 	}
 }
 
+func (m *meshOfNodes) gave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.given++
+}
+
+// refuse has the source turn all questions away, or not, and returns how many versions it has given.
+func (m *meshOfNodes) refuse(refuses bool) (given int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuses = refuses
+	return m.given
+}
+
 func (n *meshNode) answers() bool {
 	n.m.mu.Lock()
 	defer n.m.mu.Unlock()
@@ -432,3 +455,26 @@
 		}
 	}
 }
+
+// Guards against nodes that all read the whole document when a source that was down answers again.
+func TestReturningSourceIsReadByFew(t *testing.T) {
+	startCodec(t)
+	const size, times = 24, 10
+	read := 0
+	withMesh(t, []int{size}, func(m *meshOfNodes) {
+		for i := range times {
+			m.refuse(true)
+			m.accept()
+			time.Sleep(8*time.Second + time.Duration(i)*100*time.Millisecond)
+			before := m.refuse(false)
+			time.Sleep(inForceWithin)
+			m.inTime()
+			read += m.refuse(false) - before
+			time.Sleep(meshSettles)
+		}
+	})
+	t.Logf("%.1f of %d nodes read the document", float64(read)/times, size)
+	if read > size/4*times {
+		t.Errorf("%d documents were read at %d returns of the source to %d nodes", read, times, size)
+	}
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -28,12 +28,17 @@
 const fromSource = "source"
 
 const (
-	// sourceRetry and sourceRetryMax bound the full-jitter waits between reads
-	// of a source that fails. Together 1,200 nodes then read at most 800 times
-	// a second while it is down.
+	// sourceRetry and sourceRetryMax bound the full-jitter waits between questions of a node
+	// that has just started to a source that fails, and feederRetryMax those of a feeder.
 	sourceRetry    = 100 * time.Millisecond
 	sourceRetryMax = 1500 * time.Millisecond
+	feederRetryMax = 500 * time.Millisecond
 	maxShift       = 5
+	// standInRetry and up to standInSpread more is the pause of a node that reads in place of the
+	// feeders. When a source that was down answers again, the feeders are to read it first, and
+	// to confirm the version to all others before these read it whole.
+	standInRetry  = 1500 * time.Millisecond
+	standInSpread = 500 * time.Millisecond
 	// nonePause is how long a node waits that was told that there is no version yet: until
 	// it has joined, and knows whether it is a feeder.
 	nonePause = time.Second
@@ -76,9 +81,8 @@
 		r.noteSource(err)
 		if err != nil {
 			fails++
-			limit := min(sourceRetry<<min(fails, maxShift), sourceRetryMax)
 			// A question that ended at its time-out has been a pause by itself.
-			_ = wait.For(ctx, rand.N(limit)-answered.Sub(asked))
+			_ = wait.For(ctx, r.retryIn(fails)-answered.Sub(asked))
 			continue
 		}
 		fails = 0
@@ -94,6 +98,21 @@
 	}
 }
 
+// retryIn is how long to wait after a number of failures in a row.
+func (r *Runner) retryIn(fails int) time.Duration {
+	r.mu.Lock()
+	standIn, started := r.state.StandsIn(r.deps.Views.Load()), r.state.fed()
+	r.mu.Unlock()
+	if standIn {
+		return standInRetry + rand.N(standInSpread)
+	}
+	longest := sourceRetryMax
+	if started {
+		longest = feederRetryMax
+	}
+	return rand.N(min(sourceRetry<<min(fails, maxShift), longest))
+}
+
 // errWithdrawn means that this node withdrew a question, to ask one that is held less long.
 var errWithdrawn = errors.New("follow: the question was withdrawn")
 
