--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -63,6 +63,7 @@
 	if s.placed != view || view == nil {
 		s.placed, s.place = view, distribute.PlaceOf(view, s.set.Self, s.set.DataCentre)
 		if s.place.Rank == 1 {
+			// The second feeder is told by the first, whose questions alone are held briefly.
 			s.place.Tellers = s.place.Feeders[:1]
 		}
 	}
