--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -63,6 +63,9 @@
 	ReasonBackend     Reason = "refused-by-backend" // the backend server said that it did not run it
 	ReasonBadRequest  Reason = "bad-request"        // the request cannot be forwarded at all
 	ReasonTooLarge    Reason = "too-large"          // the body is longer than callers may send
+	ReasonNoKey       Reason = "no-key"             // no workspace holds the call's API key
+	ReasonOverQuota   Reason = "over-quota"         // the workspace is over its quota
+	ReasonUnconfirmed Reason = "keys-unconfirmed"   // it is too long ago that the keys held here were the newest
 )
 
 // Refusal tells that a call was not run, why, and when to come back. It is the
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -69,6 +69,7 @@
 		ps = append(ps, s.checkService(name, t)...)
 	}
 	ps = append(ps, s.checkMatches()...)
+	ps = append(ps, s.checkKeys()...)
 	sortProblems(ps)
 	return ps
 }
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Kind tells the two sorts of configuration object apart.
+// Kind tells the sorts of configuration object apart.
 type Kind string
 
 // The kinds of object that a snapshot holds.
@@ -37,7 +37,7 @@
 type Object struct {
 	Key Key
 	Raw []byte
-	// typed is the *Service or *Target that Raw was encoded from, or nil. It must not be
+	// typed is the *Service, *Target or *Workspace that Raw was encoded from, or nil. It must not be
 	// changed either: snapshots share it.
 	typed any
 }
@@ -159,6 +159,9 @@
 	// TimeoutMS bounds a call of this class whatever its caller allows; zero
 	// means no bound.
 	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+	// Keyless opens the class to calls without an API key, where the configuration has
+	// workspaces.
+	Keyless bool `json:"keyless,omitempty"`
 }
 
 // Part is one part of a split.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -75,7 +75,9 @@
 	objects  []Object // sorted by key
 	services map[string]*Service
 	targets  map[string]*Target
-	callers  Callers
+	// workspaces is empty where callers need no key.
+	workspaces map[string]*Workspace
+	callers    Callers
 	// undecoded is why some object could not be decoded, or nil.
 	undecoded error
 	// unsound holds what is wrong with single objects, whatever the others say.
@@ -115,11 +117,12 @@
 // several versions at once.
 func build(number uint64, parent Hash, objects []Object, from *Snapshot) (*Snapshot, error) {
 	s := &Snapshot{
-		parent:   parent,
-		objects:  slices.Clone(objects),
-		services: make(map[string]*Service),
-		targets:  make(map[string]*Target),
-		unsound:  make(map[Key][]Problem),
+		parent:     parent,
+		objects:    slices.Clone(objects),
+		services:   make(map[string]*Service),
+		targets:    make(map[string]*Target),
+		workspaces: make(map[string]*Workspace),
+		unsound:    make(map[Key][]Problem),
 	}
 	s.problems = sync.OnceValue(s.findProblems)
 	sort.Slice(s.objects, func(i, j int) bool { return s.objects[i].Key.Less(s.objects[j].Key) })
@@ -149,12 +152,14 @@
 	if was, ok := from.Object(o.Key); !ok || !bytes.Equal(was.Raw, o.Raw) {
 		return false
 	}
-	v, t := from.services[o.Key.Name], from.targets[o.Key.Name]
+	v, t, w := from.services[o.Key.Name], from.targets[o.Key.Name], from.workspaces[o.Key.Name]
 	switch {
 	case o.Key.Kind == KindService && v != nil:
 		s.services[o.Key.Name] = v
 	case o.Key.Kind == KindTarget && t != nil:
 		s.targets[o.Key.Name] = t
+	case o.Key.Kind == KindWorkspace && w != nil:
+		s.workspaces[o.Key.Name] = w
 	default:
 		return false
 	}
@@ -191,6 +196,13 @@
 		}
 		s.targets[o.Key.Name] = v
 		s.noteUnsound(o.Key, v.check(o.Key.Name))
+	case KindWorkspace:
+		v, err := typedOf[Workspace](o)
+		if err != nil {
+			return err
+		}
+		s.workspaces[o.Key.Name] = v
+		s.noteUnsound(o.Key, v.check(o.Key.Name))
 	case KindCallers:
 		return s.decodeCallers(o)
 	default:
--- /dev/null
+++ b/internal/config/workspaces.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+// KindWorkspace is the kind of objects that state a workspace.
+const KindWorkspace Kind = "workspace"
+
+// MaxKeys bounds the API keys of one workspace.
+const MaxKeys = 64
+
+// Workspace is a group of callers that share API keys, a priority and a quota.
+type Workspace struct {
+	Name string `json:"name"`
+	Team string `json:"team"`
+	// Keys are the digests of the workspace's API keys. The keys themselves are kept out of
+	// snapshots, which nodes send to each other and operators read.
+	Keys []KeyDigest `json:"keys,omitempty"`
+	// Priority goes before that of the calls' classes under overload, MinPriority to
+	// MaxPriority; zero leaves it to the classes.
+	Priority int `json:"priority,omitempty"`
+	// RatePerSecond bounds the workspace's calls over the whole mesh; zero means no bound.
+	RatePerSecond float64 `json:"rate_per_second,omitempty"`
+	// Burst is how many calls may come at once beyond the rate.
+	Burst float64 `json:"burst,omitempty"`
+}
+
+// KeyDigest is the SHA-256 of an API key.
+type KeyDigest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(d[:])), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(b []byte) error {
+	raw, err := hex.DecodeString(string(b))
+	if err != nil || len(raw) != len(d) {
+		return ErrBadHash
+	}
+	copy(d[:], raw)
+	return nil
+}
+
+// EncodeWorkspace returns the canonical object of v.
+func EncodeWorkspace(v Workspace) Object { return encodeTyped(Key{KindWorkspace, v.Name}, &v) }
+
+// Workspace returns the workspace of that name, or nil.
+func (s *Snapshot) Workspace(name string) *Workspace { return s.workspaces[name] }
+
+// Workspaces returns the workspaces ordered by name.
+func (s *Snapshot) Workspaces() []*Workspace { return inOrder(s.objects, KindWorkspace, s.workspaces) }
+
+func (w *Workspace) check(name string) []Problem {
+	c := &checker{key: Key{KindWorkspace, name}}
+	c.name("name", w.Name)
+	c.want(w.Name == name, "name", "must be the name of the object")
+	c.name("team", w.Team)
+	c.want(len(w.Keys) <= MaxKeys, "keys", "must be at most %d", MaxKeys)
+	ok := w.Priority == 0 || w.Priority >= MinPriority && w.Priority <= MaxPriority
+	c.want(ok, "priority", "must be between %d and %d, or 0 for that of the classes", MinPriority, MaxPriority)
+	c.want(w.RatePerSecond >= 0 && w.RatePerSecond <= MaxRatePerSecond, "rate_per_second",
+		"must be over 0 and at most %g, or 0 for no bound", float64(MaxRatePerSecond))
+	c.want(w.Burst >= 0 && w.Burst <= MaxRatePerSecond, "burst", "must be at most %g", float64(MaxRatePerSecond))
+	return c.ps
+}
+
+// checkKeys refuses a key that two workspaces hold: its calls would count for either.
+func (s *Snapshot) checkKeys() []Problem {
+	var ps []Problem
+	holders := make(map[KeyDigest]string)
+	for _, w := range s.Workspaces() {
+		for _, k := range w.Keys {
+			if first, ok := holders[k]; ok {
+				ps = append(ps, Problem{
+					Key: Key{KindWorkspace, w.Name}, Field: "keys",
+					Reason: fmt.Sprintf("holds a key that the workspace %q holds as well", first),
+				})
+				continue
+			}
+			holders[k] = w.Name
+		}
+	}
+	return ps
+}
+
+// Keyring finds the workspace that holds an API key. It is immutable.
+type Keyring struct{ holders map[KeyDigest]*Workspace }
+
+// NewKeyring returns the keyring of s, or nil if s has no workspaces: its calls need no key.
+func NewKeyring(s *Snapshot) *Keyring {
+	if len(s.workspaces) == 0 {
+		return nil
+	}
+	r := &Keyring{make(map[KeyDigest]*Workspace, len(s.workspaces))}
+	for _, w := range s.workspaces {
+		for _, k := range w.Keys {
+			r.holders[k] = w
+		}
+	}
+	return r
+}
+
+// Holder returns the workspace that holds a key, or nil.
+func (r *Keyring) Holder(key string) *Workspace {
+	if key == "" {
+		return nil
+	}
+	return r.holders[DigestOf(key)]
+}
--- /dev/null
+++ b/internal/config/workspaces_test.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+func harbour(keys ...string) Workspace {
+	w := Workspace{Name: "harbour", Team: "yard", Priority: 5, RatePerSecond: 10, Burst: 10}
+	for _, k := range keys {
+		w.Keys = append(w.Keys, DigestOf(k))
+	}
+	return w
+}
+
+func TestKeyring(t *testing.T) {
+	if NewKeyring(mustNew(t)) != nil {
+		t.Error("a configuration without workspaces asks for keys")
+	}
+	s := mustNew(t, EncodeWorkspace(harbour("a", "b")))
+	r := NewKeyring(s)
+	if w := r.Holder("b"); w == nil || w.Name != "harbour" || r.Holder("c") != nil || r.Holder("") != nil {
+		t.Errorf("%v", w)
+	}
+	// Nodes that are sent the version read the same.
+	o, _ := s.Object(Key{KindWorkspace, "harbour"})
+	there := mustNew(t, Object{Key: o.Key, Raw: o.Raw})
+	if there.DecodeError() != nil || NewKeyring(there).Holder("a") == nil {
+		t.Errorf("%v", there.DecodeError())
+	}
+}
+
+// Guards against API keys in what operators read, and nodes send each other in plain text.
+func TestKeysAreNotKept(t *testing.T) {
+	if o := EncodeWorkspace(harbour("a-secret")); strings.Contains(string(o.Raw), "a-secret") {
+		t.Errorf("%s", o.Raw)
+	}
+}
+
+func TestCheckWorkspaces(t *testing.T) {
+	bad := func(change func(*Workspace)) Workspace {
+		w := harbour("a")
+		change(&w)
+		return w
+	}
+	other := harbour("a")
+	other.Name = "yard"
+	for name, list := range map[string][]Workspace{
+		"priority":   {bad(func(w *Workspace) { w.Priority = MaxPriority + 1 })},
+		"rate":       {bad(func(w *Workspace) { w.RatePerSecond = -1 })},
+		"burst":      {bad(func(w *Workspace) { w.Burst = -1 })},
+		"shared key": {harbour("a"), other},
+	} {
+		var objects []Object
+		for _, w := range list {
+			objects = append(objects, EncodeWorkspace(w))
+		}
+		if mustNew(t, objects...).Check() == nil {
+			t.Errorf("%s: was accepted", name)
+		}
+	}
+	if err := mustNew(t, EncodeWorkspace(harbour("a"))).Check(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -120,14 +120,18 @@
 // the exchanges between data centres, some seconds apart. Told at once, they pull it as soon
 // as it is overdue.
 func ToMention(v *membership.View, self, dc string) []string {
+	if feederOrder(v, self, dc)[0] != self {
+		return nil
+	}
+	return FirstFeeders(v, self, dc)
+}
+
+// FirstFeeders returns the first feeder of each data centre other than dc.
+func FirstFeeders(v *membership.View, self, dc string) []string {
 	var out []string
 	for other, ids := range live(v, self, dc) {
-		first := byLink(v, ranked("feeder/"+other+"/", ids))[0]
-		if other == dc && first != self {
-			return nil
-		}
 		if other != dc {
-			out = append(out, first)
+			out = append(out, byLink(v, ranked("feeder/"+other+"/", ids))[0])
 		}
 	}
 	slices.Sort(out)
--- a/internal/follow/ask.go
+++ b/internal/follow/ask.go
@@ -15,15 +15,19 @@
 func (r *Runner) keepContact(ctx context.Context) {
 	for ctx.Err() == nil {
 		view := r.deps.Views.Load()
+		now := time.Now()
+		boot := r.clock.At(now)
 		r.mu.Lock()
-		teller, due := r.state.Ask(time.Now(), view)
+		teller, due := r.state.Ask(now, boot, view)
 		r.mu.Unlock()
 		if due {
 			r.ask(ctx, teller, view)
 		}
 		r.withdraw()
+		now = time.Now()
+		boot = r.clock.At(now)
 		r.mu.Lock()
-		pause := r.state.AskIn(time.Now(), view)
+		pause := r.state.AskIn(now, boot, view)
 		r.mu.Unlock()
 		_ = wait.For(ctx, min(pause, roleEvery))
 	}
@@ -34,6 +38,7 @@
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	own := r.Stamp().Version
+	asked := r.clock.At(time.Now())
 	resp, err := r.deps.Client.Pull(bounded, teller, view.Records[teller].VM.ControlAddr,
 		&peerpb.PullRequest{Version: own.Number, Hash: own.Hash[:], HeadOnly: true})
 	switch {
@@ -42,6 +47,7 @@
 		r.noteMissed(teller, view, err)
 	default:
 		r.noteAnswered(teller, view, resp)
+		r.assure(asked, resp.Confirmed, resp.Version)
 	}
 }
 
--- /dev/null
+++ b/internal/follow/assurance.go
@@ -0,0 +1,63 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+)
+
+// A confirmation is an estimate: a message may have lain behind a cut for seconds before it
+// tells how old the newest answer of the source is. An assurance is certain. It counts from when
+// a question was sent, to the source or to a peer, and goes on while the VM is suspended. What
+// must not be trusted too long goes by it, as API keys that operators may have taken away.
+
+// Assure notes that the version held was certainly the newest one at some time since the boot.
+func (s *State) Assure(at time.Duration) {
+	if !s.assured || at > s.assuredAt {
+		s.assured, s.assuredAt = true, at
+	}
+}
+
+// AssuredAge returns for how long the version held may have been replaced. known is unset
+// where it may never have been the newest.
+func (s *State) AssuredAge(boot time.Duration) (age time.Duration, known bool) {
+	return boot - s.assuredAt, s.assured
+}
+
+// assureIn returns when this node has to ask for an assurance, so that one that it passes on is
+// young enough for the nodes below it in a tree.
+func (s *State) assureIn(boot time.Duration, place distribute.Place) time.Duration {
+	age, known := s.AssuredAge(boot)
+	if !known {
+		return 0
+	}
+	depth := time.Duration(max(place.Depth, 1))
+	return s.set.AssureWithin*depth/(depth+2) - age
+}
+
+// AssuredAge tells for how long the version held may have been replaced; see State.AssuredAge.
+func (r *Runner) AssuredAge(now time.Time) (age time.Duration, known bool) {
+	boot := r.clock.At(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.AssuredAge(boot)
+}
+
+// assure takes what the answer to a question of this node tells of the version held.
+func (r *Runner) assure(asked time.Duration, c *peerpb.Confirmation, number uint64) {
+	if c == nil || c.AssuredAgeMs == nil || number > r.held.Load().Version().Number {
+		return
+	}
+	age := min(time.Duration(*c.AssuredAgeMs)*time.Millisecond, maxConfirmedAge)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Assure(asked - age)
+}
+
+// assuredBySource notes that the source has answered a question that was sent at some time.
+func (r *Runner) assuredBySource(asked time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Assure(asked)
+}
--- /dev/null
+++ b/internal/follow/assurance_test.go
@@ -0,0 +1,119 @@
+package follow
+
+import (
+	"testing"
+	"time"
+)
+
+// assureWithin is how old an assurance may grow in these tests, as users state it for keys.
+const assureWithin = 5 * time.Second
+
+func (m *meshOfNodes) assureWithin(bound time.Duration) {
+	for _, n := range m.nodes {
+		n.runner.mu.Lock()
+		n.runner.state.set.AssureWithin = bound
+		n.runner.set.AssureWithin = bound
+		n.runner.mu.Unlock()
+	}
+}
+
+// oldest returns the greatest age of an assurance among the nodes.
+func (m *meshOfNodes) oldest(only func(*meshNode) bool) time.Duration {
+	var oldest time.Duration
+	for _, n := range m.nodes {
+		if !only(n) {
+			continue
+		}
+		age, known := n.runner.AssuredAge(time.Now())
+		if !known {
+			return time.Hour
+		}
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
+func everyNode(*meshNode) bool { return true }
+
+// Guards against nodes that refuse calls with good keys while the source answers: the assurance
+// has to stay young on every node, also in a data centre where a tree passes it on.
+func TestAssuranceStaysYoung(t *testing.T) {
+	startCodec(t)
+	for _, sizes := range [][]int{{4, 4}, {27, 27, 26}, {240}} {
+		withMesh(t, sizes, func(m *meshOfNodes) {
+			m.assureWithin(assureWithin)
+			time.Sleep(meshSettles)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				if age := m.oldest(everyNode); age >= assureWithin*4/5 {
+					t.Fatalf("%v: an assurance is %v old", sizes, age)
+				}
+			}
+		})
+	}
+}
+
+// Guards against keys that were taken away and are believed on a node that can't know: its
+// assurance must be as old as the last answer that it or anybody who tells it has had.
+func TestAssuranceGrowsOldWithoutTheSource(t *testing.T) {
+	startCodec(t)
+	withMesh(t, []int{6, 6}, func(m *meshOfNodes) {
+		m.assureWithin(assureWithin)
+		time.Sleep(meshSettles)
+		m.silence(everyNode)
+		silent := time.Now()
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			for id, n := range m.nodes {
+				if age, _ := n.runner.AssuredAge(time.Now()); age < time.Since(silent) {
+					t.Fatalf("%s: assured %v ago, the source is silent for %v", id, age, time.Since(silent))
+				}
+			}
+		}
+		m.silence(func(*meshNode) bool { return false })
+		time.Sleep(meshSettles)
+		if age := m.oldest(everyNode); age >= assureWithin {
+			t.Errorf("an assurance is %v old though the source answers", age)
+		}
+	})
+}
+
+// Guards the pattern of a store that leaves the nodes without an answer that hold what operators
+// take away: those that still reach a node with an answer go on.
+func TestSilentFeedersAreAssuredByOthers(t *testing.T) {
+	startCodec(t)
+	withMesh(t, []int{8, 8}, func(m *meshOfNodes) {
+		m.assureWithin(assureWithin)
+		time.Sleep(meshSettles)
+		m.silence(func(n *meshNode) bool { return n.runner.Feeder() })
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if age := m.oldest(func(n *meshNode) bool { return !n.silent }); age >= assureWithin {
+				t.Fatalf("an assurance is %v old", age)
+			}
+		}
+	})
+}
+
+// Guards against an age that a message carries on its way for longer than its sender says: what a
+// peer tells unasked assures nothing.
+func TestUnaskedWordAssuresNothing(t *testing.T) {
+	startCodec(t)
+	withMesh(t, []int{6}, func(m *meshOfNodes) {
+		m.assureWithin(assureWithin)
+		time.Sleep(meshSettles)
+		n := m.nodes[m.ids[0]]
+		n.runner.mu.Lock()
+		before := n.runner.state.assuredAt
+		n.runner.mu.Unlock()
+		age := uint64(0)
+		c := n.runner.confirmation(time.Now())
+		c.AssuredAgeMs = &age
+		n.runner.confirm(c, 0)
+		n.runner.mu.Lock()
+		defer n.runner.mu.Unlock()
+		if n.runner.state.assuredAt != before {
+			t.Error("the assurance was believed")
+		}
+	})
+}
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -72,12 +72,12 @@
 
 // Ask returns the node to ask now. Answered or Missed must follow. There is none for the first
 // feeder, or while the node waits for its first version.
-func (s *State) Ask(now time.Time, view *membership.View) (teller string, due bool) {
+func (s *State) Ask(now time.Time, boot time.Duration, view *membership.View) (teller string, due bool) {
 	if !s.asks(view) {
 		s.contact = contact{}
 		return "", false
 	}
-	if s.AskIn(now, view) > 0 {
+	if s.AskIn(now, boot, view) > 0 {
 		return "", false
 	}
 	tellers := s.placeIn(view).Tellers
@@ -96,7 +96,7 @@
 }
 
 // AskIn returns when to ask again. Where one did not confirm the version the next is asked at once.
-func (s *State) AskIn(now time.Time, view *membership.View) time.Duration {
+func (s *State) AskIn(now time.Time, boot time.Duration, view *membership.View) time.Duration {
 	c := &s.contact
 	switch {
 	case !s.asks(view):
@@ -107,7 +107,11 @@
 		return c.nextAsk.Sub(now)
 	}
 	age, _ := s.ConfirmedAge(now)
-	return max(s.askAge(view)-age, c.nextAsk.Sub(now))
+	due := s.askAge(view) - age
+	if s.set.AssureWithin > 0 {
+		due = min(due, s.assureIn(boot, s.placeIn(view)))
+	}
+	return max(due, c.nextAsk.Sub(now))
 }
 
 // askAge is the age of the confirmation from which on this node asks for a newer one. It grows
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -47,6 +47,7 @@
 		r.state.Pulled(time.Now(), peer)
 		r.mu.Unlock()
 	}()
+	asked := r.clock.At(time.Now())
 	resp, snap, err := r.fetch(ctx, peer)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -58,6 +59,7 @@
 		r.offer(snap, peer)
 	}
 	r.confirm(resp.Confirmed, resp.Version)
+	r.assure(asked, resp.Confirmed, resp.Version)
 }
 
 // fetch returns a peer's answer, and its version if it is newer than the one held.
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/marlpass/marlpass/internal/bootclock"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
@@ -53,6 +54,7 @@
 	packed   atomic.Pointer[packedVersion]
 	question atomic.Pointer[question] // that the source holds, or nil
 	misses   zerolog.Logger
+	clock    bootclock.Clock
 }
 
 type packedVersion struct {
@@ -128,10 +130,16 @@
 
 // confirmation returns what messages tell of the version held.
 func (r *Runner) confirmation(now time.Time) *peerpb.Confirmation {
+	boot := r.clock.At(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, reader := r.state.ConfirmedAge(now)
-	return &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: reader}
+	c := &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: reader}
+	if age, known := r.state.AssuredAge(boot); known && r.set.AssureWithin > 0 {
+		ms := uint64((age + time.Millisecond - 1) / time.Millisecond)
+		c.AssuredAgeMs = &ms
+	}
+	return c
 }
 
 // confirm takes what a peer that holds the version number tells of it. That an older version
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -62,6 +62,7 @@
 			continue
 		}
 		asked := time.Now()
+		askedBoot := r.clock.At(asked)
 		snap, err := r.next(ctx)
 		answered := time.Now()
 		switch {
@@ -93,6 +94,7 @@
 			r.offer(snap, fromSource)
 		}
 		r.noteRead(answered)
+		r.assuredBySource(askedBoot)
 		r.report()
 		if snap != nil {
 			// In a storm only the newest version counts.
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -34,6 +34,9 @@
 	// PeersFirst is how long it leaves the source to peers that hold a version, or have
 	// faster links.
 	PeersFirst time.Duration
+	// AssureWithin is how old an assurance that the version held is the newest may grow
+	// before it is of no use; zero where nobody goes by it.
+	AssureWithin time.Duration
 }
 
 // Defaults returns the settings of a node.
@@ -76,6 +79,9 @@
 	// confirmed tells how far what is held can be trusted to be the newest.
 	confirmed confirmation
 	answered  time.Time // when the source last answered this node
+	// assuredAt is when the version held was certainly the newest, since the boot.
+	assured   bool
+	assuredAt time.Duration
 	// place is the node's in the view placed.
 	place  distribute.Place
 	placed *membership.View
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -78,7 +78,7 @@
 	}))
 	c.entry = proxy.NewEntry(n.o.Policies.entryParts(proxy.EntryParts{
 		Self: n.self.ID, Programs: programs, Starting: n.start, Admitter: admission{c}, Pickers: c.pickers,
-		Retrier: c.retries, Suspects: c.suspects, Local: c.dest, Upstreams: c.nodes,
+		Retrier: c.retries, Suspects: c.suspects, Workspaces: n.workspaces, Local: c.dest, Upstreams: c.nodes,
 		Meters: c.meters, Tracer: tracer, Dialect: n.o.Dialect,
 		WaitOut: n.o.Source != nil, Decisions: c.decisions,
 	}, c.pickers))
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -133,7 +133,7 @@
 	c.server = peer.NewServer(peer.ServerConfig{
 		Mesh: n.set.Mesh, VM: n.self.ID, TLS: c.trust.server(),
 		Limits: peer.DefaultLimits(), Metrics: c.peerSum, Log: telemetry.Part(n.log, "peer"),
-		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n}, Reporter: n.reports, Rollouts: n.rollouts,
+		Sender: c.sender, Membership: c.members, Spread: c, Submitter: peerCommands{c}, Alerts: alerts{n}, Reporter: n.reports, Rollouts: n.rollouts, Collector: n.workspaces,
 	})
 	return nil
 }
@@ -154,7 +154,9 @@
 func (c *control) wireSpread() {
 	n := c.n
 	if n.o.Source != nil {
-		c.spread = follow.NewRunner(follow.Defaults(n.self.ID, n.self.DataCentre, n.self.LinkMbps), follow.Deps{
+		set := follow.Defaults(n.self.ID, n.self.DataCentre, n.self.LinkMbps)
+		set.AssureWithin = n.set.Workspaces.ConfirmWithin.Duration
+		c.spread = follow.NewRunner(set, follow.Deps{
 			Source: n.o.Source, Views: &n.views, Client: c.peers, Store: wakingStore{n},
 			Log:       telemetry.Part(n.log, "follow"),
 			OnFinding: func(f follow.Finding) { c.findings.add(string(f)) },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,13 +70,14 @@
 	views membership.Views
 	store *config.Store[*program]
 
-	registry *announce.Registry
-	calls    *callPath
-	rollouts *rollouts
-	control  *control
-	servers  *servers
-	reports  *reports
-	findings findings
+	registry   *announce.Registry
+	calls      *callPath
+	rollouts   *rollouts
+	workspaces *workspaces
+	control    *control
+	servers    *servers
+	reports    *reports
+	findings   findings
 
 	// changed holds an element when refresh has something to look at.
 	changed chan struct{}
@@ -129,6 +130,7 @@
 		AnyAddress: rows, FreshNames: rows,
 	})
 	n.rollouts = newRollouts(n)
+	n.workspaces = newWorkspaces(n)
 	var err error
 	if n.control, err = newControl(n); err != nil {
 		return err
@@ -185,6 +187,7 @@
 	n.parts.run("discover", func(ctx context.Context) error { n.discover(ctx); <-ctx.Done(); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.upkeep(ctx); return nil })
 	n.parts.run("rollouts", func(ctx context.Context) error { n.rollouts.run(ctx); return nil })
+	n.parts.run("workspaces", func(ctx context.Context) error { n.workspaces.run(ctx); return nil })
 	n.parts.run("conduct", func(ctx context.Context) error { newConducting(n).run(ctx); return nil })
 	a := n.Addrs()
 	n.log.Info().Str("callers", a.Callers).Str("internal", a.Internal).
--- a/internal/node/program.go
+++ b/internal/node/program.go
@@ -25,7 +25,7 @@
 	p := &program{
 		Program: proxy.Program{
 			Matcher: matcher{m, splits}, Targets: targets{s, splits}, Version: s.Version(),
-			MaxBody: s.Callers().BodyBytes,
+			MaxBody: s.Callers().BodyBytes, Keys: config.NewKeyring(s),
 		},
 		limits: make(map[string][]limit.Class),
 	}
--- /dev/null
+++ b/internal/node/workspaces.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/distribute"
+	"github.com/marlpass/marlpass/internal/follow"
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/quota"
+	"github.com/marlpass/marlpass/internal/telemetry"
+	"github.com/marlpass/marlpass/internal/wait"
+)
+
+const (
+	// usageBound bounds an exchange with a collector.
+	usageBound = 250 * time.Millisecond
+	// reportPerNode is the least time between two reports of a node for each node of its data
+	// centre, so that a collector's work doesn't grow with the mesh.
+	reportPerNode = 8 * time.Millisecond
+	// usageRest is how long a node goes on telling its usage after the last call of a workspace.
+	usageRest = 10 * time.Second
+	// overQuotaAgain is the mean time after which callers over their quota are told to come
+	// back, and unconfirmedAgain the same where keys are not confirmed.
+	overQuotaAgain   = time.Second
+	unconfirmedAgain = time.Second
+)
+
+// workspaces bounds the calls of workspaces: it refuses those with a key that may have been taken
+// away, and those over a quota of the whole mesh.
+type workspaces struct {
+	n       *Node
+	log     zerolog.Logger
+	limiter *quota.Limiter
+
+	mu        sync.Mutex // guards collector
+	collector *quota.Collector
+	// collecting holds an element when a node may have begun to tell this one.
+	collecting chan struct{}
+	quotas     atomic.Pointer[quotas]
+}
+
+// quotas are the limits of one version of the configuration.
+type quotas struct {
+	snapshot *config.Snapshot
+	limits   map[string]quota.Limit
+}
+
+func newWorkspaces(n *Node) *workspaces {
+	return &workspaces{
+		n: n, log: telemetry.Part(n.log, "workspaces"),
+		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), collecting: make(chan struct{}, 1),
+	}
+}
+
+// assured is a spread that knows for how long the version in force may have been replaced.
+type assured interface {
+	AssuredAge(now time.Time) (age time.Duration, known bool)
+}
+
+var _ assured = (*follow.Runner)(nil)
+
+// Confirmed implements proxy.Workspaces.
+func (w *workspaces) Confirmed(now time.Time) *call.Refusal {
+	bound := w.n.set.Workspaces.ConfirmWithin.Duration
+	versions, ok := w.n.control.spread.(assured)
+	if bound == 0 || !ok {
+		return nil
+	}
+	if age, known := versions.AssuredAge(now); known && age < bound {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonUnconfirmed, RetryAfter: around(unconfirmedAgain)}
+}
+
+// Admit implements proxy.Workspaces.
+func (w *workspaces) Admit(_ time.Time, ws *config.Workspace) *call.Refusal {
+	if ws.RatePerSecond == 0 || w.limiter.Admit(ws.Name) {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonOverQuota, RetryAfter: around(overQuotaAgain)}
+}
+
+// GiveBack implements proxy.Workspaces.
+func (w *workspaces) GiveBack(_ time.Time, ws *config.Workspace) {
+	if ws.RatePerSecond > 0 {
+		w.limiter.GiveBack(ws.Name)
+	}
+}
+
+// around returns a time from half to one and a half of mean, so that callers who were refused
+// together don't come back together.
+func around(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
+
+// limits returns the quotas of the configuration in force.
+func (w *workspaces) limits() map[string]quota.Limit {
+	snapshot := w.n.snapshot()
+	if q := w.quotas.Load(); q != nil && q.snapshot == snapshot {
+		return q.limits
+	}
+	set := w.n.set.Workspaces
+	terms := quota.Terms{Window: set.QuotaWindow.Duration, Overage: set.QuotaOverage, Slack: set.QuotaSlack}
+	out := make(map[string]quota.Limit)
+	for _, ws := range snapshot.Workspaces() {
+		if ws.RatePerSecond > 0 {
+			out[ws.Name] = terms.Limit(ws.RatePerSecond, ws.Burst)
+		}
+	}
+	w.quotas.Store(&quotas{snapshot, out})
+	return out
+}
+
+// usageReports is what the reports of a node go by.
+type usageReports struct {
+	w        *workspaces
+	called   time.Time // when a workspace last had calls
+	answered time.Time // when a collector last answered
+	last     []quota.Usage
+	sent     time.Time
+}
+
+// run tells a collector what calls of workspaces there are, and applies its answers, until ctx
+// ends.
+func (w *workspaces) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { w.exchange(ctx) })
+	r := &usageReports{w: w, answered: time.Now(), sent: time.Now()}
+	for ctx.Err() == nil {
+		r.await(ctx)
+		r.once(ctx)
+	}
+}
+
+// await returns when the next report is due.
+func (r *usageReports) await(ctx context.Context) {
+	var due <-chan time.Time
+	if !r.rests(time.Now()) {
+		timer := time.NewTimer(r.w.reportEvery())
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.w.limiter.Surge():
+		_ = wait.For(ctx, quota.SurgeGap-time.Since(r.sent))
+	case <-due:
+	}
+}
+
+// rests reports whether no workspace has had calls for a while.
+func (r *usageReports) rests(now time.Time) bool { return now.Sub(r.called) > usageRest }
+
+// reportEvery is the time between two reports of this node.
+func (w *workspaces) reportEvery() time.Duration {
+	nodes := 0
+	for _, r := range w.n.views.Load().Records {
+		if r.VM.DataCentre == w.n.self.DataCentre {
+			nodes++
+		}
+	}
+	return max(quota.ReportEvery, time.Duration(nodes)*reportPerNode)
+}
+
+// once makes one report.
+func (r *usageReports) once(ctx context.Context) {
+	now := time.Now()
+	span := now.Sub(r.sent)
+	usage := r.w.limiter.Report(now)
+	r.sent = now
+	if slices.ContainsFunc(usage, func(u quota.Usage) bool { return u.Recent > 0 }) {
+		r.called = now
+	}
+	if r.rests(now) {
+		r.answered = now
+		r.w.limiter.Rest()
+		return
+	}
+	parts, ok := r.w.tell(ctx, usage)
+	switch {
+	case ok:
+		r.answered, r.last = time.Now(), usage
+		r.w.limiter.Apply(parts)
+	case now.Sub(r.answered) > quota.AloneAfter:
+		r.w.limiter.Alone(span, r.w.limits(), len(r.w.n.views.Load().Records), r.last)
+	}
+}
+
+// tell tells the first feeder of the data centre that answers.
+func (w *workspaces) tell(ctx context.Context, usage []quota.Usage) ([]quota.Part, bool) {
+	view := w.n.views.Load()
+	for _, id := range distribute.PlaceOf(view, w.n.self.ID, w.n.self.DataCentre).Feeders {
+		if id == w.n.self.ID {
+			return w.decide(func(now time.Time) {
+				w.collector.Node(now, id, w.n.self.Incarnation, usage)
+			}), true
+		}
+		parts, err := w.send(ctx, view.Records[id], usage, false)
+		if err == nil {
+			return parts, true
+		}
+		w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector does not answer, ask the next one")
+	}
+	return nil, false
+}
+
+func (w *workspaces) send(ctx context.Context, to *membership.Seen, usage []quota.Usage, summed bool) ([]quota.Part, error) {
+	ctx, cancel := context.WithTimeout(ctx, usageBound)
+	defer cancel()
+	parts, err := w.n.control.peers.Usage(ctx, to.VM.ID, to.VM.ControlAddr, &peerpb.UsageRequest{
+		Incarnation: w.n.self.Incarnation, Summed: summed, Usage: encodeUsage(usage),
+	})
+	return decodeParts(parts), err
+}
+
+// decide takes a report in, and returns what may pass.
+func (w *workspaces) decide(report func(now time.Time)) []quota.Part {
+	limits := w.limits()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	report(now)
+	select {
+	case w.collecting <- struct{}{}:
+	default:
+	}
+	return w.collector.Decide(now, limits)
+}
+
+// Collect implements peer.Collector.
+func (w *workspaces) Collect(q *peerpb.UsageRequest) []*peerpb.WorkspacePart {
+	usage := decodeUsage(q.Usage)
+	return encodeParts(w.decide(func(now time.Time) {
+		if q.Summed {
+			w.collector.Sum(now, q.From, q.Incarnation, usage)
+			return
+		}
+		w.collector.Node(now, q.From, q.Incarnation, usage)
+	}))
+}
+
+// exchange tells the other collectors what the nodes that tell this one take.
+func (w *workspaces) exchange(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.collecting:
+		}
+		if wait.For(ctx, quota.ExchangeEvery) != nil {
+			return
+		}
+		w.mu.Lock()
+		collects := w.collector.Nodes() > 0
+		sums := w.collector.Sums()
+		w.mu.Unlock()
+		if !collects {
+			continue // others tell this node of sums only
+		}
+		view := w.n.views.Load()
+		var wg sync.WaitGroup
+		for _, id := range w.collectors(view) {
+			wg.Go(func() {
+				if _, err := w.send(ctx, view.Records[id], sums, true); err != nil {
+					w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector was not told of the sums")
+				}
+			})
+		}
+		wg.Wait()
+	}
+}
+
+// collectors returns the nodes that may collect: the feeders of this data centre, and the first
+// ones of the others.
+func (w *workspaces) collectors(view *membership.View) []string {
+	self := w.n.self
+	out := distribute.FirstFeeders(view, self.ID, self.DataCentre)
+	for _, id := range distribute.PlaceOf(view, self.ID, self.DataCentre).Feeders {
+		if id != self.ID {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/workspaces_wire.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/quota"
+)
+
+func encodeUsage(list []quota.Usage) []*peerpb.WorkspaceUsage {
+	out := make([]*peerpb.WorkspaceUsage, len(list))
+	for i, u := range list {
+		out[i] = &peerpb.WorkspaceUsage{
+			Workspace: u.Workspace, Recent: u.Recent, Usual: u.Usual, Admitted: uint64(max(u.Admitted, 0)),
+		}
+	}
+	return out
+}
+
+func decodeUsage(list []*peerpb.WorkspaceUsage) []quota.Usage {
+	out := make([]quota.Usage, len(list))
+	for i, u := range list {
+		out[i] = quota.Usage{
+			Workspace: u.GetWorkspace(), Recent: u.GetRecent(), Usual: u.GetUsual(), Admitted: int64(u.GetAdmitted()),
+		}
+	}
+	return out
+}
+
+func encodeParts(list []quota.Part) []*peerpb.WorkspacePart {
+	out := make([]*peerpb.WorkspacePart, len(list))
+	for i, p := range list {
+		out[i] = &peerpb.WorkspacePart{Workspace: p.Workspace, Part: p.Part}
+	}
+	return out
+}
+
+func decodeParts(list []*peerpb.WorkspacePart) []quota.Part {
+	out := make([]quota.Part, len(list))
+	for i, p := range list {
+		out[i] = quota.Part{Workspace: p.GetWorkspace(), Part: p.GetPart()}
+	}
+	return out
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -266,6 +266,21 @@
 	return answer.Servers, nil
 }
 
+// Usage tells the VM to what is taken of the workspaces' quotas, and returns which parts of the
+// calls may pass.
+func (c *Client) Usage(ctx context.Context, to, addr string, req *peerpb.UsageRequest) ([]*peerpb.WorkspacePart, error) {
+	req.Mesh, req.From = c.cfg.Mesh, c.cfg.VM
+	answer, peer, err := send(ctx, c, kindUsage, req, c.to(addr).Usage)
+	if err != nil {
+		return nil, err
+	}
+	if answer.From != to || (peer != "" && peer != to) {
+		c.cfg.Metrics.dropped.Inc()
+		return nil, ErrImpostor
+	}
+	return answer.Parts, nil
+}
+
 // send makes one exchange, bounds it and counts it. It returns the VM that the
 // connection's certificate names, or "" without TLS.
 func send[Q, A proto.Message](ctx context.Context, c *Client, k kind, q Q, call func(context.Context, Q) (A, error)) (A, string, error) {
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -33,6 +33,7 @@
 	kindAlert    kind = "alert"
 	kindReport   kind = "report"
 	kindRollout  kind = "rollout"
+	kindUsage    kind = "usage"
 )
 
 type kindMetrics struct {
@@ -50,7 +51,7 @@
 		kinds:    make(map[kind]*kindMetrics),
 		refused:  make(map[trust.Reason]*metrics.Counter),
 	}
-	for _, k := range []kind{kindExchange, kindTell, kindPull, kindSubmit, kindAlert, kindReport, kindRollout} {
+	for _, k := range []kind{kindExchange, kindTell, kindPull, kindSubmit, kindAlert, kindReport, kindRollout, kindUsage} {
 		l := `{kind="` + string(k) + `"}`
 		m.kinds[k] = &kindMetrics{
 			sent:     set.NewCounter("marlpass_peer_sent_total" + l),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -51,6 +51,12 @@
 	Instruct(*peerpb.RolloutRequest) []*peerpb.RolloutServer
 }
 
+// Collector sums up what nodes take of the workspaces' quotas, and answers which parts of
+// the calls may pass.
+type Collector interface {
+	Collect(*peerpb.UsageRequest) []*peerpb.WorkspacePart
+}
+
 // ServerConfig is what a Server works with.
 type ServerConfig struct {
 	Mesh, VM   string
@@ -65,6 +71,7 @@
 	Alerts     Alerts
 	Reporter   Reporter
 	Rollouts   Rollouts
+	Collector  Collector
 }
 
 // Server answers other nodes.
@@ -267,6 +274,18 @@
 	return a, nil
 }
 
+// Usage implements peerpb.Peer.
+func (s *service) Usage(ctx context.Context, q *peerpb.UsageRequest) (*peerpb.UsageResponse, error) {
+	if err := s.admit(ctx, kindUsage, q); err != nil {
+		return nil, err
+	}
+	a := &peerpb.UsageResponse{From: s.cfg.VM, Parts: s.cfg.Collector.Collect(q)}
+	if err := s.answered(kindUsage, a); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
 // debugWriter logs what net/http has to say, such as failed handshakes, which
 // are counted by reason already.
 type debugWriter struct{ log zerolog.Logger }
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -18,6 +19,11 @@
 	// node may say of where the call came from. ok is false when the caller
 	// asked for something that is no time.
 	Arrive(h http.Header, t *config.Target) (left time.Duration, ok bool)
+	// TakeKey returns the caller's API key, or "". It removes what the caller says of its
+	// workspace, and the key itself if hide is set.
+	TakeKey(h http.Header, hide bool) string
+	// SetWorkspace tells backend servers the workspace of a call.
+	SetWorkspace(h http.Header, name string)
 	// Attempt returns the headers that one attempt adds for the backend server.
 	// Left is rounded down, so that a hop never grants more than there is.
 	Attempt(left time.Duration, instance string) AttemptHeaders
@@ -64,6 +70,35 @@
 	return left, ok
 }
 
+const (
+	headerAuthorization = "Authorization"
+	// headerWorkspace names the workspace of a call to backend servers.
+	headerWorkspace = "X-Workspace"
+	keyScheme       = "Bearer"
+)
+
+// TakeKey implements Dialect.
+func (ownDialect) TakeKey(h http.Header, hide bool) string {
+	delete(h, headerWorkspace)
+	return TakeCredentials(h, keyScheme, hide)
+}
+
+// SetWorkspace implements Dialect.
+func (ownDialect) SetWorkspace(h http.Header, name string) { h[headerWorkspace] = []string{name} }
+
+// TakeCredentials returns the credentials of a scheme (RFC 9110, 11.4), or "". It removes them
+// if hide is set, and leaves those of other schemes to the backend servers.
+func TakeCredentials(h http.Header, scheme string, hide bool) string {
+	given, credentials, _ := strings.Cut(first(h, headerAuthorization), " ")
+	if !strings.EqualFold(given, scheme) {
+		return ""
+	}
+	if hide {
+		delete(h, headerAuthorization)
+	}
+	return strings.TrimSpace(credentials)
+}
+
 // Attempt implements Dialect.
 func (ownDialect) Attempt(left time.Duration, _ string) AttemptHeaders {
 	nonce, ms := attemptHeaders(left)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -14,18 +14,20 @@
 
 // EntryParts are what an Entry is made of. Admitter and Suspects may be nil.
 type EntryParts struct {
-	Self      string // this node's VM
-	Programs  Programs
-	Starting  Starting // nil where the node is ready
-	Admitter  Admitter
-	Pickers   Pickers
-	Retrier   Retrier
-	Suspects  Suspects
-	Local     *Destination // of this VM; nil sends every call over a socket
-	Upstreams *Upstreams
-	Meters    *Meters // of the calls that enter here; its own when nil
-	Tracer    *Tracer
-	Dialect   Dialect // marlpass's own when nil
+	Self     string // this node's VM
+	Programs Programs
+	Starting Starting // nil where the node is ready
+	Admitter Admitter
+	Pickers  Pickers
+	Retrier  Retrier
+	Suspects Suspects
+	// Workspaces bounds the calls of workspaces; nil bounds none.
+	Workspaces Workspaces
+	Local      *Destination // of this VM; nil sends every call over a socket
+	Upstreams  *Upstreams
+	Meters     *Meters // of the calls that enter here; its own when nil
+	Tracer     *Tracer
+	Dialect    Dialect // marlpass's own when nil
 	// Decisions takes a line for each decision that needs one; nil writes none.
 	Decisions *decisions.Log
 	// WaitOut gives every attempt all of the call's time, where an endpoint that
@@ -93,6 +95,8 @@
 	below    bool // the call is part of one that is being retried
 	// lost is why an attempt that may have run gave no answer, or nil.
 	lost error
+	// workspace is the one whose quota the call counts against, or nil.
+	workspace *config.Workspace
 }
 
 var enterings = sync.Pool{New: func() any { return new(entering) }}
@@ -192,6 +196,11 @@
 		return refuse(call.ReasonTooLarge, 0, "")
 	}
 	c.maxBody = p.MaxBody
+	if e.Admitter != nil {
+		if refusal := e.Admitter.Admit(c.start, t); refusal != nil {
+			return refusal
+		}
+	}
 	left, ok := e.Dialect.Arrive(c.r.Header, t)
 	if !ok {
 		return refuse(call.ReasonBadRequest, 0, "the deadline is not a number of milliseconds")
@@ -200,10 +209,7 @@
 		return refuse(call.ReasonExpired, 0, "")
 	}
 	c.deadline = c.start.Add(left)
-	if e.Admitter != nil {
-		return e.Admitter.Admit(c.start, t)
-	}
-	return nil
+	return e.authenticate(c, p.Keys)
 }
 
 // MayRunAhead reports whether a call may run before its caller's earlier calls on
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -49,6 +49,7 @@
 		e.unknown(w, c)
 		return
 	}
+	e.giveBack(c)
 	if c.class != nil {
 		c.class.Refused(e.Now(), r.Reason)
 	} else {
--- /dev/null
+++ b/internal/proxy/key_test.go
@@ -0,0 +1,148 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
+)
+
+const (
+	keyOfHarbour = "harbour-key"
+	workspaceOne = "harbour"
+)
+
+// keyed is a program with a single class and one workspace.
+type keyed struct {
+	one
+	keys *config.Keyring
+}
+
+func (k keyed) Program() *Program { return &Program{Matcher: k.one, Targets: k.one, Keys: k.keys} }
+
+func keyring(t *testing.T) *config.Keyring {
+	t.Helper()
+	s, err := config.New(1, config.Hash{}, []config.Object{config.EncodeWorkspace(config.Workspace{
+		Name: workspaceOne, Team: "yard", Keys: []config.KeyDigest{config.DigestOf(keyOfHarbour)},
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.NewKeyring(s)
+}
+
+// quotas is a Workspaces that refuses as told.
+type quotas struct {
+	confirmed, admit *call.Refusal
+	counted          int
+}
+
+func (q *quotas) Confirmed(time.Time) *call.Refusal { return q.confirmed }
+
+func (q *quotas) Admit(time.Time, *config.Workspace) *call.Refusal {
+	if q.admit == nil {
+		q.counted++
+	}
+	return q.admit
+}
+
+func (q *quotas) GiveBack(time.Time, *config.Workspace) { q.counted-- }
+
+// Guards against a key that reaches a backend server, and against a caller that names its own
+// workspace.
+func TestKeys(t *testing.T) {
+	keyless := bookings()
+	keyless.Keyless = true
+	for _, tt := range []struct {
+		name      string
+		target    *config.Target
+		given     string
+		status    int
+		workspace string
+		passedOn  string
+	}{
+		{"known", bookings(), "Bearer " + keyOfHarbour, http.StatusOK, workspaceOne, ""},
+		{"scheme in lower case", bookings(), "bearer " + keyOfHarbour, http.StatusOK, workspaceOne, ""},
+		{"unknown", bookings(), "Bearer other", http.StatusUnauthorized, "", ""},
+		{"empty", bookings(), "Bearer ", http.StatusUnauthorized, "", ""},
+		{"none", bookings(), "", http.StatusUnauthorized, "", ""},
+		{"another scheme", bookings(), "Basic " + keyOfHarbour, http.StatusUnauthorized, "", ""},
+		{"keyless class, none", keyless, "", http.StatusOK, "", ""},
+		{"keyless class, known", keyless, "Bearer " + keyOfHarbour, http.StatusOK, workspaceOne, ""},
+		{"keyless class, unknown", keyless, "Bearer other", http.StatusOK, "", ""},
+		{"keyless class, another scheme", keyless, "Basic own", http.StatusOK, "", "Basic own"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var got http.Header
+			m := newMesh(t, tt.target, func(_ http.ResponseWriter, r *http.Request) { got = r.Header })
+			m.entry.Programs = keyed{one{tt.target}, keyring(t)}
+			resp, _, err := m.call("POST", "/launch", "x", headerAuthorization, tt.given, headerWorkspace, "forged")
+			if err != nil || resp.StatusCode != tt.status {
+				t.Fatalf("%v %v", resp, err)
+			}
+			if got.Get(headerWorkspace) != tt.workspace || got.Get(headerAuthorization) != tt.passedOn {
+				t.Errorf("the backend server got %v", got)
+			}
+			if ran := m.runs.Load() == 1; ran != (tt.status == http.StatusOK) {
+				t.Errorf("run: %v", ran)
+			}
+		})
+	}
+}
+
+// Guards against credentials that are taken from callers where the configuration has no
+// workspaces.
+func TestCredentialsWithoutWorkspaces(t *testing.T) {
+	var got http.Header
+	m := newMesh(t, bookings(), func(_ http.ResponseWriter, r *http.Request) { got = r.Header })
+	if _, _, err := m.call("POST", "/launch", "x", headerAuthorization, "Bearer own"); err != nil {
+		t.Fatal(err)
+	}
+	if got.Get(headerAuthorization) != "Bearer own" {
+		t.Errorf("the backend server got %v", got)
+	}
+}
+
+func TestWorkspaceRefusals(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		quotas *quotas
+		status int
+		reason call.Reason
+	}{
+		{"not confirmed", &quotas{confirmed: &call.Refusal{Reason: call.ReasonUnconfirmed, RetryAfter: time.Second}}, http.StatusServiceUnavailable, call.ReasonUnconfirmed},
+		{"over the quota", &quotas{admit: &call.Refusal{Reason: call.ReasonOverQuota, RetryAfter: time.Second}}, http.StatusTooManyRequests, call.ReasonOverQuota},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) {})
+			m.entry.Programs = keyed{one{bookings()}, keyring(t)}
+			m.entry.Workspaces = tt.quotas
+			resp, _, err := m.call("POST", "/launch", "x", headerAuthorization, "Bearer "+keyOfHarbour)
+			if err != nil || resp.StatusCode != tt.status || resp.Header.Get(call.HeaderNotRun) != string(tt.reason) {
+				t.Fatalf("%v %v", resp, err)
+			}
+			if resp.Header.Get("Retry-After") != "1" || m.runs.Load() != 0 {
+				t.Errorf("%v, run %d times", resp.Header, m.runs.Load())
+			}
+		})
+	}
+}
+
+// Guards against a quota that is used up by calls that no backend server ran.
+func TestRefusedCallIsGivenBack(t *testing.T) {
+	m := newMesh(t, bookings(), func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	m.entry.Programs = keyed{one{bookings()}, keyring(t)}
+	q := new(quotas)
+	m.entry.Workspaces = q
+	key := []string{headerAuthorization, "Bearer " + keyOfHarbour}
+	if resp, _, err := m.call("POST", "/launch", "x", key...); err != nil || resp.StatusCode != http.StatusOK || q.counted != 1 {
+		t.Fatalf("%v %v, counted %d", resp, err, q.counted)
+	}
+	m.picks.Set(nil)
+	if resp, _, err := m.call("POST", "/launch", "x", key...); err != nil || resp.StatusCode != http.StatusServiceUnavailable || q.counted != 1 {
+		t.Fatalf("%v %v, counted %d", resp, err, q.counted)
+	}
+}
--- a/internal/proxy/notrun.go
+++ b/internal/proxy/notrun.go
@@ -245,8 +245,10 @@
 		return http.StatusForbidden
 	case call.ReasonNotHeld:
 		return http.StatusMisdirectedRequest
-	case call.ReasonOverRate:
+	case call.ReasonOverRate, call.ReasonOverQuota:
 		return http.StatusTooManyRequests
+	case call.ReasonNoKey:
+		return http.StatusUnauthorized
 	case call.ReasonExpired:
 		return http.StatusGatewayTimeout
 	case call.ReasonKeyReused:
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -28,6 +28,8 @@
 	Version config.Version
 	// MaxBody bounds the body of a call, in bytes; zero means no bound.
 	MaxBody int64
+	// Keys finds the workspaces of callers; nil where callers need no key.
+	Keys *config.Keyring
 }
 
 // Programs gives the program in force. It is called once for each call.
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -7,12 +7,34 @@
 	"time"
 )
 
-// Limit is the quota of one workspace over the whole mesh.
+// Limit is what calls of one workspace may pass in the whole mesh.
 type Limit struct {
 	Rate  float64 // calls a second
 	Burst float64 // calls at once beyond the rate
 }
 
+// Terms say how users count the calls of a workspace against its quota.
+type Terms struct {
+	// Window is the span over which they count; zero where the quota is a token bucket.
+	Window time.Duration
+	// Overage and Slack are what may be beyond the quota in a window: a share of it, and calls.
+	Overage, Slack float64
+}
+
+// toleranceUsed is the part of the tolerance that workspaces may use. The rest is for what nodes
+// don't know of each other yet.
+const toleranceUsed = 0.25
+
+// Limit returns the limit of a quota of rate calls a second and burst calls more. A workspace
+// that takes its whole quota in each window takes the burst in each of them as well.
+func (t Terms) Limit(rate, burst float64) Limit {
+	if t.Window <= 0 {
+		return Limit{Rate: rate, Burst: burst + toleranceUsed*t.Slack}
+	}
+	whole := rate*t.Window.Seconds() + burst
+	return Limit{Rate: whole / t.Window.Seconds(), Burst: toleranceUsed * (t.Overage*whole + t.Slack)}
+}
+
 const (
 	// spreadOver is the time over which the calls that a bucket holds may pass, or what was
 	// passed too much is made up for.
@@ -25,6 +47,9 @@
 	// keepFor is for how long that share is kept from all others. Longer cuts are rare, and a
 	// node that is gone keeps nothing from them for longer.
 	keepFor = 10 * time.Second
+	// keptMore is what is kept over such a share, since the two sides of a cut don't agree on it
+	// exactly.
+	keptMore = 1.1
 	// decideEvery is the least time between two decisions. Reports in between get the last one.
 	decideEvery = 50 * time.Millisecond
 	// steadyCalls is how many calls a mean is taken over, and longestMean the longest time.
@@ -166,7 +191,7 @@
 
 // less returns what is left of a quota of which others keep a share.
 func (l Limit) less(share float64) Limit {
-	left := max(1-share, 0)
+	left := max(1-keptMore*share, 0)
 	return Limit{Rate: l.Rate * left, Burst: l.Burst * left}
 }
 
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,6 +1,6 @@
 // Package quota keeps the calls of each workspace within its quota over the whole mesh.
 //
-// Every node counts the calls of each workspace that enter there. About twice a second it tells
+// Every node counts the calls of each workspace that enter there. Several times a second it tells
 // a collector, a feeder of its data centre, what was asked for and what passed, and the answer
 // names the workspaces whose calls may not all pass, with the part that may. A node whose calls
 // come much faster than usual tells it sooner. Collectors tell each other the sums of their
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -49,9 +49,6 @@
 	next time.Time
 }
 
-// spare is the part of the users' slack that the limits let workspaces use.
-const spare = slackCalls / 4
-
 // newSim makes a mesh whose workspaces follow a Zipf curve with an exponent of 1.2, with quotas
 // of 1.6 times what they ask for and a second's burst.
 func newSim(seed uint64, nodes, dcs, workspaces int, total float64) *sim {
@@ -68,7 +65,7 @@
 	for i := range workspaces {
 		name := fmt.Sprintf("w%02d", i)
 		usual[name] = total * math.Pow(float64(i+1), -1.2) / sum
-		s.limits[name] = Limit{Rate: 1.6 * usual[name], Burst: 1.6*usual[name] + spare}
+		s.limits[name] = Terms{Window: window, Overage: overage, Slack: slackCalls}.Limit(1.6*usual[name], 1.6*usual[name])
 		s.names = append(s.names, name)
 	}
 	s.rate = func(name string, _ time.Duration) float64 { return usual[name] }
@@ -168,8 +165,7 @@
 
 // allowed is the users' bound on what passes within a window.
 func (s *sim) allowed(name string) float64 {
-	l := s.limits[name]
-	return (l.Rate*window.Seconds()+l.Burst-spare)*(1+overage) + slackCalls
+	return s.limits[name].Rate*window.Seconds()*(1+overage) + slackCalls
 }
 
 // within checks that no workspace took more than its quota in any window.
@@ -197,9 +193,9 @@
 func (s *sim) ideal(name string) []time.Duration {
 	l := s.limits[name]
 	var passed []time.Duration
-	level, last := l.Burst-spare, time.Duration(0)
+	level, last := l.Burst, time.Duration(0)
 	for _, at := range s.asked[name] {
-		level = min(level+l.Rate*(at-last).Seconds(), l.Burst-spare)
+		level = min(level+l.Rate*(at-last).Seconds(), l.Burst)
 		last = at
 		if level >= 1 {
 			level--
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,6 +44,14 @@
 	c.within("drain.grace", n.Drain.Grace, 0, maxDrainLimit)
 	c.within("announce.renew", n.Announce.Renew, 0, time.Hour)
 	c.within("drain.word", n.Drain.Word, 0, n.Drain.NoticeOr(time.Second))
+	c.within("workspaces.confirm_within", n.Workspaces.ConfirmWithin, 0, time.Hour)
+	c.within("workspaces.quota_window", n.Workspaces.QuotaWindow, 0, time.Hour)
+	if n.Workspaces.QuotaOverage < 0 || n.Workspaces.QuotaOverage > 1 {
+		c.problem("workspaces.quota_overage", n.Workspaces.QuotaOverage, "a number from 0 to 1")
+	}
+	if n.Workspaces.QuotaSlack < 0 {
+		c.problem("workspaces.quota_slack", n.Workspaces.QuotaSlack, "a number of at least 0")
+	}
 	n.checkForm(&c)
 	c.oneOf("log.level", n.Log.Level, telemetry.LogLevels...)
 	if n.Trace.Endpoint != "" {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,18 +22,19 @@
 	// Mesh names the mesh; nodes of another mesh are refused.
 	Mesh string `toml:"mesh"`
 	// Profile is ProfileBytes or ProfileTime.
-	Profile   string     `toml:"profile"`
-	VM        VM         `toml:"vm"`
-	Listen    Listen     `toml:"listen"`
-	Platform  Platform   `toml:"platform"`
-	Peers     Peers      `toml:"peers"`
-	TLS       TLS        `toml:"tls"`
-	Operators []Operator `toml:"operator"`
-	Drain     Drain      `toml:"drain"`
-	Retries   Retries    `toml:"retries"`
-	Announce  Announce   `toml:"announce"`
-	Log       Log        `toml:"log"`
-	Trace     Trace      `toml:"trace"`
+	Profile    string     `toml:"profile"`
+	VM         VM         `toml:"vm"`
+	Listen     Listen     `toml:"listen"`
+	Platform   Platform   `toml:"platform"`
+	Peers      Peers      `toml:"peers"`
+	TLS        TLS        `toml:"tls"`
+	Operators  []Operator `toml:"operator"`
+	Drain      Drain      `toml:"drain"`
+	Retries    Retries    `toml:"retries"`
+	Announce   Announce   `toml:"announce"`
+	Workspaces Workspaces `toml:"workspaces"`
+	Log        Log        `toml:"log"`
+	Trace      Trace      `toml:"trace"`
 }
 
 // VM says which machine this is.
@@ -121,6 +122,21 @@
 	Window strict.Duration `toml:"window"`
 }
 
+// Workspaces bounds what callers with API keys may do.
+type Workspaces struct {
+	// ConfirmWithin is how long after the source of versions was last heard API keys are
+	// believed. Calls with keys are refused after that, since a key may have been taken away
+	// meanwhile. Zero believes them for however long.
+	ConfirmWithin strict.Duration `toml:"confirm_within"`
+	// QuotaWindow is the span over which the calls of a workspace in the whole mesh are counted
+	// against its quota; zero where the quota is a token bucket.
+	QuotaWindow strict.Duration `toml:"quota_window"`
+	// QuotaOverage and QuotaSlack are what may be beyond the quota in a window: a share of it,
+	// and calls.
+	QuotaOverage float64 `toml:"quota_overage"`
+	QuotaSlack   float64 `toml:"quota_slack"`
+}
+
 // Peers holds what is needed for first contact.
 type Peers struct {
 	// Seeds are control addresses that are tried when the platform is down.
