Say once how nodes serve each other, and log workspaces over their quota

Cause: each request between nodes repeated its admission, counting and check of who answered; with one more kind the same lines stood six times. Nothing told operators which workspace was limited.

Change: serve and comesFrom in internal/peer; a line when a workspace begins to be over its quota and when it is within it again.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -29,6 +29,8 @@
 	reportPerNode = 8 * time.Millisecond
 	// usageRest is how long a node goes on telling its usage after the last call of a workspace.
 	usageRest = 10 * time.Second
+	// limitedRest is how long a workspace has to be within its quota to count as such again.
+	limitedRest = 3 * time.Second
 	// overQuotaAgain is the mean time after which callers over their quota are told to come
 	// back, and unconfirmedAgain the same where keys are not confirmed.
 	overQuotaAgain   = time.Second
@@ -42,8 +44,9 @@
 	log     zerolog.Logger
 	limiter *quota.Limiter
 
-	mu        sync.Mutex // guards collector
+	mu        sync.Mutex // guards collector, limited
 	collector *quota.Collector
+	limited   map[string]time.Time // when a workspace was last over its quota
 	// collecting holds an element when a node may have begun to tell this one.
 	collecting chan struct{}
 	quotas     atomic.Pointer[quotas]
@@ -59,6 +62,7 @@
 	return &workspaces{
 		n: n, log: telemetry.Part(n.log, "workspaces"),
 		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), collecting: make(chan struct{}, 1),
+		limited: make(map[string]time.Time),
 	}
 }
 
@@ -233,7 +237,28 @@
 	case w.collecting <- struct{}{}:
 	default:
 	}
-	return w.collector.Decide(now, limits)
+	parts := w.collector.Decide(now, limits)
+	w.logLimited(now, parts, limits)
+	return parts
+}
+
+// logLimited tells of workspaces that begin to be over their quota, and of those that have not
+// been for a while. The caller holds w.mu.
+func (w *workspaces) logLimited(now time.Time, parts []quota.Part, limits map[string]quota.Limit) {
+	for _, p := range parts {
+		if _, known := w.limited[p.Workspace]; !known {
+			w.log.Info().Str("workspace", p.Workspace).Float64("part", p.Part).
+				Float64("asked_per_s", w.collector.Asked(p.Workspace)).Float64("limit_per_s", limits[p.Workspace].Rate).
+				Msg("workspaces: a workspace is over its quota")
+		}
+		w.limited[p.Workspace] = now
+	}
+	for name, at := range w.limited {
+		if now.Sub(at) > limitedRest {
+			delete(w.limited, name)
+			w.log.Info().Str("workspace", name).Msg("workspaces: a workspace is within its quota again")
+		}
+	}
 }
 
 // Collect implements peer.Collector.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -217,9 +217,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if answer.From != to || (peer != "" && peer != to) {
-		c.cfg.Metrics.dropped.Inc()
-		return nil, ErrImpostor
+	if err := c.comesFrom(to, answer.From, peer); err != nil {
+		return nil, err
 	}
 	return answer, nil
 }
@@ -245,9 +244,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if answer.From != to || (peer != "" && peer != to) {
-		c.cfg.Metrics.dropped.Inc()
-		return nil, ErrImpostor
+	if err := c.comesFrom(to, answer.From, peer); err != nil {
+		return nil, err
 	}
 	return answer.Report, nil
 }
@@ -259,9 +257,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if answer.From != to || (peer != "" && peer != to) {
-		c.cfg.Metrics.dropped.Inc()
-		return nil, ErrImpostor
+	if err := c.comesFrom(to, answer.From, peer); err != nil {
+		return nil, err
 	}
 	return answer.Servers, nil
 }
@@ -274,13 +271,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if answer.From != to || (peer != "" && peer != to) {
-		c.cfg.Metrics.dropped.Inc()
-		return nil, ErrImpostor
+	if err := c.comesFrom(to, answer.From, peer); err != nil {
+		return nil, err
 	}
 	return answer.Parts, nil
 }
 
+// comesFrom checks that an answer comes from the VM that was asked. Certified is the VM that the
+// connection's certificate names, or "".
+func (c *Client) comesFrom(asked, from, certified string) error {
+	if from == asked && (certified == "" || certified == asked) {
+		return nil
+	}
+	c.cfg.Metrics.dropped.Inc()
+	return ErrImpostor
+}
+
 // send makes one exchange, bounds it and counts it. It returns the VM that the
 // connection's certificate names, or "" without TLS.
 func send[Q, A proto.Message](ctx context.Context, c *Client, k kind, q Q, call func(context.Context, Q) (A, error)) (A, string, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -204,84 +204,73 @@
 
 // Pull implements peerpb.Peer.
 func (s *service) Pull(ctx context.Context, q *peerpb.PullRequest) (*peerpb.PullResponse, error) {
-	if err := s.admit(ctx, kindPull, q); err != nil {
-		return nil, err
-	}
-	a, err := s.cfg.Spread.ServePull(q)
-	if err != nil {
-		s.cfg.Metrics.kinds[kindPull].errors.Inc()
-		return nil, twirp.InvalidArgument.Error(err.Error())
-	}
-	a.From = s.cfg.VM
-	if err := s.answered(kindPull, a); err != nil {
-		return nil, err
-	}
-	return a, nil
+	return serve(ctx, s, kindPull, q, func() (*peerpb.PullResponse, error) {
+		a, err := s.cfg.Spread.ServePull(q)
+		if err != nil {
+			return nil, twirp.InvalidArgument.Error(err.Error())
+		}
+		a.From = s.cfg.VM
+		return a, nil
+	})
 }
 
 // Submit implements peerpb.Peer.
 func (s *service) Submit(ctx context.Context, q *peerpb.SubmitRequest) (*peerpb.SubmitResponse, error) {
-	if err := s.admit(ctx, kindSubmit, q); err != nil {
-		return nil, err
-	}
-	result, err := s.cfg.Submitter.Submit(ctx, q.From, q.Command)
-	if err != nil {
-		s.cfg.Metrics.kinds[kindSubmit].errors.Inc()
-		return nil, twirp.Unavailable.Error(err.Error())
-	}
-	a := &peerpb.SubmitResponse{Result: result}
-	if err := s.answered(kindSubmit, a); err != nil {
-		return nil, err
-	}
-	return a, nil
+	return serve(ctx, s, kindSubmit, q, func() (*peerpb.SubmitResponse, error) {
+		result, err := s.cfg.Submitter.Submit(ctx, q.From, q.Command)
+		if err != nil {
+			return nil, twirp.Unavailable.Error(err.Error())
+		}
+		return &peerpb.SubmitResponse{Result: result}, nil
+	})
 }
 
 // Alert implements peerpb.Peer.
 func (s *service) Alert(ctx context.Context, q *peerpb.AlertRequest) (*peerpb.AlertResponse, error) {
-	if err := s.admit(ctx, kindAlert, q); err != nil {
-		return nil, err
-	}
-	s.cfg.Alerts.Alert(q.From, q.Notices)
-	return &peerpb.AlertResponse{}, nil
+	return serve(ctx, s, kindAlert, q, func() (*peerpb.AlertResponse, error) {
+		s.cfg.Alerts.Alert(q.From, q.Notices)
+		return &peerpb.AlertResponse{}, nil
+	})
 }
 
 // Report implements peerpb.Peer.
 func (s *service) Report(ctx context.Context, q *peerpb.ReportRequest) (*peerpb.ReportResponse, error) {
-	if err := s.admit(ctx, kindReport, q); err != nil {
-		return nil, err
-	}
-	report, err := s.cfg.Reporter.Report()
-	if err != nil {
-		s.cfg.Metrics.kinds[kindReport].errors.Inc()
-		return nil, twirp.InternalErrorWith(err)
-	}
-	a := &peerpb.ReportResponse{From: s.cfg.VM, Report: report}
-	if err := s.answered(kindReport, a); err != nil {
-		return nil, err
-	}
-	return a, nil
+	return serve(ctx, s, kindReport, q, func() (*peerpb.ReportResponse, error) {
+		report, err := s.cfg.Reporter.Report()
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		return &peerpb.ReportResponse{From: s.cfg.VM, Report: report}, nil
+	})
 }
 
 // Rollout implements peerpb.Peer.
 func (s *service) Rollout(ctx context.Context, q *peerpb.RolloutRequest) (*peerpb.RolloutResponse, error) {
-	if err := s.admit(ctx, kindRollout, q); err != nil {
-		return nil, err
-	}
-	a := &peerpb.RolloutResponse{From: s.cfg.VM, Servers: s.cfg.Rollouts.Instruct(q)}
-	if err := s.answered(kindRollout, a); err != nil {
-		return nil, err
-	}
-	return a, nil
+	return serve(ctx, s, kindRollout, q, func() (*peerpb.RolloutResponse, error) {
+		return &peerpb.RolloutResponse{From: s.cfg.VM, Servers: s.cfg.Rollouts.Instruct(q)}, nil
+	})
 }
 
 // Usage implements peerpb.Peer.
 func (s *service) Usage(ctx context.Context, q *peerpb.UsageRequest) (*peerpb.UsageResponse, error) {
-	if err := s.admit(ctx, kindUsage, q); err != nil {
-		return nil, err
+	return serve(ctx, s, kindUsage, q, func() (*peerpb.UsageResponse, error) {
+		return &peerpb.UsageResponse{From: s.cfg.VM, Parts: s.cfg.Collector.Collect(q)}, nil
+	})
+}
+
+// serve answers a request that may be admitted, and counts both.
+func serve[Q fromPeer, A proto.Message](ctx context.Context, s *service, k kind, q Q, answer func() (A, error)) (A, error) {
+	var none A
+	if err := s.admit(ctx, k, q); err != nil {
+		return none, err
 	}
-	a := &peerpb.UsageResponse{From: s.cfg.VM, Parts: s.cfg.Collector.Collect(q)}
-	if err := s.answered(kindUsage, a); err != nil {
-		return nil, err
+	a, err := answer()
+	if err != nil {
+		s.cfg.Metrics.kinds[k].errors.Inc()
+		return none, err
+	}
+	if err := s.answered(k, a); err != nil {
+		return none, err
 	}
 	return a, nil
 }
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -277,6 +277,9 @@
 	}
 }
 
+// Asked returns the rate of a workspace's calls asked for in the whole mesh, a second.
+func (c *Collector) Asked(workspace string) float64 { return c.bucket(workspace).asked }
+
 // Nodes returns how many nodes tell this collector.
 func (c *Collector) Nodes() int { return len(c.nodes) }
 
