Ask the source as often as the stated bound asks for

Cause: the reader of each data centre had the source answer every 0.6 s whatever the users allow.

Change: versions.in_force_within; the questions follow it (three tenths), and so do the age from which a confirmation is stale and the delay of a pull. 2 s, as before, where nothing is stated.

Drawn troubles (36 meshes, bounds of 2.5, 4 and 13 s): every version in time.

--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -10,16 +10,15 @@
 )
 
 const (
-	// confirmEvery is the longest time between two answers that a node takes from the source
-	// while others depend on its reading: the source holds a question for so long, and the node
-	// pauses for so long after a version.
-	confirmEvery = 600 * time.Millisecond
+	// confirmPart is the part of the time in which a version has to be in force that may pass
+	// between two answers of the source to a node whose reading others depend on. Nodes that
+	// then miss a confirmation, ask for one in vain and read by themselves have the rest.
+	confirmPart = 0.3
 	// sourceHold is for how long the source holds a question of a node whose reading nobody
 	// depends on. Long, since platforms charge for every question.
 	sourceHold = 25 * time.Second
-	// staleAfter is the age from which on a confirmation shows that whoever reads the source
-	// gets no answer. Over confirmEvery it leaves time for an answer and its way.
-	staleAfter = confirmEvery + 250*time.Millisecond
+	// answerTime is what an answer of the source and its way to others may take.
+	answerTime = 250 * time.Millisecond
 	// askTimeout bounds a question to a teller.
 	askTimeout = 350 * time.Millisecond
 	// askMargin is how long a node waits for a confirmation that is due before it asks.
@@ -127,9 +126,9 @@
 // answers: of a feeder, or of a node above this one in a tree.
 func (s *State) confirmedWithin(place distribute.Place, teller int) time.Duration {
 	if place.Depth < 2 || teller > 0 {
-		return staleAfter
+		return s.set.staleAfter()
 	}
-	return staleAfter + askTreeEvery*time.Duration(place.Depth-1)
+	return s.set.staleAfter() + askTreeEvery*time.Duration(place.Depth-1)
 }
 
 // fed reports whether versions come to the node by others, if it is no feeder.
@@ -191,7 +190,7 @@
 	if !s.Reads(view) {
 		return sourceHold
 	}
-	return max(0, confirmEvery-now.Sub(s.answered))
+	return max(0, s.set.confirmEvery()-now.Sub(s.answered))
 }
 
 // Reports returns the nodes to tell of each answer of the source: the feeders, which others ask.
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -12,7 +12,7 @@
 //
 // Silence of the feeders may mean that nothing has changed, or that they get no answer. So each
 // message says how old the newest answer of the source is that confirms the sender's version.
-// The first feeder has the source answer every confirmEvery, and tells the second. Each other
+// The first feeder has the source answer every Settings.confirmEvery, and tells the second. Each other
 // node asks a feeder once its confirmation has grown old. Where no feeder has a newer one, since
 // the source leaves them without an answer, they are behind a cut, or gone, the node reads the
 // source by itself, and reports to the feeders what it reads and that it was answered, so that
--- a/internal/follow/mesh_test.go
+++ b/internal/follow/mesh_test.go
@@ -47,6 +47,7 @@
 	reads    int           // questions to the source
 	refuses  bool          // the source turns every question away at once
 	given    int           // versions that the source gave, each whole
+	within   time.Duration // in which a version has to be in force
 }
 
 type acceptedAt struct {
@@ -72,18 +73,23 @@
 // withMesh runs test in virtual time with nodes in data centres of the given sizes that hold the
 // first version.
 func withMesh(t *testing.T, sizes []int, test func(m *meshOfNodes)) {
+	withMeshWithin(t, inForceWithin, sizes, test)
+}
+
+// withMeshWithin is withMesh for versions that have to be in force within some time.
+func withMeshWithin(t *testing.T, within time.Duration, sizes []int, test func(m *meshOfNodes)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		m := newMeshOfNodes(t, ctx, sizes)
+		m := newMeshOfNodes(t, ctx, within, sizes)
 		test(m)
 		stop()
 		time.Sleep(meshSettles) // until the messages under way have ended
 	})
 }
 
-func newMeshOfNodes(t *testing.T, ctx context.Context, sizes []int) *meshOfNodes {
+func newMeshOfNodes(t *testing.T, ctx context.Context, within time.Duration, sizes []int) *meshOfNodes {
 	m := &meshOfNodes{
-		t: t, nodes: make(map[string]*meshNode), newest: config.Empty(), changed: make(chan struct{}), delay: sourceAnswer,
+		t: t, nodes: make(map[string]*meshNode), newest: config.Empty(), changed: make(chan struct{}), delay: sourceAnswer, within: within,
 	}
 	records := make(map[string]*membership.Seen)
 	for dc, size := range sizes {
@@ -104,7 +110,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n.runner = NewRunner(Defaults(id, records[id].VM.DataCentre, 100),
+		n.runner = NewRunner(Defaults(id, records[id].VM.DataCentre, 100).Within(within),
 			Deps{Source: n, Views: &n.views, Client: n, Store: store, Log: zerolog.Nop()})
 	}
 	for _, n := range m.nodes {
@@ -179,7 +185,7 @@
 	defer m.mu.Unlock()
 	due := uint64(0)
 	for _, a := range m.accepted {
-		if time.Since(a.at) > inForceWithin {
+		if time.Since(a.at) > m.within {
 			due = a.number
 		}
 	}
@@ -189,7 +195,7 @@
 			continue
 		}
 		if got := n.runner.held.Load().Version().Number; got < due {
-			m.t.Errorf("%s reaches the source, and holds version %d more than %v after %d was accepted", id, got, inForceWithin, due)
+			m.t.Errorf("%s reaches the source, and holds version %d more than %v after %d was accepted", id, got, m.within, due)
 			return false
 		}
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -98,7 +98,7 @@
 		r.report()
 		if snap != nil {
 			// In a storm only the newest version counts.
-			_ = wait.For(ctx, confirmEvery-time.Since(answered))
+			_ = wait.For(ctx, r.set.confirmEvery()-time.Since(answered))
 		}
 	}
 }
@@ -144,7 +144,7 @@
 
 // withdraw ends a question that is held longer than it may be now.
 func (r *Runner) withdraw() {
-	if q := r.question.Load(); q != nil && q.hold > confirmEvery && r.hold() <= confirmEvery {
+	if q := r.question.Load(); q != nil && q.hold > r.set.confirmEvery() && r.hold() <= r.set.confirmEvery() {
 		q.stop()
 	}
 }
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -34,6 +34,8 @@
 	// PeersFirst is how long it leaves the source to peers that hold a version, or have
 	// faster links.
 	PeersFirst time.Duration
+	// InForceWithin is how soon after it was accepted a version is to be in force.
+	InForceWithin time.Duration
 	// AssureWithin is how old an assurance that the version held is the newest may grow
 	// before it is of no use; zero where nobody goes by it.
 	AssureWithin time.Duration
@@ -41,8 +43,6 @@
 
 // Defaults returns the settings of a node.
 //
-// PullDelay is the pause that a feeder makes between two versions from the source
-// (sourcePause), several answers of a healthy store, of about 10 ms, and a tell.
 // AskEvery makes a node that is cut off from the store learn of a version within
 // about a second, half of what it has to be in force. AskFirst is a tenth of what a small VM
 // takes to start; its questions are some hundred bytes.
@@ -50,13 +50,39 @@
 // JoinFirst is some answers of the store, and the first wait before a join, on a sixth of a
 // core. PeersFirst is the most that a node which nobody answers is kept from the source.
 func Defaults(self, dataCentre string, linkMbps uint32) Settings {
-	return Settings{
-		Self: self, DataCentre: dataCentre, LinkMbps: linkMbps, PullDelay: 900 * time.Millisecond, AskEvery: 500 * time.Millisecond,
+	s := Settings{
+		Self: self, DataCentre: dataCentre, LinkMbps: linkMbps, AskEvery: 500 * time.Millisecond,
 		AskFirst: 100 * time.Millisecond, PullGap: 200 * time.Millisecond, MaxClaims: 64,
 		JoinFirst: 250 * time.Millisecond, PeersFirst: 1500 * time.Millisecond,
 	}
+	return s.Within(DefaultInForceWithin)
 }
 
+// tellTime is what a healthy source and a tell may take after the pause that a feeder makes
+// between two versions.
+const tellTime = 300 * time.Millisecond
+
+// Within returns s for versions that are to be in force so soon after they were accepted.
+func (s Settings) Within(bound time.Duration) Settings {
+	s.InForceWithin = bound
+	s.PullDelay = s.confirmEvery() + tellTime
+	return s
+}
+
+// DefaultInForceWithin is how soon a version is to be in force where users state nothing.
+const DefaultInForceWithin = 2 * time.Second
+
+// confirmEvery is the longest time between two answers that a node takes from the source while
+// others depend on its reading: the source holds a question for so long, and the node pauses for
+// so long after a version.
+func (s Settings) confirmEvery() time.Duration {
+	return time.Duration(confirmPart * float64(s.InForceWithin))
+}
+
+// staleAfter is the age from which on a confirmation shows that whoever reads the source gets no
+// answer.
+func (s Settings) staleAfter() time.Duration { return s.confirmEvery() + answerTime }
+
 // claim is a newer version that a peer told of.
 type claim struct {
 	version config.Version
@@ -153,7 +179,7 @@
 		return s.failing
 	}
 	age, _ := s.ConfirmedAge(now)
-	return s.failing || age > staleAfter
+	return s.failing || age > s.set.staleAfter()
 }
 
 // Take notes that a version was seen whole, and reports whether it is newer than
--- /dev/null
+++ b/internal/follow/within_test.go
@@ -0,0 +1,47 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against a reading that is slower where users allow more time, and then too slow: drawn
+// troubles as in TestReachingNodesHoldVersionsInTime, for bounds that users state.
+func TestVersionsAreInForceWithinTheStatedTime(t *testing.T) {
+	startCodec(t)
+	for _, within := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 13 * time.Second} {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprintf("%v_seed_%d", within, seed), func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 40))
+				withMeshWithin(t, within, []int{3 + rng.IntN(6), 3 + rng.IntN(6), 3 + rng.IntN(20)}, func(m *meshOfNodes) {
+					gap := 200*time.Millisecond + time.Duration(rng.Int64N(int64(3*time.Second)))
+					for range 3 {
+						m.trouble(rng)
+						m.storm(within+time.Duration(rng.Int64N(int64(6*time.Second))), gap)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a store that is asked as often where users allow a version more time.
+func TestQuestionsFollowTheStatedTime(t *testing.T) {
+	startCodec(t)
+	const length = 30 * time.Second
+	asked := func(within time.Duration) (n int) {
+		withMeshWithin(t, within, []int{8, 8, 8, 8, 8, 8}, func(m *meshOfNodes) {
+			before := m.read()
+			time.Sleep(length)
+			n = m.read() - before
+		})
+		return n
+	}
+	short, long := asked(2*time.Second), asked(4*time.Second)
+	t.Logf("questions in %v: %d for 2 s, %d for 4 s", length, short, long)
+	if long > short*6/10 {
+		t.Errorf("%d questions where a version has 4 s, %d where it has 2 s", long, short)
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -155,6 +155,9 @@
 	n := c.n
 	if n.o.Source != nil {
 		set := follow.Defaults(n.self.ID, n.self.DataCentre, n.self.LinkMbps)
+		if bound := n.set.Versions.InForceWithin.Duration; bound > 0 {
+			set = set.Within(bound)
+		}
 		set.AssureWithin = n.set.Workspaces.ConfirmWithin.Duration
 		c.spread = follow.NewRunner(set, follow.Deps{
 			Source: n.o.Source, Views: &n.views, Client: c.peers, Store: wakingStore{n},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,6 +44,7 @@
 	c.within("drain.grace", n.Drain.Grace, 0, maxDrainLimit)
 	c.within("announce.renew", n.Announce.Renew, 0, time.Hour)
 	c.within("drain.word", n.Drain.Word, 0, n.Drain.NoticeOr(time.Second))
+	c.within("versions.in_force_within", n.Versions.InForceWithin, 0, time.Hour)
 	c.within("workspaces.confirm_within", n.Workspaces.ConfirmWithin, 0, time.Hour)
 	c.within("workspaces.quota_window", n.Workspaces.QuotaWindow, 0, time.Hour)
 	if n.Workspaces.QuotaOverage < 0 || n.Workspaces.QuotaOverage > 1 {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -32,6 +32,7 @@
 	Drain      Drain      `toml:"drain"`
 	Retries    Retries    `toml:"retries"`
 	Announce   Announce   `toml:"announce"`
+	Versions   Versions   `toml:"versions"`
 	Workspaces Workspaces `toml:"workspaces"`
 	Log        Log        `toml:"log"`
 	Trace      Trace      `toml:"trace"`
@@ -122,6 +123,13 @@
 	Window strict.Duration `toml:"window"`
 }
 
+// Versions says what operators expect of the versions that nodes follow.
+type Versions struct {
+	// InForceWithin is how soon after it was accepted elsewhere a version is to be in force;
+	// zero means 2 s. The source of versions is asked the less often the longer it is.
+	InForceWithin strict.Duration `toml:"in_force_within"`
+}
+
 // Workspaces bounds what callers with API keys may do.
 type Workspaces struct {
 	// ConfirmWithin is how long after the source of versions was last heard API keys are
