Read the source by two nodes for all data centres

Cause: two feeders of each data centre followed the source and one of them was answered every 0.6 s, so calls to the store grew with the data centres, at rest and for each change.

Change: a reader that leads, and a deputy, for the whole mesh; both tell the feeders of all data centres.

--- a/internal/distribute/roles.go
+++ b/internal/distribute/roles.go
@@ -126,6 +126,35 @@
 	return FirstFeeders(v, self, dc)
 }
 
+// Readers returns the nodes that read the platform for the feeders of all data centres: the one
+// that leads, and its deputy, if there is one. They are first feeders, those with the fastest
+// links; in a mesh of one data centre its feeders.
+func Readers(v *membership.View, self, dc string) []string {
+	order := feederOrder(v, self, dc)
+	firsts := append(FirstFeeders(v, self, dc), order[0])
+	if len(firsts) == 1 {
+		return order[:min(readersInAll, len(order))]
+	}
+	return byLink(v, ranked("reader/", firsts))[:readersInAll]
+}
+
+// readersInAll is how many nodes of a mesh read the platform while it answers them.
+const readersInAll = 2
+
+// OtherFeeders returns the feeders of all data centres but dc.
+func OtherFeeders(v *membership.View, self, dc string) []string {
+	var out []string
+	for other, ids := range live(v, self, dc) {
+		if other == dc {
+			continue
+		}
+		order := byLink(v, ranked("feeder/"+other+"/", ids))
+		out = append(out, order[:min(feedersPerDC, len(order))]...)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // FirstFeeders returns the first feeder of each data centre other than dc.
 func FirstFeeders(v *membership.View, self, dc string) []string {
 	var out []string
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -61,16 +61,30 @@
 func (s *State) placeIn(view *membership.View) distribute.Place {
 	if s.placed != view || view == nil {
 		s.placed, s.place = view, distribute.PlaceOf(view, s.set.Self, s.set.DataCentre)
-		if s.place.Rank == 1 {
-			// The second feeder is told by the first, whose questions alone are held briefly.
-			s.place.Tellers = s.place.Feeders[:1]
+		s.leads, s.reader = false, false
+		if s.place.Depth == 0 {
+			s.placeFeeder(distribute.Readers(view, s.set.Self, s.set.DataCentre))
 		}
 	}
 	return s.place
 }
 
-// Ask returns the node to ask now. Answered or Missed must follow. There is none for the first
-// feeder, or while the node waits for its first version.
+// placeFeeder says on whom a feeder depends: the second on the first of its data centre, and
+// that on the reader that leads.
+func (s *State) placeFeeder(readers []string) {
+	s.leads = readers[0] == s.set.Self
+	s.reader = slices.Contains(readers, s.set.Self)
+	switch {
+	case s.leads:
+	case s.place.Rank == 0:
+		s.place.Tellers = readers[:1]
+	default:
+		s.place.Tellers = s.place.Feeders[:1]
+	}
+}
+
+// Ask returns the node to ask now. Answered or Missed must follow. There is none for the feeder
+// that leads, or while the node waits for its first version.
 func (s *State) Ask(now time.Time, boot time.Duration, view *membership.View) (teller string, due bool) {
 	if !s.asks(view) {
 		s.contact = contact{}
@@ -174,10 +188,11 @@
 }
 
 // Reads reports whether other nodes depend on this one's reading of the source, so that it
-// must be answered soon: on the first feeder's, and on that of a node that nobody confirms
-// its version to.
+// must be answered soon: on that of the reader that leads, and on that of a node that nobody
+// confirms its version to.
 func (s *State) Reads(view *membership.View) bool {
-	return s.contact.lost || s.placeIn(view).Rank == 0
+	s.placeIn(view)
+	return s.contact.lost || s.leads
 }
 
 // StandsIn reports whether this node reads the source in place of its feeders.
@@ -194,10 +209,14 @@
 }
 
 // Reports returns the nodes to tell of each answer of the source: the feeders, which others ask.
+// A reader tells those of all data centres.
 func (s *State) Reports(view *membership.View) []string {
-	if !s.Reads(view) {
+	if !s.Reads(view) && !s.reader {
 		return nil
 	}
 	feeders := slices.Clone(s.placeIn(view).Feeders)
+	if s.reader {
+		feeders = append(feeders, distribute.OtherFeeders(view, s.set.Self, s.set.DataCentre)...)
+	}
 	return slices.DeleteFunc(feeders, func(id string) bool { return id == s.set.Self })
 }
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -2,9 +2,10 @@
 // keeps the configuration in the platform, to one node, and never back to an
 // older one.
 //
-// Two nodes of each data centre, its feeders, follow the source, so that reads do
-// not grow with the mesh. A feeder tells the others of its data centre what has changed,
-// and the first of them mentions the version to the first of each other data centre. A
+// Two nodes of each data centre are its feeders. Of all first feeders two are the readers of the
+// mesh: they follow the source, so that reads grow neither with the nodes nor with the data
+// centres. A reader tells the feeders of all data centres what has changed, and a feeder the
+// others of its data centre. The first feeder of each mentions the version to that of each other. A
 // node that has just started reads the source once if its link is fast, and asks its
 // peers first if it is slow; see State.Feeds. Each version's hash depends on its content
 // alone, so nodes that come by the same version in different ways hold the same snapshot,
@@ -12,8 +13,9 @@
 //
 // Silence of the feeders may mean that nothing has changed, or that they get no answer. So each
 // message says how old the newest answer of the source is that confirms the sender's version.
-// The first feeder has the source answer every Settings.confirmEvery, and tells the second. Each other
-// node asks a feeder once its confirmation has grown old. Where no feeder has a newer one, since
+// The reader that leads has the source answer every Settings.confirmEvery, and tells all feeders; the
+// other one's question is held long. Each first feeder asks the leading reader once its confirmation
+// has grown old, the second one the first, and each other node a feeder. Where no feeder has a newer one, since
 // the source leaves them without an answer, they are behind a cut, or gone, the node reads the
 // source by itself, and reports to the feeders what it reads and that it was answered, so that
 // one such node serves its data centre. It stops when a feeder has the answer of another node.
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -111,6 +111,9 @@
 	// place is the node's in the view placed.
 	place  distribute.Place
 	placed *membership.View
+	// leads says that the feeders of all data centres depend on this node's reading, and reader
+	// that it reads the source while that answers.
+	leads, reader bool
 }
 
 // NewState returns the state of a node that holds nothing. Until the source has
@@ -126,9 +129,8 @@
 // Mbit/s: its reading is no reason to wait for others.
 const fastLink = 50
 
-// Feeds reports whether this node is to follow the source. The feeders of its data centre
-// are, a node whose feeders don't answer, and one that holds nothing while no peer could give
-// it a version.
+// Feeds reports whether this node is to follow the source. The readers of the mesh are, a node
+// whose feeders don't answer, and one that holds nothing while no peer could give it a version.
 //
 // On a slow link such a node asks its peers first. The source holds the whole document,
 // uncompressed, and what a peer gives takes a twentieth of the bytes and a third of the work. When
@@ -138,7 +140,8 @@
 	age := now.Sub(s.started)
 	switch {
 	case s.fed():
-		return s.contact.lost || s.placeIn(view).Depth == 0
+		s.placeIn(view)
+		return s.contact.lost || s.reader
 	case s.set.LinkMbps == 0 || s.set.LinkMbps >= fastLink:
 		return true
 	case age < s.set.JoinFirst:
@@ -172,7 +175,7 @@
 	if !s.fed() {
 		return s.failing
 	}
-	if s.placeIn(view).Depth > 0 {
+	if s.placeIn(view); !s.reader {
 		return s.failing && s.contact.lost
 	}
 	if s.answered.IsZero() {
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -49,17 +49,18 @@
 	r.tellAll(view, peers, packed)
 }
 
-// withFeeders adds the feeders to peers: they tell the others of what this node has read in
-// their place.
+// withFeeders puts the feeders before peers: they tell the others of what this node has read for
+// them.
 func (r *Runner) withFeeders(peers []string, view *membership.View) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, id := range r.state.Reports(view) {
-		if !slices.Contains(peers, id) {
-			peers = append(peers, id)
+	all := r.state.Reports(view)
+	for _, id := range peers {
+		if !slices.Contains(all, id) {
+			all = append(all, id)
 		}
 	}
-	return peers
+	return all
 }
 
 func (r *Runner) tellAll(view *membership.View, peers []string, packed *peerpb.Packed) {
--- a/internal/follow/within_test.go
+++ b/internal/follow/within_test.go
@@ -45,3 +45,28 @@
 		t.Errorf("%d questions where a version has 4 s, %d where it has 2 s", long, short)
 	}
 }
+
+// Guards the pattern of a mesh over many data centres in a storm of changes: what the source is asked,
+// and how often it gives a version whole, must not grow with their number.
+func TestQuestionsDoNotGrowWithDataCentres(t *testing.T) {
+	startCodec(t)
+	asked := func(dcs int) (reads, given int) {
+		sizes := make([]int, dcs)
+		for i := range sizes {
+			sizes[i] = 12
+		}
+		withMesh(t, sizes, func(m *meshOfNodes) {
+			reads, given = m.read(), m.refuse(false)
+			m.storm(10*time.Second, 300*time.Millisecond)
+			m.storm(20*time.Second, time.Minute)
+			reads, given = m.read()-reads, m.refuse(false)-given
+		})
+		return reads, given
+	}
+	fewReads, fewGiven := asked(2)
+	manyReads, manyGiven := asked(6)
+	t.Logf("2 data centres: %d questions, %d versions; 6: %d, %d", fewReads, fewGiven, manyReads, manyGiven)
+	if manyReads > fewReads*5/4 || manyGiven > fewGiven*5/4 {
+		t.Errorf("6 data centres ask %d times and are given %d versions, 2 data centres %d and %d", manyReads, manyGiven, fewReads, fewGiven)
+	}
+}
