Bound the lines about nodes that are new, gone or changed

Cause: each node wrote a line for each other one. At the start of the whole fleet that is 985 lines at each of 985 nodes, at a loss of a data centre 160 at each; lines are work on a sixth of a core, and what a node writes grew with the fleet.

Change: twelve lines a view, and one with the counts of the rest.

Not measured by itself on the fleet.

--- a/internal/node/view_log.go
+++ b/internal/node/view_log.go
@@ -1,26 +1,80 @@
 package node
 
 import (
+	"cmp"
+	"slices"
+
+	"github.com/rs/zerolog"
+
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
-// logView tells which other nodes came, went or changed their state.
-func (n *Node) logView(old, now *membership.View) {
-	if old == nil {
-		old = &membership.View{}
-	}
+// viewLines bounds the lines about single nodes for one view. While a mesh starts, or a data
+// centre is lost or back, hundreds of nodes change at once, and each of them tells of all others.
+const viewLines = 12
+
+// viewChange is a node that differs between two views.
+type viewChange struct {
+	peer     string
+	now, was *membership.Seen // nil where it is not in that view
+}
+
+// viewChanges returns the nodes other than self that came, went or changed their state, by ID.
+func viewChanges(self string, old, now *membership.View) []viewChange {
+	var out []viewChange
 	for id, r := range now.Records {
 		was := old.Records[id]
-		if id == n.self.ID || was != nil && was.State == r.State && was.VM.Incarnation == r.VM.Incarnation {
+		if id == self || was != nil && was.State == r.State && was.VM.Incarnation == r.VM.Incarnation {
 			continue
 		}
-		n.log.Info().Str("part", "membership").Str("peer", id).Str("state", r.State.String()).
-			Uint64("incarnation", r.VM.Incarnation).Msg("membership: a node is new or changed")
+		out = append(out, viewChange{id, r, was})
 	}
 	for id, was := range old.Records {
-		if now.Records[id] == nil && id != n.self.ID {
-			n.log.Info().Str("part", "membership").Str("peer", id).Str("was", was.State.String()).
-				Msg("membership: a node is gone")
+		if now.Records[id] == nil && id != self {
+			out = append(out, viewChange{id, nil, was})
+		}
+	}
+	slices.SortFunc(out, func(a, b viewChange) int { return cmp.Compare(a.peer, b.peer) })
+	return out
+}
+
+// logView tells which other nodes came, went or changed their state: each by a line, or how many
+// where they are many.
+func (n *Node) logView(old, now *membership.View) {
+	if old == nil {
+		old = &membership.View{}
+	}
+	log := n.log.With().Str("part", "membership").Logger()
+	changes := viewChanges(n.self.ID, old, now)
+	for _, c := range changes[:min(len(changes), viewLines)] {
+		c.write(log)
+	}
+	if more := len(changes) - viewLines; more > 0 {
+		came, gone, changed := countChanges(changes)
+		log.Info().Int("came", came).Int("gone", gone).Int("changed", changed).Int("left_out", more).
+			Int("nodes", len(now.Records)).Msg("membership: many nodes are new, gone or changed")
+	}
+}
+
+func (c viewChange) write(log zerolog.Logger) {
+	if c.now == nil {
+		log.Info().Str("peer", c.peer).Str("was", c.was.State.String()).Msg("membership: a node is gone")
+		return
+	}
+	log.Info().Str("peer", c.peer).Str("state", c.now.State.String()).
+		Uint64("incarnation", c.now.VM.Incarnation).Msg("membership: a node is new or changed")
+}
+
+func countChanges(changes []viewChange) (came, gone, changed int) {
+	for _, c := range changes {
+		switch {
+		case c.was == nil:
+			came++
+		case c.now == nil:
+			gone++
+		default:
+			changed++
 		}
 	}
+	return came, gone, changed
 }
