Carry the pickers' tables on from view to view

Cause: a view with one changed record had each endpoint of its service made, hashed and sorted anew at each node. Both what a view costs and how many there are grow with the fleet.

Change: endpoints of unchanged records and the order by preference are kept; only new ones are hashed and sorted in.

--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -24,8 +24,9 @@
 // feeds them from the membership view.
 type pickers struct {
 	self      membership.VM
-	mu        sync.Mutex // serialises writers, and guards the next three
+	mu        sync.Mutex // serialises writers, and guards the next four
 	view      *membership.View
+	made      map[string]madeEndpoints    // of each record, by VM
 	endpoints map[string][]route.Endpoint // by service
 	entries   int                         // entry nodes that the subsets go by
 	byService atomic.Pointer[map[string]*route.Picker]
@@ -39,7 +40,7 @@
 
 func newPickers(self membership.VM, weighed bool) *pickers {
 	p := &pickers{
-		self: self, weighed: weighed, endpoints: make(map[string][]route.Endpoint),
+		self: self, weighed: weighed, made: make(map[string]madeEndpoints), endpoints: make(map[string][]route.Endpoint),
 		none: route.New(route.Options{Self: self.ID}),
 	}
 	p.byService.Store(&map[string]*route.Picker{})
@@ -61,7 +62,7 @@
 	if len(touched) == 0 {
 		return
 	}
-	fresh := endpointsOf(v, touched)
+	fresh := p.endpointsOf(v, touched)
 	next := maps.Clone(*p.byService.Load())
 	ready := maps.Clone(*p.ready.Load())
 	for service := range touched {
@@ -175,19 +176,45 @@
 	return max(n, 1)
 }
 
-// endpointsOf returns the endpoints of the given services.
-func endpointsOf(v *membership.View, services map[string]bool) map[string][]route.Endpoint {
+// madeEndpoints are the endpoints of one record, one for each backend server.
+type madeEndpoints struct {
+	of   *membership.Seen
+	list []route.Endpoint
+}
+
+// endpointsOf returns the endpoints of the given services. Those of a record that is the same as
+// in the view before are not made anew.
+func (p *pickers) endpointsOf(v *membership.View, services map[string]bool) map[string][]route.Endpoint {
 	out := make(map[string][]route.Endpoint, len(services))
-	for _, r := range v.Records {
-		for _, b := range r.Backends {
+	for service := range services {
+		out[service] = make([]route.Endpoint, 0, len(p.endpoints[service])+1)
+	}
+	for id, r := range v.Records {
+		made := p.made[id]
+		if made.of != r {
+			made = makeEndpoints(r)
+			p.made[id] = made
+		}
+		for i, b := range r.Backends {
 			if services[b.Service] {
-				out[b.Service] = append(out[b.Service], endpointOf(r, b))
+				out[b.Service] = append(out[b.Service], made.list[i])
 			}
 		}
 	}
+	if len(p.made) > len(v.Records) {
+		maps.DeleteFunc(p.made, func(id string, _ madeEndpoints) bool { return v.Records[id] == nil })
+	}
 	return out
 }
 
+func makeEndpoints(r *membership.Seen) madeEndpoints {
+	made := madeEndpoints{of: r, list: make([]route.Endpoint, len(r.Backends))}
+	for i, b := range r.Backends {
+		made.list[i] = endpointOf(r, b)
+	}
+	return made
+}
+
 func endpointOf(r *membership.Seen, b membership.Backend) route.Endpoint {
 	e := route.Endpoint{
 		ID:         r.VM.ID + endpointSep + b.Instance,
--- a/internal/node/pickers_bench_test.go
+++ b/internal/node/pickers_bench_test.go
@@ -102,3 +102,24 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkPickersOneService is BenchmarkPickers where one service has all backend servers.
+func BenchmarkPickersOneService(b *testing.B) {
+	for _, n := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			views := [2]*membership.View{viewOf(n), nil}
+			for _, r := range views[0].Records {
+				r.Backends[0].Service = "service-7"
+			}
+			views[1] = oneChanged(views[0])
+			p := newPickers(membership.VM{ID: "vm-0", DataCentre: "dc-0", Region: "region-0"}, true)
+			p.update(time.Unix(0, 0), views[0])
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				p.update(time.Unix(0, 0), views[i%2])
+			}
+		})
+	}
+}
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -15,8 +15,6 @@
 	window     = 5 * time.Second
 	overage    = 0.1
 	slackCalls = 20
-	// reach is how long a report and its answer take.
-	reach = 20 * time.Millisecond
 )
 
 // sim is a mesh in virtual time: nodes of several data centres, with a collector in each.
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -30,6 +30,8 @@
 
 	mu     sync.Mutex // guards what follows; never held across I/O
 	states map[string]*state
+	order  []*state // all of them, by preference
+	update uint64   // counts the updates
 }
 
 // tier is how far an endpoint is from this node.
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -27,6 +27,9 @@
 // state is what the Picker observed of one endpoint. It outlives the views,
 // and all of it is read and written without a lock.
 type state struct {
+	// preference is the endpoint's place in this node's rendezvous hash, the highest first.
+	preference  uint64
+	update      uint64 // the last one that held the endpoint; guarded by the Picker
 	ep          atomic.Pointer[Endpoint]
 	outstanding atomic.Int64
 	latency     average // milliseconds, of answers that were no failure
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -14,21 +15,45 @@
 	epoch := now.Add(-time.Millisecond)
 	first := p.epoch.CompareAndSwap(nil, &epoch)
 	ms := p.millis(now)
-	next := make(map[string]*state, len(eps))
+	p.update++
+	known := len(p.order)
 	for i := range eps {
-		e := eps[i]
-		s := p.states[e.ID]
-		if s == nil {
-			s = &state{}
+		s := p.stateOf(&eps[i])
+		s.update = p.update
+		if old := s.ep.Load(); old != nil && *old == eps[i] {
+			continue
 		}
+		e := eps[i]
 		p.startRamp(s, now, ms, &e, first)
 		s.ep.Store(&e)
-		next[e.ID] = s
 	}
-	p.states = next
+	if len(p.order) > known {
+		slices.SortFunc(p.order, byPreference)
+	}
+	p.dropGone(len(eps))
 	p.rebuild()
 }
 
+// stateOf returns the state of an endpoint, a fresh one at the end of the order if it has none.
+func (p *Picker) stateOf(e *Endpoint) *state {
+	s := p.states[e.ID]
+	if s == nil {
+		s = &state{preference: rank(p.opt.Self, e.ID)}
+		p.states[e.ID] = s
+		p.order = append(p.order, s)
+	}
+	return s
+}
+
+// dropGone forgets the endpoints that the last update did not hold.
+func (p *Picker) dropGone(held int) {
+	if len(p.order) == held {
+		return
+	}
+	p.order = slices.DeleteFunc(p.order, func(s *state) bool { return s.update != p.update })
+	maps.DeleteFunc(p.states, func(_ string, s *state) bool { return s.update != p.update })
+}
+
 // startRamp begins the slow start of an endpoint that became ready.
 //
 // ReadySince is by the clock of another node. A clock ahead of ours would hold
@@ -70,11 +95,7 @@
 
 // rebuild makes the table anew. The caller holds mu.
 func (p *Picker) rebuild() {
-	t := &table{all: make([]*state, 0, len(p.states))}
-	for _, s := range p.states {
-		t.all = append(t.all, s)
-	}
-	slices.SortFunc(t.all, p.byPreference)
+	t := &table{all: slices.Clone(p.order)}
 	var byTier [tiers][]*state
 	for _, s := range t.all {
 		e := s.ep.Load()
@@ -124,12 +145,11 @@
 
 // byPreference orders endpoints by this node's rendezvous hash, the ID
 // breaking a tie.
-func (p *Picker) byPreference(a, b *state) int {
-	x, y := a.ep.Load().ID, b.ep.Load().ID
-	if c := cmp.Compare(rank(p.opt.Self, y), rank(p.opt.Self, x)); c != 0 {
+func byPreference(a, b *state) int {
+	if c := cmp.Compare(b.preference, a.preference); c != 0 {
 		return c
 	}
-	return cmp.Compare(x, y)
+	return cmp.Compare(a.ep.Load().ID, b.ep.Load().ID)
 }
 
 // Endpoints returns what the Picker holds true of every endpoint, ordered by
