Tell how many connections of other nodes are open

Cause: the whole fleet's busiest node held 5,008 files where docs/CAPACITY.md had 974 connections, and neither a log nor a metric said of which listener. Small VMs have 4,100.

Change: a gauge for the listeners that other nodes use, and a line at 512 and at each doubling.

Conclusion: observability only.

--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -12,6 +12,8 @@
 	c.writeConfig(p)
 	c.writeMembership(p)
 	c.writeMaintenance(p)
+	p.gauge("marlpass_listener_connections", float64(c.server.Conns()), "listener", "control")
+	p.gauge("marlpass_listener_connections", float64(c.n.servers.conns.Open()), "listener", "calls")
 	p.counter("marlpass_announce_refused_total", c.n.registry.Refused())
 	c.writeAges(p, time.Now())
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -29,6 +29,7 @@
 	callers  []*pipeline.Server
 	announce *announce.Server
 	calls    traffic
+	conns    *telemetry.Conns // of other nodes that send calls
 }
 
 // bound is a server with the socket it serves.
@@ -57,9 +58,9 @@
 		return nil, err
 	}
 	log := telemetry.Part(n.log, "listener")
-	with := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
-		return bound{server: newServer(h, log), ln: ln, tls: t}
-	}
+	s.conns = telemetry.NewConns(log, "calls")
+	callsServer := newServer(s.calls.handler(n.calls.dest), log)
+	callsServer.ConnState = s.conns.Note
 	side := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
 		return bound{server: newSideServer(h, log), ln: ln, tls: t}
 	}
@@ -71,7 +72,7 @@
 	s.traffic = []bound{
 		{server: s.callers[0], ln: n.ln.callers},
 		{server: s.callers[1], ln: n.ln.internal},
-		with(n.ln.calls, s.calls.handler(n.calls.dest), c.trust.server()),
+		{server: callsServer, ln: n.ln.calls, tls: c.trust.server()},
 	}
 	s.side = []bound{
 		side(n.ln.admin, adminHandler, c.trust.admin()),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/telemetry"
 	"github.com/marlpass/marlpass/internal/trust"
 )
 
@@ -76,13 +77,17 @@
 
 // Server answers other nodes.
 type Server struct {
-	cfg  ServerConfig
-	http *http.Server
+	cfg   ServerConfig
+	http  *http.Server
+	conns *telemetry.Conns
 }
 
+// Conns returns how many connections of other nodes are open.
+func (s *Server) Conns() int64 { return s.conns.Open() }
+
 // NewServer returns a server; Serve starts it.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, conns: telemetry.NewConns(cfg.Log, "control")}
 	twirpServer := peerpb.NewPeerServer(&service{cfg}, twirp.WithServerPathPrefix(""))
 	s.http = &http.Server{
 		Handler:           s.guard(twirpServer),
@@ -94,6 +99,7 @@
 		IdleTimeout:    cfg.Limits.Idle + time.Minute,
 		MaxHeaderBytes: 4 << 10,
 		ErrorLog:       log.New(debugWriter{cfg.Log}, "", 0),
+		ConnState:      s.conns.Note,
 	}
 	return s
 }
