Ask the node that reads the source for an assurance

Cause: where the source leaves the readers without an answer, another node reads in their place and tells the feeders so. That confirms their versions, and assures nothing, since it was told unasked. The feeders, confirmed, asked the silent reader, and their assurance and that of those below them grew older than the bound: calls with good keys were refused.

Change: a feeder whose assurance is old asks the node that the confirmation names, the reader that leads too.

--- a/internal/follow/assurance.go
+++ b/internal/follow/assurance.go
@@ -1,10 +1,12 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // A confirmation is an estimate: a message may have lain behind a cut for seconds before it
@@ -36,6 +38,27 @@
 	return s.set.AssureWithin*depth/(depth+2) - age
 }
 
+// askReader returns the node that last had an answer of the source, where this one is a feeder and
+// is to ask for an assurance. Those that a feeder depends on may be confirmed by a reader that
+// stands in for them, and hold no young assurance themselves.
+func (s *State) askReader(boot time.Duration, view *membership.View) (reader string, due bool) {
+	place := s.placeIn(view)
+	if s.set.AssureWithin == 0 || place.Depth > 0 || s.assureIn(boot, place) > 0 {
+		return "", false
+	}
+	reader = s.confirmed.reader
+	known := reader != s.set.Self && view.Records[reader] != nil
+	return reader, known && !slices.Contains(s.contact.missed, reader)
+}
+
+// askReaderIn returns when the reader that leads is to ask again.
+func (s *State) askReaderIn(now time.Time, boot time.Duration, view *membership.View) time.Duration {
+	if _, due := s.askReader(boot, view); !due {
+		return askEvery
+	}
+	return max(0, s.contact.nextAsk.Sub(now))
+}
+
 // AssuredAge tells for how long the version held may have been replaced; see State.AssuredAge.
 func (r *Runner) AssuredAge(now time.Time) (age time.Duration, known bool) {
 	boot := r.clock.At(now)
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -93,7 +93,13 @@
 	if s.AskIn(now, boot, view) > 0 {
 		return "", false
 	}
+	if reader, due := s.askReader(boot, view); due {
+		return reader, true
+	}
 	tellers := s.placeIn(view).Tellers
+	if len(tellers) == 0 {
+		return "", false
+	}
 	for _, id := range tellers {
 		if !slices.Contains(s.contact.missed, id) {
 			return id, true
@@ -103,9 +109,10 @@
 	return tellers[0], true
 }
 
-// asks reports whether this node depends on others that it can ask.
+// asks reports whether this node depends on others that it can ask. The reader that leads does
+// for assurances alone, where the source leaves it without an answer.
 func (s *State) asks(view *membership.View) bool {
-	return s.fed() && len(s.placeIn(view).Tellers) > 0
+	return s.fed() && (len(s.placeIn(view).Tellers) > 0 || s.set.AssureWithin > 0)
 }
 
 // AskIn returns when to ask again. Where one did not confirm the version the next is asked at once.
@@ -118,6 +125,8 @@
 		return 0
 	case c.lost:
 		return c.nextAsk.Sub(now)
+	case len(s.placeIn(view).Tellers) == 0:
+		return s.askReaderIn(now, boot, view)
 	}
 	age, _ := s.ConfirmedAge(now)
 	due := s.askAge(view) - age
@@ -176,6 +185,10 @@
 // whether it was the last of them.
 func (s *State) Missed(now time.Time, teller string, view *membership.View) (lost bool) {
 	c := &s.contact
+	if len(s.placeIn(view).Tellers) == 0 {
+		c.nextAsk = now.Add(askEvery)
+		return false
+	}
 	c.missed = append(c.missed, teller)
 	for _, id := range s.placeIn(view).Tellers {
 		if !slices.Contains(c.missed, id) {
