Bound what peers tell of the quotas, and split the collector's decision

Cause: a rate from a peer that is no number would have decided on all calls of a workspace; Decide did two things.

Change: rates are bounded where they are decoded; bucket.fill.

--- a/internal/node/workspaces_wire.go
+++ b/internal/node/workspaces_wire.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"math"
+
+	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/quota"
 )
@@ -19,12 +22,21 @@
 	out := make([]quota.Usage, len(list))
 	for i, u := range list {
 		out[i] = quota.Usage{
-			Workspace: u.GetWorkspace(), Recent: u.GetRecent(), Usual: u.GetUsual(), Admitted: int64(u.GetAdmitted()),
+			Workspace: u.GetWorkspace(), Recent: rateOf(u.GetRecent()), Usual: rateOf(u.GetUsual()),
+			Admitted: int64(min(u.GetAdmitted(), math.MaxInt64)),
 		}
 	}
 	return out
 }
 
+// rateOf returns a rate that a peer told, or zero for one that is none.
+func rateOf(v float64) float64 {
+	if math.IsNaN(v) || v < 0 {
+		return 0
+	}
+	return min(v, config.MaxRatePerSecond)
+}
+
 func encodeParts(list []quota.Part) []*peerpb.WorkspacePart {
 	out := make([]*peerpb.WorkspacePart, len(list))
 	for i, p := range list {
@@ -36,7 +48,7 @@
 func decodeParts(list []*peerpb.WorkspacePart) []quota.Part {
 	out := make([]quota.Part, len(list))
 	for i, p := range list {
-		out[i] = quota.Part{Workspace: p.GetWorkspace(), Part: p.GetPart()}
+		out[i] = quota.Part{Workspace: p.GetWorkspace(), Part: min(rateOf(p.GetPart()), 1)}
 	}
 	return out
 }
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -103,6 +103,17 @@
 	b.asked += (1 - math.Exp(-span/over)) * (recent - b.asked)
 }
 
+// fill adds the calls of a span of seconds, and sets the part that may pass from now on.
+func (b *bucket) fill(limit Limit, recent, span float64) {
+	b.level = min(b.level+limit.Rate*span, max(limit.Burst, 1))
+	b.follow(recent, span)
+	may := limit.Rate + b.level/spreadOver.Seconds()
+	b.part = 1
+	if b.asked > may {
+		b.part = max(may, 0) / b.asked
+	}
+}
+
 // NewCollector returns a collector that nobody has told anything.
 func NewCollector() *Collector {
 	return &Collector{
@@ -175,12 +186,8 @@
 	out := make([]Part, 0)
 	for name, limit := range limits {
 		b := c.bucket(name)
-		limit = limit.less(kept[name])
-		b.level = min(b.level+limit.Rate*span, max(limit.Burst, 1))
-		b.follow(recent[name], span)
-		b.part = 1
-		if may := limit.Rate + b.level/spreadOver.Seconds(); b.asked > may {
-			b.part = max(may, 0) / b.asked
+		b.fill(limit.less(kept[name]), recent[name], span)
+		if b.part < 1 {
 			out = append(out, Part{name, b.part})
 		}
 	}
