Keep the race detector from crashing in follow's virtual time

Cause: the fault's address is in the race detector's StackDepot (Put), asked by time.goFunc for a stack whose length is below zero. A timer channel that falls due while nobody receives on it is fired by whoever looks at it next, on that goroutine's thread, at the same time as the bubble's own thread fires others, and both push to the context's stack without a lock. Two places let timers fall due unwatched: the ticker of learn (a pull lasts longer than a tick, in real time too, so the next look came at once) and the stand-in source's hold.

Change: learn waits a tick after each look; the stand-in's hold is a context.

Conclusion: a fault of the toolchain that our code needn't meet. Tickers whose loop can last longer than a tick stay suspect in tests with virtual time.

--- a/internal/follow/assurance_test.go
+++ b/internal/follow/assurance_test.go
@@ -8,15 +8,6 @@
 // assureWithin is how old an assurance may grow in these tests, as users state it for keys.
 const assureWithin = 5 * time.Second
 
-func (m *meshOfNodes) assureWithin(bound time.Duration) {
-	for _, n := range m.nodes {
-		n.runner.mu.Lock()
-		n.runner.state.set.AssureWithin = bound
-		n.runner.set.AssureWithin = bound
-		n.runner.mu.Unlock()
-	}
-}
-
 // oldest returns the greatest age of an assurance among the nodes.
 func (m *meshOfNodes) oldest(only func(*meshNode) bool) time.Duration {
 	var oldest time.Duration
@@ -40,8 +31,7 @@
 func TestAssuranceStaysYoung(t *testing.T) {
 	startCodec(t)
 	for _, sizes := range [][]int{{4, 4}, {27, 27, 26}, {240}} {
-		withMesh(t, sizes, func(m *meshOfNodes) {
-			m.assureWithin(assureWithin)
+		withAssuredMesh(t, sizes, func(m *meshOfNodes) {
 			time.Sleep(meshSettles)
 			for range 100 {
 				time.Sleep(100 * time.Millisecond)
@@ -57,8 +47,7 @@
 // assurance must be as old as the last answer that it or anybody who tells it has had.
 func TestAssuranceGrowsOldWithoutTheSource(t *testing.T) {
 	startCodec(t)
-	withMesh(t, []int{6, 6}, func(m *meshOfNodes) {
-		m.assureWithin(assureWithin)
+	withAssuredMesh(t, []int{6, 6}, func(m *meshOfNodes) {
 		time.Sleep(meshSettles)
 		m.silence(everyNode)
 		silent := time.Now()
@@ -82,8 +71,7 @@
 // take away: those that still reach a node with an answer go on.
 func TestSilentFeedersAreAssuredByOthers(t *testing.T) {
 	startCodec(t)
-	withMesh(t, []int{8, 8}, func(m *meshOfNodes) {
-		m.assureWithin(assureWithin)
+	withAssuredMesh(t, []int{8, 8}, func(m *meshOfNodes) {
 		time.Sleep(meshSettles)
 		m.silence(func(n *meshNode) bool { return n.runner.Feeder() })
 		for range 100 {
@@ -99,8 +87,7 @@
 // peer tells unasked assures nothing.
 func TestUnaskedWordAssuresNothing(t *testing.T) {
 	startCodec(t)
-	withMesh(t, []int{6}, func(m *meshOfNodes) {
-		m.assureWithin(assureWithin)
+	withAssuredMesh(t, []int{6}, func(m *meshOfNodes) {
 		time.Sleep(meshSettles)
 		n := m.nodes[m.ids[0]]
 		n.runner.mu.Lock()
--- a/internal/follow/mesh_test.go
+++ b/internal/follow/mesh_test.go
@@ -76,20 +76,35 @@
 	withMeshWithin(t, inForceWithin, sizes, test)
 }
 
+// withAssuredMesh is withMesh for nodes whose assurances may grow assureWithin old.
+func withAssuredMesh(t *testing.T, sizes []int, test func(m *meshOfNodes)) {
+	withMeshOf(t, bounds{inForce: inForceWithin, assured: assureWithin}, sizes, test)
+}
+
 // withMeshWithin is withMesh for versions that have to be in force within some time.
 func withMeshWithin(t *testing.T, within time.Duration, sizes []int, test func(m *meshOfNodes)) {
+	withMeshOf(t, bounds{inForce: within}, sizes, test)
+}
+
+// bounds is what users state of a mesh's nodes.
+type bounds struct {
+	inForce time.Duration // in which a version has to be in force
+	assured time.Duration // how old an assurance may grow; 0 asks for none
+}
+
+func withMeshOf(t *testing.T, b bounds, sizes []int, test func(m *meshOfNodes)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		m := newMeshOfNodes(t, ctx, within, sizes)
+		m := newMeshOfNodes(t, ctx, b, sizes)
 		test(m)
 		stop()
 		time.Sleep(meshSettles) // until the messages under way have ended
 	})
 }
 
-func newMeshOfNodes(t *testing.T, ctx context.Context, within time.Duration, sizes []int) *meshOfNodes {
+func newMeshOfNodes(t *testing.T, ctx context.Context, b bounds, sizes []int) *meshOfNodes {
 	m := &meshOfNodes{
-		t: t, nodes: make(map[string]*meshNode), newest: config.Empty(), changed: make(chan struct{}), delay: sourceAnswer, within: within,
+		t: t, nodes: make(map[string]*meshNode), newest: config.Empty(), changed: make(chan struct{}), delay: sourceAnswer, within: b.inForce,
 	}
 	records := make(map[string]*membership.Seen)
 	for dc, size := range sizes {
@@ -110,7 +125,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n.runner = NewRunner(Defaults(id, records[id].VM.DataCentre, 100).Within(within),
+		set := Defaults(id, records[id].VM.DataCentre, 100).Within(b.inForce)
+		set.AssureWithin = b.assured
+		n.runner = NewRunner(set,
 			Deps{Source: n, Views: &n.views, Client: n, Store: store, Log: zerolog.Nop()})
 	}
 	for _, n := range m.nodes {
@@ -211,7 +228,9 @@
 	n.m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, hold+sourceTimeout)
 	defer cancel()
-	held := time.After(hold)
+	// The race detector can crash on a timer channel that fires in a bubble while nothing receives.
+	held, release := context.WithTimeout(context.Background(), hold)
+	defer release()
 	for {
 		n.m.mu.Lock()
 		silent, newest, changed, refuses := n.silent, n.m.newest, n.m.changed, n.m.refuses
@@ -231,7 +250,7 @@
 		}
 		select {
 		case <-changed:
-		case <-held:
+		case <-held.Done():
 			if n.answers() {
 				time.Sleep(delay)
 				return nil, nil
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -9,6 +9,7 @@
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
+	"github.com/marlpass/marlpass/internal/wait"
 )
 
 // ErrBadAnswer marks a peer's answer that holds no version that can be used.
@@ -24,14 +25,7 @@
 
 // learn pulls from peers what the source does not bring.
 func (r *Runner) learn(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for wait.For(ctx, tickEvery) == nil {
 		r.mu.Lock()
 		peer, due := r.state.Pull(time.Now(), r.rng, r.deps.Views.Load())
 		r.mu.Unlock()
