Let a workspace's priority and the share of others bind where calls wait

Cause: the gate at a backend server knew a call's class and not its workspace.

Change: the gate is told the caller (workspace and priority, by the name that the entry node set). Three rules in internal/limit/fair.go: the workspace's priority stands in for the class's; a newcomer without room takes the place of a call of the same class and priority whose workspace has more calls waiting; while a class misses its target, the newest call starts first of the workspaces with the fewest calls running. Calls without a workspace meet none of them: the earlier tests of the package pass unchanged.

Large answers that wait for a VM's link still go in their order.

--- a/internal/config/workspaces.go
+++ b/internal/config/workspaces.go
@@ -89,15 +89,18 @@
 	return ps
 }
 
-// Keyring finds the workspace that holds an API key. It is immutable.
-type Keyring struct{ holders map[KeyDigest]*Workspace }
+// Keyring finds workspaces by their names and by the API keys that they hold. It is immutable.
+type Keyring struct {
+	holders map[KeyDigest]*Workspace
+	named   map[string]*Workspace
+}
 
 // NewKeyring returns the keyring of s, or nil if s has no workspaces: its calls need no key.
 func NewKeyring(s *Snapshot) *Keyring {
 	if len(s.workspaces) == 0 {
 		return nil
 	}
-	r := &Keyring{make(map[KeyDigest]*Workspace, len(s.workspaces))}
+	r := &Keyring{make(map[KeyDigest]*Workspace, len(s.workspaces)), s.workspaces}
 	for _, w := range s.workspaces {
 		for _, k := range w.Keys {
 			r.holders[k] = w
@@ -106,6 +109,9 @@
 	return r
 }
 
+// Named returns the workspace of a name, or nil.
+func (r *Keyring) Named(name string) *Workspace { return r.named[name] }
+
 // Holder returns the workspace that holds a key, or nil.
 func (r *Keyring) Holder(key string) *Workspace {
 	if key == "" {
--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -20,11 +21,17 @@
 	}
 	if e.overdue {
 		if !q.worthPuttingOff(now, e) || q.waiting >= q.cfg.MaxWaiting {
+			if q.takePlace(now, e, &c.overdue) {
+				return nil
+			}
 			return q.refuse(now, c, q.overReason(c), "no slot is left over")
 		}
 		return nil
 	}
 	if wait := q.predictWait(c); !q.options.NoPrediction && !q.worthWaiting(now, e, wait) {
+		if q.worthWaiting(now, e, 0) && q.takePlace(now, e, &c.waiting) {
+			return nil
+		}
 		return q.refuse(now, c, q.overReason(c), "the wait would be too long")
 	}
 	if q.waiting < q.cfg.MaxWaiting {
@@ -34,15 +41,28 @@
 		q.refuseWaiting(now, last, q.overReason(last.class), "gave way to a call that can be in time")
 		return nil
 	}
-	victim := q.givesWay(c)
-	if victim == c {
+	victim := q.givesWay(e)
+	if victim == e {
 		return q.refuse(now, c, q.overReason(c), "the queue is full")
 	}
-	newest := victim.waiting.Back().Value.(*Entry)
-	q.refuseWaiting(now, newest, q.overReason(victim), "gave way to another class")
+	detail := "gave way to another class"
+	if victim.class == c {
+		detail = "gave way to another workspace"
+	}
+	q.refuseWaiting(now, victim, q.overReason(victim.class), detail)
 	return nil
 }
 
+// takePlace refuses a call that waits in e's lane and gives way to e, if there is one.
+func (q *Queue) takePlace(now time.Time, e *Entry, lane *list.List) bool {
+	victim := e.class.least(lane)
+	if victim == nil || q.options.NoGiveWay || !yields(victim, e) {
+		return false
+	}
+	q.refuseWaiting(now, victim, q.overReason(victim.class), "gave way to another workspace")
+	return true
+}
+
 // admitOnce decides whether a call may wait whose caller doesn't come back: as long as
 // it may still be answered by its deadline, since a refusal is the end of it.
 func (q *Queue) admitOnce(now time.Time, e *Entry) *call.Refusal {
@@ -99,17 +119,16 @@
 	return work / time.Duration(q.Limit())
 }
 
-// givesWay returns the class that loses a waiting call when the queue is full:
-// the one furthest inside its target, then the one of lowest priority. The
-// newcomer's class takes part even if nothing of it waits.
-func (q *Queue) givesWay(newcomer *classState) *classState {
+// givesWay returns the call that is refused when the queue is full: of the class
+// furthest inside its target, then of the lowest priority. The newcomer takes part.
+func (q *Queue) givesWay(newcomer *Entry) *Entry {
 	victim := newcomer
 	if q.options.NoGiveWay {
 		return victim
 	}
 	for _, c := range q.ordered {
-		if c.waiting.Len() > 0 && givesWayBefore(c, victim) {
-			victim = c
+		if least := c.least(&c.waiting); least != nil && yields(least, victim) {
+			victim = least
 		}
 	}
 	return victim
--- a/internal/limit/class.go
+++ b/internal/limit/class.go
@@ -22,6 +22,7 @@
 	// while fewer slots than this are busy, and so leaves the others free
 	// for classes that miss their targets.
 	upTo    int
+	tallies tallies
 	service average
 	// serviceHigh is a high quantile of the service time.
 	serviceHigh quantile
@@ -136,6 +137,15 @@
 	return &c.waiting
 }
 
+// place puts e into its lane. Those that can be in time keep to the order of arrival.
+func (c *classState) place(e *Entry) *list.Element {
+	lane := c.laneOf(e)
+	if lane == &c.waiting {
+		return lane.PushBack(e)
+	}
+	return insert(lane, e)
+}
+
 func (c *classState) grantsOf(e *Entry) *grants {
 	switch {
 	case e.Once:
@@ -149,14 +159,14 @@
 func (c *classState) head() *Entry { return head(&c.waiting) }
 
 // foremost returns the call that is next among those that wait to be answered in time:
-// the oldest, or the newest while the class misses its target.
+// the oldest, or a newest one while the class misses its target.
 //
 // Under overload some calls must miss. Oldest first, each is started when hardly any
 // time is left to it, and all are at the edge; newest first, most have nearly all of
 // their time, and the few that are never reached miss.
 func (c *classState) foremost() *Entry {
 	if c.misses() && !c.inOrder {
-		return c.waiting.Back().Value.(*Entry)
+		return c.newest()
 	}
 	return c.head()
 }
--- a/internal/limit/dispatch.go
+++ b/internal/limit/dispatch.go
@@ -89,6 +89,7 @@
 func (q *Queue) start(now time.Time, e *Entry) {
 	c := e.class
 	c.running++
+	e.count(0, 1)
 	q.running++
 	c.stats.Started++
 	e.state = entryRunning
@@ -101,6 +102,7 @@
 func (q *Queue) remove(e *Entry) {
 	e.class.laneOf(e).Remove(e.element)
 	e.element = nil
+	e.count(-1, 0)
 	e.state = entryEnded
 	q.waiting--
 }
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -96,6 +96,7 @@
 	Deadline time.Time
 	// NoWait refuses the call at once as busy if no slot is free now.
 	NoWait bool
+	Caller Caller
 }
 
 // Acquire waits for a permit. The error is a *call.Refusal, or ctx.Err() when
@@ -103,7 +104,7 @@
 func (g *Gate) Acquire(ctx context.Context, class string, t Times) (*Permit, error) {
 	p := &Permit{g: g}
 	e := &p.e
-	e.Asked, e.Once, e.NoWait = t.Asked, t.Once, t.NoWait
+	e.Asked, e.Once, e.NoWait, e.Caller = t.Asked, t.Once, t.NoWait, t.Caller
 	g.mu.Lock()
 	r := g.q.Offer(g.now(), e, class, t.Deadline)
 	if r != nil {
--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -125,15 +125,35 @@
 	}
 }
 
-func BenchmarkGateUncontended(b *testing.B) {
+// Guards the cost of each call with a key: none but the permit is allocated.
+func TestGateAllocatesNothingForWorkspaces(t *testing.T) {
 	g := newTestGate(4)
 	ctx := context.Background()
-	b.ReportAllocs()
-	for b.Loop() {
-		p, err := g.Acquire(ctx, "x", Times{})
+	got := testing.AllocsPerRun(1000, func() {
+		p, err := g.Acquire(ctx, "x", Times{Caller: Caller{Workspace: "w", Priority: 7}})
 		if err != nil {
-			b.Fatal(err)
+			t.Fatal(err)
 		}
 		p.Release(Result{Latency: time.Millisecond})
+	})
+	if got > 1 {
+		t.Errorf("%v allocations", got)
+	}
+}
+
+func BenchmarkGateUncontended(b *testing.B) {
+	for _, caller := range []Caller{{}, {Workspace: "w", Priority: 7}} {
+		b.Run("workspace="+caller.Workspace, func(b *testing.B) {
+			g := newTestGate(4)
+			ctx := context.Background()
+			b.ReportAllocs()
+			for b.Loop() {
+				p, err := g.Acquire(ctx, "x", Times{Caller: caller})
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Release(Result{Latency: time.Millisecond})
+			}
+		})
 	}
 }
--- a/internal/limit/overdue.go
+++ b/internal/limit/overdue.go
@@ -53,7 +53,7 @@
 // putOff puts a call that was taken out of its lane behind those that are overdue.
 func (q *Queue) putOff(e *Entry) {
 	e.overdue = true
-	e.element = e.class.laneOf(e).PushBack(e)
+	e.element = e.class.place(e)
 }
 
 // worthPuttingOff reports whether a slot is likely to be left over for e while it
@@ -73,8 +73,8 @@
 	return time.Duration(c.overdue.Len()+1) * every
 }
 
-// firstOnce returns the class of highest priority with a call that never comes back,
-// then the one whose call came first. Reservations don't bind them: a class far inside
+// firstOnce returns the class whose foremost call that never comes back has the highest
+// priority, then the one whose call came first. Reservations don't bind them: a class far inside
 // its target gives way to others, and lookups of work in progress are always far inside.
 func (q *Queue) firstOnce() *classState {
 	return q.first(func(c *classState) *list.List { return &c.once }, func(*classState) bool { return true })
@@ -91,13 +91,20 @@
 		if lane(c).Len() == 0 || !may(c) {
 			continue
 		}
-		if best == nil || c.Priority > best.Priority || c.Priority == best.Priority && head(lane(c)).before(head(lane(best))) {
+		if best == nil || goesBefore(head(lane(c)), head(lane(best))) {
 			best = c
 		}
 	}
 	return best
 }
 
+func goesBefore(a, b *Entry) bool {
+	if a.priority() != b.priority() {
+		return a.priority() > b.priority()
+	}
+	return a.before(b)
+}
+
 // startFrom starts the first call of a lane, or refuses it if it could not be answered
 // by its deadline.
 func (q *Queue) startFrom(now time.Time, lane *list.List) {
@@ -108,14 +115,11 @@
 
 // lastOverdue returns the call of the least priority that was put off last, or nil.
 func (q *Queue) lastOverdue() *Entry {
-	var victim *classState
+	var victim *Entry
 	for _, c := range q.ordered {
-		if c.overdue.Len() > 0 && (victim == nil || c.Priority < victim.Priority) {
-			victim = c
+		if last := c.overdue.Back(); last != nil && (victim == nil || last.Value.(*Entry).priority() < victim.priority()) {
+			victim = last.Value.(*Entry)
 		}
 	}
-	if victim == nil {
-		return nil
-	}
-	return victim.overdue.Back().Value.(*Entry)
+	return victim
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -32,6 +32,7 @@
 	Once bool
 	// NoWait says that the call is to start now or be refused as busy.
 	NoWait bool
+	Caller Caller
 
 	class    *classState
 	arrived  time.Time
@@ -242,7 +243,8 @@
 func (q *Queue) enqueue(e *Entry) {
 	e.state = entryWaiting
 	q.waiting++
-	e.element = e.class.laneOf(e).PushBack(e)
+	e.element = e.class.place(e)
+	e.count(1, 0)
 }
 
 // Started reports whether the call holds a slot.
@@ -260,6 +262,7 @@
 	e.state = entryEnded
 	c := e.class
 	c.running--
+	e.count(0, -1)
 	q.running--
 	q.learn(now, e, r)
 	q.turnWindow(now)
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -17,6 +17,12 @@
 	deadline time.Duration
 }
 
+// simSender is a workspace and its part of all calls.
+type simSender struct {
+	Caller
+	part float64
+}
+
 // simulation is one backend server under a Queue, in simulated time.
 type simulation struct {
 	classes []simClass
@@ -37,6 +43,10 @@
 	once       map[string]bool
 	options    QueueOptions
 	maxWaiting int
+	// senders are the workspaces that calls come from; none means calls without one.
+	senders []simSender
+	// unknownSenders leaves the queue without the word of a call's workspace.
+	unknownSenders bool
 	// lag multiplies all service times from lagFrom on.
 	lag     float64
 	lagFrom time.Duration
@@ -60,6 +70,7 @@
 
 type simResult struct {
 	classes map[string]*classResult
+	senders map[string]*classResult // by workspace
 	// useful is the slot time spent on calls answered by their deadline, over
 	// all the slot time there was.
 	useful float64
@@ -75,6 +86,7 @@
 	deadline time.Time
 	attempts int
 	work     time.Duration
+	caller   Caller
 }
 
 type simRun struct {
@@ -96,7 +108,7 @@
 		simulation: s,
 		rand:       rand.New(rand.NewPCG(s.seed, 1)),
 		owners:     make(map[*Entry]*simCall),
-		out:        simResult{classes: make(map[string]*classResult)},
+		out:        simResult{classes: make(map[string]*classResult), senders: make(map[string]*classResult)},
 		start:      simStart,
 		end:        simStart.Add(s.lasts),
 	}
@@ -140,17 +152,46 @@
 		}
 		spread := 0.5 + 0.5*rng.ExpFloat64()
 		sc := &simCall{class: c, asked: now, sent: now, deadline: now.Add(c.deadline), work: time.Duration(spread * float64(c.work))}
-		r.out.classes[c.Name].offered++
+		sc.caller = r.sender(rng)
+		r.each(sc, func(cr *classResult) { cr.offered++ })
 		r.offer(now, sc)
 		r.at(now.Add(time.Duration(rng.ExpFloat64()/rate(now)*float64(time.Second))), next)
 	}
 	r.at(r.start.Add(time.Duration(rng.ExpFloat64()/rate(r.start)*float64(time.Second))), next)
 }
 
+// sender draws the caller of a call.
+func (r *simRun) sender(rng *rand.Rand) Caller {
+	if len(r.senders) == 0 {
+		return Caller{}
+	}
+	left := rng.Float64()
+	for _, s := range r.senders {
+		if left -= s.part; left < 0 {
+			return s.Caller
+		}
+	}
+	return r.senders[len(r.senders)-1].Caller
+}
+
+// each gives the results that a call counts for.
+func (r *simRun) each(sc *simCall, count func(*classResult)) {
+	count(r.out.classes[sc.class.Name])
+	if name := sc.caller.Workspace; name != "" {
+		if r.out.senders[name] == nil {
+			r.out.senders[name] = &classResult{name: name}
+		}
+		count(r.out.senders[name])
+	}
+}
+
 func (r *simRun) offer(now time.Time, sc *simCall) {
 	sc.attempts++
 	sc.sent = now
 	e := &Entry{Once: r.once[sc.class.Name]}
+	if !r.unknownSenders {
+		e.Caller = sc.caller
+	}
 	if !r.forget {
 		e.Asked = sc.asked
 	}
@@ -196,7 +237,7 @@
 	}
 	again := now.Add(pause)
 	if sc.attempts >= r.attempts || !again.Before(sc.deadline) {
-		r.out.classes[sc.class.Name].gaveUp++
+		r.each(sc, func(cr *classResult) { cr.gaveUp++ })
 		return
 	}
 	r.at(again, func(now time.Time) { r.offer(now, sc) })
@@ -214,25 +255,28 @@
 	r.at(now.Add(took), func(now time.Time) { r.done(now, e, took) })
 }
 
-func (r *simRun) done(now time.Time, e *Entry, took time.Duration) {
-	sc := r.owners[e]
-	delete(r.owners, e)
-	cr := r.out.classes[sc.class.Name]
+func (cr *classResult) ended(now time.Time, sc *simCall) {
 	total := now.Sub(sc.sent)
 	if now.After(sc.deadline) {
 		cr.ranLate++
-	} else {
-		cr.answered++
-		cr.latencies = append(cr.latencies, total)
-		if total <= sc.class.AnswerWithin {
-			cr.onTarget++
-		}
-		if now.Sub(sc.asked) <= sc.class.AnswerWithin {
-			cr.inTime++
-		}
-		if !now.After(r.end) {
-			r.useful += sc.work
-		}
+		return
+	}
+	cr.answered++
+	cr.latencies = append(cr.latencies, total)
+	if total <= sc.class.AnswerWithin {
+		cr.onTarget++
+	}
+	if now.Sub(sc.asked) <= sc.class.AnswerWithin {
+		cr.inTime++
+	}
+}
+
+func (r *simRun) done(now time.Time, e *Entry, took time.Duration) {
+	sc := r.owners[e]
+	delete(r.owners, e)
+	r.each(sc, func(cr *classResult) { cr.ended(now, sc) })
+	if !now.After(sc.deadline) && !now.After(r.end) {
+		r.useful += sc.work
 	}
 	r.queue.Done(now, e, Result{Latency: took})
 	r.events(now, nil)
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -50,7 +51,10 @@
 // enter waits for a slot and asks whether the request is suspected.
 func (d *Destination) enter(ctx context.Context, now time.Time, in *inbound, h *holding) (*call.Refusal, error) {
 	if d.Gates != nil {
-		times := limit.Times{Asked: now.Add(-in.hop.waited), Once: in.hop.once, NoWait: in.hop.noWait, Deadline: startBy(now, in.deadline)}
+		times := limit.Times{
+			Asked: now.Add(-in.hop.waited), Once: in.hop.once, NoWait: in.hop.noWait,
+			Deadline: startBy(now, in.deadline), Caller: d.caller(in.header),
+		}
 		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, times)
 		if err != nil {
 			return asRefusal(err)
@@ -75,6 +79,20 @@
 	return nil, nil
 }
 
+// caller returns on whose behalf a call is made, as its entry node found by its key. A node may be
+// a version behind and not know the workspace yet: its calls then have the priority of their class.
+func (d *Destination) caller(h http.Header) limit.Caller {
+	keys := d.Programs.Program().Keys
+	if keys == nil {
+		return limit.Caller{}
+	}
+	name := d.Dialect.Workspace(h)
+	if w := keys.Named(name); w != nil {
+		return limit.Caller{Workspace: name, Priority: w.Priority}
+	}
+	return limit.Caller{Workspace: name}
+}
+
 // Bounds on the time that is set aside for a refusal to reach the entry node.
 const (
 	maxWordTime  = 20 * time.Millisecond
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -24,6 +24,8 @@
 	TakeKey(h http.Header, hide bool) string
 	// SetWorkspace tells backend servers the workspace of a call.
 	SetWorkspace(h http.Header, name string)
+	// Workspace returns what SetWorkspace set, or "".
+	Workspace(h http.Header) string
 	// Attempt returns the headers that one attempt adds for the backend server.
 	// Left is rounded down, so that a hop never grants more than there is.
 	Attempt(left time.Duration, instance string) AttemptHeaders
@@ -86,6 +88,9 @@
 // SetWorkspace implements Dialect.
 func (ownDialect) SetWorkspace(h http.Header, name string) { h[headerWorkspace] = []string{name} }
 
+// Workspace implements Dialect.
+func (ownDialect) Workspace(h http.Header) string { return first(h, headerWorkspace) }
+
 // TakeCredentials returns the credentials of a scheme (RFC 9110, 11.4), or "". It removes them
 // if hide is set, and leaves those of other schemes to the backend servers.
 func TakeCredentials(h http.Header, scheme string, hide bool) string {
--- a/internal/proxy/key_test.go
+++ b/internal/proxy/key_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/limit"
 )
 
 const (
@@ -26,7 +27,7 @@
 func keyring(t *testing.T) *config.Keyring {
 	t.Helper()
 	s, err := config.New(1, config.Hash{}, []config.Object{config.EncodeWorkspace(config.Workspace{
-		Name: workspaceOne, Team: "yard", Keys: []config.KeyDigest{config.DigestOf(keyOfHarbour)},
+		Name: workspaceOne, Team: "yard", Priority: 8, Keys: []config.KeyDigest{config.DigestOf(keyOfHarbour)},
 	})})
 	if err != nil {
 		t.Fatal(err)
@@ -34,6 +35,25 @@
 	return config.NewKeyring(s)
 }
 
+// Guards the priority of workspaces: the gate at the destination, on another VM, has to learn on
+// whose behalf a call is made.
+func TestGateLearnsTheWorkspace(t *testing.T) {
+	m := newMesh(t, bookings(), func(http.ResponseWriter, *http.Request) {})
+	m.useOnly(0)
+	seen := make(gateOf, 2)
+	m.dest[0].Gates = seen
+	m.dest[0].Programs = keyed{one{bookings()}, keyring(t)}
+	m.entry.Programs = m.dest[0].Programs
+	m.entry.Retrier = RetryUpTo(1)
+	if _, _, err := m.call("POST", "/launch", "x", headerAuthorization, "Bearer "+keyOfHarbour); err != nil {
+		t.Fatal(err)
+	}
+	want := limit.Caller{Workspace: workspaceOne, Priority: 8}
+	if got := (<-seen).Caller; got != want {
+		t.Errorf("the gate was told %+v, want %+v", got, want)
+	}
+}
+
 // quotas is a Workspaces that refuses as told.
 type quotas struct {
 	confirmed, admit *call.Refusal
