Close a leaving node's sockets once no call comes any more

Cause: a leaving node closed its sockets in the moment in which the last call in flight ended. A call of a node that had not heard of the stop, written just then on a kept connection or on one not accepted yet, was reset, which is "may have run" for its caller.

Change: internal/drain (the counter of calls, moved out of internal/node) waits until none is in flight and none has come for 100 ms. Until then calls are refused as not run and go elsewhere. Each stop takes 100 ms longer.

--- a/internal/node/inflight_test.go
+++ b/internal/node/inflight_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/drain"
 )
 
 // A caller sent the header of a call that was refused, and no body. Its
@@ -16,8 +18,8 @@
 // until the drain limit, and the caller waited for its refusal as long.
 func TestRefusedCallWithSilentBodyEndsItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var calls traffic
-		ln := servePipes(t, newServer(calls.handler(refuseAll), zerolog.Nop()))
+		var calls drain.Calls
+		ln := servePipes(t, newServer(calls.Handler(refuseAll), zerolog.Nop()))
 		conn := ln.dial()
 		defer conn.Close()
 		start := time.Now()
@@ -25,11 +27,11 @@
 			t.Fatal(err)
 		}
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil || resp.StatusCode != http.StatusUnauthorized || time.Since(start) > unreadBody {
+		if err != nil || resp.StatusCode != http.StatusUnauthorized || time.Since(start) > drain.UnreadBody {
 			t.Fatalf("after %s: %v, %v", time.Since(start), resp, err)
 		}
 		_, _ = io.Copy(io.Discard, conn)
-		if got := time.Since(start); got > 2*unreadBody {
+		if got := time.Since(start); got > 2*drain.UnreadBody {
 			t.Errorf("kept for %s", got)
 		}
 	})
@@ -39,8 +41,8 @@
 // later, and used the connection again.
 func TestRefusedCallKeepsItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var calls traffic
-		conn := servePipes(t, newServer(calls.handler(refuseAll), zerolog.Nop())).dial()
+		var calls drain.Calls
+		conn := servePipes(t, newServer(calls.Handler(refuseAll), zerolog.Nop())).dial()
 		defer conn.Close()
 		answers := bufio.NewReader(conn)
 		for range 3 {
@@ -48,13 +50,13 @@
 				if _, err := io.WriteString(conn, part); err != nil {
 					t.Fatal(err)
 				}
-				time.Sleep(unreadBody / 2)
+				time.Sleep(drain.UnreadBody / 2)
 			}
 			resp, err := http.ReadResponse(answers, nil)
 			if err != nil || resp.Close {
 				t.Fatalf("got %v, %v", resp, err)
 			}
-			time.Sleep(10 * unreadBody) // idle
+			time.Sleep(10 * drain.UnreadBody) // idle
 		}
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 	if n.servers, err = newServers(n); err != nil {
 		return err
 	}
-	n.quiet = &quiet{traffic: &n.servers.calls}
+	n.quiet = &quiet{calls: &n.servers.calls}
 	return nil
 }
 
@@ -204,4 +204,4 @@
 func (n *Node) Err() error { return n.parts.err }
 
 // InFlight returns how many calls the node has in its hands.
-func (n *Node) InFlight() int64 { return n.servers.calls.inFlight.Load() }
+func (n *Node) InFlight() int64 { return n.servers.calls.InFlight() }
--- a/internal/node/quiet.go
+++ b/internal/node/quiet.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/marlpass/marlpass/internal/drain"
 )
 
 // quietEvery is the length of the intervals that quiet looks at.
@@ -21,7 +23,7 @@
 // estimate; on a node that is never without calls it stands still, and its
 // companion, the time observed, shows that it does.
 type quiet struct {
-	traffic *traffic
+	calls *drain.Calls
 
 	mu        sync.Mutex // guards what follows; no call takes it
 	cpu, wall time.Duration
@@ -55,8 +57,8 @@
 func (q *quiet) look(now time.Time) sight {
 	// Read in this order: a call that starts in between shows in started at
 	// the next look at the latest.
-	started := q.traffic.started.Load()
-	return sight{at: now, started: started, idle: q.traffic.inFlight.Load() == 0, cpu: processTime()}
+	started := q.calls.Started()
+	return sight{at: now, started: started, idle: q.calls.InFlight() == 0, cpu: processTime()}
 }
 
 func (q *quiet) add(from, to sight) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,10 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/drain"
 	"github.com/marlpass/marlpass/internal/pipeline"
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/telemetry"
@@ -28,7 +29,7 @@
 	// callers are those of traffic whose clients may send ahead.
 	callers  []*pipeline.Server
 	announce *announce.Server
-	calls    traffic
+	calls    drain.Calls
 	conns    *telemetry.Conns // of other nodes that send calls
 }
 
@@ -59,15 +60,15 @@
 	}
 	log := telemetry.Part(n.log, "listener")
 	s.conns = telemetry.NewConns(log, "calls")
-	callsServer := newServer(s.calls.handler(n.calls.dest), log)
+	callsServer := newServer(s.calls.Handler(n.calls.dest), log)
 	callsServer.ConnState = s.conns.Note
 	side := func(ln net.Listener, h http.Handler, t *tls.Config) bound {
 		return bound{server: newSideServer(h, log), ln: ln, tls: t}
 	}
 	c := n.control
 	s.callers = []*pipeline.Server{
-		n.callerServer(s.calls.handler(n.calls.entry.Public()), log),
-		n.callerServer(s.calls.handler(n.calls.entry.Internal()), log),
+		n.callerServer(s.calls.Handler(n.calls.entry.Public()), log),
+		n.callerServer(s.calls.Handler(n.calls.entry.Internal()), log),
 	}
 	s.traffic = []bound{
 		{server: s.callers[0], ln: n.ln.callers},
@@ -164,22 +165,22 @@
 
 // leave asks clients to go elsewhere: each answer from now on ends its
 // connection.
-func (s *servers) leave() { s.calls.leaving.Store(true) }
+func (s *servers) leave() { s.calls.Leave() }
 
 // giveUpFor is how long answers may take to go out once the calls in flight were
 // given up: some ways to the farthest data centre and back. It fits into what a stop
 // keeps free of the platform's grace.
 const giveUpFor = 300 * time.Millisecond
 
-// drain waits for the calls in flight, up to limit, and then closes the sockets
-// for calls. It returns how many calls were left, which were given up.
+// drain waits, up to limit, for the calls in flight and for those that still come,
+// and then closes the sockets for calls. It returns how many calls were left, which were given up.
 func (s *servers) drain(ctx context.Context, limit time.Duration) int64 {
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if s.calls.wait(bounded) == nil && s.shut(bounded) == nil {
+	if s.calls.Wait(bounded) == nil && s.shut(bounded) == nil {
 		return 0
 	}
-	left := s.calls.inFlight.Load()
+	left := s.calls.InFlight()
 	s.giveUp(ctx)
 	return left
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/drain"
 	"github.com/marlpass/marlpass/internal/membership"
 )
 
@@ -52,6 +53,7 @@
 	inside  *httptest.Server
 	picks   *RoundRobin
 	nodes   [2]*httptest.Server
+	calls   [2]drain.Calls // of nodes
 	eps     []Endpoint
 	runs    atomic.Int64
 }
@@ -84,7 +86,7 @@
 			Programs: one{target}, Upstreams: ups, Gates: new(FixedLimit),
 			Backends: held{{Service: testService, Instance: "a", Addr: addr, Slots: 8, State: membership.BackendReady}},
 		})
-		s := httptest.NewServer(m.dest[i])
+		s := httptest.NewServer(m.calls[i].Handler(m.dest[i]))
 		t.Cleanup(s.Close)
 		m.nodes[i] = s
 		m.eps = append(m.eps, Endpoint{ID: "vm" + string(rune('0'+i)) + "/a", VM: "vm" + string(rune('0'+i)),
