Let nodes report until their usual rates are gone

Cause: sums of another data centre are kept for five minutes since. A data centre whose callers move elsewhere stops its reports 10 s after the last call, when 13% of its usual rates are left, and that part of each quota was kept from where the callers are now, for five minutes.

Change: nodes report for 30 s after the last call; 0.2% is left then. quota.RestAfter stands beside the other times.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -27,8 +27,6 @@
 	// reportPerNode is the least time between two reports of a node for each node of its data
 	// centre, so that a collector's work doesn't grow with the mesh.
 	reportPerNode = 8 * time.Millisecond
-	// usageRest is how long a node goes on telling its usage after the last call of a workspace.
-	usageRest = 10 * time.Second
 	// limitedRest is how long a workspace has to be within its quota to count as such again.
 	limitedRest = 3 * time.Second
 	// overQuotaAgain is the mean time after which callers over their quota are told to come
@@ -162,7 +160,7 @@
 }
 
 // rests reports whether no workspace has had calls for a while.
-func (r *usageReports) rests(now time.Time) bool { return now.Sub(r.called) > usageRest }
+func (r *usageReports) rests(now time.Time) bool { return now.Sub(r.called) > quota.RestAfter }
 
 // reportEvery is the time between two reports of this node.
 func (w *workspaces) reportEvery() time.Duration {
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -29,8 +29,10 @@
 	// cut says that a data centre is cut off from the others, and lost that its collector is
 	// not reached.
 	cut, lost func(dc int, at time.Duration) bool
-	passed    map[string][]time.Duration // when calls passed
-	asked     map[string][]time.Duration
+	// enters returns the data centre where calls enter, or -1 for all.
+	enters func(at time.Duration) int
+	passed map[string][]time.Duration // when calls passed
+	asked  map[string][]time.Duration
 }
 
 type simNode struct {
@@ -41,6 +43,7 @@
 	before  []Usage
 	reached time.Time
 	sent    time.Time
+	called  time.Time
 	// incarnation counts the node's starts.
 	incarnation uint64
 }
@@ -72,6 +75,7 @@
 	s.rate = func(name string, _ time.Duration) float64 { return usual[name] }
 	s.cut = func(int, time.Duration) bool { return false }
 	s.lost = func(int, time.Duration) bool { return false }
+	s.enters = func(time.Duration) int { return -1 }
 	for i := range nodes {
 		s.nodes = append(s.nodes, &simNode{
 			id: fmt.Sprintf("n%03d", i), dc: i % dcs, l: NewLimiter(s.now), sent: s.now,
@@ -91,7 +95,8 @@
 	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(simStep) {
 		for _, name := range s.names {
 			for range s.poisson(s.rate(name, s.at()) * simStep.Seconds()) {
-				n := s.nodes[s.rng.IntN(len(s.nodes))]
+				n := s.entered()
+				n.called = s.now
 				s.asked[name] = append(s.asked[name], s.at())
 				if n.l.Admit(name) {
 					s.passed[name] = append(s.passed[name], s.at())
@@ -107,6 +112,15 @@
 	}
 }
 
+// entered draws the node that a call enters by.
+func (s *sim) entered() *simNode {
+	for dc := s.enters(s.at()); ; {
+		if n := s.nodes[s.rng.IntN(len(s.nodes))]; dc < 0 || n.dc == dc {
+			return n
+		}
+	}
+}
+
 func (s *sim) poisson(mean float64) int {
 	n, p := 0, math.Exp(-mean)
 	for x := s.rng.Float64(); x > p; x *= s.rng.Float64() {
@@ -126,6 +140,10 @@
 		return
 	}
 	n.next = s.now.Add(ReportEvery)
+	if s.now.Sub(n.called) > RestAfter {
+		n.l.Rest()
+		return
+	}
 	usage := n.l.Report(s.now)
 	if s.lost(n.dc, s.at()) {
 		n.l.Unanswered(Unanswered{
@@ -141,7 +159,7 @@
 }
 
 func (s *sim) exchange(dc int, c *simCollector) {
-	if s.now.Before(c.next) || s.lost(dc, s.at()) {
+	if s.now.Before(c.next) || s.lost(dc, s.at()) || c.Nodes() == 0 {
 		return
 	}
 	c.next = s.now.Add(ExchangeEvery)
@@ -150,6 +168,7 @@
 			continue
 		}
 		o.Sum(s.now, fmt.Sprint("c", dc), 1, c.Sums())
+		o.Decide(s.now, s.limits)
 	}
 }
 
@@ -287,6 +306,29 @@
 	}
 }
 
+// Guards the pattern of callers that move to another data centre: the one that has rested since
+// keeps nothing of any quota.
+func TestRestingDataCentreKeepsNoQuota(t *testing.T) {
+	const moved = 10 * time.Second
+	for seed := range uint64(2) {
+		s := newSim(seed, 12, 2, 12, 100)
+		for name, l := range s.limits {
+			s.limits[name] = Limit{Rate: l.Rate / 1.9, Burst: l.Burst} // about what is asked for
+		}
+		s.enters = func(at time.Duration) int {
+			if at < moved {
+				return 0
+			}
+			return 1
+		}
+		s.run(60 * time.Second)
+		for _, name := range s.names {
+			s.served(t, name, moved, 60*time.Second)
+		}
+		s.within(t)
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l := NewLimiter(time.Now())
 	l.Apply([]Part{{"w", 0.5}})
