--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -110,12 +110,14 @@
 type putRes interface {
 	adminapi.PutServiceRes
 	adminapi.PutTargetRes
+	adminapi.PutWorkspaceRes
 }
 
 // withdrawRes is an answer to any operation that withdraws an object.
 type withdrawRes interface {
 	adminapi.WithdrawServiceRes
 	adminapi.WithdrawTargetRes
+	adminapi.WithdrawWorkspaceRes
 }
 
 func (h handler) put(ctx context.Context, o config.Object, p writeParams) (putRes, error) {
@@ -166,3 +168,17 @@
 func (h handler) WithdrawTarget(ctx context.Context, p adminapi.WithdrawTargetParams) (adminapi.WithdrawTargetRes, error) {
 	return h.withdraw(ctx, config.KindTarget, writeParams(p))
 }
+
+func (h handler) PutWorkspace(ctx context.Context, req *adminapi.WorkspaceSpec, p adminapi.PutWorkspaceParams) (adminapi.PutWorkspaceRes, error) {
+	workspace, err := workspaceFrom(req)
+	if err != nil {
+		return nil, err
+	}
+	workspace.Name = string(p.Name)
+	workspace.Team = operatorOf(ctx).Team
+	return h.put(ctx, config.EncodeWorkspace(workspace), writeParams(p))
+}
+
+func (h handler) WithdrawWorkspace(ctx context.Context, p adminapi.WithdrawWorkspaceParams) (adminapi.WithdrawWorkspaceRes, error) {
+	return h.withdraw(ctx, config.KindWorkspace, writeParams(p))
+}
--- a/internal/admin/operators.go
+++ b/internal/admin/operators.go
@@ -140,9 +140,11 @@
 
 // writes are the operations that change state.
 var writes = map[adminapi.OperationName]bool{
-	adminapi.PutServiceOperation:      true,
-	adminapi.PutTargetOperation:       true,
-	adminapi.WithdrawServiceOperation: true,
-	adminapi.WithdrawTargetOperation:  true,
-	adminapi.LiftQuarantineOperation:  true,
+	adminapi.PutServiceOperation:        true,
+	adminapi.PutTargetOperation:         true,
+	adminapi.PutWorkspaceOperation:      true,
+	adminapi.WithdrawServiceOperation:   true,
+	adminapi.WithdrawTargetOperation:    true,
+	adminapi.WithdrawWorkspaceOperation: true,
+	adminapi.LiftQuarantineOperation:    true,
 }
--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -43,6 +43,24 @@
 	return &adminapi.TargetHeaders{ETag: etag(s.Version().Number), Response: targetOf(t)}, nil
 }
 
+func (h handler) ListWorkspaces(context.Context) (*adminapi.WorkspaceListHeaders, error) {
+	s := h.s.reader.Snapshot()
+	out := adminapi.WorkspaceList{Version: VersionOf(s.Version()), Workspaces: []adminapi.Workspace{}}
+	for _, w := range s.Workspaces() {
+		out.Workspaces = append(out.Workspaces, workspaceOf(w))
+	}
+	return &adminapi.WorkspaceListHeaders{ETag: etag(s.Version().Number), Response: out}, nil
+}
+
+func (h handler) GetWorkspace(_ context.Context, p adminapi.GetWorkspaceParams) (*adminapi.WorkspaceHeaders, error) {
+	s := h.s.reader.Snapshot()
+	w := s.Workspace(string(p.Name))
+	if w == nil {
+		return nil, &NotFoundError{"workspace " + string(p.Name)}
+	}
+	return &adminapi.WorkspaceHeaders{ETag: etag(s.Version().Number), Response: workspaceOf(w)}, nil
+}
+
 func (h handler) GetCommand(ctx context.Context, p adminapi.GetCommandParams) (*adminapi.CommandRecord, error) {
 	return h.s.reader.Command(ctx, string(p.ID))
 }
--- a/internal/admin/shapes.go
+++ b/internal/admin/shapes.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/command"
@@ -33,6 +34,7 @@
 		OnStoreDown:    config.OnStoreDown(s.OnStoreDown.Or("")),
 		TimeoutMS:      s.TimeoutMs.Or(0),
 		Attempts:       s.Attempts.Or(0),
+		Keyless:        s.Keyless.Or(false),
 	}
 }
 
@@ -58,6 +60,7 @@
 			OnStoreDown:    adminapi.OptOnStoreDown{Value: adminapi.OnStoreDown(t.OnStoreDown), Set: t.OnStoreDown != ""},
 			TimeoutMs:      adminapi.OptInt64{Value: t.TimeoutMS, Set: t.TimeoutMS != 0},
 			Attempts:       adminapi.OptInt{Value: t.Attempts, Set: t.Attempts != 0},
+			Keyless:        adminapi.OptBool{Value: t.Keyless, Set: t.Keyless},
 		},
 	}
 }
@@ -66,6 +69,39 @@
 	return adminapi.Service{Name: v.Name, Team: v.Team, Description: optString(v.Description)}
 }
 
+// workspaceFrom returns the stated workspace, without name and team.
+func workspaceFrom(s *adminapi.WorkspaceSpec) (config.Workspace, error) {
+	w := config.Workspace{
+		Priority:      s.Priority.Or(0),
+		RatePerSecond: s.RatePerSecond.Or(0),
+		Burst:         s.Burst.Or(0),
+	}
+	for _, k := range s.KeysSHA256 {
+		var digest config.KeyDigest
+		if err := digest.UnmarshalText([]byte(k)); err != nil {
+			return w, &parameterError{"keys_sha256", "must be SHA-256 in hexadecimal"}
+		}
+		w.Keys = append(w.Keys, digest)
+	}
+	return w, nil
+}
+
+func workspaceOf(w *config.Workspace) adminapi.Workspace {
+	out := adminapi.Workspace{
+		Name: w.Name,
+		Team: w.Team,
+		Spec: adminapi.WorkspaceSpec{
+			Priority:      adminapi.OptInt{Value: w.Priority, Set: w.Priority != 0},
+			RatePerSecond: adminapi.OptFloat64{Value: w.RatePerSecond, Set: w.RatePerSecond != 0},
+			Burst:         adminapi.OptFloat64{Value: w.Burst, Set: w.Burst != 0},
+		},
+	}
+	for _, k := range w.Keys {
+		out.Spec.KeysSHA256 = append(out.Spec.KeysSHA256, adminapi.KeyDigest(hex.EncodeToString(k[:])))
+	}
+	return out
+}
+
 func optString(s string) adminapi.OptString {
 	return adminapi.OptString{Value: s, Set: s != ""}
 }
--- a/internal/cli/print.go
+++ b/internal/cli/print.go
@@ -91,6 +91,19 @@
 	t.flush()
 }
 
+func printWorkspaces(w io.Writer, l *adminapi.WorkspaceList) {
+	fmt.Fprintf(w, "version %s\n", versionText(l.Version))
+	t := newTable(w, "WORKSPACE", "TEAM", "KEYS", "PRIORITY", "RATE", "BURST")
+	for _, v := range l.Workspaces {
+		priority := "of the target"
+		if v.Spec.Priority.Set {
+			priority = strconv.Itoa(v.Spec.Priority.Value)
+		}
+		t.row(v.Name, v.Team, strconv.Itoa(len(v.Spec.KeysSHA256)), priority, float(v.Spec.RatePerSecond, "/s"), float(v.Spec.Burst, ""))
+	}
+	t.flush()
+}
+
 func matchText(m adminapi.Match) string {
 	text := m.Host.Value + m.PathPrefix
 	if len(m.Methods) > 0 {
--- a/internal/cli/spec.go
+++ b/internal/cli/spec.go
@@ -29,6 +29,7 @@
 	Deadline    strict.Duration `toml:"deadline"`
 	Bound       strict.Duration `toml:"bound"`
 	Attempts    int             `toml:"attempts"`
+	Keyless     bool            `toml:"keyless"`
 }
 
 // targetFlags are the flags that describe a target; they exclude -f.
@@ -36,7 +37,7 @@
 	"service": true, "host": true, "path": true, "methods": true, "idempotent": true,
 	"within": true, "percentile": true, "share": true, "rate": true, "priority": true,
 	"internal": true, "on-store-down": true, "deadline": true,
-	"bound": true, "attempts": true,
+	"bound": true, "attempts": true, "keyless": true,
 }
 
 func defineTarget(fs *flag.FlagSet) *targetInput {
@@ -59,6 +60,7 @@
 	fs.DurationVar(&t.Deadline.Duration, "deadline", 0, "bound on a call whose caller sent none (default 30s)")
 	fs.DurationVar(&t.Bound.Duration, "bound", 0, "longest `time` of a call, whatever its caller allows (default: none)")
 	fs.IntVar(&t.Attempts, "attempts", 0, "the most backend servers that one call is sent to (default: as the retry policy says)")
+	fs.BoolVar(&t.Keyless, "keyless", false, "calls need no API key where there are workspaces")
 	return t
 }
 
@@ -164,6 +166,7 @@
 		OnStoreDown:    adminapi.OptOnStoreDown{Value: adminapi.OnStoreDown(t.OnStoreDown), Set: t.OnStoreDown != ""},
 		TimeoutMs:      adminapi.OptInt64{Value: timeout, Set: timeout != 0},
 		Attempts:       adminapi.OptInt{Value: t.Attempts, Set: t.Attempts != 0},
+		Keyless:        adminapi.OptBool{Value: t.Keyless, Set: t.Keyless},
 	}
 	if t.Internal {
 		s.Audience.SetTo(adminapi.AudienceInternal)
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -51,7 +51,7 @@
 		summary: "State the whole target of a class of work: create it, or put it in the place of the old one.",
 		detail: "What is left out goes back to its default. -f reads the same from a TOML file, with the\n" +
 			"keys service, host, path, methods, idempotent, within, percentile, share, rate, priority,\n" +
-			"internal, on_store_down, deadline, bound and attempts.",
+			"internal, on_store_down, deadline, bound, attempts and keyless.",
 		examples: []string{
 			"marlpass target set berth-booking -service berth -path /bookings -methods POST -within 200ms -priority 8",
 			"marlpass target set archive-pull -service archive -path /archive -idempotent -share 20%",
--- a/internal/cli/tree.go
+++ b/internal/cli/tree.go
@@ -14,6 +14,7 @@
 		subs: []*command{
 			serviceGroup(),
 			targetGroup(),
+			workspaceGroup(),
 			historyCommand(),
 			handoverCommand(),
 			statusCommand(),
@@ -51,6 +52,19 @@
 	}
 }
 
+func workspaceGroup() *command {
+	return &command{
+		name:    "workspace",
+		summary: "List, state and withdraw workspaces: callers that share API keys and a quota.",
+		examples: []string{
+			"marlpass workspace list",
+			"marlpass workspace set yard -key-file yard.keys -rate 200 -burst 50",
+			"marlpass workspace withdraw yard -if-version 41",
+		},
+		subs: []*command{workspaceList(), workspaceSet(), workspaceWithdraw()},
+	}
+}
+
 func commandGroup() *command {
 	return &command{
 		name:     "command",
--- a/internal/command/judge.go
+++ b/internal/command/judge.go
@@ -216,6 +216,10 @@
 		if t := s.Target(k.Name); t != nil {
 			return t.Team
 		}
+	case config.KindWorkspace:
+		if w := s.Workspace(k.Name); w != nil {
+			return w.Team
+		}
 	}
 	return ""
 }
--- a/internal/gen/adminapi/oas_cfg_gen.go
+++ b/internal/gen/adminapi/oas_cfg_gen.go
@@ -21,6 +21,7 @@
 	"^\"(0|[1-9][0-9]{0,18})\"$":      ogenregex.MustCompile("^\"(0|[1-9][0-9]{0,18})\"$"),
 	"^/":                              ogenregex.MustCompile("^/"),
 	"^[0-9a-f]{32}$":                  ogenregex.MustCompile("^[0-9a-f]{32}$"),
+	"^[0-9a-f]{64}$":                  ogenregex.MustCompile("^[0-9a-f]{64}$"),
 	"^[A-Z]+$":                        ogenregex.MustCompile("^[A-Z]+$"),
 	"^[A-Za-z0-9][A-Za-z0-9._-]*$":    ogenregex.MustCompile("^[A-Za-z0-9][A-Za-z0-9._-]*$"),
 	"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$": ogenregex.MustCompile("^[a-z0-9]([a-z0-9-]*[a-z0-9])?$"),
--- a/internal/gen/adminapi/oas_client_gen.go
+++ b/internal/gen/adminapi/oas_client_gen.go
@@ -57,6 +57,10 @@
 	//
 	// GET /targets/{name}
 	GetTarget(ctx context.Context, params GetTargetParams) (*TargetHeaders, error)
+	// GetWorkspace invokes getWorkspace operation.
+	//
+	// GET /workspaces/{name}
+	GetWorkspace(ctx context.Context, params GetWorkspaceParams) (*WorkspaceHeaders, error)
 	// LiftQuarantine invokes liftQuarantine operation.
 	//
 	// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
@@ -77,6 +81,10 @@
 	//
 	// GET /targets
 	ListTargets(ctx context.Context) (*TargetListHeaders, error)
+	// ListWorkspaces invokes listWorkspaces operation.
+	//
+	// GET /workspaces
+	ListWorkspaces(ctx context.Context) (*WorkspaceListHeaders, error)
 	// PutService invokes putService operation.
 	//
 	// PUT /services/{name}
@@ -85,6 +93,10 @@
 	//
 	// PUT /targets/{name}
 	PutTarget(ctx context.Context, request *TargetSpec, params PutTargetParams) (PutTargetRes, error)
+	// PutWorkspace invokes putWorkspace operation.
+	//
+	// PUT /workspaces/{name}
+	PutWorkspace(ctx context.Context, request *WorkspaceSpec, params PutWorkspaceParams) (PutWorkspaceRes, error)
 	// WithdrawService invokes withdrawService operation.
 	//
 	// DELETE /services/{name}
@@ -93,6 +105,10 @@
 	//
 	// DELETE /targets/{name}
 	WithdrawTarget(ctx context.Context, params WithdrawTargetParams) (WithdrawTargetRes, error)
+	// WithdrawWorkspace invokes withdrawWorkspace operation.
+	//
+	// DELETE /workspaces/{name}
+	WithdrawWorkspace(ctx context.Context, params WithdrawWorkspaceParams) (WithdrawWorkspaceRes, error)
 }
 
 // Client implements OAS client.
@@ -1133,6 +1149,138 @@
 	return result, nil
 }
 
+// GetWorkspace invokes getWorkspace operation.
+//
+// GET /workspaces/{name}
+func (c *Client) GetWorkspace(ctx context.Context, params GetWorkspaceParams) (*WorkspaceHeaders, error) {
+	res, err := c.sendGetWorkspace(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetWorkspace(ctx context.Context, params GetWorkspaceParams) (res *WorkspaceHeaders, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getWorkspace"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/workspaces/{name}"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, GetWorkspaceOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/workspaces/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			if unwrapped := string(params.Name); true {
+				return e.EncodeValue(conv.StringToString(unwrapped))
+			}
+			return nil
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, GetWorkspaceOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeGetWorkspaceResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // LiftQuarantine invokes liftQuarantine operation.
 //
 // Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
@@ -1602,6 +1750,117 @@
 	return result, nil
 }
 
+// ListWorkspaces invokes listWorkspaces operation.
+//
+// GET /workspaces
+func (c *Client) ListWorkspaces(ctx context.Context) (*WorkspaceListHeaders, error) {
+	res, err := c.sendListWorkspaces(ctx)
+	return res, err
+}
+
+func (c *Client) sendListWorkspaces(ctx context.Context) (res *WorkspaceListHeaders, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listWorkspaces"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/workspaces"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, ListWorkspacesOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/workspaces"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, ListWorkspacesOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeListWorkspacesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // PutService invokes putService operation.
 //
 // PUT /services/{name}
@@ -1996,19 +2255,19 @@
 	return result, nil
 }
 
-// WithdrawService invokes withdrawService operation.
+// PutWorkspace invokes putWorkspace operation.
 //
-// DELETE /services/{name}
-func (c *Client) WithdrawService(ctx context.Context, params WithdrawServiceParams) (WithdrawServiceRes, error) {
-	res, err := c.sendWithdrawService(ctx, params)
+// PUT /workspaces/{name}
+func (c *Client) PutWorkspace(ctx context.Context, request *WorkspaceSpec, params PutWorkspaceParams) (PutWorkspaceRes, error) {
+	res, err := c.sendPutWorkspace(ctx, request, params)
 	return res, err
 }
 
-func (c *Client) sendWithdrawService(ctx context.Context, params WithdrawServiceParams) (res WithdrawServiceRes, err error) {
+func (c *Client) sendPutWorkspace(ctx context.Context, request *WorkspaceSpec, params PutWorkspaceParams) (res PutWorkspaceRes, err error) {
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("withdrawService"),
-		semconv.HTTPRequestMethodKey.String("DELETE"),
-		semconv.URLTemplateKey.String("/services/{name}"),
+		otelogen.OperationID("putWorkspace"),
+		semconv.HTTPRequestMethodKey.String("PUT"),
+		semconv.URLTemplateKey.String("/workspaces/{name}"),
 	}
 	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
 
@@ -2024,7 +2283,7 @@
 	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
 
 	// Start a span for this request.
-	ctx, span := c.cfg.Tracer.Start(ctx, WithdrawServiceOperation,
+	ctx, span := c.cfg.Tracer.Start(ctx, PutWorkspaceOperation,
 		trace.WithAttributes(otelAttrs...),
 		clientSpanKind,
 	)
@@ -2042,7 +2301,7 @@
 	stage = "BuildURL"
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [2]string
-	pathParts[0] = "/services/"
+	pathParts[0] = "/workspaces/"
 	{
 		// Encode "name" parameter.
 		e := uri.NewPathEncoder(uri.PathEncoderConfig{
@@ -2067,10 +2326,13 @@
 	uri.AddPathParts(u, pathParts[:]...)
 
 	stage = "EncodeRequest"
-	r, err := ht.NewRequest(ctx, "DELETE", u)
+	r, err := ht.NewRequest(ctx, "PUT", u)
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
 	}
+	if err := encodePutWorkspaceRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
 
 	stage = "EncodeHeaderParams"
 	h := uri.NewHeaderEncoder(r.Header)
@@ -2139,7 +2401,7 @@
 		var satisfied bitset
 		{
 			stage = "Security:Bearer"
-			switch err := c.securityBearer(ctx, WithdrawServiceOperation, r); {
+			switch err := c.securityBearer(ctx, PutWorkspaceOperation, r); {
 			case err == nil: // if NO error
 				satisfied[0] |= 1 << 0
 			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
@@ -2182,7 +2444,7 @@
 	}()
 
 	stage = "DecodeResponse"
-	result, err := decodeWithdrawServiceResponse(resp)
+	result, err := decodePutWorkspaceResponse(resp)
 	if err != nil {
 		return res, errors.Wrap(err, "decode response")
 	}
@@ -2190,19 +2452,213 @@
 	return result, nil
 }
 
-// WithdrawTarget invokes withdrawTarget operation.
+// WithdrawService invokes withdrawService operation.
 //
-// DELETE /targets/{name}
-func (c *Client) WithdrawTarget(ctx context.Context, params WithdrawTargetParams) (WithdrawTargetRes, error) {
-	res, err := c.sendWithdrawTarget(ctx, params)
+// DELETE /services/{name}
+func (c *Client) WithdrawService(ctx context.Context, params WithdrawServiceParams) (WithdrawServiceRes, error) {
+	res, err := c.sendWithdrawService(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendWithdrawTarget(ctx context.Context, params WithdrawTargetParams) (res WithdrawTargetRes, err error) {
+func (c *Client) sendWithdrawService(ctx context.Context, params WithdrawServiceParams) (res WithdrawServiceRes, err error) {
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("withdrawTarget"),
+		otelogen.OperationID("withdrawService"),
 		semconv.HTTPRequestMethodKey.String("DELETE"),
-		semconv.URLTemplateKey.String("/targets/{name}"),
+		semconv.URLTemplateKey.String("/services/{name}"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, WithdrawServiceOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/services/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			if unwrapped := string(params.Name); true {
+				return e.EncodeValue(conv.StringToString(unwrapped))
+			}
+			return nil
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "DELETE", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	stage = "EncodeHeaderParams"
+	h := uri.NewHeaderEncoder(r.Header)
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Command",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassCommand.Get(); ok {
+				if unwrapped := string(val); true {
+					return e.EncodeValue(conv.StringToString(unwrapped))
+				}
+				return nil
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "If-Match",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.IfMatch.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Note",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassNote.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, WithdrawServiceOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeWithdrawServiceResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// WithdrawTarget invokes withdrawTarget operation.
+//
+// DELETE /targets/{name}
+func (c *Client) WithdrawTarget(ctx context.Context, params WithdrawTargetParams) (WithdrawTargetRes, error) {
+	res, err := c.sendWithdrawTarget(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendWithdrawTarget(ctx context.Context, params WithdrawTargetParams) (res WithdrawTargetRes, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("withdrawTarget"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.URLTemplateKey.String("/targets/{name}"),
 	}
 	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
 
@@ -2383,3 +2839,197 @@
 
 	return result, nil
 }
+
+// WithdrawWorkspace invokes withdrawWorkspace operation.
+//
+// DELETE /workspaces/{name}
+func (c *Client) WithdrawWorkspace(ctx context.Context, params WithdrawWorkspaceParams) (WithdrawWorkspaceRes, error) {
+	res, err := c.sendWithdrawWorkspace(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendWithdrawWorkspace(ctx context.Context, params WithdrawWorkspaceParams) (res WithdrawWorkspaceRes, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("withdrawWorkspace"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.URLTemplateKey.String("/workspaces/{name}"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, WithdrawWorkspaceOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/workspaces/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			if unwrapped := string(params.Name); true {
+				return e.EncodeValue(conv.StringToString(unwrapped))
+			}
+			return nil
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "DELETE", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	stage = "EncodeHeaderParams"
+	h := uri.NewHeaderEncoder(r.Header)
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Command",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassCommand.Get(); ok {
+				if unwrapped := string(val); true {
+					return e.EncodeValue(conv.StringToString(unwrapped))
+				}
+				return nil
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassRepeat.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "If-Match",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.IfMatch.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Marlpass-Note",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MarlpassNote.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Bearer"
+			switch err := c.securityBearer(ctx, WithdrawWorkspaceOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeWithdrawWorkspaceResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/internal/gen/adminapi/oas_handlers_gen.go
+++ b/internal/gen/adminapi/oas_handlers_gen.go
@@ -1424,6 +1424,204 @@
 	}
 }
 
+// handleGetWorkspaceRequest handles getWorkspace operation.
+//
+// GET /workspaces/{name}
+func (s *Server) handleGetWorkspaceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getWorkspace"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/workspaces/{name}"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), GetWorkspaceOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetWorkspaceOperation,
+			ID:   "getWorkspace",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetWorkspaceOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetWorkspaceParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *WorkspaceHeaders
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetWorkspaceOperation,
+			OperationSummary: "",
+			OperationID:      "getWorkspace",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetWorkspaceParams
+			Response = *WorkspaceHeaders
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetWorkspaceParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetWorkspace(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetWorkspace(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetWorkspaceResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleLiftQuarantineRequest handles liftQuarantine operation.
 //
 // Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
@@ -1946,9 +2144,604 @@
 		}
 
 		type (
-			Request  = struct{}
-			Params   = struct{}
-			Response = *ServiceListHeaders
+			Request  = struct{}
+			Params   = struct{}
+			Response = *ServiceListHeaders
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListServices(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListServices(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListServicesResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleListTargetsRequest handles listTargets operation.
+//
+// GET /targets
+func (s *Server) handleListTargetsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listTargets"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/targets"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), ListTargetsOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListTargetsOperation,
+			ID:   "listTargets",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListTargetsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *TargetListHeaders
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListTargetsOperation,
+			OperationSummary: "",
+			OperationID:      "listTargets",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *TargetListHeaders
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListTargets(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListTargets(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListTargetsResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleListWorkspacesRequest handles listWorkspaces operation.
+//
+// GET /workspaces
+func (s *Server) handleListWorkspacesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listWorkspaces"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/workspaces"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), ListWorkspacesOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListWorkspacesOperation,
+			ID:   "listWorkspaces",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListWorkspacesOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *WorkspaceListHeaders
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListWorkspacesOperation,
+			OperationSummary: "",
+			OperationID:      "listWorkspaces",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *WorkspaceListHeaders
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListWorkspaces(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListWorkspaces(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListWorkspacesResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handlePutServiceRequest handles putService operation.
+//
+// PUT /services/{name}
+func (s *Server) handlePutServiceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("putService"),
+		semconv.HTTPRequestMethodKey.String("PUT"),
+		semconv.HTTPRouteKey.String("/services/{name}"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), PutServiceOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: PutServiceOperation,
+			ID:   "putService",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, PutServiceOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodePutServiceParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodePutServiceRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response PutServiceRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    PutServiceOperation,
+			OperationSummary: "",
+			OperationID:      "putService",
+			Body:             request,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "Marlpass-Command",
+					In:   "header",
+				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
+				{
+					Name: "If-Match",
+					In:   "header",
+				}: params.IfMatch,
+				{
+					Name: "Marlpass-Note",
+					In:   "header",
+				}: params.MarlpassNote,
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = *ServiceSpec
+			Params   = PutServiceParams
+			Response = PutServiceRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -1957,14 +2750,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackPutServiceParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ListServices(ctx)
+				response, err = s.h.PutService(ctx, request, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ListServices(ctx)
+		response, err = s.h.PutService(ctx, request, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -1983,7 +2776,7 @@
 		return
 	}
 
-	if err := encodeListServicesResponse(response, w, span); err != nil {
+	if err := encodePutServiceResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
@@ -1992,22 +2785,22 @@
 	}
 }
 
-// handleListTargetsRequest handles listTargets operation.
+// handlePutTargetRequest handles putTarget operation.
 //
-// GET /targets
-func (s *Server) handleListTargetsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+// PUT /targets/{name}
+func (s *Server) handlePutTargetRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("listTargets"),
-		semconv.HTTPRequestMethodKey.String("GET"),
-		semconv.HTTPRouteKey.String("/targets"),
+		otelogen.OperationID("putTarget"),
+		semconv.HTTPRequestMethodKey.String("PUT"),
+		semconv.HTTPRouteKey.String("/targets/{name}"),
 	}
 	// Add attributes from config.
 	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
 
 	// Start a span for this request.
-	ctx, span := s.cfg.Tracer.Start(r.Context(), ListTargetsOperation,
+	ctx, span := s.cfg.Tracer.Start(r.Context(), PutTargetOperation,
 		trace.WithAttributes(otelAttrs...),
 		serverSpanKind,
 	)
@@ -2062,15 +2855,15 @@
 		}
 		err          error
 		opErrContext = ogenerrors.OperationContext{
-			Name: ListTargetsOperation,
-			ID:   "listTargets",
+			Name: PutTargetOperation,
+			ID:   "putTarget",
 		}
 	)
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
 		{
-			sctx, ok, err := s.securityBearer(ctx, ListTargetsOperation, r)
+			sctx, ok, err := s.securityBearer(ctx, PutTargetOperation, r)
 			if err != nil {
 				err = &ogenerrors.SecurityError{
 					OperationContext: opErrContext,
@@ -2112,26 +2905,72 @@
 			return
 		}
 	}
+	params, err := decodePutTargetParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
 
 	var rawBody []byte
+	request, rawBody, close, err := s.decodePutTargetRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
 
-	var response *TargetListHeaders
+	var response PutTargetRes
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
-			OperationName:    ListTargetsOperation,
+			OperationName:    PutTargetOperation,
 			OperationSummary: "",
-			OperationID:      "listTargets",
-			Body:             nil,
+			OperationID:      "putTarget",
+			Body:             request,
 			RawBody:          rawBody,
-			Params:           middleware.Parameters{},
-			Raw:              r,
+			Params: middleware.Parameters{
+				{
+					Name: "Marlpass-Command",
+					In:   "header",
+				}: params.MarlpassCommand,
+				{
+					Name: "Marlpass-Repeat",
+					In:   "header",
+				}: params.MarlpassRepeat,
+				{
+					Name: "If-Match",
+					In:   "header",
+				}: params.IfMatch,
+				{
+					Name: "Marlpass-Note",
+					In:   "header",
+				}: params.MarlpassNote,
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
 		}
 
 		type (
-			Request  = struct{}
-			Params   = struct{}
-			Response = *TargetListHeaders
+			Request  = *TargetSpec
+			Params   = PutTargetParams
+			Response = PutTargetRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -2140,14 +2979,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackPutTargetParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ListTargets(ctx)
+				response, err = s.h.PutTarget(ctx, request, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ListTargets(ctx)
+		response, err = s.h.PutTarget(ctx, request, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -2166,7 +3005,7 @@
 		return
 	}
 
-	if err := encodeListTargetsResponse(response, w, span); err != nil {
+	if err := encodePutTargetResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
@@ -2175,22 +3014,22 @@
 	}
 }
 
-// handlePutServiceRequest handles putService operation.
+// handlePutWorkspaceRequest handles putWorkspace operation.
 //
-// PUT /services/{name}
-func (s *Server) handlePutServiceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+// PUT /workspaces/{name}
+func (s *Server) handlePutWorkspaceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("putService"),
+		otelogen.OperationID("putWorkspace"),
 		semconv.HTTPRequestMethodKey.String("PUT"),
-		semconv.HTTPRouteKey.String("/services/{name}"),
+		semconv.HTTPRouteKey.String("/workspaces/{name}"),
 	}
 	// Add attributes from config.
 	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
 
 	// Start a span for this request.
-	ctx, span := s.cfg.Tracer.Start(r.Context(), PutServiceOperation,
+	ctx, span := s.cfg.Tracer.Start(r.Context(), PutWorkspaceOperation,
 		trace.WithAttributes(otelAttrs...),
 		serverSpanKind,
 	)
@@ -2245,15 +3084,15 @@
 		}
 		err          error
 		opErrContext = ogenerrors.OperationContext{
-			Name: PutServiceOperation,
-			ID:   "putService",
+			Name: PutWorkspaceOperation,
+			ID:   "putWorkspace",
 		}
 	)
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
 		{
-			sctx, ok, err := s.securityBearer(ctx, PutServiceOperation, r)
+			sctx, ok, err := s.securityBearer(ctx, PutWorkspaceOperation, r)
 			if err != nil {
 				err = &ogenerrors.SecurityError{
 					OperationContext: opErrContext,
@@ -2295,7 +3134,7 @@
 			return
 		}
 	}
-	params, err := decodePutServiceParams(args, argsEscaped, r)
+	params, err := decodePutWorkspaceParams(args, argsEscaped, r)
 	if err != nil {
 		err = &ogenerrors.DecodeParamsError{
 			OperationContext: opErrContext,
@@ -2307,7 +3146,7 @@
 	}
 
 	var rawBody []byte
-	request, rawBody, close, err := s.decodePutServiceRequest(r)
+	request, rawBody, close, err := s.decodePutWorkspaceRequest(r)
 	if err != nil {
 		err = &ogenerrors.DecodeRequestError{
 			OperationContext: opErrContext,
@@ -2323,13 +3162,13 @@
 		}
 	}()
 
-	var response PutServiceRes
+	var response PutWorkspaceRes
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
-			OperationName:    PutServiceOperation,
+			OperationName:    PutWorkspaceOperation,
 			OperationSummary: "",
-			OperationID:      "putService",
+			OperationID:      "putWorkspace",
 			Body:             request,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
@@ -2358,9 +3197,9 @@
 		}
 
 		type (
-			Request  = *ServiceSpec
-			Params   = PutServiceParams
-			Response = PutServiceRes
+			Request  = *WorkspaceSpec
+			Params   = PutWorkspaceParams
+			Response = PutWorkspaceRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -2369,14 +3208,14 @@
 		](
 			m,
 			mreq,
-			unpackPutServiceParams,
+			unpackPutWorkspaceParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.PutService(ctx, request, params)
+				response, err = s.h.PutWorkspace(ctx, request, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.PutService(ctx, request, params)
+		response, err = s.h.PutWorkspace(ctx, request, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -2395,7 +3234,7 @@
 		return
 	}
 
-	if err := encodePutServiceResponse(response, w, span); err != nil {
+	if err := encodePutWorkspaceResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
@@ -2404,22 +3243,22 @@
 	}
 }
 
-// handlePutTargetRequest handles putTarget operation.
+// handleWithdrawServiceRequest handles withdrawService operation.
 //
-// PUT /targets/{name}
-func (s *Server) handlePutTargetRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+// DELETE /services/{name}
+func (s *Server) handleWithdrawServiceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("putTarget"),
-		semconv.HTTPRequestMethodKey.String("PUT"),
-		semconv.HTTPRouteKey.String("/targets/{name}"),
+		otelogen.OperationID("withdrawService"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.HTTPRouteKey.String("/services/{name}"),
 	}
 	// Add attributes from config.
 	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
 
 	// Start a span for this request.
-	ctx, span := s.cfg.Tracer.Start(r.Context(), PutTargetOperation,
+	ctx, span := s.cfg.Tracer.Start(r.Context(), WithdrawServiceOperation,
 		trace.WithAttributes(otelAttrs...),
 		serverSpanKind,
 	)
@@ -2474,15 +3313,15 @@
 		}
 		err          error
 		opErrContext = ogenerrors.OperationContext{
-			Name: PutTargetOperation,
-			ID:   "putTarget",
+			Name: WithdrawServiceOperation,
+			ID:   "withdrawService",
 		}
 	)
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
 		{
-			sctx, ok, err := s.securityBearer(ctx, PutTargetOperation, r)
+			sctx, ok, err := s.securityBearer(ctx, WithdrawServiceOperation, r)
 			if err != nil {
 				err = &ogenerrors.SecurityError{
 					OperationContext: opErrContext,
@@ -2524,7 +3363,7 @@
 			return
 		}
 	}
-	params, err := decodePutTargetParams(args, argsEscaped, r)
+	params, err := decodeWithdrawServiceParams(args, argsEscaped, r)
 	if err != nil {
 		err = &ogenerrors.DecodeParamsError{
 			OperationContext: opErrContext,
@@ -2536,30 +3375,15 @@
 	}
 
 	var rawBody []byte
-	request, rawBody, close, err := s.decodePutTargetRequest(r)
-	if err != nil {
-		err = &ogenerrors.DecodeRequestError{
-			OperationContext: opErrContext,
-			Err:              err,
-		}
-		defer recordError("DecodeRequest", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
-		return
-	}
-	defer func() {
-		if err := close(); err != nil {
-			recordError("CloseRequest", err)
-		}
-	}()
 
-	var response PutTargetRes
+	var response WithdrawServiceRes
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
-			OperationName:    PutTargetOperation,
+			OperationName:    WithdrawServiceOperation,
 			OperationSummary: "",
-			OperationID:      "putTarget",
-			Body:             request,
+			OperationID:      "withdrawService",
+			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
 				{
@@ -2587,9 +3411,9 @@
 		}
 
 		type (
-			Request  = *TargetSpec
-			Params   = PutTargetParams
-			Response = PutTargetRes
+			Request  = struct{}
+			Params   = WithdrawServiceParams
+			Response = WithdrawServiceRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -2598,14 +3422,14 @@
 		](
 			m,
 			mreq,
-			unpackPutTargetParams,
+			unpackWithdrawServiceParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.PutTarget(ctx, request, params)
+				response, err = s.h.WithdrawService(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.PutTarget(ctx, request, params)
+		response, err = s.h.WithdrawService(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -2624,7 +3448,7 @@
 		return
 	}
 
-	if err := encodePutTargetResponse(response, w, span); err != nil {
+	if err := encodeWithdrawServiceResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
@@ -2633,22 +3457,22 @@
 	}
 }
 
-// handleWithdrawServiceRequest handles withdrawService operation.
+// handleWithdrawTargetRequest handles withdrawTarget operation.
 //
-// DELETE /services/{name}
-func (s *Server) handleWithdrawServiceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+// DELETE /targets/{name}
+func (s *Server) handleWithdrawTargetRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("withdrawService"),
+		otelogen.OperationID("withdrawTarget"),
 		semconv.HTTPRequestMethodKey.String("DELETE"),
-		semconv.HTTPRouteKey.String("/services/{name}"),
+		semconv.HTTPRouteKey.String("/targets/{name}"),
 	}
 	// Add attributes from config.
 	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
 
 	// Start a span for this request.
-	ctx, span := s.cfg.Tracer.Start(r.Context(), WithdrawServiceOperation,
+	ctx, span := s.cfg.Tracer.Start(r.Context(), WithdrawTargetOperation,
 		trace.WithAttributes(otelAttrs...),
 		serverSpanKind,
 	)
@@ -2703,15 +3527,15 @@
 		}
 		err          error
 		opErrContext = ogenerrors.OperationContext{
-			Name: WithdrawServiceOperation,
-			ID:   "withdrawService",
+			Name: WithdrawTargetOperation,
+			ID:   "withdrawTarget",
 		}
 	)
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
 		{
-			sctx, ok, err := s.securityBearer(ctx, WithdrawServiceOperation, r)
+			sctx, ok, err := s.securityBearer(ctx, WithdrawTargetOperation, r)
 			if err != nil {
 				err = &ogenerrors.SecurityError{
 					OperationContext: opErrContext,
@@ -2753,7 +3577,7 @@
 			return
 		}
 	}
-	params, err := decodeWithdrawServiceParams(args, argsEscaped, r)
+	params, err := decodeWithdrawTargetParams(args, argsEscaped, r)
 	if err != nil {
 		err = &ogenerrors.DecodeParamsError{
 			OperationContext: opErrContext,
@@ -2766,13 +3590,13 @@
 
 	var rawBody []byte
 
-	var response WithdrawServiceRes
+	var response WithdrawTargetRes
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
-			OperationName:    WithdrawServiceOperation,
+			OperationName:    WithdrawTargetOperation,
 			OperationSummary: "",
-			OperationID:      "withdrawService",
+			OperationID:      "withdrawTarget",
 			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
@@ -2802,8 +3626,8 @@
 
 		type (
 			Request  = struct{}
-			Params   = WithdrawServiceParams
-			Response = WithdrawServiceRes
+			Params   = WithdrawTargetParams
+			Response = WithdrawTargetRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -2812,14 +3636,14 @@
 		](
 			m,
 			mreq,
-			unpackWithdrawServiceParams,
+			unpackWithdrawTargetParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.WithdrawService(ctx, params)
+				response, err = s.h.WithdrawTarget(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.WithdrawService(ctx, params)
+		response, err = s.h.WithdrawTarget(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -2838,7 +3662,7 @@
 		return
 	}
 
-	if err := encodeWithdrawServiceResponse(response, w, span); err != nil {
+	if err := encodeWithdrawTargetResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
@@ -2847,22 +3671,22 @@
 	}
 }
 
-// handleWithdrawTargetRequest handles withdrawTarget operation.
+// handleWithdrawWorkspaceRequest handles withdrawWorkspace operation.
 //
-// DELETE /targets/{name}
-func (s *Server) handleWithdrawTargetRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+// DELETE /workspaces/{name}
+func (s *Server) handleWithdrawWorkspaceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
 	otelAttrs := []attribute.KeyValue{
-		otelogen.OperationID("withdrawTarget"),
+		otelogen.OperationID("withdrawWorkspace"),
 		semconv.HTTPRequestMethodKey.String("DELETE"),
-		semconv.HTTPRouteKey.String("/targets/{name}"),
+		semconv.HTTPRouteKey.String("/workspaces/{name}"),
 	}
 	// Add attributes from config.
 	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
 
 	// Start a span for this request.
-	ctx, span := s.cfg.Tracer.Start(r.Context(), WithdrawTargetOperation,
+	ctx, span := s.cfg.Tracer.Start(r.Context(), WithdrawWorkspaceOperation,
 		trace.WithAttributes(otelAttrs...),
 		serverSpanKind,
 	)
@@ -2917,15 +3741,15 @@
 		}
 		err          error
 		opErrContext = ogenerrors.OperationContext{
-			Name: WithdrawTargetOperation,
-			ID:   "withdrawTarget",
+			Name: WithdrawWorkspaceOperation,
+			ID:   "withdrawWorkspace",
 		}
 	)
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
 		{
-			sctx, ok, err := s.securityBearer(ctx, WithdrawTargetOperation, r)
+			sctx, ok, err := s.securityBearer(ctx, WithdrawWorkspaceOperation, r)
 			if err != nil {
 				err = &ogenerrors.SecurityError{
 					OperationContext: opErrContext,
@@ -2967,7 +3791,7 @@
 			return
 		}
 	}
-	params, err := decodeWithdrawTargetParams(args, argsEscaped, r)
+	params, err := decodeWithdrawWorkspaceParams(args, argsEscaped, r)
 	if err != nil {
 		err = &ogenerrors.DecodeParamsError{
 			OperationContext: opErrContext,
@@ -2980,13 +3804,13 @@
 
 	var rawBody []byte
 
-	var response WithdrawTargetRes
+	var response WithdrawWorkspaceRes
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
-			OperationName:    WithdrawTargetOperation,
+			OperationName:    WithdrawWorkspaceOperation,
 			OperationSummary: "",
-			OperationID:      "withdrawTarget",
+			OperationID:      "withdrawWorkspace",
 			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
@@ -3016,8 +3840,8 @@
 
 		type (
 			Request  = struct{}
-			Params   = WithdrawTargetParams
-			Response = WithdrawTargetRes
+			Params   = WithdrawWorkspaceParams
+			Response = WithdrawWorkspaceRes
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -3026,14 +3850,14 @@
 		](
 			m,
 			mreq,
-			unpackWithdrawTargetParams,
+			unpackWithdrawWorkspaceParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.WithdrawTarget(ctx, params)
+				response, err = s.h.WithdrawWorkspace(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.WithdrawTarget(ctx, params)
+		response, err = s.h.WithdrawWorkspace(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
@@ -3052,7 +3876,7 @@
 		return
 	}
 
-	if err := encodeWithdrawTargetResponse(response, w, span); err != nil {
+	if err := encodeWithdrawWorkspaceResponse(response, w, span); err != nil {
 		defer recordError("EncodeResponse", err)
 		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
 			s.cfg.ErrorHandler(ctx, w, r, err)
--- a/internal/gen/adminapi/oas_interfaces_gen.go
+++ b/internal/gen/adminapi/oas_interfaces_gen.go
@@ -9,6 +9,10 @@
 	putTargetRes()
 }
 
+type PutWorkspaceRes interface {
+	putWorkspaceRes()
+}
+
 type WithdrawServiceRes interface {
 	withdrawServiceRes()
 }
@@ -16,3 +20,7 @@
 type WithdrawTargetRes interface {
 	withdrawTargetRes()
 }
+
+type WithdrawWorkspaceRes interface {
+	withdrawWorkspaceRes()
+}
--- a/internal/gen/adminapi/oas_json_gen.go
+++ b/internal/gen/adminapi/oas_json_gen.go
@@ -2149,6 +2149,46 @@
 	return s.Decode(d)
 }
 
+// Encode encodes KeyDigest as json.
+func (s KeyDigest) Encode(e *jx.Encoder) {
+	unwrapped := string(s)
+
+	e.Str(unwrapped)
+}
+
+// Decode decodes KeyDigest from json.
+func (s *KeyDigest) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode KeyDigest to nil")
+	}
+	var unwrapped string
+	if err := func() error {
+		v, err := d.Str()
+		unwrapped = string(v)
+		if err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "alias")
+	}
+	*s = KeyDigest(unwrapped)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s KeyDigest) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *KeyDigest) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes Kind as json.
 func (s Kind) Encode(e *jx.Encoder) {
 	e.Str(string(s))
@@ -2169,6 +2209,8 @@
 		*s = KindService
 	case KindTarget:
 		*s = KindTarget
+	case KindWorkspace:
+		*s = KindWorkspace
 	default:
 		*s = Kind(v)
 	}
@@ -5733,6 +5775,12 @@
 			s.Idempotent.Encode(e)
 		}
 	}
+	{
+		if s.Keyless.Set {
+			e.FieldStart("keyless")
+			s.Keyless.Encode(e)
+		}
+	}
 	{
 		if s.AnswerWithinMs.Set {
 			e.FieldStart("answer_within_ms")
@@ -5795,20 +5843,21 @@
 	}
 }
 
-var jsonFieldsNameOfTargetSpec = [13]string{
+var jsonFieldsNameOfTargetSpec = [14]string{
 	0:  "service",
 	1:  "match",
 	2:  "idempotent",
-	3:  "answer_within_ms",
-	4:  "percentile",
-	5:  "deadline_ms",
-	6:  "share",
-	7:  "rate_per_second",
-	8:  "priority",
-	9:  "audience",
-	10: "on_store_down",
-	11: "timeout_ms",
-	12: "attempts",
+	3:  "keyless",
+	4:  "answer_within_ms",
+	5:  "percentile",
+	6:  "deadline_ms",
+	7:  "share",
+	8:  "rate_per_second",
+	9:  "priority",
+	10: "audience",
+	11: "on_store_down",
+	12: "timeout_ms",
+	13: "attempts",
 }
 
 // Decode decodes TargetSpec from json.
@@ -5850,6 +5899,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"idempotent\"")
 			}
+		case "keyless":
+			if err := func() error {
+				s.Keyless.Reset()
+				if err := s.Keyless.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keyless\"")
+			}
 		case "answer_within_ms":
 			if err := func() error {
 				s.AnswerWithinMs.Reset()
@@ -6786,3 +6845,377 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Workspace) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Workspace) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("team")
+		e.Str(s.Team)
+	}
+	{
+		e.FieldStart("spec")
+		s.Spec.Encode(e)
+	}
+}
+
+var jsonFieldsNameOfWorkspace = [3]string{
+	0: "name",
+	1: "team",
+	2: "spec",
+}
+
+// Decode decodes Workspace from json.
+func (s *Workspace) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Workspace to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "team":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Team = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"team\"")
+			}
+		case "spec":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				if err := s.Spec.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"spec\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Workspace")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWorkspace) {
+					name = jsonFieldsNameOfWorkspace[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Workspace) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Workspace) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WorkspaceList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WorkspaceList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		s.Version.Encode(e)
+	}
+	{
+		e.FieldStart("workspaces")
+		e.ArrStart()
+		for _, elem := range s.Workspaces {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfWorkspaceList = [2]string{
+	0: "version",
+	1: "workspaces",
+}
+
+// Decode decodes WorkspaceList from json.
+func (s *WorkspaceList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WorkspaceList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "version":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "workspaces":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Workspaces = make([]Workspace, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Workspace
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Workspaces = append(s.Workspaces, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspaces\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WorkspaceList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWorkspaceList) {
+					name = jsonFieldsNameOfWorkspaceList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WorkspaceList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WorkspaceList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WorkspaceSpec) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WorkspaceSpec) encodeFields(e *jx.Encoder) {
+	{
+		if s.KeysSHA256 != nil {
+			e.FieldStart("keys_sha256")
+			e.ArrStart()
+			for _, elem := range s.KeysSHA256 {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		if s.Priority.Set {
+			e.FieldStart("priority")
+			s.Priority.Encode(e)
+		}
+	}
+	{
+		if s.RatePerSecond.Set {
+			e.FieldStart("rate_per_second")
+			s.RatePerSecond.Encode(e)
+		}
+	}
+	{
+		if s.Burst.Set {
+			e.FieldStart("burst")
+			s.Burst.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfWorkspaceSpec = [4]string{
+	0: "keys_sha256",
+	1: "priority",
+	2: "rate_per_second",
+	3: "burst",
+}
+
+// Decode decodes WorkspaceSpec from json.
+func (s *WorkspaceSpec) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WorkspaceSpec to nil")
+	}
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "keys_sha256":
+			if err := func() error {
+				s.KeysSHA256 = make([]KeyDigest, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem KeyDigest
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.KeysSHA256 = append(s.KeysSHA256, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keys_sha256\"")
+			}
+		case "priority":
+			if err := func() error {
+				s.Priority.Reset()
+				if err := s.Priority.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"priority\"")
+			}
+		case "rate_per_second":
+			if err := func() error {
+				s.RatePerSecond.Reset()
+				if err := s.RatePerSecond.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rate_per_second\"")
+			}
+		case "burst":
+			if err := func() error {
+				s.Burst.Reset()
+				if err := s.Burst.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"burst\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WorkspaceSpec")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WorkspaceSpec) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WorkspaceSpec) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/gen/adminapi/oas_parameters_gen.go
+++ b/internal/gen/adminapi/oas_parameters_gen.go
@@ -827,6 +827,86 @@
 	return params, nil
 }
 
+// GetWorkspaceParams is parameters of getWorkspace operation.
+type GetWorkspaceParams struct {
+	Name Name
+}
+
+func unpackGetWorkspaceParams(packed middleware.Parameters) (params GetWorkspaceParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(Name)
+	}
+	return params
+}
+
+func decodeGetWorkspaceParams(args [1]string, argsEscaped bool, r *http.Request) (params GetWorkspaceParams, _ error) {
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				var paramsDotNameVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotNameVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Name = Name(paramsDotNameVal)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Name.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // LiftQuarantineParams is parameters of liftQuarantine operation.
 type LiftQuarantineParams struct {
 	Fingerprint Fingerprint
@@ -1627,8 +1707,8 @@
 	return params, nil
 }
 
-// WithdrawServiceParams is parameters of withdrawService operation.
-type WithdrawServiceParams struct {
+// PutWorkspaceParams is parameters of putWorkspace operation.
+type PutWorkspaceParams struct {
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
@@ -1643,7 +1723,7 @@
 	Name         Name
 }
 
-func unpackWithdrawServiceParams(packed middleware.Parameters) (params WithdrawServiceParams) {
+func unpackPutWorkspaceParams(packed middleware.Parameters) (params PutWorkspaceParams) {
 	{
 		key := middleware.ParameterKey{
 			Name: "Marlpass-Command",
@@ -1690,7 +1770,7 @@
 	return params
 }
 
-func decodeWithdrawServiceParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawServiceParams, _ error) {
+func decodePutWorkspaceParams(args [1]string, argsEscaped bool, r *http.Request) (params PutWorkspaceParams, _ error) {
 	h := uri.NewHeaderDecoder(r.Header)
 	// Decode header: Marlpass-Command.
 	if err := func() error {
@@ -1987,8 +2067,8 @@
 	return params, nil
 }
 
-// WithdrawTargetParams is parameters of withdrawTarget operation.
-type WithdrawTargetParams struct {
+// WithdrawServiceParams is parameters of withdrawService operation.
+type WithdrawServiceParams struct {
 	// Identity of the command. A command sent again under its id takes effect once. The node makes one
 	// when it is left out.
 	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
@@ -2003,7 +2083,7 @@
 	Name         Name
 }
 
-func unpackWithdrawTargetParams(packed middleware.Parameters) (params WithdrawTargetParams) {
+func unpackWithdrawServiceParams(packed middleware.Parameters) (params WithdrawServiceParams) {
 	{
 		key := middleware.ParameterKey{
 			Name: "Marlpass-Command",
@@ -2050,7 +2130,727 @@
 	return params
 }
 
-func decodeWithdrawTargetParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawTargetParams, _ error) {
+func decodeWithdrawServiceParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawServiceParams, _ error) {
+	h := uri.NewHeaderDecoder(r.Header)
+	// Decode header: Marlpass-Command.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Command",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassCommandVal CommandID
+				if err := func() error {
+					var paramsDotMarlpassCommandValVal string
+					if err := func() error {
+						val, err := d.DecodeValue()
+						if err != nil {
+							return err
+						}
+
+						c, err := conv.ToString(val)
+						if err != nil {
+							return err
+						}
+
+						paramsDotMarlpassCommandValVal = c
+						return nil
+					}(); err != nil {
+						return err
+					}
+					paramsDotMarlpassCommandVal = CommandID(paramsDotMarlpassCommandValVal)
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassCommand.SetTo(paramsDotMarlpassCommandVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.MarlpassCommand.Get(); ok {
+					if err := func() error {
+						if err := value.Validate(); err != nil {
+							return err
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Command",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: If-Match.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "If-Match",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotIfMatchVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotIfMatchVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.IfMatch.SetTo(paramsDotIfMatchVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.IfMatch.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     21,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         regexMap["^\"(0|[1-9][0-9]{0,18})\"$"],
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "If-Match",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: Marlpass-Note.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Note",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassNoteVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassNoteVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassNote.SetTo(paramsDotMarlpassNoteVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.MarlpassNote.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     1536,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Note",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				var paramsDotNameVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotNameVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Name = Name(paramsDotNameVal)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Name.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// WithdrawTargetParams is parameters of withdrawTarget operation.
+type WithdrawTargetParams struct {
+	// Identity of the command. A command sent again under its id takes effect once. The node makes one
+	// when it is left out.
+	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
+	IfMatch OptString `json:",omitempty,omitzero"`
+	// A short reason for the history, percent-encoded UTF-8.
+	MarlpassNote OptString `json:",omitempty,omitzero"`
+	Name         Name
+}
+
+func unpackWithdrawTargetParams(packed middleware.Parameters) (params WithdrawTargetParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Command",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassCommand = v.(OptCommandID)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "If-Match",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.IfMatch = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Note",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassNote = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(Name)
+	}
+	return params
+}
+
+func decodeWithdrawTargetParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawTargetParams, _ error) {
+	h := uri.NewHeaderDecoder(r.Header)
+	// Decode header: Marlpass-Command.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Command",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassCommandVal CommandID
+				if err := func() error {
+					var paramsDotMarlpassCommandValVal string
+					if err := func() error {
+						val, err := d.DecodeValue()
+						if err != nil {
+							return err
+						}
+
+						c, err := conv.ToString(val)
+						if err != nil {
+							return err
+						}
+
+						paramsDotMarlpassCommandValVal = c
+						return nil
+					}(); err != nil {
+						return err
+					}
+					paramsDotMarlpassCommandVal = CommandID(paramsDotMarlpassCommandValVal)
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassCommand.SetTo(paramsDotMarlpassCommandVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.MarlpassCommand.Get(); ok {
+					if err := func() error {
+						if err := value.Validate(); err != nil {
+							return err
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Command",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: Marlpass-Repeat.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Repeat",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassRepeatVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassRepeatVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassRepeat.SetTo(paramsDotMarlpassRepeatVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: If-Match.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "If-Match",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotIfMatchVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotIfMatchVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.IfMatch.SetTo(paramsDotIfMatchVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.IfMatch.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     21,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         regexMap["^\"(0|[1-9][0-9]{0,18})\"$"],
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "If-Match",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode header: Marlpass-Note.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Marlpass-Note",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotMarlpassNoteVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotMarlpassNoteVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.MarlpassNote.SetTo(paramsDotMarlpassNoteVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.MarlpassNote.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     1536,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Marlpass-Note",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				var paramsDotNameVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotNameVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Name = Name(paramsDotNameVal)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Name.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// WithdrawWorkspaceParams is parameters of withdrawWorkspace operation.
+type WithdrawWorkspaceParams struct {
+	// Identity of the command. A command sent again under its id takes effect once. The node makes one
+	// when it is left out.
+	MarlpassCommand OptCommandID `json:",omitempty,omitzero"`
+	// The command was sent before, to any node, and its outcome is not known. A node that can't reach the
+	// platform then answers 202 and not 503.
+	MarlpassRepeat OptBool `json:",omitempty,omitzero"`
+	// The ETag of what the operator read. The command is refused with 412 when an object that it touches
+	// has changed since that version. Version 0 holds nothing to compare with and is refused with 422.
+	IfMatch OptString `json:",omitempty,omitzero"`
+	// A short reason for the history, percent-encoded UTF-8.
+	MarlpassNote OptString `json:",omitempty,omitzero"`
+	Name         Name
+}
+
+func unpackWithdrawWorkspaceParams(packed middleware.Parameters) (params WithdrawWorkspaceParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Command",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassCommand = v.(OptCommandID)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Repeat",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassRepeat = v.(OptBool)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "If-Match",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.IfMatch = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "Marlpass-Note",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.MarlpassNote = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(Name)
+	}
+	return params
+}
+
+func decodeWithdrawWorkspaceParams(args [1]string, argsEscaped bool, r *http.Request) (params WithdrawWorkspaceParams, _ error) {
 	h := uri.NewHeaderDecoder(r.Header)
 	// Decode header: Marlpass-Command.
 	if err := func() error {
--- a/internal/gen/adminapi/oas_request_decoders_gen.go
+++ b/internal/gen/adminapi/oas_request_decoders_gen.go
@@ -171,3 +171,82 @@
 		return req, rawBody, close, validate.InvalidContentType(ct)
 	}
 }
+
+func (s *Server) decodePutWorkspaceRequest(r *http.Request) (
+	req *WorkspaceSpec,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request WorkspaceSpec
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		if err := func() error {
+			if err := request.Validate(); err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return req, rawBody, close, errors.Wrap(err, "validate")
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
--- a/internal/gen/adminapi/oas_request_encoders_gen.go
+++ b/internal/gen/adminapi/oas_request_encoders_gen.go
@@ -37,3 +37,17 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
+
+func encodePutWorkspaceRequest(
+	req *WorkspaceSpec,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
--- a/internal/gen/adminapi/oas_response_decoders_gen.go
+++ b/internal/gen/adminapi/oas_response_decoders_gen.go
@@ -1742,7 +1742,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeLiftQuarantineResponse(resp *http.Response) (res *Lifted, _ error) {
+func decodeGetWorkspaceResponse(resp *http.Response) (res *WorkspaceHeaders, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1758,7 +1758,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Lifted
+			var response Workspace
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -1775,7 +1775,51 @@
 				}
 				return res, err
 			}
-			return &response, nil
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper WorkspaceHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -1971,7 +2015,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeListQuarantineResponse(resp *http.Response) (res *QuarantineList, _ error) {
+func decodeLiftQuarantineResponse(resp *http.Response) (res *Lifted, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1987,7 +2031,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response QuarantineList
+			var response Lifted
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -2004,15 +2048,6 @@
 				}
 				return res, err
 			}
-			// Validate response.
-			if err := func() error {
-				if err := response.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return res, errors.Wrap(err, "validate")
-			}
 			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -2209,7 +2244,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeListServicesResponse(resp *http.Response) (res *ServiceListHeaders, _ error) {
+func decodeListQuarantineResponse(resp *http.Response) (res *QuarantineList, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -2225,7 +2260,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response ServiceList
+			var response QuarantineList
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -2251,42 +2286,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper ServiceListHeaders
-			wrapper.Response = response
-			h := uri.NewHeaderDecoder(resp.Header)
-			// Parse "ETag" header.
-			{
-				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "ETag",
-					Explode: false,
-				}
-				if err := func() error {
-					if err := h.HasParam(cfg); err == nil {
-						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							val, err := d.DecodeValue()
-							if err != nil {
-								return err
-							}
-
-							c, err := conv.ToString(val)
-							if err != nil {
-								return err
-							}
-
-							wrapper.ETag = c
-							return nil
-						}); err != nil {
-							return err
-						}
-					} else {
-						return err
-					}
-					return nil
-				}(); err != nil {
-					return res, errors.Wrap(err, "parse ETag header")
-				}
-			}
-			return &wrapper, nil
+			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -2372,120 +2372,1647 @@
 					return res, errors.Wrap(err, "parse Marlpass-Command header")
 				}
 			}
-			// Parse "Retry-After" header.
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeListServicesResponse(resp *http.Response) (res *ServiceListHeaders, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ServiceList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ServiceListHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeListTargetsResponse(resp *http.Response) (res *TargetListHeaders, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response TargetList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper TargetListHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeListWorkspacesResponse(resp *http.Response) (res *WorkspaceListHeaders, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response WorkspaceList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper WorkspaceListHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodePutServiceResponse(resp *http.Response) (res PutServiceRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Accepted
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper AcceptedHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.MarlpassCommand = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	case 201:
+		// Code 201.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Accepted
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper CreatedHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.MarlpassCommand = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	case 202:
+		// Code 202.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Unknown
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper UnknownHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.MarlpassCommand = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotMarlpassCommandVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotMarlpassCommandVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.MarlpassCommand.SetTo(wrapperDotMarlpassCommandVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+						if err := func() error {
+							if value, ok := wrapper.RetryAfter.Get(); ok {
+								if err := func() error {
+									if err := (validate.Int{
+										MinSet:        true,
+										Min:           1,
+										MaxSet:        false,
+										Max:           0,
+										MinExclusive:  false,
+										MaxExclusive:  false,
+										MultipleOfSet: false,
+										MultipleOf:    0,
+										Pattern:       nil,
+									}).Validate(int64(value)); err != nil {
+										return errors.Wrap(err, "int")
+									}
+									return nil
+								}(); err != nil {
+									return err
+								}
+							}
+							return nil
+						}(); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodePutTargetResponse(resp *http.Response) (res PutTargetRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Accepted
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper AcceptedHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			// Parse "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.MarlpassCommand = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	case 201:
+		// Code 201.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Accepted
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper CreatedHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
 			{
 				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "Retry-After",
+					Name:    "ETag",
 					Explode: false,
 				}
 				if err := func() error {
 					if err := h.HasParam(cfg); err == nil {
 						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							var wrapperDotRetryAfterVal int
-							if err := func() error {
-								val, err := d.DecodeValue()
-								if err != nil {
-									return err
-								}
-
-								c, err := conv.ToInt(val)
-								if err != nil {
-									return err
-								}
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
 
-								wrapperDotRetryAfterVal = c
-								return nil
-							}(); err != nil {
+							c, err := conv.ToString(val)
+							if err != nil {
 								return err
 							}
-							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+
+							wrapper.ETag = c
 							return nil
 						}); err != nil {
 							return err
 						}
-						if err := func() error {
-							if value, ok := wrapper.RetryAfter.Get(); ok {
-								if err := func() error {
-									if err := (validate.Int{
-										MinSet:        true,
-										Min:           1,
-										MaxSet:        false,
-										Max:           0,
-										MinExclusive:  false,
-										MaxExclusive:  false,
-										MultipleOfSet: false,
-										MultipleOf:    0,
-										Pattern:       nil,
-									}).Validate(int64(value)); err != nil {
-										return errors.Wrap(err, "int")
-									}
-									return nil
-								}(); err != nil {
-									return err
-								}
-							}
-							return nil
-						}(); err != nil {
-							return err
-						}
+					} else {
+						return err
 					}
 					return nil
 				}(); err != nil {
-					return res, errors.Wrap(err, "parse Retry-After header")
+					return res, errors.Wrap(err, "parse ETag header")
 				}
 			}
-			// Parse "WWW-Authenticate" header.
+			// Parse "Marlpass-Command" header.
 			{
 				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "WWW-Authenticate",
+					Name:    "Marlpass-Command",
 					Explode: false,
 				}
 				if err := func() error {
 					if err := h.HasParam(cfg); err == nil {
 						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							var wrapperDotWWWAuthenticateVal string
-							if err := func() error {
-								val, err := d.DecodeValue()
-								if err != nil {
-									return err
-								}
-
-								c, err := conv.ToString(val)
-								if err != nil {
-									return err
-								}
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
 
-								wrapperDotWWWAuthenticateVal = c
-								return nil
-							}(); err != nil {
+							c, err := conv.ToString(val)
+							if err != nil {
 								return err
 							}
-							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+
+							wrapper.MarlpassCommand = c
 							return nil
 						}); err != nil {
 							return err
 						}
+					} else {
+						return err
 					}
 					return nil
 				}(); err != nil {
-					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
 				}
 			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
-	}()
-	if err != nil {
-		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
-	}
-	return res, errors.Wrap(defRes, "error")
-}
-
-func decodeListTargetsResponse(resp *http.Response) (res *TargetListHeaders, _ error) {
-	switch resp.StatusCode {
-	case 200:
-		// Code 200.
+	case 202:
+		// Code 202.
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2498,7 +4025,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response TargetList
+			var response Unknown
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -2515,22 +4042,13 @@
 				}
 				return res, err
 			}
-			// Validate response.
-			if err := func() error {
-				if err := response.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return res, errors.Wrap(err, "validate")
-			}
-			var wrapper TargetListHeaders
+			var wrapper UnknownHeaders
 			wrapper.Response = response
 			h := uri.NewHeaderDecoder(resp.Header)
-			// Parse "ETag" header.
+			// Parse "Marlpass-Command" header.
 			{
 				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "ETag",
+					Name:    "Marlpass-Command",
 					Explode: false,
 				}
 				if err := func() error {
@@ -2546,7 +4064,7 @@
 								return err
 							}
 
-							wrapper.ETag = c
+							wrapper.MarlpassCommand = c
 							return nil
 						}); err != nil {
 							return err
@@ -2556,7 +4074,7 @@
 					}
 					return nil
 				}(); err != nil {
-					return res, errors.Wrap(err, "parse ETag header")
+					return res, errors.Wrap(err, "parse Marlpass-Command header")
 				}
 			}
 			return &wrapper, nil
@@ -2755,7 +4273,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodePutServiceResponse(resp *http.Response) (res PutServiceRes, _ error) {
+func decodePutWorkspaceResponse(resp *http.Response) (res PutWorkspaceRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -3241,7 +4759,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodePutTargetResponse(resp *http.Response) (res PutTargetRes, _ error) {
+func decodeWithdrawServiceResponse(resp *http.Response) (res WithdrawServiceRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -3354,117 +4872,6 @@
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
-	case 201:
-		// Code 201.
-		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-		if err != nil {
-			return res, errors.Wrap(err, "parse media type")
-		}
-		switch {
-		case ct == "application/json":
-			buf, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return res, err
-			}
-			d := jx.DecodeBytes(buf)
-
-			var response Accepted
-			if err := func() error {
-				if err := response.Decode(d); err != nil {
-					return err
-				}
-				if err := d.Skip(); err != io.EOF {
-					return errors.New("unexpected trailing data")
-				}
-				return nil
-			}(); err != nil {
-				err = &ogenerrors.DecodeBodyError{
-					ContentType: ct,
-					Body:        buf,
-					Err:         err,
-				}
-				return res, err
-			}
-			// Validate response.
-			if err := func() error {
-				if err := response.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return res, errors.Wrap(err, "validate")
-			}
-			var wrapper CreatedHeaders
-			wrapper.Response = response
-			h := uri.NewHeaderDecoder(resp.Header)
-			// Parse "ETag" header.
-			{
-				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "ETag",
-					Explode: false,
-				}
-				if err := func() error {
-					if err := h.HasParam(cfg); err == nil {
-						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							val, err := d.DecodeValue()
-							if err != nil {
-								return err
-							}
-
-							c, err := conv.ToString(val)
-							if err != nil {
-								return err
-							}
-
-							wrapper.ETag = c
-							return nil
-						}); err != nil {
-							return err
-						}
-					} else {
-						return err
-					}
-					return nil
-				}(); err != nil {
-					return res, errors.Wrap(err, "parse ETag header")
-				}
-			}
-			// Parse "Marlpass-Command" header.
-			{
-				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "Marlpass-Command",
-					Explode: false,
-				}
-				if err := func() error {
-					if err := h.HasParam(cfg); err == nil {
-						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							val, err := d.DecodeValue()
-							if err != nil {
-								return err
-							}
-
-							c, err := conv.ToString(val)
-							if err != nil {
-								return err
-							}
-
-							wrapper.MarlpassCommand = c
-							return nil
-						}); err != nil {
-							return err
-						}
-					} else {
-						return err
-					}
-					return nil
-				}(); err != nil {
-					return res, errors.Wrap(err, "parse Marlpass-Command header")
-				}
-			}
-			return &wrapper, nil
-		default:
-			return res, validate.InvalidContentType(ct)
-		}
 	case 202:
 		// Code 202.
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
@@ -3727,7 +5134,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeWithdrawServiceResponse(resp *http.Response) (res WithdrawServiceRes, _ error) {
+func decodeWithdrawTargetResponse(resp *http.Response) (res WithdrawTargetRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -4102,7 +5509,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeWithdrawTargetResponse(resp *http.Response) (res WithdrawTargetRes, _ error) {
+func decodeWithdrawWorkspaceResponse(resp *http.Response) (res WithdrawWorkspaceRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
--- a/internal/gen/adminapi/oas_response_encoders_gen.go
+++ b/internal/gen/adminapi/oas_response_encoders_gen.go
@@ -139,6 +139,36 @@
 	return nil
 }
 
+func encodeGetWorkspaceResponse(response *WorkspaceHeaders, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Access-Control-Expose-Headers", "Etag")
+	// Encoding response headers.
+	{
+		h := uri.NewHeaderEncoder(w.Header())
+		// Encode "ETag" header.
+		{
+			cfg := uri.HeaderParameterEncodingConfig{
+				Name:    "ETag",
+				Explode: false,
+			}
+			if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+				return e.EncodeValue(conv.StringToString(response.ETag))
+			}); err != nil {
+				return errors.Wrap(err, "encode ETag header")
+			}
+		}
+	}
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeLiftQuarantineResponse(response *Lifted, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -225,6 +255,36 @@
 	return nil
 }
 
+func encodeListWorkspacesResponse(response *WorkspaceListHeaders, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Access-Control-Expose-Headers", "Etag")
+	// Encoding response headers.
+	{
+		h := uri.NewHeaderEncoder(w.Header())
+		// Encode "ETag" header.
+		{
+			cfg := uri.HeaderParameterEncodingConfig{
+				Name:    "ETag",
+				Explode: false,
+			}
+			if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+				return e.EncodeValue(conv.StringToString(response.ETag))
+			}); err != nil {
+				return errors.Wrap(err, "encode ETag header")
+			}
+		}
+	}
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodePutServiceResponse(response PutServiceRes, w http.ResponseWriter, span trace.Span) error {
 	switch response := response.(type) {
 	case *AcceptedHeaders:
@@ -461,6 +521,124 @@
 	}
 }
 
+func encodePutWorkspaceResponse(response PutWorkspaceRes, w http.ResponseWriter, span trace.Span) error {
+	switch response := response.(type) {
+	case *AcceptedHeaders:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.Header().Set("Access-Control-Expose-Headers", "Etag,Marlpass-Command")
+		// Encoding response headers.
+		{
+			h := uri.NewHeaderEncoder(w.Header())
+			// Encode "ETag" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.ETag))
+				}); err != nil {
+					return errors.Wrap(err, "encode ETag header")
+				}
+			}
+			// Encode "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.MarlpassCommand))
+				}); err != nil {
+					return errors.Wrap(err, "encode Marlpass-Command header")
+				}
+			}
+		}
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *CreatedHeaders:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.Header().Set("Access-Control-Expose-Headers", "Etag,Marlpass-Command")
+		// Encoding response headers.
+		{
+			h := uri.NewHeaderEncoder(w.Header())
+			// Encode "ETag" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.ETag))
+				}); err != nil {
+					return errors.Wrap(err, "encode ETag header")
+				}
+			}
+			// Encode "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.MarlpassCommand))
+				}); err != nil {
+					return errors.Wrap(err, "encode Marlpass-Command header")
+				}
+			}
+		}
+		w.WriteHeader(201)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *UnknownHeaders:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.Header().Set("Access-Control-Expose-Headers", "Marlpass-Command")
+		// Encoding response headers.
+		{
+			h := uri.NewHeaderEncoder(w.Header())
+			// Encode "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.MarlpassCommand))
+				}); err != nil {
+					return errors.Wrap(err, "encode Marlpass-Command header")
+				}
+			}
+		}
+		w.WriteHeader(202)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
 func encodeWithdrawServiceResponse(response WithdrawServiceRes, w http.ResponseWriter, span trace.Span) error {
 	switch response := response.(type) {
 	case *AcceptedHeaders:
@@ -615,6 +793,83 @@
 	}
 }
 
+func encodeWithdrawWorkspaceResponse(response WithdrawWorkspaceRes, w http.ResponseWriter, span trace.Span) error {
+	switch response := response.(type) {
+	case *AcceptedHeaders:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.Header().Set("Access-Control-Expose-Headers", "Etag,Marlpass-Command")
+		// Encoding response headers.
+		{
+			h := uri.NewHeaderEncoder(w.Header())
+			// Encode "ETag" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.ETag))
+				}); err != nil {
+					return errors.Wrap(err, "encode ETag header")
+				}
+			}
+			// Encode "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.MarlpassCommand))
+				}); err != nil {
+					return errors.Wrap(err, "encode Marlpass-Command header")
+				}
+			}
+		}
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *UnknownHeaders:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.Header().Set("Access-Control-Expose-Headers", "Marlpass-Command")
+		// Encoding response headers.
+		{
+			h := uri.NewHeaderEncoder(w.Header())
+			// Encode "Marlpass-Command" header.
+			{
+				cfg := uri.HeaderParameterEncodingConfig{
+					Name:    "Marlpass-Command",
+					Explode: false,
+				}
+				if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+					return e.EncodeValue(conv.StringToString(response.MarlpassCommand))
+				}); err != nil {
+					return errors.Wrap(err, "encode Marlpass-Command header")
+				}
+			}
+		}
+		w.WriteHeader(202)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
 func encodeErrorResponse(response *ProblemStatusCodeWithHeaders, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set("Access-Control-Expose-Headers", "Marlpass-Command,Retry-After,Www-Authenticate")
--- a/internal/gen/adminapi/oas_router_gen.go
+++ b/internal/gen/adminapi/oas_router_gen.go
@@ -23,13 +23,13 @@
 	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn16AllowedHeaders = map[string]string{
+	rn18AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn15AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"DELETE": "Authorization",
 	}
-	rn17AllowedHeaders = map[string]string{
+	rn19AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn9AllowedHeaders = map[string]string{
@@ -40,7 +40,7 @@
 	rn11AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn18AllowedHeaders = map[string]string{
+	rn20AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn13AllowedHeaders = map[string]string{
@@ -48,6 +48,14 @@
 		"GET":    "Authorization",
 		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
 	}
+	rn21AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn15AllowedHeaders = map[string]string{
+		"DELETE": "Authorization,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
+		"GET":    "Authorization",
+		"PUT":    "Authorization,Content-Type,If-Match,Marlpass-Command,Marlpass-Note,Marlpass-Repeat",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -241,7 +249,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn16AllowedHeaders,
+							allowedHeaders: rn18AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -277,7 +285,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "DELETE",
-								allowedHeaders: rn15AllowedHeaders,
+								allowedHeaders: rn17AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -315,7 +323,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn17AllowedHeaders,
+								allowedHeaders: rn19AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -412,7 +420,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn18AllowedHeaders,
+							allowedHeaders: rn20AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -467,6 +475,76 @@
 
 				}
 
+			case 'w': // Prefix: "workspaces"
+
+				if l := len("workspaces"); len(elem) >= l && elem[0:l] == "workspaces" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListWorkspacesRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn21AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "name"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "DELETE":
+							s.handleWithdrawWorkspaceRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						case "GET":
+							s.handleGetWorkspaceRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						case "PUT":
+							s.handlePutWorkspaceRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "DELETE,GET,PUT",
+								allowedHeaders: rn15AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			}
 
 		}
@@ -945,6 +1023,84 @@
 
 				}
 
+			case 'w': // Prefix: "workspaces"
+
+				if l := len("workspaces"); len(elem) >= l && elem[0:l] == "workspaces" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListWorkspacesOperation
+						r.summary = ""
+						r.operationID = "listWorkspaces"
+						r.operationGroup = ""
+						r.pathPattern = "/workspaces"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "name"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "DELETE":
+							r.name = WithdrawWorkspaceOperation
+							r.summary = ""
+							r.operationID = "withdrawWorkspace"
+							r.operationGroup = ""
+							r.pathPattern = "/workspaces/{name}"
+							r.args = args
+							r.count = 1
+							return r, true
+						case "GET":
+							r.name = GetWorkspaceOperation
+							r.summary = ""
+							r.operationID = "getWorkspace"
+							r.operationGroup = ""
+							r.pathPattern = "/workspaces/{name}"
+							r.args = args
+							r.count = 1
+							return r, true
+						case "PUT":
+							r.name = PutWorkspaceOperation
+							r.summary = ""
+							r.operationID = "putWorkspace"
+							r.operationGroup = ""
+							r.pathPattern = "/workspaces/{name}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			}
 
 		}
--- a/internal/gen/adminapi/oas_schemas_gen.go
+++ b/internal/gen/adminapi/oas_schemas_gen.go
@@ -88,10 +88,12 @@
 	s.Response = val
 }
 
-func (*AcceptedHeaders) putServiceRes()      {}
-func (*AcceptedHeaders) putTargetRes()       {}
-func (*AcceptedHeaders) withdrawServiceRes() {}
-func (*AcceptedHeaders) withdrawTargetRes()  {}
+func (*AcceptedHeaders) putServiceRes()        {}
+func (*AcceptedHeaders) putTargetRes()         {}
+func (*AcceptedHeaders) putWorkspaceRes()      {}
+func (*AcceptedHeaders) withdrawServiceRes()   {}
+func (*AcceptedHeaders) withdrawTargetRes()    {}
+func (*AcceptedHeaders) withdrawWorkspaceRes() {}
 
 // Ref: #/components/schemas/Audience
 type Audience string
@@ -428,8 +430,9 @@
 	s.Response = val
 }
 
-func (*CreatedHeaders) putServiceRes() {}
-func (*CreatedHeaders) putTargetRes()  {}
+func (*CreatedHeaders) putServiceRes()   {}
+func (*CreatedHeaders) putTargetRes()    {}
+func (*CreatedHeaders) putWorkspaceRes() {}
 
 // Ref: #/components/schemas/Diff
 type Diff struct {
@@ -1054,12 +1057,15 @@
 	s.Changes = val
 }
 
+type KeyDigest string
+
 // Ref: #/components/schemas/Kind
 type Kind string
 
 const (
-	KindService Kind = "service"
-	KindTarget  Kind = "target"
+	KindService   Kind = "service"
+	KindTarget    Kind = "target"
+	KindWorkspace Kind = "workspace"
 )
 
 // AllValues returns all Kind values.
@@ -1067,6 +1073,7 @@
 	return []Kind{
 		KindService,
 		KindTarget,
+		KindWorkspace,
 	}
 }
 
@@ -1077,6 +1084,8 @@
 		return []byte(s), nil
 	case KindTarget:
 		return []byte(s), nil
+	case KindWorkspace:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -1091,6 +1100,9 @@
 	case KindTarget:
 		*s = KindTarget
 		return nil
+	case KindWorkspace:
+		*s = KindWorkspace
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
@@ -3105,9 +3117,11 @@
 
 // Ref: #/components/schemas/TargetSpec
 type TargetSpec struct {
-	Service        Name           `json:"service"`
-	Match          Match          `json:"match"`
-	Idempotent     OptBool        `json:"idempotent"`
+	Service    Name    `json:"service"`
+	Match      Match   `json:"match"`
+	Idempotent OptBool `json:"idempotent"`
+	// Calls need no API key where there are workspaces.
+	Keyless        OptBool        `json:"keyless"`
 	AnswerWithinMs OptInt64       `json:"answer_within_ms"`
 	Percentile     OptFloat64     `json:"percentile"`
 	DeadlineMs     OptInt64       `json:"deadline_ms"`
@@ -3135,6 +3149,11 @@
 	return s.Idempotent
 }
 
+// GetKeyless returns the value of Keyless.
+func (s *TargetSpec) GetKeyless() OptBool {
+	return s.Keyless
+}
+
 // GetAnswerWithinMs returns the value of AnswerWithinMs.
 func (s *TargetSpec) GetAnswerWithinMs() OptInt64 {
 	return s.AnswerWithinMs
@@ -3200,6 +3219,11 @@
 	s.Idempotent = val
 }
 
+// SetKeyless sets the value of Keyless.
+func (s *TargetSpec) SetKeyless(val OptBool) {
+	s.Keyless = val
+}
+
 // SetAnswerWithinMs sets the value of AnswerWithinMs.
 func (s *TargetSpec) SetAnswerWithinMs(val OptInt64) {
 	s.AnswerWithinMs = val
@@ -3522,10 +3546,12 @@
 	s.Response = val
 }
 
-func (*UnknownHeaders) putServiceRes()      {}
-func (*UnknownHeaders) putTargetRes()       {}
-func (*UnknownHeaders) withdrawServiceRes() {}
-func (*UnknownHeaders) withdrawTargetRes()  {}
+func (*UnknownHeaders) putServiceRes()        {}
+func (*UnknownHeaders) putTargetRes()         {}
+func (*UnknownHeaders) putWorkspaceRes()      {}
+func (*UnknownHeaders) withdrawServiceRes()   {}
+func (*UnknownHeaders) withdrawTargetRes()    {}
+func (*UnknownHeaders) withdrawWorkspaceRes() {}
 
 // Ref: #/components/schemas/Version
 type Version struct {
@@ -3605,3 +3631,167 @@
 func (s *VersionTiming) SetTookMs(val int64) {
 	s.TookMs = val
 }
+
+// Ref: #/components/schemas/Workspace
+type Workspace struct {
+	Name string        `json:"name"`
+	Team string        `json:"team"`
+	Spec WorkspaceSpec `json:"spec"`
+}
+
+// GetName returns the value of Name.
+func (s *Workspace) GetName() string {
+	return s.Name
+}
+
+// GetTeam returns the value of Team.
+func (s *Workspace) GetTeam() string {
+	return s.Team
+}
+
+// GetSpec returns the value of Spec.
+func (s *Workspace) GetSpec() WorkspaceSpec {
+	return s.Spec
+}
+
+// SetName sets the value of Name.
+func (s *Workspace) SetName(val string) {
+	s.Name = val
+}
+
+// SetTeam sets the value of Team.
+func (s *Workspace) SetTeam(val string) {
+	s.Team = val
+}
+
+// SetSpec sets the value of Spec.
+func (s *Workspace) SetSpec(val WorkspaceSpec) {
+	s.Spec = val
+}
+
+// WorkspaceHeaders wraps Workspace with response headers.
+type WorkspaceHeaders struct {
+	ETag     string
+	Response Workspace
+}
+
+// GetETag returns the value of ETag.
+func (s *WorkspaceHeaders) GetETag() string {
+	return s.ETag
+}
+
+// GetResponse returns the value of Response.
+func (s *WorkspaceHeaders) GetResponse() Workspace {
+	return s.Response
+}
+
+// SetETag sets the value of ETag.
+func (s *WorkspaceHeaders) SetETag(val string) {
+	s.ETag = val
+}
+
+// SetResponse sets the value of Response.
+func (s *WorkspaceHeaders) SetResponse(val Workspace) {
+	s.Response = val
+}
+
+// Ref: #/components/schemas/WorkspaceList
+type WorkspaceList struct {
+	Version    Version     `json:"version"`
+	Workspaces []Workspace `json:"workspaces"`
+}
+
+// GetVersion returns the value of Version.
+func (s *WorkspaceList) GetVersion() Version {
+	return s.Version
+}
+
+// GetWorkspaces returns the value of Workspaces.
+func (s *WorkspaceList) GetWorkspaces() []Workspace {
+	return s.Workspaces
+}
+
+// SetVersion sets the value of Version.
+func (s *WorkspaceList) SetVersion(val Version) {
+	s.Version = val
+}
+
+// SetWorkspaces sets the value of Workspaces.
+func (s *WorkspaceList) SetWorkspaces(val []Workspace) {
+	s.Workspaces = val
+}
+
+// WorkspaceListHeaders wraps WorkspaceList with response headers.
+type WorkspaceListHeaders struct {
+	ETag     string
+	Response WorkspaceList
+}
+
+// GetETag returns the value of ETag.
+func (s *WorkspaceListHeaders) GetETag() string {
+	return s.ETag
+}
+
+// GetResponse returns the value of Response.
+func (s *WorkspaceListHeaders) GetResponse() WorkspaceList {
+	return s.Response
+}
+
+// SetETag sets the value of ETag.
+func (s *WorkspaceListHeaders) SetETag(val string) {
+	s.ETag = val
+}
+
+// SetResponse sets the value of Response.
+func (s *WorkspaceListHeaders) SetResponse(val WorkspaceList) {
+	s.Response = val
+}
+
+// Ref: #/components/schemas/WorkspaceSpec
+type WorkspaceSpec struct {
+	// SHA-256 of each API key that the workspace holds, in hexadecimal. Nodes never hold the keys.
+	KeysSHA256    []KeyDigest `json:"keys_sha256"`
+	Priority      OptInt      `json:"priority"`
+	RatePerSecond OptFloat64  `json:"rate_per_second"`
+	Burst         OptFloat64  `json:"burst"`
+}
+
+// GetKeysSHA256 returns the value of KeysSHA256.
+func (s *WorkspaceSpec) GetKeysSHA256() []KeyDigest {
+	return s.KeysSHA256
+}
+
+// GetPriority returns the value of Priority.
+func (s *WorkspaceSpec) GetPriority() OptInt {
+	return s.Priority
+}
+
+// GetRatePerSecond returns the value of RatePerSecond.
+func (s *WorkspaceSpec) GetRatePerSecond() OptFloat64 {
+	return s.RatePerSecond
+}
+
+// GetBurst returns the value of Burst.
+func (s *WorkspaceSpec) GetBurst() OptFloat64 {
+	return s.Burst
+}
+
+// SetKeysSHA256 sets the value of KeysSHA256.
+func (s *WorkspaceSpec) SetKeysSHA256(val []KeyDigest) {
+	s.KeysSHA256 = val
+}
+
+// SetPriority sets the value of Priority.
+func (s *WorkspaceSpec) SetPriority(val OptInt) {
+	s.Priority = val
+}
+
+// SetRatePerSecond sets the value of RatePerSecond.
+func (s *WorkspaceSpec) SetRatePerSecond(val OptFloat64) {
+	s.RatePerSecond = val
+}
+
+// SetBurst sets the value of Burst.
+func (s *WorkspaceSpec) SetBurst(val OptFloat64) {
+	s.Burst = val
+}
--- a/internal/gen/adminapi/oas_server_gen.go
+++ b/internal/gen/adminapi/oas_server_gen.go
@@ -36,6 +36,10 @@
 	//
 	// GET /targets/{name}
 	GetTarget(ctx context.Context, params GetTargetParams) (*TargetHeaders, error)
+	// GetWorkspace implements getWorkspace operation.
+	//
+	// GET /workspaces/{name}
+	GetWorkspace(ctx context.Context, params GetWorkspaceParams) (*WorkspaceHeaders, error)
 	// LiftQuarantine implements liftQuarantine operation.
 	//
 	// Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
@@ -56,6 +60,10 @@
 	//
 	// GET /targets
 	ListTargets(ctx context.Context) (*TargetListHeaders, error)
+	// ListWorkspaces implements listWorkspaces operation.
+	//
+	// GET /workspaces
+	ListWorkspaces(ctx context.Context) (*WorkspaceListHeaders, error)
 	// PutService implements putService operation.
 	//
 	// PUT /services/{name}
@@ -64,6 +72,10 @@
 	//
 	// PUT /targets/{name}
 	PutTarget(ctx context.Context, req *TargetSpec, params PutTargetParams) (PutTargetRes, error)
+	// PutWorkspace implements putWorkspace operation.
+	//
+	// PUT /workspaces/{name}
+	PutWorkspace(ctx context.Context, req *WorkspaceSpec, params PutWorkspaceParams) (PutWorkspaceRes, error)
 	// WithdrawService implements withdrawService operation.
 	//
 	// DELETE /services/{name}
@@ -72,6 +84,10 @@
 	//
 	// DELETE /targets/{name}
 	WithdrawTarget(ctx context.Context, params WithdrawTargetParams) (WithdrawTargetRes, error)
+	// WithdrawWorkspace implements withdrawWorkspace operation.
+	//
+	// DELETE /workspaces/{name}
+	WithdrawWorkspace(ctx context.Context, params WithdrawWorkspaceParams) (WithdrawWorkspaceRes, error)
 	// NewError creates *ProblemStatusCodeWithHeaders from error returned by handler.
 	//
 	// Used for common default response.
--- a/internal/gen/adminapi/oas_unimplemented_gen.go
+++ b/internal/gen/adminapi/oas_unimplemented_gen.go
@@ -62,6 +62,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetWorkspace implements getWorkspace operation.
+//
+// GET /workspaces/{name}
+func (UnimplementedHandler) GetWorkspace(ctx context.Context, params GetWorkspaceParams) (r *WorkspaceHeaders, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // LiftQuarantine implements liftQuarantine operation.
 //
 // Lets the request run again. This is a command on the state of the mesh, not on its configuration: it
@@ -94,6 +101,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListWorkspaces implements listWorkspaces operation.
+//
+// GET /workspaces
+func (UnimplementedHandler) ListWorkspaces(ctx context.Context) (r *WorkspaceListHeaders, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // PutService implements putService operation.
 //
 // PUT /services/{name}
@@ -108,6 +122,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// PutWorkspace implements putWorkspace operation.
+//
+// PUT /workspaces/{name}
+func (UnimplementedHandler) PutWorkspace(ctx context.Context, req *WorkspaceSpec, params PutWorkspaceParams) (r PutWorkspaceRes, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // WithdrawService implements withdrawService operation.
 //
 // DELETE /services/{name}
@@ -122,6 +143,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// WithdrawWorkspace implements withdrawWorkspace operation.
+//
+// DELETE /workspaces/{name}
+func (UnimplementedHandler) WithdrawWorkspace(ctx context.Context, params WithdrawWorkspaceParams) (r WithdrawWorkspaceRes, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // NewError creates *ProblemStatusCodeWithHeaders from error returned by handler.
 //
 // Used for common default response.
--- a/internal/gen/adminapi/oas_validators_gen.go
+++ b/internal/gen/adminapi/oas_validators_gen.go
@@ -739,12 +739,34 @@
 	return nil
 }
 
+func (s KeyDigest) Validate() error {
+	alias := (string)(s)
+	if err := (validate.String{
+		MinLength:     0,
+		MinLengthSet:  false,
+		MaxLength:     0,
+		MaxLengthSet:  false,
+		Email:         false,
+		Hostname:      false,
+		Regex:         regexMap["^[0-9a-f]{64}$"],
+		MinNumeric:    0,
+		MinNumericSet: false,
+		MaxNumeric:    0,
+		MaxNumericSet: false,
+	}).Validate(string(alias)); err != nil {
+		return errors.Wrap(err, "string")
+	}
+	return nil
+}
+
 func (s Kind) Validate() error {
 	switch s {
 	case "service":
 		return nil
 	case "target":
 		return nil
+	case "workspace":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
@@ -2212,3 +2234,255 @@
 	}
 	return nil
 }
+
+func (s *Workspace) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Spec.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "spec",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WorkspaceHeaders) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "Response",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WorkspaceList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Version.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "version",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Workspaces == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Workspaces {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "workspaces",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WorkspaceListHeaders) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "Response",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WorkspaceSpec) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.KeysSHA256 == nil {
+			return nil // optional
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    64,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.KeysSHA256)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.KeysSHA256 {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "keys_sha256",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Priority.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           9,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "priority",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.RatePerSecond.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           1e+09,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    nil,
+					Pattern:       nil,
+				}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rate_per_second",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Burst.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           1e+09,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    nil,
+					Pattern:       nil,
+				}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "burst",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -73,6 +73,10 @@
 	if n.Platform.Form == FormRows && n.VM.Service == "" {
 		c.problem("vm.service", n.VM.Service, "the service of the backend server on this VM")
 	}
+	if n.Platform.Form == FormOwn && n.Workspaces.ConfirmWithin.Duration > 0 {
+		// Accepted, it would be passed over, and keys believed for however long.
+		c.problem("workspaces.confirm_within", n.Workspaces.ConfirmWithin, `0s, since nothing confirms keys with the platform's form "own"`)
+	}
 	if n.VM.LinkMbps < 0 {
 		c.problem("vm.link_mbps", n.VM.LinkMbps, "megabits a second, or 0")
 	}
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -42,6 +42,7 @@
 		{"link", `id = "neg-shed-01"`, "id = \"neg-shed-01\"\nlink_mbps = -1.0", `key vm.link_mbps: value -1: megabits a second`},
 		{"memory", `id = "neg-shed-01"`, "id = \"neg-shed-01\"\nmemory_mb = -1", `key vm.memory_mb: value -1: megabytes`},
 		{"retries", `[drain]`, "[retries]\nratio = 2.0\n[drain]", `key retries.ratio: value 2: a number from 0 to 1`},
+		{"keys that nothing confirms", `[drain]`, "[workspaces]\nconfirm_within = \"5s\"\n[drain]", `key workspaces.confirm_within: value 5s: 0s, since nothing confirms keys with the platform's form "own"`},
 		{"window", `[drain]`, "[retries]\nslack = 5.0\n[drain]", `key retries.window: value 0s: a duration from 1s`},
 		{"word", `[drain]`, "[drain]\nnotice = \"1s\"\nword = \"2s\"", `key drain.word: value 2s: a duration from 0s to 1s`},
 		{"ready", `metrics = "10.20.1.11:7805"`, "metrics = \"10.20.1.11:7805\"\nready = \"here\"", `key listen.ready: value "here": an IP address and port`},
