Tell when a node has no collector of the quotas, and name the workspace

Cause: a node that reached no collector let calls pass by its own part and wrote no line above debug; the line of a call over its quota named no workspace, so an operator could not go from a 429 to whom it counted for.

Before and after: lines only; TestQuotaHoldsOverTheMesh passes. Conclusion: the path from a 429 to its cause needs no debug level any more.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -89,7 +89,7 @@
 	if ws.RatePerSecond == 0 || w.limiter.Admit(ws.Name) {
 		return nil
 	}
-	return &call.Refusal{Reason: call.ReasonOverQuota, RetryAfter: around(overQuotaAgain)}
+	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: around(overQuotaAgain)}
 }
 
 // GiveBack implements proxy.Workspaces.
@@ -127,6 +127,7 @@
 	called   time.Time // when a workspace last had calls
 	answered time.Time // when a collector last answered, zero if none has
 	last     []quota.Usage
+	alone    bool // no collector has answered for quota.AloneAfter
 	sent     time.Time
 }
 
@@ -187,15 +188,27 @@
 		return
 	}
 	parts, ok := r.w.tell(ctx, usage)
-	switch {
-	case ok:
-		r.answered, r.last = time.Now(), usage
-		r.w.limiter.Apply(parts)
-	default:
-		r.w.limiter.Unanswered(quota.Unanswered{
-			Span: span, Since: now.Sub(r.answered), Nodes: len(r.w.n.views.Load().Records), Limits: r.w.limits(), Answered: r.last,
-		})
+	if !ok {
+		r.unanswered(now, span)
+		return
 	}
+	if r.alone {
+		r.alone = false
+		r.w.log.Info().Msg("workspaces: a collector of the quotas answers again")
+	}
+	r.answered, r.last = time.Now(), usage
+	r.w.limiter.Apply(parts)
+}
+
+func (r *usageReports) unanswered(now time.Time, span time.Duration) {
+	since := now.Sub(r.answered)
+	if !r.alone && since >= quota.AloneAfter {
+		r.alone = true
+		r.w.log.Warn().Msg("workspaces: no collector of the quotas answers, calls pass by this node's own part")
+	}
+	r.w.limiter.Unanswered(quota.Unanswered{
+		Span: span, Since: since, Nodes: len(r.w.n.views.Load().Records), Limits: r.w.limits(), Answered: r.last,
+	})
 }
 
 // tell tells the first feeder of the data centre that answers.
