Say in two comments what the code does

A workspace's call gives way to one of a workspace with at least two calls fewer waiting; the surge of a workspace at its limit is counted by reports, not by the least gap between them. Comments only.

--- a/internal/limit/fair.go
+++ b/internal/limit/fair.go
@@ -78,8 +78,8 @@
 }
 
 // yields reports whether a, which waits, gives way to b: its class stands further inside its
-// target, or its priority is lower, or its workspace has more calls waiting in the same class
-// and would still have as many after it.
+// target, or its priority is lower, or its workspace has at least two more calls waiting in the
+// same class: with one more, the two would only change places.
 //
 // The last is longest queue drop, a buffer policy that needs no state for idle workspaces. It
 // guards against a workspace that sends many times its usual and fills the queue alone.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -15,8 +15,7 @@
 	// report, and so many more.
 	surgeTimes = 2
 	surgeCalls = 4
-	// overTimes and overCalls tell the same of a workspace that has used up its quota, by the
-	// calls of SurgeGap.
+	// overTimes and overCalls tell the same of a workspace that has used up its quota.
 	overTimes = 1.5
 	overCalls = 2
 	// saveUpFor is the time for which a node without a collector saves up tokens.
