Read the platform where nobody confirms the version held

What operators and callers saw: a change on marlpass's own platform is not in force within 13 s, in the whole mesh where the feeders get no answer and the accepting node is lost, or at a VM that is cut off from all others.

Cause, one for both, by two traces made apart: who reads was decided by role and by suspicion alone. The real membership suspects after 60 s, so a mend that waits for suspicion cannot hold the bound.

Change: every message carries the age of the platform's newest answer behind its version and who had it (the field was there for meshes that follow another source). A node that is no feeder reads once its confirmation is too old: by rank where nodes hear each other, so that one reads for all, else each by itself. The reads by suspicion are gone. A message that differs in its confirmation alone no longer ends in Heard's fast path.

New tests that fail on the code before: TestIsolatedNodesHoldChangesInTime, TestPlatformSilentForMost, TestFlappingSuspicionsDelayNoRead.

An isolated node whose read is lost stays late.

--- /dev/null
+++ b/internal/distribute/confirm_test.go
@@ -0,0 +1,212 @@
+package distribute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func timeProfile(id, dc string) Settings { return Defaults(id, dc, Time()) }
+
+func bytesProfile(id, dc string) Settings { return Defaults(id, dc, Bytes()) }
+
+// isolate cuts every node off from every other, and has each suspect all others.
+func (m *mesh) isolate() {
+	m.cut = func(a, b string) bool { return true }
+	for _, n := range m.nodes {
+		m.views[n.id] = m.suspectView(n)
+	}
+}
+
+// checkInTime commits a change and checks that all nodes hold it within the operators' bound.
+func (m *mesh) checkInTime(t *testing.T) {
+	t.Helper()
+	m.change(nil)
+	m.run(inForceWithin)
+	if !m.converged() {
+		t.Errorf("over %v until a change is in force: %s", inForceWithin, describe(m))
+	}
+}
+
+// Guards nodes that are cut off from all others, and reach the platform, against an old version,
+// whenever the change comes.
+func TestIsolatedNodesHoldChangesInTime(t *testing.T) {
+	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
+		for seed := range uint64(3) {
+			m := newMesh(48, 1, seed, set)
+			m.change(nil)
+			m.run(20 * time.Second)
+			m.isolate()
+			for i := range 6 {
+				m.run(time.Duration(i) * 1300 * time.Millisecond)
+				m.checkInTime(t)
+			}
+		}
+	}
+}
+
+// Guards the platform against the reads of isolated nodes over a long cut: two feeders a data
+// centre, and the others together about as one.
+func TestIsolatedNodesReadSeldomForLong(t *testing.T) {
+	const dcs, minutes = 5, 5
+	m := newMesh(240, dcs, 3, timeProfile)
+	m.change(nil)
+	m.run(20 * time.Second)
+	m.isolate()
+	m.reads = 0
+	m.run(minutes * time.Minute)
+	if most := 4 * dcs * minutes * 60; m.reads > most {
+		t.Errorf("%d reads in %d minutes, over %d", m.reads, minutes, most)
+	}
+}
+
+// Guards against a change that nobody reads where the platform leaves most nodes, the feeders among
+// them, without an answer for long.
+func TestPlatformSilentForMost(t *testing.T) {
+	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
+		for seed := range uint64(3) {
+			m := newMesh(48, 2, seed, set)
+			m.change(nil)
+			m.run(20 * time.Second)
+			answered := make(map[string]bool)
+			for _, dc := range []string{"dc0", "dc1"} {
+				answered[m.lastRanked(dc)] = true
+			}
+			m.silent = func(n *node) bool { return !answered[n.id] }
+			for i := range 5 {
+				m.run(time.Duration(i) * 1700 * time.Millisecond)
+				m.checkInTime(t)
+			}
+		}
+	}
+}
+
+// lastRanked returns the node of a data centre that is the last to stand in for its feeders.
+func (m *mesh) lastRanked(dc string) string {
+	var ids []string
+	for _, id := range m.ids {
+		if m.nodes[id].dc == dc {
+			ids = append(ids, id)
+		}
+	}
+	order := ranked("feeder/"+dc+"/", ids)
+	return order[len(order)-1]
+}
+
+// Guards a node that is cut off while its suspicions come and go, as its membership hears a late
+// message now and then.
+func TestFlappingSuspicionsDelayNoRead(t *testing.T) {
+	for seed := range uint64(5) {
+		m := newMesh(48, 1, seed, timeProfile)
+		m.change(nil)
+		m.run(20 * time.Second)
+		n := m.someNonFeeder()
+		m.cut = func(a, b string) bool { return a == n.id || b == n.id }
+		var flap func()
+		suspects := false
+		flap = func() {
+			if suspects = !suspects; suspects {
+				m.views[n.id] = m.suspectView(n)
+			} else {
+				delete(m.views, n.id)
+			}
+			m.after(2*time.Second, flap)
+		}
+		flap()
+		for range 4 {
+			m.checkInTime(t)
+		}
+	}
+}
+
+// Guards the platform against nodes that read it beside feeders that are well: the way of a
+// confirmation through a data centre takes some seconds.
+func TestFeedersThatAreAnsweredReadForAll(t *testing.T) {
+	const dcs, seconds = 5, 60
+	m := newMesh(120, dcs, 3, timeProfile)
+	m.probe = 2 * time.Second
+	m.change(nil)
+	m.run(20 * time.Second)
+	m.reads = 0
+	m.run(seconds * time.Second)
+	if most := feedersPerDC * dcs * seconds; m.reads > most {
+		t.Errorf("%d reads in %d s, over %d", m.reads, seconds, most)
+	}
+}
+
+// Guards a feeder that hears others again against reading as seldom as one that is cut off.
+func TestFeederReadsOftenOnceItHearsOthers(t *testing.T) {
+	m := newMesh(48, 1, 2, timeProfile)
+	m.change(nil)
+	m.run(20 * time.Second)
+	m.isolate()
+	m.run(20 * time.Second)
+	m.cut = func(a, b string) bool { return false }
+	clear(m.views)
+	m.run(3 * time.Second)
+	m.reads = 0
+	m.run(10 * time.Second)
+	if least := feedersPerDC * 8; m.reads < least {
+		t.Errorf("%d reads in 10 s, under %d", m.reads, least)
+	}
+}
+
+// Guards a confirmation against a peer that is behind, or of another history: what it calls the
+// newest is not what is held here.
+func TestOnlyVersionsHeldAreConfirmed(t *testing.T) {
+	ds, _ := history(t, "booking", 3)
+	other, _ := history(t, "other", 3)
+	now := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		name string
+		e    Heard
+		want bool
+	}{
+		{"the version held", Heard{Version: ds[1].To}, true},
+		{"an older one of its history", Heard{Version: ds[0].To}, true},
+		{"a newer one", Heard{Version: ds[2].To}, false},
+		{"one of another history", Heard{Version: other[1].To}, false},
+	} {
+		s := New(timeProfile("self", "dc"), now)
+		if !s.applyDeltas(SourcePlatform, ds[:2]) {
+			t.Fatal("the history can't be applied")
+		}
+		c.e.Peer, c.e.Confirmed = "p", Confirmation{Age: time.Second, Reader: "q"}
+		s.Contact(now.Add(5*time.Second), c.e)
+		if got := s.confirmed.reader == "q"; got != c.want {
+			t.Errorf("%s: confirmed %t", c.name, got)
+		}
+	}
+}
+
+// Guards a message that differs from the one before in its confirmation alone against being dropped
+// as nothing new.
+func TestRunnerTakesConfirmations(t *testing.T) {
+	r, _ := newTestRunner(t)
+	ds, _ := history(t, "booking", 1)
+	e := tell(t, ds)
+	r.Heard(e)
+	e.Changes = nil
+	for _, age := range []uint64{9000, 4000} {
+		e.Confirmed = confirmation{time.Now().Add(-time.Duration(age) * time.Millisecond), "q"}.toProto(time.Now())
+		r.Heard(e)
+		c := r.Stamp().Confirmed
+		if c.GetReader() != "q" || c.GetAgeMs() < age || c.GetAgeMs() > age+2000 {
+			t.Errorf("told of %d ms, tells %v", age, c)
+		}
+	}
+}
+
+// Guards the ages that are passed on against becoming younger on their way.
+func TestConfirmationGrowsNoYounger(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := confirmation{now.Add(-1500*time.Millisecond - 100*time.Microsecond), "q"}
+	for i := range 50 {
+		told := confirmationFromProto(c.toProto(now))
+		next := confirmation{now.Add(-told.Age), told.Reader}
+		if next.at.After(c.at) {
+			t.Fatal(fmt.Sprint("younger after ", i, " messages"))
+		}
+		c = next
+	}
+}
--- a/internal/distribute/doc.go
+++ b/internal/distribute/doc.go
@@ -14,6 +14,11 @@
 // tells that child's children in its place. Whoever is missed sees the newer
 // (version, hash) on the next membership message and pulls the deltas.
 //
+// Every message also says how long ago the platform had no newer version than the
+// sender's. A node whose version nobody confirms for long reads the platform itself,
+// whether its feeders get no answer or it is cut off from them; so silence is never
+// taken for a time without changes.
+//
 // A delta is applied only if its parent is the version held and the result has
 // the promised hash. A whole snapshot, which proves its own content but not
 // that it descends from the version held, needs a second witness and a peer that
--- a/internal/distribute/event.go
+++ b/internal/distribute/event.go
@@ -55,6 +55,8 @@
 	// for membership.
 	Tell   bool
 	Deltas []*config.Delta
+	// Confirmed is how far the platform bears Version out as the newest.
+	Confirmed Confirmation
 }
 
 // Answer is a peer's answer to Pull or Ask.
@@ -113,7 +115,10 @@
 type Action interface{ action() }
 
 // ReadHead asks the platform for its head; answered by HeadRead.
-type ReadHead struct{}
+type ReadHead struct {
+	// NotConfirmed is to be reported if it is not nil: why a node that is no feeder reads.
+	NotConfirmed *NotConfirmed
+}
 
 // ReadSince asks the platform for the deltas after Version; answered by
 // PlatformRead.
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
@@ -19,14 +20,22 @@
 	answered bool           // the platform's last answer fits the history held
 	catchUp  time.Time      // when to read what head has more, or zero
 
+	askedAt time.Time      // when the last ReadHead went out
+	answer  config.Version // its answer
+	current bool           // answer came, and is no older than what was held then
+
 	// The role, for the view it was worked out from.
 	view   *membership.View
 	feeder bool
-
-	// standby is the mean time between the reads of a node that is no feeder
-	// but cannot tell whether the feeders are there, or zero.
-	standby   time.Duration
-	standbyAt time.Time
+	unsure bool // most of the data centre's nodes are suspect
+	// rank is the node's place among so many that may be feeders.
+	rank, among int
+
+	// untold says that nobody is expected to tell what the read in flight finds. standInAt is how
+	// long a node leaves the platform alone after a read in place of the feeders that failed, and
+	// reported which confirmation was too old when such a read was last reported.
+	untold              bool
+	standInAt, reported time.Time
 }
 
 // freshSnapshotAfter is the number of versions above which a node that holds
@@ -68,37 +77,46 @@
 			s.readSince(f.head)
 		}
 	}
-	wanted := f.feeder || !s.start.done || s.jump != nil
-	due := wanted && !s.now.Before(f.after)
-	standbyDue := f.standby > 0 && !s.now.Before(f.standbyAt)
-	if f.busy || !due && !standbyDue {
+	if f.busy {
 		return
 	}
-	f.busy = true
-	f.standbyAt = s.now.Add(s.jitter(2 * f.standby))
+	switch {
+	case s.readDue():
+		s.readHead(nil)
+		f.untold = s.alone()
+	case s.overdue():
+		s.readHead(s.notConfirmed())
+		f.untold = true
+	}
+}
+
+// readDue reports whether a node that reads the head on a timer has to read it now. A feeder that
+// hears nobody reads for itself alone, and no more often than any other node that is cut off.
+func (s *State) readDue() bool {
+	f := &s.feed
+	starting := !s.start.done || s.jump != nil
+	if !starting && (!f.feeder || s.alone() && s.now.Sub(f.askedAt) < s.readsAloneEvery()) {
+		return false
+	}
+	return !s.now.Before(f.after)
+}
+
+func (s *State) readHead(why *NotConfirmed) {
+	f := &s.feed
+	f.busy, f.current = true, false
+	f.askedAt = s.now
 	f.heldThen = s.Version().Number
-	s.emit(ReadHead{})
+	s.emit(ReadHead{NotConfirmed: why})
 }
 
 // takeRole works out whether this node is a feeder.
-//
-// Where most of the data centre is suspect, the chosen feeders may be gone for
-// good, or be just as well and unheard. The others then read too, but so seldom
-// that all of them together make about one read more in HeadEvery, however
-// many they are.
 func (s *State) takeRole() {
 	f := &s.feed
 	f.view = s.view
-	ids, unsure := feederChoice(s.view, s.set.Self, s.set.DataCentre)
-	f.feeder = isFeeder(ids, s.set.Self, s.set.DataCentre)
-	if f.feeder || !unsure {
-		f.standby = 0
-		return
-	}
-	if f.standby == 0 {
-		f.standbyAt = s.now.Add(s.jitter(2 * s.set.Profile.HeadEvery * time.Duration(len(ids))))
-	}
-	f.standby = s.set.Profile.HeadEvery * time.Duration(len(ids))
+	var ids []string
+	ids, f.unsure = feederChoice(s.view, s.set.Self, s.set.DataCentre)
+	f.rank, f.among = slices.Index(ranked("feeder/"+s.set.DataCentre+"/", ids), s.set.Self), len(ids)
+	f.feeder = f.rank < feedersPerDC
 }
 
 // firstRead returns how long to wait before the first read of the head.
@@ -119,11 +137,12 @@
 	f.fails = 0
 	f.after = s.now.Add(s.set.Profile.HeadEvery)
 	f.answered = s.chain.relation(e.Version) != relationOther
+	f.answer, f.current = e.Version, e.Version.Number >= f.heldThen
 	f.noteHead(e.Version)
 	switch {
 	case s.chain.relation(e.Version) == relationOther:
 		s.conflict(SourcePlatform, e.Version)
-	case e.Version.Newer(s.Version()) && s.start.done:
+	case e.Version.Newer(s.Version()) && s.start.done && !f.untold:
 		// The accepting node is most likely telling it right now. Without the
 		// wait, every feeder would read it too, and tell it once more.
 		f.catchUp = s.now.Add(s.set.Profile.PullDelay / 2)
@@ -175,6 +194,9 @@
 	}
 	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), limit)
 	f.after = s.now.Add(s.jitter(wait))
+	// Half of the wait is sure, so that a mesh without its platform asks for it seldom.
+	wait = min(s.set.RetryCap<<min(f.fails-1, maxShift), confirmWithin) / 2
+	f.standInAt = s.now.Add(wait + s.jitter(wait))
 }
 
 func (s *State) platformRead(e PlatformRead) {
--- a/internal/distribute/finding.go
+++ b/internal/distribute/finding.go
@@ -12,7 +12,7 @@
 const SourcePlatform = "(platform)"
 
 // Finding is something that an operator should know: a *Conflict, a *StaleHead,
-// a *BadPeer or an *Unconfirmed.
+// a *BadPeer, an *Unconfirmed or a *NotConfirmed.
 type Finding interface {
 	error
 	// Kind is a short name for metrics.
@@ -80,3 +80,20 @@
 
 // Kind implements Finding.
 func (u *Unconfirmed) Kind() string { return "unconfirmed" }
+
+// NotConfirmed tells that neither the feeders nor anybody else has confirmed the version held for
+// so long that this node, which is no feeder, reads the platform itself.
+type NotConfirmed struct {
+	Held config.Version
+	Age  time.Duration
+	// Reader is the node that the platform answered last, as far as is known here.
+	Reader string
+}
+
+func (n *NotConfirmed) Error() string {
+	return fmt.Sprintf("distribute: nobody has confirmed version %d for %v, last %q; this node reads the platform",
+		n.Held.Number, n.Age.Round(time.Millisecond), n.Reader)
+}
+
+// Kind implements Finding.
+func (n *NotConfirmed) Kind() string { return "no_feeder" }
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -181,16 +181,16 @@
 }
 
 func (m *mesh) exchange(a, b *node, ds []*config.Delta, tell bool, done func(error)) {
-	aHeld, aForce := a.state.Version(), a.state.InForce()
+	aHeld, aForce, aConfirmed := a.state.Version(), a.state.InForce(), m.confirmed(a)
 	life := a.life
 	ok := m.send(a, b, func() {
-		m.step(b, Heard{Peer: a.id, Version: aHeld, InForce: aForce, Tell: tell, Deltas: ds})
-		v, f := b.state.Version(), b.state.InForce()
+		m.step(b, Heard{Peer: a.id, Version: aHeld, InForce: aForce, Tell: tell, Deltas: ds, Confirmed: aConfirmed})
+		v, f, c := b.state.Version(), b.state.InForce(), m.confirmed(b)
 		m.send(b, a, func() {
 			if a.life != life {
 				return
 			}
-			m.step(a, Heard{Peer: b.id, Version: v, InForce: f})
+			m.step(a, Heard{Peer: b.id, Version: v, InForce: f, Confirmed: c})
 			done(nil)
 		})
 	})
@@ -203,6 +203,11 @@
 	}
 }
 
+// confirmed is what a message of n says of its version.
+func (m *mesh) confirmed(n *node) Confirmation {
+	return confirmationFromProto(n.state.confirmed.toProto(m.now))
+}
+
 func (m *mesh) ask(a, b *node, v, held config.Version, headOnly bool, done func(Answer, error)) {
 	life := a.life
 	finished := false
--- a/internal/distribute/perform.go
+++ b/internal/distribute/perform.go
@@ -42,6 +42,9 @@
 func (r *Runner) ask(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case ReadHead:
+		if a.NotConfirmed != nil {
+			r.report(a.NotConfirmed)
+		}
 		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
 		v, err := r.deps.Platform.Head(ctx)
--- a/internal/distribute/pull.go
+++ b/internal/distribute/pull.go
@@ -35,6 +35,7 @@
 	if len(e.Deltas) > 0 && !s.applyDeltas(e.Peer, e.Deltas) {
 		return
 	}
+	s.Contact(s.now, e)
 	s.witness(e.Peer, e.Version)
 	if !e.Version.Newer(s.Version()) {
 		delete(s.claims, e.Peer)
--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -93,7 +93,7 @@
 	rng      *rand.Rand
 	timeline []Timing
 
-	stamp  atomic.Pointer[Stamp]
+	stamp  atomic.Pointer[stamped]
 	packed atomic.Pointer[packedSnapshot]
 	served *rate.Limiter
 	tells  *semaphore.Weighted
@@ -104,6 +104,12 @@
 	flying sync.WaitGroup
 }
 
+// stamped is a Stamp whose confirmation grows older.
+type stamped struct {
+	Stamp
+	confirmed confirmation
+}
+
 type packedSnapshot struct {
 	version config.Version
 	packed  *peerpb.Packed
@@ -120,7 +126,7 @@
 		tells:  semaphore.NewWeighted(maxTells),
 		ctx:    ctx, end: end,
 	}
-	r.stamp.Store(&Stamp{Version: r.state.Version()})
+	r.stamp.Store(&stamped{Stamp: Stamp{Version: r.state.Version()}})
 	return r
 }
 
@@ -159,7 +165,12 @@
 }
 
 // Stamp returns what messages carry of this node's versions.
-func (r *Runner) Stamp() Stamp { return *r.stamp.Load() }
+func (r *Runner) Stamp() Stamp {
+	held := r.stamp.Load()
+	s := held.Stamp
+	s.Confirmed = held.confirmed.toProto(time.Now())
+	return s
+}
 
 // Ready reports whether the node may carry traffic, and if not, why.
 func (r *Runner) Ready() (bool, string) {
@@ -213,32 +224,44 @@
 		r.deps.Log.Warn().Str("peer", e.From).Err(err).Msg("distribute: drop changes")
 		ds = nil
 	}
-	// Nothing new, as in nearly every message: no need to take the lock.
-	if len(ds) == 0 && e.Behind == 0 && v == r.Stamp().Version && r.known(e.From, v.Number) {
+	heard := Heard{
+		Peer: e.From, Version: v, InForce: v.Number - min(e.Behind, v.Number),
+		Tell: e.Membership == nil, Deltas: ds, Confirmed: confirmationFromProto(e.Confirmed),
+	}
+	if len(ds) == 0 && e.Behind == 0 && r.known(heard) {
 		return
 	}
-	r.step(Heard{
-		Peer: e.From, Version: v, InForce: v.Number - min(e.Behind, v.Number),
-		Tell: e.Membership == nil, Deltas: ds,
-	})
+	r.step(heard)
 }
 
-// known reports whether the peer was already seen with version n in force.
-func (r *Runner) known(peer string, n uint64) bool {
+// known reports whether a message tells nothing new of its sender's version, as nearly every one
+// does. All it says then is that the sender is there, and confirms the version or not.
+func (r *Runner) known(e Heard) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.held[peer] >= n && r.state.jump == nil
+	s := r.state
+	if e.Version != s.Version() || s.held[e.Peer] < e.InForce || s.jump != nil || !s.believed(e.Peer) {
+		return false
+	}
+	s.Contact(time.Now(), e)
+	r.publish()
+	return true
+}
+
+// publish keeps what messages carry in step with the state. The caller holds the lock.
+func (r *Runner) publish() {
+	v := r.state.Version()
+	s := stamped{Stamp{Version: v, Behind: v.Number - r.state.InForce()}, r.state.confirmed}
+	if s != *r.stamp.Load() {
+		r.stamp.Store(&s)
+	}
 }
 
 // step feeds one event to the state and carries out what it asks for.
 func (r *Runner) step(ev Event) {
 	r.mu.Lock()
 	actions := r.state.Step(time.Now(), r.rng, r.deps.Views.Load(), ev)
-	v := r.state.Version()
-	s := Stamp{Version: v, Behind: v.Number - r.state.InForce()}
-	if s != r.Stamp() {
-		r.stamp.Store(&s)
-	}
+	r.publish()
 	r.mu.Unlock()
 	for _, a := range actions {
 		r.perform(a)
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -16,6 +16,9 @@
 
 	started time.Time
 	inForce uint64 // number of the version that the config.Store runs
+	// confirmed and heardAt say how old what the node knows is.
+	confirmed confirmation
+	heardAt   time.Time // the last message of any peer
 	// ticked says that the membership has made first contact, or given up.
 	ticked bool
 
@@ -79,6 +82,7 @@
 	case Offered:
 		s.offered(e)
 	}
+	s.confirmRead()
 	s.scheduleTell()
 	s.scheduleFeed()
 	s.scheduleAsks()
--- a/internal/distribute/tree.go
+++ b/internal/distribute/tree.go
@@ -79,12 +79,6 @@
 	return append(ids, suspect...), true
 }
 
-// isFeeder reports whether self is among the first of a data centre's nodes.
-func isFeeder(ids []string, self, dc string) bool {
-	order := ranked("feeder/"+dc+"/", ids)
-	return slices.Contains(order[:min(feedersPerDC, len(order))], self)
-}
-
 // tree is the order in which a version passes through the live nodes. Nodes
 // whose views differ get slightly different trees; a node that falls between
 // them learns of the version from its next membership message.
