Pause between reads that confirm nothing, and report only those that were needed

What operators would have seen: nodes that ask the platform without a pause where its head is older than the version held, or of another history; and a warning at many nodes of a large data centre that is well.

Cause: only a read that failed had a pause. One that was answered and confirmed nothing left the node overdue, and it asked again at once. A report went with each read in place of the feeders, though in large data centres a confirmation comes late now and then.

Change: an answer that confirms nothing counts from when it was asked for; a head whose log is of another history isn't read about again; what a node reads in place of feeders is reported if it found a newer version, or if nobody else confirmed the version since the read before. A node that hears others goes by its rank also after its own read, so that what the last one finds reaches all in time. 0.8 s are kept for the two reads, 0.6 before.

--- a/internal/distribute/confirm.go
+++ b/internal/distribute/confirm.go
@@ -7,13 +7,14 @@
 )
 
 const (
-	// InForceWithin is the operators' bound from the acceptance of a change until it is in force
-	// on every node that reaches the platform.
-	InForceWithin = 13 * time.Second
-	// readTime is kept of that for a read of the platform and for putting the version in force.
-	readTime = 600 * time.Millisecond
+	// inForceIn is the operators' bound from the acceptance of a change until it is in force on
+	// every node that reaches the platform.
+	inForceIn = 13 * time.Second
+	// readTime is kept of that for reading the platform's head and log, and for putting the version
+	// in force.
+	readTime = 800 * time.Millisecond
 	// confirmWithin is how old a node that reads for itself alone lets its confirmation become.
-	confirmWithin = InForceWithin - readTime
+	confirmWithin = inForceIn - readTime
 	// tellTime is kept for telling the others, beside Profile.TellDelay for each of tellSteps from
 	// the node that reads through the first of a data centre to the last.
 	tellTime  = 500 * time.Millisecond
@@ -97,19 +98,23 @@
 //
 // It guards against feeders that get no answer, or that this node does not hear: both look like a
 // time without changes. The nodes of a data centre read one after the other, by rank, so that one
-// whom the platform answers confirms the version to the others before most of them read.
+// whom the platform answers confirms the version to the others before most of them read. After an
+// answer that confirms nothing, as an old head, a node waits for as long as the bound allows.
 func (s *State) overdue() bool {
 	f := &s.feed
 	if f.feeder || !s.start.done || s.now.Before(f.standInAt) {
 		return false
 	}
+	if f.answeredAt.After(s.confirmed.at) && s.now.Sub(f.answeredAt) < s.readsAloneEvery() {
+		return false
+	}
 	return s.now.Sub(s.confirmedSince()) >= s.standsInAfter()
 }
 
 // standsInAfter returns how old the confirmation of a node that is no feeder becomes before it reads.
 func (s *State) standsInAfter() time.Duration {
 	f := &s.feed
-	if s.confirmed.reader == s.set.Self {
+	if s.confirmed.reader == s.set.Self && s.hearsNobody() {
 		return s.readsAloneEvery()
 	}
 	last := confirmWithin - tellTime - tellSteps*s.set.Profile.TellDelay
@@ -124,19 +129,23 @@
 	return min(shared, confirmWithin)
 }
 
-// notConfirmed returns what to report of a read in place of the feeders: nil but for the first one
-// of a time in which nobody else confirms the version held.
-func (s *State) notConfirmed() *NotConfirmed {
-	since := s.confirmedSince()
-	if s.confirmed.reader == s.set.Self || s.feed.reported.Equal(since) {
-		return nil
+// noteStandIn reports a read in place of the feeders that was needed: it found a newer version, or
+// nobody else has confirmed the one held since the read before. It reports once until somebody does. In
+// a large data centre a confirmation comes late now and then; a read for that alone is no fault.
+func (s *State) noteStandIn(needed bool) {
+	f := &s.feed
+	if s.confirmed.reader != s.set.Self {
+		f.reported = false
 	}
-	s.feed.reported = since
-	return &NotConfirmed{Held: s.Version(), Age: s.now.Sub(since), Reader: s.confirmed.reader}
+	if !needed || f.reported {
+		return
+	}
+	f.reported = true
+	s.emit(StandIn{&NotConfirmed{Held: s.Version(), Age: s.now.Sub(s.confirmedSince()), Reader: s.confirmed.reader}})
 }
 
-// alone reports whether this node hears none of the others of its data centre that its membership
-// lists. What it reads reaches nobody else then.
-func (s *State) alone() bool {
-	return s.feed.unsure && s.now.Sub(s.heardAt) >= unheardFor
-}
+// alone reports whether this node hears none of the others that its membership lists. What a feeder
+// reads reaches nobody else then.
+func (s *State) alone() bool { return s.feed.unsure && s.hearsNobody() }
+
+func (s *State) hearsNobody() bool { return s.now.Sub(s.heardAt) >= unheardFor }
--- a/internal/distribute/confirm_test.go
+++ b/internal/distribute/confirm_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+// Guards operators against reports of reads in place of feeders that are well, in a data centre so
+// large that confirmations come late now and then, and against none where the feeders get no answer.
+func TestStandInsAreReportedOnlyWhereNeeded(t *testing.T) {
+	m := newMesh(120, 1, 1, bytesProfile)
+	m.probe = 2 * time.Second
+	m.change(nil)
+	m.run(90 * time.Second)
+	if n := m.standIns(); n > 0 {
+		t.Errorf("%d reports though the feeders are answered", n)
+	}
+	m.silent = func(n *node) bool { return n.state.Feeder() }
+	m.checkInTime(t)
+	n := m.standIns()
+	if n == 0 {
+		t.Error("no report though the feeders get no answer")
+	}
+	m.run(60 * time.Second)
+	if most := 2 * len(m.ids); m.standIns() > most {
+		t.Errorf("%d reports, over %d", m.standIns(), most)
+	}
+}
+
+func (m *mesh) standIns() int {
+	n := 0
+	for _, node := range m.nodes {
+		n += len(node.standIns)
+	}
+	return n
+}
+
 // Guards a feeder that hears others again against reading as seldom as one that is cut off.
 func TestFeederReadsOftenOnceItHearsOthers(t *testing.T) {
 	m := newMesh(48, 1, 2, timeProfile)
--- a/internal/distribute/event.go
+++ b/internal/distribute/event.go
@@ -115,10 +115,7 @@
 type Action interface{ action() }
 
 // ReadHead asks the platform for its head; answered by HeadRead.
-type ReadHead struct {
-	// NotConfirmed is to be reported if it is not nil: why a node that is no feeder reads.
-	NotConfirmed *NotConfirmed
-}
+type ReadHead struct{}
 
 // ReadSince asks the platform for the deltas after Version; answered by
 // PlatformRead.
@@ -155,6 +152,9 @@
 // Offered.
 type Offer struct{ Snapshot *config.Snapshot }
 
+// StandIn hands on why a node that is no feeder reads the platform.
+type StandIn struct{ Finding *NotConfirmed }
+
 // Report hands a finding to the log, the metrics and the handover.
 type Report struct{ Finding Finding }
 
@@ -165,4 +165,5 @@
 func (Ask) action()          {}
 func (Tell) action()         {}
 func (Offer) action()        {}
+func (StandIn) action()      {}
 func (Report) action()       {}
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -19,10 +19,12 @@
 	older    int            // heads older than that answered in a row since
 	answered bool           // the platform's last answer fits the history held
 	catchUp  time.Time      // when to read what head has more, or zero
+	other    otherHead
 
-	askedAt time.Time      // when the last ReadHead went out
-	answer  config.Version // its answer
-	current bool           // answer came, and is no older than what was held then
+	askedAt    time.Time      // when the last ReadHead went out
+	answeredAt time.Time      // when the last one that was answered went out
+	answer     config.Version // its answer
+	current    bool           // answer came, and is no older than what was held then
 
 	// The role, for the view it was worked out from.
 	view   *membership.View
@@ -31,13 +33,17 @@
 	// rank is the node's place among so many that may be feeders.
 	rank, among int
 
-	// untold says that nobody is expected to tell what the read in flight finds. standInAt is how
-	// long a node leaves the platform alone after a read in place of the feeders that failed, and
-	// reported which confirmation was too old when such a read was last reported.
-	untold              bool
-	standInAt, reported time.Time
+	// standIn says that the read in flight is one in place of the feeders, standInAt how long to leave
+	// the platform alone after one that failed, and reported that one was reported.
+	standIn   bool
+	standInAt time.Time
+	reported  bool
 }
 
+// otherHead is a head of the platform whose log showed that it is of another history than the version
+// held then. The log is not read again for it.
+type otherHead struct{ head, held config.Version }
+
 // freshSnapshotAfter is the number of versions above which a node that holds
 // nothing reads a snapshot from the platform rather than the deltas.
 const freshSnapshotAfter = 16
@@ -82,11 +88,10 @@
 	}
 	switch {
 	case s.readDue():
-		s.readHead(nil)
-		f.untold = s.alone()
+		s.readHead(false)
 	case s.overdue():
-		s.readHead(s.notConfirmed())
-		f.untold = true
+		s.noteStandIn(s.confirmed.reader == s.set.Self)
+		s.readHead(true)
 	}
 }
 
@@ -101,12 +106,12 @@
 	return !s.now.Before(f.after)
 }
 
-func (s *State) readHead(why *NotConfirmed) {
+func (s *State) readHead(standIn bool) {
 	f := &s.feed
-	f.busy, f.current = true, false
+	f.busy, f.standIn, f.current = true, standIn, false
 	f.askedAt = s.now
 	f.heldThen = s.Version().Number
-	s.emit(ReadHead{NotConfirmed: why})
+	s.emit(ReadHead{})
 }
 
 // takeRole works out whether this node is a feeder.
@@ -137,12 +142,18 @@
 	f.fails = 0
 	f.after = s.now.Add(s.set.Profile.HeadEvery)
 	f.answered = s.chain.relation(e.Version) != relationOther
+	f.answeredAt = f.askedAt
 	f.answer, f.current = e.Version, e.Version.Number >= f.heldThen
 	f.noteHead(e.Version)
 	switch {
 	case s.chain.relation(e.Version) == relationOther:
 		s.conflict(SourcePlatform, e.Version)
-	case e.Version.Newer(s.Version()) && s.start.done && !f.untold:
+	case s.start.done && f.other == otherHead{e.Version, s.Version()}:
+		// Reported when its log was read.
+	case e.Version.Newer(s.Version()) && f.standIn:
+		s.noteStandIn(true)
+		s.readSince(e.Version)
+	case e.Version.Newer(s.Version()) && s.start.done && !s.alone():
 		// The accepting node is most likely telling it right now. Without the
 		// wait, every feeder would read it too, and tell it once more.
 		f.catchUp = s.now.Add(s.set.Profile.PullDelay / 2)
@@ -221,6 +232,7 @@
 	from := s.Version()
 	ok := s.applyDeltas(SourcePlatform, ds)
 	if !ok {
+		s.noteOtherHead(ds)
 		// The log does not lead from what is held to that head. Kept as the
 		// newest one known, it would hold a starting node back for good.
 		s.feed.head, s.feed.answered = config.Version{}, false
@@ -231,3 +243,11 @@
 		s.emit(ReadSince{s.Version()})
 	}
 }
+
+// noteOtherHead keeps the head whose log is of another history than the version held.
+func (s *State) noteOtherHead(ds []*config.Delta) {
+	held := s.Version()
+	if slices.ContainsFunc(ds, func(d *config.Delta) bool { return d.From.Number == held.Number && d.From != held }) {
+		s.feed.other = otherHead{s.feed.head, held}
+	}
+}
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -59,7 +59,9 @@
 	offered config.Version
 	force   map[uint64]time.Time
 	reports []Finding
-	fail    func(*config.Snapshot) error
+	// standIns are the reads in place of the feeders that were reported.
+	standIns []*NotConfirmed
+	fail     func(*config.Snapshot) error
 }
 
 // httpOverhead stands for what HTTP and TLS add to one exchange, both ways: of
@@ -257,6 +259,8 @@
 		m.offer(n, a.Snapshot)
 	case Report:
 		n.reports = append(n.reports, a.Finding)
+	case StandIn:
+		n.standIns = append(n.standIns, a.Finding)
 	case Tell:
 		m.tell(n, a)
 	case Pull:
--- a/internal/distribute/perform.go
+++ b/internal/distribute/perform.go
@@ -20,6 +20,8 @@
 	switch a := a.(type) {
 	case Report:
 		r.report(a.Finding)
+	case StandIn:
+		r.report(a.Finding)
 	case Offer:
 		r.spawn(func(context.Context) { r.offer(a.Snapshot) })
 	case Tell:
@@ -42,9 +44,6 @@
 func (r *Runner) ask(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case ReadHead:
-		if a.NotConfirmed != nil {
-			r.report(a.NotConfirmed)
-		}
 		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
 		v, err := r.deps.Platform.Head(ctx)
