Close the listening sockets first in a planned stop

Callers saw: a booking that meets a VM's planned stop ends with 502 "may have run", 1 to 3 a stop where clients connect anew all the while.

Cause: the listening sockets stayed open until the end. Clients that come on new connections keep the quiet from coming; after its bound of a second http.Server.Shutdown closed all the same, and net/http answers no request that it finishes reading after that. The kernel resets what waits in the backlog of a socket that is closed, and pipeline.Server closed what it had just accepted.

Change: drain.Servers stops all servers for calls in one order, so that nobody has to remember it: the listening sockets close, once those who wait at them were accepted (drain.Listener); the connections are served on, each answer ending its own; when no call has come for 100 ms they are closed. As nobody comes anew, that wait has no bound of its own but its context: what can still come is one call on each connection. drain.Server is an http.Server with that step, and pipeline.Server has it too. Hard ends stay hard.

Conclusion: a connection that a leaving node has accepted is answered.

--- a/internal/drain/calls.go
+++ b/internal/drain/calls.go
@@ -3,9 +3,10 @@
 //
 // When a server closes a kept connection in the moment its client sends the next call on it, the
 // client can't know whether the call ran. The same goes for a connection that waits to be
-// accepted. So a leaving server closes nothing as long as it can: each answer says Connection:
-// close, after which the client sends nothing more on it, and the sockets stay open, refusing
-// calls as not run, until the calls in flight have ended and none has come for a while.
+// accepted. So a leaving server closes no connection as long as it can: each answer says
+// Connection: close, after which the client sends nothing more on it. The listening sockets close
+// first, so that nobody begins anew, and the connections once the calls in flight have ended and
+// none has come for a while. Servers keeps that order.
 package drain
 
 import (
@@ -20,6 +21,7 @@
 // Calls counts the calls of one process. Its zero value is ready for use.
 type Calls struct {
 	leaving  atomic.Bool
+	closed   atomic.Bool // no new connection is taken
 	inFlight atomic.Int64
 	started  atomic.Uint64
 }
@@ -27,6 +29,9 @@
 // Leave asks clients to go elsewhere: each answer from now on ends its connection.
 func (c *Calls) Leave() { c.leaving.Store(true) }
 
+// noneNew says that no new connection is taken any more.
+func (c *Calls) noneNew() { c.closed.Store(true) }
+
 // InFlight returns how many calls are in the process's hands.
 func (c *Calls) InFlight() int64 { return c.inFlight.Load() }
 
@@ -72,17 +77,20 @@
 	// quietFor is how long no call may have come: a call may be on its way from another region,
 	// on a connection that is being made.
 	quietFor = 100 * time.Millisecond
-	// quietWithin bounds the wait for that: some clients never learn that the server leaves.
+	// quietWithin bounds the wait for that while connections are accepted: some clients never
+	// learn that the server leaves, and come again and again.
 	quietWithin = time.Second
 )
 
-// Wait returns when no call is in flight and none has come for a while, or with ctx's error.
+// Wait returns when no call is in flight and none has come for a while, or with ctx's error. Once no
+// connection is accepted any more, ctx is the only bound: what can still come is one call on each
+// connection that is left, since its answer ends it.
 func (c *Calls) Wait(ctx context.Context) error {
 	if err := c.waitIdle(ctx); err != nil {
 		return err
 	}
 	end := time.Now().Add(quietWithin)
-	for time.Now().Before(end) {
+	for c.closed.Load() || time.Now().Before(end) {
 		seen := c.Started()
 		if err := wait.For(ctx, quietFor); err != nil {
 			return err
--- a/internal/drain/calls_test.go
+++ b/internal/drain/calls_test.go
@@ -58,6 +58,29 @@
 	})
 }
 
+// Guards the connections that are left once the sockets are closed: each may still bring a call, and
+// the wait ended after a second and had the next ones cut.
+func TestWaitOutlastsKeptConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Calls
+		c.noneNew()
+		const left = 100
+		begun := time.Now()
+		go func() {
+			for range left {
+				time.Sleep(quietFor / 2)
+				c.serve(func(http.ResponseWriter, *http.Request) {})
+			}
+		}()
+		if err := c.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took < left*quietFor/2+quietFor || took > left*quietFor/2+2*quietFor {
+			t.Errorf("waited %v", took)
+		}
+	})
+}
+
 // Guards the limit of a planned stop against clients that send on and on.
 func TestWaitEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/drain/servers_test.go
@@ -0,0 +1,211 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/drain"
+	"github.com/marlpass/marlpass/internal/pipeline"
+)
+
+// patience bounds each wait of these tests; no verdict depends on it.
+const patience = 20 * time.Second
+
+// stoppable is a server that Servers can stop.
+type stoppable interface {
+	drain.Stopper
+	Serve(net.Listener) error
+	Close() error
+}
+
+// eachKind runs a test with each kind of server that a node has, whose calls are all answered.
+func eachKind(t *testing.T, test func(t *testing.T, calls *drain.Calls, s stoppable)) {
+	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "booked") })
+	t.Run("http", func(t *testing.T) {
+		calls := new(drain.Calls)
+		test(t, calls, &drain.Server{HTTP: &http.Server{Handler: calls.Handler(ok)}})
+	})
+	t.Run("pipeline", func(t *testing.T) {
+		calls := new(drain.Calls)
+		test(t, calls, &pipeline.Server{Handler: calls.Handler(ok), Log: zerolog.Nop(), Limits: func() pipeline.Limits {
+			return pipeline.Limits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		}})
+	})
+}
+
+// serve serves on ln until the test ends.
+func serve(t *testing.T, s stoppable, ln net.Listener) {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-served; err != http.ErrServerClosed {
+			t.Error(err)
+		}
+	})
+}
+
+// listen returns a socket on loopback.
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln.(*net.TCPListener)
+}
+
+// book sends a booking.
+func book(c net.Conn) error {
+	_, err := io.WriteString(c, "POST /book HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+	return err
+}
+
+// booked reads the answer to a booking.
+func booked(c net.Conn) error {
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
+
+// gated is a listener that accepts nothing until somebody wakes or closes it.
+type gated struct {
+	*net.TCPListener
+	open chan struct{}
+	once sync.Once
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	<-g.open
+	return g.TCPListener.Accept()
+}
+
+func (g *gated) SetDeadline(t time.Time) error {
+	defer g.once.Do(func() { close(g.open) })
+	return g.TCPListener.SetDeadline(t)
+}
+
+func (g *gated) Close() error {
+	defer g.once.Do(func() { close(g.open) })
+	return g.TCPListener.Close()
+}
+
+// Guards the callers whose connections nobody has accepted yet as the node stops: the kernel
+// resets them with the socket, and their bookings, already sent, may have run for all they know.
+func TestStopAnswersTheBacklog(t *testing.T) {
+	eachKind(t, func(t *testing.T, calls *drain.Calls, s stoppable) {
+		ln := &gated{TCPListener: listen(t), open: make(chan struct{})}
+		serve(t, s, ln)
+		var waiting []net.Conn
+		for range 8 {
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if err := book(c); err != nil {
+				t.Fatal(err)
+			}
+			waiting = append(waiting, c)
+		}
+		stopped := make(chan error, 1)
+		servers := drain.Servers{Calls: calls, List: []drain.Stopper{s}}
+		go func() { stopped <- servers.Shutdown(context.Background()) }()
+		for i, c := range waiting {
+			if err := booked(c); err != nil {
+				t.Errorf("connection %d: %v", i, err)
+			}
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// noting is a listener that notes whom it has accepted, and whether it is closed.
+type noting struct {
+	*net.TCPListener
+	from   sync.Map
+	closed atomic.Bool
+}
+
+func (n *noting) Close() error {
+	n.closed.Store(true)
+	return n.TCPListener.Close()
+}
+
+func (n *noting) Accept() (net.Conn, error) {
+	c, err := n.TCPListener.Accept()
+	if err == nil {
+		n.from.Store(c.RemoteAddr().String(), true)
+	}
+	return c, err
+}
+
+// Guards clients that never learn of the stop and connect anew for each booking: they kept a
+// stopping node from growing quiet, and those who came as it closed at last were cut.
+func TestStopCutsNoClientThatComesAnew(t *testing.T) {
+	eachKind(t, func(t *testing.T, calls *drain.Calls, s stoppable) {
+		ln := &noting{TCPListener: listen(t)}
+		serve(t, s, ln)
+		var done atomic.Int64
+		var clients sync.WaitGroup
+		ended := make(chan struct{})
+		for range 4 {
+			clients.Go(func() {
+				for ln.come(t, &done, ended) {
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		for end := time.Now().Add(patience); done.Load() < 20; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the server answers nobody")
+			}
+		}
+		servers := drain.Servers{Calls: calls, List: []drain.Stopper{s}}
+		if err := servers.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		close(ended)
+		clients.Wait()
+	})
+}
+
+// come books once on a new connection, and reports whether the server may take another.
+func (n *noting) come(t *testing.T, done *atomic.Int64, ended chan struct{}) bool {
+	select {
+	case <-ended:
+		return false
+	default:
+	}
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		return false // the socket is closed, so nothing was sent
+	}
+	defer c.Close()
+	err = book(c)
+	inTime := !n.closed.Load() // one sent later than that may come too late for the quiet wait
+	if err == nil {
+		err = booked(c)
+	}
+	from := c.LocalAddr().String()
+	if _, accepted := n.from.LoadAndDelete(from); accepted && inTime && err != nil {
+		t.Errorf("a booking on a connection that was accepted: %v", err)
+	}
+	done.Add(1)
+	return err == nil
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -30,6 +29,7 @@
 	callers  []*pipeline.Server
 	announce *announce.Server
 	calls    drain.Calls
+	stop     drain.Servers    // those of traffic
 	conns    *telemetry.Conns // of other nodes that send calls
 }
 
@@ -40,10 +40,9 @@
 	tls    *tls.Config
 }
 
-// server is what http.Server and pipeline.Server have in common.
+// server is what the servers of a node have in common.
 type server interface {
 	Serve(net.Listener) error
-	Shutdown(context.Context) error
 	Close() error
 }
 
@@ -70,10 +69,12 @@
 		n.callerServer(s.calls.Handler(n.calls.entry.Public()), log),
 		n.callerServer(s.calls.Handler(n.calls.entry.Internal()), log),
 	}
+	calls := &drain.Server{HTTP: callsServer, TLS: c.trust.server()}
+	s.stop = drain.Servers{Calls: &s.calls, List: []drain.Stopper{s.callers[0], s.callers[1], calls}}
 	s.traffic = []bound{
 		{server: s.callers[0], ln: n.ln.callers},
 		{server: s.callers[1], ln: n.ln.internal},
-		{server: callsServer, ln: n.ln.calls, tls: c.trust.server()},
+		{server: calls, ln: n.ln.calls},
 	}
 	s.side = []bound{
 		side(n.ln.admin, adminHandler, c.trust.admin()),
@@ -172,12 +173,12 @@
 // keeps free of the platform's grace.
 const giveUpFor = 300 * time.Millisecond
 
-// drain waits, up to limit, for the calls in flight and for those that still come,
-// and then closes the sockets for calls. It returns how many calls were left, which were given up.
+// drain closes the sockets for calls, and waits, up to limit, for the calls in flight and for those
+// that still come on connections. It returns how many calls were left, which were given up.
 func (s *servers) drain(ctx context.Context, limit time.Duration) int64 {
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if s.calls.Wait(bounded) == nil && s.shut(bounded) == nil {
+	if s.stop.Shutdown(bounded) == nil {
 		return 0
 	}
 	left := s.calls.InFlight()
@@ -201,19 +202,6 @@
 	all.Wait()
 }
 
-// shut closes the sockets for calls, and the connections once they are idle.
-func (s *servers) shut(ctx context.Context) error {
-	errs := make(chan error, len(s.traffic))
-	for _, b := range s.traffic {
-		go func() { errs <- b.server.Shutdown(ctx) }()
-	}
-	var all error
-	for range s.traffic {
-		all = errors.Join(all, <-errs)
-	}
-	return all
-}
-
 // close ends all servers at once.
 func (s *servers) close() {
 	for _, list := range [][]bound{s.traffic, s.side} {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/drain"
 )
 
 // Defaults of a Server's bounds.
@@ -39,10 +41,12 @@
 	Ahead func(*http.Request) bool
 	Log   zerolog.Logger
 
-	mu     sync.Mutex // guards the rest
-	conns  map[*conn]struct{}
-	ln     net.Listener
-	closed bool
+	mu    sync.Mutex // guards the rest
+	conns map[*conn]struct{}
+	ln    *drain.Listener
+	// stopping says that no connection is accepted any more but for those that wait, and closed
+	// that those aren't either.
+	stopping, closed bool
 	// leaving ends connections as soon as nothing is due on them.
 	leaving atomic.Bool
 }
@@ -51,22 +55,22 @@
 // http.ErrServerClosed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
-	s.ln = ln
+	s.ln = drain.NewListener(ln)
 	if s.conns == nil {
 		s.conns = make(map[*conn]struct{})
 	}
-	closed := s.closed
+	stopping, l := s.stopping, s.ln
 	s.mu.Unlock()
-	if closed {
+	if stopping {
 		ln.Close()
 		return http.ErrServerClosed
 	}
 	for {
-		nc, err := ln.Accept()
+		nc, err := l.Accept()
 		switch {
 		case err == nil:
 			s.start(nc)
-		case s.isClosed():
+		case s.isStopping() && !temporary(err):
 			return http.ErrServerClosed
 		case temporary(err):
 			s.Log.Warn().Err(err).Msg("listener: a connection could not be accepted")
@@ -84,10 +88,10 @@
 	return errors.As(err, &e) && e.Temporary()
 }
 
-func (s *Server) isClosed() bool {
+func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closed
+	return s.stopping
 }
 
 func (s *Server) start(nc net.Conn) {
@@ -108,11 +112,23 @@
 	delete(s.conns, c)
 }
 
+// StopAccepting closes the socket, once those who wait at it were accepted. Their requests, and
+// those on the other connections, are served on.
+func (s *Server) StopAccepting(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	l := s.ln
+	s.mu.Unlock()
+	if l != nil {
+		l.Stop(ctx)
+	}
+}
+
 // Shutdown stops accepting, and closes each connection once nothing is due on it.
 // It returns when all are closed, or with ctx's error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
-	s.stopAccepting()
+	s.StopAccepting(ctx)
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
 	for s.closeIdle() > 0 {
@@ -125,15 +141,6 @@
 	return nil
 }
 
-func (s *Server) stopAccepting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	if s.ln != nil {
-		s.ln.Close()
-	}
-}
-
 // GiveUp cancels the requests that are still handled, and returns when every answer
 // that is due was sent, or with ctx's error. It is for a planned stop that takes too
 // long, after Shutdown and before Close.
@@ -171,9 +178,12 @@
 
 // Close stops accepting and closes all connections at once.
 func (s *Server) Close() error {
-	s.stopAccepting()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopping, s.closed = true, true
+	if s.ln != nil {
+		s.ln.Close()
+	}
 	for c := range s.conns {
 		c.abort()
 	}
