Look once more before a stop closes a caller's connection

Callers saw: a booking that had reached a leaving node in time was reset, and could have run for all they knew.

Cause: pipeline closed each connection on which nothing was due, without a look at what waited in its socket or read buffer.

Change: the stop wakes the connection's reader, which reads once more for 50 ms (lastLook) and ends the connection itself if nothing came. What came is answered, and that answer ends the connection.

Conclusion: what is left is a request that arrives after that look.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -24,6 +24,9 @@
 	// lingerFor is how long a connection that ends with unread bytes stays open
 	// for reading, so that the kernel does not reset it under the answer.
 	lingerFor = 500 * time.Millisecond
+	// lastLook is how long a connection without requests is still read when the server shuts
+	// down: a request that has come may wait in the socket.
+	lastLook = 50 * time.Millisecond
 )
 
 // errHeaderTooLarge ends the reading of a header that is over its limit.
@@ -53,11 +56,15 @@
 	last, gone, closed bool
 	// reading says that a request's first byte has come and it is not due yet.
 	reading bool
-	room    *sync.Cond // signalled when due shrinks
+	// waiting says that the reader waits for a first byte, or is about to; looking that it is to
+	// do so once more only.
+	waiting, looking bool
+	room             *sync.Cond // signalled when due shrinks
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr().String(), lr: &limitedReader{r: nc}, bw: bufio.NewWriterSize(nc, writeBuffer)}
+	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr().String(), lr: &limitedReader{r: nc},
+		bw: bufio.NewWriterSize(nc, writeBuffer), waiting: true}
 	c.br = bufio.NewReaderSize(c.lr, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.work, c.stopWork = context.WithCancel(c.ctx)
@@ -148,26 +155,41 @@
 		if bound > 0 {
 			left -= time.Since(began)
 		}
-		if err := c.boundIdle(left); err != nil {
+		last, err := c.boundIdle(left)
+		if err != nil {
+			return err
+		}
+		_, err = c.br.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || last {
 			return err
 		}
-		_, err := c.br.Peek(1)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) < bound {
+		if time.Since(began) < bound && !c.isLooking() {
 			return err
 		}
 	}
 }
 
-// boundIdle sets how long the client may stay quiet from now on. It fails once the
-// last answer was sent: setting the bound then would undo that of closing, and the
-// connection would stay open until the client ends it.
-func (c *conn) boundIdle(left time.Duration) error {
+// boundIdle sets how long the client may stay quiet from now on, and reports whether
+// the connection ends then. It fails once the last answer was sent: setting the bound
+// then would undo that of closing, and the connection would stay open until the client
+// ends it.
+func (c *conn) boundIdle(left time.Duration) (last bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return errLast
+		return false, errLast
 	}
-	return c.nc.SetReadDeadline(deadline(left))
+	c.waiting = true
+	if c.looking {
+		left = lastLook
+	}
+	return c.looking, c.nc.SetReadDeadline(deadline(left))
+}
+
+func (c *conn) isLooking() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.looking
 }
 
 // readHeader reads the header of a request, which may take up to most bytes. What
@@ -207,7 +229,7 @@
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.last
+	c.reading, c.waiting = !c.last, false
 	return c.reading
 }
 
@@ -306,13 +328,21 @@
 }
 
 // closeIdle closes the connection if nothing is due on it, and reports whether it
-// is closed.
+// is closed. Where the reader waits for a request it looks once more first: one that
+// waits in the socket is answered, as the client can't know whether it ran.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.due) > 0 || c.reading {
 		return false
 	}
+	if c.waiting && !c.last {
+		if !c.looking {
+			c.looking = true
+			_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // an error means that the reader has seen it
+		}
+		return false
+	}
 	c.last = true
 	c.nc.Close()
 	return true
