--- /dev/null
+++ b/internal/proxy/node_test.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/marlpass/marlpass/internal/drain"
+)
+
+// testNode is the server for calls of a node, which stops on plan as internal/node does.
+type testNode struct {
+	URL    string
+	Config *drain.Servers
+	server *drain.Server
+}
+
+// startNode serves h on loopback until the test ends.
+func startNode(t *testing.T, calls *drain.Calls, h http.Handler) *testNode {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &drain.Server{HTTP: &http.Server{Handler: calls.Handler(h)}}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-served; err != http.ErrServerClosed {
+			t.Error(err)
+		}
+	})
+	return &testNode{
+		URL: "http://" + ln.Addr().String(), server: s,
+		Config: &drain.Servers{Calls: calls, List: []drain.Stopper{s}},
+	}
+}
+
+// Close ends the node at once, and the calls that it has.
+func (n *testNode) Close() { n.server.Close() }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -52,7 +52,7 @@
 	public  *httptest.Server
 	inside  *httptest.Server
 	picks   *RoundRobin
-	nodes   [2]*httptest.Server
+	nodes   [2]*testNode
 	calls   [2]drain.Calls // of nodes
 	eps     []Endpoint
 	runs    atomic.Int64
@@ -86,8 +86,7 @@
 			Programs: one{target}, Upstreams: ups, Gates: new(FixedLimit),
 			Backends: held{{Service: testService, Instance: "a", Addr: addr, Slots: 8, State: membership.BackendReady}},
 		})
-		s := httptest.NewServer(m.calls[i].Handler(m.dest[i]))
-		t.Cleanup(s.Close)
+		s := startNode(t, &m.calls[i], m.dest[i])
 		m.nodes[i] = s
 		m.eps = append(m.eps, Endpoint{ID: "vm" + string(rune('0'+i)) + "/a", VM: "vm" + string(rune('0'+i)),
 			Instance: "a", Addr: strings.TrimPrefix(s.URL, "http://")})
