Keep one type for what confirms a version

Cause: internal/follow and internal/distribute each had the same pair of a time and a node's id, its bound and its encoding, and differed by accident: follow rounded the age down, so each node that passed one on made it younger by up to a millisecond.

Change: distribute.Confirmation, read and written in one place, for both; ages are rounded up by one function, also those of assurances.

--- a/internal/distribute/confirm.go
+++ b/internal/distribute/confirm.go
@@ -27,43 +27,41 @@
 	unheardFor = 5 * time.Second
 )
 
-// confirmation is the newest answer of the platform that makes the version held the newest.
-type confirmation struct {
-	at     time.Time // when the platform was asked, or zero
-	reader string    // id of the node that asked
-}
-
-// Confirmation is what a peer's message says of the version that it carries.
+// Confirmation is the newest answer of the platform, or of another source of versions, that makes a
+// version the newest.
 type Confirmation struct {
-	// Age is how long ago the platform was asked that had no newer version.
-	Age time.Duration
-	// Reader is the id of the node that asked; empty if none is known.
-	Reader string
+	At     time.Time // when the source was asked, or zero
+	Reader string    // id of the node that asked; empty if none is known
 }
 
-// maxConfirmedAge bounds what a message can say; older is as good as never.
-const maxConfirmedAge = time.Hour
+// MaxConfirmedAge bounds what a message can say; older is as good as never.
+const MaxConfirmedAge = time.Hour
 
-func confirmationFromProto(c *peerpb.Confirmation) Confirmation {
-	age := min(c.GetAgeMs(), uint64(maxConfirmedAge.Milliseconds()))
-	return Confirmation{Age: time.Duration(age) * time.Millisecond, Reader: c.GetReader()}
+// ConfirmationFromProto reads what a message says that was taken at some time.
+func ConfirmationFromProto(now time.Time, c *peerpb.Confirmation) Confirmation {
+	ms := min(c.GetAgeMs(), uint64(MaxConfirmedAge.Milliseconds()))
+	return Confirmation{At: now.Add(-time.Duration(ms) * time.Millisecond), Reader: c.GetReader()}
 }
 
-// toProto tells the age in whole milliseconds, rounded up: rounded down, each node that passes
-// it on would make it younger.
-func (c confirmation) toProto(now time.Time) *peerpb.Confirmation {
-	if c.reader == "" {
+// Proto returns what a message says that is sent at some time, or nil if nothing is known.
+func (c Confirmation) Proto(now time.Time) *peerpb.Confirmation {
+	if c.Reader == "" {
 		return nil
 	}
-	age := max(now.Sub(c.at), 0) + time.Millisecond - 1
-	return &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: c.reader}
+	return &peerpb.Confirmation{AgeMs: WholeMilliseconds(now.Sub(c.At)), Reader: c.Reader}
+}
+
+// WholeMilliseconds returns an age for a message, rounded up: rounded down, each node that passes
+// it on would make it younger.
+func WholeMilliseconds(age time.Duration) uint64 {
+	return uint64((max(age, 0) + time.Millisecond - 1).Milliseconds())
 }
 
 // noteConfirmed notes that the platform, asked by reader at some time, had no version newer than the
 // one held.
 func (s *State) noteConfirmed(at time.Time, reader string) {
-	if at.After(s.confirmed.at) {
-		s.confirmed = confirmation{at, reader}
+	if at.After(s.confirmed.At) {
+		s.confirmed = Confirmation{at, reader}
 	}
 }
 
@@ -73,14 +71,14 @@
 func (s *State) Contact(now time.Time, e Heard) {
 	s.heardAt = now
 	if e.Confirmed.Reader != "" && s.chain.relation(e.Version) == relationHeld {
-		s.noteConfirmed(now.Add(-e.Confirmed.Age), e.Confirmed.Reader)
+		s.noteConfirmed(e.Confirmed.At, e.Confirmed.Reader)
 	}
 }
 
 // confirmRead confirms the version held once it has reached what the platform answered this node.
 func (s *State) confirmRead() {
 	f := &s.feed
-	if f.askedAt.After(s.confirmed.at) && f.current && s.chain.relation(f.answer) == relationHeld {
+	if f.askedAt.After(s.confirmed.At) && f.current && s.chain.relation(f.answer) == relationHeld {
 		s.noteConfirmed(f.askedAt, s.set.Self)
 	}
 }
@@ -88,10 +86,10 @@
 // confirmedSince returns when the version held was last known to be the newest, or when this node
 // started.
 func (s *State) confirmedSince() time.Time {
-	if s.confirmed.at.IsZero() {
+	if s.confirmed.At.IsZero() {
 		return s.started
 	}
-	return s.confirmed.at
+	return s.confirmed.At
 }
 
 // overdue reports whether a node that is no feeder has to read the platform itself.
@@ -105,7 +103,7 @@
 	if f.feeder || !s.start.done || s.now.Before(f.standInAt) {
 		return false
 	}
-	if f.answeredAt.After(s.confirmed.at) && s.now.Sub(f.answeredAt) < s.readsAloneEvery() {
+	if f.answeredAt.After(s.confirmed.At) && s.now.Sub(f.answeredAt) < s.readsAloneEvery() {
 		return false
 	}
 	return s.now.Sub(s.confirmedSince()) >= s.standsInAfter()
@@ -114,7 +112,7 @@
 // standsInAfter returns how old the confirmation of a node that is no feeder becomes before it reads.
 func (s *State) standsInAfter() time.Duration {
 	f := &s.feed
-	if s.confirmed.reader == s.set.Self && s.hearsNobody() {
+	if s.confirmed.Reader == s.set.Self && s.hearsNobody() {
 		return s.readsAloneEvery()
 	}
 	last := confirmWithin - tellTime - tellSteps*s.set.Profile.TellDelay
@@ -134,14 +132,14 @@
 // a large data centre a confirmation comes late now and then; a read for that alone is no fault.
 func (s *State) noteStandIn(needed bool) {
 	f := &s.feed
-	if s.confirmed.reader != s.set.Self {
+	if s.confirmed.Reader != s.set.Self {
 		f.reported = false
 	}
 	if !needed || f.reported {
 		return
 	}
 	f.reported = true
-	s.emit(StandIn{&NotConfirmed{Held: s.Version(), Age: s.now.Sub(s.confirmedSince()), Reader: s.confirmed.reader}})
+	s.emit(StandIn{&NotConfirmed{Held: s.Version(), Age: s.now.Sub(s.confirmedSince()), Reader: s.confirmed.Reader}})
 }
 
 // alone reports whether this node hears none of the others that its membership lists. What a feeder
--- a/internal/distribute/confirm_test.go
+++ b/internal/distribute/confirm_test.go
@@ -201,9 +201,9 @@
 		if !s.applyDeltas(SourcePlatform, ds[:2]) {
 			t.Fatal("the history can't be applied")
 		}
-		c.e.Peer, c.e.Confirmed = "p", Confirmation{Age: time.Second, Reader: "q"}
+		c.e.Peer, c.e.Confirmed = "p", Confirmation{At: now.Add(4 * time.Second), Reader: "q"}
 		s.Contact(now.Add(5*time.Second), c.e)
-		if got := s.confirmed.reader == "q"; got != c.want {
+		if got := s.confirmed.Reader == "q"; got != c.want {
 			t.Errorf("%s: confirmed %t", c.name, got)
 		}
 	}
@@ -218,7 +218,7 @@
 	r.Heard(e)
 	e.Changes = nil
 	for _, age := range []uint64{9000, 4000} {
-		e.Confirmed = confirmation{time.Now().Add(-time.Duration(age) * time.Millisecond), "q"}.toProto(time.Now())
+		e.Confirmed = Confirmation{time.Now().Add(-time.Duration(age) * time.Millisecond), "q"}.Proto(time.Now())
 		r.Heard(e)
 		c := r.Stamp().Confirmed
 		if c.GetReader() != "q" || c.GetAgeMs() < age || c.GetAgeMs() > age+2000 {
@@ -230,11 +230,10 @@
 // Guards the ages that are passed on against becoming younger on their way.
 func TestConfirmationGrowsNoYounger(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	c := confirmation{now.Add(-1500*time.Millisecond - 100*time.Microsecond), "q"}
+	c := Confirmation{now.Add(-1500*time.Millisecond - 100*time.Microsecond), "q"}
 	for i := range 50 {
-		told := confirmationFromProto(c.toProto(now))
-		next := confirmation{now.Add(-told.Age), told.Reader}
-		if next.at.After(c.at) {
+		next := ConfirmationFromProto(now, c.Proto(now))
+		if next.At.After(c.At) {
 			t.Fatal(fmt.Sprint("younger after ", i, " messages"))
 		}
 		c = next
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -90,7 +90,7 @@
 	case s.readDue():
 		s.readHead(false)
 	case s.overdue():
-		s.noteStandIn(s.confirmed.reader == s.set.Self)
+		s.noteStandIn(s.confirmed.Reader == s.set.Self)
 		s.readHead(true)
 	}
 }
--- a/internal/distribute/harness_test.go
+++ b/internal/distribute/harness_test.go
@@ -207,7 +207,7 @@
 
 // confirmed is what a message of n says of its version.
 func (m *mesh) confirmed(n *node) Confirmation {
-	return confirmationFromProto(n.state.confirmed.toProto(m.now))
+	return ConfirmationFromProto(m.now, n.state.confirmed.Proto(m.now))
 }
 
 func (m *mesh) ask(a, b *node, v, held config.Version, headOnly bool, done func(Answer, error)) {
--- a/internal/distribute/runner.go
+++ b/internal/distribute/runner.go
@@ -107,7 +107,7 @@
 // stamped is a Stamp whose confirmation grows older.
 type stamped struct {
 	Stamp
-	confirmed confirmation
+	confirmed Confirmation
 }
 
 type packedSnapshot struct {
@@ -168,7 +168,7 @@
 func (r *Runner) Stamp() Stamp {
 	held := r.stamp.Load()
 	s := held.Stamp
-	s.Confirmed = held.confirmed.toProto(time.Now())
+	s.Confirmed = held.confirmed.Proto(time.Now())
 	return s
 }
 
@@ -226,7 +226,7 @@
 	}
 	heard := Heard{
 		Peer: e.From, Version: v, InForce: v.Number - min(e.Behind, v.Number),
-		Tell: e.Membership == nil, Deltas: ds, Confirmed: confirmationFromProto(e.Confirmed),
+		Tell: e.Membership == nil, Deltas: ds, Confirmed: ConfirmationFromProto(time.Now(), e.Confirmed),
 	}
 	if len(ds) == 0 && e.Behind == 0 && r.known(heard) {
 		return
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -17,7 +17,7 @@
 	started time.Time
 	inForce uint64 // number of the version that the config.Store runs
 	// confirmed and heardAt say how old what the node knows is.
-	confirmed confirmation
+	confirmed Confirmation
 	heardAt   time.Time // the last message of any peer
 	// ticked says that the membership has made first contact, or given up.
 	ticked bool
--- a/internal/follow/assurance.go
+++ b/internal/follow/assurance.go
@@ -46,7 +46,7 @@
 	if s.set.AssureWithin == 0 || place.Depth > 0 || s.assureIn(boot, place) > 0 {
 		return "", false
 	}
-	reader = s.confirmed.reader
+	reader = s.confirmed.Reader
 	known := reader != s.set.Self && view.Records[reader] != nil
 	return reader, known && !slices.Contains(s.contact.missed, reader)
 }
@@ -72,7 +72,7 @@
 	if c == nil || c.AssuredAgeMs == nil || number > r.held.Load().Version().Number {
 		return
 	}
-	age := min(time.Duration(*c.AssuredAgeMs)*time.Millisecond, maxConfirmedAge)
+	age := min(time.Duration(*c.AssuredAgeMs)*time.Millisecond, distribute.MaxConfirmedAge)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state.Assure(asked - age)
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -134,9 +134,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age, reader := r.state.ConfirmedAge(now)
-	c := &peerpb.Confirmation{AgeMs: uint64(age.Milliseconds()), Reader: reader}
+	c := &peerpb.Confirmation{AgeMs: distribute.WholeMilliseconds(age), Reader: reader}
 	if age, known := r.state.AssuredAge(boot); known && r.set.AssureWithin > 0 {
-		ms := uint64((age + time.Millisecond - 1) / time.Millisecond)
+		ms := distribute.WholeMilliseconds(age)
 		c.AssuredAgeMs = &ms
 	}
 	return c
@@ -148,16 +148,12 @@
 	if c.GetReader() == "" || number > r.held.Load().Version().Number {
 		return
 	}
-	now := time.Now()
-	age := min(time.Duration(c.AgeMs)*time.Millisecond, maxConfirmedAge)
+	confirmed := distribute.ConfirmationFromProto(time.Now(), c)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.Confirm(now.Add(-age), c.Reader)
+	r.state.Confirm(confirmed.At, confirmed.Reader)
 }
 
-// maxConfirmedAge bounds what a message can say; older is as good as never.
-const maxConfirmedAge = time.Hour
-
 // ConfirmedAge tells since when nothing has confirmed the version held, and by whom.
 func (r *Runner) ConfirmedAge() (age time.Duration, reader string) {
 	r.mu.Lock()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -103,7 +103,7 @@
 	nextPull time.Time
 	contact  contact
 	// confirmed tells how far what is held can be trusted to be the newest.
-	confirmed confirmation
+	confirmed distribute.Confirmation
 	answered  time.Time // when the source last answered this node
 	// assuredAt is when the version held was certainly the newest, since the boot.
 	assured   bool
