--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -23,7 +23,7 @@
 			"marlpass explain 4611bc0cff906d90 neg-yard-2.log neg-shed-1.log",
 			"marlpass explain -overview neg-yard-2.log neg-shed-1.log",
 		},
-		setup: func(f *flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(f *flag.FlagSet) action {
 			overview := f.Bool("overview", false, "count the lines of all calls by what decided them")
 			return func(_ context.Context, a *app, args []string) error {
 				if *overview {
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -23,19 +23,14 @@
 		name:     "list",
 		summary:  "List the requests that are suspect, quarantined or lifted.",
 		examples: []string{"marlpass quarantine list", "marlpass quarantine list -json"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
-			return func(ctx context.Context, a *app, args []string) error {
-				if err := noArgs(args); err != nil {
-					return err
-				}
-				return query(ctx, a, func(ctx context.Context, c *adminapi.Client) (*adminapi.QuarantineList, error) {
-					return c.ListQuarantine(ctx)
-				}, printQuarantine)
-			}
-		},
+		setup:    setupQuery(listQuarantine, printQuarantine),
 	}
 }
 
+func listQuarantine(ctx context.Context, c *adminapi.Client) (*adminapi.QuarantineList, error) {
+	return c.ListQuarantine(ctx)
+}
+
 func quarantineLift() *command {
 	return &command{
 		name:    "lift",
@@ -44,7 +39,7 @@
 		detail: "The crashes counted so far no longer count. Any operator who may write may lift any\n" +
 			"request; the notice to all nodes names who did. Lifting it again changes nothing.",
 		examples: []string{"marlpass quarantine lift 9f3c5a01d2e8b74c0011223344556677"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(*flag.FlagSet) action {
 			return func(ctx context.Context, a *app, args []string) error {
 				fp, err := oneArg(args, "FINGERPRINT")
 				if err != nil {
--- a/internal/cli/reads.go
+++ b/internal/cli/reads.go
@@ -32,6 +32,18 @@
 	return nil
 }
 
+// setupQuery sets up a command that takes no flags and prints the answer to one question.
+func setupQuery[T json.Marshaler](get func(context.Context, *adminapi.Client) (T, error), print func(io.Writer, T)) setup {
+	return func(*flag.FlagSet) action {
+		return func(ctx context.Context, a *app, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			return query(ctx, a, get, print)
+		}
+	}
+}
+
 func writeJSON(w io.Writer, v json.Marshaler) error {
 	raw, err := v.MarshalJSON()
 	if err != nil {
@@ -74,7 +86,7 @@
 			"marlpass history -object target/berth-booking",
 			"marlpass history -before 812 -limit 100",
 		},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(fs *flag.FlagSet) action {
 			f := new(historyFlags)
 			fs.StringVar(&f.since, "since", "", "only changes from this `time` on, or from so long ago, such as 8h")
 			fs.StringVar(&f.object, "object", "", "only changes of this `kind/name`")
@@ -129,7 +141,7 @@
 		name:     "handover",
 		summary:  "Show what the next shift needs to know.",
 		examples: []string{"marlpass handover", "marlpass handover -since 2026-06-01T06:00:00Z"},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(fs *flag.FlagSet) action {
 			since := fs.String("since", "", "list changes from this `time` on, or from so long ago (default 8h)")
 			return func(ctx context.Context, a *app, args []string) error {
 				if err := noArgs(args); err != nil {
@@ -152,19 +164,14 @@
 		name:     "status",
 		summary:  "Show the state of the node that answers.",
 		examples: []string{"marlpass status", "marlpass status -server https://10.0.0.1:7806"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
-			return func(ctx context.Context, a *app, args []string) error {
-				if err := noArgs(args); err != nil {
-					return err
-				}
-				return query(ctx, a, func(ctx context.Context, c *adminapi.Client) (*adminapi.Status, error) {
-					return c.GetStatus(ctx)
-				}, printStatus)
-			}
-		},
+		setup:    setupQuery(getStatus, printStatus),
 	}
 }
 
+func getStatus(ctx context.Context, c *adminapi.Client) (*adminapi.Status, error) {
+	return c.GetStatus(ctx)
+}
+
 func commandShow() *command {
 	return &command{
 		name:     "show",
@@ -172,7 +179,7 @@
 		summary:  "Show what is recorded of a command.",
 		detail:   "Exits with 0 when it was accepted, 1 when it was refused, 3 when nothing is recorded.",
 		examples: []string{"marlpass command show 4fd8a8f0-98a1-4f0c-a7fb-0a5fe7b1a3c2"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(*flag.FlagSet) action {
 			return func(ctx context.Context, a *app, args []string) error {
 				id, err := oneArg(args, "ID")
 				if err != nil {
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// setup defines the flags of a command and returns what runs after they are parsed.
+type setup func(*flag.FlagSet) action
+
+// action runs a command with the arguments that follow its flags.
+type action func(context.Context, *app, []string) error
+
 // command is a node of the tree of subcommands: a group with subs, or a leaf
 // with setup.
 type command struct {
@@ -78,8 +84,7 @@
 	detail   string
 	examples []string
 	subs     []*command
-	// setup defines the flags and returns what runs after they are parsed.
-	setup func(*flag.FlagSet) func(context.Context, *app, []string) error
+	setup    setup
 }
 
 // dispatch walks down the tree by the arguments and runs the leaf.
--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -13,21 +13,16 @@
 		name:     "list",
 		summary:  "List the services in force.",
 		examples: []string{"marlpass service list", "marlpass service list -json"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
-			return func(ctx context.Context, a *app, args []string) error {
-				if err := noArgs(args); err != nil {
-					return err
-				}
-				return query(ctx, a, func(ctx context.Context, c *adminapi.Client) (*adminapi.ServiceList, error) {
-					res, err := c.ListServices(ctx)
-					if err != nil {
-						return nil, err
-					}
-					return &res.Response, nil
-				}, printServices)
-			}
-		},
+		setup:    setupQuery(listServices, printServices),
+	}
+}
+
+func listServices(ctx context.Context, c *adminapi.Client) (*adminapi.ServiceList, error) {
+	res, err := c.ListServices(ctx)
+	if err != nil {
+		return nil, err
 	}
+	return &res.Response, nil
 }
 
 func serviceSet() *command {
@@ -39,7 +34,7 @@
 			"marlpass service set berth",
 			"marlpass service set berth -description 'berths and launches' -if-version 41",
 		},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(fs *flag.FlagSet) action {
 			description := fs.String("description", "", "what the service is, in a few `words`")
 			w := defineWrite(fs)
 			return func(ctx context.Context, a *app, args []string) error {
@@ -64,12 +59,7 @@
 		args:     "NAME",
 		summary:  "Withdraw a service that no target needs.",
 		examples: []string{"marlpass service withdraw berth"},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
-			w := defineWrite(fs)
-			return func(ctx context.Context, a *app, args []string) error {
-				return a.change(ctx, w, args, withdrawService)
-			}
-		},
+		setup:    setupWrite(withdrawService),
 	}
 }
 
@@ -79,6 +69,17 @@
 	}
 }
 
+// setupWrite sets up a command that writes the object that its one argument names, and takes no
+// flags but those of every write.
+func setupWrite(make func(adminapi.Name) send) setup {
+	return func(fs *flag.FlagSet) action {
+		w := defineWrite(fs)
+		return func(ctx context.Context, a *app, args []string) error {
+			return a.change(ctx, w, args, make)
+		}
+	}
+}
+
 // change runs a write on the object that the one argument names.
 func (a *app) change(ctx context.Context, w *writeFlags, args []string, make func(adminapi.Name) send) error {
 	name, err := oneArg(args, "NAME")
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -13,7 +13,7 @@
 		name:     "list",
 		summary:  "List the targets in force.",
 		examples: []string{"marlpass target list", "marlpass target list -service berth"},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(fs *flag.FlagSet) action {
 			service := fs.String("service", "", "only targets of this `service`")
 			return func(ctx context.Context, a *app, args []string) error {
 				if err := noArgs(args); err != nil {
@@ -61,7 +61,7 @@
 	}
 }
 
-func setupTargetSet(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+func setupTargetSet(fs *flag.FlagSet) action {
 	file := fs.String("f", "", "read the target from a TOML `file` instead of flags")
 	t := defineTarget(fs)
 	w := defineWrite(fs)
@@ -101,12 +101,7 @@
 		args:     "NAME",
 		summary:  "Withdraw a target.",
 		examples: []string{"marlpass target withdraw berth-booking -note 'season ends'"},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
-			w := defineWrite(fs)
-			return func(ctx context.Context, a *app, args []string) error {
-				return a.change(ctx, w, args, withdrawTarget)
-			}
-		},
+		setup:    setupWrite(withdrawTarget),
 	}
 }
 
@@ -122,7 +117,7 @@
 		args:     "FROM [TO]",
 		summary:  "Show what differs between two versions; TO is the version in force when left out.",
 		examples: []string{"marlpass target diff 41", "marlpass target diff 41 44"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
+		setup: func(*flag.FlagSet) action {
 			return func(ctx context.Context, a *app, args []string) error {
 				p, err := diffParams(args)
 				if err != nil {
--- a/internal/cli/workspace.go
+++ b/internal/cli/workspace.go
@@ -19,21 +19,16 @@
 		summary:  "List the workspaces in force.",
 		detail:   "With -json, the SHA-256 of each key is listed as well. Nodes never hold the keys.",
 		examples: []string{"marlpass workspace list", "marlpass workspace list -json"},
-		setup: func(*flag.FlagSet) func(context.Context, *app, []string) error {
-			return func(ctx context.Context, a *app, args []string) error {
-				if err := noArgs(args); err != nil {
-					return err
-				}
-				return query(ctx, a, func(ctx context.Context, c *adminapi.Client) (*adminapi.WorkspaceList, error) {
-					res, err := c.ListWorkspaces(ctx)
-					if err != nil {
-						return nil, err
-					}
-					return &res.Response, nil
-				}, printWorkspaces)
-			}
-		},
+		setup:    setupQuery(listWorkspaces, printWorkspaces),
+	}
+}
+
+func listWorkspaces(ctx context.Context, c *adminapi.Client) (*adminapi.WorkspaceList, error) {
+	res, err := c.ListWorkspaces(ctx)
+	if err != nil {
+		return nil, err
 	}
+	return &res.Response, nil
 }
 
 // workspaceInput is a workspace as flags give it.
@@ -60,7 +55,7 @@
 	}
 }
 
-func setupWorkspaceSet(fs *flag.FlagSet) func(context.Context, *app, []string) error {
+func setupWorkspaceSet(fs *flag.FlagSet) action {
 	in := new(workspaceInput)
 	fs.StringVar(&in.keyFile, "key-file", "", "`file` with the workspace's API keys, one on each line")
 	fs.Func("key-sha256", "`SHA-256` of one more key, in hexadecimal", func(s string) error {
@@ -145,12 +140,7 @@
 		summary:  "Withdraw a workspace: its keys are refused from then on.",
 		detail:   "With the last workspace, calls need no key any more.",
 		examples: []string{"marlpass workspace withdraw yard -note 'the contract ended'"},
-		setup: func(fs *flag.FlagSet) func(context.Context, *app, []string) error {
-			w := defineWrite(fs)
-			return func(ctx context.Context, a *app, args []string) error {
-				return a.change(ctx, w, args, withdrawWorkspace)
-			}
-		},
+		setup:    setupWrite(withdrawWorkspace),
 	}
 }
 
