Look at a caller's connection at the stop also where its idle bound has passed

Found by the review of the planned stop. What callers saw: a booking that had reached a leaving node is reset, where operators have lowered the bound on idle connections since the connection began to wait, or the bound passes just then.

Cause: the reader compared the time with the bound before it asked whether the stop wants a last look.

Change: a connection that is to be looked at ends by that look.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -148,7 +148,7 @@
 	began := time.Now()
 	for {
 		bound := c.s.Limits().IdleTimeout
-		if bound > 0 && time.Since(began) >= bound {
+		if bound > 0 && time.Since(began) >= bound && !c.isLooking() {
 			return os.ErrDeadlineExceeded
 		}
 		left := bound
