Take the backlog of a stopping node though its process stands still

What callers saw: bookings on connections that nobody had accepted yet are reset, where the stopping process gets no processor for 10 ms.

Cause: Go's Accept doesn't look at the socket once its deadline has passed, so a deadline that passes before Accept is entered counted as an empty backlog.

Change: before the socket is closed, poll is asked whether somebody waits.

--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -23,17 +23,18 @@
 	net.Listener
 	deadline func(time.Time) error // nil where the listener has none
 
-	mu       sync.Mutex // guards the rest
+	mu       sync.Mutex // guards the next two
 	stopping bool
 	end      time.Time // a short pause does after it
-	ended    chan struct{}
-	once     sync.Once // for ended
-	close    sync.Once
+
+	empty     chan struct{} // closed once nobody waits any more
+	emptyOnce sync.Once
+	closeOnce sync.Once
 }
 
 // NewListener returns ln as a listener that can be stopped.
 func NewListener(ln net.Listener) *Listener {
-	l := &Listener{Listener: ln, ended: make(chan struct{})}
+	l := &Listener{Listener: ln, empty: make(chan struct{})}
 	if d, ok := ln.(interface{ SetDeadline(time.Time) error }); ok {
 		l.deadline = d.SetDeadline
 	}
@@ -44,18 +45,18 @@
 // wait, then closes the socket and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		last := l.begin()
+		looking := l.begin()
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
 			return conn, nil
 		case !l.Stopping():
 			return nil, err
-		case errors.Is(err, os.ErrDeadlineExceeded) && !last:
-			// The deadline only woke it up.
+		case errors.Is(err, os.ErrDeadlineExceeded) && (!looking || l.somebodyWaits()):
+			// The deadline has only woken it up, or passed before Accept looked.
 		case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
 			l.Close()
-			l.once.Do(func() { close(l.ended) })
+			l.emptyOnce.Do(func() { close(l.empty) })
 			return nil, net.ErrClosed
 		default:
 			return nil, err
@@ -63,9 +64,9 @@
 	}
 }
 
-// begin sets how long the next connection is waited for, and reports whether nobody waits if none
-// comes until then. What waits already is taken in any case: the deadline lies ahead.
-func (l *Listener) begin() bool {
+// begin sets how long the next connection is waited for, and reports whether the listener is
+// stopping, so that Accept looks for those who wait already.
+func (l *Listener) begin() (looking bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.stopping || l.deadline == nil {
@@ -82,7 +83,7 @@
 // Close implements net.Listener. It may be called again.
 func (l *Listener) Close() error {
 	var err error
-	l.close.Do(func() { err = l.Listener.Close() })
+	l.closeOnce.Do(func() { err = l.Listener.Close() })
 	return err
 }
 
@@ -100,7 +101,7 @@
 	defer cancel()
 	l.wake()
 	select {
-	case <-l.ended:
+	case <-l.empty:
 	case <-ctx.Done():
 	}
 	l.Close()
