Wait for quiet to the end, and leave time to close

Found by the review of the planned stop. What callers saw: calls cut as the connections close, where a long call ends meanwhile, or where clients send all the while up to the drain limit; the node told of no call that it had cut then.

Cause: after a call that began in the wait for quiet, the end of that call ended the wait. And the wait could take the whole limit, so that the connections were closed hard.

Change: the wait begins anew after such a call, and ends half a second before the limit. A stop that isn't finished at its limit is logged.

TestWaitLeavesTimeToClose is new.

--- a/internal/drain/calls.go
+++ b/internal/drain/calls.go
@@ -21,7 +21,7 @@
 // Calls counts the calls of one process. Its zero value is ready for use.
 type Calls struct {
 	leaving  atomic.Bool
-	closed   atomic.Bool // no new connection is taken
+	noneNew  atomic.Bool // no connection is accepted any more
 	inFlight atomic.Int64
 	started  atomic.Uint64
 }
@@ -29,9 +29,6 @@
 // Leave asks clients to go elsewhere: each answer from now on ends its connection.
 func (c *Calls) Leave() { c.leaving.Store(true) }
 
-// noneNew says that no new connection is taken any more.
-func (c *Calls) noneNew() { c.closed.Store(true) }
-
 // InFlight returns how many calls are in the process's hands.
 func (c *Calls) InFlight() int64 { return c.inFlight.Load() }
 
@@ -80,28 +77,44 @@
 	// quietWithin bounds the wait for that while connections are accepted: some clients never
 	// learn that the server leaves, and come again and again.
 	quietWithin = time.Second
+	// closeWithin is what the wait for quiet leaves of a stop's time for closing the connections.
+	closeWithin = 500 * time.Millisecond
 )
 
-// Wait returns when no call is in flight and none has come for a while, or with ctx's error. Once no
-// connection is accepted any more, ctx is the only bound: what can still come is one call on each
-// connection that is left, since its answer ends it.
+// Wait returns when no call is in flight and none has come for a while, or with ctx's error. Where
+// calls come all the while it ends without that quiet, in time for closing the connections before
+// ctx's deadline.
 func (c *Calls) Wait(ctx context.Context) error {
 	if err := c.waitIdle(ctx); err != nil {
 		return err
 	}
-	end := time.Now().Add(quietWithin)
-	for c.closed.Load() || time.Now().Before(end) {
+	end, bounded := c.quietUntil(ctx)
+	for !bounded || time.Now().Before(end) {
 		seen := c.Started()
 		if err := wait.For(ctx, quietFor); err != nil {
 			return err
 		}
+		if err := c.waitIdle(ctx); err != nil {
+			return err
+		}
 		if c.Started() == seen {
-			break
+			return nil
 		}
 	}
 	return c.waitIdle(ctx)
 }
 
+// quietUntil returns until when quiet is waited for. Once no connection is accepted any more, ctx is
+// the only bound: what can still come is one call on each connection that is left, since its answer
+// ends it.
+func (c *Calls) quietUntil(ctx context.Context) (end time.Time, bounded bool) {
+	if !c.noneNew.Load() {
+		return time.Now().Add(quietWithin), true
+	}
+	deadline, ok := ctx.Deadline()
+	return deadline.Add(-closeWithin), ok
+}
+
 // waitIdle returns when no call is in flight.
 func (c *Calls) waitIdle(ctx context.Context) error {
 	for c.InFlight() > 0 {
--- a/internal/drain/calls_test.go
+++ b/internal/drain/calls_test.go
@@ -63,7 +63,7 @@
 func TestWaitOutlastsKeptConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var c Calls
-		c.noneNew()
+		c.noneNew.Store(true)
 		const left = 100
 		begun := time.Now()
 		go func() {
--- a/internal/drain/servers.go
+++ b/internal/drain/servers.go
@@ -28,7 +28,7 @@
 func (s *Servers) Shutdown(ctx context.Context) error {
 	s.Calls.Leave()
 	s.each(func(one Stopper) error { one.StopAccepting(ctx); return nil })
-	s.Calls.noneNew()
+	s.Calls.noneNew.Store(true)
 	if err := s.Calls.Wait(ctx); err != nil {
 		return err
 	}
--- a/internal/drain/wait_end_test.go
+++ b/internal/drain/wait_end_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -13,7 +14,7 @@
 func TestWaitIsQuietAtItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var c Calls
-		c.noneNew()
+		c.noneNew.Store(true)
 		var lastCall atomic.Int64
 		go func() {
 			time.Sleep(quietFor / 2)
@@ -35,3 +36,29 @@
 		time.Sleep(100 * quietFor) // until the clients have ended
 	})
 }
+
+// Guards the connections that a stop has to close before its limit: clients that send all the while
+// on kept connections used up the whole limit, and the connections were then closed unseen.
+func TestWaitLeavesTimeToClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Calls
+		c.noneNew.Store(true)
+		const limit = 5 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				c.serve(func(http.ResponseWriter, *http.Request) {})
+				time.Sleep(quietFor / 2)
+			}
+		}()
+		begun := time.Now()
+		if err := c.Wait(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if left := limit - time.Since(begun); left < closeWithin-quietFor {
+			t.Errorf("%v are left for closing, want %v", left, closeWithin-quietFor)
+		}
+		<-ctx.Done()
+	})
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -178,10 +178,12 @@
 func (s *servers) drain(ctx context.Context, limit time.Duration) int64 {
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if s.stop.Shutdown(bounded) == nil {
+	err := s.stop.Shutdown(bounded)
+	if err == nil {
 		return 0
 	}
 	left := s.calls.InFlight()
+	s.n.log.Warn().Err(err).Int64("calls", left).Msg("node: connections were still open at the drain limit, they are closed at once")
 	s.giveUp(ctx)
 	return left
 }
