End the clients of a test of internal/drain before the test, and share what tests repeat

Cause: TestWaitLeavesTimeToClose returned while its client still slept, where that came last at the limit: a panic of synctest in 1 of 2 runs by hand.

Change: the test waits for its client; bookings and checkReads hold what tests of internal/drain and internal/distribute repeated. No bound or check is changed.

--- a/internal/distribute/confirm_test.go
+++ b/internal/distribute/confirm_test.go
@@ -48,16 +48,12 @@
 // Guards the platform against the reads of isolated nodes over a long cut: two feeders a data
 // centre, and the others together about as one.
 func TestIsolatedNodesReadSeldomForLong(t *testing.T) {
-	const dcs, minutes = 5, 5
+	const dcs = 5
 	m := newMesh(240, dcs, 3, timeProfile)
 	m.change(nil)
 	m.run(20 * time.Second)
 	m.isolate()
-	m.reads = 0
-	m.run(minutes * time.Minute)
-	if most := 4 * dcs * minutes * 60; m.reads > most {
-		t.Errorf("%d reads in %d minutes, over %d", m.reads, minutes, most)
-	}
+	m.checkReads(t, dcs, 5*time.Minute)
 }
 
 // Guards against a change that nobody reads where the platform leaves most nodes, the feeders among
--- a/internal/distribute/unconfirming_test.go
+++ b/internal/distribute/unconfirming_test.go
@@ -5,10 +5,21 @@
 	"time"
 )
 
+// checkReads checks that the platform is read no more often than by two feeders a data centre, and by
+// the others together about as one.
+func (m *mesh) checkReads(t *testing.T, dcs int, during time.Duration) {
+	t.Helper()
+	m.reads = 0
+	m.run(during)
+	if most := 4 * dcs * int(during.Seconds()); m.reads > most {
+		t.Errorf("%d reads in %v, over %d", m.reads, during, most)
+	}
+}
+
 // Guards the platform against nodes that read it without a pause while its answers confirm nothing:
 // heads older than the version held, as of a backup or a replica that lags.
 func TestOlderHeadsMakeNoStorm(t *testing.T) {
-	const dcs, seconds = 2, 120
+	const dcs = 2
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		m := newMesh(48, dcs, 1, set)
 		m.change(nil)
@@ -17,28 +28,20 @@
 		m.run(15 * time.Second)
 		m.headLag = 1
 		m.run(20 * time.Second)
-		m.reads = 0
-		m.run(seconds * time.Second)
-		if most := 4 * dcs * seconds; m.reads > most {
-			t.Errorf("%d reads in %d s, over %d", m.reads, seconds, most)
-		}
+		m.checkReads(t, dcs, 2*time.Minute)
 	}
 }
 
 // Guards the platform against the same where it holds a table of another history.
 func TestOtherHistoryMakesNoStorm(t *testing.T) {
-	const dcs, seconds = 2, 120
+	const dcs = 2
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		m := newMesh(48, dcs, 1, set)
 		m.change(nil)
 		m.run(20 * time.Second)
 		m.log, _ = history(t, "other", 3)
 		m.run(20 * time.Second)
-		m.reads = 0
-		m.run(seconds * time.Second)
-		if most := 4 * dcs * seconds; m.reads > most {
-			t.Errorf("%d reads in %d s, over %d", m.reads, seconds, most)
-		}
+		m.checkReads(t, dcs, 2*time.Minute)
 	}
 }
 
--- a/internal/drain/servers_test.go
+++ b/internal/drain/servers_test.go
@@ -81,6 +81,24 @@
 	return err
 }
 
+// bookings returns so many connections, on each of which a booking was sent.
+func bookings(t *testing.T, addr net.Addr, n int) []net.Conn {
+	t.Helper()
+	var out []net.Conn
+	for range n {
+		c, err := net.Dial("tcp", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if err := book(c); err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // gated is a listener that accepts nothing until somebody wakes or closes it.
 type gated struct {
 	*net.TCPListener
@@ -109,18 +127,7 @@
 	eachKind(t, func(t *testing.T, calls *drain.Calls, s stoppable) {
 		ln := &gated{TCPListener: listen(t), open: make(chan struct{})}
 		serve(t, s, ln)
-		var waiting []net.Conn
-		for range 8 {
-			c, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			if err := book(c); err != nil {
-				t.Fatal(err)
-			}
-			waiting = append(waiting, c)
-		}
+		waiting := bookings(t, ln.Addr(), 8)
 		stopped := make(chan error, 1)
 		servers := drain.Servers{Calls: calls, List: []drain.Stopper{s}}
 		go func() { stopped <- servers.Shutdown(context.Background()) }()
--- a/internal/drain/stall_test.go
+++ b/internal/drain/stall_test.go
@@ -43,31 +43,13 @@
 		serve(t, s, ln)
 		stopped := make(chan error, 1)
 		servers := drain.Servers{Calls: calls, List: []drain.Stopper{s}}
-		first, err := net.Dial("tcp", ln.Addr().String()) // once it is answered the server accepts
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer first.Close()
-		if err := book(first); err != nil {
-			t.Fatal(err)
-		}
-		if err := booked(first); err != nil {
+		first := bookings(t, ln.Addr(), 1)[0]
+		if err := booked(first); err != nil { // once it is answered the server accepts
 			t.Fatal(err)
 		}
 		go func() { stopped <- servers.Shutdown(context.Background()) }()
 		<-ln.begun
-		var waiting []net.Conn
-		for range 4 {
-			c, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			if err := book(c); err != nil {
-				t.Fatal(err)
-			}
-			waiting = append(waiting, c)
-		}
+		waiting := bookings(t, ln.Addr(), 4)
 		close(ln.goOn)
 		for i, c := range waiting {
 			if err := booked(c); err != nil {
--- a/internal/drain/wait_end_test.go
+++ b/internal/drain/wait_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -46,12 +47,13 @@
 		const limit = 5 * time.Second
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
-		go func() {
+		var client sync.WaitGroup
+		client.Go(func() {
 			for ctx.Err() == nil {
 				c.serve(func(http.ResponseWriter, *http.Request) {})
 				time.Sleep(quietFor / 2)
 			}
-		}()
+		})
 		begun := time.Now()
 		if err := c.Wait(ctx); err != nil {
 			t.Fatal(err)
@@ -59,6 +61,6 @@
 		if left := limit - time.Since(begun); left < closeWithin-quietFor {
 			t.Errorf("%v are left for closing, want %v", left, closeWithin-quietFor)
 		}
-		<-ctx.Done()
+		client.Wait()
 	})
 }
