Ask again soon for a log that could not be read

Found by reading the diff. What operators would have seen: a node that reads in place of its feeders learns of a newer version by the head, its read of the log is lost, and it asks again only after up to 12.2 s, past the bound.

Change: a read that fails clears it; the 2 to 4 s after a failure hold.

Figures: TestLogThatCannotBeReadIsAskedForAgain, forced order, fails without the change.

--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -205,6 +205,7 @@
 	}
 	wait := min(s.set.Profile.HeadEvery<<min(f.fails, maxShift), limit)
 	f.after = s.now.Add(s.jitter(wait))
+	f.answeredAt = time.Time{} // a log that could not be read is asked for again soon
 	// Half of the wait is sure, so that a mesh without its platform asks for it seldom.
 	wait = min(s.set.RetryCap<<min(f.fails-1, maxShift), confirmWithin) / 2
 	f.standInAt = s.now.Add(wait + s.jitter(wait))
--- a/internal/distribute/unconfirming_test.go
+++ b/internal/distribute/unconfirming_test.go
@@ -1,8 +1,13 @@
 package distribute
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/membership"
 )
 
 // checkReads checks that the platform is read no more often than by two feeders a data centre, and by
@@ -62,3 +67,37 @@
 		}
 	}
 }
+
+// Guards a node that reads in place of its feeders against waiting for its next turn where the
+// head tells of a newer version and the log can't be read.
+func TestLogThatCannotBeReadIsAskedForAgain(t *testing.T) {
+	ds, _ := history(t, "booking", 2)
+	var ids []string
+	for i := range 48 {
+		ids = append(ids, fmt.Sprint("vm", i))
+	}
+	self := ranked("feeder/dc/", ids)[feedersPerDC]
+	view := &membership.View{Self: self, Records: make(map[string]*membership.Seen)}
+	for _, id := range ids {
+		view.Records[id] = &membership.Seen{Record: membership.Record{
+			VM: membership.VM{ID: id, DataCentre: "dc"}, State: membership.VMAlive,
+		}}
+	}
+	now, rng := time.Unix(1_700_000_000, 0), rand.New(rand.NewPCG(1, 1))
+	s := New(timeProfile(self, "dc"), now)
+	if !s.applyDeltas(SourcePlatform, ds[:1]) {
+		t.Fatal("the history can't be applied")
+	}
+	s.start.done = true
+	step := func(after time.Duration, ev Event, want Action) {
+		t.Helper()
+		now = now.Add(after)
+		if got := s.Step(now, rng, view, ev); !slices.Contains(got, want) {
+			t.Fatalf("%v after %T, want %T", got, ev, want)
+		}
+	}
+	step(inForceWithin, Ticked{}, ReadHead{})
+	step(0, HeadRead{Version: ds[1].To}, ReadSince{ds[0].To})
+	s.Step(now, rng, view, PlatformRead{Err: errLost})
+	step(s.set.RetryCap, Ticked{}, ReadHead{})
+}
