--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -258,9 +258,6 @@
 // been for a while. The caller holds w.mu.
 func (w *workspaces) logLimited(now time.Time, parts []quota.Part, limits map[string]quota.Limit) {
 	for _, p := range parts {
-		if p.Part >= 1 {
-			continue // near its quota
-		}
 		if _, known := w.limited[p.Workspace]; !known {
 			w.log.Info().Str("workspace", p.Workspace).Float64("part", p.Part).
 				Float64("asked_per_s", w.collector.Asked(p.Workspace)).Float64("limit_per_s", limits[p.Workspace].Rate).
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -57,8 +57,6 @@
 	// steadyCalls is how many calls a mean is taken over, and longestMean the longest time.
 	steadyCalls = 8
 	longestMean = 2 * time.Second
-	// nearQuota is the part of its quota from which on a workspace is near it.
-	nearQuota = 0.85
 	// firstCalls is what the bucket of a collector holds that has heard nothing yet.
 	firstCalls = 5
 	// minUsual keeps a share of next to no calls from being taken for all.
@@ -186,8 +184,7 @@
 	return b
 }
 
-// Decide returns the workspaces of which not all calls may pass, and those near their quota, of
-// which all may.
+// Decide returns the workspaces of which not all calls may pass.
 func (c *Collector) Decide(now time.Time, limits map[string]Limit) []Part {
 	if c.decidedAt.IsZero() {
 		c.decidedAt = now
@@ -205,7 +202,7 @@
 	for name, limit := range limits {
 		b := c.bucket(name)
 		b.fill(limit.less(kept[name]), recent[name], span)
-		if b.part < 1 || c.usual[name] > nearQuota*limit.Rate {
+		if b.part < 1 {
 			out = append(out, Part{name, b.part})
 		}
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -20,14 +20,6 @@
 	overCalls = 2
 	// saveUpFor is the time for which a node without a collector saves up tokens.
 	saveUpFor = time.Second
-	// A node may pass so many times what the last answer foresees of a workspace that is near its
-	// quota, and holdFloor calls a second more; at once what it may in holdFor, and holdCalls.
-	holdTimes = 1.3
-	holdFloor = 3.0
-	holdFor   = 200 * time.Millisecond
-	holdCalls = 2.5
-	// holdLow is the part of that at which the next answer is asked for.
-	holdLow = 0.3
 )
 
 // Usage is what calls of one workspace there were at one node, or in a data centre.
@@ -51,9 +43,8 @@
 type Limiter struct {
 	meters sync.Map // workspace to *meter
 	surge  chan struct{}
-	mu     sync.Mutex // serialises reports and answers
+	mu     sync.Mutex // serialises reports
 	told   time.Time
-	span   time.Duration // of the last report
 }
 
 // meter counts the calls of one workspace.
@@ -67,16 +58,11 @@
 	// alone is set while calls pass by tokens, also in units of passUnit.
 	alone  atomic.Bool
 	tokens atomic.Int64
-	// held is set while calls pass by their part and by tokens: the workspace is near its quota,
-	// and no more of a surge may pass than the last answer foresees. low is when to ask for more.
-	held atomic.Bool
-	low  atomic.Int64
 	// surgeAt is the count of calls asked for that makes a surge.
 	surgeAt atomic.Int64
 
 	// Guarded by the limiter.
-	reported int64   // calls asked for, at the last report
-	recent   float64 // at the last report
+	reported int64 // calls asked for, at the last report
 	usual    float64
 	surging  bool // at the last report
 }
@@ -109,35 +95,18 @@
 func (l *Limiter) Admit(workspace string) bool {
 	m := l.meter(workspace)
 	if m.asked.Add(1) == m.surgeAt.Load() {
-		l.reportSoon()
+		select {
+		case l.surge <- struct{}{}:
+		default:
+		}
 	}
-	if !m.passes() || m.held.Load() && !m.alone.Load() && !l.spend(m) {
+	if !m.passes() {
 		return false
 	}
 	m.admitted.Add(1)
 	return true
 }
 
-// spend takes a token for a call of a workspace near its quota, and asks for the next answer as
-// tokens run out.
-func (l *Limiter) spend(m *meter) bool {
-	left, low := m.tokens.Add(-passUnit), m.low.Load()
-	if left < low && left+passUnit >= low {
-		l.reportSoon()
-	}
-	if left < 0 {
-		m.tokens.Add(passUnit)
-	}
-	return left >= 0
-}
-
-func (l *Limiter) reportSoon() {
-	select {
-	case l.surge <- struct{}{}:
-	default:
-	}
-}
-
 // GiveBack takes back a call that Admit let pass, and that was not run.
 func (l *Limiter) GiveBack(workspace string) {
 	l.meter(workspace).admitted.Add(-1)
@@ -181,7 +150,7 @@
 	if span <= 0 {
 		return nil
 	}
-	l.told, l.span = now, span
+	l.told = now
 	var out []Usage
 	l.meters.Range(func(name, m any) bool {
 		out = append(out, m.(*meter).report(name.(string), span))
@@ -196,7 +165,7 @@
 	recent := float64(asked-m.reported) / span.Seconds()
 	weight := 1 - math.Exp(-span.Seconds()/usualOver.Seconds())
 	m.usual += weight * (recent - m.usual)
-	m.reported, m.recent = asked, recent
+	m.reported = asked
 	m.surgeAt.Store(asked + m.soonCalls())
 	return Usage{Workspace: name, Recent: recent, Usual: m.usual, Admitted: m.admitted.Load()}
 }
@@ -217,8 +186,6 @@
 
 // Apply puts the answer of a collector in force: calls of all other workspaces pass.
 func (l *Limiter) Apply(parts []Part) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	named := make(map[string]float64, len(parts))
 	for _, p := range parts {
 		named[p.Workspace] = p.Part
@@ -229,7 +196,6 @@
 			part = 1
 		}
 		m.(*meter).set(part)
-		m.(*meter).hold(ok, l.span)
 		m.(*meter).alone.Store(false)
 		return true
 	})
@@ -238,27 +204,6 @@
 	}
 }
 
-// hold adds the tokens of a span by what was answered for a workspace near its quota.
-func (m *meter) hold(near bool, span time.Duration) {
-	if near {
-		rate := holdTimes * max(m.recent, m.usual) * m.share()
-		m.refill(rate, rate+holdFloor, span, m.alone.Load() || !m.held.Load())
-	}
-	m.held.Store(near)
-}
-
-// refill adds the tokens of a span, or all that there is room for. They are added rather than
-// stored, as calls take some meanwhile.
-func (m *meter) refill(rate, more float64, span time.Duration, full bool) {
-	most := int64((rate*holdFor.Seconds() + holdCalls) * passUnit)
-	m.low.Store(int64(holdLow * float64(most)))
-	room := most - m.tokens.Load()
-	if !full {
-		room = min(room, int64(more*span.Seconds()*passUnit))
-	}
-	m.tokens.Add(room)
-}
-
 // Unanswered tells that a report got no answer of a collector.
 type Unanswered struct {
 	// Span is the time since the report before.
@@ -275,8 +220,7 @@
 
 // Unanswered limits the calls while no collector answers: those of a workspace to what passed
 // when one last did, or to an equal share of its quota among all nodes. The last answer holds
-// for AloneAfter, but for workspaces that send much more since; those near their quota pass what
-// it foresees.
+// for AloneAfter, but for workspaces that send much more since.
 func (l *Limiter) Unanswered(u Unanswered) {
 	usual := make(map[string]float64, len(u.Answered))
 	for _, a := range u.Answered {
@@ -286,11 +230,6 @@
 	defer l.mu.Unlock()
 	for workspace, limit := range u.Limits {
 		m := l.meter(workspace)
-		if u.Since < AloneAfter && !m.alone.Load() && m.held.Load() {
-			rate := usual[workspace] * m.share()
-			m.refill(rate, rate, u.Span, false)
-			continue
-		}
 		if u.Since < AloneAfter && !m.surging && !m.alone.Load() {
 			continue
 		}
