Keep the sockets open while calls are in flight at a planned stop

What callers saw: while a long download ended at a leaving VM, new connections there were refused instead of being told that it drains, and what waited in the backlog as the sockets closed could still be cut.

Change: while calls are in flight whoever comes is refused as draining; the sockets close when none is, then comes the wait for quiet, then the connections close.

Figures: TestScripts/mesh passes; internal/drain and internal/pipeline, -race, pass.

--- a/internal/drain/servers.go
+++ b/internal/drain/servers.go
@@ -22,11 +22,15 @@
 
 // Shutdown stops the servers on plan, or returns ctx's error.
 //
-// It keeps the order that cuts no call: the sockets close first, so that nobody can begin anew;
-// what comes on the connections that are left is answered, each answer ending its connection; and
-// only once nothing comes any more are the silent ones closed.
+// It keeps the order that cuts no call. While calls are in flight whoever comes is told to go
+// elsewhere. Then the sockets close, so that nobody can begin anew; what comes on the connections that
+// are left is answered, each answer ending its connection; and only once nothing comes any more are
+// the silent ones closed.
 func (s *Servers) Shutdown(ctx context.Context) error {
 	s.Calls.Leave()
+	if err := s.Calls.waitIdle(ctx); err != nil {
+		return err
+	}
 	s.each(func(one Stopper) error { one.StopAccepting(ctx); return nil })
 	s.Calls.noneNew.Store(true)
 	if err := s.Calls.Wait(ctx); err != nil {
