--- a/internal/distribute/confirm_test.go
+++ b/internal/distribute/confirm_test.go
@@ -31,6 +31,7 @@
 // Guards nodes that are cut off from all others, and reach the platform, against an old version,
 // whenever the change comes.
 func TestIsolatedNodesHoldChangesInTime(t *testing.T) {
+	t.Parallel()
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		for seed := range uint64(3) {
 			m := newMesh(48, 1, seed, set)
@@ -48,6 +49,7 @@
 // Guards the platform against the reads of isolated nodes over a long cut: two feeders a data
 // centre, and the others together about as one.
 func TestIsolatedNodesReadSeldomForLong(t *testing.T) {
+	t.Parallel()
 	const dcs = 5
 	m := newMesh(240, dcs, 3, timeProfile)
 	m.change(nil)
@@ -59,6 +61,7 @@
 // Guards against a change that nobody reads where the platform leaves most nodes, the feeders among
 // them, without an answer for long.
 func TestPlatformSilentForMost(t *testing.T) {
+	t.Parallel()
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		for seed := range uint64(3) {
 			m := newMesh(48, 2, seed, set)
@@ -92,6 +95,7 @@
 // Guards a node that is cut off while its suspicions come and go, as its membership hears a late
 // message now and then.
 func TestFlappingSuspicionsDelayNoRead(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		m := newMesh(48, 1, seed, timeProfile)
 		m.change(nil)
@@ -118,6 +122,7 @@
 // Guards the platform against nodes that read it beside feeders that are well: the way of a
 // confirmation through a data centre takes some seconds.
 func TestFeedersThatAreAnsweredReadForAll(t *testing.T) {
+	t.Parallel()
 	const dcs, seconds = 5, 60
 	m := newMesh(120, dcs, 3, timeProfile)
 	m.probe = 2 * time.Second
@@ -133,6 +138,7 @@
 // Guards operators against reports of reads in place of feeders that are well, in a data centre so
 // large that confirmations come late now and then, and against none where the feeders get no answer.
 func TestStandInsAreReportedOnlyWhereNeeded(t *testing.T) {
+	t.Parallel()
 	m := newMesh(120, 1, 1, bytesProfile)
 	m.probe = 2 * time.Second
 	m.change(nil)
--- a/internal/distribute/unconfirming_test.go
+++ b/internal/distribute/unconfirming_test.go
@@ -24,6 +24,7 @@
 // Guards the platform against nodes that read it without a pause while its answers confirm nothing:
 // heads older than the version held, as of a backup or a replica that lags.
 func TestOlderHeadsMakeNoStorm(t *testing.T) {
+	t.Parallel()
 	const dcs = 2
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		m := newMesh(48, dcs, 1, set)
@@ -39,6 +40,7 @@
 
 // Guards the platform against the same where it holds a table of another history.
 func TestOtherHistoryMakesNoStorm(t *testing.T) {
+	t.Parallel()
 	const dcs = 2
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		m := newMesh(48, dcs, 1, set)
@@ -53,6 +55,7 @@
 // Guards a data centre of which the platform answers one node alone, the last to stand in for the
 // feeders: what that one finds has to reach all others in time, again and again.
 func TestLastStandInServesItsDataCentre(t *testing.T) {
+	t.Parallel()
 	for _, set := range []func(id, dc string) Settings{timeProfile, bytesProfile} {
 		for seed := range uint64(3) {
 			m := newMesh(48, 1, seed, set)
