--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -66,13 +66,10 @@
 // Collector sums up what the mesh takes of each workspace's quota. It is not safe for
 // concurrent use.
 type Collector struct {
-	nodes    map[string]*reporter // that tell this collector
-	others   map[string]*reporter // the collectors that others tell
-	buckets  map[string]*bucket
-	gathered map[string]int64 // calls of the nodes that passed, by workspace
-	// usual are the usual rates of the workspaces' calls in the whole mesh, as last summed up. The
-	// map is replaced, never changed.
-	usual     map[string]float64
+	nodes     map[string]*reporter // that tell this collector
+	others    map[string]*reporter // the collectors that others tell
+	buckets   map[string]*bucket
+	gathered  map[string]int64 // calls of the nodes that passed, by workspace
 	decided   []Part
 	decidedAt time.Time
 }
@@ -82,8 +79,6 @@
 	incarnation uint64
 	heard       time.Time
 	usage       map[string]*seen
-	// usualThen are the usual rates in the whole mesh as they were when it was last heard.
-	usualThen map[string]float64
 	// shares are those of each workspace's quota that a silent reporter keeps; nil for one that
 	// is heard.
 	shares map[string]float64
@@ -153,7 +148,7 @@
 		r = &reporter{incarnation: incarnation, usage: make(map[string]*seen)}
 		from[id] = r
 	}
-	r.heard, r.usualThen = now, c.usual
+	r.heard = now
 	// What passed in a silence was kept from the others.
 	known, r.shares = known && r.shares == nil, nil
 	for _, u := range usage {
@@ -196,7 +191,6 @@
 	c.decidedAt = now
 	c.forget(now)
 	c.noteSilent(now)
-	c.sumUsual()
 	recent, kept := c.demand(span), c.kept()
 	out := make([]Part, 0)
 	for name, limit := range limits {
@@ -218,9 +212,7 @@
 }
 
 // noteSilent gives each reporter that has become silent its share of the quotas: that of its
-// usual calls among those of all, as they were when it was last heard. A surge that began since
-// raises the usual calls of this side alone; by these, each side of a cut would take the share of
-// the other for too small, and both together more than the quota for as long as the cut lasts.
+// usual calls among those of all.
 func (c *Collector) noteSilent(now time.Time) {
 	c.silence(now, c.nodes, nodeSilentAfter)
 	c.silence(now, c.others, sumSilentAfter)
@@ -233,19 +225,20 @@
 		}
 		r.shares = make(map[string]float64, len(r.usage))
 		for name, s := range r.usage {
-			r.shares[name] = s.Usual / max(r.usualThen[name], s.Usual, minUsual)
+			r.shares[name] = s.Usual / max(c.usual(name), s.Usual, minUsual)
 		}
 	}
 }
 
-// sumUsual sums up the usual rates of the workspaces' calls in the whole mesh.
-func (c *Collector) sumUsual() {
-	c.usual = make(map[string]float64, len(c.usual))
+// usual returns the usual rate of a workspace's calls in the whole mesh.
+func (c *Collector) usual(name string) float64 {
+	sum := 0.0
 	for _, r := range c.reporters() {
-		for name, s := range r.usage {
-			c.usual[name] += s.Usual
+		if s := r.usage[name]; s != nil {
+			sum += s.Usual
 		}
 	}
+	return sum
 }
 
 // kept returns the shares of the quotas that silent reporters keep.
