Log and measure the rate limits and the leaving that backend servers advertise

Change: the dialects decode both into proxy.Advertised. A gate tracks the limit in force: any answer lowers it, and only the answer to a call that was sent after it was last confirmed raises or lifts it, as answers may overtake each other. The node logs its begin, change and end, at most five lines a second, and shows it as marlpass_backend_advertised_rate. Nothing acts on it: calls are as before.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -105,6 +105,13 @@
 	HeaderRefused = "Marlpass-Refused"
 	// HeaderLoad carries the backend server's load back, as "busy/slots".
 	HeaderLoad = "Marlpass-Load"
+	// HeaderRateLimit is how a backend server says how many calls a second, a
+	// decimal number, it accepts from all nodes together, for as long as its
+	// answers carry the header.
+	HeaderRateLimit = "Marlpass-Rate-Limit"
+	// HeaderLeaving is how a backend server says, by "1", that it takes no new
+	// calls and is about to end.
+	HeaderLeaving = "Marlpass-Leaving"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 )
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -25,6 +26,9 @@
 	now   func() time.Time
 	mu    sync.Mutex // guards queue; never held while waiting
 	queue *Queue
+	// limited tells whether the backend server advertises a rate limit, so that the answers of
+	// those that advertise none need no lock.
+	limited atomic.Bool
 }
 
 // NewGate returns a Gate with one slot and no classes until Configure is called.
@@ -55,6 +59,27 @@
 	g.deliverEvents()
 }
 
+// Observe records the rate limit that the backend server advertised in its answer to a call that
+// was sent at sent. It reports whether the limit in force has changed.
+func (g *Gate) Observe(now, sent time.Time, r AdvertisedRate) (RateChange, bool) {
+	if !r.Present && !g.limited.Load() {
+		return RateChange{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, changed := g.queue.Observe(now, sent, r)
+	g.limited.Store(g.queue.AdvertisedRate().Present)
+	g.deliverEvents()
+	return c, changed
+}
+
+// AdvertisedRate returns the rate limit of the backend server that is in force.
+func (g *Gate) AdvertisedRate() AdvertisedRate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.AdvertisedRate()
+}
+
 // Load returns the number of running calls and the present limit.
 func (g *Gate) Load() (busy, slots int) {
 	g.mu.Lock()
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -80,10 +80,12 @@
 	classes  map[string]*classState
 	ordered  []*classState // by name, so that decisions don't follow map order
 	adaptive adaptiveLimit
-	running  int
-	waiting  int
-	sequence uint64
-	draining bool
+	// advertised is the rate limit of the backend server itself.
+	advertised advertisedLimit
+	running    int
+	waiting    int
+	sequence   uint64
+	draining   bool
 	// completionInterval is the average time between two completions while
 	// calls were waiting.
 	completionInterval average
@@ -178,6 +180,15 @@
 	return q.adaptive.limit()
 }
 
+// Observe records the rate limit that the backend server advertised in its answer to a call that
+// was sent at sent. It reports whether the limit in force has changed.
+func (q *Queue) Observe(now, sent time.Time, r AdvertisedRate) (RateChange, bool) {
+	return q.advertised.observe(now, sent, r)
+}
+
+// AdvertisedRate returns the rate limit of the backend server that is in force.
+func (q *Queue) AdvertisedRate() AdvertisedRate { return q.advertised.rate }
+
 // Load returns the number of running calls and the present limit.
 func (q *Queue) Load() (busy, slots int) { return q.running, q.Limit() }
 
--- /dev/null
+++ b/internal/node/advertisements.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/marlpass/marlpass/internal/limit"
+	"github.com/marlpass/marlpass/internal/proxy"
+)
+
+// advertisedLinesPerSecond bounds the log lines about what backend servers advertise, which may
+// change with each answer.
+const advertisedLinesPerSecond = 5
+
+// advertisements applies what the backend servers of this VM advertise in their answers.
+type advertisements struct {
+	gates *gates
+	log   zerolog.Logger // bounded
+}
+
+func newAdvertisements(g *gates, log zerolog.Logger) *advertisements {
+	bounded := log.Sample(&zerolog.BurstSampler{Burst: advertisedLinesPerSecond, Period: time.Second})
+	return &advertisements{gates: g, log: bounded}
+}
+
+// Observe implements proxy.Advertisements.
+func (a *advertisements) Observe(now, sent time.Time, b proxy.Backend, adv proxy.Advertised) {
+	if adv.RateLimit.Malformed {
+		a.line(b).Msg("backends: the advertised rate limit can't be read, keeping the one in force")
+	}
+	if change, ok := a.gates.observe(now, sent, b, adv.RateLimit); ok {
+		a.logRate(now, b, change)
+	}
+	if adv.Leaving {
+		a.line(b).Msg("backends: the backend server advertises that it leaves")
+	}
+}
+
+func (a *advertisements) line(b proxy.Backend) *zerolog.Event {
+	return a.log.Info().Str("service", b.Service).Str("instance", b.Instance)
+}
+
+func (a *advertisements) logRate(now time.Time, b proxy.Backend, c limit.RateChange) {
+	l := a.line(b)
+	if c.Old.Present {
+		l.Float64("previous_per_second", c.Old.PerSecond).Int64("after_ms", now.Sub(c.Since).Milliseconds())
+	}
+	if !c.New.Present {
+		l.Msg("backends: the backend server advertises no rate limit any more")
+		return
+	}
+	l.Float64("per_second", c.New.PerSecond).Msg("backends: the backend server advertises a rate limit")
+}
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -34,5 +34,6 @@
 		Addr:     a.Addr,
 		Slots:    a.Slots,
 		State:    a.State,
+		Started:  a.Started,
 	}
 }
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -72,7 +72,8 @@
 	link := proxy.NewLinkPacer(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationOptions(proxy.DestinationOptions{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates, SlotUse: c.gates.slotUse,
-		Deduplicator: dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
+		Advertisements: newAdvertisements(c.gates, telemetry.Part(n.log, "backends")),
+		Deduplicator:   dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
 		Spool: n.spool(), Link: link,
 	}))
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -85,6 +85,16 @@
 	return proxy.SlotUse{Busy: busy, Limit: limit, Waiting: gate.Waiting()}
 }
 
+// observe records the rate limit that b advertised in its answer to a call that was sent at sent. It
+// reports whether the limit in force has changed.
+func (g *gates) observe(now, sent time.Time, b proxy.Backend, r limit.AdvertisedRate) (limit.RateChange, bool) {
+	gate := (*g.byInstance.Load())[b.Instance]
+	if gate == nil {
+		return limit.RateChange{}, false // the backend server has left
+	}
+	return gate.Observe(now, sent, r)
+}
+
 // Acquire implements proxy.Gates.
 func (g *gates) Acquire(ctx context.Context, b proxy.Backend, t *config.Target, opts limit.AcquireOptions) (proxy.Permit, error) {
 	gate := (*g.byInstance.Load())[b.Instance]
--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -67,6 +67,9 @@
 // writeGates writes the slot usage of each class at this node's backend servers.
 func (c *callPath) writeGates(p page, now time.Time) {
 	for instance, gate := range *c.gates.byInstance.Load() {
+		if r := gate.AdvertisedRate(); r.Present {
+			p.gauge("marlpass_backend_advertised_rate", r.PerSecond, "instance", instance)
+		}
 		for _, s := range gate.Stats(now) {
 			l := []string{"instance", instance, "class", s.Class}
 			p.gauge("marlpass_gate_running", float64(s.Running), l...)
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -15,21 +15,23 @@
 )
 
 // DestinationOptions holds the settings and dependencies of a Destination. Gates, Deduplicator and
-// Suspects may be nil; the Destination then does not queue, claim or quarantine calls.
+// Suspects may be nil; the Destination then does not queue, claim or quarantine calls. Without
+// Advertisements it ignores what backend servers advertise.
 type DestinationOptions struct {
 	Programs Programs
 	Backends Backends
 	Gates    Gates
 	// SlotUse returns the slot usage of a backend server, for load reports and logs; nil means
 	// unknown.
-	SlotUse      func(Backend) SlotUse
-	Deduplicator Deduplicator
-	Suspects     Suspects
-	Rollouts     Rollouts // nil if no rollouts are managed
-	Upstreams    *Upstreams
-	Meters       *Meters
-	Tracer       *Tracer
-	Dialect      Dialect // ownDialect if nil
+	SlotUse        func(Backend) SlotUse
+	Advertisements Advertisements
+	Deduplicator   Deduplicator
+	Suspects       Suspects
+	Rollouts       Rollouts // nil if no rollouts are managed
+	Upstreams      *Upstreams
+	Meters         *Meters
+	Tracer         *Tracer
+	Dialect        Dialect // ownDialect if nil
 	// Spool, if set, buffers whole answers before they are relayed. Link paces answers to other
 	// VMs.
 	Spool *Spool
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -39,6 +39,9 @@
 		return a
 	}
 	read := d.Dialect.ReadResponse(in.header, a.resp)
+	if d.Advertisements != nil && read.Advertised.Known {
+		d.Advertisements.Observe(d.Now(), now, h.backend, read.Advertised)
+	}
 	switch {
 	case read.Refusal != nil:
 		// Reads the short rest, so that the connection can be reused.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -48,8 +48,9 @@
 	Refusal *call.Refusal
 	// Err is set if the answer doesn't belong to this attempt or can't be relayed. The call may
 	// have run.
-	Err  error
-	Load Load
+	Err        error
+	Load       Load
+	Advertised Advertised
 }
 
 // ownDialect is the native dialect of marlpass.
@@ -111,8 +112,9 @@
 // ReadResponse implements Dialect.
 func (ownDialect) ReadResponse(sent http.Header, resp *http.Response) ResponseInfo {
 	return ResponseInfo{
-		Refusal: refusedByBackend(resp.Header, first(sent, call.HeaderAttempt)),
-		Load:    parseLoad(resp.Header),
+		Refusal:    refusedByBackend(resp.Header, first(sent, call.HeaderAttempt)),
+		Load:       parseLoad(resp.Header),
+		Advertised: parseAdvertised(resp.Header),
 	}
 }
 
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -61,6 +61,22 @@
 	Known       bool
 }
 
+// Advertised is what a backend server advertises about itself in an answer.
+type Advertised struct {
+	// Known is false if the answer can't be attributed to the backend server.
+	Known bool
+	// RateLimit bounds the calls that it accepts from all nodes together.
+	RateLimit limit.AdvertisedRate
+	// Leaving means that it accepts no new calls and is about to end.
+	Leaving bool
+}
+
+// Advertisements takes what backend servers of this VM advertise in their answers.
+type Advertisements interface {
+	// Observe records the answer of b, received at now, to a call that was sent at sent.
+	Observe(now, sent time.Time, b Backend, a Advertised)
+}
+
 // Report is the result of an attempt for the picker.
 type Report struct {
 	Outcome call.Outcome
@@ -142,6 +158,8 @@
 	Addr     string // host:port
 	Slots    int
 	State    membership.BackendState
+	// Started is the start of its incarnation, in Unix milliseconds; zero if not reported.
+	Started int64
 }
 
 // Backends finds the backend servers of this VM. An empty instance matches any instance of the
