--- /dev/null
+++ b/internal/backend/advertise.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// advertised is what the server says of itself in each answer.
+type advertised struct {
+	mu       sync.Mutex // guards the fields below
+	limited  bool
+	rate     float64 // requests a second; meaningful if limited
+	leaving  bool
+	arrivals []time.Time // of requests since the server first advertised anything
+}
+
+// SetRateLimit makes each answer from now on advertise a limit in requests per second.
+func (s *Server) SetRateLimit(perSecond float64) {
+	s.advertised.mu.Lock()
+	defer s.advertised.mu.Unlock()
+	s.advertised.limited, s.advertised.rate = true, perSecond
+}
+
+// ClearRateLimit makes answers advertise no limit any more.
+func (s *Server) ClearRateLimit() {
+	s.advertised.mu.Lock()
+	defer s.advertised.mu.Unlock()
+	s.advertised.limited = false
+}
+
+// LeaveByAnswer makes each answer from now on say that the server leaves. Unlike Drain, it changes
+// nothing in what the server announces.
+func (s *Server) LeaveByAnswer() {
+	s.advertised.mu.Lock()
+	defer s.advertised.mu.Unlock()
+	s.advertised.leaving = true
+}
+
+// Arrivals returns when requests arrived since the server first advertised a limit or that it
+// leaves.
+func (s *Server) Arrivals() []time.Time {
+	s.advertised.mu.Lock()
+	defer s.advertised.mu.Unlock()
+	return append([]time.Time(nil), s.advertised.arrivals...)
+}
+
+// arrived notes a request and sets the headers of its answer.
+func (a *advertised) arrived(now time.Time, h http.Header) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limited {
+		h.Set(call.HeaderRateLimit, strconv.FormatFloat(a.rate, 'f', -1, 64))
+	}
+	if a.leaving {
+		h.Set(call.HeaderLeaving, "1")
+	}
+	if a.limited || a.leaving || len(a.arrivals) > 0 {
+		a.arrivals = append(a.arrivals, now)
+	}
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -58,6 +58,7 @@
 	inFlight   atomic.Int64
 	crashes    atomic.Int64
 	generation atomic.Int64
+	advertised advertised
 
 	mu     sync.Mutex // guards what follows
 	server *http.Server
--- /dev/null
+++ b/internal/localmesh/advertised_test.go
@@ -0,0 +1,147 @@
+package localmesh
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/backend"
+)
+
+const (
+	limitedService = "berths"
+	advertisedRate = 4.0 // requests a second
+	// rateWindow, rateFactor and rateSlack are the bound that backend servers hold the mesh to.
+	rateWindow = 4 * time.Second
+	rateFactor = 1.5
+	rateSlack  = 5
+	// rateSettles is how long after a limit was first advertised the bound holds.
+	rateSettles = 3 * time.Second
+	// drainBound is how long after an answer that says so a backend server that leaves may get
+	// requests.
+	drainBound = 2 * time.Second
+)
+
+// limitedMesh has one backend server, beside the first of its nodes, and callers at all of them.
+type limitedMesh struct {
+	*testMesh
+	server *backend.Server
+}
+
+func startLimitedMesh(t *testing.T) *limitedMesh {
+	m := &limitedMesh{testMesh: ready(t, options(DataCentre{Name: "dc1", Region: "west", VMs: 3}))}
+	m.inForce(m.accepted(m.VMs[0], m.stated(limitedService)))
+	m.server = m.startService(limitedService)["dc1"]
+	for _, vm := range m.VMs {
+		for range 4 {
+			go m.call(vm)
+		}
+	}
+	return m
+}
+
+// call calls the service through the VM's node, some hundred times a second, until the test ends.
+func (m *limitedMesh) call(vm *VM) {
+	for m.ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(m.ctx, http.MethodGet, "http://"+vm.Addrs().Callers+"/"+limitedService, nil)
+		if err != nil {
+			return
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		m.sleep(10 * time.Millisecond)
+	}
+}
+
+func (m *limitedMesh) sleep(d time.Duration) {
+	select {
+	case <-m.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// checkRate checks the requests that arrived later than from.
+func (m *limitedMesh) checkRate(from time.Time) {
+	m.t.Helper()
+	all := m.server.Arrivals()
+	if len(all) == 0 {
+		m.t.Fatal("no request has arrived")
+	}
+	bound := int(rateFactor*advertisedRate*rateWindow.Seconds()) + rateSlack
+	for i, first := range all {
+		if first.Before(from) {
+			continue
+		}
+		n := 0
+		for _, at := range all[i:] {
+			if at.Sub(first) < rateWindow {
+				n++
+			}
+		}
+		if n > bound {
+			m.t.Fatalf("%d requests in the %v from %v on, %d are allowed", n, rateWindow, first.Sub(from), bound)
+		}
+	}
+}
+
+// Guards against a mesh that sends a backend server more than the rate limit that it advertises.
+func TestRateLimitOfABackendServerIsKept(t *testing.T) {
+	m := startLimitedMesh(t)
+	m.server.SetRateLimit(advertisedRate)
+	start := time.Now()
+	m.sleep(rateSettles + 2*rateWindow)
+	m.checkRate(start.Add(rateSettles))
+}
+
+// Guards against a node that restarts, forgets the rate limit of the backend server beside it, and
+// sends it the calls of nodes that were told of the limit.
+func TestRestartedNodeKeepsTheRateLimit(t *testing.T) {
+	m := startLimitedMesh(t)
+	m.server.SetRateLimit(advertisedRate)
+	start := time.Now()
+	m.sleep(rateSettles)
+	for range 3 {
+		m.VMs[0].Kill()
+		m.must(m.StartNode(m.VMs[0]))
+		m.must(m.WaitReady(m.ctx))
+		m.sleep(time.Second)
+	}
+	m.sleep(rateWindow)
+	m.checkRate(start.Add(rateSettles))
+}
+
+// Guards against calls to a backend server that says in its answers that it leaves, and that goes on
+// announcing itself as ready.
+func TestLeavingAnswerEndsCalls(t *testing.T) {
+	m := startLimitedMesh(t)
+	m.server.LeaveByAnswer()
+	m.sleep(2 * drainBound)
+	m.checkLeft()
+}
+
+// Guards against a node that restarts, forgets that the backend server beside it leaves, and sends it
+// the calls of nodes that were told.
+func TestRestartedNodeKeepsLeaving(t *testing.T) {
+	m := startLimitedMesh(t)
+	m.server.LeaveByAnswer()
+	m.sleep(drainBound)
+	m.VMs[0].Kill()
+	m.must(m.StartNode(m.VMs[0]))
+	m.must(m.WaitReady(m.ctx))
+	m.sleep(drainBound)
+	m.checkLeft()
+}
+
+func (m *limitedMesh) checkLeft() {
+	m.t.Helper()
+	all := m.server.Arrivals()
+	if len(all) == 0 {
+		m.t.Fatal("no request has arrived")
+	}
+	if last := all[len(all)-1].Sub(all[0]); last > drainBound {
+		m.t.Errorf("%d requests arrived after the first answer that says that the server leaves, the last %v after it", len(all)-1, last)
+	}
+}
