limit: hold a backend server to the rate limit that it advertises

What callers saw: a backend server in need, which said how many calls a second it takes, got up to four times as many and answered late or not at all.

Cause: the limit in its answers was decoded and nothing acted on it. A gate admits by free slots, and a backend server in need has free slots.

Change: the gate beside the backend server starts a call only with a token of the advertised rate, in the order of slots; a timer starts those that wait. A call whose turn would come after it stops waiting is refused at once as over-backend-rate, with a Retry-After of the rate. A call that was not sent gives its token back. The limit outlasts an expired lease and a new configuration, and ends with the incarnation.

Why it works: every call reaches a backend server through the node beside it, so one bucket there is the sum over all nodes, and no entry node has to guess its part.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,7 @@
 	ReasonLinkFull    Reason = "link-full"          // the VM's link cannot carry the answer in time
 	ReasonOverShare   Reason = "over-share"         // the class holds its share and others wait
 	ReasonOverRate    Reason = "over-rate"          // the class is over its stated rate
+	ReasonBackendRate Reason = "over-backend-rate"  // the backend server accepts no more calls a second
 	ReasonExpired     Reason = "deadline-passed"    // the deadline passed before the call was run
 	ReasonDraining    Reason = "draining"           // the endpoint takes no new calls
 	ReasonQuarantined Reason = "quarantined"        // the request has crashed backend servers
--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -29,7 +29,7 @@
 		}
 		return nil
 	}
-	if wait := q.predictWait(c); !q.options.NoPrediction && !q.canMeetTarget(now, e, wait) {
+	if wait := q.predictWait(now, c); !q.options.NoPrediction && !q.canMeetTarget(now, e, wait) {
 		if q.canMeetTarget(now, e, 0) && q.displace(now, e, &c.onTime) {
 			return nil
 		}
@@ -107,17 +107,19 @@
 const minStartIntervals = 4
 
 // predictWait estimates how long a new call of c waits: by the drain rate of the
-// class where it is known, otherwise by the total waiting work.
-func (q *Queue) predictWait(c *classState) time.Duration {
+// class where it is known, otherwise by the total waiting work, and at least as
+// long as the advertised rate demands.
+func (q *Queue) predictWait(now time.Time, c *classState) time.Duration {
 	ahead := c.onTime.Len() + 1
+	byRate := q.advertised.wait(now, ahead)
 	if c.onTimeStarts.interval.count >= minStartIntervals && c.onTime.Len() > 0 {
-		return time.Duration(ahead) * c.onTimeStarts.interval.duration()
+		return max(byRate, time.Duration(ahead)*c.onTimeStarts.interval.duration())
 	}
 	var work time.Duration
 	for _, other := range q.ordered {
 		work += time.Duration(other.onTime.Len()) * other.serviceTime.duration()
 	}
-	return work / time.Duration(q.Limit())
+	return max(byRate, work/time.Duration(q.Limit()))
 }
 
 // victimFor returns the call to refuse when the queue is full, which may be the
@@ -189,17 +191,17 @@
 	default:
 		c.stats.Refused++
 		c.window.refused++
-		r.RetryAfter = q.retryAfter(c)
+		r.RetryAfter = q.retryAfter(now, c)
 	}
 	return r
 }
 
-// retryAfter returns the time in which the queue drains at its present rate, with
-// a jitter of half to one and a half, so that callers refused in one burst don't
+// retryAfter returns the time in which the queue drains at its present rate, and within
+// the advertised one, with a jitter of half to one and a half, so that callers refused in one burst don't
 // retry in one.
-func (q *Queue) retryAfter(c *classState) time.Duration {
+func (q *Queue) retryAfter(now time.Time, c *classState) time.Duration {
 	drain := time.Duration(q.waiting+1) * q.completionInterval.duration()
-	drain = max(drain, q.predictWait(c))
+	drain = max(drain, q.predictWait(now, c), q.advertised.wait(now, q.waiting+1))
 	spread := 0.5 + q.options.Rand.Float64()
 	d := time.Duration(float64(drain) * spread)
 	return min(max(d, minRetryAfter), maxRetryAfter)
--- a/internal/limit/advertised_queue_test.go
+++ b/internal/limit/advertised_queue_test.go
@@ -1,10 +1,15 @@
 package limit
 
 import (
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/marlpass/marlpass/internal/call"
 )
 
 // The bound that backend servers hold the mesh to: in each window, one and a half times what the
@@ -141,3 +146,92 @@
 		}
 	})
 }
+
+// Guards against a call that waits for the advertised rate and is left waiting when its turn comes,
+// and against an order other than that of slots.
+func TestCallsStartAsTheAdvertisedRateAllows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(Options{})
+		g.Configure(time.Now(), Config{Slots: 6, Classes: []Class{{Name: "low", Priority: 2}, {Name: "high", Priority: 8}}})
+		g.Observe(time.Now(), time.Now(), 0, rateOf(10))
+		start := time.Now()
+		var mu sync.Mutex
+		var order []string
+		var all sync.WaitGroup
+		for _, class := range []string{"low", "low", "high", "high"} {
+			all.Go(func() {
+				p, err := g.Acquire(t.Context(), class, AcquireOptions{Deadline: start.Add(2 * time.Second)})
+				if err != nil {
+					t.Errorf("%s: %v", class, err)
+					return
+				}
+				mu.Lock()
+				order = append(order, class)
+				mu.Unlock()
+				p.Release(Result{})
+			})
+			synctest.Wait()
+		}
+		all.Wait()
+		if took := time.Since(start); took < 400*time.Millisecond || took > 410*time.Millisecond {
+			t.Errorf("four calls took %v at ten a second", took)
+		}
+		if want := []string{"high", "high", "low", "low"}; !slices.Equal(order, want) {
+			t.Errorf("started %v", order)
+		}
+	})
+}
+
+// Guards against a call that waits until its deadline at a backend server whose advertised rate is
+// known not to let it start by then, and against a time to return at which there is no room either.
+func TestCallBeyondTheAdvertisedRateIsRefusedAtOnce(t *testing.T) {
+	for _, rate := range []float64{0, 0.5} {
+		q := newTestQueue(Config{Slots: 6, Classes: []Class{{Name: "a", AnswerWithin: 300 * time.Millisecond}}})
+		q.Observe(simStart, simStart, rateOf(rate))
+		for _, oneShot := range []bool{false, true} {
+			r := q.Offer(simStart, &Entry{OneShot: oneShot}, "a", simStart.Add(time.Second))
+			if r == nil || r.Reason != call.ReasonBackendRate || r.RetryAfter < time.Second {
+				t.Errorf("rate %g, one shot %t: %+v", rate, oneShot, r)
+			}
+		}
+	}
+}
+
+// Guards against tokens that calls use up which never reach the backend server, and against tokens
+// that come back for calls that may have reached it.
+func TestTokenComesBackOnlyIfNotSent(t *testing.T) {
+	for _, notSent := range []bool{false, true} {
+		q := newTestQueue(Config{Slots: 6})
+		q.Observe(simStart, simStart, rateOf(1))
+		now := simStart.Add(time.Second)
+		first := &Entry{}
+		if r := q.Offer(now, first, "a", time.Time{}); r != nil || !first.Started() {
+			t.Fatalf("the first call got %+v", r)
+		}
+		q.Done(now, first, Result{Failed: true, NotSent: notSent})
+		second := &Entry{NoWait: true}
+		if r := q.Offer(now, second, "a", time.Time{}); (r == nil) != notSent {
+			t.Errorf("not sent %t: the next call got %+v", notSent, r)
+		}
+	}
+}
+
+// Guards against another incarnation of a backend server that inherits the limit of the one before,
+// and against a change of the configuration that drops it.
+func TestLimitBelongsToAnIncarnation(t *testing.T) {
+	g := NewGate(Options{Now: func() time.Time { return simStart }})
+	g.Configure(simStart, Config{Slots: 6, Incarnation: 100})
+	g.Observe(simStart, simStart, 100, rateOf(4))
+	g.Configure(simStart, Config{Slots: 5, Incarnation: 100})
+	if got := g.AdvertisedRate(); got != rateOf(4) {
+		t.Errorf("after a new configuration: %+v", got)
+	}
+	g.Configure(simStart, Config{Slots: 6, Incarnation: 200})
+	if got := g.AdvertisedRate(); got.Present {
+		t.Errorf("another incarnation has %+v", got)
+	}
+	g.Observe(simStart, simStart, 100, rateOf(4))
+	if got := g.AdvertisedRate(); got.Present {
+		t.Errorf("after a late answer of the former incarnation: %+v", got)
+	}
+}
--- a/internal/limit/config.go
+++ b/internal/limit/config.go
@@ -42,6 +42,9 @@
 	Slots int
 	// Classes are the classes of the backend server's service.
 	Classes []Class
+	// Incarnation identifies the start of the backend server; zero if not known. What another one
+	// advertised doesn't apply to it.
+	Incarnation int64
 	// MaxWaiting limits the waiting calls; zero means DefaultWaitingPerSlot for
 	// each slot.
 	MaxWaiting int
@@ -73,6 +76,8 @@
 	Failed bool
 	// Shed reports that the backend server refused the call.
 	Shed bool
+	// NotSent reports that the call did not reach the backend server.
+	NotSent bool
 }
 
 // ClassStats holds the state and the counters of one class.
@@ -88,8 +93,10 @@
 	Refused      uint64
 	Busy         uint64 // calls with NoWait that found no free slot
 	OverRate     uint64
-	Expired      uint64
-	OnTarget     uint64 // answers within AnswerWithin, waiting included
+	// OverBackendRate counts the calls refused for the rate that the backend server advertises.
+	OverBackendRate uint64
+	Expired         uint64
+	OnTarget        uint64 // answers within AnswerWithin, waiting included
 	// LatencyRatio is the recent high latency over AnswerWithin; above one the
 	// class misses its latency target.
 	LatencyRatio float64
--- a/internal/limit/dispatch.go
+++ b/internal/limit/dispatch.go
@@ -6,10 +6,10 @@
 	"github.com/marlpass/marlpass/internal/call"
 )
 
-// dispatch starts waiting calls while slots are free: one-shot calls first, then
+// dispatch starts waiting calls while slots are free and the advertised rate allows: one-shot calls first, then
 // calls that can meet their latency target, then overdue ones.
 func (q *Queue) dispatch(now time.Time) {
-	for q.waiting > 0 && q.running < q.Limit() {
+	for q.waiting > 0 && q.running < q.Limit() && q.advertised.allows(now) {
 		if c := q.nextOneShotClass(); c != nil {
 			q.startHead(now, &c.oneShot)
 			continue
@@ -93,6 +93,7 @@
 	e.addToWorkspace(0, 1)
 	q.running++
 	c.stats.Started++
+	q.advertised.take(now)
 	e.state = entryRunning
 	e.started = now
 	e.busyAtStart = q.running
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -29,6 +29,7 @@
 	// limited tells whether the backend server advertises a rate limit, so that the answers of
 	// those that advertise none need no lock.
 	limited atomic.Bool
+	wake    *time.Timer // for calls that wait for the advertised rate; nil before the first
 }
 
 // NewGate returns a Gate with one slot and no classes until Configure is called.
@@ -48,6 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.Configure(now, c)
+	g.limited.Store(g.queue.AdvertisedRate().Present)
 	g.deliverEvents()
 }
 
@@ -59,20 +61,33 @@
 	g.deliverEvents()
 }
 
-// Observe records the rate limit that the backend server advertised in its answer to a call that
-// was sent at sent. It reports whether the limit in force has changed.
-func (g *Gate) Observe(now, sent time.Time, r AdvertisedRate) (RateChange, bool) {
+// Observe records the rate limit that an incarnation of the backend server advertised in its answer
+// to a call that was sent at sent. It reports whether the limit in force has changed.
+func (g *Gate) Observe(now, sent time.Time, incarnation int64, r AdvertisedRate) (RateChange, bool) {
 	if !r.Present && !g.limited.Load() {
 		return RateChange{}, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.queue.isCurrent(incarnation) {
+		return RateChange{}, false
+	}
 	c, changed := g.queue.Observe(now, sent, r)
 	g.limited.Store(g.queue.AdvertisedRate().Present)
 	g.deliverEvents()
 	return c, changed
 }
 
+// AtRateLimit reports whether the advertised rate lets no call start now.
+func (g *Gate) AtRateLimit() bool {
+	if !g.limited.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.AtRateLimit(g.now())
+}
+
 // AdvertisedRate returns the rate limit of the backend server that is in force.
 func (g *Gate) AdvertisedRate() AdvertisedRate {
 	g.mu.Lock()
@@ -191,7 +206,7 @@
 	if r := <-outcome; r != nil {
 		return nil, r
 	}
-	p.Release(Result{Failed: true})
+	p.Release(Result{Failed: true, NotSent: true})
 	return nil, cause
 }
 
@@ -210,7 +225,7 @@
 	p.gate.deliverEvents()
 }
 
-// deliverEvents notifies the waiting goroutines. Each channel holds one outcome
+// deliverEvents notifies the waiting goroutines and schedules the next wake. Each channel holds one outcome
 // and each entry gets one event, so no send blocks. An entry that started within
 // its own Offer has no waiting goroutine yet.
 func (g *Gate) deliverEvents() {
@@ -219,4 +234,24 @@
 			ev.Entry.notify(ev.Refusal)
 		}
 	}
+	g.scheduleWake()
+}
+
+// scheduleWake sets the timer for the calls that wait for the advertised rate.
+func (g *Gate) scheduleWake() {
+	after := g.queue.WakeAfter(g.now())
+	switch {
+	case after == 0:
+	case g.wake == nil:
+		g.wake = time.AfterFunc(after, g.wakeCalls)
+	default:
+		g.wake.Reset(after)
+	}
+}
+
+func (g *Gate) wakeCalls() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Wake(g.now())
+	g.deliverEvents()
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -111,6 +111,9 @@
 func (q *Queue) Configure(now time.Time, cfg Config) {
 	cfg = cfg.withDefaults()
 	q.draining = false
+	if q.cfg.Incarnation != 0 && cfg.Incarnation != q.cfg.Incarnation {
+		q.advertised = advertisedLimit{}
+	}
 	q.resizeUnreserved(q.cfg.Slots, cfg.Slots)
 	if q.adaptive.setSlots(cfg.Slots) {
 		for _, c := range q.ordered {
@@ -183,6 +186,7 @@
 // Observe records the rate limit that the backend server advertised in its answer to a call that
 // was sent at sent. It reports whether the limit in force has changed.
 func (q *Queue) Observe(now, sent time.Time, r AdvertisedRate) (RateChange, bool) {
+	defer q.dispatch(now)
 	return q.advertised.observe(now, sent, r)
 }
 
@@ -232,7 +236,11 @@
 		c.stats.OverRate++
 		return &call.Refusal{Reason: call.ReasonOverRate, RetryAfter: max(after, minRetryAfter)}
 	}
-	if q.waiting == 0 && q.running < q.Limit() && q.mayStart(c) {
+	if r := q.refuseBeyondRate(now, e); r != nil {
+		c.rate.GiveBack(now)
+		return r
+	}
+	if q.waiting == 0 && q.running < q.Limit() && q.mayStart(c) && q.advertised.allows(now) {
 		q.start(now, e)
 		return nil
 	}
@@ -276,6 +284,9 @@
 	c.running--
 	e.addToWorkspace(0, -1)
 	q.running--
+	if r.NotSent {
+		q.advertised.giveBack(now)
+	}
 	q.recordResult(now, e, r)
 	q.rollWindow(now)
 	q.dispatch(now)
--- a/internal/localmesh/advertised_test.go
+++ b/internal/localmesh/advertised_test.go
@@ -32,9 +32,17 @@
 func startLimitedMesh(t *testing.T) *limitedMesh {
 	m := &limitedMesh{testMesh: ready(t, options(DataCentre{Name: "dc1", Region: "west", VMs: 3}))}
 	m.inForce(m.accepted(m.VMs[0], m.stated(limitedService)))
-	m.server = m.startService(limitedService)["dc1"]
+	set := backend.Defaults()
+	set.Service, set.ColdStart.Duration, set.ConnectionCost.Duration = limitedService, 0, 0
+	// Many slow calls run at once, so that a node that knows no limit sends many before it hears
+	// of one.
+	set.Slots, set.Mean.Duration, set.Distribution = 24, 300*time.Millisecond, backend.Fixed
+	var err error
+	m.server, err = m.StartBackend(m.ctx, m.VMs[0], set)
+	m.must(err)
+	m.must(m.WaitEndpoints(m.ctx, limitedService, 1))
 	for _, vm := range m.VMs {
-		for range 4 {
+		for range 12 {
 			go m.call(vm)
 		}
 	}
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -17,12 +17,22 @@
 type gates struct {
 	mu         sync.Mutex // serialises writers
 	byInstance atomic.Pointer[map[string]*limit.Gate]
-	// departed holds the gates of backend servers that left while calls ran.
-	departed map[string]*limit.Gate
+	// departed holds the gates of backend servers that left while calls ran, or that advertised a
+	// rate limit.
+	departed map[string]departedGate
 }
 
+type departedGate struct {
+	*limit.Gate
+	at time.Time
+}
+
+// keepDepartedLimit is how long the rate limit of a backend server that left is kept. It may only
+// have been too slow to renew its lease.
+const keepDepartedLimit = time.Minute
+
 func newGates() *gates {
-	g := &gates{departed: make(map[string]*limit.Gate)}
+	g := &gates{departed: make(map[string]departedGate)}
 	g.byInstance.Store(&map[string]*limit.Gate{})
 	return g
 }
@@ -33,7 +43,7 @@
 //
 // A gate is kept until its last call has ended. A backend server too busy to renew its lease in
 // time announces itself anew while its calls still run, and a new gate would admit as many
-// calls again.
+// calls again. The gate of one that advertised a rate limit is kept for the same reason.
 func (g *gates) update(now time.Time, list []announce.Backend, p *program, backendCount func(service string) int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -42,26 +52,27 @@
 	for _, b := range list {
 		gate := old[b.Instance]
 		if gate == nil {
-			gate = g.departed[b.Instance]
+			gate = g.departed[b.Instance].Gate
 		}
 		if gate == nil {
 			gate = limit.NewGate(limit.Options{})
 		}
 		delete(g.departed, b.Instance)
 		classes := perBackendRates(p.limits[b.Service], backendCount(b.Service))
-		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes})
+		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes, Incarnation: b.Started})
 		next[b.Instance] = gate
 	}
 	g.byInstance.Store(&next)
 	for instance, gate := range old {
 		if next[instance] == nil {
 			gate.Drain()
-			g.departed[instance] = gate
+			g.departed[instance] = departedGate{gate, now}
 		}
 	}
-	maps.DeleteFunc(g.departed, func(_ string, gate *limit.Gate) bool {
+	maps.DeleteFunc(g.departed, func(_ string, gate departedGate) bool {
 		busy, _ := gate.Load()
-		return busy == 0
+		limited := gate.AdvertisedRate().Present && now.Sub(gate.at) < keepDepartedLimit
+		return busy == 0 && !limited
 	})
 }
 
@@ -82,7 +93,7 @@
 		return proxy.SlotUse{}
 	}
 	busy, limit := gate.Load()
-	return proxy.SlotUse{Busy: busy, Limit: limit, Waiting: gate.Waiting()}
+	return proxy.SlotUse{Busy: busy, Limit: limit, Waiting: gate.Waiting(), AtRateLimit: gate.AtRateLimit()}
 }
 
 // observe records the rate limit that b advertised in its answer to a call that was sent at sent. It
@@ -92,7 +103,7 @@
 	if gate == nil {
 		return limit.RateChange{}, false // the backend server has left
 	}
-	return gate.Observe(now, sent, r)
+	return gate.Observe(now, sent, b.Started, r)
 }
 
 // Acquire implements proxy.Gates.
--- /dev/null
+++ b/internal/node/gates_limit_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/limit"
+)
+
+// Guards against a backend server that is too slow to renew its lease, returns, and gets calls beyond
+// the rate limit that it had advertised.
+func TestExpiredLeaseKeepsTheRateLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGates()
+	b := announce.Backend{Announcement: announce.Announcement{Instance: "i-1", Service: "s", Slots: 6, Started: 100}}
+	none := func(string) int { return 1 }
+	rate := limit.AdvertisedRate{PerSecond: 4, Present: true}
+	g.update(now, []announce.Backend{b}, &program{}, none)
+	g.observe(now, now, backendOf(b), rate)
+	for _, c := range []struct {
+		name    string
+		away    time.Duration
+		started int64
+		want    limit.AdvertisedRate
+	}{
+		{"soon", 4 * time.Second, 100, rate},
+		{"another incarnation", 4 * time.Second, 200, limit.AdvertisedRate{}},
+	} {
+		g.update(now, nil, &program{}, none)
+		now = now.Add(c.away)
+		g.update(now, nil, &program{}, none)
+		b.Started = c.started
+		g.update(now, []announce.Backend{b}, &program{}, none)
+		if got := (*g.byInstance.Load())["i-1"].AdvertisedRate(); got != c.want {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+	g.observe(now, now, backendOf(b), rate)
+	g.update(now, nil, &program{}, none)
+	g.update(now.Add(2*keepDepartedLimit), nil, &program{}, none)
+	if len(g.departed) != 0 {
+		t.Errorf("%d gates of backend servers that left long ago", len(g.departed))
+	}
+}
--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -81,6 +81,7 @@
 			p.counter("marlpass_gate_refused_total", s.Refused, l...)
 			p.counter("marlpass_gate_busy_total", s.Busy, l...)
 			p.counter("marlpass_gate_over_rate_total", s.OverRate, l...)
+			p.counter("marlpass_gate_over_backend_rate_total", s.OverBackendRate, l...)
 			p.counter("marlpass_gate_expired_total", s.Expired, l...)
 			p.counter("marlpass_gate_on_target_total", s.OnTarget, l...)
 		}
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -159,6 +159,9 @@
 	if a.held.permit != nil {
 		busy-- // the slot is released once the answer is relayed
 	}
+	if use.AtRateLimit {
+		busy = max(busy, use.Limit)
+	}
 	return Load{Busy: max(busy, a.load.Busy-1, 0), Slots: use.Limit, Known: use.Limit > 0}
 }
 
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -82,7 +82,7 @@
 // abandon ends a call that was not forwarded.
 func (h *execution) abandon(d *Destination) {
 	now := d.Now()
-	h.releaseSlot(now, limit.Result{Failed: true})
+	h.releaseSlot(now, limit.Result{Failed: true, NotSent: true})
 	h.finishSuspect(d, now, quarantine.Dropped)
 	if h.claim != nil {
 		d.recordOutcome(h.claim.Abandon)
@@ -104,7 +104,9 @@
 // endUnanswered ends a call that has no answer.
 func (h *execution) endUnanswered(d *Destination, a *answer) {
 	now := d.Now()
-	h.releaseSlot(now, limit.Result{Latency: now.Sub(h.start), Failed: true, Shed: a.refusedAtCapacity()})
+	h.releaseSlot(now, limit.Result{
+		Latency: now.Sub(h.start), Failed: true, Shed: a.refusedAtCapacity(), NotSent: !a.reached(),
+	})
 	end := runResultOf(a)
 	h.finishSuspect(d, now, end)
 	// A timeout still counts as a slow run of the backend server.
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -149,6 +149,9 @@
 	Busy    int // running calls
 	Limit   int // concurrency limit, at most the announced slots
 	Waiting int // calls queued for a slot
+	// AtRateLimit means that the rate limit that the backend server advertises lets no call start
+	// now.
+	AtRateLimit bool
 }
 
 // Backend is a backend server of this VM.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -235,7 +235,7 @@
 	kindEverywhere   refusalKind = iota // due to the call itself or the whole mesh
 	kindNotAccepting                    // this endpoint does not take the call; others may
 	kindNoCapacity                      // this endpoint has no capacity; others may lack it too
-	kindRateLimited                     // the class has used up its rate at this endpoint
+	kindRateLimited                     // a rate is used up at this endpoint
 )
 
 func kindOf(r call.Reason) refusalKind {
@@ -244,7 +244,7 @@
 		return kindNotAccepting
 	case call.ReasonBusy, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
 		return kindNoCapacity
-	case call.ReasonOverRate:
+	case call.ReasonOverRate, call.ReasonBackendRate:
 		return kindRateLimited
 	}
 	return kindEverywhere
