node: keep the rate limit of a backend server over a restart of the node beside it

What callers saw: none reported it. A node that restarts beside a backend server with a limit sends it as many calls as it has slots until the first answer names the limit again; the nodes where these calls began were told of the limit and are bound by it.

Cause: the limit is held at one node, in memory. The class of the fault is state of a backend server that is held at one node only and forgotten at its restart.

Change: a destination node tells entry nodes what the backend server advertises, with answers, refusals and failures (Marlpass-Advertised). An entry node remembers it apart from its picker, which forgets an endpoint whose node restarts, and tells it again with its next calls. A node adopts it for the same incarnation until the backend server has answered a call of this process; the bucket starts empty. The probe of a node that starts adopts it too.

Why it works: a request counts against the limit only if its entry node was told, and such a node sends what it was told along with the request.

--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -24,7 +24,17 @@
 	ForgetLeaving Name = "forget-leaving"
 	// StopAtOnce ends a planned stop without waiting for calls in flight.
 	StopAtOnce Name = "stop-at-once"
+	// IgnoreLimit sends a backend server more calls than the rate limit that it advertises.
+	IgnoreLimit Name = "ignore-limit"
+	// ForgetLimitAtRestart ignores what other nodes know of a backend server's rate limit.
+	ForgetLimitAtRestart Name = "forget-limit-at-restart"
+	// IgnoreLeavingAnswer goes on sending calls to a backend server that says in its answers
+	// that it leaves.
+	IgnoreLeavingAnswer Name = "ignore-leaving-answer"
 )
 
 // All lists the defects.
-var All = []Name{ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce}
+var All = []Name{
+	ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce,
+	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer,
+}
--- a/internal/limit/advertised.go
+++ b/internal/limit/advertised.go
@@ -89,7 +89,6 @@
 	rate      AdvertisedRate // in force
 	since     time.Time      // when rate came into force
 	confirmed time.Time      // when an answer last advertised rate
-	heard     bool           // whether an answer was observed
 }
 
 // observe records the answer to a call that was sent at sent. It reports whether the limit in force
@@ -101,7 +100,6 @@
 	if r.Malformed {
 		return RateChange{}, false
 	}
-	l.heard = true
 	if r == l.rate {
 		l.confirmed = now
 		return RateChange{}, false
@@ -112,6 +110,14 @@
 	return l.set(now, r), true
 }
 
+// adopt applies a limit of which another process was told, if it is stricter than the one in force.
+func (l *advertisedLimit) adopt(now time.Time, r AdvertisedRate) (RateChange, bool) {
+	if l.rate.Present && r.PerSecond >= l.rate.PerSecond {
+		return RateChange{}, false
+	}
+	return l.set(now, r), true
+}
+
 func (l *advertisedLimit) set(now time.Time, r AdvertisedRate) RateChange {
 	c := RateChange{Old: l.rate, New: r, Since: l.since}
 	if !l.rate.Present {
--- a/internal/limit/advertised_queue_test.go
+++ b/internal/limit/advertised_queue_test.go
@@ -235,3 +235,36 @@
 		t.Errorf("after a late answer of the former incarnation: %+v", got)
 	}
 }
+
+// Guards against a limit that another node heard of and that replaces what the backend server said
+// to this one, or that loosens it.
+func TestAdoptedLimitYieldsToAnAnswer(t *testing.T) {
+	now := simStart
+	g := NewGate(Options{Now: func() time.Time { return now }})
+	g.Configure(now, Config{Slots: 6, Incarnation: 100})
+	for _, c := range []struct {
+		name        string
+		incarnation int64
+		adopted     AdvertisedRate
+		want        AdvertisedRate
+	}{
+		{"of another incarnation", 50, rateOf(1), AdvertisedRate{}},
+		{"first", 100, rateOf(4), rateOf(4)},
+		{"higher", 100, rateOf(9), rateOf(4)},
+		{"lower, of an unknown incarnation", 0, rateOf(2), rateOf(2)},
+	} {
+		g.Adopt(now, c.incarnation, c.adopted)
+		if got := g.AdvertisedRate(); got != c.want {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+	if _, err := g.Acquire(t.Context(), "a", AcquireOptions{NoWait: true}); err == nil {
+		t.Error("a call started at once under a limit that was just adopted")
+	}
+	now = now.Add(time.Second)
+	g.Observe(now, now.Add(-time.Millisecond), 100, AdvertisedRate{})
+	g.Adopt(now, 100, rateOf(2))
+	if got := g.AdvertisedRate(); got.Present {
+		t.Errorf("after an answer without a limit: %+v", got)
+	}
+}
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -29,7 +29,9 @@
 	// limited tells whether the backend server advertises a rate limit, so that the answers of
 	// those that advertise none need no lock.
 	limited atomic.Bool
-	wake    *time.Timer // for calls that wait for the advertised rate; nil before the first
+	// heard tells whether this incarnation of the backend server has answered a call.
+	heard atomic.Bool
+	wake  *time.Timer // for calls that wait for the advertised rate; nil before the first
 }
 
 // NewGate returns a Gate with one slot and no classes until Configure is called.
@@ -48,6 +50,9 @@
 func (g *Gate) Configure(now time.Time, c Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if former := g.queue.cfg.Incarnation; former != 0 && former != c.Incarnation {
+		g.heard.Store(false)
+	}
 	g.queue.Configure(now, c)
 	g.limited.Store(g.queue.AdvertisedRate().Present)
 	g.deliverEvents()
@@ -64,7 +69,7 @@
 // Observe records the rate limit that an incarnation of the backend server advertised in its answer
 // to a call that was sent at sent. It reports whether the limit in force has changed.
 func (g *Gate) Observe(now, sent time.Time, incarnation int64, r AdvertisedRate) (RateChange, bool) {
-	if !r.Present && !g.limited.Load() {
+	if !r.Present && !g.limited.Load() && g.heard.Load() {
 		return RateChange{}, false
 	}
 	g.mu.Lock()
@@ -72,12 +77,31 @@
 	if !g.queue.isCurrent(incarnation) {
 		return RateChange{}, false
 	}
+	g.heard.Store(true)
 	c, changed := g.queue.Observe(now, sent, r)
 	g.limited.Store(g.queue.AdvertisedRate().Present)
 	g.deliverEvents()
 	return c, changed
 }
 
+// Adopt applies a rate limit that an incarnation of the backend server advertised to another
+// process, until it has answered a call of this one. It reports whether the limit in force has
+// changed.
+func (g *Gate) Adopt(now time.Time, incarnation int64, r AdvertisedRate) (RateChange, bool) {
+	if !r.Present || g.heard.Load() {
+		return RateChange{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.heard.Load() || !g.queue.isCurrent(incarnation) {
+		return RateChange{}, false
+	}
+	c, changed := g.queue.Adopt(now, r)
+	g.limited.Store(true)
+	g.deliverEvents()
+	return c, changed
+}
+
 // AtRateLimit reports whether the advertised rate lets no call start now.
 func (g *Gate) AtRateLimit() bool {
 	if !g.limited.Load() {
@@ -90,6 +114,9 @@
 
 // AdvertisedRate returns the rate limit of the backend server that is in force.
 func (g *Gate) AdvertisedRate() AdvertisedRate {
+	if !g.limited.Load() {
+		return AdvertisedRate{}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.queue.AdvertisedRate()
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -190,6 +190,12 @@
 	return q.advertised.observe(now, sent, r)
 }
 
+// Adopt applies a rate limit that the backend server advertised to another process, unless a lower
+// one is in force. It reports whether the limit in force has changed.
+func (q *Queue) Adopt(now time.Time, r AdvertisedRate) (RateChange, bool) {
+	return q.advertised.adopt(now, r)
+}
+
 // AdvertisedRate returns the rate limit of the backend server that is in force.
 func (q *Queue) AdvertisedRate() AdvertisedRate { return q.advertised.rate }
 
--- a/internal/node/advertisements.go
+++ b/internal/node/advertisements.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/proxy"
 )
@@ -26,6 +27,9 @@
 
 // Observe implements proxy.Advertisements.
 func (a *advertisements) Observe(now, sent time.Time, b proxy.Backend, adv proxy.Advertised) {
+	if defect.On(defect.IgnoreLimit) {
+		adv.RateLimit = limit.AdvertisedRate{}
+	}
 	if adv.RateLimit.Malformed {
 		a.line(b).Msg("backends: the advertised rate limit can't be read, keeping the one in force")
 	}
@@ -37,6 +41,22 @@
 	}
 }
 
+// Adopt implements proxy.Advertisements.
+func (a *advertisements) Adopt(now time.Time, b proxy.Backend, adv proxy.Advertised) {
+	if defect.On(defect.IgnoreLimit) || defect.On(defect.ForgetLimitAtRestart) {
+		adv.RateLimit = limit.AdvertisedRate{}
+	}
+	if change, ok := a.gates.adopt(now, b, adv.Started, adv.RateLimit); ok {
+		a.line(b).Float64("per_second", change.New.PerSecond).
+			Msg("backends: another node was told of a rate limit, applying it")
+	}
+}
+
+// InForce implements proxy.Advertisements.
+func (a *advertisements) InForce(b proxy.Backend) proxy.Advertised {
+	return proxy.Advertised{Known: true, RateLimit: a.gates.advertisedRate(b), Started: b.Started}
+}
+
 func (a *advertisements) line(b proxy.Backend) *zerolog.Event {
 	return a.log.Info().Str("service", b.Service).Str("instance", b.Instance)
 }
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -23,6 +23,7 @@
 	n               *Node
 	pickers         *pickers
 	gates           *gates
+	advertisements  *advertisements
 	suspects        *suspects
 	dedup           *once.Deduplicator
 	upstreams       *proxy.Upstreams // to backend servers
@@ -59,6 +60,7 @@
 		decisions:       decisions.New(telemetry.Part(n.log, "calls"), n.o.LostLines),
 		shutdownTracing: shutdownTracing,
 	}
+	c.advertisements = newAdvertisements(c.gates, telemetry.Part(n.log, "backends"))
 	c.pickers.onEject = c.logEjection
 	c.suspects = &suspects{
 		list:          quarantine.New(time.Now(), quarantine.Options{Self: n.self.ID}),
@@ -72,7 +74,7 @@
 	link := proxy.NewLinkPacer(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationOptions(proxy.DestinationOptions{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates, SlotUse: c.gates.slotUse,
-		Advertisements: newAdvertisements(c.gates, telemetry.Part(n.log, "backends")),
+		Advertisements: c.advertisements,
 		Deduplicator:   dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
 		Spool: n.spool(), Link: link,
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -51,7 +51,7 @@
 func (n *Node) probe(ctx context.Context, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
 	defer cancel()
-	a, err := n.o.Probe(ctx, n.set.VM.Backend, path)
+	a, advertised, err := n.o.Probe(ctx, n.set.VM.Backend, path)
 	if err != nil {
 		n.log.Info().Err(err).Str("backend", n.set.VM.Backend).
 			Msg("announce: the probe of the backend server failed, waiting for its announcement")
@@ -66,5 +66,8 @@
 	if visible := announce.RecordChanges(changes); len(visible) > 0 {
 		n.backendsChanged(visible)
 	}
+	if b, ok := (backends{n.registry}).Find(a.Service, a.Instance); ok {
+		n.calls.advertisements.Adopt(time.Now(), b, advertised)
+	}
 	return true
 }
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/limit"
 )
 
 // AcceptVersion passes a version to a node as if the node had accepted it.
@@ -40,3 +41,9 @@
 
 // OfferSnapshot puts a version in force the way a received one is.
 func (n *Node) OfferSnapshot(s *config.Snapshot) (bool, error) { return notifyingStore{n}.Offer(s) }
+
+// AdvertisedRate returns the rate limit in force of this VM's backend server of a service.
+func (n *Node) AdvertisedRate(service string) limit.AdvertisedRate {
+	b, _ := backends{n.registry}.Find(service, "")
+	return n.calls.gates.advertisedRate(b)
+}
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -106,6 +106,25 @@
 	return gate.Observe(now, sent, b.Started, r)
 }
 
+// adopt applies a rate limit that b advertised to another process. It reports whether the limit in
+// force has changed.
+func (g *gates) adopt(now time.Time, b proxy.Backend, started int64, r limit.AdvertisedRate) (limit.RateChange, bool) {
+	gate := (*g.byInstance.Load())[b.Instance]
+	if gate == nil {
+		return limit.RateChange{}, false
+	}
+	return gate.Adopt(now, started, r)
+}
+
+// advertisedRate returns the rate limit of b that is in force.
+func (g *gates) advertisedRate(b proxy.Backend) limit.AdvertisedRate {
+	gate := (*g.byInstance.Load())[b.Instance]
+	if gate == nil {
+		return limit.AdvertisedRate{}
+	}
+	return gate.AdvertisedRate()
+}
+
 // Acquire implements proxy.Gates.
 func (g *gates) Acquire(ctx context.Context, b proxy.Backend, t *config.Target, opts limit.AcquireOptions) (proxy.Permit, error) {
 	gate := (*g.byInstance.Load())[b.Instance]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,9 @@
 	// has read. Without them the node ignores the versions of backend servers.
 	Orders rollout.Orders
 	Inbox  *rollout.Inbox
-	// Probe, if set, requests the identity of the backend server at an address.
-	Probe func(ctx context.Context, address, path string) (announce.Announcement, error)
+	// Probe, if set, requests the identity of the backend server at an address, and what it
+	// advertises.
+	Probe func(ctx context.Context, address, path string) (announce.Announcement, proxy.Advertised, error)
 	// Metrics, if set, are served with the node's own.
 	Metrics *metrics.Set
 	// Dialect, if set, translates calls from and to the format used outside the mesh.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -195,6 +195,8 @@
 	load    Load
 	// linkWait is how long large answers wait for the link of the destination's VM.
 	linkWait time.Duration
+	// advertised is what the endpoint advertises, as far as its node knows.
+	advertised Advertised
 	// took is the time spent at the destination, by part.
 	took destinationTimes
 	// held is the execution of the call at this node, until its answer has been relayed; nil if
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -88,6 +88,7 @@
 	h.waited = parseWaited(r.Header)
 	h.oneShot = first(r.Header, headerOnce) != ""
 	h.noWait = first(r.Header, headerNoWait) != ""
+	in.advertised = parseNodeAdvertised(r.Header)
 	remoteMbps := parseLinkRate(r.Header)
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
@@ -126,6 +127,9 @@
 
 // writeAnswer writes the answer, refusal or unknown outcome to the entry node.
 func (d *Destination) writeAnswer(w http.ResponseWriter, a *answer, b *body) {
+	if a.advertised.any() {
+		w.Header()[headerAdvertised] = []string{a.advertised.String()}
+	}
 	switch {
 	case a.refusal != nil:
 		d.setLinkWait(w.Header())
@@ -185,6 +189,8 @@
 	hop       hop
 	deadline  time.Time
 	linkBytes int64 // reserved on the link for the answer
+	// advertised is what the entry node last heard of the backend server.
+	advertised Advertised
 }
 
 var inbounds = sync.Pool{New: func() any { return new(inbound) }}
@@ -202,10 +208,11 @@
 	b, t, refusal := d.admit(now, in)
 	if refusal != nil {
 		d.logRefusal(now, in, b, refusal)
-		return answer{refusal: refusal}
+		return answer{refusal: refusal, advertised: d.advertisedBy(b)}
 	}
 	d.inFlight.Add(1)
 	a := d.execute(ctx, now, in, b, t)
+	a.advertised = d.advertisedBy(b)
 	if a.resp == nil {
 		d.inFlight.Add(-1)
 		if !a.noFreeSlot() {
@@ -215,6 +222,14 @@
 	return a
 }
 
+// advertisedBy returns what a backend server advertises.
+func (d *Destination) advertisedBy(b Backend) Advertised {
+	if d.Advertisements == nil || b.Instance == "" {
+		return Advertised{}
+	}
+	return d.Advertisements.InForce(b)
+}
+
 // execution is the state of a call at its destination: the slot, claim and suspect token that it
 // holds while it runs.
 type execution struct {
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -19,7 +19,7 @@
 	if d.draining.Load() {
 		return noBackend, nil, refuse(call.ReasonDraining, 0, "")
 	}
-	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
+	b, ok := d.findBackend(now, in)
 	switch {
 	case !ok:
 		return noBackend, nil, refuse(call.ReasonNotHeld, 0, in.hop.service)
@@ -38,6 +38,17 @@
 	return b, d.target(in.hop), nil
 }
 
+// findBackend returns the backend server of a call, after this node has adopted what the entry node
+// knows of it.
+func (d *Destination) findBackend(now time.Time, in *inbound) (Backend, bool) {
+	b, ok := d.Backends.Find(in.hop.service, in.hop.instance)
+	if !ok || d.Advertisements == nil || !in.advertised.any() {
+		return b, ok
+	}
+	d.Advertisements.Adopt(now, b, in.advertised)
+	return d.Backends.Find(in.hop.service, in.hop.instance)
+}
+
 // target returns the class of a call. A node that is a version behind the entry node may not have
 // the class yet. It then applies the strictest rules: not idempotent, default priority.
 func (d *Destination) target(h hop) *config.Target {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -40,9 +40,10 @@
 // Entry receives calls from callers and forwards them to destination nodes.
 type Entry struct {
 	EntryOptions
-	bodies    bodyBudget
-	returning returningCallers
-	freeSlots freeSlotShares
+	bodies     bodyBudget
+	returning  returningCallers
+	freeSlots  freeSlotShares
+	advertised advertisedMemory
 }
 
 // NewEntry returns an Entry and fills in the defaults of p.
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -26,6 +26,7 @@
 		a := e.attempt(ctx, now, c, ep)
 		s.outcome(&a)
 		e.recordOffer(c, &a)
+		e.advertised.record(e.Now(), now, ep.ID, &a)
 		if a.resp != nil {
 			e.answer(w, c, choice, &a, now)
 			return
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -69,12 +69,20 @@
 	RateLimit limit.AdvertisedRate
 	// Leaving means that it accepts no new calls and is about to end.
 	Leaving bool
+	// Started is the start of the incarnation that advertised it, in Unix milliseconds; zero if
+	// not known.
+	Started int64
 }
 
 // Advertisements takes what backend servers of this VM advertise in their answers.
 type Advertisements interface {
 	// Observe records the answer of b, received at now, to a call that was sent at sent.
 	Observe(now, sent time.Time, b Backend, a Advertised)
+	// Adopt records what another node last heard of b. It applies until b has answered a call of
+	// this process.
+	Adopt(now time.Time, b Backend, a Advertised)
+	// InForce returns what b advertises.
+	InForce(b Backend) Advertised
 }
 
 // Report is the result of an attempt for the picker.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -39,6 +39,7 @@
 	if h.oneShot {
 		header[headerOnce] = onceValue
 	}
+	e.advertised.setHeader(header, ep.ID)
 	delete(header, headerNoWait) // of the previous offer
 	if h.noWait {
 		header[headerNoWait] = noWaitValue
@@ -94,14 +95,16 @@
 		return a
 	}
 	wait := parseLinkWait(a.resp.Header)
+	advertised := parseNodeAdvertised(a.resp.Header)
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r, linkWait: wait}
+		return answer{refusal: r, linkWait: wait, advertised: advertised}
 	}
 	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
-		return answer{err: &unknownError{unknownKind(kind)}}
+		return answer{err: &unknownError{unknownKind(kind)}, advertised: advertised}
 	}
+	a.advertised = advertised
 	a.load = parseLoad(a.resp.Header)
 	a.linkWait = wait
 	a.took = parseDestinationTimes(a.resp.Header)
