announce: backend servers may state when they started

Cause: the native API names an instance only. A backend server that starts again under its name could not be told from the one before, so a limit or a leaving that another node heard of could have been applied to the wrong one.

Change: started_ms, optional, goes into the registry's Started, which the users' heartbeats fill already. The stand-in states it.

--- a/internal/announce/server.go
+++ b/internal/announce/server.go
@@ -91,6 +91,7 @@
 		State:    stateByName[req.State],
 		Version:  req.Version.Or(""),
 		Load:     req.Load.Or(0),
+		Started:  req.StartedMs.Or(0),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -20,6 +20,7 @@
 	State   State  `json:"state"`
 	Version string `json:"version,omitempty"`
 	Load    int    `json:"load"`
+	Started int64  `json:"started_ms"`
 }
 
 // announceBound bounds one announcement.
@@ -68,7 +69,7 @@
 	}
 	body, err := json.Marshal(announcement{
 		Service: s.set.Service, Address: address, Slots: s.set.Slots, State: st, Version: s.set.Version,
-		Load: s.slots.busy(),
+		Load: s.slots.busy(), Started: s.started.Load(),
 	})
 	if err != nil {
 		return err
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -58,6 +58,7 @@
 	inFlight   atomic.Int64
 	crashes    atomic.Int64
 	generation atomic.Int64
+	started    atomic.Int64 // of the present incarnation, in Unix milliseconds
 	advertised advertised
 
 	mu     sync.Mutex // guards what follows
@@ -126,6 +127,7 @@
 		return errors.Join(http.ErrServerClosed, l.Close())
 	}
 	s.addr = l.Addr().String()
+	s.started.Store(time.Now().UnixMilli())
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go s.serveOn(s.server, &costlyListener{Listener: l, cost: s.set.ConnectionCost.Duration})
 	s.setState(Starting)
--- a/internal/gen/announceapi/oas_json_gen.go
+++ b/internal/gen/announceapi/oas_json_gen.go
@@ -50,15 +50,22 @@
 			s.Load.Encode(e)
 		}
 	}
+	{
+		if s.StartedMs.Set {
+			e.FieldStart("started_ms")
+			s.StartedMs.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfAnnouncement = [6]string{
+var jsonFieldsNameOfAnnouncement = [7]string{
 	0: "service",
 	1: "address",
 	2: "slots",
 	3: "state",
 	4: "version",
 	5: "load",
+	6: "started_ms",
 }
 
 // Decode decodes Announcement from json.
@@ -134,6 +141,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"load\"")
 			}
+		case "started_ms":
+			if err := func() error {
+				s.StartedMs.Reset()
+				if err := s.StartedMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"started_ms\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -750,6 +767,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int64 as json.
+func (o OptInt64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int64(int64(o.Value))
+}
+
+// Decode decodes int64 from json.
+func (o *OptInt64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt64 to nil")
+	}
+	o.Set = true
+	v, err := d.Int64()
+	if err != nil {
+		return err
+	}
+	o.Value = int64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes string as json.
 func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/internal/gen/announceapi/oas_schemas_gen.go
+++ b/internal/gen/announceapi/oas_schemas_gen.go
@@ -25,6 +25,8 @@
 	Version OptString `json:"version"`
 	// Calls that it runs or queues now.
 	Load OptInt `json:"load"`
+	// Its start, in Unix milliseconds; tells it from an earlier one of the same name.
+	StartedMs OptInt64 `json:"started_ms"`
 }
 
 // GetService returns the value of Service.
@@ -57,6 +59,11 @@
 	return s.Load
 }
 
+// GetStartedMs returns the value of StartedMs.
+func (s *Announcement) GetStartedMs() OptInt64 {
+	return s.StartedMs
+}
+
 // SetService sets the value of Service.
 func (s *Announcement) SetService(val Name) {
 	s.Service = val
@@ -87,6 +94,11 @@
 	s.Load = val
 }
 
+// SetStartedMs sets the value of StartedMs.
+func (s *Announcement) SetStartedMs(val OptInt64) {
+	s.StartedMs = val
+}
+
 // Ref: #/components/schemas/Backend
 type Backend struct {
 	Instance    string      `json:"instance"`
@@ -327,6 +339,52 @@
 	return d
 }
 
+// NewOptInt64 returns new OptInt64 with value set to v.
+func NewOptInt64(v int64) OptInt64 {
+	return OptInt64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt64 is optional int64.
+type OptInt64 struct {
+	Value int64
+	Set   bool
+}
+
+// IsSet returns true if OptInt64 was set.
+func (o OptInt64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt64) Reset() {
+	var v int64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt64) SetTo(v int64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt64) Get() (v int64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt64) Or(d int64) int64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
--- a/internal/gen/announceapi/oas_validators_gen.go
+++ b/internal/gen/announceapi/oas_validators_gen.go
@@ -139,6 +139,34 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.StartedMs.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           1,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "started_ms",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
