node: end calls to a backend server that says in its answers that it leaves

What callers saw: a backend server that leaves without announcing it went on getting requests until it ended; those that it had then were cut off.

Cause: Server-Leaving was decoded and nothing acted on it; what a backend server says was believed in its announcements only.

Change: the registry counts the incarnation as draining, whatever it announces later, and publishes that. Without a start in the announcements and with names that are used again nothing is adopted, since another incarnation could not be told from the one that leaves.

Why it works: all calls pass the node beside the backend server, which refuses them as draining from the first such answer on.

--- a/internal/announce/departed.go
+++ b/internal/announce/departed.go
@@ -41,6 +41,23 @@
 	return at >= 0 && a.Started <= g.list[at].started
 }
 
+// covers reports whether the incarnation that sent a, or one that started after it, was added. One
+// that was added without its start is taken to be that of a.
+func (g *departedInstances) covers(a Announcement) bool {
+	at := g.find(a.Instance)
+	if at < 0 {
+		return false
+	}
+	if g.list[at].started == 0 {
+		g.list[at].started = a.Started
+	}
+	return a.Started <= g.list[at].started
+}
+
+func (g *departedInstances) remove(name string) {
+	g.list = slices.DeleteFunc(g.list, func(i departedInstance) bool { return i.name == name })
+}
+
 func (g *departedInstances) find(name string) int {
 	return slices.IndexFunc(g.list, func(i departedInstance) bool { return i.name == name })
 }
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -68,6 +68,8 @@
 	// ReadySince is when it became ready; zero unless State is BackendReady.
 	ReadySince time.Time
 	Expires    time.Time
+	// Leaving means that it said, other than by an announcement, that it leaves.
+	Leaving bool
 }
 
 // ChangeKind is the kind of a change to a backend server.
@@ -131,13 +133,15 @@
 	mu        sync.Mutex // serialises writers
 	lastSweep time.Time
 	departed  departedInstances
+	// leaving holds the incarnations that said, other than by an announcement, that they leave.
+	leaving departedInstances
 
 	refused atomic.Uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(l Limits) *Registry {
-	r := &Registry{limits: l, departed: departedInstances{keepAll: l.NoInstanceReuse}}
+	r := &Registry{limits: l, departed: departedInstances{keepAll: l.NoInstanceReuse}, leaving: departedInstances{keepAll: true}}
 	r.list.Store(&[]Backend{})
 	return r
 }
@@ -166,8 +170,12 @@
 	if r.stale(a) {
 		return nil, ErrStale
 	}
+	leaving := r.isLeaving(a)
+	if leaving {
+		a.State = membership.BackendDraining
+	}
 	list, changes := r.evictAtAddress(a.Address, a.Instance)
-	b := Backend{Announcement: a, Addr: a.Address.String(), LoadAt: now, Expires: now.Add(r.limits.TTL)}
+	b := Backend{Announcement: a, Addr: a.Address.String(), LoadAt: now, Expires: now.Add(r.limits.TTL), Leaving: leaving}
 	at, known := find(list, a.Instance)
 	if !known {
 		if len(list) >= r.limits.MaxBackends {
@@ -265,6 +273,7 @@
 		return nil
 	}
 	gone := list[at]
+	r.forgetLeaving(gone.Announcement)
 	r.publish(slices.Delete(list, at, at+1))
 	return []Change{{Kind: Withdrawn, Backend: gone, PreviousState: gone.State}}
 }
@@ -290,6 +299,7 @@
 			kept = append(kept, b)
 		} else {
 			r.rememberDraining(b)
+			r.forgetLeaving(b.Announcement)
 			gone = append(gone, Change{Kind: Expired, Backend: b, PreviousState: b.State})
 		}
 	}
--- a/internal/backend/advertise.go
+++ b/internal/backend/advertise.go
@@ -15,7 +15,13 @@
 	limited  bool
 	rate     float64 // requests a second; meaningful if limited
 	leaving  bool
-	arrivals []time.Time // of requests since the server first advertised anything
+	arrivals []Arrival // since the server first advertised anything
+}
+
+// Arrival is a request that arrived.
+type Arrival struct {
+	At      time.Time
+	Request string // its HeaderRequest
 }
 
 // SetRateLimit makes each answer from now on advertise a limit in requests per second.
@@ -40,16 +46,16 @@
 	s.advertised.leaving = true
 }
 
-// Arrivals returns when requests arrived since the server first advertised a limit or that it
+// Arrivals returns the requests that arrived since the server first advertised a limit or that it
 // leaves.
-func (s *Server) Arrivals() []time.Time {
+func (s *Server) Arrivals() []Arrival {
 	s.advertised.mu.Lock()
 	defer s.advertised.mu.Unlock()
-	return append([]time.Time(nil), s.advertised.arrivals...)
+	return append([]Arrival(nil), s.advertised.arrivals...)
 }
 
 // arrived notes a request and sets the headers of its answer.
-func (a *advertised) arrived(now time.Time, h http.Header) {
+func (a *advertised) arrived(now Arrival, h http.Header) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.limited {
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -70,7 +70,7 @@
 // request runs a request of the service.
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	s.noteNew()
-	s.advertised.arrived(time.Now(), w.Header())
+	s.advertised.arrived(Arrival{time.Now(), r.Header.Get(HeaderRequest)}, w.Header())
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	mode := *s.mode.Load()
--- a/internal/node/advertisements.go
+++ b/internal/node/advertisements.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/proxy"
@@ -16,13 +17,16 @@
 
 // advertisements applies what the backend servers of this VM advertise in their answers.
 type advertisements struct {
-	gates *gates
-	log   zerolog.Logger // bounded
+	gates    *gates
+	registry *announce.Registry
+	// onChange is called after a change of the registry.
+	onChange func([]announce.Change)
+	log      zerolog.Logger // bounded
 }
 
-func newAdvertisements(g *gates, log zerolog.Logger) *advertisements {
+func newAdvertisements(g *gates, r *announce.Registry, onChange func([]announce.Change), log zerolog.Logger) *advertisements {
 	bounded := log.Sample(&zerolog.BurstSampler{Burst: advertisedLinesPerSecond, Period: time.Second})
-	return &advertisements{gates: g, log: bounded}
+	return &advertisements{gates: g, registry: r, onChange: onChange, log: bounded}
 }
 
 // Observe implements proxy.Advertisements.
@@ -37,7 +41,18 @@
 		a.logRate(now, b, change)
 	}
 	if adv.Leaving {
-		a.line(b).Msg("backends: the backend server advertises that it leaves")
+		a.markLeaving(b, "backends: the backend server advertises that it leaves")
+	}
+}
+
+// markLeaving ends the calls to b.
+func (a *advertisements) markLeaving(b proxy.Backend, message string) {
+	if defect.On(defect.IgnoreLeavingAnswer) {
+		return
+	}
+	if changes := a.registry.MarkLeaving(b.Instance, b.Started); len(changes) > 0 {
+		a.line(b).Msg(message)
+		a.onChange(changes)
 	}
 }
 
@@ -50,11 +65,21 @@
 		a.line(b).Float64("per_second", change.New.PerSecond).
 			Msg("backends: another node was told of a rate limit, applying it")
 	}
+	if adv.Leaving && a.isSame(b, adv.Started) {
+		a.markLeaving(b, "backends: another node was told that the backend server leaves")
+	}
+}
+
+// isSame reports whether b is for certain the incarnation that another node has heard.
+func (a *advertisements) isSame(b proxy.Backend, started int64) bool {
+	return a.registry.NamesIncarnations(started) && (b.Started == 0 || started == b.Started)
 }
 
 // InForce implements proxy.Advertisements.
 func (a *advertisements) InForce(b proxy.Backend) proxy.Advertised {
-	return proxy.Advertised{Known: true, RateLimit: a.gates.advertisedRate(b), Started: b.Started}
+	return proxy.Advertised{
+		Known: true, RateLimit: a.gates.advertisedRate(b), Leaving: a.registry.IsLeaving(b.Instance), Started: b.Started,
+	}
 }
 
 func (a *advertisements) line(b proxy.Backend) *zerolog.Event {
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -311,6 +311,7 @@
 		Refused:   r.Refused,
 		Latency:   r.Latency, LinkWait: r.LinkWait,
 		Load: route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
+		Leaving: r.Advertised.Leaving,
 	})
 	if r.Outcome == call.Ran && !r.Failed {
 		c.size.add(r.Bytes)
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -92,7 +92,7 @@
 
 // report returns the result of an attempt for the picker.
 func report(a *answer, latency time.Duration) Report {
-	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait}
+	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait, Advertised: a.advertised}
 	switch {
 	case a.refusal != nil:
 		r.Refused = a.refusal.Reason
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -95,7 +95,9 @@
 	Refused   call.Reason // why it was not run, or empty
 	Latency   time.Duration
 	Load      Load
-	Bytes     int64 // of the answer's body if that is complete
+	// Advertised is what the endpoint advertises, as far as its node told.
+	Advertised Advertised
+	Bytes      int64 // of the answer's body if that is complete
 	// LinkWait is how long large answers wait for the endpoint's link.
 	LinkWait time.Duration
 }
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -22,6 +22,9 @@
 	s := c.s
 	own := s.outstanding.Add(-1)
 	result := classify(r)
+	if r.Leaving {
+		s.refusedUntil.Store(now + closedFor.Milliseconds())
+	}
 	if r.Refused == "" || r.Refused == call.ReasonLinkFull {
 		s.linkWait.set(float64(r.LinkWait)/float64(time.Millisecond), now)
 	}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -47,6 +47,8 @@
 	Load    Load
 	// LinkWait is how long large answers wait for the endpoint's link.
 	LinkWait time.Duration
+	// Leaving means that the endpoint said with its answer that it accepts no new calls.
+	Leaving bool
 }
 
 // EndpointStatus is the state of an endpoint in a Picker, for operators.
