node: refuse the calls that wait at a backend server that leaves

What callers saw: none reported it. A call that waits for a slot may wait until its deadline, so up to 2.5 s, and then reach a backend server that said longer ago than 2 s that it leaves.

Cause: draining was asked when a call arrives, not again when it starts.

Change: a gate whose backend server is draining refuses its waiting calls as draining. They are not run, and go to another endpoint at once.

TestWaitingCallsLeaveADrainingBackendServer failed before: the call went on waiting until the test timed out.

--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -10,6 +10,7 @@
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/limit"
+	"github.com/marlpass/marlpass/internal/membership"
 	"github.com/marlpass/marlpass/internal/proxy"
 )
 
@@ -60,6 +61,9 @@
 		delete(g.departed, b.Instance)
 		classes := perBackendRates(p.limits[b.Service], backendCount(b.Service))
 		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes, Incarnation: b.Started})
+		if b.State == membership.BackendDraining {
+			gate.Drain() // the waiting calls can still run elsewhere
+		}
 		next[b.Instance] = gate
 	}
 	g.byInstance.Store(&next)
