route: weigh the rate limits that endpoints advertise

What callers saw: calls that don't search for a free slot, with a key or a large body, go to a backend server with a limit, wait there or are refused, while others have room.

Cause: picking compares calls per slot, and a backend server with a limit has free slots. Where all are limited, each call went round three of them to be refused.

Change: an entry node counts a limit as the slots that calls at that rate take (Little's law), for less the longer it has not heard of it. A refusal as over-backend-rate leaves the endpoint out until there is room, at most 2 s; where all are left out the call is refused at once with that time. Neither ejects an endpoint or draws on the retry budget. The load that a destination reports is full while no token is there.

--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -310,8 +310,9 @@
 		Cancelled: r.Cancelled,
 		Refused:   r.Refused,
 		Latency:   r.Latency, LinkWait: r.LinkWait,
-		Load: route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
-		Leaving: r.Advertised.Leaving,
+		Load:        route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
+		RateLimited: r.Advertised.RateLimit.Present, RateLimit: r.Advertised.RateLimit.PerSecond,
+		Leaving: r.Advertised.Leaving, RetryAfter: r.RetryAfter,
 	})
 	if r.Outcome == call.Ran && !r.Failed {
 		c.size.add(r.Bytes)
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -95,7 +95,7 @@
 	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait, Advertised: a.advertised}
 	switch {
 	case a.refusal != nil:
-		r.Refused = a.refusal.Reason
+		r.Refused, r.RetryAfter = a.refusal.Reason, a.refusal.RetryAfter
 	case a.err != nil && isEarlierSending(unknownKindOf(a.err)):
 		// An earlier call with the key may have run, but this attempt reached no
 		// backend server. A client that keeps resending a key with an unknown
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -97,6 +97,8 @@
 	Load      Load
 	// Advertised is what the endpoint advertises, as far as its node told.
 	Advertised Advertised
+	// RetryAfter is when the endpoint expects to accept calls again, with a refusal.
+	RetryAfter time.Duration
 	Bytes      int64 // of the answer's body if that is complete
 	// LinkWait is how long large answers wait for the endpoint's link.
 	LinkWait time.Duration
--- a/internal/proxy/slot_search.go
+++ b/internal/proxy/slot_search.go
@@ -111,7 +111,7 @@
 	case a.resp != nil:
 		free.add(a.took.wait < maxImmediateWait)
 	case a.refusal == nil:
-	case a.refusal.Reason == call.ReasonBusy, a.refusal.Reason == call.ReasonOverloaded:
+	case a.refusal.Reason == call.ReasonBusy, a.refusal.Reason == call.ReasonOverloaded, a.refusal.Reason == call.ReasonBackendRate:
 		free.add(false)
 	}
 }
--- a/internal/proxy/slot_search_model_test.go
+++ b/internal/proxy/slot_search_model_test.go
@@ -40,6 +40,8 @@
 	picker         *route.Picker
 	queue          *limit.Queue
 	freeSlots      freeSlotShare
+	limit          limit.AdvertisedRate // that its backend server advertises
+	wakeAt         time.Time
 }
 
 type modelCall struct {
@@ -49,7 +51,8 @@
 	work         time.Duration
 	search       slotSearch
 	tried        []string
-	queued       bool // at an endpoint, or refused by one where it would have queued
+
+	queued bool // at an endpoint, or refused by one where it would have queued
 }
 
 type model struct {
@@ -63,7 +66,12 @@
 	start      time.Time
 	onResult   map[*limit.Entry]func(now time.Time, refused *call.Refusal)
 
+	// tellLimits lets entry nodes know the rate limits of backend servers.
+	tellLimits bool
+
 	calls, queued, inTime, offers int
+	refusals                      int
+	refusedAfter                  time.Duration // sum over refusals
 }
 
 func newModel(n int, search bool) *model { return newModelWithSlowStart(n, search, 0) }
@@ -128,30 +136,40 @@
 		}
 		m.schedule(m.start.Add(time.Duration(m.rng.ExpFloat64()*interval)), arrive)
 	}
-	m.schedule(m.start.Add(modelWarmup), func(time.Time) { m.calls, m.queued, m.inTime, m.offers = 0, 0, 0, 0 })
+	m.schedule(m.start.Add(modelWarmup), func(time.Time) {
+		m.calls, m.queued, m.inTime, m.offers, m.refusals, m.refusedAfter = 0, 0, 0, 0, 0, 0
+	})
 	m.eventQueue.Run()
 }
 
 // pick returns the endpoint for the next offer, and whether the call may queue there.
-func (m *model) pick(now time.Time, c *modelCall) (route.Choice, bool) {
+func (m *model) pick(now time.Time, c *modelCall) (choice route.Choice, mayQueue, ok bool) {
 	n := c.from
 	if m.search && len(c.tried) == 0 {
 		for scope := c.search.initialScope(&n.freeSlots); scope != NoSearch; scope = c.search.widen(scope, &n.freeSlots) {
 			if choice, err := n.picker.PickFreeSlot(now, scope == SearchDataCentre, c.search.rejected); err == nil {
 				c.search.scope = scope
-				return choice, false
+				return choice, false, true
 			}
 		}
 	}
 	choice, err := n.picker.PickFor(now, route.PickInfo{Tried: c.tried, RemoteCost: 0.4})
-	if err != nil {
-		panic(err) // every endpoint of the model accepts calls
-	}
-	return choice, true
+	return choice, true, err == nil // an error means that all endpoints are at their rate limits
+}
+
+// giveUp refuses a call.
+func (m *model) giveUp(now time.Time, c *modelCall) {
+	m.queued++
+	m.refusals++
+	m.refusedAfter += now.Sub(c.firstAttempt)
 }
 
 func (m *model) offer(now time.Time, c *modelCall) {
-	choice, mayQueue := m.pick(now, c)
+	choice, mayQueue, ok := m.pick(now, c)
+	if !ok {
+		m.giveUp(now, c)
+		return
+	}
 	to := m.byID[choice.Endpoint().VM]
 	latency := modelRemoteLatency
 	switch {
@@ -196,16 +214,51 @@
 	return route.Load{Busy: busy + n.queue.Waiting(), Slots: slots, Present: true}
 }
 
+// loadAt is loadOf as a node reports it that knows the rate limit.
+func (m *model) loadAt(now time.Time, n *modelNode) route.Load {
+	l := loadOf(n)
+	if m.tellLimits && n.queue.AtRateLimit(now) {
+		l.Busy = max(l.Busy, l.Slots)
+	}
+	return l
+}
+
+// tell adds what the endpoint advertises to a report.
+func (m *model) tell(n *modelNode, r route.Report) route.Report {
+	if limited := n.queue.AdvertisedRate(); m.tellLimits {
+		r.RateLimited, r.RateLimit = limited.Present, limited.PerSecond
+	}
+	return r
+}
+
 func (m *model) handleEvents(now time.Time, n *modelNode) {
 	for _, ev := range append([]limit.Event(nil), n.queue.Events()...) {
 		if onResult := m.onResult[ev.Entry]; onResult != nil {
 			onResult(now, ev.Refusal)
 		}
 	}
+	m.scheduleWake(now, n)
+}
+
+// scheduleWake starts the calls that wait for the rate limit when it allows.
+func (m *model) scheduleWake(now time.Time, n *modelNode) {
+	after := n.queue.WakeAfter(now)
+	if after == 0 || n.wakeAt.After(now) {
+		return
+	}
+	n.wakeAt = now.Add(after)
+	m.schedule(n.wakeAt, func(now time.Time) {
+		n.queue.Wake(now)
+		m.handleEvents(now, n)
+	})
 }
 
 func (m *model) refused(now time.Time, c *modelCall, choice route.Choice, r *call.Refusal) {
-	choice.Done(now, route.Report{Outcome: call.NotRun, Refused: r.Reason})
+	report := route.Report{Outcome: call.NotRun, Refused: r.Reason}
+	if m.tellLimits {
+		report.RetryAfter = r.RetryAfter
+	}
+	choice.Done(now, m.tell(m.byID[choice.Endpoint().VM], report))
 	c.from.freeSlots.add(false)
 	if r.Reason == call.ReasonBusy {
 		c.search.reject(choice.Endpoint().ID)
@@ -214,23 +267,24 @@
 	}
 	c.queued = true
 	c.tried = append(c.tried, choice.Endpoint().ID)
-	if len(c.tried) < modelQueueAttempts {
+	if len(c.tried) < modelQueueAttempts && !c.from.picker.TriedAll(now, c.tried) {
 		m.offer(now, c)
 		return
 	}
-	m.queued++
+	m.giveUp(now, c)
 }
 
 func (m *model) started(now time.Time, c *modelCall, choice route.Choice, to *modelNode, e *limit.Entry, latency, waited time.Duration) {
 	took := time.Duration(float64(c.work) / to.speed)
 	sent := now
 	m.schedule(now.Add(took), func(now time.Time) {
+		to.queue.Observe(now, sent, to.limit)
 		to.queue.Done(now, e, limit.Result{Latency: took})
 		m.handleEvents(now, to)
-		l := loadOf(to)
+		l := m.loadAt(now, to)
 		m.schedule(now.Add(latency), func(now time.Time) {
 			c.from.freeSlots.add(waited < maxImmediateWait)
-			choice.Done(now, route.Report{Outcome: call.Ran, Latency: now.Sub(sent), Load: l})
+			choice.Done(now, m.tell(to, route.Report{Outcome: call.Ran, Latency: now.Sub(sent), Load: l}))
 			if c.queued {
 				m.queued++
 			}
--- a/internal/route/canary.go
+++ b/internal/route/canary.go
@@ -16,7 +16,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		if s := list[p.randomN(len(list))]; s.open(now) {
+		if s := list[p.randomN(len(list))]; usable(s, now, tried) {
 			return s
 		}
 		return nil
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -22,6 +22,7 @@
 	s := c.s
 	own := s.outstanding.Add(-1)
 	result := classify(r)
+	p.recordRate(s, now, r)
 	if r.Leaving {
 		s.refusedUntil.Store(now + closedFor.Milliseconds())
 	}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -47,8 +47,13 @@
 	Load    Load
 	// LinkWait is how long large answers wait for the endpoint's link.
 	LinkWait time.Duration
-	// Leaving means that the endpoint said with its answer that it accepts no new calls.
+	// RateLimited means that the endpoint advertises a limit of RateLimit calls per second.
+	RateLimited bool
+	RateLimit   float64
+	// Leaving means that the endpoint advertises that it accepts no new calls.
 	Leaving bool
+	// RetryAfter is when the endpoint expects to accept calls again, with a refusal.
+	RetryAfter time.Duration
 }
 
 // EndpointStatus is the state of an endpoint in a Picker, for operators.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -52,7 +52,7 @@
 	if s := p.pickBeyondSubset(t, now, nil); s != nil {
 		return p.choose(s, false), nil
 	}
-	return Choice{}, noEndpointRefusal()
+	return Choice{}, p.refusal(t, now)
 }
 
 // PickAnywhere picks a random open endpoint of any data centre. It is for calls refused for a
@@ -188,7 +188,12 @@
 }
 
 func usable(s *state, now int64, tried []string) bool {
-	return s.open(now) && !slices.Contains(tried, s.ep.Load().ID)
+	return !s.paused(now) && accepts(s, now, tried)
+}
+
+// accepts is usable regardless of rate limits, of which nodes learn at different times.
+func accepts(s *state, now int64, avoid []string) bool {
+	return s.open(now) && !slices.Contains(avoid, s.ep.Load().ID)
 }
 
 // pickBeyondSubset considers all endpoints, including ejected ones and those outside the subset:
@@ -251,7 +256,7 @@
 	var best *state
 	var bestRank uint64
 	for _, s := range all {
-		if !usable(s, now, avoid) {
+		if !accepts(s, now, avoid) {
 			continue
 		}
 		if r := rankKey(key, s.ep.Load().ID); best == nil || r > bestRank {
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -36,10 +36,12 @@
 	failures    average // failure rate, 0 to 1
 	otherLoad   average // reported busy slots minus this node's own calls
 	linkWait    average // milliseconds that large answers wait for its link
+	rateLimit   average // calls per second that it advertises; not averaged
 	results     atomic.Int64
 
 	rampStart    atomic.Int64 // start of the slow start; 0 for none
 	refusedUntil atomic.Int64 // end of the pause after the endpoint refused all calls
+	pausedUntil  atomic.Int64 // end of the pause after a refusal over its rate limit
 
 	ejected        atomic.Bool
 	nextTrial      atomic.Int64
@@ -79,11 +81,11 @@
 	return min(f, maxFailureRate)
 }
 
-// cost returns the load per slot, multiplied by the latency, failure and suspicion factors.
+// cost returns the load per slot that the rate limit leaves, multiplied by the latency, failure and suspicion factors.
 func (p *Picker) cost(s *state, now int64) float64 {
 	e := s.ep.Load()
 	load := float64(s.outstanding.Load()) + p.estimateOtherLoad(s, e, now)
-	c := (load + 1) / e.slots()
+	c := (load + 1) / p.rateSlots(s, now)
 	c *= p.latencyFactor(s, now)
 	success := 1 - s.failureRate(now, p.halfLife)
 	c /= success * success
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -84,11 +84,12 @@
 // its load would keep calls away from an idle backend server, and a refusal of all calls would do
 // so for seconds.
 func (s *state) resetObservations() {
-	for _, a := range []*average{&s.failures, &s.latency, &s.otherLoad, &s.linkWait} {
+	for _, a := range []*average{&s.failures, &s.latency, &s.otherLoad, &s.linkWait, &s.rateLimit} {
 		a.clear()
 	}
 	s.results.Store(0)
 	s.refusedUntil.Store(0)
+	s.pausedUntil.Store(0)
 	s.ejected.Store(false)
 	s.trialSuccesses.Store(0)
 }
