--- a/internal/announce/leaving_test.go
+++ b/internal/announce/leaving_test.go
@@ -68,3 +68,23 @@
 		t.Error("a late answer of the former incarnation was believed of the next one")
 	}
 }
+
+// Guards against a backend server that is taken out of service for good since another incarnation left:
+// a node that has just started knows its instance from a probe, which does not tell its start.
+func TestLeavingOfAnEarlierIncarnationBeforeTheStartIsKnown(t *testing.T) {
+	r := NewRegistry(Limits{TTL: time.Minute, MaxBackends: 4, NoInstanceReuse: true})
+	probed := berth("i-1", "127.0.0.1:8080")
+	put(t, r, start, probed)
+	r.MarkLeaving("i-1", 100)
+	for _, c := range []struct {
+		started int64
+		want    membership.BackendState
+	}{{100, membership.BackendDraining}, {200, membership.BackendReady}} {
+		a := probed
+		a.Started = c.started
+		put(t, r, start, a)
+		if got := r.Load()[0].State; got != c.want {
+			t.Errorf("the incarnation of %d is %v, want %v", c.started, got, c.want)
+		}
+	}
+}
--- a/internal/decisions/log.go
+++ b/internal/decisions/log.go
@@ -25,11 +25,14 @@
 	TurnedBy Kind = "turned"  // the destination node turned the call away
 	Waited   Kind = "waited"  // the destination node let the call wait for a slot
 	Dropped  Kind = "dropped" // the backend server gave no answer that can be passed on
-	Summary  Kind = "summary" // counts of what needed no line
+	// Advertised tells of a backend server, not of a call: its rate limit begins, changes or ends,
+	// or it leaves.
+	Advertised Kind = "advertised"
+	Summary    Kind = "summary" // counts of what needed no line
 )
 
 // kinds lists those whose lines are bounded.
-var kinds = []Kind{Refused, Unknown, Retried, Late, Failed, Cut, TurnedBy, Waited, Dropped}
+var kinds = []Kind{Refused, Unknown, Retried, Late, Failed, Cut, TurnedBy, Waited, Dropped, Advertised}
 
 // PerSecond is how many lines of a kind are written a second. A node of a third
 // of a core spends some 20 microseconds on a line, so that all kinds together stay
--- a/internal/node/advertisements.go
+++ b/internal/node/advertisements.go
@@ -6,27 +6,19 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/announce"
+	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/proxy"
 )
 
-// advertisedLinesPerSecond bounds the log lines about what backend servers advertise, which may
-// change with each answer.
-const advertisedLinesPerSecond = 5
-
 // advertisements applies what the backend servers of this VM advertise in their answers.
 type advertisements struct {
 	gates    *gates
 	registry *announce.Registry
 	// onChange is called after a change of the registry.
-	onChange func([]announce.Change)
-	log      zerolog.Logger // bounded
-}
-
-func newAdvertisements(g *gates, r *announce.Registry, onChange func([]announce.Change), log zerolog.Logger) *advertisements {
-	bounded := log.Sample(&zerolog.BurstSampler{Burst: advertisedLinesPerSecond, Period: time.Second})
-	return &advertisements{gates: g, registry: r, onChange: onChange, log: bounded}
+	onChange  func([]announce.Change)
+	decisions *decisions.Log
 }
 
 // Observe implements proxy.Advertisements.
@@ -35,23 +27,23 @@
 		adv.RateLimit = limit.AdvertisedRate{}
 	}
 	if adv.RateLimit.Malformed {
-		a.line(b).Msg("backends: the advertised rate limit can't be read, keeping the one in force")
+		a.line(now, b).Msg("backends: the advertised rate limit can't be read, keeping the one in force")
 	}
 	if change, ok := a.gates.observe(now, sent, b, adv.RateLimit); ok {
 		a.logRate(now, b, change)
 	}
 	if adv.Leaving {
-		a.markLeaving(b, "backends: the backend server advertises that it leaves")
+		a.markLeaving(now, b, b.Started, "backends: the backend server advertises that it leaves")
 	}
 }
 
-// markLeaving ends the calls to b.
-func (a *advertisements) markLeaving(b proxy.Backend, message string) {
+// markLeaving ends the calls to an incarnation of b.
+func (a *advertisements) markLeaving(now time.Time, b proxy.Backend, started int64, message string) {
 	if defect.On(defect.IgnoreLeavingAnswer) {
 		return
 	}
-	if changes := a.registry.MarkLeaving(b.Instance, b.Started); len(changes) > 0 {
-		a.line(b).Msg(message)
+	if changes := a.registry.MarkLeaving(b.Instance, started); len(changes) > 0 {
+		a.line(now, b).Msg(message)
 		a.onChange(changes)
 	}
 }
@@ -62,11 +54,11 @@
 		adv.RateLimit = limit.AdvertisedRate{}
 	}
 	if change, ok := a.gates.adopt(now, b, adv.Started, adv.RateLimit); ok {
-		a.line(b).Float64("per_second", change.New.PerSecond).
+		a.line(now, b).Float64("per_second", change.New.PerSecond).
 			Msg("backends: another node was told of a rate limit, applying it")
 	}
 	if adv.Leaving && a.isSame(b, adv.Started) {
-		a.markLeaving(b, "backends: another node was told that the backend server leaves")
+		a.markLeaving(now, b, adv.Started, "backends: another node was told that the backend server leaves")
 	}
 }
 
@@ -82,12 +74,12 @@
 	}
 }
 
-func (a *advertisements) line(b proxy.Backend) *zerolog.Event {
-	return a.log.Info().Str("service", b.Service).Str("instance", b.Instance)
+func (a *advertisements) line(now time.Time, b proxy.Backend) *zerolog.Event {
+	return a.decisions.Line(now, decisions.Advertised, "").Str("service", b.Service).Str("instance", b.Instance)
 }
 
 func (a *advertisements) logRate(now time.Time, b proxy.Backend, c limit.RateChange) {
-	l := a.line(b)
+	l := a.line(now, b)
 	if c.Old.Present {
 		l.Float64("previous_per_second", c.Old.PerSecond).Int64("after_ms", now.Sub(c.Since).Milliseconds())
 	}
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -60,7 +60,7 @@
 		decisions:       decisions.New(telemetry.Part(n.log, "calls"), n.o.LostLines),
 		shutdownTracing: shutdownTracing,
 	}
-	c.advertisements = newAdvertisements(c.gates, n.registry, n.backendsChanged, telemetry.Part(n.log, "backends"))
+	c.advertisements = &advertisements{gates: c.gates, registry: n.registry, onChange: n.backendsChanged, decisions: c.decisions}
 	c.pickers.onEject = c.logEjection
 	c.suspects = &suspects{
 		list:          quarantine.New(time.Now(), quarantine.Options{Self: n.self.ID}),
