--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -196,9 +196,9 @@
 	return r
 }
 
-// retryAfter returns the time in which the queue drains at its present rate, and within
-// the advertised one, with a jitter of half to one and a half, so that callers refused in one burst don't
-// retry in one.
+// retryAfter returns the time in which the queue drains at its present rate and
+// within the advertised one, with a jitter of half to one and a half, so that callers
+// refused in one burst don't retry in one.
 func (q *Queue) retryAfter(now time.Time, c *classState) time.Duration {
 	drain := time.Duration(q.waiting+1) * q.completionInterval.duration()
 	drain = max(drain, q.predictWait(now, c), q.advertised.wait(now, q.waiting+1))
--- a/internal/limit/dispatch.go
+++ b/internal/limit/dispatch.go
@@ -6,8 +6,9 @@
 	"github.com/marlpass/marlpass/internal/call"
 )
 
-// dispatch starts waiting calls while slots are free and the advertised rate allows: one-shot calls first, then
-// calls that can meet their latency target, then overdue ones.
+// dispatch starts waiting calls while slots are free and the advertised rate allows it:
+// one-shot calls first, then calls that can meet their latency target, then overdue
+// ones.
 func (q *Queue) dispatch(now time.Time) {
 	for q.waiting > 0 && q.running < q.Limit() && q.advertised.allows(now) {
 		if c := q.nextOneShotClass(); c != nil {
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -252,9 +252,9 @@
 	p.gate.deliverEvents()
 }
 
-// deliverEvents notifies the waiting goroutines and schedules the next wake. Each channel holds one outcome
-// and each entry gets one event, so no send blocks. An entry that started within
-// its own Offer has no waiting goroutine yet.
+// deliverEvents notifies the waiting goroutines and schedules the next wake. Each
+// channel holds one outcome and each entry gets one event, so no send blocks. An entry
+// that started within its own Offer has no waiting goroutine yet.
 func (g *Gate) deliverEvents() {
 	for _, ev := range g.queue.Events() {
 		if ev.Entry.notify != nil {
