node: keep announced draining over a restart of the node beside the backend server

What callers saw: none reported it. A node restarts beside a backend server that drains, gets an announcement from before the draining, late, and publishes it as ready; calls are sent to a backend server that is about to end.

Cause: the same class as the forgotten limit: that it drains was known to one node, and to the others by a record that the restarted node replaces.

Change: a destination tells entry nodes of draining however it was said. Another node's word of it is adopted until the backend server has answered a call of this process, as its limit is.

Why it works: a call from a node that was told brings that along. Nodes that know it from the record alone bring nothing; that remains.

--- a/internal/announce/leaving.go
+++ b/internal/announce/leaving.go
@@ -40,11 +40,11 @@
 	return []Change{{Kind: Changed, Backend: *b, PreviousState: previous}}
 }
 
-// IsLeaving reports whether a backend server has said, other than by an announcement, that it leaves.
-func (r *Registry) IsLeaving(instance string) bool {
+// IsDraining reports whether a backend server has said in any way that it leaves.
+func (r *Registry) IsDraining(instance string) bool {
 	list := r.Load()
 	at, known := find(list, instance)
-	return known && list[at].Leaving
+	return known && list[at].State == membership.BackendDraining
 }
 
 // isLeaving reports whether the incarnation that sent a has said that it leaves.
--- a/internal/announce/leaving_test.go
+++ b/internal/announce/leaving_test.go
@@ -64,7 +64,7 @@
 	if _, err := r.Put(time.Unix(1001, 0), a); err != nil || r.Load()[0].State != membership.BackendReady {
 		t.Errorf("the next incarnation: %+v, %v", r.Load(), err)
 	}
-	if r.MarkLeaving("i-1", 100); r.IsLeaving("i-1") {
+	if r.MarkLeaving("i-1", 100); r.IsDraining("i-1") {
 		t.Error("a late answer of the former incarnation was believed of the next one")
 	}
 }
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -102,6 +102,9 @@
 	return c, changed
 }
 
+// HasAnswered reports whether this incarnation of the backend server has answered a call.
+func (g *Gate) HasAnswered() bool { return g.heard.Load() }
+
 // AtRateLimit reports whether the advertised rate lets no call start now.
 func (g *Gate) AtRateLimit() bool {
 	if !g.limited.Load() {
--- a/internal/node/advertisements.go
+++ b/internal/node/advertisements.go
@@ -57,7 +57,7 @@
 		a.line(now, b).Float64("per_second", change.New.PerSecond).
 			Msg("backends: another node was told of a rate limit, applying it")
 	}
-	if adv.Leaving && a.isSame(b, adv.Started) {
+	if adv.Leaving && a.isSame(b, adv.Started) && !a.gates.hasAnswered(b) {
 		a.markLeaving(now, b, adv.Started, "backends: another node was told that the backend server leaves")
 	}
 }
@@ -70,7 +70,7 @@
 // InForce implements proxy.Advertisements.
 func (a *advertisements) InForce(b proxy.Backend) proxy.Advertised {
 	return proxy.Advertised{
-		Known: true, RateLimit: a.gates.advertisedRate(b), Leaving: a.registry.IsLeaving(b.Instance), Started: b.Started,
+		Known: true, RateLimit: a.gates.advertisedRate(b), Leaving: a.registry.IsDraining(b.Instance), Started: b.Started,
 	}
 }
 
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -120,6 +120,12 @@
 	return gate.Adopt(now, started, r)
 }
 
+// hasAnswered reports whether b has answered a call of this process.
+func (g *gates) hasAnswered(b proxy.Backend) bool {
+	gate := (*g.byInstance.Load())[b.Instance]
+	return gate != nil && gate.HasAnswered()
+}
+
 // advertisedRate returns the rate limit of b that is in force.
 func (g *gates) advertisedRate(b proxy.Backend) limit.AdvertisedRate {
 	gate := (*g.byInstance.Load())[b.Instance]
