proxy: test that every kind of answer is read for limits and leaving

Successes, failures, refusals and answers that are broken off; the destination reads all of them since, and no test held it there.

--- a/internal/proxy/advertised_test.go
+++ b/internal/proxy/advertised_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,3 +67,55 @@
 		t.Errorf("%d endpoints are remembered, one of them long unheard of", n)
 	}
 }
+
+// recorder records what is observed of backend servers.
+type recorder struct {
+	mu   sync.Mutex
+	seen []Advertised
+}
+
+func (r *recorder) Observe(_, _ time.Time, _ Backend, a Advertised) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, a)
+}
+
+func (*recorder) Adopt(time.Time, Backend, Advertised) {}
+
+func (*recorder) InForce(Backend) Advertised { return Advertised{} }
+
+// Guards against a limit or leaving that is read from one kind of answer only: a backend server in
+// need may refuse calls, fail them, or break off its answers.
+func TestEveryKindOfAnswerAdvertises(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"success": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") },
+		"failure": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"refusal": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(call.HeaderRefused, r.Header.Get(call.HeaderAttempt))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"broken off": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			io.WriteString(w, "ok")
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		m := newMesh(t, bookings(), func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(call.HeaderRateLimit, "4.4")
+			w.Header().Set(call.HeaderLeaving, leavingValue)
+			answer(w, r)
+		})
+		r := new(recorder)
+		m.dest[0].Advertisements = r
+		m.useOnly(0)
+		_, _, _ = m.call("POST", "/", "x") // an answer that is broken off is an error
+		want := advertisedRate(4.4)
+		want.Leaving = true
+		r.mu.Lock()
+		if len(r.seen) == 0 || r.seen[0] != want {
+			t.Errorf("%s: %+v", name, r.seen)
+		}
+		r.mu.Unlock()
+	}
+}
