quota: shares of a silent collector as of its last report

Cause: a collector computed the share of a silent data centre half a second after its last report, by average rates that a surge had raised on its own side alone.

Change: shares are computed with each report of another collector, by the rates that this collector had sent before it. Both sides then know the same figures, so reserveMargin, which covered the difference, is removed: it cost a tenth of the other side's share for as long as a partition lasted.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -51,9 +51,6 @@
 	// than gone.
 	nodeExpiry      = 10 * time.Second
 	collectorExpiry = 5 * time.Minute
-	// reserveMargin scales the reserved shares, since the two sides of a partition don't compute
-	// exactly the same ones.
-	reserveMargin = 1.1
 	// minDecisionInterval is the least time between two decisions. Reports in between get the
 	// previous one.
 	minDecisionInterval = 50 * time.Millisecond
@@ -75,8 +72,10 @@
 	collectors    map[string]*reporter // other collectors
 	buckets       map[string]*bucket
 	admittedTotal map[string]int64 // calls admitted by nodes, by workspace
-	decision      []Admission
-	decidedAt     time.Time
+	// sent holds the average rates of the last totals sent to other collectors.
+	sent      map[string]float64
+	decision  []Admission
+	decidedAt time.Time
 }
 
 // reporter is the state of a node, or of another collector.
@@ -84,6 +83,9 @@
 	incarnation uint64
 	lastReport  time.Time
 	usage       map[string]*usageState
+	// shares are the shares of each workspace's quota that another collector may use, as of its last
+	// report; nil for nodes.
+	shares map[string]float64
 	// reserved is the share of each workspace's quota that is reserved for a reporter that timed
 	// out; nil while reports arrive.
 	reserved map[string]float64
@@ -134,7 +136,7 @@
 func NewCollector() *Collector {
 	return &Collector{
 		nodes: make(map[string]*reporter), collectors: make(map[string]*reporter),
-		buckets: make(map[string]*bucket), admittedTotal: make(map[string]int64),
+		buckets: make(map[string]*bucket), admittedTotal: make(map[string]int64), sent: make(map[string]float64),
 	}
 }
 
@@ -175,6 +177,9 @@
 		c.bucket(u.Workspace).level -= float64(admitted) - s.estimated
 		s.Usage, s.estimated = u, 0
 	}
+	if !isNode {
+		c.updateShares(r)
+	}
 }
 
 func (c *Collector) bucket(workspace string) *bucket {
@@ -214,7 +219,7 @@
 
 // withoutShare returns the limit less a reserved share of it.
 func (l Limit) withoutShare(share float64) Limit {
-	left := max(1-reserveMargin*share, 0)
+	left := max(1-share, 0)
 	return Limit{Rate: l.Rate * left, Burst: l.Burst * left}
 }
 
@@ -230,6 +235,9 @@
 		if r.reserved != nil || now.Sub(r.lastReport) <= timeout {
 			continue
 		}
+		if r.reserved = r.shares; r.reserved != nil {
+			continue
+		}
 		r.reserved = make(map[string]float64, len(r.usage))
 		for name, s := range r.usage {
 			r.reserved[name] = s.AverageRate / max(c.averageRate(name), s.AverageRate, minAverageRate)
@@ -328,5 +336,9 @@
 		out = append(out, *u)
 	}
 	slices.SortFunc(out, func(a, b Usage) int { return strings.Compare(a.Workspace, b.Workspace) })
+	clear(c.sent)
+	for _, u := range out {
+		c.sent[u.Workspace] = u.AverageRate
+	}
 	return out
 }
