quota: bound the calls that nodes admit before a collector knows of them

Cause: a node admitted every call by its last ratio until its next answer, whatever came: 200 of 200 calls of a surge where 70 were the tolerance, and 194 to 232 of 175 in a window beside a lost collector.

Change: a workspace near its quota is held. Nodes admit what the last answer foresees for the time since, plus their part of the tolerance, and further calls wait at most 200 ms for the next answer, which grants those that are within the quota. A part below one call is not handed out; calls wait from the first. Between collectors each may use its share as of the last exchange. A workspace far below its quota is not held. The rate of recent calls is taken over at least a report interval, since waiting calls trigger reports. A collector forgets rates that another one no longer reports.

The model learns what nodes do: waiting calls ask again after Apply, and a surge signal within 60 ms of a report is kept. In BenchmarkAdmit the fields of Admission are named, since it has a third one.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -96,6 +96,8 @@
 	Usage
 	// estimated counts the calls taken out of the bucket since that report.
 	estimated float64
+	// granted is how many of the waiting calls were granted since that report.
+	granted int
 }
 
 // bucket is the token bucket of one workspace. A negative level means that too many calls were
@@ -104,6 +106,7 @@
 	level  float64
 	ratio  float64 // admission ratio of the last decision
 	demand float64 // moving average of the requested calls per second
+	escrow escrow
 }
 
 // updateDemand adds the requested rate of the last span to the moving average. The fewer calls
@@ -175,9 +178,10 @@
 			c.admittedTotal[u.Workspace] += admitted
 		}
 		c.bucket(u.Workspace).level -= float64(admitted) - s.estimated
-		s.Usage, s.estimated = u, 0
+		s.Usage, s.estimated, s.granted = u, 0, 0
 	}
 	if !isNode {
+		r.clearUnlisted(usage)
 		c.updateShares(r)
 	}
 }
@@ -207,9 +211,11 @@
 	out := make([]Admission, 0)
 	for name, limit := range limits {
 		b := c.bucket(name)
-		b.refill(limit.withoutShare(reservedShares[name]), recent[name], span)
-		if b.ratio < 1 {
-			out = append(out, Admission{name, b.ratio})
+		left := limit.withoutShare(reservedShares[name])
+		b.refill(left, recent[name], span)
+		c.hold(now, name, b, limit, left)
+		if b.ratio < 1 || b.escrow.held {
+			out = append(out, Admission{Workspace: name, Ratio: b.ratio, Hold: b.escrow.bound()})
 		}
 	}
 	slices.SortFunc(out, func(a, b Admission) int { return strings.Compare(a.Workspace, b.Workspace) })
@@ -290,7 +296,7 @@
 		for name, s := range r.usage {
 			recent[name] += s.RecentRate
 			b := c.bucket(name)
-			admitted := s.RecentRate * b.ratio * span
+			admitted := c.foreseenRate(r, s, b) * span
 			s.estimated += admitted
 			b.level -= admitted
 		}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,19 +31,26 @@
 	RecentRate, AverageRate float64
 	// Admitted counts the calls admitted since the start. Refunds lower it.
 	Admitted int64
+	// Waiting is how many calls wait for the answer to the report.
+	Waiting int
 }
 
-// Admission is the ratio of a workspace's calls to admit, 0 to 1.
+// Admission is the decision on the calls of one workspace.
 type Admission struct {
 	Workspace string
-	Ratio     float64
+	// Ratio is the ratio of calls to admit, 0 to 1.
+	Ratio float64
+	// Hold bounds the admitted calls until the next answer; nil means no bound.
+	Hold *Hold
 }
 
 // Limiter decides which calls of a workspace one node admits. It is safe for concurrent use.
 type Limiter struct {
 	meters     sync.Map // workspace to *meter
 	surge      chan struct{}
-	mu         sync.Mutex // serialises reports
+	applied    broadcast
+	clock      atomic.Int64 // of the last report, in nanoseconds since 1970
+	mu         sync.Mutex   // serialises reports
 	lastReport time.Time
 }
 
@@ -60,9 +68,11 @@
 	tokens   atomic.Int64
 	// surgeAt is the count of requested calls that triggers an early report.
 	surgeAt atomic.Int64
+	hold    holdState
 
 	// Guarded by the limiter.
 	reported    int64 // requested calls at the last report
+	earlier     []sample
 	averageRate float64
 	surging     bool // at the last report
 }
@@ -72,7 +82,9 @@
 
 // NewLimiter returns a limiter that admits all calls.
 func NewLimiter(now time.Time) *Limiter {
-	return &Limiter{surge: make(chan struct{}, 1), lastReport: now}
+	l := &Limiter{surge: make(chan struct{}, 1), lastReport: now}
+	l.clock.Store(now.UnixNano())
+	return l
 }
 
 // Surge receives an element when a report is due early: on a surge of calls, on the first call of a
@@ -91,20 +103,36 @@
 	return m.(*meter)
 }
 
-// Admit counts a call of a workspace, and reports whether it is admitted.
+// Admit counts a call of a workspace, and reports whether it is admitted at once.
 func (l *Limiter) Admit(workspace string) bool {
 	m := l.meter(workspace)
+	verdict := l.ask(l.clock.Load(), m)
+	if verdict == Waiting {
+		m.hold.leave()
+	}
+	return verdict == Admitted
+}
+
+func (l *Limiter) ask(now int64, m *meter) Verdict {
 	if m.requested.Add(1) == m.surgeAt.Load() {
-		select {
-		case l.surge <- struct{}{}:
-		default:
-		}
+		l.reportEarly()
 	}
 	if !m.admit() {
-		return false
+		return Refused
+	}
+	if !m.fallback.Load() && !m.hold.admit(now) {
+		l.reportEarly()
+		return Waiting
 	}
 	m.admitted.Add(1)
-	return true
+	return Admitted
+}
+
+func (l *Limiter) reportEarly() {
+	select {
+	case l.surge <- struct{}{}:
+	default:
+	}
 }
 
 // Refund uncounts a call that was admitted but not run.
@@ -151,23 +179,42 @@
 		return nil
 	}
 	l.lastReport = now
+	l.clock.Store(now.UnixNano())
 	var out []Usage
 	l.meters.Range(func(name, m any) bool {
-		out = append(out, m.(*meter).report(name.(string), span))
+		out = append(out, m.(*meter).report(now, name.(string), span))
 		return true
 	})
 	return out
 }
 
-func (m *meter) report(name string, span time.Duration) Usage {
+func (m *meter) report(now time.Time, name string, span time.Duration) Usage {
 	requested := m.requested.Load()
 	m.surging = requested-m.reported > m.surgeCalls(span)
-	recent := float64(requested-m.reported) / span.Seconds()
 	weight := 1 - math.Exp(-span.Seconds()/averageOver.Seconds())
-	m.averageRate += weight * (recent - m.averageRate)
+	m.averageRate += weight * (float64(requested-m.reported)/span.Seconds() - m.averageRate)
+	recent := m.recentRate(sample{now.Add(-span), m.reported}, sample{now, requested})
 	m.reported = requested
 	m.surgeAt.Store(requested + m.earlyReportCalls())
-	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: m.admitted.Load()}
+	admitted, waiting := m.hold.report(now, &m.admitted)
+	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: admitted, Waiting: waiting}
+}
+
+// sample is a count of requested calls.
+type sample struct {
+	at        time.Time
+	requested int64
+}
+
+// recentRate returns the rate of requested calls over at least ReportInterval. A waiting call
+// triggers a report, and the rate over the short time before it would be many times the usual one.
+func (m *meter) recentRate(last, now sample) float64 {
+	m.earlier = append(m.earlier, last)
+	for len(m.earlier) > 1 && now.at.Sub(m.earlier[1].at) >= ReportInterval {
+		m.earlier = slices.Delete(m.earlier, 0, 1)
+	}
+	from := m.earlier[0]
+	return float64(now.requested-from.requested) / now.at.Sub(from.at).Seconds()
 }
 
 // earlyReportCalls returns how many calls after a report trigger the next one. Fewer do for a
@@ -184,25 +231,28 @@
 	return surgeCalls + int64(surgeFactor*m.averageRate*span.Seconds())
 }
 
-// Apply puts the decision of a collector in force. All calls of workspaces that it doesn't list are
-// admitted.
+// Apply puts the decision of a collector in force, and lets waiting calls ask again. All calls of
+// workspaces that it doesn't list are admitted.
 func (l *Limiter) Apply(admissions []Admission) {
-	ratios := make(map[string]float64, len(admissions))
+	l.mu.Lock()
+	listed := make(map[string]Admission, len(admissions))
 	for _, a := range admissions {
-		ratios[a.Workspace] = a.Ratio
+		listed[a.Workspace] = a
+		l.meter(a.Workspace)
 	}
-	l.meters.Range(func(name, m any) bool {
-		ratio, ok := ratios[name.(string)]
+	l.meters.Range(func(name, v any) bool {
+		m := v.(*meter)
+		a, ok := listed[name.(string)]
 		if !ok {
-			ratio = 1
+			a.Ratio = 1
 		}
-		m.(*meter).setRatio(ratio)
-		m.(*meter).fallback.Store(false)
+		m.setRatio(a.Ratio)
+		m.hold.apply(a.Hold, m.averageRate, m.admitted.Load())
+		m.fallback.Store(false)
 		return true
 	})
-	for name, ratio := range ratios {
-		l.meter(name).setRatio(ratio)
-	}
+	l.mu.Unlock()
+	l.applied.notify()
 }
 
 // Fallback describes a report that no collector answered.
@@ -234,6 +284,9 @@
 		if f.SinceAnswer < FallbackAfter && !m.surging && !m.fallback.Load() {
 			continue
 		}
+		if m.hold.active() && f.SinceAnswer < nodeExpiry {
+			continue // collectors reserve for this node what the last answer foresees
+		}
 		m.refill(limit.fallback(averages[workspace], m.admissionRatio(), f.Nodes), f.SinceReport)
 	}
 }
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -45,10 +45,18 @@
 	answeredAt   time.Time
 	reportedAt   time.Time
 	lastCall     time.Time
+	surge        bool // signalled since the last report
+	waiting      []simCall
 	// incarnation counts the restarts of the node.
 	incarnation uint64
 }
 
+// simCall is a call that waits for the answer of a collector.
+type simCall struct {
+	name string
+	at   time.Time
+}
+
 type simCollector struct {
 	*Collector
 	nextReport time.Time
@@ -99,8 +107,11 @@
 				n := s.entryNode()
 				n.lastCall = s.now
 				s.requested[name] = append(s.requested[name], s.elapsed())
-				if n.limiter.Admit(name) {
+				switch n.limiter.Ask(s.now, name) {
+				case Admitted:
 					s.admitted[name] = append(s.admitted[name], s.elapsed())
+				case Waiting:
+					n.waiting = append(n.waiting, simCall{name, s.now})
 				}
 			}
 		}
@@ -131,16 +142,16 @@
 }
 
 func (s *sim) report(n *simNode) {
-	surge := false
+	s.dropOverdue(n)
 	select {
 	case <-n.limiter.Surge():
-		surge = true
+		n.surge = true
 	default:
 	}
-	if s.now.Before(n.nextReport) && !(surge && s.now.Add(ReportInterval-MinReportInterval).After(n.nextReport)) {
+	if s.now.Before(n.nextReport) && !(n.surge && s.now.Add(ReportInterval-MinReportInterval).After(n.nextReport)) {
 		return
 	}
-	n.nextReport = s.now.Add(ReportInterval)
+	n.nextReport, n.surge = s.now.Add(ReportInterval), false
 	if s.now.Sub(n.lastCall) > IdleAfter {
 		n.limiter.ReportNextCall()
 		return
@@ -156,7 +167,25 @@
 	n.answeredAt, n.reportedAt, n.lastAnswered = s.now, s.now, usage
 	c := s.collectors[n.dc]
 	c.AddNodeReport(s.now, n.id, 1+n.incarnation, usage)
-	n.limiter.Apply(c.Decide(s.now, s.limits))
+	n.limiter.Apply(c.Answer(s.now, n.id, s.limits))
+	n.waiting = slices.DeleteFunc(n.waiting, func(w simCall) bool {
+		if n.limiter.AskAgain(s.now, w.name) == Waiting {
+			return false
+		}
+		s.admitted[w.name] = append(s.admitted[w.name], s.elapsed())
+		return true
+	})
+}
+
+// dropOverdue refuses the calls that have waited for MaxWait.
+func (s *sim) dropOverdue(n *simNode) {
+	n.waiting = slices.DeleteFunc(n.waiting, func(w simCall) bool {
+		if s.now.Sub(w.at) < MaxWait {
+			return false
+		}
+		n.limiter.Leave(w.name)
+		return true
+	})
 }
 
 func (s *sim) exchange(dc int, c *simCollector) {
@@ -333,7 +362,7 @@
 
 func BenchmarkAdmit(b *testing.B) {
 	l := NewLimiter(time.Now())
-	l.Apply([]Admission{{"w", 0.5}})
+	l.Apply([]Admission{{Workspace: "w", Ratio: 0.5}})
 	b.ReportAllocs()
 	for b.Loop() {
 		l.Admit("w")
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -81,6 +81,7 @@
 // restart restarts a node without its state.
 func (s *sim) restart(n *simNode) {
 	n.limiter, n.lastAnswered, n.answeredAt, n.reportedAt = NewLimiter(s.now), nil, time.Time{}, s.now
+	n.waiting, n.surge = nil, false
 	n.incarnation++
 }
 
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -16,6 +16,18 @@
 	return own, others
 }
 
+// othersShare returns the share of a workspace's quota that the other collectors may use, without
+// those that have timed out.
+func (c *Collector) othersShare(name string) float64 {
+	share := 0.0
+	for _, r := range c.collectors {
+		if r.reserved == nil {
+			share += r.shares[name]
+		}
+	}
+	return min(share, 1)
+}
+
 // updateShares sets the shares of another collector after its report. Its own rates count as this
 // collector last sent them: the other knows these, and computes its share by them.
 func (c *Collector) updateShares(r *reporter) {
@@ -27,5 +39,25 @@
 		}
 		_, others := c.averageRates(name)
 		r.shares[name] = s.AverageRate / max(own+others, s.AverageRate, minAverageRate)
+		if b := c.bucket(name); b.escrow.held {
+			c.reserveLevel(name, b, s, r.shares[name])
+		}
+	}
+}
+
+// clearUnlisted sets the rates of workspaces to zero that a report of another collector no longer
+// lists. Its nodes may report elsewhere now, and would count twice.
+func (r *reporter) clearUnlisted(usage []Usage) {
+	if len(usage) == len(r.usage) {
+		return
+	}
+	listed := make(map[string]bool, len(usage))
+	for _, u := range usage {
+		listed[u.Workspace] = true
+	}
+	for name, s := range r.usage {
+		if !listed[name] {
+			s.RecentRate, s.AverageRate = 0, 0
+		}
 	}
 }
