node: calls of workspaces near their quota wait for the collector

Reports carry the number of waiting calls, and answers carry the bound of a held workspace (WorkspaceHold). Counters show the calls that waited, how long, and those refused in the end.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -16,6 +16,7 @@
 		n.writeState(p)
 		n.control.writeMetrics(p)
 		n.calls.writeMetrics(p)
+		n.workspaces.writeMetrics(p)
 		n.control.metrics.WritePrometheus(w)
 		if n.control.client != nil {
 			n.control.client.Metrics().WritePrometheus(w)
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -49,6 +49,7 @@
 	// reported holds an element after a report has come in.
 	reported chan struct{}
 	quotas   atomic.Pointer[quotas]
+	held     heldCalls
 }
 
 // quotas holds the limits of one version of the configuration.
@@ -86,14 +87,6 @@
 	return &call.Refusal{Reason: call.ReasonUnconfirmed, RetryAfter: jitterHalf(unconfirmedRetryAfter)}
 }
 
-// Admit implements proxy.Workspaces.
-func (w *workspaces) Admit(_ time.Time, ws *config.Workspace) *call.Refusal {
-	if ws.RatePerSecond == 0 || w.limiter.Admit(ws.Name) {
-		return nil
-	}
-	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: jitterHalf(overQuotaRetryAfter)}
-}
-
 // Refund implements proxy.Workspaces.
 func (w *workspaces) Refund(_ time.Time, ws *config.Workspace) {
 	if ws.RatePerSecond > 0 {
@@ -219,7 +212,7 @@
 	view := w.n.views.Load()
 	for _, id := range distribute.PositionOf(view, w.n.self.ID, w.n.self.DataCentre).Feeders {
 		if id == w.n.self.ID {
-			return w.recordAndDecide(func(now time.Time) {
+			return w.recordAndAnswer(id, func(now time.Time) {
 				w.collector.AddNodeReport(now, id, w.n.self.Incarnation, usage)
 			}), true
 		}
@@ -241,8 +234,8 @@
 	return decodeAdmissions(admissions), err
 }
 
-// recordAndDecide adds a report to the collector and returns the resulting admissions.
-func (w *workspaces) recordAndDecide(record func(now time.Time)) []quota.Admission {
+// recordAndAnswer adds a report to the collector and returns the answer to its sender.
+func (w *workspaces) recordAndAnswer(from string, record func(now time.Time)) []quota.Admission {
 	limits := w.limits()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -252,7 +245,7 @@
 	case w.reported <- struct{}{}:
 	default:
 	}
-	admissions := w.collector.Decide(now, limits)
+	admissions := w.collector.Answer(now, from, limits)
 	w.logOverQuota(now, admissions, limits)
 	return admissions
 }
@@ -261,6 +254,9 @@
 // overQuotaClearAfter. The caller holds w.mu.
 func (w *workspaces) logOverQuota(now time.Time, admissions []quota.Admission, limits map[string]quota.Limit) {
 	for _, p := range admissions {
+		if p.Ratio >= 1 {
+			continue // near its quota, and held
+		}
 		if _, known := w.lastOverQuota[p.Workspace]; !known {
 			w.log.Info().Str("workspace", p.Workspace).Float64("part", p.Ratio).
 				Float64("asked_per_s", w.collector.DemandRate(p.Workspace)).Float64("limit_per_s", limits[p.Workspace].Rate).
@@ -279,7 +275,7 @@
 // Collect implements peer.Collector.
 func (w *workspaces) Collect(q *peerpb.UsageRequest) []*peerpb.WorkspacePart {
 	usage := decodeUsage(q.Usage)
-	return encodeAdmissions(w.recordAndDecide(func(now time.Time) {
+	return encodeAdmissions(w.recordAndAnswer(q.From, func(now time.Time) {
 		if q.Summed {
 			w.collector.AddCollectorReport(now, q.From, q.Incarnation, usage)
 			return
--- a/internal/node/workspaces_wire.go
+++ b/internal/node/workspaces_wire.go
@@ -13,6 +13,7 @@
 	for i, u := range list {
 		out[i] = &peerpb.WorkspaceUsage{
 			Workspace: u.Workspace, Recent: u.RecentRate, Usual: u.AverageRate, Admitted: uint64(max(u.Admitted, 0)),
+			Waiting: uint32(max(u.Waiting, 0)),
 		}
 	}
 	return out
@@ -23,7 +24,7 @@
 	for i, u := range list {
 		out[i] = quota.Usage{
 			Workspace: u.GetWorkspace(), RecentRate: rateOf(u.GetRecent()), AverageRate: rateOf(u.GetUsual()),
-			Admitted: int64(min(u.GetAdmitted(), math.MaxInt64)),
+			Admitted: int64(min(u.GetAdmitted(), math.MaxInt64)), Waiting: int(min(u.GetWaiting(), math.MaxInt32)),
 		}
 	}
 	return out
@@ -42,6 +43,9 @@
 	out := make([]*peerpb.WorkspacePart, len(list))
 	for i, p := range list {
 		out[i] = &peerpb.WorkspacePart{Workspace: p.Workspace, Part: p.Ratio}
+		if h := p.Hold; h != nil {
+			out[i].Hold = &peerpb.WorkspaceHold{Calls: h.Calls, Foreseen: h.Foreseen, Granted: uint32(max(h.Granted, 0))}
+		}
 	}
 	return out
 }
@@ -50,6 +54,11 @@
 	out := make([]quota.Admission, len(list))
 	for i, p := range list {
 		out[i] = quota.Admission{Workspace: p.GetWorkspace(), Ratio: min(rateOf(p.GetPart()), 1)}
+		if h := p.GetHold(); h != nil {
+			out[i].Hold = &quota.Hold{
+				Calls: rateOf(h.GetCalls()), Foreseen: min(rateOf(h.GetForeseen()), 1), Granted: int(min(h.GetGranted(), math.MaxInt32)),
+			}
+		}
 	}
 	return out
 }
--- a/internal/proxy/entry_key.go
+++ b/internal/proxy/entry_key.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -13,12 +14,23 @@
 	// confirm that the keys in its configuration are still valid.
 	CheckKeys(now time.Time) *call.Refusal
 	// Admit counts a call against its workspace's quota and returns nil, or returns a refusal if
-	// the quota is used up.
-	Admit(now time.Time, w *config.Workspace) *call.Refusal
+	// the quota is used up. It may wait for the decision.
+	Admit(ctx context.Context, now time.Time, q QuotaCall) *call.Refusal
 	// Refund uncounts a call that was admitted but not run.
 	Refund(now time.Time, w *config.Workspace)
 }
 
+// QuotaCall is a call that counts against a quota.
+type QuotaCall struct {
+	Workspace *config.Workspace
+	// MaxWait bounds the wait for the decision; zero means no bound by the class.
+	MaxWait time.Duration
+}
+
+// maxQuotaWaitShare is the part of a class's latency target that a call may wait for the decision on
+// its quota. The rest is for the call itself.
+const maxQuotaWaitShare = 4
+
 // authenticate finds the workspace of a call by its API key. If the configuration has workspaces,
 // neither the key nor a workspace header set by the caller is forwarded.
 func (e *Entry) authenticate(c *entryCall, keys *config.Keyring) *call.Refusal {
@@ -45,7 +57,9 @@
 	if refusal := e.Workspaces.CheckKeys(c.start); refusal != nil {
 		return refusal
 	}
-	if refusal := e.Workspaces.Admit(c.start, w); refusal != nil {
+	if refusal := e.Workspaces.Admit(c.r.Context(), c.start, QuotaCall{
+		Workspace: w, MaxWait: c.target.AnswerWithin() / maxQuotaWaitShare,
+	}); refusal != nil {
 		return refusal
 	}
 	c.workspace = w
--- a/internal/proxy/key_test.go
+++ b/internal/proxy/key_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -64,7 +65,7 @@
 
 func (q *fakeQuotas) CheckKeys(time.Time) *call.Refusal { return q.confirmed }
 
-func (q *fakeQuotas) Admit(time.Time, *config.Workspace) *call.Refusal {
+func (q *fakeQuotas) Admit(context.Context, time.Time, QuotaCall) *call.Refusal {
 	if q.admit == nil {
 		q.counted++
 	}
