quota: a restarted collector reserves the shares of unreached data centres

Cause: a collector that started behind a partition knew of no other data centre and handed out the whole quota.

An answer to another collector no longer grants calls.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -50,6 +50,7 @@
 	reported chan struct{}
 	quotas   atomic.Pointer[quotas]
 	held     heldCalls
+	reached  reachedCentres
 }
 
 // quotas holds the limits of one version of the configuration.
@@ -241,6 +242,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	record(now)
+	w.collector.SetUnreached(w.reached.unreachedShare(now, w.n.self.DataCentre))
 	select {
 	case w.reported <- struct{}{}:
 	default:
@@ -275,7 +277,11 @@
 // Collect implements peer.Collector.
 func (w *workspaces) Collect(q *peerpb.UsageRequest) []*peerpb.WorkspacePart {
 	usage := decodeUsage(q.Usage)
-	return encodeAdmissions(w.recordAndAnswer(q.From, func(now time.Time) {
+	to := q.From
+	if q.Summed {
+		to = "" // a collector has no calls that wait
+	}
+	return encodeAdmissions(w.recordAndAnswer(to, func(now time.Time) {
 		if q.Summed {
 			w.collector.AddCollectorReport(now, q.From, q.Incarnation, usage)
 			return
@@ -306,9 +312,11 @@
 		var wg sync.WaitGroup
 		for _, id := range w.collectors(view) {
 			wg.Go(func() {
-				if _, err := w.sendUsage(ctx, view.Records[id], totals, true); err != nil {
+				_, err := w.sendUsage(ctx, view.Records[id], totals, true)
+				if err != nil {
 					w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector did not receive the usage totals")
 				}
+				w.reached.tried(time.Now(), view.Records[id].VM.DataCentre, err == nil)
 			})
 		}
 		wg.Wait()
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -73,7 +73,10 @@
 	buckets       map[string]*bucket
 	admittedTotal map[string]int64 // calls admitted by nodes, by workspace
 	// sent holds the average rates of the last totals sent to other collectors.
-	sent      map[string]float64
+	sent map[string]float64
+	// unreached is the share of each quota that is reserved for data centres that this collector has
+	// not reached since it started.
+	unreached float64
 	decision  []Admission
 	decidedAt time.Time
 }
@@ -195,6 +198,10 @@
 	return b
 }
 
+// SetUnreached sets the share of each quota that is reserved for data centres that this collector
+// has not reached since it started: they may be admitting calls that it does not know of.
+func (c *Collector) SetUnreached(share float64) { c.unreached = share }
+
 // Decide returns the workspaces whose calls are not all admitted, sorted by name.
 func (c *Collector) Decide(now time.Time, limits map[string]Limit) []Admission {
 	if c.decidedAt.IsZero() {
@@ -211,7 +218,7 @@
 	out := make([]Admission, 0)
 	for name, limit := range limits {
 		b := c.bucket(name)
-		left := limit.withoutShare(reservedShares[name])
+		left := limit.withoutShare(reservedShares[name] + c.unreached)
 		b.refill(left, recent[name], span)
 		c.hold(now, name, b, limit, left)
 		if b.ratio < 1 || b.escrow.held {
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -65,6 +65,9 @@
 		e.foreseen = available / own
 	}
 	e.tolerance = partUsed * limit.tolerance() / float64(1+len(c.collectors))
+	if c.unreached > 0 {
+		e.tolerance = 0 // an earlier run may have spent it
+	}
 	// A part below one call would never admit one: then it is all left to waiting calls.
 	e.part = math.Floor((e.tolerance + min(b.level, 0)) / float64(max(len(c.nodes), 1)))
 	e.part = max(e.part, 0)
