quota: over the quota, calls that can be in time go first

Cause: calls over the quota were refused at random, before the caller was known. A caller who returned past its latency target took the place of one who could have been in time, and was told to return in 0.5 to 1.5 s whether or not there would be room.

Change: the quota is checked behind the fingerprint, so that refused callers are recognised when they return. Nodes report the rate of overdue calls, and the collector answers with a ratio for calls that can be in time and one for overdue calls, which take what is left, and with the time after which it expects room: the refused callers of the last seconds over the rate that calls in time leave, 0.5 to 5 s. Refusals over the quota do not rate a class as one-shot.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -30,7 +30,8 @@
 	// overQuotaClearAfter is the time within its quota after which a workspace is no longer logged
 	// as over it.
 	overQuotaClearAfter = 3 * time.Second
-	// overQuotaRetryAfter is the mean retry delay sent to callers over their quota, and
+	// overQuotaRetryAfter is the mean retry delay sent to callers over their quota where the
+	// collector states none, and
 	// unconfirmedRetryAfter that sent while keys are not confirmed.
 	overQuotaRetryAfter   = time.Second
 	unconfirmedRetryAfter = time.Second
--- a/internal/node/workspaces_hold.go
+++ b/internal/node/workspaces_hold.go
@@ -22,14 +22,18 @@
 	if ws.RatePerSecond == 0 {
 		return nil
 	}
-	verdict := w.limiter.Ask(now, ws.Name)
+	verdict := w.limiter.Ask(now, ws.Name, q.Overdue)
 	if verdict == quota.Waiting {
 		verdict = w.awaitAnswer(ctx, now, q)
 	}
 	if verdict == quota.Admitted {
 		return nil
 	}
-	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: jitterHalf(overQuotaRetryAfter)}
+	retryAfter := w.limiter.RetryAfter(ws.Name)
+	if retryAfter == 0 {
+		retryAfter = overQuotaRetryAfter
+	}
+	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: jitterHalf(retryAfter)}
 }
 
 // awaitAnswer holds a call until an answer of a collector admits it, or until it has waited too long.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -97,8 +97,9 @@
 	parentRetried bool // the call was made by a call that is being retried
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
-	// workspace is the workspace whose quota the call is counted against, or nil.
-	workspace *config.Workspace
+	// quotaHolder is the workspace whose quota the call counts against, or nil, and workspace the same
+	// once the call is counted.
+	quotaHolder, workspace *config.Workspace
 }
 
 var entryCalls = sync.Pool{New: func() any { return new(entryCall) }}
@@ -144,6 +145,10 @@
 		return
 	}
 	c.firstAttempt = e.returning.firstAttempt(c.start, c.fp)
+	if refusal := e.admitWorkspace(c); refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
 	e.Retrier.Called(c.target.Service)
 	e.run(ctx, w, c, span)
 }
--- a/internal/proxy/entry_key.go
+++ b/internal/proxy/entry_key.go
@@ -20,17 +20,6 @@
 	Refund(now time.Time, w *config.Workspace)
 }
 
-// QuotaCall is a call that counts against a quota.
-type QuotaCall struct {
-	Workspace *config.Workspace
-	// MaxWait bounds the wait for the decision; zero means no bound by the class.
-	MaxWait time.Duration
-}
-
-// maxQuotaWaitShare is the part of a class's latency target that a call may wait for the decision on
-// its quota. The rest is for the call itself.
-const maxQuotaWaitShare = 4
-
 // authenticate finds the workspace of a call by its API key. If the configuration has workspaces,
 // neither the key nor a workspace header set by the caller is forwarded.
 func (e *Entry) authenticate(c *entryCall, keys *config.Keyring) *call.Refusal {
@@ -49,27 +38,6 @@
 	if e.Workspaces == nil || c.target.Keyless {
 		return nil
 	}
-	return e.admitWorkspace(c, w)
-}
-
-// admitWorkspace counts a call against its workspace's quota.
-func (e *Entry) admitWorkspace(c *entryCall, w *config.Workspace) *call.Refusal {
-	if refusal := e.Workspaces.CheckKeys(c.start); refusal != nil {
-		return refusal
-	}
-	if refusal := e.Workspaces.Admit(c.r.Context(), c.start, QuotaCall{
-		Workspace: w, MaxWait: c.target.AnswerWithin() / maxQuotaWaitShare,
-	}); refusal != nil {
-		return refusal
-	}
-	c.workspace = w
-	return nil
-}
-
-// refund uncounts a call that was not run from its workspace's quota.
-func (e *Entry) refund(c *entryCall) {
-	if c.workspace != nil {
-		e.Workspaces.Refund(e.Now(), c.workspace)
-		c.workspace = nil
-	}
+	c.quotaHolder = w
+	return e.Workspaces.CheckKeys(c.start)
 }
--- a/internal/proxy/returning_callers.go
+++ b/internal/proxy/returning_callers.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/quarantine"
 )
 
@@ -38,12 +39,18 @@
 	returned     atomic.Bool
 }
 
-// recordRefusal records that c was refused with the given Retry-After.
-func (t *returningCallers) recordRefusal(now time.Time, c *entryCall, retryAfter time.Duration) {
+// recordRefusal records that c was refused.
+func (t *returningCallers) recordRefusal(now time.Time, c *entryCall, refusal *call.Refusal) {
 	if c.fp == (quarantine.Fingerprint{}) {
 		return // refused before the body was read
 	}
-	r := &refusedCall{fp: c.fp, firstAttempt: c.firstAttempt, returnBy: now.Add(2*retryAfter + returnGrace)}
+	r := &refusedCall{fp: c.fp, firstAttempt: c.firstAttempt, returnBy: now.Add(2*refusal.RetryAfter + returnGrace)}
+	if refusal.Reason == call.ReasonOverQuota {
+		// The caller may be told to return after its deadline. Whether it does says nothing about
+		// the class.
+		t.cell(c.fp).Store(r)
+		return
+	}
 	// A deadline shorter than the class's timeout was set by the caller, which leaves then.
 	ownDeadline := c.deadline.Sub(c.start) < c.target.Timeout()
 	if ownDeadline && c.deadline.Before(r.returnBy) {
--- a/internal/proxy/returning_callers_test.go
+++ b/internal/proxy/returning_callers_test.go
@@ -24,7 +24,7 @@
 func TestReturningCallerIsRecognised(t *testing.T) {
 	var r returningCallers
 	c := newRefusedCall(1, &config.Target{Name: "previews", TimeoutMS: 2000})
-	r.recordRefusal(refusedAt, c, time.Second)
+	r.recordRefusal(refusedAt, c, &call.Refusal{RetryAfter: time.Second})
 	back := refusedAt.Add(1100 * time.Millisecond)
 	if got := r.firstAttempt(back, quarantine.Fingerprint{7: 2}); !got.Equal(back) {
 		t.Errorf("first attempt of another caller at %v", got)
@@ -35,7 +35,7 @@
 	if got := r.firstAttempt(back, c.fp); !got.Equal(back) {
 		t.Errorf("first attempt of the next caller at %v", got)
 	}
-	r.recordRefusal(refusedAt, c, time.Second)
+	r.recordRefusal(refusedAt, c, &call.Refusal{RetryAfter: time.Second})
 	late := refusedAt.Add(time.Minute)
 	if got := r.firstAttempt(late, c.fp); !got.Equal(late) {
 		t.Errorf("first attempt of a caller a minute later at %v", got)
@@ -56,7 +56,7 @@
 			c := newRefusedCall(2*i+byte(n), target)
 			c.firstAttempt, c.start = now, now
 			c.deadline = now.Add(target.Timeout() - time.Millisecond) // the caller's own
-			r.recordRefusal(now, c, time.Second)
+			r.recordRefusal(now, c, &call.Refusal{RetryAfter: time.Second})
 			if i < 4 && r.oneShot(target.Name) {
 				t.Fatalf("%s are rated one-shot before a retry was possible", target.Name)
 			}
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -109,23 +109,33 @@
 	level  float64
 	ratio  float64 // admission ratio of the last decision
 	demand float64 // moving average of the requested calls per second
-	escrow escrow
+	// overdue is the part of demand that is of overdue calls, and recentOverdue their last rate.
+	overdue, recentOverdue float64
+	// backlog is how many refused callers are expected to return.
+	backlog float64
+	escrow  escrow
 }
 
-// updateDemand adds the requested rate of the last span to the moving average. The fewer calls
+// updateDemand adds the requested rates of the last span to the moving averages. The fewer calls
 // there are, the longer the averaging time: a sample of few calls is noisy.
-func (b *bucket) updateDemand(recent, span float64) {
+func (b *bucket) updateDemand(recent, overdue, span float64) {
 	over := min(demandCalls/max(recent, b.demand, 1), maxDemandWindow.Seconds())
-	b.demand += (1 - math.Exp(-span/over)) * (recent - b.demand)
+	weight := 1 - math.Exp(-span/over)
+	b.demand += weight * (recent - b.demand)
+	b.overdue += weight * (overdue - b.overdue)
 }
 
 // refill adds the tokens of a span in seconds and updates the admission ratio.
 func (b *bucket) refill(limit Limit, recent, span float64) {
 	b.level = min(b.level+limit.Rate*span, max(limit.Burst, 1))
-	b.updateDemand(recent, span)
-	b.ratio = admissionRatio(b.demand, limit.Rate+b.level/levelHorizon.Seconds())
+	b.updateDemand(recent, b.recentOverdue, span)
+	b.ratio = admissionRatio(b.demand, b.available(limit))
+	b.addBacklog(span)
 }
 
+// available returns the rate at which calls may be admitted now.
+func (b *bucket) available(limit Limit) float64 { return limit.Rate + b.level/levelHorizon.Seconds() }
+
 // admissionRatio returns the ratio of the demand to admit, given the available rate, both in calls
 // per second.
 func admissionRatio(demand, available float64) float64 {
@@ -222,7 +232,11 @@
 		b.refill(left, recent[name], span)
 		c.hold(now, name, b, limit, left)
 		if b.ratio < 1 || b.escrow.held {
-			out = append(out, Admission{Workspace: name, Ratio: b.ratio, Hold: b.escrow.bound()})
+			a := Admission{Workspace: name, Ratio: b.ratio, Hold: b.escrow.bound()}
+			if b.ratio < 1 {
+				a.Split = b.split(left, b.available(left))
+			}
+			out = append(out, a)
 		}
 	}
 	slices.SortFunc(out, func(a, b Admission) int { return strings.Compare(a.Workspace, b.Workspace) })
@@ -296,6 +310,9 @@
 // estimated to have been admitted during the span out of the buckets.
 func (c *Collector) collectDemand(span float64) map[string]float64 {
 	recent := make(map[string]float64)
+	for _, b := range c.buckets {
+		b.recentOverdue = 0
+	}
 	for _, r := range c.reporters() {
 		if r.reserved != nil {
 			continue
@@ -303,6 +320,7 @@
 		for name, s := range r.usage {
 			recent[name] += s.RecentRate
 			b := c.bucket(name)
+			b.recentOverdue += s.OverdueRate
 			admitted := c.foreseenRate(r, s, b) * span
 			s.estimated += admitted
 			b.level -= admitted
@@ -342,6 +360,7 @@
 			}
 			sum.RecentRate += s.RecentRate
 			sum.AverageRate += s.AverageRate
+			sum.OverdueRate += s.OverdueRate
 		}
 	}
 	out := make([]Usage, 0, len(sums))
--- a/internal/quota/hold.go
+++ b/internal/quota/hold.go
@@ -97,10 +97,10 @@
 	h.on.Store(true)
 }
 
-// Ask counts a call of a workspace and decides on it. A waiting call has to call AskAgain after each
-// answer, until it is admitted or calls Leave.
-func (l *Limiter) Ask(now time.Time, workspace string) Verdict {
-	return l.ask(now.UnixNano(), l.meter(workspace))
+// Ask counts a call of a workspace and decides on it; overdue says that the call can't be in time any
+// more. A waiting call has to call AskAgain after each answer, until it is admitted or calls Leave.
+func (l *Limiter) Ask(now time.Time, workspace string, overdue bool) Verdict {
+	return l.ask(now.UnixNano(), l.meter(workspace), overdue)
 }
 
 // AskAgain decides on a waiting call. It returns Waiting or Admitted.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -31,6 +31,8 @@
 	RecentRate, AverageRate float64
 	// Admitted counts the calls admitted since the start. Refunds lower it.
 	Admitted int64
+	// OverdueRate is the part of RecentRate that is of overdue calls.
+	OverdueRate float64
 	// Waiting is how many calls wait for the answer to the report.
 	Waiting int
 }
@@ -40,6 +42,9 @@
 	Workspace string
 	// Ratio is the ratio of calls to admit, 0 to 1.
 	Ratio float64
+	// Split divides these among calls that can be in time and overdue ones; nil means the same ratio
+	// for both.
+	Split *Split
 	// Hold bounds the admitted calls until the next answer; nil means no bound.
 	Hold *Hold
 }
@@ -57,12 +62,11 @@
 // meter counts and limits the calls of one workspace.
 type meter struct {
 	requested, admitted atomic.Int64
-	// ratio holds the bits of the admission ratio.
-	ratio atomic.Uint64
-	// accumulated sums up the admission ratios of the requested calls, in units of callUnit. A call
-	// is admitted where the sum crosses a whole unit, so that even few calls are admitted in this
-	// ratio.
-	accumulated atomic.Uint64
+	overdue             atomic.Int64  // requested calls that were overdue
+	ratio               atomic.Uint64 // bits of the admission ratio
+	inTimeGate          ratioGate
+	overdueGate         ratioGate
+	retryAfter          atomic.Int64 // in nanoseconds
 	// fallback is set while calls are admitted by tokens, also in units of callUnit.
 	fallback atomic.Bool
 	tokens   atomic.Int64
@@ -71,10 +75,11 @@
 	hold    holdState
 
 	// Guarded by the limiter.
-	reported    int64 // requested calls at the last report
-	earlier     []sample
-	averageRate float64
-	surging     bool // at the last report
+	reported        int64 // requested calls at the last report
+	reportedOverdue int64
+	earlier         []sample
+	averageRate     float64
+	surging         bool // at the last report
 }
 
 // callUnit is one call in meter.accumulated and meter.tokens.
@@ -97,7 +102,10 @@
 	}
 	fresh := new(meter)
 	fresh.setRatio(1)
-	fresh.accumulated.Store(uint64(rand.Uint32()))
+	for _, gate := range []*ratioGate{&fresh.inTimeGate, &fresh.overdueGate} {
+		gate.set(1)
+		gate.accumulated.Store(uint64(rand.Uint32()))
+	}
 	fresh.surgeAt.Store(1) // the first call triggers a report
 	m, _ := l.meters.LoadOrStore(workspace, fresh)
 	return m.(*meter)
@@ -106,18 +114,21 @@
 // Admit counts a call of a workspace, and reports whether it is admitted at once.
 func (l *Limiter) Admit(workspace string) bool {
 	m := l.meter(workspace)
-	verdict := l.ask(l.clock.Load(), m)
+	verdict := l.ask(l.clock.Load(), m, false)
 	if verdict == Waiting {
 		m.hold.leave()
 	}
 	return verdict == Admitted
 }
 
-func (l *Limiter) ask(now int64, m *meter) Verdict {
+func (l *Limiter) ask(now int64, m *meter, overdue bool) Verdict {
+	if overdue {
+		m.overdue.Add(1)
+	}
 	if m.requested.Add(1) == m.surgeAt.Load() {
 		l.reportEarly()
 	}
-	if !m.admit() {
+	if !m.admit(overdue) {
 		return Refused
 	}
 	if !m.fallback.Load() && !m.hold.admit(now) {
@@ -144,7 +155,7 @@
 
 func (m *meter) admissionRatio() float64 { return math.Float64frombits(m.ratio.Load()) }
 
-func (m *meter) admit() bool {
+func (m *meter) admit(overdue bool) bool {
 	if m.fallback.Load() {
 		if m.tokens.Add(-callUnit) >= 0 {
 			return true
@@ -152,13 +163,10 @@
 		m.tokens.Add(callUnit)
 		return false
 	}
-	ratio := m.admissionRatio()
-	if ratio >= 1 {
-		return true
+	if overdue {
+		return m.overdueGate.admit()
 	}
-	step := uint64(ratio * callUnit)
-	after := m.accumulated.Add(step)
-	return after/callUnit != (after-step)/callUnit
+	return m.inTimeGate.admit()
 }
 
 // ReportNextCall makes the next call of each workspace trigger an early report.
@@ -193,28 +201,31 @@
 	m.surging = requested-m.reported > m.surgeCalls(span)
 	weight := 1 - math.Exp(-span.Seconds()/averageOver.Seconds())
 	m.averageRate += weight * (float64(requested-m.reported)/span.Seconds() - m.averageRate)
-	recent := m.recentRate(sample{now.Add(-span), m.reported}, sample{now, requested})
-	m.reported = requested
+	overdue := m.overdue.Load()
+	recent, recentOverdue := m.recentRates(sample{now.Add(-span), m.reported, m.reportedOverdue}, sample{now, requested, overdue})
+	m.reported, m.reportedOverdue = requested, overdue
 	m.surgeAt.Store(requested + m.earlyReportCalls())
 	admitted, waiting := m.hold.report(now, &m.admitted)
-	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: admitted, Waiting: waiting}
+	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: admitted, OverdueRate: recentOverdue, Waiting: waiting}
 }
 
-// sample is a count of requested calls.
+// sample is a count of requested calls, and of the overdue ones among them.
 type sample struct {
-	at        time.Time
-	requested int64
+	at                 time.Time
+	requested, overdue int64
 }
 
-// recentRate returns the rate of requested calls over at least ReportInterval. A waiting call
-// triggers a report, and the rate over the short time before it would be many times the usual one.
-func (m *meter) recentRate(last, now sample) float64 {
+// recentRates returns the rates of requested and of overdue calls over at least ReportInterval. A
+// waiting call triggers a report, and the rate over the short time before it would be many times the
+// usual one.
+func (m *meter) recentRates(last, now sample) (requested, overdue float64) {
 	m.earlier = append(m.earlier, last)
 	for len(m.earlier) > 1 && now.at.Sub(m.earlier[1].at) >= ReportInterval {
 		m.earlier = slices.Delete(m.earlier, 0, 1)
 	}
 	from := m.earlier[0]
-	return float64(now.requested-from.requested) / now.at.Sub(from.at).Seconds()
+	span := now.at.Sub(from.at).Seconds()
+	return float64(now.requested-from.requested) / span, float64(now.overdue-from.overdue) / span
 }
 
 // earlyReportCalls returns how many calls after a report trigger the next one. Fewer do for a
@@ -247,6 +258,7 @@
 			a.Ratio = 1
 		}
 		m.setRatio(a.Ratio)
+		m.split(a)
 		m.hold.apply(a.Hold, m.averageRate, m.admitted.Load())
 		m.fallback.Store(false)
 		return true
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -107,7 +107,7 @@
 				n := s.entryNode()
 				n.lastCall = s.now
 				s.requested[name] = append(s.requested[name], s.elapsed())
-				switch n.limiter.Ask(s.now, name) {
+				switch n.limiter.Ask(s.now, name, false) {
 				case Admitted:
 					s.admitted[name] = append(s.admitted[name], s.elapsed())
 				case Waiting:
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -57,7 +57,7 @@
 	}
 	for name, s := range r.usage {
 		if !listed[name] {
-			s.RecentRate, s.AverageRate = 0, 0
+			s.RecentRate, s.AverageRate, s.OverdueRate = 0, 0, 0
 		}
 	}
 }
