quota: hold by the window and the demand alone

Change: the rule is replaced. What is unseen counts as a surge of the average rate, or as the present demand if that is more.

--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -11,9 +11,6 @@
 	// surgeUnseen is the time until all nodes apply the answer to a surge: a report interval, and
 	// the early report that triggers it.
 	surgeUnseen = ReportInterval + 2*MinReportInterval
-	// surgeDemand is how many times its average rate the demand of a workspace is in a surge. A small
-	// one reaches 2.7 times by chance.
-	surgeDemand = 3
 	// holdFor is how long a workspace stays held after it was last near its quota.
 	holdFor = time.Second
 	// partUsed is the fraction of the tolerance that nodes may admit beyond what is foreseen. The
@@ -44,10 +41,11 @@
 func (l Limit) tolerance() float64 { return l.Burst / toleranceUsed }
 
 // nearQuota reports whether a surge could exceed the quota before all nodes know of it: the calls
-// known of the last seconds, plus what a surge adds unseen.
-func (l Limit) nearQuota(average float64) bool {
+// known of the last seconds, plus what a surge adds unseen. The demand counts where it is more than a
+// surge of the average rate, which is too low in the first seconds of a workspace.
+func (l Limit) nearQuota(average, demand float64) bool {
 	over := averageOver.Seconds()
-	return average*(over+maxSurge*surgeUnseen.Seconds()) > l.Rate*over+l.tolerance()
+	return average*over+max(maxSurge*average, demand)*surgeUnseen.Seconds() > l.Rate*over+l.tolerance()
 }
 
 // hold decides whether a workspace is held, and what its nodes may admit until their next answer.
@@ -55,8 +53,7 @@
 // calls: small workspaces far below their quota reach it by chance.
 func (c *Collector) hold(now time.Time, name string, b *bucket, limit, left Limit) {
 	e := &b.escrow
-	surge := b.ratio < 1 && b.demand > max(surgeDemand*b.average, left.Rate)
-	if surge || left.nearQuota(b.average) {
+	if left.nearQuota(b.average, b.demand) {
 		e.heldUntil = now.Add(holdFor)
 	}
 	e.held = now.Before(e.heldUntil)
--- a/internal/quota/escrow_test.go
+++ b/internal/quota/escrow_test.go
@@ -62,8 +62,10 @@
 	now := time.Unix(1e6, 0)
 	l := NewLimiter(now)
 	l.Apply([]Admission{{Workspace: "w", Ratio: 1, Hold: &Hold{}}})
-	if l.Ask(now, "w", false) != Waiting || l.Ask(now, "w", false) != Waiting {
-		t.Fatal("a call of a held workspace without a part did not wait")
+	for range 2 {
+		if l.Ask(now, "w", false) != Waiting {
+			t.Fatal("a call of a held workspace without a part did not wait")
+		}
 	}
 	applied := l.Applied()
 	now = now.Add(MinReportInterval)
