--- a/internal/node/workspaces_hold.go
+++ b/internal/node/workspaces_hold.go
@@ -10,10 +10,11 @@
 	"github.com/marlpass/marlpass/internal/quota"
 )
 
-// heldCalls counts the calls that waited for a collector's answer.
+// heldCalls counts the calls that waited for a collector's answer, and all that were refused.
 type heldCalls struct {
-	admitted, refused atomic.Uint64
-	waited            atomic.Int64 // nanoseconds
+	admitted, refused             atomic.Uint64
+	waited                        atomic.Int64 // nanoseconds
+	refusedInTime, refusedOverdue atomic.Uint64
 }
 
 // Admit implements proxy.Workspaces.
@@ -23,17 +24,32 @@
 		return nil
 	}
 	verdict := w.limiter.Ask(now, ws.Name, q.Overdue)
-	if verdict == quota.Waiting {
+	waited := verdict == quota.Waiting
+	if waited {
 		verdict = w.awaitAnswer(ctx, now, q)
 	}
 	if verdict == quota.Admitted {
 		return nil
 	}
-	retryAfter := w.limiter.RetryAfter(ws.Name)
+	return w.refuse(q, waited)
+}
+
+func (w *workspaces) refuse(q proxy.QuotaCall, waited bool) *call.Refusal {
+	detail := "workspace " + q.Workspace.Name
+	if waited {
+		detail += ", no answer of its collector in time"
+	}
+	if q.Overdue {
+		w.held.refusedOverdue.Add(1)
+		detail += ", overdue"
+	} else {
+		w.held.refusedInTime.Add(1)
+	}
+	retryAfter := w.limiter.RetryAfter(q.Workspace.Name)
 	if retryAfter == 0 {
 		retryAfter = overQuotaRetryAfter
 	}
-	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: jitterHalf(retryAfter)}
+	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: detail, RetryAfter: jitterHalf(retryAfter)}
 }
 
 // awaitAnswer holds a call until an answer of a collector admits it, or until it has waited too long.
@@ -64,5 +80,7 @@
 func (w *workspaces) writeMetrics(p page) {
 	p.counter("marlpass_workspace_held_calls_total", w.held.admitted.Load(), "outcome", "admitted")
 	p.counter("marlpass_workspace_held_calls_total", w.held.refused.Load(), "outcome", "refused")
+	p.counter("marlpass_workspace_refused_calls_total", w.held.refusedInTime.Load(), "overdue", "false")
+	p.counter("marlpass_workspace_refused_calls_total", w.held.refusedOverdue.Load(), "overdue", "true")
 	p.gauge("marlpass_workspace_held_seconds", time.Duration(w.held.waited.Load()).Seconds())
 }
--- a/internal/node/workspaces_wire_test.go
+++ b/internal/node/workspaces_wire_test.go
@@ -17,5 +17,17 @@
 		if !ok || !(p.Ratio >= 0 && p.Ratio <= 1) {
 			t.Errorf("%v: %+v, %+v", v, u, p)
 		}
+		p = decodeAdmissions([]*peerpb.WorkspacePart{{
+			Hold:  &peerpb.WorkspaceHold{Calls: v, Foreseen: v, Granted: math.MaxUint32},
+			Split: &peerpb.WorkspaceSplit{InTime: v, Overdue: v, RetryAfterMs: math.MaxUint32},
+		}})[0]
+		for _, got := range []float64{p.Hold.Foreseen, p.Split.InTime, p.Split.Overdue, p.Hold.Calls / 1e6} {
+			if !(got >= 0 && got <= 1) {
+				t.Errorf("%v: %+v, %+v", v, p.Hold, p.Split)
+			}
+		}
+		if p.Hold.Granted < 0 || p.Split.RetryAfter > maxToldRetryAfter {
+			t.Errorf("%+v, %+v", p.Hold, p.Split)
+		}
 	}
 }
