quota: drop the share of a former collector once its data centre has another one

Cause: the collector of a data centre changes when a VM with a better position joins or leaves. The other collectors took the former one for cut off, and reserved its share of every quota, times 1.1, for five minutes, though its nodes reported to its successor. While it stayed and sent empty totals, the rates of its last report stayed in force. Workspaces within their quota were refused. Change: a report states the data centre of the collector; a timed-out collector of the same data centre is dropped. Workspaces that a report doesn't list have no rate. The calls of cut_test.go and mesh_test.go name the data centre; their checks are unchanged. Conclusion: quotas are divided among the data centres that exist.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -58,11 +58,13 @@
 }
 
 func newWorkspaces(n *Node) *workspaces {
-	return &workspaces{
+	w := &workspaces{
 		n: n, log: telemetry.Part(n.log, "workspaces"),
 		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), reported: make(chan struct{}, 1),
 		lastOverQuota: make(map[string]time.Time),
 	}
+	w.collector.SetDataCentre(n.self.DataCentre)
+	return w
 }
 
 // assuredSource is a source of versions that knows how long the version in force may have been
@@ -281,13 +283,21 @@
 	usage := decodeUsage(q.Usage)
 	return encodeAdmissions(w.recordAndDecide(func(now time.Time) {
 		if q.Summed {
-			w.collector.AddCollectorReport(now, q.From, q.Incarnation, usage)
+			w.collector.AddCollectorReport(now, w.dataCentreOf(q.From), q.From, q.Incarnation, usage)
 			return
 		}
 		w.collector.AddNodeReport(now, q.From, q.Incarnation, usage)
 	}))
 }
 
+// dataCentreOf returns the data centre of a node, or its ID if the node is not in the view.
+func (w *workspaces) dataCentreOf(id string) string {
+	if r := w.n.views.Load().Records[id]; r != nil {
+		return r.VM.DataCentre
+	}
+	return id
+}
+
 // exchangeTotals sends the usage totals of the nodes that report here to the other collectors.
 func (w *workspaces) exchangeTotals(ctx context.Context) {
 	for {
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -71,6 +71,7 @@
 // Collector aggregates the calls of each workspace in the whole mesh and decides on the admission
 // ratios. It is not safe for concurrent use.
 type Collector struct {
+	dataCentre    string
 	nodes         map[string]*reporter // nodes that report to this collector
 	collectors    map[string]*reporter // other collectors
 	buckets       map[string]*bucket
@@ -81,6 +82,8 @@
 
 // reporter is the state of a node, or of another collector.
 type reporter struct {
+	// dataCentre is that of a collector; empty for a node.
+	dataCentre  string
 	incarnation uint64
 	lastReport  time.Time
 	usage       map[string]*usageState
@@ -141,11 +144,27 @@
 // AddNodeReport records the report of a node.
 func (c *Collector) AddNodeReport(now time.Time, id string, incarnation uint64, usage []Usage) {
 	c.record(now, c.nodes, id, incarnation, usage, true)
+	c.dropFormer(now, c.dataCentre)
 }
 
-// AddCollectorReport records the report of another collector: the totals of its nodes.
-func (c *Collector) AddCollectorReport(now time.Time, id string, incarnation uint64, usage []Usage) {
+// AddCollectorReport records the report of another collector: the totals of its nodes. Former
+// collectors of its data centre that have timed out are dropped: their nodes report to this one, so
+// that a share reserved for them would be missing from the quota.
+func (c *Collector) AddCollectorReport(now time.Time, dataCentre, id string, incarnation uint64, usage []Usage) {
 	c.record(now, c.collectors, id, incarnation, usage, false)
+	c.collectors[id].dataCentre = dataCentre
+	c.dropFormer(now, dataCentre)
+}
+
+// SetDataCentre sets the data centre of this collector. While nodes report to it, no share is
+// reserved for a former collector of that data centre.
+func (c *Collector) SetDataCentre(dataCentre string) { c.dataCentre = dataCentre }
+
+// dropFormer drops the collectors of a data centre that have timed out.
+func (c *Collector) dropFormer(now time.Time, dataCentre string) {
+	maps.DeleteFunc(c.collectors, func(_ string, r *reporter) bool {
+		return r.dataCentre == dataCentre && now.Sub(r.lastReport) > collectorTimeout
+	})
 }
 
 func (c *Collector) record(now time.Time, reporters map[string]*reporter, id string, incarnation uint64, usage []Usage, isNode bool) {
@@ -158,6 +177,7 @@
 	r.lastReport = now
 	// Calls admitted without reports are covered by the reservation.
 	known, r.reserved = known && r.reserved == nil, nil
+	c.clearUsage(r)
 	for _, u := range usage {
 		s := r.usage[u.Workspace]
 		if s == nil {
@@ -177,6 +197,15 @@
 	}
 }
 
+// clearUsage resets the usage that a new report is to replace. A report of totals doesn't list the
+// workspaces of nodes that now report elsewhere.
+func (c *Collector) clearUsage(r *reporter) {
+	for name, s := range r.usage {
+		c.bucket(name).level += s.estimated
+		s.RecentRate, s.AverageRate, s.estimated = 0, 0, 0
+	}
+}
+
 func (c *Collector) bucket(workspace string) *bucket {
 	b := c.buckets[workspace]
 	if b == nil {
--- a/internal/quota/cut_test.go
+++ b/internal/quota/cut_test.go
@@ -24,8 +24,8 @@
 			c.Decide(now, map[string]Limit{name: limit})
 		}
 		if at <= partitionAt {
-			sides[0].AddCollectorReport(now, "c1", 1, sides[1].NodeTotals())
-			sides[1].AddCollectorReport(now, "c0", 1, sides[0].NodeTotals())
+			sides[0].AddCollectorReport(now, "dc1", "c1", 1, sides[1].NodeTotals())
+			sides[1].AddCollectorReport(now, "dc0", "c0", 1, sides[0].NodeTotals())
 		}
 	}
 	together := 0.0
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -168,7 +168,7 @@
 		if other == dc || s.collectorDown(other, s.elapsed()) || s.partitioned(dc, s.elapsed()) != s.partitioned(other, s.elapsed()) {
 			continue
 		}
-		o.AddCollectorReport(s.now, fmt.Sprint("c", dc), 1, c.NodeTotals())
+		o.AddCollectorReport(s.now, fmt.Sprint("dc", dc), fmt.Sprint("c", dc), 1, c.NodeTotals())
 		o.Decide(s.now, s.limits)
 	}
 }
