retry, proxy: tell callers rejected with slots free to return within their target

A backend server that rejects calls at random, with slots free, gives the next attempt the same chance as any other. The caller whose call was given up was told to wait 1 s or more, and came back later than its latency target.

The load that comes with such a rejection was lost between nodes; a mark (Marlpass-Slots-Free, sent in this case only) passes on that slots were free. Where retries.slack is set, Retry-After is then 10 to 50 ms and at most an eighth of the time to the target. A time stated by the backend server itself, and times of all other refusals, are as before.

--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -59,7 +59,7 @@
 		return retry.Options{Budget: retry.BudgetOptions{Ratio: r.set.Ratio}}
 	}
 	return retry.Options{
-		MaxAttempts: boundedAttempts, ChargeReachedOnly: true,
+		MaxAttempts: boundedAttempts, ChargeReachedOnly: true, RandomRejections: true,
 		Budget: retry.BudgetOptions{Ratio: r.set.Ratio * ratioFraction, Burst: boundedBurst},
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -193,6 +193,8 @@
 	// expired is set if the attempt timed out.
 	expired bool
 	load    Load
+	// slotsFree is set if another node marked its refusal with headerSlotsFree.
+	slotsFree bool
 	// linkWait is how long large answers wait for the link of the destination's VM.
 	linkWait time.Duration
 	// advertised is what the endpoint advertises, as far as its node knows.
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -133,6 +133,7 @@
 	switch {
 	case a.refusal != nil:
 		d.setLinkWait(w.Header())
+		a.setSlotsFree(w.Header())
 		writeNodeRefusal(w, a.refusal)
 	case a.err != nil:
 		w.Header()[headerUnknown] = []string{string(unknownKindOf(a.err))}
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -72,6 +72,16 @@
 	return latencyTarget > 0 && now.Sub(c.firstAttempt) > latencyTarget
 }
 
+// targetRemaining returns the time until c misses the latency target of its class, or zero without
+// a target.
+func (c *entryCall) targetRemaining(now time.Time) time.Duration {
+	latencyTarget := c.target.AnswerWithin()
+	if latencyTarget == 0 {
+		return 0
+	}
+	return c.firstAttempt.Add(latencyTarget).Sub(now)
+}
+
 // recordBroken reports to Suspects that the connection to ep broke during the call, and updates
 // whether the next attempt runs isolated.
 func (e *Entry) recordBroken(c *entryCall, ep Endpoint) {
@@ -94,6 +104,8 @@
 		Final:         a.refusal != nil && a.refusal.Detail == detailDeep,
 		ParentRetried: c.parentRetried, TriedAll: e.Pickers.TriedAll(now, c.target, c.tried),
 		OneShot: e.returning.oneShot(c.target.Name), Overdue: c.overdue(now),
+		TargetRemaining: c.targetRemaining(now), Waited: now.Sub(c.firstAttempt),
+		SlotsFree: a.rejectedWithFreeSlots(),
 	})
 	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
 		d.Retry = false
--- /dev/null
+++ b/internal/proxy/free_slots_test.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/retry"
+)
+
+// capturingRetrier gives every call up, and holds the last input.
+type capturingRetrier struct {
+	retryAfter time.Duration
+	in         retry.Input
+}
+
+func (*capturingRetrier) Called(string) {}
+
+func (r *capturingRetrier) Decide(_ string, in retry.Input) retry.Decision {
+	r.in = in
+	return retry.Decision{RetryAfter: r.retryAfter}
+}
+
+// Guards against rejections at random that the entry node takes for those of a full backend server,
+// because the load report is lost between the nodes.
+func TestEntryLearnsOfFreeSlots(t *testing.T) {
+	for load, want := range map[string]bool{"3/8": true, "8/8": false, "": false} {
+		m := newMesh(t, lookups(), func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(call.HeaderRefused, r.Header.Get(call.HeaderAttempt))
+			w.Header().Set(call.HeaderLoad, load)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		captured := &capturingRetrier{}
+		m.entry.Retrier = captured
+		resp, _, err := m.call("GET", "/", "")
+		if err != nil || resp.Header.Get(call.HeaderNotRun) != string(call.ReasonBackend) {
+			t.Fatalf("got %v %v", resp, err)
+		}
+		if captured.in.SlotsFree != want {
+			t.Errorf("load %q: slots free %v", load, captured.in.SlotsFree)
+		}
+	}
+}
+
+// Guards against a short time to return that the refusal's own Retry-After or a refusal of another
+// kind replaces, and against one that replaces them.
+func TestGiveUpKeepsLongerTime(t *testing.T) {
+	for _, c := range []struct {
+		refusal call.Refusal
+		want    time.Duration
+	}{
+		{call.Refusal{Reason: call.ReasonBackend}, 30 * time.Millisecond},
+		{call.Refusal{Reason: call.ReasonBackend, RetryAfter: 2 * time.Second}, 2 * time.Second},
+		{call.Refusal{Reason: call.ReasonUnreachable, RetryAfter: time.Second}, time.Second},
+	} {
+		var told time.Duration
+		e := NewEntry(EntryOptions{Dialect: capturingDialect{told: &told}})
+		cl := &entryCall{r: httptest.NewRequest("GET", "/", nil), target: lookups(), class: NewMeters().Class(lookups())}
+		e.giveUp(httptest.NewRecorder(), cl, &answer{refusal: &c.refusal}, retry.Decision{RetryAfter: 30 * time.Millisecond})
+		if told != c.want {
+			t.Errorf("%+v: told %v, want %v", c.refusal, told, c.want)
+		}
+	}
+}
+
+// capturingDialect holds the Retry-After of the last refusal.
+type capturingDialect struct {
+	ownDialect
+	told *time.Duration
+}
+
+func (d capturingDialect) RefusalStatus(r *call.Refusal) (int, string) {
+	*d.told = r.RetryAfter
+	return http.StatusServiceUnavailable, ""
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -98,7 +98,8 @@
 	advertised := parseNodeAdvertised(a.resp.Header)
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r, linkWait: wait, advertised: advertised}
+		slotsFree := first(a.resp.Header, headerSlotsFree) != ""
+		return answer{refusal: r, linkWait: wait, advertised: advertised, slotsFree: slotsFree}
 	}
 	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -48,6 +48,9 @@
 	// that reached a backend server. Until then no backend server has done any
 	// work for the call, so a retry adds no load.
 	ChargeReachedOnly bool
+	// RandomRejections applies the rules of rejections.go to rejections by
+	// backend servers that have free slots.
+	RandomRejections bool
 	// Rand must be safe for concurrent use; nil means the runtime's source.
 	Rand rand.Source
 }
@@ -101,6 +104,15 @@
 	Refusal *call.Refusal
 	// Overdue reports whether the call can no longer meet its class's latency target.
 	Overdue bool
+	// TargetRemaining is the time until the call misses its class's latency
+	// target; zero or less if it has missed it or there is none.
+	TargetRemaining time.Duration
+	// Waited is the time since the caller's first attempt, including attempts
+	// that were refused and sent again by the caller.
+	Waited time.Duration
+	// SlotsFree reports whether the attempt was rejected by a backend server
+	// whose load report shows free slots.
+	SlotsFree bool
 	// OneShot reports whether the caller does not retry a refused call.
 	OneShot bool
 	// TriedAll reports whether every endpoint that takes calls was tried.
@@ -304,6 +316,9 @@
 	if in.Outcome != call.NotRun && !in.Idempotent || reason == ReasonRan {
 		return 0
 	}
+	if p.rejectedAtRandom(in) && in.Refusal.RetryAfter == 0 {
+		return p.promptReturn(in)
+	}
 	minimum := p.options.RetryAfterMin
 	if in.Refusal != nil {
 		if in.Refusal.RetryAfter == 0 && kindOf(in.Refusal.Reason) == kindEverywhere {
--- /dev/null
+++ b/internal/retry/rejections_test.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marlpass/marlpass/internal/call"
+)
+
+// rejected returns an attempt rejected by a backend server with free slots, after change.
+func rejected(change func(*Input)) Input {
+	return input(func(in *Input) {
+		in.Refusal, in.SlotsFree, in.Reached = refusal(call.ReasonBackend), true, 1
+		in.MaxReached, in.Attempt = 1, 1
+		in.TargetRemaining = 480 * time.Millisecond
+		change(in)
+	})
+}
+
+func boundedOptions(seed uint64) Options {
+	return Options{Rand: newSeeded(seed), ChargeReachedOnly: true, RandomRejections: true, MaxAttempts: 6}
+}
+
+// Guards against callers told to return after their latency target although the next attempt would
+// have the same chance at once, and against prompt returns where waiting does help.
+func TestReturnAfterRandomRejection(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		off    bool
+		change func(*Input)
+		prompt bool
+	}{
+		{"slots free", false, func(*Input) {}, true},
+		{"slots free, no target", false, func(in *Input) { in.TargetRemaining = 0 }, true},
+		{"retries not bounded over the mesh", true, func(*Input) {}, false},
+		{"full", false, func(in *Input) { in.SlotsFree = false }, false},
+		{"refused by a node", false, func(in *Input) { in.Refusal = refusal(call.ReasonOverloaded) }, false},
+		{"a nested call was refused", false, func(in *Input) { in.Final = true }, false},
+		{"the backend server states a time", false, func(in *Input) { in.Refusal.RetryAfter = time.Second }, false},
+		{"may have run", false, func(in *Input) { in.Outcome, in.Refusal = call.Unknown, nil; in.Idempotent = true }, false},
+	} {
+		o := boundedOptions(1)
+		o.RandomRejections = !c.off
+		d := New(o).Decide(rejected(c.change))
+		if prompt := d.RetryAfter >= promptReturnMin && d.RetryAfter <= promptReturnMax; d.Retry || prompt != c.prompt {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+	}
+}
+
+// Guards against a Retry-After that uses up most of the time to the latency target.
+func TestReturnMeetsLatencyTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(boundedOptions(rapid.Uint64().Draw(t, "seed")))
+		remaining := time.Duration(rapid.Int64Range(int64(2*promptReturnMin), int64(2*time.Second)).Draw(t, "target remaining"))
+		d := p.Decide(rejected(func(in *Input) { in.TargetRemaining = remaining }))
+		if d.RetryAfter < promptReturnMin || d.RetryAfter > max(remaining/backoffDivisor, promptReturnMin) {
+			t.Fatalf("return after %v with %v to the target", d.RetryAfter, remaining)
+		}
+	})
+}
+
+// Guards against callers who return every few milliseconds to a service that rejects every call.
+func TestReturnsOfOverdueCallersThinOut(t *testing.T) {
+	p := New(boundedOptions(1))
+	waited, returns := time.Duration(0), 0
+	for ; waited < 8*time.Second; returns++ {
+		d := p.Decide(rejected(func(in *Input) {
+			in.Waited, in.Remaining = waited, 8*time.Second
+			in.TargetRemaining = 300*time.Millisecond - waited
+			in.Overdue = in.TargetRemaining < 0
+		}))
+		waited += d.RetryAfter
+	}
+	t.Logf("%d returns in 8 s", returns)
+	if returns > 40 {
+		t.Errorf("%d returns in 8 s", returns)
+	}
+}
