retry: keep the budget for more urgent calls while rejections are random

While backend servers reject calls with slots free, far more calls ask for a retry than the budget allows, and whoever asked first got it. A retry now leaves one retry in the budget for each urgency above its own (priority, then one-shot, in time, overdue) that asked within 2 s. Overdue calls, which were never retried after such a rejection, get what is left.

The half ratio that each node uses is unchanged.

--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -27,6 +27,7 @@
 	for reason, n := range c.retries.reasons.values() {
 		p.counter("marlpass_call_retry_decisions_total", n, "why", reason)
 	}
+	c.retries.counts.write(p)
 	c.writeGates(p, now)
 	c.writeOnce(p)
 	kinds := make(map[string]int)
--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -32,6 +32,7 @@
 	nodeCount atomic.Int64 // nodes that share the slack
 	byService sync.Map
 	reasons   counterSet // decisions by reason
+	counts    retryCounts
 }
 
 // setNodeCount sets the number of nodes that share the mesh-wide slack.
@@ -89,5 +90,6 @@
 func (r *retries) Decide(service string, in retry.Input) retry.Decision {
 	d := r.policy(service).Decide(in)
 	r.reasons.increment(string(d.Reason))
+	r.counts.record(service, &in, d)
 	return d
 }
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -72,6 +72,14 @@
 	return latencyTarget > 0 && now.Sub(c.firstAttempt) > latencyTarget
 }
 
+// priority returns the priority of c's workspace, or else that of its class, as at the gates.
+func (c *entryCall) priority() int {
+	if c.workspace != nil && c.workspace.Priority != 0 {
+		return c.workspace.Priority
+	}
+	return c.target.PriorityOrDefault()
+}
+
 // targetRemaining returns the time until c misses the latency target of its class, or zero without
 // a target.
 func (c *entryCall) targetRemaining(now time.Time) time.Duration {
@@ -105,7 +113,7 @@
 		ParentRetried: c.parentRetried, TriedAll: e.Pickers.TriedAll(now, c.target, c.tried),
 		OneShot: e.returning.oneShot(c.target.Name), Overdue: c.overdue(now),
 		TargetRemaining: c.targetRemaining(now), Waited: now.Sub(c.firstAttempt),
-		SlotsFree: a.rejectedWithFreeSlots(),
+		SlotsFree: a.rejectedWithFreeSlots(), Priority: c.priority(),
 	})
 	if d.Retry && e.Suspects != nil && e.Suspects.Blocked(now, c.fp) != nil {
 		d.Retry = false
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -82,11 +82,12 @@
 	}
 }
 
-func (b *Budget) withdraw(now time.Time, cost int64) bool {
+// withdraw charges cost if keep remains in the balance.
+func (b *Budget) withdraw(now time.Time, cost, keep int64) bool {
 	b.creditFloor(now)
 	for {
 		old := b.balance.Load()
-		if old < cost {
+		if old < cost+keep {
 			return false
 		}
 		if b.balance.CompareAndSwap(old, old-cost) {
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -60,6 +60,7 @@
 type Policy struct {
 	options Options
 	budget  Budget
+	urgency urgency
 }
 
 // New returns a Policy whose budget holds as many retries as its floor can
@@ -115,6 +116,8 @@
 	SlotsFree bool
 	// OneShot reports whether the caller does not retry a refused call.
 	OneShot bool
+	// Priority is the call's urgency, config.MinPriority to config.MaxPriority.
+	Priority int
 	// TriedAll reports whether every endpoint that takes calls was tried.
 	TriedAll bool
 	// BodyReplayable reports whether the body can be sent again from its start.
@@ -174,7 +177,8 @@
 	if in.Remaining-delay < minRemaining {
 		return p.giveUp(in, ReasonDeadlineTooNear)
 	}
-	if !p.budget.withdraw(in.Now, p.cost(in)) {
+	cost := p.cost(in)
+	if !p.budget.withdraw(in.Now, cost, p.reserve(in, cost)) {
 		return p.giveUp(in, ReasonBudgetExhausted)
 	}
 	reason := ReasonOtherEndpoint
@@ -203,7 +207,7 @@
 		return ReasonFinal, true
 	case in.ParentRetried && !p.mayRetryNested(in):
 		return ReasonParentRetried, true
-	case in.Outcome == call.NotRun && !retryHelps(in):
+	case in.Outcome == call.NotRun && !p.retryHelps(in):
 		return ReasonNoBenefit, true
 	case in.Attempt >= p.options.MaxAttempts || in.MaxReached > 0 && in.Reached >= in.MaxReached:
 		return ReasonAttemptsExhausted, true
@@ -219,7 +223,7 @@
 }
 
 // retryHelps reports whether the next attempt may succeed after this refusal.
-func retryHelps(in Input) bool {
+func (p *Policy) retryHelps(in Input) bool {
 	if in.Refusal == nil {
 		return true
 	}
@@ -227,7 +231,9 @@
 	case kindNotAccepting:
 		return true
 	case kindNoCapacity:
-		return !in.TriedAll && (in.OneShot || in.Attempt < maxFullEndpoints && !in.Overdue)
+		// Where rejections are random, overdue calls get what the reserve leaves.
+		useful := !in.Overdue || p.rejectedAtRandom(in)
+		return !in.TriedAll && (in.OneShot || in.Attempt < maxFullEndpoints && useful)
 	case kindRateLimited:
 		return !in.TriedAll
 	}
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -163,7 +163,7 @@
 	b.init(BudgetOptions{})
 	spend := func(now time.Time) int {
 		n := 0
-		for b.withdraw(now, wholeRetry) {
+		for b.withdraw(now, wholeRetry, 0) {
 			n++
 		}
 		return n
--- a/internal/retry/rejections.go
+++ b/internal/retry/rejections.go
@@ -1,9 +1,11 @@
 package retry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // Bounds of the time after which a caller is told to return when a backend
@@ -44,3 +46,73 @@
 	}
 	return least + p.jitter(bound-least)
 }
+
+// urgencyWindow is how long a part of the budget is kept for more urgent calls
+// after one asked for a retry. At a node that gets one urgent call a second, at
+// which half are rejected, the next one asks within it.
+const urgencyWindow = 2 * time.Second
+
+// Standing ranks calls of one class by what a refusal costs.
+type Standing int
+
+// Standings, in ascending order of urgency.
+const (
+	StandingOverdue Standing = iota // the latency target is missed already
+	StandingInTime                  // the caller returns, but may miss its target
+	StandingOneShot                 // the caller doesn't return, and work in progress is lost
+	standings
+)
+
+// String returns the standing as it is shown in metrics.
+func (s Standing) String() string { return [...]string{"overdue", "in-time", "one-shot"}[s] }
+
+// Standing returns the standing of the call.
+func (in *Input) Standing() Standing {
+	switch {
+	case in.OneShot:
+		return StandingOneShot
+	case in.Overdue:
+		return StandingOverdue
+	}
+	return StandingInTime
+}
+
+// urgency holds when calls of each urgency last asked for a retry.
+type urgency struct {
+	// randomAt is when a rejection at random was last seen, in Unix milliseconds.
+	randomAt atomic.Int64
+	// askedAt is indexed by priority and standing.
+	askedAt [(config.MaxPriority + 1) * int(standings)]atomic.Int64
+}
+
+// recent reports whether at is within urgencyWindow before now, both in Unix
+// milliseconds. A time after now, as after the clock was set back, is not.
+func recent(now, at int64) bool { return at <= now && now-at < urgencyWindow.Milliseconds() }
+
+// reserve returns the part of the balance that a retry must leave, in thousandths
+// of a retry: while backend servers reject calls at random, one retry for each
+// urgency above the call's that has lately asked for one. Calls of that urgency
+// are then seldom refused by an empty budget, and what they don't use goes to the
+// others.
+func (p *Policy) reserve(in Input, cost int64) int64 {
+	if !p.options.RandomRejections || cost < wholeRetry {
+		return 0
+	}
+	now := in.Now.UnixMilli()
+	if p.rejectedAtRandom(in) {
+		p.urgency.randomAt.Store(now)
+	} else if !recent(now, p.urgency.randomAt.Load()) {
+		return 0
+	}
+	asked := &p.urgency.askedAt
+	own := min(max(in.Priority, 0), config.MaxPriority)*int(standings) + int(in.Standing())
+	asked[own].Store(now)
+	above := int64(0)
+	for i := own + 1; i < len(asked); i++ {
+		if recent(now, asked[i].Load()) {
+			above++
+		}
+	}
+	// A full budget is open to all.
+	return min(above*wholeRetry, p.budget.burst-wholeRetry)
+}
--- a/internal/retry/rejections_test.go
+++ b/internal/retry/rejections_test.go
@@ -79,3 +79,42 @@
 		t.Errorf("%d returns in 8 s", returns)
 	}
 }
+
+// Guards against a budget that less urgent calls use up while backend servers reject calls at random,
+// and against one that is kept although no more urgent call needs it.
+func TestBudgetIsKeptForMoreUrgentCalls(t *testing.T) {
+	at := func(after time.Duration, priority int, change func(*Input)) Input {
+		return rejected(func(in *Input) {
+			in.Now, in.Priority, in.MaxReached = start.Add(after), priority, 3
+			change(in)
+		})
+	}
+	same := func(*Input) {}
+	overdue := func(in *Input) { in.Overdue = true }
+	oneShot := func(in *Input) { in.OneShot = true }
+	for _, c := range []struct {
+		name  string
+		first Input // draws one of the two retries in the budget
+		then  Input
+		retry bool
+	}{
+		{"less urgent class", at(0, 7, same), at(0, 5, same), false},
+		{"same class", at(0, 7, same), at(0, 7, same), true},
+		{"more urgent class", at(0, 5, same), at(0, 7, same), true},
+		{"overdue after in time", at(0, 5, same), at(0, 5, overdue), false},
+		{"in time after one-shot", at(0, 5, oneShot), at(0, 5, same), false},
+		{"overdue of a more urgent class", at(0, 5, oneShot), at(0, 7, overdue), true},
+		{"long after the urgent call", at(0, 7, same), at(urgencyWindow, 5, same), true},
+		{"clock set back", at(time.Hour, 7, same), at(0, 5, same), true},
+	} {
+		p := New(boundedOptions(1))
+		p.SetFloor(0, 3)
+		p.budget.balance.Store(2 * wholeRetry)
+		if d := p.Decide(c.first); !d.Retry {
+			t.Fatalf("%s: the first call got %+v", c.name, d)
+		}
+		if d := p.Decide(c.then); d.Retry != c.retry {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+	}
+}
