retry: hold the bound of retries in every window, and use the whole ratio

The budgets of all nodes together could exceed the mesh-wide bound: bursts of four retries for each node, filled by calls long before, could be spent in a window with few calls. Where inherited retries are unknown, nodes still use half of the ratio, but what a call pays in now ends after half a window.

With the new setting retries.inherited, calls of retried runs are charged to the budget of the service where they enter, and refused without room. Nodes then use the whole ratio; burst and floor of all nodes are the slack. The share of the slack is that of the most nodes seen, so that two sides of a partition don't each use the whole.

--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -3,29 +3,16 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/marlpass/marlpass/internal/retry"
 	"github.com/marlpass/marlpass/internal/settings"
 )
 
-// Fractions of the mesh-wide retry settings that the nodes use.
-//
-// A retried call repeats its nested calls, which count at the downstream service beside that
-// service's own retries; half of the ratio leaves room for them. One half of the slack is burst
-// and the other is earned within the window, so that no window sees more than the whole slack.
-const (
-	ratioFraction = 0.5
-	slackFraction = 0.5
-)
-
 // boundedAttempts is the number of nodes that a call is offered to where its class bounds the
 // number of backend servers that may receive it.
 const boundedAttempts = 6
 
-// boundedBurst is the retry budget's burst per node where the settings bound the retries of the
-// whole mesh.
-const boundedBurst = 4
-
 // retries keeps one retry.Policy, with its budget, for each service.
 type retries struct {
 	set       settings.Retries
@@ -35,34 +22,43 @@
 	counts    retryCounts
 }
 
-// setNodeCount sets the number of nodes that share the mesh-wide slack.
+// setNodeCount sets the number of nodes that share the mesh-wide slack. A smaller number than
+// before is ignored: behind a partition each side sees fewer nodes, and their larger shares would
+// together exceed the slack.
 func (r *retries) setNodeCount(n int) {
-	if r.set.Slack == 0 || r.nodeCount.Swap(int64(n)) == int64(n) {
+	if r.set.Slack == 0 || r.nodeCount.Load() >= int64(n) {
 		return
 	}
+	r.nodeCount.Store(int64(n))
 	r.byService.Range(func(_, p any) bool {
-		r.setFloor(p.(*retry.Policy))
+		r.setLimits(p.(*retry.Policy))
 		return true
 	})
 }
 
-// setFloor sets this node's part of the slack in a policy.
-func (r *retries) setFloor(p *retry.Policy) {
-	if r.set.Slack == 0 {
-		return
+// bound returns the mesh-wide bound on the retries of each service.
+func (r *retries) bound() retry.MeshBound {
+	ratio := r.set.Ratio
+	if ratio == 0 {
+		ratio = retry.DefaultRatio
+	}
+	return retry.MeshBound{
+		Ratio: ratio, Slack: r.set.Slack, Window: r.set.Window.Duration, InheritedKnown: r.set.Inherited,
+	}
+}
+
+// setLimits sets this node's part of the mesh-wide bound in a policy.
+func (r *retries) setLimits(p *retry.Policy) {
+	if r.set.Slack > 0 {
+		p.SetLimits(r.bound().Limits(int(r.nodeCount.Load())))
 	}
-	share := r.set.Slack * slackFraction / float64(max(r.nodeCount.Load(), 1))
-	p.SetFloor(share/r.set.Window.Seconds(), share)
 }
 
 func (r *retries) options() retry.Options {
 	if r.set.Slack == 0 {
 		return retry.Options{Budget: retry.BudgetOptions{Ratio: r.set.Ratio}}
 	}
-	return retry.Options{
-		MaxAttempts: boundedAttempts, ChargeReachedOnly: true, RandomRejections: true,
-		Budget: retry.BudgetOptions{Ratio: r.set.Ratio * ratioFraction, Burst: boundedBurst},
-	}
+	return retry.Options{MaxAttempts: boundedAttempts, ChargeReachedOnly: true, RandomRejections: true}
 }
 
 func (r *retries) policy(service string) *retry.Policy {
@@ -70,7 +66,7 @@
 		return p.(*retry.Policy)
 	}
 	fresh := retry.New(r.options())
-	r.setFloor(fresh)
+	r.setLimits(fresh)
 	p, _ := r.byService.LoadOrStore(service, fresh)
 	return p.(*retry.Policy)
 }
@@ -84,7 +80,24 @@
 }
 
 // Called implements proxy.Retrier.
-func (r *retries) Called(service string) { r.policy(service).RecordCall() }
+func (r *retries) Called(service string) {
+	if r.set.Slack == 0 {
+		r.policy(service).RecordCall()
+		return
+	}
+	r.policy(service).RecordCallAt(time.Now())
+}
+
+// CalledInherited implements proxy.InheritedRetrier.
+func (r *retries) CalledInherited(now time.Time, service string) bool {
+	if r.set.Slack == 0 || !r.set.Inherited {
+		r.Called(service)
+		return true
+	}
+	allowed := r.policy(service).RecordInherited(now)
+	r.counts.recordInherited(service, allowed)
+	return allowed
+}
 
 // Decide implements proxy.Retrier.
 func (r *retries) Decide(service string, in retry.Input) retry.Decision {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -144,7 +144,11 @@
 		return
 	}
 	c.firstAttempt = e.returning.firstAttempt(c.start, c.fp)
-	e.Retrier.Called(c.target.Service)
+	// Only calls from backend servers of this VM can be inherited: callers could set the header.
+	if refusal := e.recordCall(w, c, internal && c.parentRetried); refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
 	e.run(ctx, w, c, span)
 }
 
--- a/internal/proxy/free_slots_test.go
+++ b/internal/proxy/free_slots_test.go
@@ -75,3 +75,40 @@
 	*d.told = r.RetryAfter
 	return http.StatusServiceUnavailable, ""
 }
+
+// inheritedRetrier leaves no room for inherited retries.
+type inheritedRetrier struct {
+	capturingRetrier
+	calls, inherited int
+}
+
+func (r *inheritedRetrier) Called(string) { r.calls++ }
+
+func (r *inheritedRetrier) CalledInherited(time.Time, string) bool {
+	r.inherited++
+	return false
+}
+
+// Guards against calls of retried runs that exceed the bound of the service that they go to, and
+// against callers outside the mesh who use up that bound with a header of their own.
+func TestInheritedRetriesAreRefusedWithoutRoom(t *testing.T) {
+	m := newMesh(t, lookups(), func(http.ResponseWriter, *http.Request) {})
+	retrier := &inheritedRetrier{}
+	m.entry.Retrier = retrier
+	r, _ := http.NewRequest("GET", m.internal.URL, nil)
+	r.Header.Set(retry.HeaderRetried, "1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Header.Get(call.HeaderNotRun) != string(call.ReasonOverloaded) || resp.Header.Get(retry.HeaderFinal) == "" {
+		t.Errorf("an inherited retry got %d %v", resp.StatusCode, resp.Header)
+	}
+	if resp, _, err := m.call("GET", "/", "", retry.HeaderRetried, "1"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a caller's call got %v %v", resp, err)
+	}
+	if retrier.inherited != 1 || retrier.calls != 1 || m.runs.Load() != 1 {
+		t.Errorf("%+v, %d runs", retrier, m.runs.Load())
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -42,11 +42,15 @@
 // calls. It needs no coordination: if every node keeps the ratio, so does the
 // mesh.
 type Budget struct {
-	ratio          int64        // thousandths of a retry per call
+	ratio          atomic.Int64 // thousandths of a retry per call
 	floorPerSecond atomic.Int64 // thousandths of a retry per second
 	floorMax       atomic.Int64 // largest balance that the floor fills up to
-	burst          int64
+	burst          atomic.Int64
 	balance        atomic.Int64
+	// limited is set where Limits apply, and lifetime is their DepositLifetime.
+	limited  atomic.Bool
+	lifetime atomic.Int64 // milliseconds
+	deposits recentDeposits
 	// floorPaidAt is when the floor was last credited. It uses the monotonic
 	// clock: when the wall clock is set back, the floor would credit nothing
 	// until the wall clock has caught up.
@@ -57,11 +61,11 @@
 	setDefault(&o.Ratio, DefaultRatio)
 	setDefault(&o.Floor, DefaultFloor)
 	setDefault(&o.Burst, DefaultBurst)
-	b.ratio = int64(o.Ratio * wholeRetry)
+	b.ratio.Store(int64(o.Ratio * wholeRetry))
 	b.floorPerSecond.Store(int64(o.Floor * wholeRetry))
 	b.floorMax.Store(floorBurst * wholeRetry)
-	b.burst = int64(o.Burst) * wholeRetry
-	b.balance.Store(min(b.burst, floorBurst*wholeRetry))
+	b.burst.Store(int64(o.Burst) * wholeRetry)
+	b.balance.Store(min(b.burst.Load(), floorBurst*wholeRetry))
 }
 
 func (b *Budget) setFloor(perSecond, burst float64) {
@@ -69,7 +73,7 @@
 	b.floorMax.Store(int64(burst * wholeRetry))
 }
 
-func (b *Budget) deposit() { b.credit(b.ratio, b.burst) }
+func (b *Budget) deposit() { b.credit(b.ratio.Load(), b.burst.Load()) }
 
 // credit adds amount to the balance, up to limit. A balance above limit is kept.
 func (b *Budget) credit(amount, limit int64) {
@@ -85,6 +89,7 @@
 // withdraw charges cost if keep remains in the balance.
 func (b *Budget) withdraw(now time.Time, cost, keep int64) bool {
 	b.creditFloor(now)
+	b.expire(now)
 	for {
 		old := b.balance.Load()
 		if old < cost+keep {
@@ -116,5 +121,5 @@
 
 // spentFraction returns the spent part of the budget, 0 to 1.
 func (b *Budget) spentFraction() float64 {
-	return 1 - float64(b.balance.Load())/float64(b.burst)
+	return 1 - float64(b.balance.Load())/float64(b.burst.Load())
 }
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -61,6 +62,8 @@
 	options Options
 	budget  Budget
 	urgency urgency
+	// inheritedAt is when an inherited retry was last charged, in Unix milliseconds.
+	inheritedAt atomic.Int64
 }
 
 // New returns a Policy whose budget holds as many retries as its floor can
@@ -178,7 +181,7 @@
 		return p.giveUp(in, ReasonDeadlineTooNear)
 	}
 	cost := p.cost(in)
-	if !p.budget.withdraw(in.Now, cost, p.reserve(in, cost)) {
+	if !p.budget.withdraw(in.Now, cost, max(p.reserve(in, cost), p.keptForInherited(in.Now, cost))) {
 		return p.giveUp(in, ReasonBudgetExhausted)
 	}
 	reason := ReasonOtherEndpoint
--- a/internal/retry/rejections.go
+++ b/internal/retry/rejections.go
@@ -114,5 +114,5 @@
 		}
 	}
 	// A full budget is open to all.
-	return min(above*wholeRetry, p.budget.burst-wholeRetry)
+	return min(above*wholeRetry, max(p.budget.burst.Load()-cost, 0))
 }
--- a/internal/retry/wave_test.go
+++ b/internal/retry/wave_test.go
@@ -12,15 +12,15 @@
 // wave models a service whose backend servers reject calls at random, with slots free, for some
 // seconds. Callers return once, when they are told to.
 type wave struct {
-	options                  Options
-	nodes, endpoints, slots  int
-	rate                     float64 // calls a second
-	work, target, deadline   time.Duration
-	attempts                 int // backend servers that a call may reach
-	rejected                 float64
-	from, until, length      time.Duration
-	priorities               []int // of the callers, in turn
-	slack, ratio, windowSecs float64
+	options                 Options
+	nodes, endpoints, slots int
+	rate                    float64 // calls a second
+	work, target, deadline  time.Duration
+	attempts                int // backend servers that a call may reach
+	rejected                float64
+	from, until, length     time.Duration
+	priorities              []int // of the callers, in turn
+	bound                   MeshBound
 
 	rng      *rand.Rand
 	policies []*Policy
@@ -72,8 +72,7 @@
 		o := w.options
 		o.Rand = newSeeded(uint64(i))
 		p := New(o)
-		share := w.slack / 2 / float64(w.nodes)
-		p.SetFloor(share/w.windowSecs, share)
+		p.SetLimits(w.bound.Limits(w.nodes))
 		w.policies = append(w.policies, p)
 	}
 	n := int(w.rate * w.length.Seconds())
@@ -103,7 +102,7 @@
 func (w *wave) call(now time.Duration, c *waveCall) {
 	c.attempt = 0
 	w.calls = append(w.calls, now)
-	w.policies[c.node].RecordCall()
+	w.policies[c.node].RecordCallAt(start.Add(now))
 	w.send(now, c)
 }
 
@@ -164,12 +163,12 @@
 		}
 		return n
 	}
-	window := time.Duration(w.windowSecs * float64(time.Second))
+	window := w.bound.Window
 	worst := -1e9
 	for from := time.Duration(0); from < w.length; from += window / 20 {
 		calls := count(w.calls, from, from+window)
 		calls = max(calls, count(w.calls, from-window/2, from+window/2), count(w.calls, from-window, from))
-		worst = max(worst, count(w.extra, from, from+window)-w.ratio*calls-w.slack)
+		worst = max(worst, count(w.extra, from, from+window)-w.bound.Ratio*calls-w.bound.Slack)
 	}
 	return worst
 }
@@ -177,16 +176,17 @@
 // Guards against calls lost to random rejections although slots are free: callers told to return
 // after their latency target, and retries used up by the less urgent.
 func TestRandomRejections(t *testing.T) {
-	run := func(random bool) *wave {
+	run := func(random, whole bool) *wave {
 		w := &wave{
-			options: Options{MaxAttempts: 6, ChargeReachedOnly: true, RandomRejections: random, Budget: BudgetOptions{Ratio: 0.1, Burst: 4}},
+			options: Options{MaxAttempts: 6, ChargeReachedOnly: true, RandomRejections: random},
 			nodes:   87, endpoints: 29, slots: 9, rate: 900,
 			work: 130 * time.Millisecond, target: 500 * time.Millisecond, deadline: 1200 * time.Millisecond,
 			attempts: 3, rejected: 0.55, from: 12 * time.Second, until: 20500 * time.Millisecond, length: 30 * time.Second,
-			priorities: []int{7, 5, 5, 3, 3}, slack: 214, ratio: 0.2, windowSecs: 10,
+			priorities: []int{7, 5, 5, 3, 3},
+			bound:      MeshBound{Ratio: 0.2, Slack: 214, Window: 10 * time.Second, InheritedKnown: whole},
 		}
 		w.run()
-		t.Logf("rules for random rejections %v: excess over the bound of retries %.0f", random, w.excess())
+		t.Logf("rules for random rejections %v, whole ratio %v: excess over the bound of retries %.0f", random, whole, w.excess())
 		for _, p := range []int{7, 5, 3} {
 			r := w.results[p]
 			t.Logf("  priority %d: in time %d, late %d, refused %d, retries %d", p, r.inTime, r.late, r.refused, r.retries)
@@ -200,13 +200,15 @@
 		r := w.results[priority]
 		return float64(r.inTime) / float64(r.inTime+r.late+r.refused)
 	}
-	before, after := run(false), run(true)
-	for _, p := range before.priorities {
-		if share(after, p) < share(before, p)+0.1 {
-			t.Errorf("priority %d: %.2f in time, %.2f without the rules", p, share(after, p), share(before, p))
+	before := run(false, false)
+	for _, after := range []*wave{run(true, false), run(true, true)} {
+		for _, p := range before.priorities {
+			if share(after, p) < share(before, p)+0.1 {
+				t.Errorf("priority %d: %.2f in time, %.2f without the rules", p, share(after, p), share(before, p))
+			}
+		}
+		if share(after, 7) < share(after, 5)+0.02 || share(after, 5) < share(after, 3) {
+			t.Errorf("in time by priority: %.2f %.2f %.2f", share(after, 7), share(after, 5), share(after, 3))
 		}
-	}
-	if share(after, 7) < share(after, 5)+0.02 || share(after, 5) < share(after, 3) {
-		t.Errorf("in time by priority: %.2f %.2f %.2f", share(after, 7), share(after, 5), share(after, 3))
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -121,6 +121,9 @@
 	Slack float64 `toml:"slack"`
 	// Window is the span over which Slack is counted.
 	Window strict.Duration `toml:"window"`
+	// Inherited says that all backend servers pass Marlpass-Retried on from the
+	// request to the calls that they make for it.
+	Inherited bool `toml:"inherited"`
 }
 
 // Versions says what operators expect of the versions that nodes follow.
