retry: set limits under a mutex, and thin out returns without a latency target

A policy made while the number of nodes changes could keep the larger share of the slack for good, since a later view with the same number is ignored.

A caller without a latency target that always returns to a service that rejects everything came every 10 to 50 ms; its wait now grows as that of an overdue one: 21 returns in 8 s (simulated).

--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -18,14 +18,19 @@
 	set       settings.Retries
 	nodeCount atomic.Int64 // nodes that share the slack
 	byService sync.Map
-	reasons   counterSet // decisions by reason
-	counts    retryCounts
+	// limitsMu is held while limits are set, so that a policy made meanwhile gets those of the
+	// latest number of nodes.
+	limitsMu sync.Mutex
+	reasons  counterSet // decisions by reason
+	counts   retryCounts
 }
 
 // setNodeCount sets the number of nodes that share the mesh-wide slack. A smaller number than
 // before is ignored: behind a partition each side sees fewer nodes, and their larger shares would
 // together exceed the slack.
 func (r *retries) setNodeCount(n int) {
+	r.limitsMu.Lock()
+	defer r.limitsMu.Unlock()
 	if r.set.Slack == 0 || r.nodeCount.Load() >= int64(n) {
 		return
 	}
@@ -65,6 +70,8 @@
 	if p, ok := r.byService.Load(service); ok {
 		return p.(*retry.Policy)
 	}
+	r.limitsMu.Lock()
+	defer r.limitsMu.Unlock()
 	fresh := retry.New(r.options())
 	r.setLimits(fresh)
 	p, _ := r.byService.LoadOrStore(service, fresh)
--- a/internal/retry/rejections.go
+++ b/internal/retry/rejections.go
@@ -16,8 +16,9 @@
 	promptReturnMax = 50 * time.Millisecond
 )
 
-// overdueReturnDivisor limits the wait of an overdue caller to the time that it
-// has waited and to its remaining time, each divided by it.
+// overdueReturnDivisor limits the wait of a caller that can't meet a latency
+// target to the time that it has waited and to its remaining time, each divided
+// by it.
 const overdueReturnDivisor = 2
 
 // rejectedAtRandom reports whether a backend server rejected the attempt for a
@@ -31,15 +32,15 @@
 
 // promptReturn returns the Retry-After for a call that was rejected at random.
 // Waiting doesn't raise the chance of the next attempt, so the caller returns
-// while it can still meet its latency target. The wait of an overdue caller
-// grows with the time that it has waited, so that callers who return again and
-// again don't multiply the arrivals at a service that rejects nearly every call.
+// while it can still meet its latency target. Otherwise, also without a target,
+// the wait grows with the time that the caller has waited, so that callers who
+// return again and again don't multiply the arrivals at a service that rejects
+// nearly every call.
 func (p *Policy) promptReturn(in Input) time.Duration {
 	least, bound := promptReturnMin, promptReturnMax
-	switch {
-	case in.TargetRemaining >= 2*promptReturnMin:
+	if in.TargetRemaining >= 2*promptReturnMin {
 		bound = min(bound, max(in.TargetRemaining/backoffDivisor, promptReturnMin))
-	case in.Overdue || in.TargetRemaining > 0:
+	} else {
 		bound = max(bound, min(in.Waited, in.Remaining)/overdueReturnDivisor)
 		bound = min(bound, p.options.RetryAfterMin)
 		least = max(least, bound/2) // a low draw must not undo the growth
