retry: remove what the limits don't need, and check windows once

SetFloor was called by tests only. A balance above both burst and floor can't arise without limits, so expire needs no flag. The wave test uses the excess of the mesh model, which begins a window at each retry instead of every 0.5 s.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -47,10 +47,8 @@
 	floorMax       atomic.Int64 // largest balance that the floor fills up to
 	burst          atomic.Int64
 	balance        atomic.Int64
-	// limited is set where Limits apply, and lifetime is their DepositLifetime.
-	limited  atomic.Bool
-	lifetime atomic.Int64 // milliseconds
-	deposits recentDeposits
+	lifetime       atomic.Int64 // of a deposit, in milliseconds; zero means no bound
+	deposits       recentDeposits
 	// floorPaidAt is when the floor was last credited. It uses the monotonic
 	// clock: when the wall clock is set back, the floor would credit nothing
 	// until the wall clock has caught up.
@@ -68,6 +66,8 @@
 	b.balance.Store(min(b.burst.Load(), floorBurst*wholeRetry))
 }
 
+// setFloor sets the retries allowed regardless of calls to perSecond, which
+// accumulate up to burst.
 func (b *Budget) setFloor(perSecond, burst float64) {
 	b.floorPerSecond.Store(int64(perSecond * wholeRetry))
 	b.floorMax.Store(int64(burst * wholeRetry))
--- a/internal/retry/limits.go
+++ b/internal/retry/limits.go
@@ -39,7 +39,9 @@
 	// unknownSlackPart is the part of the slack that the floor earns in a window
 	// there; it accumulates the rest.
 	unknownSlackPart = 0.5
-	unknownBurst     = 4
+	// unknownBurst is the number of retries up to which calls fill the budget of
+	// a node there.
+	unknownBurst = 4
 	// wholeSlackPart is the part of the slack that is burst where the whole ratio
 	// is used; the floor earns the rest in a window. The ratio leaves no room for
 	// a larger burst: with as many calls in the second half of a window as before
@@ -83,7 +85,6 @@
 	b.burst.Store(int64(l.Burst * wholeRetry))
 	b.lifetime.Store(l.DepositLifetime.Milliseconds())
 	b.setFloor(l.FloorPerSecond, l.FloorBurst)
-	b.limited.Store(true)
 }
 
 // RecordCallAt adds a call's part to the budget, as RecordCall does.
@@ -114,7 +115,7 @@
 type recentDeposits [3]struct{ half, sum atomic.Int64 }
 
 func (d *recentDeposits) add(half, amount int64) {
-	s := &d[half%int64(len(d))]
+	s := &d[uint64(half)%uint64(len(d))]
 	if old := s.half.Load(); old != half && s.half.CompareAndSwap(old, half) {
 		s.sum.Store(0)
 	}
@@ -138,10 +139,7 @@
 
 // expire lowers the balance to what the limits let it hold now.
 func (b *Budget) expire(now time.Time) {
-	if !b.limited.Load() {
-		return
-	}
-	most := b.burst.Load()
+	most := max(b.burst.Load(), b.floorMax.Load())
 	if lifetime := b.lifetime.Load(); lifetime > 0 {
 		most = b.floorMax.Load() + b.deposits.total(now.UnixMilli()/(lifetime/2))
 	}
--- a/internal/retry/limits_test.go
+++ b/internal/retry/limits_test.go
@@ -76,17 +76,18 @@
 	}
 }
 
-// excess returns by how much the retries of a service exceed the bound in the worst window.
-func (m *meshModel) excess(service int) (worst float64) {
+// excess returns by how much the retries of a service exceed the bound in the worst window. The
+// times are in ascending order.
+func (m MeshBound) excess(calls, extra []time.Duration) (worst float64) {
 	between := func(times []time.Duration, from, to time.Duration) float64 {
 		at := func(t time.Duration) int { return sort.Search(len(times), func(i int) bool { return times[i] >= t }) }
 		return float64(at(to) - at(from))
 	}
-	calls, extra, window := m.calls[service], m.extra[service], m.bound.Window
+	window := m.Window
 	for _, t := range extra {
 		for _, from := range []time.Duration{t, t - window + 1} {
 			n := max(between(calls, from, from+window), between(calls, from-window/2, from+window/2), between(calls, from-window, from))
-			worst = max(worst, between(extra, from, from+window)-m.bound.Ratio*n-m.bound.Slack)
+			worst = max(worst, between(extra, from, from+window)-m.Ratio*n-m.Slack)
 		}
 	}
 	return worst
@@ -103,9 +104,9 @@
 			Window: 10 * time.Second, InheritedKnown: rapid.Bool().Draw(t, "inherited known"),
 		}
 		fanOut := make([]int, rapid.IntRange(1, 3).Draw(t, "services"))
-		// Where inherited retries are unknown or the share of a node is too small, they aren't charged.
+		// Where inherited retries are unknown, they aren't charged.
 		for s := range fanOut[1:] {
-			if bound.Limits(nodes).Ratio == bound.Ratio {
+			if bound.InheritedKnown {
 				fanOut[s] = rapid.IntRange(0, 3).Draw(t, "fan-out")
 			}
 		}
@@ -124,7 +125,7 @@
 			}
 		}
 		for s := range fanOut {
-			if over := m.excess(s); over > 1e-6 {
+			if over := bound.excess(m.calls[s], m.extra[s]); over > 1e-6 {
 				t.Fatalf("service %d: %.1f retries above the bound, limits %+v", s, over, bound.Limits(nodes))
 			}
 		}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -160,10 +160,6 @@
 	RetryAfter time.Duration
 }
 
-// SetFloor sets the retries allowed regardless of calls to perSecond, which
-// accumulate up to burst.
-func (p *Policy) SetFloor(perSecond, burst float64) { p.budget.setFloor(perSecond, burst) }
-
 // RemainingRetries returns the present balance of the budget in retries.
 func (p *Policy) RemainingRetries() float64 { return p.budget.remaining() }
 
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -206,7 +206,7 @@
 // charged in full and end at the class's limit.
 func TestOnlyReachedAttemptsAreCharged(t *testing.T) {
 	p := New(Options{Rand: newSeeded(1), ChargeReachedOnly: true, MaxAttempts: 6, Budget: BudgetOptions{Ratio: 0.1, Burst: 4}})
-	p.SetFloor(0, 2)
+	p.budget.setFloor(0, 2)
 	for i := range 100 {
 		p.RecordCall()
 		in := input(func(in *Input) { in.Refusal = refusal(call.ReasonOverloaded) })
--- a/internal/retry/rejections_test.go
+++ b/internal/retry/rejections_test.go
@@ -63,20 +63,24 @@
 }
 
 // Guards against callers who return every few milliseconds to a service that rejects every call.
-func TestReturnsOfOverdueCallersThinOut(t *testing.T) {
-	p := New(boundedOptions(1))
-	waited, returns := time.Duration(0), 0
-	for ; waited < 8*time.Second; returns++ {
-		d := p.Decide(rejected(func(in *Input) {
-			in.Waited, in.Remaining = waited, 8*time.Second
-			in.TargetRemaining = 300*time.Millisecond - waited
-			in.Overdue = in.TargetRemaining < 0
-		}))
-		waited += d.RetryAfter
-	}
-	t.Logf("%d returns in 8 s", returns)
-	if returns > 40 {
-		t.Errorf("%d returns in 8 s", returns)
+func TestReturnsThinOut(t *testing.T) {
+	for _, target := range []time.Duration{300 * time.Millisecond, 0} {
+		p := New(boundedOptions(1))
+		waited, returns := time.Duration(0), 0
+		for ; waited < 8*time.Second; returns++ {
+			d := p.Decide(rejected(func(in *Input) {
+				in.Waited, in.Remaining, in.TargetRemaining = waited, 8*time.Second, 0
+				if target > 0 {
+					in.TargetRemaining = target - waited
+					in.Overdue = in.TargetRemaining < 0
+				}
+			}))
+			waited += d.RetryAfter
+		}
+		t.Logf("target %v: %d returns in 8 s", target, returns)
+		if returns > 40 {
+			t.Errorf("target %v: %d returns in 8 s", target, returns)
+		}
 	}
 }
 
@@ -108,7 +112,7 @@
 		{"clock set back", at(time.Hour, 7, same), at(0, 5, same), true},
 	} {
 		p := New(boundedOptions(1))
-		p.SetFloor(0, 3)
+		p.budget.setFloor(0, 3)
 		p.budget.balance.Store(2 * wholeRetry)
 		if d := p.Decide(c.first); !d.Retry {
 			t.Fatalf("%s: the first call got %+v", c.name, d)
--- a/internal/retry/wave_test.go
+++ b/internal/retry/wave_test.go
@@ -153,26 +153,6 @@
 	}
 }
 
-// excess returns by how much the arrivals beyond the first exceed the bound in the worst window.
-func (w *wave) excess() float64 {
-	count := func(times []time.Duration, from, to time.Duration) (n float64) {
-		for _, t := range times {
-			if t >= from && t < to {
-				n++
-			}
-		}
-		return n
-	}
-	window := w.bound.Window
-	worst := -1e9
-	for from := time.Duration(0); from < w.length; from += window / 20 {
-		calls := count(w.calls, from, from+window)
-		calls = max(calls, count(w.calls, from-window/2, from+window/2), count(w.calls, from-window, from))
-		worst = max(worst, count(w.extra, from, from+window)-w.bound.Ratio*calls-w.bound.Slack)
-	}
-	return worst
-}
-
 // Guards against calls lost to random rejections although slots are free: callers told to return
 // after their latency target, and retries used up by the less urgent.
 func TestRandomRejections(t *testing.T) {
@@ -186,13 +166,13 @@
 			bound:      MeshBound{Ratio: 0.2, Slack: 214, Window: 10 * time.Second, InheritedKnown: whole},
 		}
 		w.run()
-		t.Logf("rules for random rejections %v, whole ratio %v: excess over the bound of retries %.0f", random, whole, w.excess())
+		t.Logf("rules for random rejections %v, whole ratio %v: excess over the bound of retries %.0f", random, whole, w.bound.excess(w.calls, w.extra))
 		for _, p := range []int{7, 5, 3} {
 			r := w.results[p]
 			t.Logf("  priority %d: in time %d, late %d, refused %d, retries %d", p, r.inTime, r.late, r.refused, r.retries)
 		}
-		if w.excess() > 0 {
-			t.Errorf("retries exceed their bound by %.0f", w.excess())
+		if w.bound.excess(w.calls, w.extra) > 0 {
+			t.Errorf("retries exceed their bound by %.0f", w.bound.excess(w.calls, w.extra))
 		}
 		return w
 	}
