proxy: mark only retried runs where inherited retries are charged

Every attempt after the first carried Marlpass-Retried, also if no backend server had got an earlier one (draining, unreachable). Where retries.inherited is set, the nested calls of such a first run were charged and could be refused as inherited. So were those of a run whose caller outside the mesh set the header. Without the setting the header is sent as before.

The new test fails for both cases when the header is sent on every later attempt.

--- a/internal/node/retries.go
+++ b/internal/node/retries.go
@@ -95,12 +95,11 @@
 	r.policy(service).RecordCallAt(time.Now())
 }
 
+// ChargesInherited implements proxy.InheritedRetrier.
+func (r *retries) ChargesInherited() bool { return r.set.Slack > 0 && r.set.Inherited }
+
 // CalledInherited implements proxy.InheritedRetrier.
 func (r *retries) CalledInherited(now time.Time, service string) bool {
-	if r.set.Slack == 0 || !r.set.Inherited {
-		r.Called(service)
-		return true
-	}
 	allowed := r.policy(service).RecordInherited(now)
 	r.counts.recordInherited(service, allowed)
 	return allowed
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -95,6 +95,9 @@
 	fp            quarantine.Fingerprint
 	isolated      bool // to be run at one endpoint at a time
 	parentRetried bool // the call was made by a call that is being retried
+	// inherited is parentRetried of calls from backend servers of this VM. Other callers could set
+	// the header themselves.
+	inherited bool
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
 	// workspace is the workspace whose quota the call is counted against, or nil.
@@ -133,6 +136,7 @@
 	}
 	defer c.body.release()
 	c.parentRetried = first(r.Header, retry.HeaderRetried) != ""
+	c.inherited = internal && c.parentRetried
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
@@ -144,8 +148,7 @@
 		return
 	}
 	c.firstAttempt = e.returning.firstAttempt(c.start, c.fp)
-	// Only calls from backend servers of this VM can be inherited: callers could set the header.
-	if refusal := e.recordCall(w, c, internal && c.parentRetried); refusal != nil {
+	if refusal := e.recordCall(w, c); refusal != nil {
 		e.refuse(w, c, refusal)
 		return
 	}
--- a/internal/proxy/free_slots_test.go
+++ b/internal/proxy/free_slots_test.go
@@ -84,6 +84,8 @@
 
 func (r *inheritedRetrier) Called(string) { r.calls++ }
 
+func (r *inheritedRetrier) ChargesInherited() bool { return true }
+
 func (r *inheritedRetrier) CalledInherited(time.Time, string) bool {
 	r.inherited++
 	return false
@@ -112,3 +114,62 @@
 		t.Errorf("%+v, %d runs", retrier, m.runs.Load())
 	}
 }
+
+// chargingRetrier retries and has room for inherited retries, if they are charged.
+type chargingRetrier struct {
+	Retrier
+	charges bool
+}
+
+func (r chargingRetrier) ChargesInherited() bool { return r.charges }
+
+func (chargingRetrier) CalledInherited(time.Time, string) bool { return true }
+
+// Guards against nested calls that are charged or refused as inherited although no backend server got
+// an earlier attempt of the run that made them, or because a caller outside the mesh set the header.
+func TestOnlyRetriedRunsAreMarked(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		charged          bool
+		rejects          int64 // attempts that the backend server rejects
+		internal, header bool
+		want             bool
+	}{
+		{"not charged, unreachable before", false, 0, false, false, true},
+		{"unreachable before", true, 0, false, false, false},
+		{"rejected before", true, 1, false, false, true},
+		{"header of a caller", true, 0, false, true, false},
+		{"inherited", true, 0, true, true, true},
+	} {
+		marked := false
+		var m *mesh
+		m = newMesh(t, lookups(), func(w http.ResponseWriter, r *http.Request) {
+			if m.runs.Load() <= c.rejects {
+				w.Header().Set(call.HeaderRefused, r.Header.Get(call.HeaderAttempt))
+				return
+			}
+			marked = r.Header.Get(retry.HeaderRetried) != ""
+		})
+		m.entry.Retrier = chargingRetrier{RetryUpTo(3), c.charged}
+		if c.rejects == 0 {
+			unreachable := Endpoint{ID: "vm8/a", VM: "vm8", Instance: "a", Addr: "127.0.0.1:1"}
+			m.picker.Set(map[string][]Endpoint{testService: {m.endpoints[0], unreachable}}) // RoundRobin begins with the second
+		}
+		url := m.public.URL
+		if c.internal {
+			url = m.internal.URL
+		}
+		r, _ := http.NewRequest("GET", url, nil)
+		if c.header {
+			r.Header.Set(retry.HeaderRetried, "1")
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || marked != c.want {
+			t.Errorf("%s: status %d, marked %v", c.name, resp.StatusCode, marked)
+		}
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -17,7 +17,7 @@
 		// The transport may still be reading the header of the previous attempt.
 		header = header.Clone()
 	}
-	if c.attempts > 1 || c.parentRetried {
+	if e.marksRetried(c) {
 		header[retry.HeaderRetried] = []string{"1"}
 	}
 	h := hop{
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -15,9 +15,10 @@
 	// node that receives it from a backend server passes it on and doesn't
 	// retry, since a node further down the chain has already retried.
 	HeaderFinal = "Marlpass-Final"
-	// HeaderRetried is set to "1" on every attempt after the first. A backend
-	// server that copies it to the calls it makes for the request, like trace
-	// headers, prevents retries further down the chain.
+	// HeaderRetried is set to "1" on every attempt after the first, or where
+	// inherited retries are charged, on those after one that a backend server may
+	// have got. A backend server that copies it to the calls it makes for the
+	// request, like trace headers, prevents retries further down the chain.
 	HeaderRetried = "Marlpass-Retried"
 )
 
