--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -17,7 +17,7 @@
 		// The transport may still be reading the header of the previous attempt.
 		header = header.Clone()
 	}
-	if c.attempts > 1 || c.parentRetried {
+	if e.marksRetried(c) {
 		header[retry.HeaderRetried] = []string{"1"}
 	}
 	h := hop{
@@ -98,7 +98,8 @@
 	advertised := parseNodeAdvertised(a.resp.Header)
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r, linkWait: wait, advertised: advertised}
+		slotsFree := first(a.resp.Header, headerSlotsFree) != ""
+		return answer{refusal: r, linkWait: wait, advertised: advertised, slotsFree: slotsFree}
 	}
 	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
