completion: pick and decline by the slowdown that backend servers state

Cause: the figure for how long work takes on a backend server's VM was read and dropped. Calls started on backend servers that were slowed down while others had free slots, and slow backend servers got as many calls as fast ones. Change: the node beside the backend server keeps the figure and the usual run time of each class, declines offers of a slot search that would run too slowly, and reports both in the header Marlpass-Run. Entry nodes weigh the load of an endpoint by its relative run time, and try the faster of the endpoints with a free slot first. Nothing of this happens where no figure is stated. The load header between nodes stays as it is, since earlier versions reject a third figure.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -45,6 +45,7 @@
 	ReasonNoRoute     Reason = "no-route"           // no class of work matches
 	ReasonNotHeld     Reason = "service-not-held"   // this node does not hold the service
 	ReasonNoEndpoint  Reason = "no-endpoint"        // no endpoint of the service is known
+	ReasonSlow        Reason = "slow"               // the call would run too slowly now, and other endpoints are left to try
 	ReasonOverloaded  Reason = "overloaded"         // the queue is full or would outlast the deadline
 	ReasonBusy        Reason = "busy"               // no slot is free now, and the call was not to wait for one
 	ReasonLinkFull    Reason = "link-full"          // the VM's link cannot carry the answer in time
@@ -106,6 +107,9 @@
 	HeaderRefused = "Marlpass-Refused"
 	// HeaderLoad carries the backend server's load back, as "busy/slots".
 	HeaderLoad = "Marlpass-Load"
+	// HeaderSlowdown is how a backend server says how long work takes on its VM
+	// at the moment, in percent of the usual.
+	HeaderSlowdown = "Marlpass-Slowdown"
 	// HeaderRateLimit is how a backend server says how many calls a second, a
 	// decimal number, it accepts from all nodes together, for as long as its
 	// answers carry the header.
--- a/internal/decisions/log.go
+++ b/internal/decisions/log.go
@@ -16,15 +16,16 @@
 // Kinds of decision. The entry node is the one that a caller sent its call to,
 // the destination the one beside the backend server.
 const (
-	Refused  Kind = "refused" // the entry node told the caller that the call was not run
-	Unknown  Kind = "unknown" // the entry node told the caller that the call may have run
-	Retried  Kind = "retried" // the entry node sends the call to another endpoint
-	Late     Kind = "late"    // the answer came after the class's answer time
-	Failed   Kind = "failed"  // the backend server's own failure was passed on
-	Cut      Kind = "cut"     // the answer broke off, or its caller left
-	TurnedBy Kind = "turned"  // the destination node turned the call away
-	Waited   Kind = "waited"  // the destination node let the call wait for a slot
-	Dropped  Kind = "dropped" // the backend server gave no answer that can be passed on
+	Refused  Kind = "refused"  // the entry node told the caller that the call was not run
+	Unknown  Kind = "unknown"  // the entry node told the caller that the call may have run
+	Retried  Kind = "retried"  // the entry node sends the call to another endpoint
+	Late     Kind = "late"     // the answer came after the class's answer time
+	Failed   Kind = "failed"   // the backend server's own failure was passed on
+	Cut      Kind = "cut"      // the answer broke off, or its caller left
+	TurnedBy Kind = "turned"   // the destination node turned the call away
+	Waited   Kind = "waited"   // the destination node let the call wait for a slot
+	Declined Kind = "declined" // the destination node declined a call that would run slowly there
+	Dropped  Kind = "dropped"  // the backend server gave no answer that can be passed on
 	// Advertised tells of a backend server, not of a call: its rate limit begins, changes or ends,
 	// or it leaves.
 	Advertised Kind = "advertised"
@@ -32,7 +33,7 @@
 )
 
 // kinds lists those whose lines are bounded.
-var kinds = []Kind{Refused, Unknown, Retried, Late, Failed, Cut, TurnedBy, Waited, Dropped, Advertised}
+var kinds = []Kind{Refused, Unknown, Retried, Late, Failed, Cut, TurnedBy, Waited, Declined, Dropped, Advertised}
 
 // PerSecond is how many lines of a kind are written a second. A node of a third
 // of a core spends some 20 microseconds on a line, so that all kinds together stay
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -110,7 +110,7 @@
 
 // decisions are the packages that take the clock as an argument.
 var decisions = []string{
-	"call", "config", "config/match", "distribute", "follow", "limit", "membership", "once",
+	"call", "completion", "config", "config/match", "distribute", "follow", "limit", "membership", "once",
 	"quarantine", "query", "retry", "rollout", "route",
 }
 
--- a/internal/node/pickers.go
+++ b/internal/node/pickers.go
@@ -312,7 +312,7 @@
 		Latency:   r.Latency, LinkWait: r.LinkWait,
 		Load:        route.Load{Busy: r.Load.Busy, Slots: r.Load.Slots, Present: r.Load.Known},
 		RateLimited: r.Advertised.RateLimit.Present, RateLimit: r.Advertised.RateLimit.PerSecond,
-		Leaving: r.Advertised.Leaving, RetryAfter: r.RetryAfter,
+		Leaving: r.Advertised.Leaving, RetryAfter: r.RetryAfter, Run: r.Run,
 	})
 	if r.Outcome == call.Ran && !r.Failed {
 		c.size.add(r.Bytes)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 	"github.com/marlpass/marlpass/internal/config"
 )
 
@@ -197,6 +198,9 @@
 	linkWait time.Duration
 	// advertised is what the endpoint advertises, as far as its node knows.
 	advertised Advertised
+	// expectedRun is how long calls of the class run at the endpoint; zero if its backend server
+	// states no slowdown.
+	expectedRun completion.Run
 	// took is the time spent at the destination, by part.
 	took destinationTimes
 	// held is the execution of the call at this node, until its answer has been relayed; nil if
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/quarantine"
@@ -49,6 +50,7 @@
 	draining      atomic.Bool
 	inFlight      atomic.Int64
 	outcomeWrites sync.WaitGroup // pending writes of claim outcomes
+	completion    completion.Servers
 }
 
 // NewDestination returns a Destination that accepts calls.
@@ -87,7 +89,7 @@
 	h.settled = first(r.Header, headerSettled) != ""
 	h.waited = parseWaited(r.Header)
 	h.oneShot = first(r.Header, headerOnce) != ""
-	h.noWait = first(r.Header, headerNoWait) != ""
+	h.noWait, h.mayDecline = parseNoWait(r.Header)
 	in.advertised = parseNodeAdvertised(r.Header)
 	remoteMbps := parseLinkRate(r.Header)
 	dropHopByHop(r.Header)
@@ -130,6 +132,7 @@
 	if a.advertised.any() {
 		w.Header()[headerAdvertised] = []string{a.advertised.String()}
 	}
+	setExpectedRun(w.Header(), a.expectedRun)
 	switch {
 	case a.refusal != nil:
 		d.setLinkWait(w.Header())
@@ -210,8 +213,12 @@
 		d.logRefusal(now, in, b, refusal)
 		return answer{refusal: refusal, advertised: d.advertisedBy(b)}
 	}
+	if declined, ok := d.declineSlow(now, in, b, t); ok {
+		return declined
+	}
 	d.inFlight.Add(1)
 	a := d.execute(ctx, now, in, b, t)
+	a.expectedRun = d.expectedRun(b, t)
 	a.advertised = d.advertisedBy(b)
 	if a.resp == nil {
 		d.inFlight.Add(-1)
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -27,6 +27,8 @@
 		return answer{refusal: refusal}
 	}
 	h.start = now
+	server := d.completion.Find(h.backend.Instance, h.backend.Started)
+	slowdown := server.Slowdown(now)
 	delete(in.header, "Expect")
 	if h.claim != nil {
 		ctx = context.WithoutCancel(ctx)
@@ -52,6 +54,7 @@
 		return answer{err: read.Err}
 	}
 	a.load = read.Load
+	d.recordRun(h, read.Load, slowdown)
 	dropHopByHop(a.resp.Header)
 	dropInternal(a.resp.Header)
 	h.status, h.answeredAt = a.resp.StatusCode, d.Now()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -113,7 +113,7 @@
 func (ownDialect) ReadResponse(sent http.Header, resp *http.Response) ResponseInfo {
 	return ResponseInfo{
 		Refusal:    refusedByBackend(resp.Header, first(sent, call.HeaderAttempt)),
-		Load:       parseLoad(resp.Header),
+		Load:       parseBackendLoad(resp.Header),
 		Advertised: parseAdvertised(resp.Header),
 	}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -40,10 +41,14 @@
 // Entry receives calls from callers and forwards them to destination nodes.
 type Entry struct {
 	EntryOptions
-	bodies     bodyBudget
-	returning  returningCallers
-	freeSlots  freeSlotShares
-	advertised advertisedMemory
+	bodies    bodyBudget
+	returning returningCallers
+	freeSlots freeSlotShares
+	// slowOffers are the shares of first offers that were not declined as slow. They are recorded
+	// once an endpoint has declined a call (sawDeclined).
+	slowOffers  freeSlotShares
+	sawDeclined atomic.Bool
+	advertised  advertisedMemory
 }
 
 // NewEntry returns an Entry and fills in the defaults of p.
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -92,7 +92,7 @@
 
 // report returns the result of an attempt for the picker.
 func report(a *answer, latency time.Duration) Report {
-	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait, Advertised: a.advertised}
+	r := Report{Outcome: a.outcome(), Latency: latency, Load: a.load, LinkWait: a.linkWait, Advertised: a.advertised, Run: a.expectedRun}
 	switch {
 	case a.refusal != nil:
 		r.Refused, r.RetryAfter = a.refusal.Reason, a.refusal.RetryAfter
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -25,6 +25,7 @@
 		ep := choice.Endpoint()
 		a := e.attempt(ctx, now, c, ep)
 		s.outcome(&a)
+		a.expectedRun.Class = c.target.Name
 		e.recordOffer(c, &a)
 		e.advertised.record(e.Now(), now, ep.ID, &a)
 		if a.resp != nil {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -102,7 +102,8 @@
 	return Header{call.HeaderAttempt, s[:n]}, Header{call.HeaderDeadline, s[n:]}
 }
 
-// parseLoad parses "busy/slots". It returns the zero Load if the header is missing or malformed.
+// parseLoad parses "busy/slots". It returns the zero Load if the header is missing or malformed. A
+// third figure counts as malformed, so what nodes report beyond it has headers of its own.
 func parseLoad(h http.Header) Load {
 	busy, slots, ok := strings.Cut(first(h, call.HeaderLoad), "/")
 	if !ok {
--- a/internal/proxy/headers_test.go
+++ b/internal/proxy/headers_test.go
@@ -80,7 +80,7 @@
 
 func TestParseLoad(t *testing.T) {
 	for value, want := range map[string]Load{
-		"3/6": {3, 6, true}, "0/0": {0, 0, true}, "": {}, "3": {}, "-1/6": {}, "3/x": {}, "9999999/6": {},
+		"3/6": {Busy: 3, Slots: 6, Known: true}, "0/0": {Known: true}, "3/6/120": {}, "": {}, "3": {}, "-1/6": {}, "3/x": {}, "9999999/6": {},
 	} {
 		if got := parseLoad(http.Header{call.HeaderLoad: {value}}); got != want {
 			t.Errorf("%q: got %+v, want %+v", value, got, want)
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -25,12 +25,19 @@
 	// noWait is set if the call must start at once or be refused as busy. It is sent in
 	// headerNoWait.
 	noWait bool
+	// mayDecline is set if the call may also be declined as slow. It is sent in headerNoWait.
+	mayDecline bool
 }
 
 // headerNoWait marks, between nodes, a call that searches for a free slot.
 const headerNoWait = "Marlpass-No-Wait"
 
-var noWaitValue = []string{"1"}
+// Values of headerNoWait. Entry nodes of an earlier version send noWaitValue, as they take a call that
+// was declined as slow for a failed one. Destination nodes of an earlier version accept both.
+var (
+	noWaitValue        = []string{"1"}
+	noWaitDeclineValue = []string{"2"}
+)
 
 // headerOnce marks, between nodes, a call whose caller doesn't retry a refusal.
 const headerOnce = "Marlpass-Once"
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -59,6 +60,9 @@
 type Load struct {
 	Busy, Slots int
 	Known       bool
+	// Slowdown is by which factor work takes longer on the backend server's VM than usual, as it
+	// stated itself; zero if it states none.
+	Slowdown float64
 }
 
 // Advertised is what a backend server advertises about itself in an answer.
@@ -102,6 +106,8 @@
 	Bytes      int64 // of the answer's body if that is complete
 	// LinkWait is how long large answers wait for the endpoint's link.
 	LinkWait time.Duration
+	// Run is how long calls run at the endpoint, as far as its node told.
+	Run completion.Run
 }
 
 // Choice is an endpoint picked for one attempt. Done must be called once; the Choice must not be
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 	"github.com/marlpass/marlpass/internal/retry"
 )
 
@@ -23,6 +24,7 @@
 	h := hop{
 		left: e.attemptTimeout(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance,
 		waited: now.Sub(c.firstAttempt), oneShot: e.returning.oneShot(c.target.Name), noWait: c.search.scope != NoSearch,
+		mayDecline: e.mayDecline(c),
 	}
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
@@ -43,6 +45,9 @@
 	delete(header, headerNoWait) // of the previous offer
 	if h.noWait {
 		header[headerNoWait] = noWaitValue
+		if h.mayDecline {
+			header[headerNoWait] = noWaitDeclineValue
+		}
 	}
 	if e.Local != nil {
 		e.Local.Link.setLinkRate(header)
@@ -96,9 +101,10 @@
 	}
 	wait := parseLinkWait(a.resp.Header)
 	advertised := parseNodeAdvertised(a.resp.Header)
+	run := completion.ParseRun(first(a.resp.Header, headerRun))
 	if r := refusedByNode(a.resp.Header); r != nil {
 		discard(a.resp)
-		return answer{refusal: r, linkWait: wait, advertised: advertised}
+		return answer{refusal: r, linkWait: wait, advertised: advertised, expectedRun: run}
 	}
 	if kind := first(a.resp.Header, headerUnknown); kind != "" {
 		discard(a.resp)
@@ -107,6 +113,7 @@
 	a.advertised = advertised
 	a.load = parseLoad(a.resp.Header)
 	a.linkWait = wait
+	a.expectedRun = run
 	a.took = parseDestinationTimes(a.resp.Header)
 	dropHopByHop(a.resp.Header)
 	dropInternal(a.resp.Header)
--- a/internal/proxy/slot_search.go
+++ b/internal/proxy/slot_search.go
@@ -64,9 +64,9 @@
 }
 
 // foundNoSlot reports whether an offer was refused because no slot was free, or because the link of
-// the endpoint's VM had no room for a large answer. Such an offer doesn't count as an attempt.
+// the endpoint's VM had no room for a large answer, or declined as slow. Such an offer doesn't count as an attempt.
 func (s *slotSearch) foundNoSlot(a *answer) bool {
-	return a.noFreeSlot() || s.scope != NoSearch && a.refusal != nil && a.refusal.Reason == call.ReasonLinkFull
+	return a.noFreeSlot() || a.declinedAsSlow() || s.scope != NoSearch && a.refusal != nil && a.refusal.Reason == call.ReasonLinkFull
 }
 
 // reject records that the endpoint had no free slot.
@@ -107,6 +107,7 @@
 // recordOffer records whether the endpoint had a free slot for c.
 func (e *Entry) recordOffer(c *entryCall, a *answer) {
 	free := e.freeSlots.of(c.target.Service)
+	e.recordDeclined(c, a)
 	switch {
 	case a.resp != nil:
 		free.add(a.took.wait < maxImmediateWait)
--- a/internal/proxy/slot_search_model_test.go
+++ b/internal/proxy/slot_search_model_test.go
@@ -58,6 +58,7 @@
 type model struct {
 	search     bool
 	load       float64
+	target     time.Duration // latency target
 	endpoints  []route.Endpoint
 	nodes      []*modelNode
 	byID       map[string]*modelNode
@@ -69,6 +70,9 @@
 	// tellLimits lets entry nodes know the rate limits of backend servers.
 	tellLimits bool
 
+	// completion models VMs that slow backend servers down; nil for none.
+	completion *completionModel
+
 	calls, queued, inTime, offers int
 	refusals                      int
 	refusedAfter                  time.Duration // sum over refusals
@@ -79,7 +83,7 @@
 // newModelWithSlowStart sets the slow start of the pickers; zero means their default.
 func newModelWithSlowStart(n int, search bool, slowStart time.Duration) *model {
 	m := &model{
-		search: search, load: modelLoad, byID: make(map[string]*modelNode), rng: rand.New(rand.NewPCG(uint64(n), 1)),
+		search: search, load: modelLoad, target: modelLatencyTarget, byID: make(map[string]*modelNode), rng: rand.New(rand.NewPCG(uint64(n), 1)),
 		start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), onResult: make(map[*limit.Entry]func(time.Time, *call.Refusal)),
 	}
 	for i := range n {
@@ -183,6 +187,9 @@
 }
 
 func (m *model) arrive(now time.Time, c *modelCall, choice route.Choice, to *modelNode, latency time.Duration, mayQueue bool) {
+	if m.completion != nil && m.completion.declines(m, now, c, choice, to, latency, mayQueue) {
+		return
+	}
 	e := &limit.Entry{FirstAttempt: c.firstAttempt, NoWait: !mayQueue}
 	m.onResult[e] = func(at time.Time, refused *call.Refusal) {
 		delete(m.onResult, e)
@@ -277,18 +284,22 @@
 func (m *model) started(now time.Time, c *modelCall, choice route.Choice, to *modelNode, e *limit.Entry, latency, waited time.Duration) {
 	took := time.Duration(float64(c.work) / to.speed)
 	sent := now
+	if m.completion != nil {
+		took = m.completion.start(now, to, took)
+	}
 	m.schedule(now.Add(took), func(now time.Time) {
 		to.queue.Observe(now, sent, to.limit)
 		to.queue.Done(now, e, limit.Result{Latency: took})
 		m.handleEvents(now, to)
 		l := m.loadAt(now, to)
+		run := m.completion.answer(now, to, took)
 		m.schedule(now.Add(latency), func(now time.Time) {
 			c.from.freeSlots.add(waited < maxImmediateWait)
-			choice.Done(now, m.tell(to, route.Report{Outcome: call.Ran, Latency: now.Sub(sent), Load: l}))
+			choice.Done(now, m.tell(to, route.Report{Outcome: call.Ran, Latency: now.Sub(sent), Load: l, Run: run}))
 			if c.queued {
 				m.queued++
 			}
-			if now.Sub(c.firstAttempt) <= modelLatencyTarget {
+			if now.Sub(c.firstAttempt) <= m.target {
 				m.inTime++
 			}
 		})
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -242,7 +242,7 @@
 	switch r {
 	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable, call.ReasonPinned:
 		return kindNotAccepting
-	case call.ReasonBusy, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
+	case call.ReasonBusy, call.ReasonSlow, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
 		return kindNoCapacity
 	case call.ReasonOverRate, call.ReasonBackendRate:
 		return kindRateLimited
--- a/internal/route/done.go
+++ b/internal/route/done.go
@@ -23,6 +23,7 @@
 	own := s.outstanding.Add(-1)
 	result := classify(r)
 	p.recordRate(s, now, r)
+	p.runTimes.Record(now, &s.runTime, r.Run)
 	if r.Leaving {
 		s.refusedUntil.Store(now + closedFor.Milliseconds())
 	}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 )
 
 // Endpoint is one backend server of the service, as the membership view shows it.
@@ -54,6 +55,8 @@
 	Leaving bool
 	// RetryAfter is when the endpoint expects to accept calls again, with a refusal.
 	RetryAfter time.Duration
+	// Run is how long calls run at the endpoint, as far as its node told.
+	Run completion.Run
 }
 
 // EndpointStatus is the state of an endpoint in a Picker, for operators.
@@ -65,4 +68,6 @@
 	SlowStarting bool
 	Outstanding  int
 	FailureRate  float64 // recent share of failed calls, 0 to 1
+	// RelativeRun is the expected run time relative to the mean of the service; zero if unknown.
+	RelativeRun float64
 }
--- a/internal/route/freeslot.go
+++ b/internal/route/freeslot.go
@@ -37,8 +37,11 @@
 }
 
 // take returns and removes the newest endpoint that accept allows, so that one call is sent per
-// report.
-func (h *hints) take(now int64, accept func(*state) bool) *state {
+// report. If better is set, it takes the best endpoint instead of the newest.
+func (h *hints) take(now int64, accept func(*state) bool, better func(a, b *state) bool) *state {
+	if better != nil {
+		return h.takeBest(now, accept, better)
+	}
 	newest := h.next.Load()
 	for i := range uint64(maxHints) {
 		entry := &h.ring[(newest-i)%maxHints]
@@ -87,7 +90,7 @@
 		return p.freeSlotInTier(tierRegion, t, now, tried)
 	}
 	for _, s := range t.sameVM {
-		if usable(s, now, tried) && s.failureRate(now, p.halfLife) < redrawFailureRate {
+		if usable(s, now, tried) && s.failureRate(now, p.halfLife) < redrawFailureRate && p.fastEnough(s, now) {
 			return s
 		}
 	}
@@ -100,7 +103,7 @@
 	hinted := p.freeSlots.take(now, func(s *state) bool {
 		return p.tierOf(s.ep.Load()) == n && usable(s, now, tried) && !s.ejected.Load() &&
 			s.failureRate(now, p.halfLife) < redrawFailureRate && p.passesSlowStart(s, now)
-	})
+	}, p.fasterFirst(now))
 	if hinted != nil {
 		return hinted
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -121,7 +121,11 @@
 	if best == nil {
 		return nil, 0
 	}
-	cost := p.cost(best, now)
+	factor := p.runTimeFactor
+	if p.ignoresRunTimes() {
+		factor = p.latencyFactor
+	}
+	cost := p.costAt(best, now, factor(best, now))
 	for i := range 1 + maxExtraDraws {
 		failureRate := best.failureRate(now, p.halfLife)
 		if i > 0 && failureRate < redrawFailureRate {
@@ -135,7 +139,7 @@
 		if failureRate > 0 {
 			margin = 1
 		}
-		if c := p.cost(s, now); c < cost*margin {
+		if c := p.costAt(s, now, factor(s, now)); c < cost*margin {
 			best, cost = s, c
 		}
 	}
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 )
 
 // Picker picks endpoints of one service for one node. It is safe for concurrent use. Pick and
@@ -24,6 +25,7 @@
 	otherLoad  average // mean load from other nodes, per slot
 	entryNodes atomic.Int64
 	freeSlots  hints
+	runTimes   completion.Estimator
 
 	table atomic.Pointer[table]
 
--- /dev/null
+++ b/internal/route/runtime.go
@@ -0,0 +1,61 @@
+package route
+
+// Where nodes report how long calls run at their backend servers, picks go by expected completion:
+// the load of an endpoint times its run time relative to the service.
+
+// speedBlindShare is the share of picks that ignore reported run times. It keeps the endpoints known
+// that all nodes believe to be slow: each gets at least this part of an equal share of the calls.
+const speedBlindShare = 1.0 / 16
+
+// ignoresRunTimes decides at random whether a pick ignores reported run times. It draws nothing
+// before the first report.
+func (p *Picker) ignoresRunTimes() bool {
+	return !p.runTimes.Known() || p.randomFloat() < speedBlindShare
+}
+
+// runTimeFactor returns the factor of an endpoint's cost for its speed: the reported run time
+// relative to the service, or the latency factor if that is larger or nothing was reported.
+func (p *Picker) runTimeFactor(s *state, now int64) float64 {
+	latency := p.latencyFactor(s, now)
+	relative, ok := p.runTimes.Relative(now, &s.runTime)
+	if !ok || latency > relative && latency > 1 {
+		return latency
+	}
+	return relative
+}
+
+// fastEnough decides at random whether an endpoint is taken regardless of others, with a probability
+// that falls with its relative run time.
+func (p *Picker) fastEnough(s *state, now int64) bool {
+	relative, ok := p.runTimes.Relative(now, &s.runTime)
+	return !ok || relative <= 1 || p.randomFloat() < 1/relative
+}
+
+// fasterFirst returns an order of endpoints with a free slot by relative run time, or nil if the
+// newest report counts.
+func (p *Picker) fasterFirst(now int64) func(a, b *state) bool {
+	if p.ignoresRunTimes() {
+		return nil
+	}
+	return func(a, b *state) bool { return p.runTimeFactor(a, now) < p.runTimeFactor(b, now) }
+}
+
+// takeBest returns and removes the best endpoint that accept allows.
+func (h *hints) takeBest(now int64, accept func(*state) bool, better func(a, b *state) bool) *state {
+	newest := h.next.Load()
+	var best *hint
+	var at uint64
+	for i := range uint64(maxHints) {
+		candidate := h.ring[(newest-i)%maxHints].Load()
+		if candidate == nil || now-candidate.at > hintTTLMillis || !accept(candidate.s) {
+			continue
+		}
+		if best == nil || better(candidate.s, best.s) {
+			best, at = candidate, newest-i
+		}
+	}
+	if best == nil || !h.ring[at%maxHints].CompareAndSwap(best, nil) {
+		return nil // another call took it
+	}
+	return best.s
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"sync/atomic"
+
+	"github.com/marlpass/marlpass/internal/completion"
 )
 
 // Weights of one sample in the moving averages.
@@ -32,11 +34,12 @@
 	update      uint64 // last update that included the endpoint; guarded by Picker.mu
 	ep          atomic.Pointer[Endpoint]
 	outstanding atomic.Int64
-	latency     average // milliseconds, of successful answers
-	failures    average // failure rate, 0 to 1
-	otherLoad   average // reported busy slots minus this node's own calls
-	linkWait    average // milliseconds that large answers wait for its link
-	rateLimit   average // calls per second that it advertises; not averaged
+	latency     average             // milliseconds, of successful answers
+	failures    average             // failure rate, 0 to 1
+	otherLoad   average             // reported busy slots minus this node's own calls
+	linkWait    average             // milliseconds that large answers wait for its link
+	rateLimit   average             // calls per second that it advertises; not averaged
+	runTime     completion.Endpoint // as its node reports it
 	results     atomic.Int64
 
 	rampStart    atomic.Int64 // start of the slow start; 0 for none
@@ -81,12 +84,16 @@
 	return min(f, maxFailureRate)
 }
 
-// cost returns the load per slot that the rate limit leaves, multiplied by the latency, failure and suspicion factors.
-func (p *Picker) cost(s *state, now int64) float64 {
+// cost returns the load per slot that the rate limit leaves, multiplied by the run time, failure and
+// suspicion factors.
+func (p *Picker) cost(s *state, now int64) float64 { return p.costAt(s, now, p.runTimeFactor(s, now)) }
+
+// costAt is cost with the given run time factor.
+func (p *Picker) costAt(s *state, now int64, runTime float64) float64 {
 	e := s.ep.Load()
 	load := float64(s.outstanding.Load()) + p.estimateOtherLoad(s, e, now)
 	c := (load + 1) / p.rateSlots(s, now)
-	c *= p.latencyFactor(s, now)
+	c *= runTime
 	success := 1 - s.failureRate(now, p.halfLife)
 	c /= success * success
 	if e.Suspect {
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -87,6 +87,7 @@
 	for _, a := range []*average{&s.failures, &s.latency, &s.otherLoad, &s.linkWait, &s.rateLimit} {
 		a.clear()
 	}
+	s.runTime.Clear()
 	s.results.Store(0)
 	s.refusedUntil.Store(0)
 	s.pausedUntil.Store(0)
@@ -178,6 +179,9 @@
 		Outstanding:  int(s.outstanding.Load()),
 		FailureRate:  s.failureRate(ms, p.halfLife),
 	}
+	if relative, ok := p.runTimes.Relative(ms, &s.runTime); ok {
+		st.RelativeRun = relative
+	}
 	if st.Ejected {
 		st.NextTrial = p.timeAt(s.nextTrial.Load())
 	}
