route: keep endpoints known that are never next in turn

Cause: a pick that ignored run times compared the next endpoint in turn with a random one at the usual margin. An endpoint that this node never had as the next in turn got no call, and its run time was not learnt again. Change: such a pick begins with a random endpoint.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -117,15 +117,11 @@
 // cost. If many endpoints fail, both may be failing ones that the ejection cap keeps in; it then
 // draws further ones.
 func (p *Picker) bestOfTwo(from []*state, now int64, tried []string) (*state, float64) {
-	best := p.nextInTurn(from, now, tried)
+	best, factor := p.firstOfTwo(from, now, tried)
 	if best == nil {
 		return nil, 0
 	}
-	factor := p.runTimeFactor
-	if p.ignoresRunTimes() {
-		factor = p.latencyFactor
-	}
-	cost := p.costAt(best, now, factor(best, now))
+	cost := p.costAt(best, now, factor(p, best, now))
 	for i := range 1 + maxExtraDraws {
 		failureRate := best.failureRate(now, p.halfLife)
 		if i > 0 && failureRate < redrawFailureRate {
@@ -139,7 +135,7 @@
 		if failureRate > 0 {
 			margin = 1
 		}
-		if c := p.costAt(s, now, factor(s, now)); c < cost*margin {
+		if c := p.costAt(s, now, factor(p, s, now)); c < cost*margin {
 			best, cost = s, c
 		}
 	}
--- a/internal/route/runtime.go
+++ b/internal/route/runtime.go
@@ -13,6 +13,22 @@
 	return !p.runTimes.Known() || p.randomFloat() < speedBlindShare
 }
 
+// speedFactor is the factor of an endpoint's cost for its speed.
+type speedFactor func(p *Picker, s *state, now int64) float64
+
+// firstOfTwo returns the first of two endpoints to compare, and the factor of their costs for their
+// speed. If the pick ignores reported run times, it is a random one: an endpoint that is never next in
+// turn would stay unknown otherwise, as it is slower than the one that is.
+func (p *Picker) firstOfTwo(from []*state, now int64, tried []string) (*state, speedFactor) {
+	switch {
+	case !p.runTimes.Known():
+		return p.nextInTurn(from, now, tried), (*Picker).latencyFactor
+	case p.ignoresRunTimes():
+		return p.drawRandom(from, now, tried, nil), (*Picker).latencyFactor
+	}
+	return p.nextInTurn(from, now, tried), (*Picker).runTimeFactor
+}
+
 // Between these means of the reported load per slot, run times lose their effect. When calls wait at
 // most endpoints, a slot that stays free costs more calls than a slow one: at 1.3 times the capacity,
 // going by run times made 0.79 of the calls in time, and 0.80 without (TestOverloadUsesSlowBackendServers).
