--- a/internal/backend/advertise.go
+++ b/internal/backend/advertise.go
@@ -15,6 +15,7 @@
 	limited  bool
 	rate     float64 // requests a second; meaningful if limited
 	leaving  bool
+	slowdown int       // percent; zero if not stated
 	arrivals []Arrival // since the server first advertised anything
 }
 
@@ -38,6 +39,13 @@
 	s.advertised.limited = false
 }
 
+// SetSlowdown makes each answer from now on state how long work takes, in percent of the usual.
+func (s *Server) SetSlowdown(percent int) {
+	s.advertised.mu.Lock()
+	defer s.advertised.mu.Unlock()
+	s.advertised.slowdown = percent
+}
+
 // LeaveByAnswer makes each answer from now on say that the server leaves. Unlike Drain, it changes
 // nothing in what the server announces.
 func (s *Server) LeaveByAnswer() {
@@ -64,6 +72,9 @@
 	if a.leaving {
 		h.Set(call.HeaderLeaving, "1")
 	}
+	if a.slowdown > 0 {
+		h.Set(call.HeaderSlowdown, strconv.Itoa(a.slowdown))
+	}
 	if a.limited || a.leaving || len(a.arrivals) > 0 {
 		a.arrivals = append(a.arrivals, now)
 	}
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -15,6 +15,7 @@
 	w := startMesh(t, 2, nil)
 	entry, dest := w.VMs[0], w.VMs[1]
 	w.hold(dest)
+	dest.Backends()[0].SetSlowdown(100)
 	for i := range 5 {
 		if a := w.ask(entry, http.MethodPost, lookup, string(rune('a'+i))); a.status != http.StatusOK {
 			t.Fatal(a)
@@ -41,6 +42,13 @@
 	} {
 		w.reaches(entry, name, want)
 	}
+	w.reaches(dest, `marlpass_backend_slowdown{instance="a"}`, 1)
+	w.reaches(dest, `marlpass_backend_declined_total{instance="a"}`, 0)
+	run := w.metric(dest, `marlpass_backend_run_seconds{instance="a",class="lookups"}`)
+	relative := w.metric(entry, `marlpass_service_relative_run{service="berths",endpoint="`+dest.ID+`/a"}`)
+	if run <= 0 || relative < 0.5 || relative > 2 { // the only endpoint is about as fast as the mean
+		t.Errorf("the mean run time is %v, %v times that of the service", run, relative)
+	}
 	w.reaches(dest, `marlpass_gate_done_total{instance="a",class="lookups"}`, 5)
 	doc, err := os.ReadFile("../../docs/operators/metrics.md")
 	w.must(err)
