--- a/internal/completion/completion_test.go
+++ b/internal/completion/completion_test.go
@@ -27,7 +27,7 @@
 		ms     int
 		want   float64
 	}{
-		{2.5, 0, 2.5}, {2.5, 300, 1.75}, {2.5, 600, 1}, {2.5, 5000, 1},
+		{2.5, 0, 2.5}, {2.5, 300, 1.75}, {2.5, 600, 1}, {2.5, 5000, 1}, {2.5, 30 * 24 * 3600 * 1000, 1},
 		{0.001, 0, 0.1}, {1e6, 0, 10}, {math.Inf(1), 0, 10}, {0, 0, 1}, {-1, 0, 1}, {math.NaN(), 0, 1},
 	} {
 		if got := new(Servers).Observe(at(0), "a", 1, c.stated).Slowdown(at(c.ms)); math.Abs(got-c.want) > 0.01 {
--- a/internal/completion/sample.go
+++ b/internal/completion/sample.go
@@ -12,7 +12,7 @@
 func (s *sample) set(v float64, now int64) { s.word.Store(pack(v, now)) }
 
 // load returns the value and its age in milliseconds. The stored time wraps around after 49.7 days;
-// 32-bit differences stay correct across the wrap.
+// 32-bit differences stay correct across the wrap, up to maxSkew below that age.
 func (s *sample) load(now int64) (v float64, age int64, ok bool) {
 	return unpack(s.word.Load(), now)
 }
@@ -37,6 +37,15 @@
 	return uint64(math.Float32bits(float32(v)))<<32 | uint64(uint32(now))
 }
 
+// maxSkew is how much older a caller's clock reading may be than that of the stored value, in
+// milliseconds. Taking every age beyond 2^31 ms for such a difference would bring a slowdown of 25 days
+// ago into effect again.
+const maxSkew = 60_000
+
 func unpack(word uint64, now int64) (v float64, age int64, ok bool) {
-	return float64(math.Float32frombits(uint32(word >> 32))), max(0, int64(int32(uint32(now)-uint32(word)))), word != 0
+	age = int64(uint32(now) - uint32(word))
+	if age > math.MaxUint32-maxSkew {
+		age = 0
+	}
+	return float64(math.Float32frombits(uint32(word >> 32))), age, word != 0
 }
