proxy: failed calls are no run times; slow is a refusal outside the search

A backend server that failed calls at once looked fast and attracted more calls. A call that no longer searches was offered again without counting as an attempt if a node declined it all the same.

Whether an offer may be declined is one function of the search, which the model of TestCallsAvoidSlowBackendServers calls instead of a copy; the copy also recorded first offers that could not be declined, which nodes do not. slowOffers held the share of fast ones: fastOffers.

--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -54,7 +54,7 @@
 		return answer{err: read.Err}
 	}
 	a.load = read.Load
-	d.recordRun(h, read.Load, slowdown)
+	d.recordRun(h, a.resp.StatusCode, read.Load, slowdown)
 	dropHopByHop(a.resp.Header)
 	dropInternal(a.resp.Header)
 	h.status, h.answeredAt = a.resp.StatusCode, d.Now()
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -44,9 +44,9 @@
 	bodies    bodyBudget
 	returning returningCallers
 	freeSlots freeSlotShares
-	// slowOffers are the shares of first offers that were not declined as slow. They are recorded
+	// fastOffers are the shares of first offers that were not declined as slow. They are recorded
 	// once an endpoint has declined a call (sawDeclined).
-	slowOffers  freeSlotShares
+	fastOffers  freeSlotShares
 	sawDeclined atomic.Bool
 	advertised  advertisedMemory
 }
--- a/internal/proxy/expected_run.go
+++ b/internal/proxy/expected_run.go
@@ -48,9 +48,14 @@
 }
 
 // recordRun records an answer of the backend server. slowdown is its slowdown when the call started.
-func (d *Destination) recordRun(h *execution, l Load, slowdown float64) {
+// The run time of a failed call does not count: a backend server that fails calls at once would look
+// fast and attract more of them.
+func (d *Destination) recordRun(h *execution, status int, l Load, slowdown float64) {
 	now := d.Now()
 	s := d.completion.Observe(now, h.backend.Instance, h.backend.Started, l.Slowdown)
+	if status >= http.StatusInternalServerError {
+		return
+	}
 	s.Record(now, h.target.Name, now.Sub(h.start), slowdown)
 }
 
@@ -94,13 +99,18 @@
 // as slow: another free slot is unlikely to be found, and each offer costs both nodes processor time.
 const minDeclineShare = 0.5
 
-// mayDecline reports whether the next offer may be declined as slow. While slots are free, the first
-// one always may, so that the share of endpoints that are slow stays known.
-func (e *Entry) mayDecline(c *entryCall) bool {
-	if c.search.scope == NoSearch || e.freeSlots.of(c.target.Service).load() < minDeclineShare {
+// mayDecline reports whether the next offer may be declined as slow. fast is the share of first
+// offers that were not. While slots are free, the first offer always may be, so that this share stays
+// known.
+func (s *slotSearch) mayDecline(free, fast *freeSlotShare) bool {
+	if s.scope == NoSearch || free.load() < minDeclineShare {
 		return false
 	}
-	return len(c.search.rejected) == 0 || e.slowOffers.of(c.target.Service).load() >= minFastShare
+	return len(s.rejected) == 0 || fast.load() >= minFastShare
+}
+
+func (e *Entry) mayDecline(c *entryCall) bool {
+	return c.search.mayDecline(e.freeSlots.of(c.target.Service), e.fastOffers.of(c.target.Service))
 }
 
 // recordDeclined records whether the first offer of a search was declined as slow.
@@ -109,6 +119,6 @@
 		e.sawDeclined.Store(true)
 	}
 	if e.sawDeclined.Load() && len(c.search.rejected) == 0 && e.mayDecline(c) {
-		e.slowOffers.of(c.target.Service).add(!a.declinedAsSlow())
+		e.fastOffers.of(c.target.Service).add(!a.declinedAsSlow())
 	}
 }
--- a/internal/proxy/expected_run_model_test.go
+++ b/internal/proxy/expected_run_model_test.go
@@ -36,7 +36,7 @@
 type completionModel struct {
 	stated     bool // backend servers state their slowdown
 	states     map[*modelNode]*slowedBackend
-	slowOffers map[*modelNode]*freeSlotShare
+	fastOffers map[*modelNode]*freeSlotShare
 	declined   int
 }
 
@@ -93,13 +93,13 @@
 	if mayQueue {
 		return false
 	}
-	first := len(k.search.rejected) == 0
-	slow := c.slowOffers[k.from]
+	fast := c.fastOffers[k.from]
+	mayDecline := k.search.mayDecline(&k.from.freeSlots, fast)
 	s := c.states[to].servers.Find(to.id, 0)
 	busy, slots := to.queue.Load()
-	declined := k.from.freeSlots.load() >= minDeclineShare && (first || slow.load() >= minFastShare) && s.Declines(now, "c", now.Sub(k.firstAttempt), m.target) && busy < slots
-	if first {
-		slow.add(!declined)
+	declined := mayDecline && s.Declines(now, "c", now.Sub(k.firstAttempt), m.target) && busy < slots
+	if mayDecline && len(k.search.rejected) == 0 {
+		fast.add(!declined)
 	}
 	if !declined {
 		return false
@@ -121,7 +121,7 @@
 		search: true, load: load, target: slowedTarget, byID: make(map[string]*modelNode), rng: rand.New(rand.NewPCG(7, seed)),
 		start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), onResult: make(map[*limit.Entry]func(time.Time, *call.Refusal)),
 	}
-	m.completion = &completionModel{stated: stated, states: make(map[*modelNode]*slowedBackend), slowOffers: make(map[*modelNode]*freeSlotShare)}
+	m.completion = &completionModel{stated: stated, states: make(map[*modelNode]*slowedBackend), fastOffers: make(map[*modelNode]*freeSlotShare)}
 	for i := range slowedNodes {
 		n := &modelNode{id: fmt.Sprintf("vm%02d", i), dataCentre: fmt.Sprintf("dc%d", i%3), speed: 1.2}
 		if i%4 == 0 {
@@ -129,7 +129,7 @@
 		}
 		m.nodes = append(m.nodes, n)
 		m.byID[n.id] = n
-		m.completion.slowOffers[n] = new(freeSlotShare)
+		m.completion.fastOffers[n] = new(freeSlotShare)
 		if i >= slowedBackends {
 			continue
 		}
--- a/internal/proxy/expected_run_test.go
+++ b/internal/proxy/expected_run_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/completion"
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // slowedMesh returns a mesh whose backend server states the given slowdown, and a function that makes
@@ -91,6 +92,32 @@
 	}
 }
 
+// Guards against a backend server that fails calls at once and so looks fast, and whose slowdown is not
+// heard of meanwhile.
+func TestFailedCallsAreNoRunTimes(t *testing.T) {
+	d := NewDestination(DestinationOptions{})
+	h := &execution{backend: Backend{Instance: "a"}, target: &config.Target{Name: "c"}, start: d.Now().Add(-time.Second)}
+	d.recordRun(h, http.StatusInternalServerError, Load{Slowdown: 2}, 1)
+	if d.expectedRun(h.backend, h.target).Known() || d.completion.Find("a", 0) == nil {
+		t.Error("the run time of a failed call counts, or its slowdown does not")
+	}
+	d.recordRun(h, http.StatusOK, Load{Slowdown: 2}, 2)
+	if !d.expectedRun(h.backend, h.target).Known() {
+		t.Error("the run time of an answered call does not count")
+	}
+}
+
+// Guards against a call that no longer searches and is offered without end to an endpoint that declines
+// it all the same.
+func TestSlowIsARefusalOutsideTheSearch(t *testing.T) {
+	a := answer{refusal: refuse(call.ReasonSlow, 0, "")}
+	for scope, want := range map[SearchScope]bool{NoSearch: false, SearchDataCentre: true, SearchRegion: true} {
+		if s := (slotSearch{scope: scope}); s.foundNoSlot(&a) != want {
+			t.Errorf("scope %v: %v", scope, !want)
+		}
+	}
+}
+
 // Guards against calls of entry nodes of an earlier version that are declined, which those take for
 // failed calls; against figures that are misread; and against run times that are lost on the way.
 func TestRunTimeHeaders(t *testing.T) {
--- a/internal/proxy/slot_search.go
+++ b/internal/proxy/slot_search.go
@@ -64,10 +64,12 @@
 	return SearchRegion
 }
 
-// foundNoSlot reports whether an offer was refused because no slot was free, or because the link of
-// the endpoint's VM had no room for a large answer, or declined as slow. Such an offer doesn't count as an attempt.
+// foundNoSlot reports whether an offer was refused because no slot was free, or in a search because
+// the call would run slowly or the link of the endpoint's VM had no room for a large answer. Such an
+// offer doesn't count as an attempt.
 func (s *slotSearch) foundNoSlot(a *answer) bool {
-	return a.noFreeSlot() || a.declinedAsSlow() || s.scope != NoSearch && a.refusal != nil && a.refusal.Reason == call.ReasonLinkFull
+	return a.noFreeSlot() || s.scope != NoSearch && a.refusal != nil &&
+		(a.refusal.Reason == call.ReasonSlow || a.refusal.Reason == call.ReasonLinkFull)
 }
 
 // reject records that the endpoint had no free slot.
