--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -29,6 +29,7 @@
 	}
 	c.retries.counts.write(p)
 	c.writeGates(p, now)
+	c.writeRunTimes(p, now)
 	c.writeOnce(p)
 	kinds := make(map[string]int)
 	for _, e := range c.suspects.list.Entries(now) {
--- a/internal/proxy/slot_search.go
+++ b/internal/proxy/slot_search.go
@@ -10,7 +10,8 @@
 )
 
 // A call first searches for an endpoint with a free slot: it is offered to a few endpoints in turn,
-// which start it at once or refuse it as busy. Only if all refuse does it queue at one endpoint.
+// which start it at once or refuse it as busy, or decline it as slow (expected_run.go). Only if all
+// refuse does it queue at one endpoint.
 //
 // Without the search, calls queue or are refused while slots are free elsewhere. In a mesh of
 // hundreds of nodes an entry node sends a few calls a minute to each endpoint, so its load reports
@@ -63,10 +64,12 @@
 	return SearchRegion
 }
 
-// foundNoSlot reports whether an offer was refused because no slot was free, or because the link of
-// the endpoint's VM had no room for a large answer. Such an offer doesn't count as an attempt.
+// foundNoSlot reports whether an offer was refused because no slot was free, or in a search because
+// the call would run slowly or the link of the endpoint's VM had no room for a large answer. Such an
+// offer doesn't count as an attempt.
 func (s *slotSearch) foundNoSlot(a *answer) bool {
-	return a.noFreeSlot() || s.scope != NoSearch && a.refusal != nil && a.refusal.Reason == call.ReasonLinkFull
+	return a.noFreeSlot() || s.scope != NoSearch && a.refusal != nil &&
+		(a.refusal.Reason == call.ReasonSlow || a.refusal.Reason == call.ReasonLinkFull)
 }
 
 // reject records that the endpoint had no free slot.
@@ -107,6 +110,7 @@
 // recordOffer records whether the endpoint had a free slot for c.
 func (e *Entry) recordOffer(c *entryCall, a *answer) {
 	free := e.freeSlots.of(c.target.Service)
+	e.recordDeclined(c, a)
 	switch {
 	case a.resp != nil:
 		free.add(a.took.wait < maxImmediateWait)
