--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -61,11 +61,13 @@
 }
 
 func newWorkspaces(n *Node) *workspaces {
-	return &workspaces{
+	w := &workspaces{
 		n: n, log: telemetry.Part(n.log, "workspaces"),
 		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), reported: make(chan struct{}, 1),
 		lastOverQuota: make(map[string]time.Time),
 	}
+	w.collector.SetDataCentre(n.self.DataCentre)
+	return w
 }
 
 // assuredSource is a source of versions that knows how long the version in force may have been
@@ -284,13 +286,21 @@
 	}
 	return encodeAdmissions(w.recordAndAnswer(to, func(now time.Time) {
 		if q.Summed {
-			w.collector.AddCollectorReport(now, q.From, q.Incarnation, usage)
+			w.collector.AddCollectorReport(now, w.dataCentreOf(q.From), q.From, q.Incarnation, usage)
 			return
 		}
 		w.collector.AddNodeReport(now, q.From, q.Incarnation, usage)
 	}))
 }
 
+// dataCentreOf returns the data centre of a node, or its ID if the node is not in the view.
+func (w *workspaces) dataCentreOf(id string) string {
+	if r := w.n.views.Load().Records[id]; r != nil {
+		return r.VM.DataCentre
+	}
+	return id
+}
+
 // exchangeTotals sends the usage totals of the nodes that report here to the other collectors.
 func (w *workspaces) exchangeTotals(ctx context.Context) {
 	for {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
+	"github.com/marlpass/marlpass/internal/completion"
 	"github.com/marlpass/marlpass/internal/config"
 )
 
@@ -193,10 +194,15 @@
 	// expired is set if the attempt timed out.
 	expired bool
 	load    Load
+	// slotsFree is set if another node marked its refusal with headerSlotsFree.
+	slotsFree bool
 	// linkWait is how long large answers wait for the link of the destination's VM.
 	linkWait time.Duration
 	// advertised is what the endpoint advertises, as far as its node knows.
 	advertised Advertised
+	// expectedRun is how long calls of the class run at the endpoint; zero if its backend server
+	// states no slowdown.
+	expectedRun completion.Run
 	// took is the time spent at the destination, by part.
 	took destinationTimes
 	// held is the execution of the call at this node, until its answer has been relayed; nil if
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -40,10 +41,14 @@
 // Entry receives calls from callers and forwards them to destination nodes.
 type Entry struct {
 	EntryOptions
-	bodies     bodyBudget
-	returning  returningCallers
-	freeSlots  freeSlotShares
-	advertised advertisedMemory
+	bodies    bodyBudget
+	returning returningCallers
+	freeSlots freeSlotShares
+	// fastOffers are the shares of first offers that were not declined as slow. They are recorded
+	// once an endpoint has declined a call (sawDeclined).
+	fastOffers  freeSlotShares
+	sawDeclined atomic.Bool
+	advertised  advertisedMemory
 }
 
 // NewEntry returns an Entry and fills in the defaults of p.
@@ -95,6 +100,9 @@
 	fp            quarantine.Fingerprint
 	isolated      bool // to be run at one endpoint at a time
 	parentRetried bool // the call was made by a call that is being retried
+	// inherited is parentRetried of calls from backend servers of this VM. Other callers could set
+	// the header themselves.
+	inherited bool
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
 	// quotaHolder is the workspace whose quota the call counts against, or nil, and workspace the same
@@ -134,6 +142,7 @@
 	}
 	defer c.body.release()
 	c.parentRetried = first(r.Header, retry.HeaderRetried) != ""
+	c.inherited = internal && c.parentRetried
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
@@ -149,7 +158,10 @@
 		e.refuse(w, c, refusal)
 		return
 	}
-	e.Retrier.Called(c.target.Service)
+	if refusal := e.recordCall(w, c); refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
 	e.run(ctx, w, c, span)
 }
 
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -43,20 +43,3 @@
 		}
 	}
 }
-
-// clearUnlisted sets the rates of workspaces to zero that a report of another collector no longer
-// lists. Its nodes may report elsewhere now, and would count twice.
-func (r *reporter) clearUnlisted(usage []Usage) {
-	if len(usage) == len(r.usage) {
-		return
-	}
-	listed := make(map[string]bool, len(usage))
-	for _, u := range usage {
-		listed[u.Workspace] = true
-	}
-	for name, s := range r.usage {
-		if !listed[name] {
-			s.RecentRate, s.AverageRate, s.OverdueRate = 0, 0, 0
-		}
-	}
-}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -14,9 +15,10 @@
 	// node that receives it from a backend server passes it on and doesn't
 	// retry, since a node further down the chain has already retried.
 	HeaderFinal = "Marlpass-Final"
-	// HeaderRetried is set to "1" on every attempt after the first. A backend
-	// server that copies it to the calls it makes for the request, like trace
-	// headers, prevents retries further down the chain.
+	// HeaderRetried is set to "1" on every attempt after the first, or where
+	// inherited retries are charged, on those after one that a backend server may
+	// have got. A backend server that copies it to the calls it makes for the
+	// request, like trace headers, prevents retries further down the chain.
 	HeaderRetried = "Marlpass-Retried"
 )
 
@@ -48,6 +50,9 @@
 	// that reached a backend server. Until then no backend server has done any
 	// work for the call, so a retry adds no load.
 	ChargeReachedOnly bool
+	// RandomRejections applies the rules of rejections.go to rejections by
+	// backend servers that have free slots.
+	RandomRejections bool
 	// Rand must be safe for concurrent use; nil means the runtime's source.
 	Rand rand.Source
 }
@@ -57,6 +62,9 @@
 type Policy struct {
 	options Options
 	budget  Budget
+	urgency urgency
+	// inheritedAt is when an inherited retry was last charged, in Unix milliseconds.
+	inheritedAt atomic.Int64
 }
 
 // New returns a Policy whose budget holds as many retries as its floor can
@@ -101,8 +109,19 @@
 	Refusal *call.Refusal
 	// Overdue reports whether the call can no longer meet its class's latency target.
 	Overdue bool
+	// TargetRemaining is the time until the call misses its class's latency
+	// target; zero or less if it has missed it or there is none.
+	TargetRemaining time.Duration
+	// Waited is the time since the caller's first attempt, including attempts
+	// that were refused and sent again by the caller.
+	Waited time.Duration
+	// SlotsFree reports whether the attempt was rejected by a backend server
+	// whose load report shows free slots.
+	SlotsFree bool
 	// OneShot reports whether the caller does not retry a refused call.
 	OneShot bool
+	// Priority is the call's urgency, config.MinPriority to config.MaxPriority.
+	Priority int
 	// TriedAll reports whether every endpoint that takes calls was tried.
 	TriedAll bool
 	// BodyReplayable reports whether the body can be sent again from its start.
@@ -142,10 +161,6 @@
 	RetryAfter time.Duration
 }
 
-// SetFloor sets the retries allowed regardless of calls to perSecond, which
-// accumulate up to burst.
-func (p *Policy) SetFloor(perSecond, burst float64) { p.budget.setFloor(perSecond, burst) }
-
 // RemainingRetries returns the present balance of the budget in retries.
 func (p *Policy) RemainingRetries() float64 { return p.budget.remaining() }
 
@@ -162,7 +177,8 @@
 	if in.Remaining-delay < minRemaining {
 		return p.giveUp(in, ReasonDeadlineTooNear)
 	}
-	if !p.budget.withdraw(in.Now, p.cost(in)) {
+	cost := p.cost(in)
+	if !p.budget.withdraw(in.Now, cost, max(p.reserve(in, cost), p.keptForInherited(in.Now, cost))) {
 		return p.giveUp(in, ReasonBudgetExhausted)
 	}
 	reason := ReasonOtherEndpoint
@@ -191,7 +207,7 @@
 		return ReasonFinal, true
 	case in.ParentRetried && !p.mayRetryNested(in):
 		return ReasonParentRetried, true
-	case in.Outcome == call.NotRun && !retryHelps(in):
+	case in.Outcome == call.NotRun && !p.retryHelps(in):
 		return ReasonNoBenefit, true
 	case in.Attempt >= p.options.MaxAttempts || in.MaxReached > 0 && in.Reached >= in.MaxReached:
 		return ReasonAttemptsExhausted, true
@@ -207,7 +223,7 @@
 }
 
 // retryHelps reports whether the next attempt may succeed after this refusal.
-func retryHelps(in Input) bool {
+func (p *Policy) retryHelps(in Input) bool {
 	if in.Refusal == nil {
 		return true
 	}
@@ -215,7 +231,9 @@
 	case kindNotAccepting:
 		return true
 	case kindNoCapacity:
-		return !in.TriedAll && (in.OneShot || in.Attempt < maxFullEndpoints && !in.Overdue)
+		// Where rejections are random, overdue calls get what the reserve leaves.
+		useful := !in.Overdue || p.rejectedAtRandom(in)
+		return !in.TriedAll && (in.OneShot || in.Attempt < maxFullEndpoints && useful)
 	case kindRateLimited:
 		return !in.TriedAll
 	}
@@ -242,7 +260,7 @@
 	switch r {
 	case call.ReasonDraining, call.ReasonNotHeld, call.ReasonNotReady, call.ReasonUnreachable, call.ReasonPinned:
 		return kindNotAccepting
-	case call.ReasonBusy, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
+	case call.ReasonBusy, call.ReasonSlow, call.ReasonOverloaded, call.ReasonLinkFull, call.ReasonOverShare, call.ReasonBackend:
 		return kindNoCapacity
 	case call.ReasonOverRate, call.ReasonBackendRate:
 		return kindRateLimited
@@ -304,6 +322,9 @@
 	if in.Outcome != call.NotRun && !in.Idempotent || reason == ReasonRan {
 		return 0
 	}
+	if p.rejectedAtRandom(in) && in.Refusal.RetryAfter == 0 {
+		return p.promptReturn(in)
+	}
 	minimum := p.options.RetryAfterMin
 	if in.Refusal != nil {
 		if in.Refusal.RetryAfter == 0 && kindOf(in.Refusal.Reason) == kindEverywhere {
