proxy: a call waits for its quota at most a quarter of the time to its deadline

Cause: a call of a class without a latency target could wait 200 ms, also past its own deadline, and then run for nobody.

--- a/internal/proxy/entry_quota_test.go
+++ b/internal/proxy/entry_quota_test.go
@@ -61,3 +61,19 @@
 		t.Error("the class is rated one-shot by refusals over the quota")
 	}
 }
+
+// Guards against a call that waits for its quota until its deadline has passed.
+func TestQuotaWaitIsBoundedByTheDeadline(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	for _, c := range []struct{ left, target, want time.Duration }{
+		{time.Second, 400 * time.Millisecond, 100 * time.Millisecond},
+		{80 * time.Millisecond, 400 * time.Millisecond, 20 * time.Millisecond},
+		{80 * time.Millisecond, 0, 20 * time.Millisecond},
+		{-time.Millisecond, 0, 0},
+	} {
+		call := &entryCall{deadline: now.Add(c.left), target: &config.Target{AnswerWithinMS: c.target.Milliseconds()}}
+		if got := call.maxQuotaWait(now); got != c.want {
+			t.Errorf("waits %v with %v left and a target of %v, want %v", got, c.left, c.target, c.want)
+		}
+	}
+}
