node: report waiting calls in time for classes with short latency targets

Cause: a call waits at most a quarter of its latency target, 37 ms at 150 ms, but reports are at least 60 ms apart, so many such calls of a workspace near its quota were refused before an answer could come. And a call that began to wait triggered two reports, since it asked a second time behind the first one. Change: reports may be 20 ms apart while a call waits that may wait for less than 60 ms. The gap grows with the data centre's nodes as the report interval does. Signals that a report covers are dropped. A call without time left doesn't wait. How many more reports collectors get was not measured.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -52,6 +52,8 @@
 	quotas   atomic.Pointer[quotas]
 	held     heldCalls
 	reached  reachedCentres
+	// shortWait receives an element when a call begins to wait for less than quota.MinReportInterval.
+	shortWait chan struct{}
 }
 
 // quotas holds the limits of one version of the configuration.
@@ -64,7 +66,7 @@
 	w := &workspaces{
 		n: n, log: telemetry.Part(n.log, "workspaces"),
 		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), reported: make(chan struct{}, 1),
-		lastOverQuota: make(map[string]time.Time),
+		lastOverQuota: make(map[string]time.Time), shortWait: make(chan struct{}, 1),
 	}
 	w.collector.SetDataCentre(n.self.DataCentre)
 	return w
@@ -153,11 +155,40 @@
 	select {
 	case <-ctx.Done():
 	case <-r.w.limiter.Surge():
-		_ = wait.For(ctx, quota.MinReportInterval-time.Since(r.lastSent))
+		r.awaitGap(ctx)
 	case <-due:
 	}
 }
 
+// awaitGap waits until an early report may follow the last one.
+func (r *usageReporter) awaitGap(ctx context.Context) {
+	gap := time.NewTimer(quota.MinReportInterval - time.Since(r.lastSent))
+	defer gap.Stop()
+	select {
+	case <-ctx.Done():
+	case <-gap.C:
+	case <-r.w.shortWait:
+		_ = wait.For(ctx, r.w.shortWaitGap()-time.Since(r.lastSent))
+	}
+}
+
+// shortWaitGap returns the least time between two reports while calls wait for less than
+// quota.MinReportInterval. It grows with the mesh as reportInterval does.
+func (w *workspaces) shortWaitGap() time.Duration {
+	gap := w.reportInterval() * quota.MinWaitReportInterval / quota.ReportInterval
+	return min(gap, quota.MinReportInterval)
+}
+
+// clearSignals drops the signals for an early report that the report made next answers.
+func (r *usageReporter) clearSignals() {
+	for _, ch := range []<-chan struct{}{r.w.limiter.Surge(), r.w.shortWait} {
+		select {
+		case <-ch:
+		default:
+		}
+	}
+}
+
 // idle reports whether no workspace has had calls for quota.IdleAfter.
 func (r *usageReporter) idle(now time.Time) bool { return now.Sub(r.lastCalled) > quota.IdleAfter }
 
@@ -174,6 +205,7 @@
 
 // report sends one report and applies the answer, or the fallback if no collector answers.
 func (r *usageReporter) report(ctx context.Context) {
+	r.clearSignals()
 	now := time.Now()
 	sinceReport := now.Sub(r.lastSent)
 	usage := r.w.limiter.Report(now)
--- a/internal/node/workspaces_hold.go
+++ b/internal/node/workspaces_hold.go
@@ -54,9 +54,12 @@
 
 // awaitAnswer holds a call until an answer of a collector admits it, or until it has waited too long.
 func (w *workspaces) awaitAnswer(ctx context.Context, now time.Time, q proxy.QuotaCall) quota.Verdict {
-	longest := quota.MaxWait
-	if q.MaxWait > 0 {
-		longest = min(longest, q.MaxWait)
+	longest := min(quota.MaxWait, q.MaxWait)
+	if longest < quota.MinReportInterval {
+		select {
+		case w.shortWait <- struct{}{}:
+		default:
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, now.Add(longest))
 	defer cancel()
