quota: count a data centre once while its collector changes

Cause: the former collector lists a node's rates for 1.5 s after its last report, and the next one lists them as well, so all collectors counted them twice. The tolerance was divided by collectors, the former one among them for 10 s or more. Change: a node whose calls go to another collector tells the former one, if that still answers, with its count of calls and without rates. The tolerance is divided by data centres.

--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -130,6 +130,7 @@
 	answeredUsage []quota.Usage // of the last report that was answered
 	fallback      bool          // no collector has answered for quota.FallbackAfter
 	lastSent      time.Time
+	collector     string // the node that answered last
 }
 
 // run reports the usage of workspaces to a collector and applies its answers, until ctx ends.
@@ -217,7 +218,7 @@
 		r.w.limiter.ReportNextCall()
 		return
 	}
-	admissions, ok := r.w.reportUsage(ctx, usage)
+	admissions, ok := r.reportUsage(ctx, usage)
 	if !ok {
 		r.applyFallback(now, sinceReport)
 		return
@@ -244,23 +245,46 @@
 
 // reportUsage reports to the first feeder of the data centre that answers, and returns its
 // admissions.
-func (w *workspaces) reportUsage(ctx context.Context, usage []quota.Usage) ([]quota.Admission, bool) {
-	view := w.n.views.Load()
+func (r *usageReporter) reportUsage(ctx context.Context, usage []quota.Usage) ([]quota.Admission, bool) {
+	w, view := r.w, r.w.n.views.Load()
+	formerFailed := false
 	for _, id := range distribute.PositionOf(view, w.n.self.ID, w.n.self.DataCentre).Feeders {
-		if id == w.n.self.ID {
-			return w.recordAndAnswer(id, func(now time.Time) {
-				w.collector.AddNodeReport(now, id, w.n.self.Incarnation, usage)
-			}), true
-		}
-		admissions, err := w.sendUsage(ctx, view.Records[id], usage, false)
+		admissions, err := w.reportTo(ctx, view.Records[id], id, usage)
 		if err == nil {
+			former := r.collector
+			r.collector = id
+			if former != "" && former != id && !formerFailed {
+				w.leaveCollector(ctx, view.Records[former], former, usage)
+			}
 			return admissions, true
 		}
+		formerFailed = formerFailed || id == r.collector
 		w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector does not answer, trying the next one")
 	}
 	return nil, false
 }
 
+// reportTo reports to the collector at a node, which may be this one.
+func (w *workspaces) reportTo(ctx context.Context, to *membership.ObservedRecord, id string, usage []quota.Usage) ([]quota.Admission, error) {
+	if id != w.n.self.ID {
+		return w.sendUsage(ctx, to, usage, false)
+	}
+	return w.recordAndAnswer(id, func(now time.Time) {
+		w.collector.AddNodeReport(now, id, w.n.self.Incarnation, usage)
+	}), nil
+}
+
+// leaveCollector tells the former collector that this node makes no calls that it has to count. Until
+// it timed out there, its rates would be counted by both collectors. to is nil if the former is gone.
+func (w *workspaces) leaveCollector(ctx context.Context, to *membership.ObservedRecord, id string, usage []quota.Usage) {
+	if to == nil {
+		return
+	}
+	if _, err := w.reportTo(ctx, to, id, quota.WithoutRates(usage)); err != nil {
+		w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: the former collector does not answer")
+	}
+}
+
 func (w *workspaces) sendUsage(ctx context.Context, to *membership.ObservedRecord, usage []quota.Usage, summed bool) ([]quota.Admission, error) {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -65,7 +65,7 @@
 	if available := left.Rate * (1 - c.othersShare(name)); b.ownAverage > available {
 		e.foreseen = available / b.ownAverage
 	}
-	e.tolerance = partUsed * limit.tolerance() / float64(1+len(c.collectors))
+	e.tolerance = partUsed * limit.tolerance() / float64(c.dataCentres())
 	if c.unreached > 0 {
 		e.tolerance = 0 // an earlier run may have spent it
 	}
@@ -74,6 +74,16 @@
 	e.part = max(e.part, 0)
 }
 
+// dataCentres returns the number of data centres with a collector. One whose collector changes counts
+// once.
+func (c *Collector) dataCentres() int {
+	all := map[string]bool{c.dataCentre: true}
+	for _, r := range c.collectors {
+		all[r.dataCentre] = true
+	}
+	return len(all)
+}
+
 // reserveLevel takes another collector's share of the tokens out of the bucket after its report.
 func (c *Collector) reserveLevel(name string, b *bucket, s *usageState, share float64) {
 	all := b.level
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -209,6 +209,16 @@
 	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: admitted, OverdueRate: recentOverdue, Waiting: waiting}
 }
 
+// WithoutRates returns usage with the same counts of calls and without rates, for a collector that a
+// node no longer reports to.
+func WithoutRates(usage []Usage) []Usage {
+	out := make([]Usage, len(usage))
+	for i, u := range usage {
+		out[i] = Usage{Workspace: u.Workspace, Admitted: u.Admitted}
+	}
+	return out
+}
+
 // sample is a count of requested calls, and of the overdue ones among them.
 type sample struct {
 	at                 time.Time
--- a/internal/quota/successor_test.go
+++ b/internal/quota/successor_test.go
@@ -39,3 +39,46 @@
 		})
 	}
 }
+
+// Guards against nodes whose calls count twice, and against a smaller part of the tolerance, while the
+// collector of a data centre changes.
+func TestDataCentreCountsOnceWhileItsCollectorChanges(t *testing.T) {
+	const name = "w"
+	now := time.Unix(1e6, 0)
+	usage := []Usage{{Workspace: name, RecentRate: 40, AverageRate: 40, Admitted: 100}}
+	former, successor, remote := NewCollector(), NewCollector(), NewCollector()
+	former.AddNodeReport(now, "n", 1, usage)
+	remote.AddCollectorReport(now, "dc1", "former", 1, former.NodeTotals())
+	now = now.Add(ReportInterval)
+	successor.AddNodeReport(now, "n", 1, usage)
+	former.AddNodeReport(now, "n", 1, WithoutRates(usage))
+	remote.AddCollectorReport(now, "dc1", "former", 1, former.NodeTotals())
+	remote.AddCollectorReport(now, "dc1", "successor", 1, successor.NodeTotals())
+	if got := remote.averageRate(name); got != 40 {
+		t.Errorf("average rate %v of 40 calls per second", got)
+	}
+	if got := remote.dataCentres(); got != 2 {
+		t.Errorf("%d data centres counted, want 2", got)
+	}
+}
+
+// Guards against calls taken out of the bucket for a reporter that had timed out, and put back although
+// they are not counted afterwards.
+func TestReturningReporterGetsNoTokensBack(t *testing.T) {
+	const name = "w"
+	now := time.Unix(1e6, 0)
+	c := NewCollector()
+	limits := map[string]Limit{name: {Rate: 100, Burst: 10}}
+	usage := []Usage{{Workspace: name, RecentRate: 40, AverageRate: 40}}
+	c.AddCollectorReport(now, "dc1", "other", 1, usage)
+	c.Decide(now, limits)
+	for range 5 {
+		now = now.Add(collectorTimeout / 4)
+		c.Decide(now, limits)
+	}
+	before := c.bucket(name).level
+	c.AddCollectorReport(now, "dc1", "other", 1, usage)
+	if got := c.bucket(name).level; got > before {
+		t.Errorf("%v tokens before the report, %v after", before, got)
+	}
+}
