--- a/internal/route/regionwide_test.go
+++ b/internal/route/regionwide_test.go
@@ -81,3 +81,37 @@
 		t.Error("no endpoint was ejected although all calls were lost")
 	}
 }
+
+// Guards against a round robin that advances twice for each pick: of four endpoints in a data centre,
+// two got all calls.
+func TestPicksUseAllEndpointsInTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, local := range []int{4, 5} {
+		p := New(Options{Self: "vm-0", DataCentre: "dc-0", Region: "r", RegionWide: true, Seed: 7})
+		var eps []Endpoint
+		for i := range local + 4 {
+			dc := "dc-0"
+			if i >= local {
+				dc = "dc-1"
+			}
+			eps = append(eps, Endpoint{
+				ID: fmt.Sprintf("vm-%d/a", i+1), VM: fmt.Sprintf("vm-%d", i+1), DataCentre: dc, Region: "r", Slots: 6, Ready: true,
+			})
+		}
+		p.Update(now, eps)
+		calls := make(map[string]int)
+		for range 1000 * local {
+			c, err := p.PickFor(now, PickInfo{RemoteCost: 0.4})
+			if err != nil {
+				t.Fatal(err)
+			}
+			calls[c.Endpoint().ID]++
+			c.Done(now, Report{})
+		}
+		for _, e := range eps[:local] {
+			if n := calls[e.ID]; n != 1000 {
+				t.Errorf("%d of %d calls at %s of %d endpoints, want 1000", n, 1000*local, e.ID, local)
+			}
+		}
+	}
+}
