quota: a young node averages its rate over its age; the own burst is no tolerance

Cause: the average rate of a node that has just started is too low for some seconds, and a held workspace admits calls by it. Without a window, the burst of a quota counted as tolerance. Change: the average of a young node is taken over its age and one second. Limit.OwnBurst keeps a quota's own burst apart. TestFormerCollectorKeepsNoQuota compares with a collector that never had the former one: a workspace near its quota is listed at a ratio of 1, so the length of the list says nothing.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -12,6 +12,8 @@
 type Limit struct {
 	Rate  float64 // calls per second
 	Burst float64 // bucket size in calls
+	// OwnBurst is the part of Burst that the quota itself allows. The rest is tolerance.
+	OwnBurst float64
 }
 
 // Policy says how users measure the calls of a workspace against its quota.
@@ -31,7 +33,7 @@
 // that uses its whole quota in each window uses the burst in each of them as well.
 func (p Policy) Limit(rate, burst float64) Limit {
 	if p.Window <= 0 {
-		return Limit{Rate: rate, Burst: burst + toleranceUsed*p.Slack}
+		return Limit{Rate: rate, Burst: burst + toleranceUsed*p.Slack, OwnBurst: burst}
 	}
 	whole := rate*p.Window.Seconds() + burst
 	return Limit{Rate: whole / p.Window.Seconds(), Burst: toleranceUsed * (p.Overage*whole + p.Slack)}
@@ -280,7 +282,7 @@
 // withoutShare returns the limit less a reserved share of it.
 func (l Limit) withoutShare(share float64) Limit {
 	left := max(1-share, 0)
-	return Limit{Rate: l.Rate * left, Burst: l.Burst * left}
+	return Limit{Rate: l.Rate * left, Burst: l.Burst * left, OwnBurst: l.OwnBurst * left}
 }
 
 // reserveTimedOut reserves a share of each quota for every reporter that has timed out: the ratio
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -37,15 +37,15 @@
 	return &Hold{Calls: e.part, Foreseen: e.foreseen}
 }
 
-// tolerance returns how many calls more than its rate a workspace may make in a window.
-func (l Limit) tolerance() float64 { return l.Burst / toleranceUsed }
+// tolerance returns how many calls more than its rate and its own burst a workspace may make in a window.
+func (l Limit) tolerance() float64 { return (l.Burst - l.OwnBurst) / toleranceUsed }
 
 // nearQuota reports whether a surge could exceed the quota before all nodes know of it: the calls
 // known of the last seconds, plus what a surge adds unseen. The demand counts where it is more than a
 // surge of the average rate, which is too low in the first seconds of a workspace.
 func (l Limit) nearQuota(average, demand float64) bool {
 	over := averageOver.Seconds()
-	return average*over+max(maxSurge*average, demand)*surgeUnseen.Seconds() > l.Rate*over+l.tolerance()
+	return average*over+max(maxSurge*average, demand)*surgeUnseen.Seconds() > l.Rate*over+l.OwnBurst+l.tolerance()
 }
 
 // hold decides whether a workspace is held, and what its nodes may admit until their next answer.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -57,6 +57,7 @@
 	clock      atomic.Int64 // of the last report, in nanoseconds since 1970
 	mu         sync.Mutex   // serialises reports
 	lastReport time.Time
+	startedAt  time.Time
 }
 
 // meter counts and limits the calls of one workspace.
@@ -87,7 +88,7 @@
 
 // NewLimiter returns a limiter that admits all calls.
 func NewLimiter(now time.Time) *Limiter {
-	l := &Limiter{surge: make(chan struct{}, 1), lastReport: now}
+	l := &Limiter{surge: make(chan struct{}, 1), lastReport: now, startedAt: now}
 	l.clock.Store(now.UnixNano())
 	return l
 }
@@ -190,17 +191,27 @@
 	l.clock.Store(now.UnixNano())
 	var out []Usage
 	l.meters.Range(func(name, m any) bool {
-		out = append(out, m.(*meter).report(now, name.(string), span))
+		out = append(out, m.(*meter).report(now, name.(string), span, now.Sub(l.startedAt)))
 		return true
 	})
 	return out
 }
 
-func (m *meter) report(now time.Time, name string, span time.Duration) Usage {
+// averageWarmUp is how much longer than its age a new node averages its calls over. Without it, the
+// first call of a node would count as a rate of several calls per second.
+const averageWarmUp = time.Second
+
+// averageWeight returns the weight of the last span in the average rate of a node of a given age. A
+// young node averages over its age: otherwise its rate would be too low for seconds after a start, and
+// its calls would be refused while their workspace is held.
+func averageWeight(span, age time.Duration) float64 {
+	return max(1-math.Exp(-span.Seconds()/averageOver.Seconds()), span.Seconds()/(age+averageWarmUp).Seconds())
+}
+
+func (m *meter) report(now time.Time, name string, span, age time.Duration) Usage {
 	requested := m.requested.Load()
 	m.surging = requested-m.reported > m.surgeCalls(span)
-	weight := 1 - math.Exp(-span.Seconds()/averageOver.Seconds())
-	m.averageRate += weight * (float64(requested-m.reported)/span.Seconds() - m.averageRate)
+	m.averageRate += averageWeight(span, age) * (float64(requested-m.reported)/span.Seconds() - m.averageRate)
 	overdue := m.overdue.Load()
 	recent, recentOverdue := m.recentRates(sample{now.Add(-span), m.reported, m.reportedOverdue}, sample{now, requested, overdue})
 	m.reported, m.reportedOverdue = requested, overdue
--- a/internal/quota/successor_test.go
+++ b/internal/quota/successor_test.go
@@ -19,7 +19,9 @@
 			collector := NewCollector()
 			collector.SetDataCentre("dc0")
 			usage := []Usage{{Workspace: name, RecentRate: 40, AverageRate: 40}}
-			var admissions []Admission
+			control := NewCollector() // never had the former collector
+			control.SetDataCentre("dc0")
+			var admissions, controls []Admission
 			for range 50 {
 				now = now.Add(ExchangeInterval)
 				collector.AddNodeReport(now, "n", 1, usage)
@@ -32,9 +34,16 @@
 					}
 				}
 				admissions = collector.Decide(now, limits)
+				control.AddNodeReport(now, "n", 1, usage)
+				control.AddCollectorReport(now, "dc1", "successor", 1, usage)
+				controls = control.Decide(now, limits)
 			}
-			if len(admissions) > 0 {
-				t.Errorf("admission ratio %.2f at 80 of 100 calls per second, want 1", admissions[0].Ratio)
+			if len(admissions) != 1 || len(controls) != 1 {
+				t.Fatalf("%d and %d admissions, want one each: at 80 of 100 calls per second the workspace is near its quota", len(admissions), len(controls))
+			}
+			got, want := admissions[0], controls[0]
+			if got.Ratio < 1 || got.Hold.Foreseen < 1 || got.Hold.Calls != want.Hold.Calls {
+				t.Errorf("ratio %v, %v foreseen and %v calls; want 1, 1 and %v", got.Ratio, got.Hold.Foreseen, got.Hold.Calls, want.Hold.Calls)
 			}
 		})
 	}
