quota: nodes of a held workspace admit by their short-term rate

Cause: a held node admitted by its average rate of five seconds, so that far less than the quota passed in the first seconds of a surge. Change: the collector divides the available rate by the rates of the last second and tells each node its fraction. The sum over nodes is the available rate as before.

--- a/internal/node/workspaces_wire.go
+++ b/internal/node/workspaces_wire.go
@@ -64,7 +64,7 @@
 		out[i] = quota.Admission{Workspace: p.GetWorkspace(), Ratio: min(rateOf(p.GetPart()), 1)}
 		if h := p.GetHold(); h != nil {
 			out[i].Hold = &quota.Hold{
-				Calls: rateOf(h.GetCalls()), Foreseen: min(rateOf(h.GetForeseen()), 1), Granted: int(min(h.GetGranted(), math.MaxInt32)),
+				Calls: rateOf(h.GetCalls()), Foreseen: min(rateOf(h.GetForeseen()), quota.MaxForeseen), Granted: int(min(h.GetGranted(), math.MaxInt32)),
 			}
 		}
 		if s := p.GetSplit(); s != nil {
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -102,6 +102,7 @@
 // usageState is the last report on one workspace.
 type usageState struct {
 	Usage
+	shortRate float64 // of a node: requested calls per second, averaged over shortRateOver
 	// estimated counts the calls taken out of the bucket since that report.
 	estimated float64
 	// granted is how many of the waiting calls were granted since that report.
@@ -116,8 +117,9 @@
 	demand float64 // moving average of the requested calls per second
 	// overdue is the part of demand that is of overdue calls, and recentOverdue their last rate.
 	overdue, recentOverdue float64
-	// average is the sum of the average rates of all reporters, and ownAverage that of the nodes.
-	average, ownAverage float64
+	// average is the sum of the average rates of all reporters, and ownDemand that of the short-term
+	// rates of the nodes.
+	average, ownDemand float64
 	// backlog is how many refused callers are expected to return.
 	backlog float64
 	escrow  escrow
@@ -196,6 +198,7 @@
 		r = &reporter{incarnation: incarnation, usage: make(map[string]*usageState)}
 		reporters[id] = r
 	}
+	span := now.Sub(r.lastReport)
 	r.lastReport = now
 	// Calls admitted without reports are covered by the reservation.
 	known, r.reserved = known && r.reserved == nil, nil
@@ -215,6 +218,7 @@
 			c.admittedTotal[u.Workspace] += admitted
 		}
 		c.bucket(u.Workspace).level -= float64(admitted) - s.estimated
+		s.updateShortRate(u, span)
 		s.Usage, s.estimated, s.granted = u, 0, 0
 	}
 	if !isNode {
@@ -346,7 +350,7 @@
 func (c *Collector) collectDemand(span float64) map[string]float64 {
 	recent := make(map[string]float64)
 	for _, b := range c.buckets {
-		b.recentOverdue, b.average, b.ownAverage = 0, 0, 0
+		b.recentOverdue, b.average, b.ownDemand = 0, 0, 0
 	}
 	for _, r := range c.reporters() {
 		if r.reserved != nil {
@@ -358,7 +362,7 @@
 			b.recentOverdue += s.OverdueRate
 			b.average += s.AverageRate
 			if r.shares == nil {
-				b.ownAverage += s.AverageRate
+				b.ownDemand += s.shortRate
 			}
 			admitted := c.foreseenRate(r, s, b) * span
 			s.estimated += admitted
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -25,7 +25,7 @@
 	heldUntil time.Time
 	tolerance float64 // this collector's part of the tolerance, in calls
 	part      float64 // calls of each node beyond the foreseen ones
-	foreseen  float64 // fraction of a node's average rate that it may admit between answers
+	foreseen  float64 // fraction of a node's short-term rate that it may admit between answers
 	rate      float64 // of the limit
 }
 
@@ -62,8 +62,8 @@
 	}
 	e.rate = limit.Rate
 	e.foreseen = 1
-	if available := left.Rate * (1 - c.othersShare(name)); b.ownAverage > available {
-		e.foreseen = available / b.ownAverage
+	if available := left.Rate * (1 - c.othersShare(name)); b.ownDemand > available {
+		e.foreseen = available / b.ownDemand
 	}
 	e.tolerance = partUsed * limit.tolerance() / float64(c.dataCentres())
 	if c.unreached > 0 {
@@ -104,7 +104,31 @@
 	case r.shares != nil:
 		return r.shares[s.Workspace] * b.escrow.rate
 	}
-	return s.AverageRate * b.escrow.foreseen
+	return s.shortRate * b.escrow.foreseen
+}
+
+// shortRateOver is the time constant of a node's short-term rate. By the average rate, which takes five
+// seconds to follow a surge, nodes would admit far less than the quota in its first seconds.
+const shortRateOver = time.Second
+
+// updateShortRate adds a report to the short-term rate, which begins as the average rate.
+func (s *usageState) updateShortRate(u Usage, span time.Duration) {
+	if s.shortRate == 0 {
+		s.shortRate = u.AverageRate
+	}
+	s.shortRate += (1 - math.Exp(-span.Seconds()/shortRateOver.Seconds())) * (u.RecentRate - s.shortRate)
+}
+
+// MaxForeseen bounds the fraction of its average rate that a node may be told to admit. A workspace
+// sends up to maxSurge times its average rate.
+const MaxForeseen = maxSurge
+
+// foreseenFraction returns the fraction of a node's average rate that it may admit.
+func (e *escrow) foreseenFraction(s *usageState) float64 {
+	if s.AverageRate < minAverageRate {
+		return e.foreseen
+	}
+	return min(e.foreseen*s.shortRate/s.AverageRate, MaxForeseen)
 }
 
 // Answer returns the decision for one node after its report, with the calls granted to those that
@@ -117,6 +141,7 @@
 			continue
 		}
 		bound := *a.Hold
+		bound.Foreseen = c.bucket(a.Workspace).escrow.foreseenFraction(r.usage[a.Workspace])
 		bound.Granted = c.grant(c.bucket(a.Workspace), r.usage[a.Workspace])
 		out[i].Hold = &bound
 	}
--- a/internal/quota/hold.go
+++ b/internal/quota/hold.go
@@ -13,7 +13,7 @@
 type Hold struct {
 	// Calls is the node's part of the tolerance: calls beyond the foreseen ones.
 	Calls float64
-	// Foreseen is the fraction of the node's average rate that it may admit.
+	// Foreseen is the fraction of the node's average rate that it may admit, above 1 in a surge.
 	Foreseen float64
 	// Granted is how many of the waiting calls may pass.
 	Granted int
