--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -30,7 +30,8 @@
 	// overQuotaClearAfter is the time within its quota after which a workspace is no longer logged
 	// as over it.
 	overQuotaClearAfter = 3 * time.Second
-	// overQuotaRetryAfter is the mean retry delay sent to callers over their quota, and
+	// overQuotaRetryAfter is the mean retry delay sent to callers over their quota where the
+	// collector states none, and
 	// unconfirmedRetryAfter that sent while keys are not confirmed.
 	overQuotaRetryAfter   = time.Second
 	unconfirmedRetryAfter = time.Second
@@ -49,6 +50,10 @@
 	// reported holds an element after a report has come in.
 	reported chan struct{}
 	quotas   atomic.Pointer[quotas]
+	held     heldCalls
+	reached  reachedCentres
+	// shortWait receives an element when a call begins to wait for less than quota.MinReportInterval.
+	shortWait chan struct{}
 }
 
 // quotas holds the limits of one version of the configuration.
@@ -61,7 +66,7 @@
 	w := &workspaces{
 		n: n, log: telemetry.Part(n.log, "workspaces"),
 		limiter: quota.NewLimiter(time.Now()), collector: quota.NewCollector(), reported: make(chan struct{}, 1),
-		lastOverQuota: make(map[string]time.Time),
+		lastOverQuota: make(map[string]time.Time), shortWait: make(chan struct{}, 1),
 	}
 	w.collector.SetDataCentre(n.self.DataCentre)
 	return w
@@ -88,14 +93,6 @@
 	return &call.Refusal{Reason: call.ReasonUnconfirmed, RetryAfter: jitterHalf(unconfirmedRetryAfter)}
 }
 
-// Admit implements proxy.Workspaces.
-func (w *workspaces) Admit(_ time.Time, ws *config.Workspace) *call.Refusal {
-	if ws.RatePerSecond == 0 || w.limiter.Admit(ws.Name) {
-		return nil
-	}
-	return &call.Refusal{Reason: call.ReasonOverQuota, Detail: "workspace " + ws.Name, RetryAfter: jitterHalf(overQuotaRetryAfter)}
-}
-
 // Refund implements proxy.Workspaces.
 func (w *workspaces) Refund(_ time.Time, ws *config.Workspace) {
 	if ws.RatePerSecond > 0 {
@@ -133,6 +130,7 @@
 	answeredUsage []quota.Usage // of the last report that was answered
 	fallback      bool          // no collector has answered for quota.FallbackAfter
 	lastSent      time.Time
+	collector     string // the node that answered last
 }
 
 // run reports the usage of workspaces to a collector and applies its answers, until ctx ends.
@@ -158,11 +156,40 @@
 	select {
 	case <-ctx.Done():
 	case <-r.w.limiter.Surge():
-		_ = wait.For(ctx, quota.MinReportInterval-time.Since(r.lastSent))
+		r.awaitGap(ctx)
 	case <-due:
 	}
 }
 
+// awaitGap waits until an early report may follow the last one.
+func (r *usageReporter) awaitGap(ctx context.Context) {
+	gap := time.NewTimer(quota.MinReportInterval - time.Since(r.lastSent))
+	defer gap.Stop()
+	select {
+	case <-ctx.Done():
+	case <-gap.C:
+	case <-r.w.shortWait:
+		_ = wait.For(ctx, r.w.shortWaitGap()-time.Since(r.lastSent))
+	}
+}
+
+// shortWaitGap returns the least time between two reports while calls wait for less than
+// quota.MinReportInterval. It grows with the mesh as reportInterval does.
+func (w *workspaces) shortWaitGap() time.Duration {
+	gap := w.reportInterval() * quota.MinWaitReportInterval / quota.ReportInterval
+	return min(gap, quota.MinReportInterval)
+}
+
+// clearSignals drops the signals for an early report that the report made next answers.
+func (r *usageReporter) clearSignals() {
+	for _, ch := range []<-chan struct{}{r.w.limiter.Surge(), r.w.shortWait} {
+		select {
+		case <-ch:
+		default:
+		}
+	}
+}
+
 // idle reports whether no workspace has had calls for quota.IdleAfter.
 func (r *usageReporter) idle(now time.Time) bool { return now.Sub(r.lastCalled) > quota.IdleAfter }
 
@@ -179,6 +206,7 @@
 
 // report sends one report and applies the answer, or the fallback if no collector answers.
 func (r *usageReporter) report(ctx context.Context) {
+	r.clearSignals()
 	now := time.Now()
 	sinceReport := now.Sub(r.lastSent)
 	usage := r.w.limiter.Report(now)
@@ -190,7 +218,7 @@
 		r.w.limiter.ReportNextCall()
 		return
 	}
-	admissions, ok := r.w.reportUsage(ctx, usage)
+	admissions, ok := r.reportUsage(ctx, usage)
 	if !ok {
 		r.applyFallback(now, sinceReport)
 		return
@@ -217,23 +245,46 @@
 
 // reportUsage reports to the first feeder of the data centre that answers, and returns its
 // admissions.
-func (w *workspaces) reportUsage(ctx context.Context, usage []quota.Usage) ([]quota.Admission, bool) {
-	view := w.n.views.Load()
+func (r *usageReporter) reportUsage(ctx context.Context, usage []quota.Usage) ([]quota.Admission, bool) {
+	w, view := r.w, r.w.n.views.Load()
+	formerFailed := false
 	for _, id := range distribute.PositionOf(view, w.n.self.ID, w.n.self.DataCentre).Feeders {
-		if id == w.n.self.ID {
-			return w.recordAndDecide(func(now time.Time) {
-				w.collector.AddNodeReport(now, id, w.n.self.Incarnation, usage)
-			}), true
-		}
-		admissions, err := w.sendUsage(ctx, view.Records[id], usage, false)
+		admissions, err := w.reportTo(ctx, view.Records[id], id, usage)
 		if err == nil {
+			former := r.collector
+			r.collector = id
+			if former != "" && former != id && !formerFailed {
+				w.leaveCollector(ctx, view.Records[former], former, usage)
+			}
 			return admissions, true
 		}
+		formerFailed = formerFailed || id == r.collector
 		w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector does not answer, trying the next one")
 	}
 	return nil, false
 }
 
+// reportTo reports to the collector at a node, which may be this one.
+func (w *workspaces) reportTo(ctx context.Context, to *membership.ObservedRecord, id string, usage []quota.Usage) ([]quota.Admission, error) {
+	if id != w.n.self.ID {
+		return w.sendUsage(ctx, to, usage, false)
+	}
+	return w.recordAndAnswer(id, func(now time.Time) {
+		w.collector.AddNodeReport(now, id, w.n.self.Incarnation, usage)
+	}), nil
+}
+
+// leaveCollector tells the former collector that this node makes no calls that it has to count. Until
+// it timed out there, its rates would be counted by both collectors. to is nil if the former is gone.
+func (w *workspaces) leaveCollector(ctx context.Context, to *membership.ObservedRecord, id string, usage []quota.Usage) {
+	if to == nil {
+		return
+	}
+	if _, err := w.reportTo(ctx, to, id, quota.WithoutRates(usage)); err != nil {
+		w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: the former collector does not answer")
+	}
+}
+
 func (w *workspaces) sendUsage(ctx context.Context, to *membership.ObservedRecord, usage []quota.Usage, summed bool) ([]quota.Admission, error) {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
@@ -243,18 +294,19 @@
 	return decodeAdmissions(admissions), err
 }
 
-// recordAndDecide adds a report to the collector and returns the resulting admissions.
-func (w *workspaces) recordAndDecide(record func(now time.Time)) []quota.Admission {
+// recordAndAnswer adds a report to the collector and returns the answer to its sender.
+func (w *workspaces) recordAndAnswer(from string, record func(now time.Time)) []quota.Admission {
 	limits := w.limits()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	record(now)
+	w.collector.SetUnreached(w.reached.unreachedShare(now, w.n.self.DataCentre))
 	select {
 	case w.reported <- struct{}{}:
 	default:
 	}
-	admissions := w.collector.Decide(now, limits)
+	admissions := w.collector.Answer(now, from, limits)
 	w.logOverQuota(now, admissions, limits)
 	return admissions
 }
@@ -263,6 +315,9 @@
 // overQuotaClearAfter. The caller holds w.mu.
 func (w *workspaces) logOverQuota(now time.Time, admissions []quota.Admission, limits map[string]quota.Limit) {
 	for _, p := range admissions {
+		if p.Ratio >= 1 {
+			continue // near its quota, and held
+		}
 		if _, known := w.lastOverQuota[p.Workspace]; !known {
 			w.log.Info().Str("workspace", p.Workspace).Float64("part", p.Ratio).
 				Float64("asked_per_s", w.collector.DemandRate(p.Workspace)).Float64("limit_per_s", limits[p.Workspace].Rate).
@@ -281,7 +336,11 @@
 // Collect implements peer.Collector.
 func (w *workspaces) Collect(q *peerpb.UsageRequest) []*peerpb.WorkspacePart {
 	usage := decodeUsage(q.Usage)
-	return encodeAdmissions(w.recordAndDecide(func(now time.Time) {
+	to := q.From
+	if q.Summed {
+		to = "" // a collector has no calls that wait
+	}
+	return encodeAdmissions(w.recordAndAnswer(to, func(now time.Time) {
 		if q.Summed {
 			w.collector.AddCollectorReport(now, w.dataCentreOf(q.From), q.From, q.Incarnation, usage)
 			return
@@ -320,9 +379,11 @@
 		var wg sync.WaitGroup
 		for _, id := range w.collectors(view) {
 			wg.Go(func() {
-				if _, err := w.sendUsage(ctx, view.Records[id], totals, true); err != nil {
+				_, err := w.sendUsage(ctx, view.Records[id], totals, true)
+				if err != nil {
 					w.log.Debug().Str("peer", id).Err(err).Msg("workspaces: a collector did not receive the usage totals")
 				}
+				w.reached.tried(time.Now(), view.Records[id].VM.DataCentre, err == nil)
 			})
 		}
 		wg.Wait()
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -105,8 +105,9 @@
 	inherited bool
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
-	// workspace is the workspace whose quota the call is counted against, or nil.
-	workspace *config.Workspace
+	// quotaHolder is the workspace whose quota the call counts against, or nil, and workspace the same
+	// once the call is counted.
+	quotaHolder, workspace *config.Workspace
 }
 
 var entryCalls = sync.Pool{New: func() any { return new(entryCall) }}
@@ -153,6 +154,10 @@
 		return
 	}
 	c.firstAttempt = e.returning.firstAttempt(c.start, c.fp)
+	if refusal := e.admitWorkspace(c); refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
 	if refusal := e.recordCall(w, c); refusal != nil {
 		e.refuse(w, c, refusal)
 		return
--- a/internal/proxy/entry_key.go
+++ b/internal/proxy/entry_key.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -13,8 +14,8 @@
 	// confirm that the keys in its configuration are still valid.
 	CheckKeys(now time.Time) *call.Refusal
 	// Admit counts a call against its workspace's quota and returns nil, or returns a refusal if
-	// the quota is used up.
-	Admit(now time.Time, w *config.Workspace) *call.Refusal
+	// the quota is used up. It may wait for the decision.
+	Admit(ctx context.Context, now time.Time, q QuotaCall) *call.Refusal
 	// Refund uncounts a call that was admitted but not run.
 	Refund(now time.Time, w *config.Workspace)
 }
@@ -37,25 +38,6 @@
 	if e.Workspaces == nil || c.target.Keyless {
 		return nil
 	}
-	return e.admitWorkspace(c, w)
-}
-
-// admitWorkspace counts a call against its workspace's quota.
-func (e *Entry) admitWorkspace(c *entryCall, w *config.Workspace) *call.Refusal {
-	if refusal := e.Workspaces.CheckKeys(c.start); refusal != nil {
-		return refusal
-	}
-	if refusal := e.Workspaces.Admit(c.start, w); refusal != nil {
-		return refusal
-	}
-	c.workspace = w
-	return nil
-}
-
-// refund uncounts a call that was not run from its workspace's quota.
-func (e *Entry) refund(c *entryCall) {
-	if c.workspace != nil {
-		e.Workspaces.Refund(e.Now(), c.workspace)
-		c.workspace = nil
-	}
+	c.quotaHolder = w
+	return e.Workspaces.CheckKeys(c.start)
 }
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -12,6 +12,8 @@
 type Limit struct {
 	Rate  float64 // calls per second
 	Burst float64 // bucket size in calls
+	// OwnBurst is the part of Burst that the quota itself allows. The rest is tolerance.
+	OwnBurst float64
 }
 
 // Policy says how users measure the calls of a workspace against its quota.
@@ -31,7 +33,7 @@
 // that uses its whole quota in each window uses the burst in each of them as well.
 func (p Policy) Limit(rate, burst float64) Limit {
 	if p.Window <= 0 {
-		return Limit{Rate: rate, Burst: burst + toleranceUsed*p.Slack}
+		return Limit{Rate: rate, Burst: burst + toleranceUsed*p.Slack, OwnBurst: burst}
 	}
 	whole := rate*p.Window.Seconds() + burst
 	return Limit{Rate: whole / p.Window.Seconds(), Burst: toleranceUsed * (p.Overage*whole + p.Slack)}
@@ -51,9 +53,6 @@
 	// than gone.
 	nodeExpiry      = 10 * time.Second
 	collectorExpiry = 5 * time.Minute
-	// reserveMargin scales the reserved shares, since the two sides of a partition don't compute
-	// exactly the same ones.
-	reserveMargin = 1.1
 	// minDecisionInterval is the least time between two decisions. Reports in between get the
 	// previous one.
 	minDecisionInterval = 50 * time.Millisecond
@@ -76,8 +75,13 @@
 	collectors    map[string]*reporter // other collectors
 	buckets       map[string]*bucket
 	admittedTotal map[string]int64 // calls admitted by nodes, by workspace
-	decision      []Admission
-	decidedAt     time.Time
+	// sent holds the average rates of the last totals sent to other collectors.
+	sent map[string]float64
+	// unreached is the share of each quota that is reserved for data centres that this collector has
+	// not reached since it started.
+	unreached float64
+	decision  []Admission
+	decidedAt time.Time
 }
 
 // reporter is the state of a node, or of another collector.
@@ -87,6 +91,9 @@
 	incarnation uint64
 	lastReport  time.Time
 	usage       map[string]*usageState
+	// shares are the shares of each workspace's quota that another collector may use, as of its last
+	// report; nil for nodes.
+	shares map[string]float64
 	// reserved is the share of each workspace's quota that is reserved for a reporter that timed
 	// out; nil while reports arrive.
 	reserved map[string]float64
@@ -95,8 +102,11 @@
 // usageState is the last report on one workspace.
 type usageState struct {
 	Usage
+	shortRate float64 // of a node: requested calls per second, averaged over shortRateOver
 	// estimated counts the calls taken out of the bucket since that report.
 	estimated float64
+	// granted is how many of the waiting calls were granted since that report.
+	granted int
 }
 
 // bucket is the token bucket of one workspace. A negative level means that too many calls were
@@ -105,22 +115,36 @@
 	level  float64
 	ratio  float64 // admission ratio of the last decision
 	demand float64 // moving average of the requested calls per second
+	// overdue is the part of demand that is of overdue calls, and recentOverdue their last rate.
+	overdue, recentOverdue float64
+	// average is the sum of the average rates of all reporters, and ownDemand that of the short-term
+	// rates of the nodes.
+	average, ownDemand float64
+	// backlog is how many refused callers are expected to return.
+	backlog float64
+	escrow  escrow
 }
 
-// updateDemand adds the requested rate of the last span to the moving average. The fewer calls
+// updateDemand adds the requested rates of the last span to the moving averages. The fewer calls
 // there are, the longer the averaging time: a sample of few calls is noisy.
-func (b *bucket) updateDemand(recent, span float64) {
+func (b *bucket) updateDemand(recent, overdue, span float64) {
 	over := min(demandCalls/max(recent, b.demand, 1), maxDemandWindow.Seconds())
-	b.demand += (1 - math.Exp(-span/over)) * (recent - b.demand)
+	weight := 1 - math.Exp(-span/over)
+	b.demand += weight * (recent - b.demand)
+	b.overdue += weight * (overdue - b.overdue)
 }
 
 // refill adds the tokens of a span in seconds and updates the admission ratio.
 func (b *bucket) refill(limit Limit, recent, span float64) {
 	b.level = min(b.level+limit.Rate*span, max(limit.Burst, 1))
-	b.updateDemand(recent, span)
-	b.ratio = admissionRatio(b.demand, limit.Rate+b.level/levelHorizon.Seconds())
+	b.updateDemand(recent, b.recentOverdue, span)
+	b.ratio = admissionRatio(b.demand, b.available(limit))
+	b.addBacklog(span)
 }
 
+// available returns the rate at which calls may be admitted now.
+func (b *bucket) available(limit Limit) float64 { return limit.Rate + b.level/levelHorizon.Seconds() }
+
 // admissionRatio returns the ratio of the demand to admit, given the available rate, both in calls
 // per second.
 func admissionRatio(demand, available float64) float64 {
@@ -137,7 +161,7 @@
 func NewCollector() *Collector {
 	return &Collector{
 		nodes: make(map[string]*reporter), collectors: make(map[string]*reporter),
-		buckets: make(map[string]*bucket), admittedTotal: make(map[string]int64),
+		buckets: make(map[string]*bucket), admittedTotal: make(map[string]int64), sent: make(map[string]float64),
 	}
 }
 
@@ -174,10 +198,11 @@
 		r = &reporter{incarnation: incarnation, usage: make(map[string]*usageState)}
 		reporters[id] = r
 	}
+	span := now.Sub(r.lastReport)
 	r.lastReport = now
 	// Calls admitted without reports are covered by the reservation.
 	known, r.reserved = known && r.reserved == nil, nil
-	c.clearUsage(r)
+	c.clearUsage(r, known)
 	for _, u := range usage {
 		s := r.usage[u.Workspace]
 		if s == nil {
@@ -193,16 +218,23 @@
 			c.admittedTotal[u.Workspace] += admitted
 		}
 		c.bucket(u.Workspace).level -= float64(admitted) - s.estimated
-		s.Usage, s.estimated = u, 0
+		s.updateShortRate(u, span)
+		s.Usage, s.estimated, s.granted = u, 0, 0
+	}
+	if !isNode {
+		c.updateShares(r)
 	}
 }
 
 // clearUsage resets the usage that a new report is to replace. A report of totals doesn't list the
-// workspaces of nodes that now report elsewhere.
-func (c *Collector) clearUsage(r *reporter) {
+// workspaces of nodes that now report elsewhere. The calls estimated since the last report go back into
+// the buckets, unless the reporter had timed out: its calls of that time are not counted afterwards.
+func (c *Collector) clearUsage(r *reporter, known bool) {
 	for name, s := range r.usage {
-		c.bucket(name).level += s.estimated
-		s.RecentRate, s.AverageRate, s.estimated = 0, 0, 0
+		if known {
+			c.bucket(name).level += s.estimated
+		}
+		s.RecentRate, s.AverageRate, s.OverdueRate, s.Waiting, s.estimated = 0, 0, 0, 0, 0
 	}
 }
 
@@ -215,6 +247,10 @@
 	return b
 }
 
+// SetUnreached sets the share of each quota that is reserved for data centres that this collector
+// has not reached since it started: they may be admitting calls that it does not know of.
+func (c *Collector) SetUnreached(share float64) { c.unreached = share }
+
 // Decide returns the workspaces whose calls are not all admitted, sorted by name.
 func (c *Collector) Decide(now time.Time, limits map[string]Limit) []Admission {
 	if c.decidedAt.IsZero() {
@@ -231,9 +267,15 @@
 	out := make([]Admission, 0)
 	for name, limit := range limits {
 		b := c.bucket(name)
-		b.refill(limit.withoutShare(reservedShares[name]), recent[name], span)
-		if b.ratio < 1 {
-			out = append(out, Admission{name, b.ratio})
+		left := limit.withoutShare(reservedShares[name] + c.unreached)
+		b.refill(left, recent[name], span)
+		c.hold(now, name, b, limit, left)
+		if b.ratio < 1 || b.escrow.held {
+			a := Admission{Workspace: name, Ratio: b.ratio, Hold: b.escrow.bound()}
+			if b.ratio < 1 {
+				a.Split = b.split(left, b.available(left))
+			}
+			out = append(out, a)
 		}
 	}
 	slices.SortFunc(out, func(a, b Admission) int { return strings.Compare(a.Workspace, b.Workspace) })
@@ -243,8 +285,8 @@
 
 // withoutShare returns the limit less a reserved share of it.
 func (l Limit) withoutShare(share float64) Limit {
-	left := max(1-reserveMargin*share, 0)
-	return Limit{Rate: l.Rate * left, Burst: l.Burst * left}
+	left := max(1-share, 0)
+	return Limit{Rate: l.Rate * left, Burst: l.Burst * left, OwnBurst: l.OwnBurst * left}
 }
 
 // reserveTimedOut reserves a share of each quota for every reporter that has timed out: the ratio
@@ -259,6 +301,9 @@
 		if r.reserved != nil || now.Sub(r.lastReport) <= timeout {
 			continue
 		}
+		if r.reserved = r.shares; r.reserved != nil {
+			continue
+		}
 		r.reserved = make(map[string]float64, len(r.usage))
 		for name, s := range r.usage {
 			r.reserved[name] = s.AverageRate / max(c.averageRate(name), s.AverageRate, minAverageRate)
@@ -304,6 +349,9 @@
 // estimated to have been admitted during the span out of the buckets.
 func (c *Collector) collectDemand(span float64) map[string]float64 {
 	recent := make(map[string]float64)
+	for _, b := range c.buckets {
+		b.recentOverdue, b.average, b.ownDemand = 0, 0, 0
+	}
 	for _, r := range c.reporters() {
 		if r.reserved != nil {
 			continue
@@ -311,7 +359,12 @@
 		for name, s := range r.usage {
 			recent[name] += s.RecentRate
 			b := c.bucket(name)
-			admitted := s.RecentRate * b.ratio * span
+			b.recentOverdue += s.OverdueRate
+			b.average += s.AverageRate
+			if r.shares == nil {
+				b.ownDemand += s.shortRate
+			}
+			admitted := c.foreseenRate(r, s, b) * span
 			s.estimated += admitted
 			b.level -= admitted
 		}
@@ -350,6 +403,7 @@
 			}
 			sum.RecentRate += s.RecentRate
 			sum.AverageRate += s.AverageRate
+			sum.OverdueRate += s.OverdueRate
 		}
 	}
 	out := make([]Usage, 0, len(sums))
@@ -357,5 +411,9 @@
 		out = append(out, *u)
 	}
 	slices.SortFunc(out, func(a, b Usage) int { return strings.Compare(a.Workspace, b.Workspace) })
+	clear(c.sent)
+	for _, u := range out {
+		c.sent[u.Workspace] = u.AverageRate
+	}
 	return out
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,41 +31,56 @@
 	RecentRate, AverageRate float64
 	// Admitted counts the calls admitted since the start. Refunds lower it.
 	Admitted int64
+	// OverdueRate is the part of RecentRate that is of overdue calls.
+	OverdueRate float64
+	// Waiting is how many calls wait for the answer to the report.
+	Waiting int
 }
 
-// Admission is the ratio of a workspace's calls to admit, 0 to 1.
+// Admission is the decision on the calls of one workspace.
 type Admission struct {
 	Workspace string
-	Ratio     float64
+	// Ratio is the ratio of calls to admit, 0 to 1.
+	Ratio float64
+	// Split divides these among calls that can be in time and overdue ones; nil means the same ratio
+	// for both.
+	Split *Split
+	// Hold bounds the admitted calls until the next answer; nil means no bound.
+	Hold *Hold
 }
 
 // Limiter decides which calls of a workspace one node admits. It is safe for concurrent use.
 type Limiter struct {
 	meters     sync.Map // workspace to *meter
 	surge      chan struct{}
-	mu         sync.Mutex // serialises reports
+	applied    broadcast
+	clock      atomic.Int64 // of the last report, in nanoseconds since 1970
+	mu         sync.Mutex   // serialises reports
 	lastReport time.Time
+	startedAt  time.Time
 }
 
 // meter counts and limits the calls of one workspace.
 type meter struct {
 	requested, admitted atomic.Int64
-	// ratio holds the bits of the admission ratio.
-	ratio atomic.Uint64
-	// accumulated sums up the admission ratios of the requested calls, in units of callUnit. A call
-	// is admitted where the sum crosses a whole unit, so that even few calls are admitted in this
-	// ratio.
-	accumulated atomic.Uint64
+	overdue             atomic.Int64  // requested calls that were overdue
+	ratio               atomic.Uint64 // bits of the admission ratio
+	inTimeGate          ratioGate
+	overdueGate         ratioGate
+	retryAfter          atomic.Int64 // in nanoseconds
 	// fallback is set while calls are admitted by tokens, also in units of callUnit.
 	fallback atomic.Bool
 	tokens   atomic.Int64
 	// surgeAt is the count of requested calls that triggers an early report.
 	surgeAt atomic.Int64
+	hold    holdState
 
 	// Guarded by the limiter.
-	reported    int64 // requested calls at the last report
-	averageRate float64
-	surging     bool // at the last report
+	reported        int64 // requested calls at the last report
+	reportedOverdue int64
+	earlier         []sample
+	averageRate     float64
+	surging         bool // at the last report
 }
 
 // callUnit is one call in meter.accumulated and meter.tokens.
@@ -72,7 +88,9 @@
 
 // NewLimiter returns a limiter that admits all calls.
 func NewLimiter(now time.Time) *Limiter {
-	return &Limiter{surge: make(chan struct{}, 1), lastReport: now}
+	l := &Limiter{surge: make(chan struct{}, 1), lastReport: now, startedAt: now}
+	l.clock.Store(now.UnixNano())
+	return l
 }
 
 // Surge receives an element when a report is due early: on a surge of calls, on the first call of a
@@ -85,26 +103,48 @@
 	}
 	fresh := new(meter)
 	fresh.setRatio(1)
-	fresh.accumulated.Store(uint64(rand.Uint32()))
+	for _, gate := range []*ratioGate{&fresh.inTimeGate, &fresh.overdueGate} {
+		gate.set(1)
+		gate.accumulated.Store(uint64(rand.Uint32()))
+	}
 	fresh.surgeAt.Store(1) // the first call triggers a report
 	m, _ := l.meters.LoadOrStore(workspace, fresh)
 	return m.(*meter)
 }
 
-// Admit counts a call of a workspace, and reports whether it is admitted.
+// Admit counts a call of a workspace, and reports whether it is admitted at once.
 func (l *Limiter) Admit(workspace string) bool {
 	m := l.meter(workspace)
+	verdict := l.ask(l.clock.Load(), m, false)
+	if verdict == Waiting {
+		m.hold.leave()
+	}
+	return verdict == Admitted
+}
+
+func (l *Limiter) ask(now int64, m *meter, overdue bool) Verdict {
+	if overdue {
+		m.overdue.Add(1)
+	}
 	if m.requested.Add(1) == m.surgeAt.Load() {
-		select {
-		case l.surge <- struct{}{}:
-		default:
-		}
+		l.reportEarly()
 	}
-	if !m.admit() {
-		return false
+	if !m.admit(overdue) {
+		return Refused
+	}
+	if !m.fallback.Load() && !m.hold.admit(now) {
+		l.reportEarly()
+		return Waiting
 	}
 	m.admitted.Add(1)
-	return true
+	return Admitted
+}
+
+func (l *Limiter) reportEarly() {
+	select {
+	case l.surge <- struct{}{}:
+	default:
+	}
 }
 
 // Refund uncounts a call that was admitted but not run.
@@ -116,7 +156,7 @@
 
 func (m *meter) admissionRatio() float64 { return math.Float64frombits(m.ratio.Load()) }
 
-func (m *meter) admit() bool {
+func (m *meter) admit(overdue bool) bool {
 	if m.fallback.Load() {
 		if m.tokens.Add(-callUnit) >= 0 {
 			return true
@@ -124,13 +164,10 @@
 		m.tokens.Add(callUnit)
 		return false
 	}
-	ratio := m.admissionRatio()
-	if ratio >= 1 {
-		return true
+	if overdue {
+		return m.overdueGate.admit()
 	}
-	step := uint64(ratio * callUnit)
-	after := m.accumulated.Add(step)
-	return after/callUnit != (after-step)/callUnit
+	return m.inTimeGate.admit()
 }
 
 // ReportNextCall makes the next call of each workspace trigger an early report.
@@ -151,23 +188,65 @@
 		return nil
 	}
 	l.lastReport = now
+	l.clock.Store(now.UnixNano())
 	var out []Usage
 	l.meters.Range(func(name, m any) bool {
-		out = append(out, m.(*meter).report(name.(string), span))
+		out = append(out, m.(*meter).report(now, name.(string), span, now.Sub(l.startedAt)))
 		return true
 	})
 	return out
 }
 
-func (m *meter) report(name string, span time.Duration) Usage {
+// averageWarmUp is how much longer than its age a new node averages its calls over. Without it, the
+// first call of a node would count as a rate of several calls per second.
+const averageWarmUp = time.Second
+
+// averageWeight returns the weight of the last span in the average rate of a node of a given age. A
+// young node averages over its age: otherwise its rate would be too low for seconds after a start, and
+// its calls would be refused while their workspace is held.
+func averageWeight(span, age time.Duration) float64 {
+	return max(1-math.Exp(-span.Seconds()/averageOver.Seconds()), span.Seconds()/(age+averageWarmUp).Seconds())
+}
+
+func (m *meter) report(now time.Time, name string, span, age time.Duration) Usage {
 	requested := m.requested.Load()
 	m.surging = requested-m.reported > m.surgeCalls(span)
-	recent := float64(requested-m.reported) / span.Seconds()
-	weight := 1 - math.Exp(-span.Seconds()/averageOver.Seconds())
-	m.averageRate += weight * (recent - m.averageRate)
-	m.reported = requested
+	m.averageRate += averageWeight(span, age) * (float64(requested-m.reported)/span.Seconds() - m.averageRate)
+	overdue := m.overdue.Load()
+	recent, recentOverdue := m.recentRates(sample{now.Add(-span), m.reported, m.reportedOverdue}, sample{now, requested, overdue})
+	m.reported, m.reportedOverdue = requested, overdue
 	m.surgeAt.Store(requested + m.earlyReportCalls())
-	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: m.admitted.Load()}
+	admitted, waiting := m.hold.report(now, &m.admitted)
+	return Usage{Workspace: name, RecentRate: recent, AverageRate: m.averageRate, Admitted: admitted, OverdueRate: recentOverdue, Waiting: waiting}
+}
+
+// WithoutRates returns usage with the same counts of calls and without rates, for a collector that a
+// node no longer reports to.
+func WithoutRates(usage []Usage) []Usage {
+	out := make([]Usage, len(usage))
+	for i, u := range usage {
+		out[i] = Usage{Workspace: u.Workspace, Admitted: u.Admitted}
+	}
+	return out
+}
+
+// sample is a count of requested calls, and of the overdue ones among them.
+type sample struct {
+	at                 time.Time
+	requested, overdue int64
+}
+
+// recentRates returns the rates of requested and of overdue calls over at least ReportInterval. A
+// waiting call triggers a report, and the rate over the short time before it would be many times the
+// usual one.
+func (m *meter) recentRates(last, now sample) (requested, overdue float64) {
+	m.earlier = append(m.earlier, last)
+	for len(m.earlier) > 1 && now.at.Sub(m.earlier[1].at) >= ReportInterval {
+		m.earlier = slices.Delete(m.earlier, 0, 1)
+	}
+	from := m.earlier[0]
+	span := now.at.Sub(from.at).Seconds()
+	return float64(now.requested-from.requested) / span, float64(now.overdue-from.overdue) / span
 }
 
 // earlyReportCalls returns how many calls after a report trigger the next one. Fewer do for a
@@ -184,25 +263,29 @@
 	return surgeCalls + int64(surgeFactor*m.averageRate*span.Seconds())
 }
 
-// Apply puts the decision of a collector in force. All calls of workspaces that it doesn't list are
-// admitted.
+// Apply puts the decision of a collector in force, and lets waiting calls ask again. All calls of
+// workspaces that it doesn't list are admitted.
 func (l *Limiter) Apply(admissions []Admission) {
-	ratios := make(map[string]float64, len(admissions))
+	l.mu.Lock()
+	listed := make(map[string]Admission, len(admissions))
 	for _, a := range admissions {
-		ratios[a.Workspace] = a.Ratio
+		listed[a.Workspace] = a
+		l.meter(a.Workspace)
 	}
-	l.meters.Range(func(name, m any) bool {
-		ratio, ok := ratios[name.(string)]
+	l.meters.Range(func(name, v any) bool {
+		m := v.(*meter)
+		a, ok := listed[name.(string)]
 		if !ok {
-			ratio = 1
+			a.Ratio = 1
 		}
-		m.(*meter).setRatio(ratio)
-		m.(*meter).fallback.Store(false)
+		m.setRatio(a.Ratio)
+		m.split(a)
+		m.hold.apply(a.Hold, m.averageRate, m.admitted.Load())
+		m.fallback.Store(false)
 		return true
 	})
-	for name, ratio := range ratios {
-		l.meter(name).setRatio(ratio)
-	}
+	l.mu.Unlock()
+	l.applied.notify()
 }
 
 // Fallback describes a report that no collector answered.
@@ -234,6 +317,9 @@
 		if f.SinceAnswer < FallbackAfter && !m.surging && !m.fallback.Load() {
 			continue
 		}
+		if m.hold.active() && f.SinceAnswer < nodeExpiry {
+			continue // collectors reserve for this node what the last answer foresees
+		}
 		m.refill(limit.fallback(averages[workspace], m.admissionRatio(), f.Nodes), f.SinceReport)
 	}
 }
