lineage: nested calls have the priority and the workspace of their root

Cause: a gate started one-shot calls before all others, so that nested calls of the least urgent class went before calls of the most urgent one at a scarce service. Nested calls carry no key, so their workspace was lost.

Change: lineage.Tracker knows the calls that the backend servers of a VM run, learns which classes make which calls, and finds the root of a nested call that enters there. The root travels between nodes in Marlpass-Root; a backend server that speaks marlpass's own protocol may pass a token under that name. With limit.Config.ByPriority a gate orders one-shot and on-time calls by priority, with a floor of a quarter of the starts for each class of one-shot calls, and a full queue follows the same order. All of it only where the configuration holds workspaces.

--- a/internal/decisions/explain.go
+++ b/internal/decisions/explain.go
@@ -26,6 +26,8 @@
 	Decision Kind   `json:"decision"`
 	Call     string `json:"call"`
 	Class    string `json:"class"`
+	// Root is the class of the call at the beginning of the chain, for a nested call.
+	Root     string `json:"root"`
 	Service  string `json:"service"`
 	Instance string `json:"instance"`
 	Endpoint string `json:"endpoint"`
@@ -158,6 +160,7 @@
 	text("instance", l.Instance)
 	text("state", l.State)
 	text("class", l.Class)
+	text("root", l.Root)
 	number("status", int64(l.Status), "")
 	number("looks", int64(l.Looks), "")
 	number("attempts", int64(l.Attempts), "")
--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -42,6 +42,9 @@
 		q.refuseWaiting(now, victim, q.overloadReason(victim.class), "gave way to a call that can be in time")
 		return nil
 	}
+	if q.displaceLessUrgent(now, e) {
+		return nil
+	}
 	victim := q.victimFor(e)
 	if victim == e {
 		return q.refuse(now, c, q.overloadReason(c), "the queue is full")
@@ -68,7 +71,7 @@
 // retry, it may wait while it can be answered by its deadline.
 func (q *Queue) admitOneShot(now time.Time, e *Entry) *call.Refusal {
 	c := e.class
-	wait := time.Duration(c.oneShot.Len()+1) * c.oneShotStarts.interval.duration()
+	wait := q.predictOneShotWait(now, c)
 	late := !e.deadline.IsZero() && now.Add(wait+c.serviceTime.duration()).After(e.deadline)
 	if c.oneShot.Len() > 0 && late && !q.options.NoPrediction {
 		return q.refuse(now, c, q.overloadReason(c), "the wait would be longer than its time")
@@ -80,6 +83,9 @@
 		q.refuseWaiting(now, victim, q.overloadReason(victim.class), "gave way to a call that is not sent again")
 		return nil
 	}
+	if q.displaceLessUrgent(now, e) {
+		return nil
+	}
 	return q.refuse(now, c, q.overloadReason(c), "the queue is full")
 }
 
--- a/internal/limit/class.go
+++ b/internal/limit/class.go
@@ -29,6 +29,8 @@
 	lightServiceTime average // service time under light load
 	// The starts from each lane.
 	oneShotStarts, onTimeStarts, overdueStarts laneStarts
+	// floorCredit is how many one-shot calls may start before more urgent calls.
+	floorCredit float64
 
 	latencyHigh quantile
 	window      windowCounts
--- a/internal/limit/config.go
+++ b/internal/limit/config.go
@@ -48,6 +48,10 @@
 	// MaxWaiting limits the waiting calls; zero means DefaultWaitingPerSlot for
 	// each slot.
 	MaxWaiting int
+	// ByPriority starts one-shot and on-time calls by the priority of their callers, and admits
+	// them to a full queue in that order. Otherwise one-shot calls come first whatever their
+	// priority.
+	ByPriority bool
 }
 
 // DefaultWaitingPerSlot is the queue length per slot when Config.MaxWaiting is zero.
--- a/internal/limit/dispatch.go
+++ b/internal/limit/dispatch.go
@@ -8,14 +8,17 @@
 
 // dispatch starts waiting calls while slots are free and the advertised rate allows it:
 // one-shot calls first, then calls that can meet their latency target, then overdue
-// ones.
+// ones. With Config.ByPriority the first two start by priority.
 func (q *Queue) dispatch(now time.Time) {
 	for q.waiting > 0 && q.running < q.Limit() && q.advertised.allows(now) {
-		if c := q.nextOneShotClass(); c != nil {
+		if q.cfg.ByPriority {
+			if q.nextByPriority(now) {
+				continue
+			}
+		} else if c := q.nextOneShotClass(); c != nil {
 			q.startHead(now, &c.oneShot)
 			continue
-		}
-		if c := q.nextOnTimeClass(now); c != nil {
+		} else if c := q.nextOnTimeClass(now); c != nil {
 			q.startNextOnTime(now, c)
 			continue
 		}
@@ -30,12 +33,16 @@
 // nextOnTimeClass returns the class whose on-time lane starts the next call, or nil
 // if no class with such calls may take a slot. A class below its share goes before
 // one at or over it, so that the share limits a class only while others wait.
-func (q *Queue) nextOnTimeClass(now time.Time) *classState {
+func (q *Queue) nextOnTimeClass(now time.Time) *classState { return q.nextOnTimeAbove(now, 0) }
+
+// nextOnTimeAbove does the same for the classes whose next call has a priority above one that is
+// given.
+func (q *Queue) nextOnTimeAbove(now time.Time, priority int) *classState {
 	limit := q.Limit()
 	for _, atShare := range []bool{false, true} {
 		q.candidates = q.candidates[:0]
 		for _, c := range q.ordered {
-			if c.onTime.Len() > 0 && q.mayStart(c) && c.overShare(limit) == atShare {
+			if c.onTime.Len() > 0 && q.mayStart(c) && c.overShare(limit) == atShare && (priority == 0 || c.nextOnTime().priority() > priority) {
 				q.candidates = append(q.candidates, c)
 			}
 		}
@@ -53,18 +60,20 @@
 }
 
 // startNextOnTime starts the next on-time call of c, refuses it if too little time is
-// left to run it, or moves it to the overdue lane if it would miss its latency target.
-func (q *Queue) startNextOnTime(now time.Time, c *classState) {
+// left to run it, or moves it to the overdue lane if it would miss its latency target. It
+// reports whether the call was started.
+func (q *Queue) startNextOnTime(now time.Time, c *classState) bool {
 	e := c.nextOnTime()
 	if q.refuseIfTooLate(now, e) {
-		return
+		return false
 	}
 	if !q.options.NoPrediction && c.likelyLate(e, now) {
 		c.onTime.Remove(e.element)
 		q.moveToOverdue(e)
-		return
+		return false
 	}
 	q.dequeueAndStart(now, e)
+	return true
 }
 
 // refuseIfTooLate refuses a waiting call that cannot be answered by its deadline. It
--- a/internal/limit/overdue.go
+++ b/internal/limit/overdue.go
@@ -77,7 +77,7 @@
 // arrived first among equals; nil if none waits. Reservations don't apply: they restrict classes
 // that are well within their targets, as the short lookups of work in progress always are.
 func (q *Queue) nextOneShotClass() *classState {
-	return q.firstClass(func(c *classState) *list.List { return &c.oneShot }, func(*classState) bool { return true })
+	return q.firstClass(oneShotLane, func(*classState) bool { return true })
 }
 
 // nextOverdueClass returns the same for overdue calls of classes that may take a slot.
@@ -107,11 +107,14 @@
 }
 
 // startHead starts the first call of a lane, or refuses it if it cannot be answered by
-// its deadline.
-func (q *Queue) startHead(now time.Time, lane *list.List) {
-	if e := head(lane); !q.refuseIfTooLate(now, e) {
-		q.dequeueAndStart(now, e)
+// its deadline. It reports whether the call was started.
+func (q *Queue) startHead(now time.Time, lane *list.List) bool {
+	e := head(lane)
+	if q.refuseIfTooLate(now, e) {
+		return false
 	}
+	q.dequeueAndStart(now, e)
+	return true
 }
 
 // overdueVictim returns the overdue call to refuse first: the last one of the lowest
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -41,9 +41,11 @@
 	waitUntil time.Time
 	started   time.Time
 	// overdue reports whether the call can no longer meet its class's latency target.
-	overdue  bool
-	sequence uint64
-	state    entryState
+	overdue bool
+	// passedOver reports whether a more urgent call has started before this one-shot call.
+	passedOver bool
+	sequence   uint64
+	state      entryState
 	// busyAtStart is how many calls ran when this one started, itself included.
 	busyAtStart int
 	element     *list.Element
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -9,6 +9,7 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
+	"github.com/marlpass/marlpass/internal/lineage"
 	"github.com/marlpass/marlpass/internal/once"
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/quarantine"
@@ -32,6 +33,7 @@
 	dest            *proxy.Destination
 	meters          *proxy.Meters
 	retries         *retries
+	lineage         *lineage.Tracker
 	draining        atomic.Bool
 	decisions       *decisions.Log
 	shutdownTracing func(context.Context) error
@@ -58,6 +60,7 @@
 		meters:          proxy.NewMeters(),
 		retries:         &retries{set: n.set.Retries},
 		decisions:       decisions.New(telemetry.Part(n.log, "calls"), n.o.LostLines),
+		lineage:         lineage.NewTracker(rand.Uint64()),
 		shutdownTracing: shutdownTracing,
 	}
 	c.advertisements = &advertisements{gates: c.gates, registry: n.registry, onChange: n.backendsChanged, decisions: c.decisions}
@@ -74,8 +77,8 @@
 	link := proxy.NewLinkPacer(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationOptions(proxy.DestinationOptions{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates, SlotUse: c.gates.slotUse,
-		Advertisements: c.advertisements,
-		Deduplicator:   dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
+		Advertisements: c.advertisements, Lineage: c.lineage,
+		Deduplicator: dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
 		Spool: n.spool(), Link: link,
 	}))
--- a/internal/node/gates.go
+++ b/internal/node/gates.go
@@ -60,7 +60,7 @@
 		}
 		delete(g.departed, b.Instance)
 		classes := perBackendRates(p.limits[b.Service], backendCount(b.Service))
-		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes, Incarnation: b.Started})
+		gate.Configure(now, limit.Config{Slots: b.Slots, Classes: classes, Incarnation: b.Started, ByPriority: p.Keys != nil})
 		if b.State == membership.BackendDraining {
 			gate.Drain() // the waiting calls can still run elsewhere
 		}
--- a/internal/node/metrics_calls.go
+++ b/internal/node/metrics_calls.go
@@ -28,6 +28,7 @@
 		p.counter("marlpass_call_retry_decisions_total", n, "why", reason)
 	}
 	c.writeGates(p, now)
+	c.writeLineage(p)
 	c.writeOnce(p)
 	kinds := make(map[string]int)
 	for _, e := range c.suspects.list.Entries(now) {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -10,6 +10,7 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
+	"github.com/marlpass/marlpass/internal/lineage"
 	"github.com/marlpass/marlpass/internal/quarantine"
 	"github.com/marlpass/marlpass/internal/retry"
 )
@@ -28,10 +29,12 @@
 	Deduplicator   Deduplicator
 	Suspects       Suspects
 	Rollouts       Rollouts // nil if no rollouts are managed
-	Upstreams      *Upstreams
-	Meters         *Meters
-	Tracer         *Tracer
-	Dialect        Dialect // ownDialect if nil
+	// Lineage holds the running calls of this VM's backend servers; nil if roots are not tracked.
+	Lineage   *lineage.Tracker
+	Upstreams *Upstreams
+	Meters    *Meters
+	Tracer    *Tracer
+	Dialect   Dialect // ownDialect if nil
 	// Spool, if set, buffers whole answers before they are relayed. Link paces answers to other
 	// VMs.
 	Spool *Spool
@@ -89,6 +92,7 @@
 	h.oneShot = first(r.Header, headerOnce) != ""
 	h.noWait = first(r.Header, headerNoWait) != ""
 	in.advertised = parseNodeAdvertised(r.Header)
+	in.root = parseRoot(now, first(r.Header, headerRoot))
 	remoteMbps := parseLinkRate(r.Header)
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
@@ -191,6 +195,7 @@
 	linkBytes int64 // reserved on the link for the answer
 	// advertised is what the entry node last heard of the backend server.
 	advertised Advertised
+	root       callRoot
 }
 
 var inbounds = sync.Pool{New: func() any { return new(inbound) }}
@@ -244,6 +249,8 @@
 	permit         Permit
 	suspectToken   quarantine.Token
 	suspectStarted bool
+	lineage        *lineage.Tracker // nil unless the call runs and is tracked
+	lineageToken   lineage.Token
 	status         int
 	stored         *Stored // the answer to store for the claim
 	// replayed is set if the answer is the stored answer of an earlier call.
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -64,7 +63,7 @@
 	if d.Gates != nil {
 		options := limit.AcquireOptions{
 			FirstAttempt: now.Add(-in.hop.waited), OneShot: in.hop.oneShot, NoWait: in.hop.noWait,
-			Deadline: latestStart(now, in.deadline), Caller: d.caller(in.header),
+			Deadline: latestStart(now, in.deadline), Caller: d.caller(in),
 		}
 		permit, err := d.Gates.Acquire(ctx, h.backend, h.target, options)
 		if err != nil {
@@ -90,21 +89,6 @@
 	return nil, nil
 }
 
-// caller returns the workspace that the entry node derived from the caller's key, and its priority.
-// A node that is a version behind may not have the workspace yet; its calls then have the priority
-// of their class.
-func (d *Destination) caller(h http.Header) limit.Caller {
-	keys := d.Programs.Program().Keys
-	if keys == nil {
-		return limit.Caller{}
-	}
-	name := d.Dialect.Workspace(h)
-	if w := keys.Named(name); w != nil {
-		return limit.Caller{Workspace: name, Priority: w.Priority}
-	}
-	return limit.Caller{Workspace: name}
-}
-
 // Bounds on the time reserved for a refusal to reach the entry node before the deadline.
 const (
 	maxRefusalMargin     = 20 * time.Millisecond
--- a/internal/proxy/destination_log.go
+++ b/internal/proxy/destination_log.go
@@ -22,6 +22,9 @@
 	if in.hop.oneShot {
 		l.Bool("once", true)
 	}
+	if in.root.known {
+		l.Str("root", in.root.Class)
+	}
 	return l.Str("class", in.hop.class).Str("service", in.hop.service).Str("instance", in.hop.instance).
 		Stringer("state", b.State).Int64("left_ms", in.deadline.Sub(now).Milliseconds())
 }
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -31,9 +31,11 @@
 	if h.claim != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
+	extra := d.Dialect.AttemptHeaders(remaining, h.backend.Instance)
+	d.beginLineage(now, in, h, &extra)
 	a := d.Upstreams.send(ctx, now, &outbound{
 		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, answerTimeout: remaining, stallTimeout: stallTimeoutOf(h.target),
-		extra: d.Dialect.AttemptHeaders(remaining, h.backend.Instance),
+		extra: extra,
 	})
 	if a.resp == nil {
 		return a
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -95,6 +95,8 @@
 	fp            quarantine.Fingerprint
 	isolated      bool // to be run at one endpoint at a time
 	parentRetried bool // the call was made by a call that is being retried
+	keyed         bool // the configuration has workspaces
+	root          callRoot
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
 	// workspace is the workspace whose quota the call is counted against, or nil.
@@ -133,6 +135,7 @@
 	}
 	defer c.body.release()
 	c.parentRetried = first(r.Header, retry.HeaderRetried) != ""
+	e.findRoot(c, internal)
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
@@ -212,6 +215,7 @@
 		return refuse(call.ReasonExpired, 0, "")
 	}
 	c.deadline = c.start.Add(left)
+	c.keyed = p.Keys != nil
 	return e.authenticate(c, p.Keys)
 }
 
--- a/internal/proxy/entry_log.go
+++ b/internal/proxy/entry_log.go
@@ -27,6 +27,9 @@
 	if n := len(c.search.rejected); n > 0 {
 		l.Int("looks", n)
 	}
+	if c.root.known {
+		l.Str("root", c.root.Class)
+	}
 	return l.Uint64("version", c.version).Int("attempts", c.attempts).Int("reached", c.reached).
 		Int64("after_ms", now.Sub(c.start).Milliseconds())
 }
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -153,7 +153,8 @@
 	d.recordOutcome(func(ctx context.Context) { claim.Finish(ctx, stored) })
 }
 
-func (h *execution) releaseSlot(_ time.Time, r limit.Result) {
+func (h *execution) releaseSlot(now time.Time, r limit.Result) {
+	h.endLineage(now)
 	if h.permit != nil {
 		h.permit.Release(r)
 		h.permit = nil
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -29,13 +29,14 @@
 	}
 	h.settled = c.settled()
 	if e.Local != nil && ep.VM == e.Self {
-		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left)})
+		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left), root: c.root})
 		return c.correctExpired(now, h.left, a)
 	}
 	if h.settled {
 		header[headerSettled] = settledValue
 	}
 	setWaited(header, h.waited)
+	setRoot(header, now, &c.root)
 	if h.oneShot {
 		header[headerOnce] = onceValue
 	}
