--- a/internal/limit/urgency_test.go
+++ b/internal/limit/urgency_test.go
@@ -131,19 +131,3 @@
 	offerCall(t, q, "nested", 0, true)
 	wantReason(t, q.Offer(at(0), &Entry{}, "seats", time.Time{}), call.ReasonOverloaded)
 }
-
-// Guards deployments without workspaces: their gates decide as before, whatever the callers'
-// priorities.
-func TestWithoutWorkspacesOneShotCallsStartFirst(t *testing.T) {
-	q := newTestQueue(urgencyConfig(false))
-	running := offerCall(t, q, "other", 0, false)
-	for range 5 {
-		offerCall(t, q, "seats", 9, false)
-		offerCall(t, q, "nested", 1, true)
-	}
-	for i, class := range startOrder(q, running) {
-		if want := map[bool]string{true: "nested", false: "seats"}[i < 5]; class != want {
-			t.Errorf("start %d is of class %s", i, class)
-		}
-	}
-}
--- a/internal/lineage/tracker_test.go
+++ b/internal/lineage/tracker_test.go
@@ -54,7 +54,7 @@
 }
 
 // Guards urgent work against a nested call that counts as less urgent than its root, and retries
-// against nested calls that count as first attempts.
+// against nested calls that count as first attempts. Equal candidates take turns.
 func TestMostUrgentCandidateIsUsed(t *testing.T) {
 	c := newClock()
 	c.learn("browse", "seat")
@@ -68,21 +68,14 @@
 	if s := c.Stats(); s.Bounded != 1 {
 		t.Errorf("counts %+v", s)
 	}
-}
-
-// Guards the shares of workspaces: nested calls of equal candidates are attributed to all of them.
-func TestEqualCandidatesTakeTurns(t *testing.T) {
-	c := newClock()
-	c.learn("browse", "seat")
-	c.begin("browse", "a", 5)
-	c.begin("browse", "b", 5)
-	count := map[string]int{}
-	for range 10 {
+	c.begin("browse", "pier", 7)
+	turns := map[string]int{}
+	for range 11 {
 		root, _ := c.Root(c.now, "seat", true)
-		count[root.Workspace]++
+		turns[root.Workspace]++
 	}
-	if count["a"] != 5 || count["b"] != 5 {
-		t.Errorf("attributed %v", count)
+	if turns["quay"] != 5 || turns["pier"] != 6 {
+		t.Errorf("of equal candidates got %v", turns)
 	}
 }
 
