--- a/internal/lineage/tracker.go
+++ b/internal/lineage/tracker.go
@@ -22,6 +22,9 @@
 	// Retried reports that the root or a call between the root and the nested call is a retry. Of
 	// several candidates, one that is a retry suffices, so that the bound on retries holds.
 	Retried bool
+	// Maker is the class of the running call that made the nested call. It is known at the node
+	// beside the backend server only.
+	Maker string
 }
 
 // Call is a call that a backend server is about to run.
@@ -75,6 +78,7 @@
 
 // runningClass is a class of calls that backend servers of the VM run.
 type runningClass struct {
+	name string
 	runs []*run
 	// alone is how long calls of no other class ran. callTime is the same, multiplied by the number
 	// of calls that ran.
@@ -104,7 +108,7 @@
 	t.advance(now)
 	class := t.classes[c.Class]
 	if class == nil {
-		class = new(runningClass)
+		class = &runningClass{name: c.Class}
 		t.classes[c.Class] = class
 	}
 	t.next++
@@ -161,6 +165,7 @@
 	chosen.made++
 	root = chosen.root
 	root.Retried = t.anyRetried()
+	root.Maker = chosen.class.name
 	return root, true
 }
 
@@ -226,7 +231,9 @@
 	}
 	r.made++
 	t.withRoots.Exact++
-	return r.root, true
+	root = r.root
+	root.Maker = r.class.name
+	return root, true
 }
 
 // Stats returns the counts since the start.
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -34,7 +34,8 @@
 			return b, nil, refusal
 		}
 	}
-	return b, d.target(in.hop), nil
+	t := d.target(in.hop)
+	return b, t, d.admitRun(now, t)
 }
 
 // findBackend returns the backend server of a call, after this node has adopted what the entry node
