--- a/internal/lineage/tracker.go
+++ b/internal/lineage/tracker.go
@@ -22,9 +22,6 @@
 	// Retried reports that the root or a call between the root and the nested call is a retry. Of
 	// several candidates, one that is a retry suffices, so that the bound on retries holds.
 	Retried bool
-	// Maker is the class of the running call that made the nested call. It is known at the node
-	// beside the backend server only.
-	Maker string
 }
 
 // Call is a call that a backend server is about to run.
@@ -78,7 +75,6 @@
 
 // runningClass is a class of calls that backend servers of the VM run.
 type runningClass struct {
-	name string
 	runs []*run
 	// alone is how long calls of no other class ran. callTime is the same, multiplied by the number
 	// of calls that ran.
@@ -108,7 +104,7 @@
 	t.advance(now)
 	class := t.classes[c.Class]
 	if class == nil {
-		class = &runningClass{name: c.Class}
+		class = new(runningClass)
 		t.classes[c.Class] = class
 	}
 	t.next++
@@ -165,7 +161,6 @@
 	chosen.made++
 	root = chosen.root
 	root.Retried = t.anyRetried()
-	root.Maker = chosen.class.name
 	return root, true
 }
 
@@ -231,9 +226,7 @@
 	}
 	r.made++
 	t.withRoots.Exact++
-	root = r.root
-	root.Maker = r.class.name
-	return root, true
+	return r.root, true
 }
 
 // Stats returns the counts since the start.
--- a/internal/lineage/tracker_test.go
+++ b/internal/lineage/tracker_test.go
@@ -40,7 +40,7 @@
 	browse := c.begin("browse", "harbour", 2)
 	c.begin("load", "quay", 9) // makes no calls of class seat
 	root, ok := c.Root(c.now, "seat", true)
-	if want := (Root{Class: "browse", Workspace: "harbour", Priority: 2, Maker: "browse"}); !ok || root != want {
+	if want := (Root{Class: "browse", Workspace: "harbour", Priority: 2}); !ok || root != want {
 		t.Errorf("got %+v %v, want %+v", root, ok, want)
 	}
 	if s := c.Stats(); s.Exact != known.Exact+1 || s.Bounded != 0 {
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -34,7 +34,6 @@
 	meters          *proxy.Meters
 	retries         *retries
 	lineage         *lineage.Tracker
-	runs            *lineage.Admission // nil unless admitRunsBySuccess
 	draining        atomic.Bool
 	decisions       *decisions.Log
 	shutdownTracing func(context.Context) error
@@ -64,9 +63,6 @@
 		lineage:         lineage.NewTracker(rand.Uint64()),
 		shutdownTracing: shutdownTracing,
 	}
-	if admitRunsBySuccess {
-		c.runs = new(lineage.Admission)
-	}
 	c.advertisements = &advertisements{gates: c.gates, registry: n.registry, onChange: n.backendsChanged, decisions: c.decisions}
 	c.pickers.onEject = c.logEjection
 	c.suspects = &suspects{
@@ -81,7 +77,7 @@
 	link := proxy.NewLinkPacer(n.set.VM.LinkMbps)
 	c.dest = proxy.NewDestination(n.o.Policies.destinationOptions(proxy.DestinationOptions{
 		Programs: programs, Backends: backends{n.registry}, Gates: c.gates, SlotUse: c.gates.slotUse,
-		Advertisements: c.advertisements, Lineage: c.lineage, Runs: c.runs,
+		Advertisements: c.advertisements, Lineage: c.lineage,
 		Deduplicator: dedupAdapter{c.dedup}, Suspects: c.suspects, Rollouts: n.rollouts, Upstreams: c.upstreams, Tracer: tracer,
 		Dialect: n.o.Dialect, Decisions: c.decisions,
 		Spool: n.spool(), Link: link,
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -30,9 +30,7 @@
 	Suspects       Suspects
 	Rollouts       Rollouts // nil if no rollouts are managed
 	// Lineage holds the running calls of this VM's backend servers; nil if roots are not tracked.
-	Lineage *lineage.Tracker
-	// Runs refuses runs whose nested calls are likely to be refused; nil admits all.
-	Runs      *lineage.Admission
+	Lineage   *lineage.Tracker
 	Upstreams *Upstreams
 	Meters    *Meters
 	Tracer    *Tracer
@@ -253,7 +251,6 @@
 	suspectStarted bool
 	lineage        *lineage.Tracker // nil unless the call runs and is tracked
 	lineageToken   lineage.Token
-	runs           *lineage.Admission // nil unless the run is counted
 	status         int
 	stored         *Stored // the answer to store for the claim
 	// replayed is set if the answer is the stored answer of an earlier call.
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -34,8 +34,7 @@
 			return b, nil, refusal
 		}
 	}
-	t := d.target(in.hop)
-	return b, t, d.admitRun(now, t)
+	return b, d.target(in.hop), nil
 }
 
 // findBackend returns the backend server of a call, after this node has adopted what the entry node
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -55,7 +55,6 @@
 		e.Meters.RefusedUnmatched(r.Reason)
 	}
 	e.logRefusal(c, r)
-	e.recordNestedRefusal(c, r.RetryAfter)
 	e.returning.recordRefusal(e.Now(), c, r.RetryAfter)
 	c.body.closeUnlessRead(c.r, w.Header())
 	writeCallerRefusal(w, r, e.Dialect)
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -154,7 +154,7 @@
 }
 
 func (h *execution) releaseSlot(now time.Time, r limit.Result) {
-	h.endLineage(now, r.Failed)
+	h.endLineage(now)
 	if h.permit != nil {
 		h.permit.Release(r)
 		h.permit = nil
--- a/internal/proxy/lineage.go
+++ b/internal/proxy/lineage.go
@@ -1,13 +1,11 @@
 package proxy
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/lineage"
@@ -116,44 +114,17 @@
 	root.Retried = root.Retried || retried
 	h.lineage = d.Lineage
 	h.lineageToken = d.Lineage.Begin(now, lineage.Call{Class: h.target.Name, Root: root})
-	if d.Runs != nil {
-		d.Runs.Started(now, h.target.Name)
-		h.runs = d.Runs
-	}
 	if _, native := d.Dialect.(ownDialect); native {
 		extra[len(extra)-1] = Header{headerRoot, d.Lineage.Header(h.lineageToken)}
 	}
 }
 
 // endLineage records the end of a call that was sent to its backend server.
-func (h *execution) endLineage(now time.Time, failed bool) {
+func (h *execution) endLineage(now time.Time) {
 	if h.lineage != nil {
 		h.lineage.End(now, h.lineageToken)
 		h.lineage = nil
 	}
-	if h.runs != nil {
-		h.runs.Ended(now, h.target.Name, failed)
-		h.runs = nil
-	}
-}
-
-// admitRun refuses a run whose nested calls are likely to be refused. The refusal is not retried
-// elsewhere, as all endpoints of the service make the same nested calls.
-func (d *Destination) admitRun(now time.Time, t *config.Target) *call.Refusal {
-	if d.Runs == nil || d.Programs.Program().Keys == nil {
-		return nil
-	}
-	if after, ok := d.Runs.Admit(now, t.Name, rand.Float64()); !ok {
-		return refuse(call.ReasonOverloaded, after, detailDeep)
-	}
-	return nil
-}
-
-// recordNestedRefusal records that a nested call of a run on this VM was refused.
-func (e *Entry) recordNestedRefusal(c *entryCall, after time.Duration) {
-	if c.root.known && e.Local.Runs != nil {
-		e.Local.Runs.NestedRefused(e.Now(), c.root.Maker, after)
-	}
 }
 
 // setRoot sets or removes the root of a call for another node.
--- a/internal/proxy/lineage_test.go
+++ b/internal/proxy/lineage_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/lineage"
@@ -142,46 +141,3 @@
 		}
 	}
 }
-
-// Guards the count of lost runs and the refusal that follows: a refused nested call counts for the
-// class that made it, and a refused run is not offered to another endpoint.
-func TestRunsAreRefusedWhileTheirNestedCallsAre(t *testing.T) {
-	m, _, token := newNestedMesh(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	runs := new(lineage.Admission)
-	m.dest[1].Runs = runs
-	m.dest[0].Gates = refusingGate{}
-	public := m.public.URL
-	m.public.URL = m.internal.URL
-	now := time.Now()
-	runs.Admit(now, "browse", 0)
-	for range 20 {
-		runs.Started(now, "browse")
-		if _, _, err := m.call("POST", "/seat", "x", headerRoot, m.dest[1].Lineage.Header(token)); err != nil {
-			t.Fatal(err)
-		}
-		runs.Ended(now, "browse", true)
-	}
-	if _, ok := runs.Admit(now, "browse", 0.99); ok {
-		t.Error("the refused nested calls are not counted for the class that made them")
-	}
-	m.public.URL = public
-	m.dest[0].Gates, m.dest[0].Runs = new(FixedLimit), new(lineage.Admission)
-	m.dest[0].Runs.Admit(now, "bookings", 0)
-	for range 20 {
-		m.dest[0].Runs.Started(now, "bookings")
-		m.dest[0].Runs.NestedRefused(now, "bookings", time.Second)
-		m.dest[0].Runs.Ended(now, "bookings", true)
-	}
-	m.entry.Retrier = RetryUpTo(3)
-	resp, _, err := m.call("POST", "/launch", "x", headerAuthorization, "Bearer "+harbourKey)
-	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || m.runs.Load() != 0 || m.dest[0].Runs.Refused() == 0 {
-		t.Errorf("got %v %v after %d runs, %d refused", resp, err, m.runs.Load(), m.dest[0].Runs.Refused())
-	}
-}
-
-// refusingGate refuses all calls.
-type refusingGate struct{}
-
-func (refusingGate) Acquire(context.Context, Backend, *config.Target, limit.AcquireOptions) (Permit, error) {
-	return nil, refuse(call.ReasonOverloaded, time.Second, "")
-}
