proxy: no root in the header of a local retry

Cause: an attempt at another node sets Marlpass-Root on the header of the call. A retry on the entry node's own VM passed a copy of it on to the backend server, unless the native dialect replaced the value. The backend server learnt the workspace and the priority of the root.

Change: the header is removed before a call goes to the local destination.

--- a/internal/proxy/lineage_test.go
+++ b/internal/proxy/lineage_test.go
@@ -10,6 +10,7 @@
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/limit"
 	"github.com/marlpass/marlpass/internal/lineage"
+	"github.com/marlpass/marlpass/internal/retry"
 )
 
 // admittingGate records the callers of calls and admits them.
@@ -81,6 +82,29 @@
 	}
 }
 
+// Guards the root's workspace against a retry on the entry node's own VM, whose header also has what
+// the attempt at another node was given.
+func TestLocalRetryHidesTheRoot(t *testing.T) {
+	var got http.Header
+	m, _, token := newNestedMesh(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header })
+	m.entry.Self, m.entry.Retrier = "vm1", RetryUpTo(3)
+	m.dest[1].Dialect = struct{ Dialect }{ownDialect{}} // a dialect whose backend servers get no token
+	m.dest[0].Drain()
+	m.useAll()
+	m.public.URL = m.internal.URL
+	retried := false
+	for range 4 {
+		resp, _, err := m.call("POST", "/seat", "x", headerRoot, m.dest[1].Lineage.Header(token))
+		if err != nil || resp.StatusCode != http.StatusOK || got.Get(headerRoot) != "" {
+			t.Errorf("got %v %v; the backend server received %v", resp, err, got)
+		}
+		retried = retried || got.Get(retry.HeaderRetried) != ""
+	}
+	if !retried {
+		t.Error("no call was sent to the other node first")
+	}
+}
+
 // Guards against running calls that are never forgotten, or not known while they run: a run names
 // itself to the backend server until it ends, whatever its end.
 func TestDestinationTracksRunningCalls(t *testing.T) {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -29,6 +29,7 @@
 	}
 	h.settled = c.settled()
 	if e.Local != nil && ep.VM == e.Self {
+		delete(header, headerRoot) // of an attempt at another node; it names the root's workspace
 		a := e.Local.do(ctx, now, &inbound{r: c.r, header: header, body: &c.body, hop: h, deadline: now.Add(h.left), root: c.root})
 		return c.correctExpired(now, h.left, a)
 	}
