--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -95,7 +95,7 @@
 	fp            quarantine.Fingerprint
 	isolated      bool // to be run at one endpoint at a time
 	parentRetried bool // the call was made by a call that is being retried
-	keyed         bool // the configuration has workspaces
+	hasWorkspaces bool // the configuration has workspaces
 	root          callRoot
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
@@ -215,7 +215,7 @@
 		return refuse(call.ReasonExpired, 0, "")
 	}
 	c.deadline = c.start.Add(left)
-	c.keyed = p.Keys != nil
+	c.hasWorkspaces = p.Keys != nil
 	return e.authenticate(c, p.Keys)
 }
 
--- a/internal/proxy/lineage.go
+++ b/internal/proxy/lineage.go
@@ -64,7 +64,7 @@
 // findRoot finds the root of a call that may be nested. A call with a key has its own workspace, and
 // is the root of its chain.
 func (e *Entry) findRoot(c *entryCall, internal bool) {
-	if !c.keyed || e.Local == nil || e.Local.Lineage == nil || e.Dialect.Workspace(c.r.Header) != "" {
+	if !c.hasWorkspaces || e.Local == nil || e.Local.Lineage == nil || e.Dialect.Workspace(c.r.Header) != "" {
 		return
 	}
 	t := e.Local.Lineage
