limit: a pause is no wait, calls of an unknown root start first

Cause 1: with ByPriority, the predicted wait of a one-shot call was at least the time since the last start from its lane, also if none waited then. After a pause longer than its deadline, the second of two parallel nested calls was refused although a slot would come free at once.

Cause 2: a call of an unknown root kept its place before all on-time calls only at the head of its lane. Behind a call of its class with a known, more urgent root it waited for more urgent on-time calls too.

Change: the time counts from the arrival of the call that has waited longest. Calls of an unknown root come first in their lane, which replaces the separate search for them. The full queue is also tested with an urgent call and no workspaces.

--- a/internal/limit/fair.go
+++ b/internal/limit/fair.go
@@ -125,7 +125,7 @@
 // insertByPriority inserts e after the calls of the same or a higher priority.
 func insertByPriority(lane *list.List, e *Entry) *list.Element {
 	el := lane.Back()
-	for el != nil && el.Value.(*Entry).priority() < e.priority() {
+	for el != nil && el.Value.(*Entry).urgency() < e.urgency() {
 		el = el.Prev()
 	}
 	if el == nil {
--- a/internal/limit/overdue.go
+++ b/internal/limit/overdue.go
@@ -100,8 +100,8 @@
 
 // startsBefore reports whether a starts before b: by priority, then by arrival.
 func startsBefore(a, b *Entry) bool {
-	if a.priority() != b.priority() {
-		return a.priority() > b.priority()
+	if a.urgency() != b.urgency() {
+		return a.urgency() > b.urgency()
 	}
 	return a.before(b)
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -42,6 +42,9 @@
 	started   time.Time
 	// overdue reports whether the call can no longer meet its class's latency target.
 	overdue bool
+	// startsFirst reports whether it is not known on whose behalf the one-shot call is made. It then
+	// starts before all others with Config.ByPriority.
+	startsFirst bool
 	// passedOver reports whether a more urgent call has started before this one-shot call.
 	passedOver bool
 	sequence   uint64
@@ -232,6 +235,7 @@
 	if e.FirstAttempt.IsZero() {
 		e.FirstAttempt = now
 	}
+	e.startsFirst = q.cfg.ByPriority && e.OneShot && e.Caller == Caller{}
 	e.overdue = !e.OneShot && !q.options.NoPrediction && c.likelyLate(e, now)
 	e.waitUntil = q.waitsUntil(now, e)
 	if q.draining {
--- a/internal/limit/urgency.go
+++ b/internal/limit/urgency.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/config"
 )
 
 // With Config.ByPriority, one-shot and on-time calls start by priority, one-shot calls first among
@@ -30,18 +32,16 @@
 		}
 		return true
 	}
-	oneShot := q.nextOneShotByPriority()
-	if oneShot == nil || !head(&oneShot.oneShot).ofUnknownCaller() {
-		above := 0
-		if oneShot != nil {
-			above = head(&oneShot.oneShot).priority()
-		}
-		if c := q.nextOnTimeAbove(now, above); c != nil {
-			if e := c.nextOnTime(); q.startNextOnTime(now, c) {
-				q.passOver(e.priority())
-			}
-			return true
+	oneShot := q.nextOneShotClass()
+	above := 0
+	if oneShot != nil {
+		above = head(&oneShot.oneShot).urgency()
+	}
+	if c := q.nextOnTimeAbove(now, above); c != nil {
+		if e := c.nextOnTime(); q.startNextOnTime(now, c) {
+			q.passOver(e.priority())
 		}
+		return true
 	}
 	if oneShot == nil {
 		return false
@@ -52,19 +52,15 @@
 	return true
 }
 
-// nextOneShotByPriority returns the class whose first one-shot call starts next among one-shot calls,
-// or nil. Those of unknown callers come first.
-func (q *Queue) nextOneShotByPriority() *classState {
-	if c := q.firstClass(oneShotLane, func(c *classState) bool { return head(&c.oneShot).ofUnknownCaller() }); c != nil {
-		return c
-	}
-	return q.nextOneShotClass()
-}
-
 func oneShotLane(c *classState) *list.List { return &c.oneShot }
 
-// ofUnknownCaller reports whether it is not known on whose behalf the call is made.
-func (e *Entry) ofUnknownCaller() bool { return e.Caller == Caller{} }
+// urgency returns the priority, or one above all priorities for a call that starts first.
+func (e *Entry) urgency() int {
+	if e.startsFirst {
+		return config.MaxPriority + 1
+	}
+	return e.priority()
+}
 
 // nextFloorClass returns the class with one-shot calls that has the most credit for a start, or nil.
 func (q *Queue) nextFloorClass() *classState {
@@ -82,7 +78,7 @@
 func (q *Queue) passOver(priority int) {
 	for _, c := range q.ordered {
 		for el := c.oneShot.Front(); el != nil; el = el.Next() {
-			if e := el.Value.(*Entry); !e.passedOver && !e.ofUnknownCaller() && e.priority() < priority {
+			if e := el.Value.(*Entry); !e.passedOver && e.urgency() < priority {
 				e.passedOver = true
 				c.floorCredit = min(c.floorCredit+oneShotFloor, maxFloorCredit)
 				break
@@ -102,7 +98,7 @@
 			if oneShot {
 				lane = &c.oneShot
 			}
-			if e := lowestPriority(lane); e != nil && e.priority() < newcomer.priority() && (victim == nil || e.priority() < victim.priority()) {
+			if e := lowestPriority(lane); e != nil && e.urgency() < newcomer.priority() && (victim == nil || e.priority() < victim.priority()) {
 				victim = e
 			}
 		}
@@ -114,11 +110,7 @@
 func lowestPriority(lane *list.List) *Entry {
 	var lowest *Entry
 	for el := lane.Back(); el != nil; el = el.Prev() {
-		e := el.Value.(*Entry)
-		if e.OneShot && e.ofUnknownCaller() {
-			continue
-		}
-		if lowest == nil || e.priority() < lowest.priority() {
+		if e := el.Value.(*Entry); lowest == nil || e.urgency() < lowest.urgency() {
 			lowest = e
 		}
 	}
@@ -144,8 +136,18 @@
 func (q *Queue) predictOneShotWait(now time.Time, c *classState) time.Duration {
 	interval := c.oneShotStarts.interval.duration()
 	if q.cfg.ByPriority && c.oneShot.Len() > 0 && !c.oneShotStarts.last.IsZero() {
-		// More urgent calls may have taken all slots since the last start.
-		interval = max(interval, now.Sub(c.oneShotStarts.last))
+		// More urgent calls may have taken all slots since the last start. Time in which no call
+		// waited doesn't count.
+		since := now
+		for el := c.oneShot.Front(); el != nil; el = el.Next() {
+			if arrived := el.Value.(*Entry).arrived; arrived.Before(since) {
+				since = arrived
+			}
+		}
+		if last := c.oneShotStarts.last; last.After(since) {
+			since = last
+		}
+		interval = max(interval, now.Sub(since))
 	}
 	return time.Duration(c.oneShot.Len()+1) * interval
 }
--- a/internal/limit/urgency_test.go
+++ b/internal/limit/urgency_test.go
@@ -101,6 +101,7 @@
 		{"nested call of equal priority", true, Entry{OneShot: true, Caller: Caller{Priority: 2}}, "nested", -1},
 		{"least urgent call", true, Entry{}, "other", -1},
 		{"nested call of an unknown root", true, Entry{OneShot: true}, "nested", 1},
+		{"without workspaces, urgent call", false, Entry{}, "seats", -1},
 		{"without workspaces, nested call", false, Entry{OneShot: true, Caller: Caller{Priority: 7}}, "nested", -1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -122,12 +123,43 @@
 	}
 }
 
-// Guards work in progress of an unknown root: its nested calls give way to no one in a full queue.
+// Guards work in progress of an unknown root: its nested calls give way to no one in a full queue, and
+// don't wait behind calls of their class whose root is known.
 func TestUnknownRootKeepsItsPlace(t *testing.T) {
 	c := urgencyConfig(true)
 	c.MaxWaiting = 1
 	q := newTestQueue(c)
-	offerCall(t, q, "other", 0, false)
-	offerCall(t, q, "nested", 0, true)
+	running := offerCall(t, q, "other", 0, false)
+	unknown := offerCall(t, q, "nested", 0, true)
 	wantReason(t, q.Offer(at(0), &Entry{}, "seats", time.Time{}), call.ReasonOverloaded)
+	q.Abandon(at(0), unknown)
+	c.MaxWaiting = 3
+	q.Configure(at(0), c)
+	offerCall(t, q, "nested", 7, true)
+	offerCall(t, q, "seats", 0, false)
+	unknown = offerCall(t, q, "nested", 0, true)
+	q.Done(at(0), running, Result{NotSent: true})
+	if !unknown.Started() {
+		t.Error("a call with a known root or an urgent call has started first")
+	}
+}
+
+// Guards parallel nested calls after a pause: the pause says nothing about the wait. While more urgent
+// calls take all slots, the wait counts.
+func TestPauseIsNoWait(t *testing.T) {
+	q := newTestQueue(urgencyConfig(true))
+	offer := func(now time.Duration) *call.Refusal {
+		e := &Entry{OneShot: true, Caller: Caller{Priority: 2}}
+		return q.Offer(at(now), e, "nested", at(now+200*time.Millisecond))
+	}
+	first := &Entry{OneShot: true}
+	q.Offer(at(0), first, "nested", time.Time{})
+	q.Done(at(time.Millisecond), first, Result{Latency: time.Millisecond})
+	q.Offer(at(9*time.Second), &Entry{}, "seats", time.Time{})
+	for range 2 {
+		if r := offer(10 * time.Second); r != nil {
+			t.Errorf("refused after a pause: %v", r)
+		}
+	}
+	wantReason(t, offer(10*time.Second+150*time.Millisecond), call.ReasonOverloaded)
 }
