lineage: check the model against the requirements

The test had only bounds near its own figures for urgent calls. It now also fails if they are served less often than nested calls by more than 5 in 100, the bound of docs/hard-load.md.

--- a/internal/lineage/model_test.go
+++ b/internal/lineage/model_test.go
@@ -199,7 +199,7 @@
 			before, after, nested := b.seatsInTime/b.seats, a.seatsInTime/a.seats, a.nestedServed/a.nested
 			t.Logf("load %.1f: urgent calls in time %.3f, by root %.3f; nested calls served %.3f, by root %.3f; runs done %.3f, by root %.3f",
 				load, before, after, b.nestedServed/b.nested, nested, b.browseDone/b.browse, a.browseDone/a.browse)
-			if after < before-0.001 || after < 0.85 || nested < 0.25 {
+			if after < before-0.001 || after < 0.85 || after < nested-0.05 || nested < 0.25 {
 				t.Errorf("load %.1f seed %d: the urgent calls are late or the nested calls starve", load, seed)
 			}
 			if s := a.trackers[0].Stats(); s.Unknown*10 > s.Exact+s.Bounded {
