--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -102,7 +102,9 @@
 	parentRetried bool // the call was made by a call that is being retried
 	// inherited is parentRetried of calls from backend servers of this VM. Other callers could set
 	// the header themselves.
-	inherited bool
+	inherited     bool
+	hasWorkspaces bool // the configuration has workspaces
+	root          callRoot
 	// unknownErr is the error of the last attempt that may have run without an answer, or nil.
 	unknownErr error
 	// quotaHolder is the workspace whose quota the call counts against, or nil, and workspace the same
@@ -143,6 +145,7 @@
 	defer c.body.release()
 	c.parentRetried = first(r.Header, retry.HeaderRetried) != ""
 	c.inherited = internal && c.parentRetried
+	e.findRoot(c, internal)
 	dropHopByHop(r.Header)
 	dropInternal(r.Header)
 	addForwarded(r.Header, r.RemoteAddr)
@@ -229,6 +232,7 @@
 		return refuse(call.ReasonExpired, 0, "")
 	}
 	c.deadline = c.start.Add(left)
+	c.hasWorkspaces = p.Keys != nil
 	return e.authenticate(c, p.Keys)
 }
 
