limit, lineage: among workspaces of equal priority the class decides

Cause: the priority of a workspace took the place of that of the class. Where all workspaces have the same one, nested calls of the least urgent class stayed before calls of the most urgent one. Change: calls are ordered by the workspace's priority, then by that of the class; the root of a nested call states both (Marlpass-Root has one field more). The tests of roots state the class's priority as well; their checks are unchanged. TestClassDecidesAmongEqualWorkspaces is new.

--- a/internal/limit/fair.go
+++ b/internal/limit/fair.go
@@ -1,6 +1,11 @@
 package limit
 
-import "container/list"
+import (
+	"cmp"
+	"container/list"
+
+	"github.com/marlpass/marlpass/internal/config"
+)
 
 // Caller identifies on whose behalf a call is made.
 type Caller struct {
@@ -8,14 +13,17 @@
 	Workspace string
 	// Priority overrides that of the call's class; zero means the class's priority.
 	Priority int
+	// ClassPriority replaces the priority of the call's class; zero means that of the class. It is
+	// that of the root's class for a nested call.
+	ClassPriority int
 }
 
-// priority returns the priority that decides which calls yield to others.
+// priority returns the priority that decides which calls yield to others: that of the workspace, and
+// among equal workspaces that of the class. Most workspaces of a mesh have the same priority, and the
+// order of the classes has to hold among them.
 func (e *Entry) priority() int {
-	if e.Caller.Priority != 0 {
-		return e.Caller.Priority
-	}
-	return e.class.Priority
+	class := cmp.Or(e.Caller.ClassPriority, e.class.Priority)
+	return cmp.Or(e.Caller.Priority, class)*(config.MaxPriority+1) + class
 }
 
 // workspaceCount counts the calls of one workspace in a class.
--- a/internal/limit/urgency.go
+++ b/internal/limit/urgency.go
@@ -2,9 +2,8 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
-
-	"github.com/marlpass/marlpass/internal/config"
 )
 
 // With Config.ByPriority, one-shot and on-time calls start by priority, one-shot calls first among
@@ -57,7 +56,7 @@
 // urgency returns the priority, or one above all priorities for a call that starts first.
 func (e *Entry) urgency() int {
 	if e.startsFirst {
-		return config.MaxPriority + 1
+		return math.MaxInt
 	}
 	return e.priority()
 }
--- a/internal/limit/urgency_test.go
+++ b/internal/limit/urgency_test.go
@@ -17,12 +17,42 @@
 func offerCall(t *testing.T, q *Queue, class string, priority int, oneShot bool) *Entry {
 	t.Helper()
 	e := &Entry{OneShot: oneShot, Caller: Caller{Priority: priority}}
+	if oneShot {
+		e.Caller.ClassPriority = priority // of a root without a workspace
+	}
 	if r := q.Offer(at(0), e, class, time.Time{}); r != nil {
 		t.Fatal(r)
 	}
 	return e
 }
 
+// Guards the order of classes among workspaces of equal priority: with the priority of the workspace
+// alone, nested calls of the least urgent class would start before calls of the most urgent one.
+func TestClassDecidesAmongEqualWorkspaces(t *testing.T) {
+	for _, tt := range []struct {
+		rootClass int // priority of the class of the nested call's root
+		first     string
+	}{{2, "seats"}, {8, "nested"}} {
+		q := newTestQueue(urgencyConfig(true))
+		running := offerCall(t, q, "other", 0, false)
+		for _, e := range []*Entry{
+			{OneShot: true, Caller: Caller{Workspace: "a", Priority: 9, ClassPriority: tt.rootClass}},
+			{Caller: Caller{Workspace: "b", Priority: 9}},
+		} {
+			class := "seats"
+			if e.OneShot {
+				class = "nested"
+			}
+			if r := q.Offer(at(0), e, class, time.Time{}); r != nil {
+				t.Fatal(r)
+			}
+		}
+		if got := startOrder(q, running); got[0] != tt.first {
+			t.Errorf("root class of priority %d: started in the order %v", tt.rootClass, got)
+		}
+	}
+}
+
 // startOrder frees the slot again and again, and returns the classes in the order of their starts.
 func startOrder(q *Queue, running *Entry) (order []string) {
 	for running != nil {
@@ -97,12 +127,12 @@
 		victim     int // of the waiting calls; -1 is the newcomer
 	}{
 		{"urgent call", true, Entry{}, "seats", 1},
-		{"nested call of an urgent root", true, Entry{OneShot: true, Caller: Caller{Priority: 7}}, "nested", 1},
-		{"nested call of equal priority", true, Entry{OneShot: true, Caller: Caller{Priority: 2}}, "nested", -1},
+		{"nested call of an urgent root", true, Entry{OneShot: true, Caller: Caller{Priority: 7, ClassPriority: 7}}, "nested", 1},
+		{"nested call of equal priority", true, Entry{OneShot: true, Caller: Caller{Priority: 2, ClassPriority: 2}}, "nested", -1},
 		{"least urgent call", true, Entry{}, "other", -1},
 		{"nested call of an unknown root", true, Entry{OneShot: true}, "nested", 1},
 		{"without workspaces, urgent call", false, Entry{}, "seats", -1},
-		{"without workspaces, nested call", false, Entry{OneShot: true, Caller: Caller{Priority: 7}}, "nested", -1},
+		{"without workspaces, nested call", false, Entry{OneShot: true, Caller: Caller{Priority: 7, ClassPriority: 7}}, "nested", -1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := urgencyConfig(tt.byPriority)
--- a/internal/lineage/tracker.go
+++ b/internal/lineage/tracker.go
@@ -18,7 +18,9 @@
 	Workspace string
 	// Priority is that of the workspace, or else that of the class.
 	Priority int
-	Deadline time.Time
+	// ClassPriority is that of the class.
+	ClassPriority int
+	Deadline      time.Time
 	// Retried reports that the root or a call between the root and the nested call is a retry. Of
 	// several candidates, one that is a retry suffices, so that the bound on retries holds.
 	Retried bool
@@ -176,7 +178,7 @@
 				continue
 			}
 			a, b := &r.root, &best.root
-			exact = exact && a.Class == b.Class && a.Workspace == b.Workspace && a.Priority == b.Priority
+			exact = exact && a.Class == b.Class && a.Workspace == b.Workspace && a.Priority == b.Priority && a.ClassPriority == b.ClassPriority
 			if r.before(best) {
 				best = r
 			}
@@ -189,6 +191,9 @@
 	if r.root.Priority != o.root.Priority {
 		return r.root.Priority > o.root.Priority
 	}
+	if r.root.ClassPriority != o.root.ClassPriority {
+		return r.root.ClassPriority > o.root.ClassPriority
+	}
 	if r.made != o.made {
 		return r.made < o.made
 	}
--- a/internal/proxy/lineage.go
+++ b/internal/proxy/lineage.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,7 +31,7 @@
 		retried = 1
 	}
 	b := make([]byte, 0, 64)
-	for _, n := range []int64{int64(r.Priority), retried, r.Deadline.Sub(now).Milliseconds()} {
+	for _, n := range []int64{int64(r.Priority), int64(r.ClassPriority), retried, r.Deadline.Sub(now).Milliseconds()} {
 		b = append(strconv.AppendInt(b, n, 10), ' ')
 	}
 	b = append(append(b, r.Class...), ' ')
@@ -44,23 +45,26 @@
 		return callRoot{}
 	}
 	fields := strings.Split(s, " ")
-	if len(fields) != 5 || fields[3] == "" {
+	if len(fields) != 6 || fields[4] == "" {
 		return callRoot{}
 	}
 	priority, err1 := strconv.Atoi(fields[0])
-	retried, err2 := strconv.ParseBool(fields[1])
-	left, err3 := strconv.ParseInt(fields[2], 10, 64)
-	if err1 != nil || err2 != nil || err3 != nil || priority < config.MinPriority || priority > config.MaxPriority {
+	classPriority, err2 := strconv.Atoi(fields[1])
+	retried, err3 := strconv.ParseBool(fields[2])
+	left, err4 := strconv.ParseInt(fields[3], 10, 64)
+	if errors.Join(err1, err2, err3, err4) != nil || !validPriority(priority) || !validPriority(classPriority) {
 		return callRoot{}
 	}
 	const most = int64(maxDeadline / time.Millisecond)
 	left = min(max(left, -most), most)
 	return callRoot{known: true, Root: lineage.Root{
-		Class: fields[3], Workspace: fields[4], Priority: priority,
+		Class: fields[4], Workspace: fields[5], Priority: priority, ClassPriority: classPriority,
 		Deadline: now.Add(time.Duration(left) * time.Millisecond), Retried: retried,
 	}}
 }
 
+func validPriority(p int) bool { return p >= config.MinPriority && p <= config.MaxPriority }
+
 // findRoot finds the root of a call that may be nested. A call with a key has its own workspace, and
 // is the root of its chain.
 func (e *Entry) findRoot(c *entryCall, internal bool) {
@@ -88,7 +92,7 @@
 	}
 	name := d.Dialect.Workspace(in.header)
 	if name == "" && in.root.known {
-		return limit.Caller{Workspace: in.root.Workspace, Priority: in.root.Priority}
+		return limit.Caller{Workspace: in.root.Workspace, Priority: in.root.Priority, ClassPriority: in.root.ClassPriority}
 	}
 	if w := keys.Named(name); w != nil {
 		return limit.Caller{Workspace: name, Priority: w.Priority}
@@ -106,9 +110,9 @@
 	root := in.root.Root
 	if !in.root.known {
 		caller := d.caller(in)
-		root = lineage.Root{Class: h.target.Name, Workspace: caller.Workspace, Priority: caller.Priority, Deadline: in.deadline}
+		root = lineage.Root{Class: h.target.Name, Workspace: caller.Workspace, Priority: caller.Priority, ClassPriority: h.target.PriorityOrDefault(), Deadline: in.deadline}
 		if root.Priority == 0 {
-			root.Priority = h.target.PriorityOrDefault()
+			root.Priority = root.ClassPriority
 		}
 	}
 	root.Retried = root.Retried || retried
--- a/internal/proxy/lineage_test.go
+++ b/internal/proxy/lineage_test.go
@@ -34,7 +34,7 @@
 	m.dest[0].Lineage, m.dest[1].Lineage = lineage.NewTracker(1), lineage.NewTracker(1<<40)
 	m.entry.Local = m.dest[1]
 	m.entry.Retrier = RetryUpTo(1)
-	root := lineage.Root{Class: "browse", Workspace: "quay", Priority: 2, Deadline: time.Now().Add(time.Second)}
+	root := lineage.Root{Class: "browse", Workspace: "quay", Priority: 2, ClassPriority: 4, Deadline: time.Now().Add(time.Second)}
 	token = m.dest[1].Lineage.Begin(time.Now(), lineage.Call{Class: "browse", Root: root})
 	return m, gate, token
 }
@@ -54,17 +54,17 @@
 		return <-gate
 	}
 	public, internal := m.public.URL, m.internal.URL
-	root := limit.Caller{Workspace: "quay", Priority: 2}
+	root := limit.Caller{Workspace: "quay", Priority: 2, ClassPriority: 4}
 	for _, tt := range []struct {
 		name, url string
 		header    []string
 		want      limit.Caller
 	}{
 		{"named by the backend server", internal, []string{headerRoot, named}, root},
-		{"malformed", internal, []string{headerRoot, "9 0 1000 browse quay"}, limit.Caller{}},
+		{"malformed", internal, []string{headerRoot, "9 4 0 1000 browse quay"}, limit.Caller{}},
 		{"no header, nothing learnt", internal, nil, limit.Caller{}},
 		{"named by a caller from outside", public, []string{headerRoot, named}, limit.Caller{}},
-		{"forged by a caller from outside", public, []string{headerRoot, "9 0 1000 browse quay"}, limit.Caller{}},
+		{"forged by a caller from outside", public, []string{headerRoot, "9 4 0 1000 browse quay"}, limit.Caller{}},
 		{"a call with a key", internal, []string{headerRoot, named, headerAuthorization, "Bearer " + harbourKey}, limit.Caller{Workspace: harbourWorkspace, Priority: 8}},
 	} {
 		if caller := ask(tt.url, tt.header...); caller != tt.want {
@@ -152,14 +152,14 @@
 func TestRootRoundTrip(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, r := range []callRoot{
-		{lineage.Root{Class: "browse", Workspace: "quay", Priority: 2, Deadline: now.Add(time.Second), Retried: true}, true},
-		{lineage.Root{Class: "browse", Priority: 9, Deadline: now.Add(-time.Second)}, true},
+		{lineage.Root{Class: "browse", Workspace: "quay", Priority: 2, ClassPriority: 4, Deadline: now.Add(time.Second), Retried: true}, true},
+		{lineage.Root{Class: "browse", Priority: 9, ClassPriority: 9, Deadline: now.Add(-time.Second)}, true},
 	} {
 		if got := parseRoot(now, r.encode(now)); got != r {
 			t.Errorf("got %+v, want %+v", got, r)
 		}
 	}
-	for _, s := range []string{"", "x", "2 0 1000 browse", "2 0 1000  quay", "0 0 1000 browse quay", "11 0 1 a b", "2 2 1 a b", "2 0 x a b", "2 0 1 a b c"} {
+	for _, s := range []string{"", "x", "2 4 0 1000 browse", "2 4 0 1000  quay", "0 4 0 1000 browse quay", "11 4 0 1 a b", "2 0 0 1 a b", "2 11 0 1 a b", "2 4 2 1 a b", "2 4 0 x a b", "2 4 0 1 a b c"} {
 		if got := parseRoot(now, s); got.known {
 			t.Errorf("%q: %+v", s, got)
 		}
