--- a/internal/retry/limits.go
+++ b/internal/retry/limits.go
@@ -48,8 +48,7 @@
 	// the window, the burst comes on top of the ratio of the calls.
 	wholeSlackPart = 0.75
 	// minWholeBurst is the least burst with which the whole ratio is used. Below
-	// one retry a budget allows none. With 1.23, fewer calls were refused under
-	// random rejections than with half of the ratio; less was not measured.
+	// one retry a budget allows none.
 	minWholeBurst = 1.2
 )
 
