--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -31,10 +31,12 @@
 	// IgnoreLeavingAnswer goes on sending calls to a backend server that says in its answers
 	// that it leaves.
 	IgnoreLeavingAnswer Name = "ignore-leaving-answer"
+	// IgnoreRetryBudget sends calls again although the budget for retries is spent.
+	IgnoreRetryBudget Name = "ignore-retry-budget"
 )
 
 // All lists the defects.
 var All = []Name{
 	ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce,
-	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer,
+	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer, IgnoreRetryBudget,
 }
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -178,7 +178,8 @@
 		return p.giveUp(in, ReasonDeadlineTooNear)
 	}
 	cost := p.cost(in)
-	if !p.budget.withdraw(in.Now, cost, max(p.reserve(in, cost), p.keptForInherited(in.Now, cost))) {
+	if !p.budget.withdraw(in.Now, cost, max(p.reserve(in, cost), p.keptForInherited(in.Now, cost))) &&
+		!defect.On(defect.IgnoreRetryBudget) {
 		return p.giveUp(in, ReasonBudgetExhausted)
 	}
 	reason := ReasonOtherEndpoint
