--- a/internal/route/freeslot.go
+++ b/internal/route/freeslot.go
@@ -107,6 +107,6 @@
 	if hinted != nil {
 		return hinted
 	}
-	s, _ := p.bestOfTwo(t.subset[n], p.turns.Add(1), now, tried)
+	s, _ := p.bestOfTwo(t.subset[n], now, tried)
 	return s
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -82,12 +82,11 @@
 func (p *Picker) pickByTier(t *table, now int64, tried []string) *state {
 	var best *state
 	var bestCost float64
-	turn := p.turns.Add(1)
 	for _, subset := range t.subset {
 		if best != nil && !p.spills(bestCost) {
 			return best
 		}
-		s, cost := p.bestOfTwo(subset, turn, now, tried)
+		s, cost := p.bestOfTwo(subset, now, tried)
 		if s == nil {
 			continue
 		}
@@ -116,11 +115,9 @@
 
 // bestOfTwo returns the cheaper of the next endpoint in round-robin order and a random one, and its
 // cost. If many endpoints fail, both may be failing ones that the ejection cap keeps in; it then
-// draws further ones. turn is the position in the round robin. It advances once for each pick: if it
-// advanced for each tier that a pick looks at, a tier with an even number of endpoints would get
-// calls at half of them only.
-func (p *Picker) bestOfTwo(from []*state, turn uint64, now int64, tried []string) (*state, float64) {
-	best, factor := p.firstOfTwo(from, turn, now, tried)
+// draws further ones.
+func (p *Picker) bestOfTwo(from []*state, now int64, tried []string) (*state, float64) {
+	best, factor := p.firstOfTwo(from, now, tried)
 	if best == nil {
 		return nil, 0
 	}
@@ -152,11 +149,11 @@
 
 // nextInTurn returns the next endpoint in round-robin order, or a random one if that is not open or
 // held back by its slow start.
-func (p *Picker) nextInTurn(from []*state, turn uint64, now int64, tried []string) *state {
+func (p *Picker) nextInTurn(from []*state, now int64, tried []string) *state {
 	if len(from) == 0 {
 		return nil
 	}
-	s := from[turn%uint64(len(from))]
+	s := from[p.turns.Add(1)%uint64(len(from))]
 	if usable(s, now, tried) && p.passesSlowStart(s, now) {
 		return s
 	}
@@ -202,7 +199,7 @@
 // pickBeyondSubset considers all endpoints, including ejected ones and those outside the subset:
 // sending a call on outdated information is better than refusing it.
 func (p *Picker) pickBeyondSubset(t *table, now int64, tried []string) *state {
-	s, _ := p.bestOfTwo(t.all, p.turns.Add(1), now, tried)
+	s, _ := p.bestOfTwo(t.all, now, tried)
 	return s
 }
 
--- a/internal/route/regionwide.go
+++ b/internal/route/regionwide.go
@@ -80,10 +80,9 @@
 			best, bestCost = s, cost
 		}
 	}
-	turn := p.turns.Add(1)
-	local, cost := p.bestOfTwo(t.subset[tierOwn], turn, now, a.Tried)
+	local, cost := p.bestOfTwo(t.subset[tierOwn], now, a.Tried)
 	consider(local, cost+otherVMCostShare*a.RemoteCost)
-	remote, cost := p.bestOfTwo(t.subset[tierRegion], turn, now, a.Tried)
+	remote, cost := p.bestOfTwo(t.subset[tierRegion], now, a.Tried)
 	consider(remote, cost+a.RemoteCost)
 	if a.RemoteCost > 0 {
 		for _, s := range t.sameVM {
--- a/internal/route/runtime.go
+++ b/internal/route/runtime.go
@@ -19,14 +19,14 @@
 // firstOfTwo returns the first of two endpoints to compare, and the factor of their costs for their
 // speed. If the pick ignores reported run times, it is a random one: an endpoint that is never next in
 // turn would stay unknown otherwise, as it is slower than the one that is.
-func (p *Picker) firstOfTwo(from []*state, turn uint64, now int64, tried []string) (*state, speedFactor) {
+func (p *Picker) firstOfTwo(from []*state, now int64, tried []string) (*state, speedFactor) {
 	switch {
 	case !p.runTimes.Known():
-		return p.nextInTurn(from, turn, now, tried), (*Picker).latencyFactor
+		return p.nextInTurn(from, now, tried), (*Picker).latencyFactor
 	case p.ignoresRunTimes():
 		return p.drawRandom(from, now, tried, nil), (*Picker).latencyFactor
 	}
-	return p.nextInTurn(from, turn, now, tried), (*Picker).runTimeFactor
+	return p.nextInTurn(from, now, tried), (*Picker).runTimeFactor
 }
 
 // Between these means of the reported load per slot, run times lose their effect. When calls wait at
