--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -73,7 +73,7 @@
 	return latencyTarget > 0 && now.Sub(c.firstAttempt) > latencyTarget
 }
 
-// priority returns the priority of c's workspace, or else that of its class, as at the gates.
+// priority returns the priority of c's workspace, or else that of its class.
 func (c *entryCall) priority() int {
 	if c.workspace != nil && c.workspace.Priority != 0 {
 		return c.workspace.Priority
