review: a late 421 of another request makes a booking run twice

Cause: the dialect reads status 421 as not run before it compares the answer's Attempt-Id, so that an extra answer of an earlier request counts. Change: a script with an endpoint that crashes, is back as a new incarnation and sends some of its 421 answers a second time, late.

--- a/review/standin/late_extra_421.go
+++ b/review/standin/late_extra_421.go
@@ -10,14 +10,14 @@
 
 // Times and bounds of lateExtra421.
 const (
-	crashes        = 3                       // of one endpoint, one after another
+	crashes        = 6                       // of one endpoint, one after another
 	downFor        = 3 * time.Second         // of the endpoint that crashes
 	firstBeatAfter = 1200 * time.Millisecond // of its next incarnation
 	bookEvery      = 60 * time.Millisecond   // at each machine
 	spotEvery      = 240 * time.Millisecond
-	playFor        = 10 * time.Second // after the endpoint is back
-	maxSpoiled     = 4                // answers that an incarnation sends twice
-	maxSpoiledPart = 0.03             // of the answers of an incarnation
+	playFor        = 7 * time.Second // after the endpoint is back
+	maxSpoiled     = 3               // answers that an incarnation sends twice
+	maxSpoiledPart = 0.03            // of the answers of an incarnation
 )
 
 // lateExtra421 plays an endpoint that crashes and is back as a new incarnation at its address. Until
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,6 +39,9 @@
 var cases = map[string]func(*scenario) (broken []string, err error){
 	"late-extra-421":            lateExtra421,
 	"power-loss-after-releases": powerLossAfterReleases,
+	"leave-and-restart":         leaveAndRestart,
+	"added-prefix":              addedPrefix,
+	"store-from-a-copy":         storeFromACopy,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// store is a stand-in of the platform's metadata store that never fails by itself. It keeps rows
-// only: the nodes of these cases store no objects.
+// store is a stand-in of the platform's metadata store. It keeps rows only: the nodes of these cases
+// store no objects.
 type store struct {
 	started time.Time
 
@@ -21,6 +21,8 @@
 	history []storedRow // oldest first
 	version uint64
 	changed chan struct{} // closed at each change
+	era     int           // of the Store-Era header
+	away    bool          // connections break
 }
 
 type rowName struct {
@@ -44,7 +46,7 @@
 }
 
 func newStore() *store {
-	return &store{started: time.Now(), rows: make(map[rowName]storedRow), changed: make(chan struct{})}
+	return &store{started: time.Now(), rows: make(map[rowName]storedRow), changed: make(chan struct{}), era: 1}
 }
 
 // write writes a row as the operator does, and returns when it is acknowledged.
@@ -72,8 +74,58 @@
 
 func (s *store) now() string { return fmt.Sprintf("%dms", time.Since(s.started).Milliseconds()) }
 
+// newest returns the newest version.
+func (s *store) newest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// leave breaks all connections until restore.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notify()
+}
+
+// restore brings the store back from the copy that it was at a version. What the operator wrote since
+// is written again.
+func (s *store) restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := make(map[rowName]storedRow)
+	for n, row := range s.rows {
+		if n.Table == operatorTable && row.Version > version {
+			lost[n] = row
+		}
+	}
+	kept := s.history
+	s.rows, s.history, s.version = make(map[rowName]storedRow), nil, version
+	for _, row := range kept {
+		if row.Version <= version {
+			s.put(row)
+		}
+	}
+	for _, row := range lost {
+		s.version++
+		s.put(storedRow{row.rowName, row.Value, s.version, false})
+	}
+	s.away, s.era = false, s.era+1
+	s.notify()
+}
+
+const operatorTable = "op"
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	away, era := s.away, s.era
+	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	switch r.URL.Path {
 	case "/v1/rows-get":
 		s.get(w, r)
@@ -115,9 +167,15 @@
 	defer timeout.Stop()
 	for waiting := true; ; {
 		s.mu.Lock()
-		out, changed := s.since(q.Get("table"), after), s.changed
+		out, changed, away, unknown := s.since(q.Get("table"), after), s.changed, s.away, after > s.version
 		s.mu.Unlock()
-		if len(out.Rows) > 0 || !waiting {
+		switch {
+		case away:
+			panic(http.ErrAbortHandler)
+		case unknown:
+			http.Error(w, "no such version", http.StatusGone)
+			return
+		case len(out.Rows) > 0 || !waiting:
 			writeJSON(w, http.StatusOK, out)
 			return
 		}
