review: a change after the store's return from a copy is never in force

Cause: the source compares only the version of the configuration's row, which the store gives out again after it came back from an older copy. Store-Era is not read. Change: a script with a store that leaves for 100 ms and returns from a copy of 4 s before. The operator's change is due meanwhile and is tried every 10 ms.

--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -89,6 +89,13 @@
 	s.notify()
 }
 
+// isAway reports whether the store is away.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 // restore brings the store back from the copy that it was at a version. What the operator wrote since
 // is written again.
 func (s *store) restore(version uint64) {
--- a/review/standin/store_copy.go
+++ b/review/standin/store_copy.go
@@ -10,14 +10,14 @@
 const (
 	copyAge    = 4 * time.Second        // of the copy when the store leaves
 	storeAway  = 100 * time.Millisecond // the store
-	nextChange = 20 * time.Millisecond  // from its return to the operator's next version
+	retryEvery = 10 * time.Millisecond  // of the operator, while its change is not acknowledged
 	probeFor   = 8 * time.Second        // of the route that this version adds
 	probeEvery = 100 * time.Millisecond // at each machine
 )
 
 // storeFromACopy plays a store that is away for a moment and comes back from a copy some seconds old.
-// A machine was added and the configuration changed since the copy was made, and the operator changes
-// it once more right after.
+// A machine was added and the configuration changed since the copy was made. The operator changes it
+// once more meanwhile, and tries again until the store is back.
 func storeFromACopy(s *scenario) ([]string, error) {
 	services := []string{"berth-svc"}
 	route := func(n int) route {
@@ -55,11 +55,12 @@
 	if s.trouble {
 		s.rec.line("the store leaves at version %d", s.store.newest())
 		s.store.leave()
-		time.Sleep(storeAway)
-		s.store.restore(copied)
+		time.AfterFunc(storeAway, func() { s.store.restore(copied) })
+		for s.store.isAway() {
+			time.Sleep(retryEvery)
+		}
 		s.rec.line("the store is back, at version %d with what the operator wrote", s.store.newest())
 	}
-	time.Sleep(nextChange)
 	s.configure(3, services, route(1), route(2), route(3))
 	s.rec.line("the store is at version %d", s.store.newest())
 	// All machines are in touch again by then, and the bound on changes has passed since.
