--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,6 +42,7 @@
 	"leave-and-restart":         leaveAndRestart,
 	"added-prefix":              addedPrefix,
 	"store-from-a-copy":         storeFromACopy,
+	"connection-header":         connectionHeader,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/prefix.go
+++ b/review/standin/prefix.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// prefixes plays a change of the configuration that adds a route below another one. Requests whose
+// addedPrefix plays a change of the configuration that adds a route below another one. Requests whose
 // path the new prefix does not begin have to go on to the old route's service.
 func addedPrefix(s *scenario) ([]string, error) {
 	services := []string{"berth-svc", "records-svc"}
