--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -49,6 +49,10 @@
 // portNames are the ports of a machine. Those of the internal range are also used on 127.0.0.1.
 var portNames = []string{"app", "inbound", "outbound", "ready", "control", "internal-0", "internal-1"}
 
+// takenPorts are the ports of all machines. The nodes of several machines share 127.0.0.1, and those
+// that don't run yet hold no port.
+var takenPorts = make(map[int]bool)
+
 // newMachine returns a machine with an address of its own and free ports.
 func newMachine(name, zone, service, dir, storeAddr string) (*machine, error) {
 	m := &machine{name: name, zone: zone, service: service, dir: dir, storeAddr: storeAddr, ports: make(map[string]int)}
@@ -58,12 +62,11 @@
 			break
 		}
 	}
-	taken := make(map[int]bool)
 	for _, p := range portNames {
 		for {
 			port := 11000 + rand.IntN(18000)
-			if !taken[port] && isFree(m.ip, port) && isFree("127.0.0.1", port) {
-				taken[port], m.ports[p] = true, port
+			if !takenPorts[port] && isFree(m.ip, port) && isFree("127.0.0.1", port) {
+				takenPorts[port], m.ports[p] = true, port
 				break
 			}
 		}
