proxy: log lines of calls that were not run tell whose answer said so

Change: the lines "turned" and "dropped" have the status of the backend server's answer, the call and the backend server that it names and the number of calls that its connection has carried. marlpass explain prints them. 1: the answer names another call. 2: it names this call. 3 and 4: there is no answer.

--- a/internal/decisions/explain.go
+++ b/internal/decisions/explain.go
@@ -53,7 +53,12 @@
 	Limit    int    `json:"limit"`
 	Waiting  int    `json:"waiting"`
 	Slots    int    `json:"slots"`
-	Message  string `json:"message"`
+	// AnswerCall and AnswerInstance are what a backend server's answer that wasn't relayed names,
+	// and ConnCalls is how many calls its connection has carried.
+	AnswerCall     string `json:"answer_call"`
+	AnswerInstance string `json:"answer_instance"`
+	ConnCalls      uint64 `json:"connection_calls"`
+	Message        string `json:"message"`
 }
 
 // inner separates the id of a call from those of the calls that its backend server
@@ -162,6 +167,9 @@
 	text("class", l.Class)
 	text("root", l.Root)
 	number("status", int64(l.Status), "")
+	text("answer_call", l.AnswerCall)
+	text("answer_instance", l.AnswerInstance)
+	number("connection_calls", int64(l.ConnCalls), "")
 	number("looks", int64(l.Looks), "")
 	number("attempts", int64(l.Attempts), "")
 	number("reached", int64(l.Reached), "")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -159,6 +159,13 @@
 	}
 }
 
+// connCalls returns how many calls have used the attempt's connection.
+func (a *attempt) connCalls() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.generation / connGeneration
+}
+
 // expired reports whether a timeout ended the attempt.
 func (a *attempt) expired() bool {
 	a.mu.Lock()
@@ -208,6 +215,24 @@
 	// held is the execution of the call at this node, until its answer has been relayed; nil if
 	// another node ran it.
 	held *execution
+	// rejected describes the backend server's answer behind refusal or err; nil without one.
+	rejected *rejectedAnswer
+}
+
+// rejectedAnswer describes an answer of a backend server that isn't relayed, for log lines.
+type rejectedAnswer struct {
+	status           int
+	callID, instance string // that the answer names, or ""
+	connCalls        uint64 // calls that used the connection, including this one
+}
+
+// rejectedWith describes the answer a as evaluated by info.
+func (a *answer) rejectedWith(info *ResponseInfo) *rejectedAnswer {
+	r := &rejectedAnswer{status: a.resp.StatusCode, callID: info.CallID, instance: info.Instance}
+	if b, ok := a.resp.Body.(*answerBody); ok {
+		r.connCalls = b.attempt.connCalls()
+	}
+	return r
 }
 
 // abort closes an answer that must not be relayed, and its connection.
--- a/internal/proxy/destination_log.go
+++ b/internal/proxy/destination_log.go
@@ -40,13 +40,23 @@
 	after := now.Sub(start).Milliseconds()
 	if a.refusal != nil {
 		use := d.slotUse(b, a)
-		d.logLine(now, decisions.TurnedBy, in, b).Str("reason", string(a.refusal.Reason)).Str("detail", a.refusal.Detail).
+		l := d.logLine(now, decisions.TurnedBy, in, b).Str("reason", string(a.refusal.Reason)).Str("detail", a.refusal.Detail).
 			Int64("after_ms", after).Int("busy", use.Busy).Int("limit", use.Limit).Int("waiting", use.Waiting).
-			Int("slots", b.Slots).Msg("destination: turn the call away as not run")
+			Int("slots", b.Slots)
+		a.rejected.addTo(l).Msg("destination: turn the call away as not run")
 		return
 	}
-	d.logLine(now, decisions.Dropped, in, b).AnErr("cause", a.err).Int64("after_ms", after).
-		Msg("destination: the backend server gave no answer that can be passed on")
+	l := d.logLine(now, decisions.Dropped, in, b).AnErr("cause", a.err).Int64("after_ms", after)
+	a.rejected.addTo(l).Msg("destination: the backend server gave no answer that can be passed on")
+}
+
+// addTo adds the answer to a log line; nil adds nothing.
+func (r *rejectedAnswer) addTo(l *zerolog.Event) *zerolog.Event {
+	if r == nil {
+		return l
+	}
+	return l.Int("status", r.status).Str("answer_call", r.callID).Str("answer_instance", r.instance).
+		Uint64("connection_calls", r.connCalls)
 }
 
 // slotUse returns the load that b reported with its refusal, or else the slot usage of its gate.
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -48,12 +48,14 @@
 	}
 	switch {
 	case read.Refusal != nil:
+		rejected := a.rejectedWith(&read)
 		// Reads the short rest, so that the connection can be reused.
 		discard(a.resp)
-		return answer{refusal: read.Refusal, load: read.Load}
+		return answer{refusal: read.Refusal, load: read.Load, rejected: rejected}
 	case read.Err != nil:
+		rejected := a.rejectedWith(&read)
 		a.abort()
-		return answer{err: read.Err}
+		return answer{err: read.Err, rejected: rejected}
 	}
 	a.load = read.Load
 	d.recordRun(h, a.resp.StatusCode, read.Load, slowdown)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -51,6 +51,9 @@
 	Err        error
 	Load       Load
 	Advertised Advertised
+	// CallID and Instance are the call and the backend server that the answer names, or "". They
+	// are for log lines.
+	CallID, Instance string
 }
 
 // ownDialect is the native dialect of marlpass.
@@ -115,6 +118,7 @@
 		Refusal:    refusedByBackend(resp.Header, first(sent, call.HeaderAttempt)),
 		Load:       parseBackendLoad(resp.Header),
 		Advertised: parseAdvertised(resp.Header),
+		CallID:     first(resp.Header, headerRequestID),
 	}
 }
 
