proxy: a call that must run once never shares a connection with its rejection

What callers would see: a booking that a backend server rejected (503 with Not-Executed, or 421 of its next incarnation) goes to the same backend server again, as when a service has one endpoint or all were tried. A late copy of the rejection comes first, names the booking's ID, as both attempts have the one that the client sent, and counts as "not run". The booking goes on to a third attempt while the second one runs.

Cause: the ID tells calls apart, not the attempts of one call. Marlpass's own headers have a nonce for each attempt; the users' have none, and what the client sent may not be changed.

Change: the entry node remembers the VMs whose backend server may have rejected an attempt, for classes that aren't idempotent, and asks for a connection of its own when it sends the call there again. The destination dials one and closes it after the answer. By VM and not by endpoint, since the next incarnation has another ID and the same address.

Why it holds: an answer comes on the connection of its request, and that of the rejection isn't used for the call again. Only the entry node sends a call's attempts.

Test: TestLateRejectionOfAnEarlierAttemptIsNotRead, 503 and 421, at the entry node and at another. Before: 4 of 4 cases ran twice. After: 20 of 20 runs with the race detector.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -182,6 +182,7 @@
 	vm            string        // VM of the node at addr; empty for a backend server
 	answerTimeout time.Duration // until the answer begins
 	stallTimeout  time.Duration // between two parts of the answer
+	newConn       bool          // use a connection that no other call uses; for backend servers only
 	extra         AttemptHeaders
 }
 
@@ -259,6 +260,14 @@
 	return a.refusal == nil || a.refusal.Reason == call.ReasonBackend
 }
 
+// rejectedByBackend reports whether a backend server may have answered that it didn't run the attempt.
+//
+// It may send that answer a second time, late, where the next answer on the connection is expected.
+// The call's ID doesn't tell the two apart if the next request is another attempt of the same call.
+func (a *answer) rejectedByBackend() bool {
+	return a.refusal != nil && (a.refusal.Reason == call.ReasonBackend || a.refusal.Reason == call.ReasonNotHeld)
+}
+
 // connBroke reports whether the connection broke during the attempt, here or at the destination, as
 // it does when a backend server crashes.
 //
@@ -272,7 +281,11 @@
 func (u *Upstreams) send(ctx context.Context, now time.Time, o *outbound) answer {
 	up := u.get(now, o.addr, o.vm)
 	a := newAttempt(up, o.body.stream, o.answerTimeout)
-	resp, err := up.transport.RoundTrip(o.request(&transportRequest{
+	transport := up.transport
+	if o.newConn {
+		transport = up.unpooled
+	}
+	resp, err := transport.RoundTrip(o.request(&transportRequest{
 		attemptContext: attemptContext{Context: ctx, trace: &a.trace, dialDeadline: now.Add(o.answerTimeout)},
 	}))
 	if err == nil && a.timer.Stop() {
--- a/internal/proxy/destination.go
+++ b/internal/proxy/destination.go
@@ -93,6 +93,7 @@
 	h.waited = parseWaited(r.Header)
 	h.oneShot = first(r.Header, headerOnce) != ""
 	h.noWait, h.mayDecline = parseNoWait(r.Header)
+	h.newConn = first(r.Header, headerNewConn) != ""
 	in.advertised = parseNodeAdvertised(r.Header)
 	in.root = parseRoot(now, first(r.Header, headerRoot))
 	remoteMbps := parseLinkRate(r.Header)
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -37,7 +37,7 @@
 	d.beginLineage(now, in, h, &extra)
 	a := d.Upstreams.send(ctx, now, &outbound{
 		in: in.r, header: in.header, body: in.body, addr: h.backend.Addr, answerTimeout: remaining, stallTimeout: stallTimeoutOf(h.target),
-		extra: extra,
+		newConn: in.hop.newConn, extra: extra,
 	})
 	if a.resp == nil {
 		return a
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -94,7 +94,9 @@
 	// unavailable are the tried endpoints that currently accept no calls.
 	unavailable []string
 	// pinned are the endpoints that refused the suspect request as pinned to another endpoint.
-	pinned        []string
+	pinned []string
+	// rejectedAt are the VMs whose backend server rejected an attempt, of calls that must run once.
+	rejectedAt    []string
 	attempts      int // made so far
 	reached       int // attempts that a backend server received or may have received
 	fp            quarantine.Fingerprint
@@ -116,7 +118,7 @@
 
 // free resets c and returns it to the pool.
 func (c *entryCall) free() {
-	*c = entryCall{tried: c.tried[:0], search: slotSearch{rejected: c.search.rejected[:0]}, unavailable: c.unavailable[:0], pinned: c.pinned[:0]}
+	*c = entryCall{tried: c.tried[:0], search: slotSearch{rejected: c.search.rejected[:0]}, unavailable: c.unavailable[:0], pinned: c.pinned[:0], rejectedAt: c.rejectedAt[:0]}
 	entryCalls.Put(c)
 }
 
--- a/internal/proxy/entry_run.go
+++ b/internal/proxy/entry_run.go
@@ -58,6 +58,9 @@
 	if isUnavailable(a.refusal) {
 		c.unavailable = append(c.unavailable, ep.ID)
 	}
+	if !c.target.Idempotent && a.rejectedByBackend() {
+		c.rejectedAt = append(c.rejectedAt, ep.VM)
+	}
 	c.notePinned(a, ep)
 	if a.err != nil {
 		c.unknownErr = a.err
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -27,8 +27,17 @@
 	noWait bool
 	// mayDecline is set if the call may also be declined as slow. It is sent in headerNoWait.
 	mayDecline bool
+	// newConn is set if the attempt needs a connection of its own to the backend server. It is sent
+	// in headerNewConn.
+	newConn bool
 }
 
+// headerNewConn marks, between nodes, an attempt that needs a connection of its own to the backend
+// server.
+const headerNewConn = "Marlpass-New-Connection"
+
+var newConnValue = []string{"1"}
+
 // headerNoWait marks, between nodes, a call that searches for a free slot.
 const headerNoWait = "Marlpass-No-Wait"
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/call"
@@ -24,7 +25,7 @@
 	h := hop{
 		left: e.attemptTimeout(c, now), class: c.target.Name, service: c.target.Service, instance: ep.Instance,
 		waited: now.Sub(c.firstAttempt), oneShot: e.returning.oneShot(c.target.Name), noWait: c.search.scope != NoSearch,
-		mayDecline: e.mayDecline(c),
+		mayDecline: e.mayDecline(c), newConn: slices.Contains(c.rejectedAt, ep.VM),
 	}
 	if h.left <= 0 {
 		return answer{refusal: refuse(call.ReasonExpired, 0, "")}
@@ -43,6 +44,9 @@
 	if h.oneShot {
 		header[headerOnce] = onceValue
 	}
+	if h.newConn {
+		header[headerNewConn] = newConnValue
+	}
 	e.advertised.setHeader(header, ep.ID)
 	delete(header, headerNoWait) // of the previous offer
 	if h.noWait {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -55,6 +55,8 @@
 type upstream struct {
 	addr      string
 	transport *http.Transport
+	// unpooled uses each connection for one call; nil for nodes.
+	unpooled *http.Transport
 	// lastUsed is when a call last used the pool, in Unix seconds.
 	lastUsed atomic.Int64
 }
@@ -159,6 +161,10 @@
 	}
 	u.dropUnused(now)
 	up := &upstream{addr: addr, transport: u.newTransport(vm)}
+	if vm == "" {
+		up.unpooled = u.newTransport(vm)
+		up.unpooled.DisableKeepAlives = true
+	}
 	up.lastUsed.Store(now.Unix())
 	u.byName.Store(name, up)
 	return up
