proxy: answers that are not relayed get a file and a name of their own

Change: unrelayedAnswer in unrelayed_answer.go, with its log fields; the interface says that an answer which may be another call's is no refusal. No behaviour changes.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -216,24 +216,8 @@
 	// held is the execution of the call at this node, until its answer has been relayed; nil if
 	// another node ran it.
 	held *execution
-	// rejected describes the backend server's answer behind refusal or err; nil without one.
-	rejected *rejectedAnswer
-}
-
-// rejectedAnswer describes an answer of a backend server that isn't relayed, for log lines.
-type rejectedAnswer struct {
-	status           int
-	callID, instance string // that the answer names, or ""
-	connCalls        uint64 // calls that used the connection, including this one
-}
-
-// rejectedWith describes the answer a as evaluated by info.
-func (a *answer) rejectedWith(info *ResponseInfo) *rejectedAnswer {
-	r := &rejectedAnswer{status: a.resp.StatusCode, callID: info.CallID, instance: info.Instance}
-	if b, ok := a.resp.Body.(*answerBody); ok {
-		r.connCalls = b.attempt.connCalls()
-	}
-	return r
+	// unrelayed describes the backend server's answer behind refusal or err; nil without one.
+	unrelayed *unrelayedAnswer
 }
 
 // abort closes an answer that must not be relayed, and its connection.
--- a/internal/proxy/destination_log.go
+++ b/internal/proxy/destination_log.go
@@ -43,20 +43,11 @@
 		l := d.logLine(now, decisions.TurnedBy, in, b).Str("reason", string(a.refusal.Reason)).Str("detail", a.refusal.Detail).
 			Int64("after_ms", after).Int("busy", use.Busy).Int("limit", use.Limit).Int("waiting", use.Waiting).
 			Int("slots", b.Slots)
-		a.rejected.addTo(l).Msg("destination: turn the call away as not run")
+		a.unrelayed.addTo(l).Msg("destination: turn the call away as not run")
 		return
 	}
 	l := d.logLine(now, decisions.Dropped, in, b).AnErr("cause", a.err).Int64("after_ms", after)
-	a.rejected.addTo(l).Msg("destination: the backend server gave no answer that can be passed on")
-}
-
-// addTo adds the answer to a log line; nil adds nothing.
-func (r *rejectedAnswer) addTo(l *zerolog.Event) *zerolog.Event {
-	if r == nil {
-		return l
-	}
-	return l.Int("status", r.status).Str("answer_call", r.callID).Str("answer_instance", r.instance).
-		Uint64("connection_calls", r.connCalls)
+	a.unrelayed.addTo(l).Msg("destination: the backend server gave no answer that can be passed on")
 }
 
 // slotUse returns the load that b reported with its refusal, or else the slot usage of its gate.
--- a/internal/proxy/destination_run.go
+++ b/internal/proxy/destination_run.go
@@ -48,14 +48,14 @@
 	}
 	switch {
 	case read.Refusal != nil:
-		rejected := a.rejectedWith(&read)
+		unrelayed := a.unrelayedAs(&read)
 		// Reads the short rest, so that the connection can be reused.
 		discard(a.resp)
-		return answer{refusal: read.Refusal, load: read.Load, rejected: rejected}
+		return answer{refusal: read.Refusal, load: read.Load, unrelayed: unrelayed}
 	case read.Err != nil:
-		rejected := a.rejectedWith(&read)
+		unrelayed := a.unrelayedAs(&read)
 		a.abort()
-		return answer{err: read.Err, rejected: rejected}
+		return answer{err: read.Err, unrelayed: unrelayed}
 	}
 	a.load = read.Load
 	d.recordRun(h, a.resp.StatusCode, read.Load, slowdown)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -44,7 +44,8 @@
 
 // ResponseInfo is the result of evaluating a backend server's answer.
 type ResponseInfo struct {
-	// Refusal is set if the backend server reported that it did not run the call.
+	// Refusal is set if the backend server reported that it did not run the call. An answer that
+	// may belong to another call is no such report, whatever its status.
 	Refusal *call.Refusal
 	// Err is set if the answer doesn't belong to this attempt or can't be relayed. The call may
 	// have run.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -95,7 +95,8 @@
 	unavailable []string
 	// pinned are the endpoints that refused the suspect request as pinned to another endpoint.
 	pinned []string
-	// rejectedAt are the VMs whose backend server rejected an attempt, of calls that must run once.
+	// rejectedAt are the VMs whose backend server may have rejected an attempt. It is kept for
+	// calls that aren't idempotent only.
 	rejectedAt    []string
 	attempts      int // made so far
 	reached       int // attempts that a backend server received or may have received
