node, rollout: log lines that tell why a backend server takes calls

Lines of the registry now name the state before and after, and the number and start of the announcement; those of admissions name the order, whether it was known, and the age of the process, also when a server opens at first. The coordinator logs when the versions stop being compared, with how many nodes were silent or restarted. No logic changes.

--- a/internal/node/coordinate.go
+++ b/internal/node/coordinate.go
@@ -129,6 +129,7 @@
 	coordinator *rollout.Coordinator
 	finalAt     time.Time // when the verdict was written
 	renewedAt   time.Time
+	disturbed   bool // Status.Disturbed at the last log line
 }
 
 // coordinate runs the rollout until it is over or the lease is lost, and reports whether it is
@@ -143,7 +144,9 @@
 			return false
 		}
 		r.coordinator.SetServers(r.servers())
-		if next, changed := r.coordinator.Step(now); changed && !r.write(ctx, next) {
+		next, changed := r.coordinator.Step(now)
+		r.logStatus()
+		if changed && !r.write(ctx, next) {
 			return false
 		}
 		r.sendMessages(ctx, r.coordinator.Messages())
@@ -234,6 +237,18 @@
 	return true
 }
 
+// logStatus logs when the comparison of the versions stops or goes on.
+func (r *leasedRollout) logStatus() {
+	s := r.coordinator.Status()
+	if s.Disturbed == r.disturbed {
+		return
+	}
+	r.disturbed = s.Disturbed
+	r.log.Info().Str("service", r.order.Service).Str("target", r.order.Target).Bool("disturbed", s.Disturbed).
+		Int("sampled", s.Sampled).Int("silent", s.Silent).Int("restarted", s.Restarted).Uint64("token", r.lease.Token()).
+		Msg("rollout: whether the versions are compared has changed")
+}
+
 var errNotWritten = errors.New("node: the record of the rollout was not written")
 
 // readBack reads the revision of the written row. It returns errNotWritten if the row holds
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -127,7 +127,9 @@
 	n.control.publishBackends()
 	for _, c := range changes {
 		n.log.Info().Str("service", c.Backend.Service).Str("instance", c.Backend.Instance).
-			Stringer("change", c.Kind).Msg("announce: backend server changed")
+			Stringer("change", c.Kind).Stringer("state", c.Backend.State).Stringer("previous_state", c.PreviousState).
+			Uint64("sequence", c.Backend.Sequence).Int64("started_ms", c.Backend.Started).Bool("leaving", c.Backend.Leaving).
+			Msg("announce: backend server changed")
 		if c.Kind == announce.Replaced {
 			n.calls.suspects.backendReplaced(backendOf(c.Backend), c.PreviousState)
 		}
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -177,8 +177,8 @@
 		next.closesAt = now.Add(closeDelay)
 	}
 	s.admission.Store(next)
-	if previous == nil && !a.Open || previous != nil && (previous.Open != a.Open || previous.Limited != a.Limited) {
-		r.logChange(s, a, controller.Record())
+	if previous == nil || previous.Open != a.Open || previous.Limited != a.Limited {
+		r.logChange(s, a, controller)
 	}
 }
 
@@ -196,9 +196,12 @@
 	return a
 }
 
-func (r *rollouts) logChange(s *versionedServer, a rollout.Admission, record rollout.Record) {
+func (r *rollouts) logChange(s *versionedServer, a rollout.Admission, controller *rollout.AdmissionController) {
+	record := controller.Record()
 	r.log.Info().Str("service", s.service).Str("version", s.version).Bool("open", a.Open).Bool("limited", a.Limited).
-		Str("target", record.Target).Str("phase", string(record.Phase)).Msg("rollout: what a backend server takes has changed")
+		Uint64("order", record.Order).Str("target", record.Target).Str("phase", string(record.Phase)).
+		Bool("order_known", controller.OrderKnown()).Dur("since_start", time.Since(r.started)).
+		Msg("rollout: what a backend server takes has changed")
 }
 
 func (r *rollouts) controllerFor(service string) *rollout.AdmissionController {
--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -107,6 +107,9 @@
 // Record returns the current record.
 func (c *AdmissionController) Record() Record { return c.record }
 
+// OrderKnown reports whether a coordinator or the table has told whether there is an order.
+func (c *AdmissionController) OrderKnown() bool { return !c.updatedAt.IsZero() }
+
 // OtherVersions describes the servers of other versions of the service that a node sees.
 type OtherVersions struct {
 	// Present is set if there are any.
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -102,6 +102,7 @@
 	failures      map[string]Failures   // by class, of all rounds
 	idle          map[string]bool       // baseline servers that take and run no calls
 	acknowledged  map[string]bool       // nodes that acknowledged the current phase
+	status        Status
 }
 
 // NewCoordinator returns the coordinator of an order. r is the stored record of the service, and
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -25,6 +25,18 @@
 	answeredAt time.Time
 }
 
+// Status describes the comparison in the last step, for logs.
+type Status struct {
+	// Sampled is the number of servers whose reports were expected, Silent the number of those
+	// without one, and Restarted the number of those whose node has restarted.
+	Sampled, Silent, Restarted int
+	// Disturbed means that nothing was compared.
+	Disturbed bool
+}
+
+// Status returns the state of the comparison in the last step.
+func (c *Coordinator) Status() Status { return c.status }
+
 // RecordReports records the reports of a VM's node on its servers, in reply to a message of the
 // current phase.
 func (c *Coordinator) RecordReports(now time.Time, vm string, reports []ServerReport) {
@@ -52,23 +64,27 @@
 // numbers that differ from server to server, and the counts of the lost nodes are gone. Neither the
 // earlier counts nor those of the moment itself say anything about the version.
 func (c *Coordinator) disturbed(now time.Time) bool {
-	lost, known := 0, 0
+	c.status = Status{}
 	for _, s := range c.sampled() {
 		h := c.counts[s.key()]
 		if h == nil || !c.messaged[s.VM] {
 			continue
 		}
-		known++
-		if h.reset || h.round != c.round {
-			lost++
+		c.status.Sampled++
+		switch {
+		case h.reset:
+			c.status.Restarted++
+		case h.round != c.round:
+			c.status.Silent++
 		}
 	}
-	if float64(lost) > disturbedFraction*float64(known) {
+	if float64(c.status.Restarted+c.status.Silent) > disturbedFraction*float64(c.status.Sampled) {
 		c.undisturbedAt = now.Add(disturbanceTime)
 	}
 	if !now.Before(c.undisturbedAt) {
 		return false
 	}
+	c.status.Disturbed = true
 	for _, h := range c.counts {
 		h.base, h.recent = h.last, h.recent[len(h.recent)-1:]
 	}
