rollout: a version is promoted on calls that were compared, and gets none while they can't be

Cause: a node whose reply came late counted as lost, more than 0.15 of these cleared all evidence for 1.5 s, again and again, while the canaries were granted calls, and the promotion counted calls answered, not calls compared. The class: absence of evidence taken for evidence of health.

Reports are running totals, so comparisons now use the calls between any two reports of a server, and late ones defer a round instead of voiding the comparison. Grants, opening and promotion need fresh evidence; a version that can't be examined in time is rolled back. A good version completes where some nodes never answer.

--- a/internal/node/coordinate.go
+++ b/internal/node/coordinate.go
@@ -28,7 +28,7 @@
 	// instructTimeout bounds a request to a node, and instructConcurrency the number of
 	// concurrent requests.
 	instructTimeout     = 400 * time.Millisecond
-	instructConcurrency = 16
+	instructConcurrency = 48
 	// verdictRetryTime is how long a verdict is resent to nodes that have not answered. After
 	// that they read it from the table.
 	verdictRetryTime = 8 * time.Second
@@ -39,11 +39,10 @@
 type rolloutCoordinators struct {
 	n   *Node
 	log zerolog.Logger
-	set rollout.Settings
 }
 
 func newRolloutCoordinators(n *Node) *rolloutCoordinators {
-	return &rolloutCoordinators{n: n, log: telemetry.Part(n.log, "rollout"), set: rollout.Defaults()}
+	return &rolloutCoordinators{n: n, log: telemetry.Part(n.log, "rollout")}
 }
 
 // run starts a coordinator for each order received, until ctx ends. A newer order for a service
@@ -132,6 +131,22 @@
 	disturbed   bool // Status.Disturbed at the last log line
 }
 
+// settings returns the settings of a coordinator under the configuration in force.
+func (c *rolloutCoordinators) settings() rollout.Settings {
+	set := rollout.Defaults()
+	var longest time.Duration
+	for _, t := range c.n.store.Load().Snapshot.Targets() {
+		if t.Timeout() == 0 {
+			return set // a call of this class may take any time
+		}
+		longest = max(longest, t.Timeout())
+	}
+	if longest > 0 {
+		set.CallTimeout = longest + closeDelay
+	}
+	return set
+}
+
 // coordinate runs the rollout until it is over or the lease is lost, and reports whether it is
 // over.
 func (r *leasedRollout) coordinate(ctx context.Context) bool {
@@ -143,7 +158,7 @@
 		if !r.renew(ctx, now) {
 			return false
 		}
-		r.coordinator.SetServers(r.servers())
+		r.coordinator.SetServers(now, r.servers())
 		next, changed := r.coordinator.Step(now)
 		r.logStatus()
 		if changed && !r.write(ctx, next) {
@@ -153,7 +168,7 @@
 		if !r.finalAt.IsZero() && (r.coordinator.FinalAcknowledged() || now.Sub(r.finalAt) > verdictRetryTime) {
 			return true
 		}
-		if wait.For(ctx, max(0, r.set.Tick-time.Since(now))) != nil {
+		if wait.For(ctx, max(0, rollout.Defaults().Tick-time.Since(now))) != nil {
 			return false
 		}
 	}
@@ -169,7 +184,7 @@
 	}
 	now := time.Now()
 	r.revision = revision
-	r.coordinator = rollout.NewCoordinator(r.set, now, r.order, record, r.lease.Token(), r.elapsed(now, record))
+	r.coordinator = rollout.NewCoordinator(r.settings(), now, r.order, record, r.lease.Token(), r.elapsed(now, record))
 	r.log.Info().Str("service", r.order.Service).Str("target", r.order.Target).Uint64("token", r.lease.Token()).
 		Str("phase", string(r.coordinator.Record().Phase)).Dur("left", r.coordinator.TimeLeft(now)).Msg("rollout: this node conducts it")
 	if record.Order == r.order.Revision {
@@ -245,7 +260,8 @@
 	}
 	r.disturbed = s.Disturbed
 	r.log.Info().Str("service", r.order.Service).Str("target", r.order.Target).Bool("disturbed", s.Disturbed).
-		Int("sampled", s.Sampled).Int("silent", s.Silent).Int("restarted", s.Restarted).Uint64("token", r.lease.Token()).
+		Int("sampled", s.Sampled).Int("late", s.Late).Int("lost", s.Lost).Int("restarted", s.Restarted).
+		Uint32("compared", s.Compared).Uint32("unproven", s.Unproven).Uint64("token", r.lease.Token()).
 		Msg("rollout: whether the versions are compared has changed")
 }
 
@@ -277,6 +293,7 @@
 				VM: id, Instance: b.Instance, Version: b.Version,
 				Reachable: record.State != membership.VMSuspect,
 				Draining:  b.State == membership.BackendDraining || record.State == membership.VMLeaving,
+				Closed:    b.State == membership.BackendStarting,
 			})
 		}
 	}
--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -55,8 +55,11 @@
 	// minFailuresSmallExcess if the failure rate exceeds the baseline's by less than
 	// largeFailureExcess: nodes of new servers have just started, and fail a few more calls during
 	// faults of the mesh.
+	//
+	// minFailuresDoubt takes its place for a version that is not rejected, but gets no more calls.
 	minFailures            = 5
 	minFailuresSmallExcess = 16
+	minFailuresDoubt       = 8
 	largeFailureExcess     = 0.15
 	// minTimedAnswers is the minimum number of answers for comparing response times, and
 	// minVarianceAnswers for comparing their variance.
@@ -85,7 +88,7 @@
 // canaries, at least two must show the fault, because a single one may be a faulty server.
 func Compare(e Evidence) string {
 	for _, class := range slices.Sorted(maps.Keys(sum(e.Canaries))) {
-		if reason := failureReason(e.Failures[class]); reason != "" && enoughServersShow(e.Canaries, class, hasFailed) {
+		if reason := failureReason(e.Failures[class], minFailuresSmallExcess); reason != "" && enoughServersShow(e.Canaries, class, hasFailed) {
 			return fmt.Sprintf("class %s: %s", class, reason)
 		}
 		if reason := slownessReason(e, class); reason != "" {
@@ -116,11 +119,13 @@
 	return n >= min(2, len(servers))
 }
 
-func failureReason(f Failures) string {
+// failureReason returns the reason why f speaks against the canaries' version, or "". minSmallExcess
+// is the minimum number of failures where they exceed the expected number by little.
+func failureReason(f Failures, minSmallExcess uint32) string {
 	excess := (float64(f.Failed) - f.Expected) / float64(max(f.Calls, 1))
 	minFailed := uint32(minFailures)
 	if excess < largeFailureExcess {
-		minFailed = minFailuresSmallExcess
+		minFailed = minSmallExcess
 	}
 	if f.Failed < minFailed || excess < minFailureExcess {
 		return ""
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -14,6 +14,8 @@
 	Reachable bool
 	// Draining is set once the server has announced that it leaves.
 	Draining bool
+	// Closed is set while the server is published as taking no calls.
+	Closed bool
 }
 
 // key identifies the server.
@@ -50,6 +52,8 @@
 	// RollbackReserve is how long before its time limit a rollout without enough evidence is rolled
 	// back.
 	RollbackReserve time.Duration
+	// CallTimeout is the longest time that a call may run.
+	CallTimeout time.Duration
 }
 
 // Defaults returns the settings for production.
@@ -57,6 +61,7 @@
 	return Settings{
 		Share: 0.06, Tick: 500 * time.Millisecond, GrantTTL: 1500 * time.Millisecond,
 		BakeTime: 1200 * time.Millisecond, FinishReserve: 6 * time.Second, RollbackReserve: time.Second,
+		CallTimeout: 5 * time.Second,
 	}
 }
 
@@ -67,7 +72,7 @@
 	// maxCanaries and maxBaseline bound the servers of each version whose counts are compared.
 	maxCanaries = 12
 	maxBaseline = 24
-	// minCanaryCalls is the number of calls that the canaries must have answered before the
+	// minCanaryCalls is the number of calls of the canaries that must have been compared before the
 	// baseline drains. If a quarter of the calls that they may get is less, that quarter suffices,
 	// but no less than minCanaryCallsLowRate.
 	minCanaryCalls        = 60
@@ -77,6 +82,14 @@
 	minServerRatio = 0.7
 	// initialCalls is the grant of a canary while the call rate of the service is unknown.
 	initialCalls = 2
+	// minRecentCalls is the number of calls of the target version that must have been compared in
+	// the last recentTicks before all of its servers are opened, or a quarter of those that it may
+	// get if that is less.
+	minRecentCalls = 20
+	// maxShare is the fraction of the service's calls during the rollout that a bad version may get.
+	maxShare = 0.1
+	// unreachableWait is how long a node must have been suspected until its calls are not waited for.
+	unreachableWait = 2 * time.Second
 	// recentTicks is the number of ticks that are compared in addition to the whole period, to
 	// detect a version that turns bad late.
 	recentTicks = 8
@@ -90,19 +103,33 @@
 	token   uint64
 	started time.Time // time of the order, as far as known
 
-	round         int             // number of the last messages; reports on them cover the same period
-	messaged      map[string]bool // nodes that the last messages were sent to
-	callCredit    float64         // calls not yet granted to the canaries
-	grantTicks    int             // number of grants to the canaries
-	undisturbedAt time.Time       // end of the disturbance of the comparison
-	openedAt      time.Time       // time at which all servers of the target version were opened, or zero
+	round         int                         // number of the last messages; reports on them cover the same period
+	messaged      map[string]bool             // nodes that the last messages were sent to
+	callCredit    float64                     // calls not yet granted to the canaries
+	grantTicks    int                         // number of grants to the canaries
+	unreported    map[string]unreportedGrants // by node
+	openedAt      time.Time                   // time at which all servers of the target version were opened, or zero
+	openedRound   int
+	openings      int
 	servers       []Server
-	counts        map[string]*history   // by server
-	rounds        []map[string]Failures // by class, of the last rounds, oldest first
-	failures      map[string]Failures   // by class, of all rounds
-	idle          map[string]bool       // baseline servers that take and run no calls
-	acknowledged  map[string]bool       // nodes that acknowledged the current phase
-	status        Status
+	unreachableAt map[string]time.Time // by server: since when its node is suspected
+	closedAt      map[string]time.Time // by server: since when it is published as taking no calls
+	idle          map[string]bool      // baseline servers that take and run no calls
+	acknowledged  map[string]bool      // nodes that acknowledged the current phase
+
+	counts             map[string]*history // by server
+	losses             []int               // nodes lost or restarted in each of the last rounds
+	discardedRound     int                 // the last round in which rounds were discarded as disturbed
+	undisturbedAt      time.Time           // end of the disturbance of the comparison
+	pending            []roundCounts       // rounds that too many nodes have not reported on, oldest first
+	recent             []roundCounts       // the last rounds that were compared, oldest first
+	failures           map[string]Failures // by class, of all rounds that were compared
+	comparedCalls      uint32              // of the target version
+	comparedOpen       uint32              // those since openedAt
+	comparedSinceProof uint32
+	unprovenCalls      uint32
+	unprovenSince      time.Time
+	status             Status
 }
 
 // NewCoordinator returns the coordinator of an order. r is the stored record of the service, and
@@ -113,7 +140,9 @@
 	}
 	return &Coordinator{
 		set: set, order: o, record: r, token: token, started: now.Add(-max(elapsed, 0)),
-		counts: make(map[string]*history), failures: make(map[string]Failures), idle: make(map[string]bool), acknowledged: make(map[string]bool),
+		counts: make(map[string]*history), failures: make(map[string]Failures), unreported: make(map[string]unreportedGrants),
+		unreachableAt: make(map[string]time.Time), closedAt: make(map[string]time.Time),
+		idle: make(map[string]bool), acknowledged: make(map[string]bool),
 	}
 }
 
@@ -134,9 +163,27 @@
 	c.record = r
 }
 
-// SetServers sets the servers of the service.
-func (c *Coordinator) SetServers(servers []Server) {
+// firstOf returns the time under a key, or now if there is none.
+func firstOf(times map[string]time.Time, key string, now time.Time) time.Time {
+	if at, ok := times[key]; ok {
+		return at
+	}
+	return now
+}
+
+// SetServers sets the servers of the service as they are now.
+func (c *Coordinator) SetServers(now time.Time, servers []Server) {
 	c.servers = slices.Clone(servers)
+	unreachableAt, closedAt := make(map[string]time.Time), make(map[string]time.Time)
+	for _, s := range servers {
+		if !s.Reachable {
+			unreachableAt[s.key()] = firstOf(c.unreachableAt, s.key(), now)
+		}
+		if s.Closed {
+			closedAt[s.key()] = firstOf(c.closedAt, s.key(), now)
+		}
+	}
+	c.unreachableAt, c.closedAt = unreachableAt, closedAt
 	slices.SortFunc(c.servers, func(a, b Server) int { return cmp.Compare(a.key(), b.key()) })
 }
 
@@ -161,7 +208,7 @@
 	if c.record.Phase == Running {
 		return c.stepRunning(now)
 	}
-	if c.baselineDrained() {
+	if c.baselineDrained(now) {
 		return c.transition(Completed, "no call runs at the baseline"), true
 	}
 	return c.record, false
@@ -171,24 +218,55 @@
 // drains there are no counts of the same period to compare with, and any fault of the service would
 // reject the version.
 func (c *Coordinator) stepRunning(now time.Time) (Record, bool) {
-	if !c.disturbed(now) {
-		c.collectFailures()
-		if reason := c.rejectReason(); reason != "" {
-			return c.transition(RolledBack, reason), true
-		}
+	disturbed := c.collect(now)
+	if reason := c.rejectReason(); reason != "" {
+		return c.transition(RolledBack, reason), true
+	}
+	if !c.unprovenSince.IsZero() && now.Sub(c.unprovenSince) >= maxUnprovenTime {
+		reason := fmt.Sprintf("%d calls could not be compared for %s", c.unprovenCalls, now.Sub(c.unprovenSince).Round(time.Millisecond))
+		return c.transition(RolledBack, reason), true
+	}
+	if disturbed {
+		return c.rollBackLate(now, "many nodes were lost or restarted")
+	}
+	if len(c.pending) >= maxPending {
+		c.openedAt = time.Time{}
+		return c.rollBackLate(now, "many nodes did not report")
 	}
-	left := c.TimeLeft(now)
-	switch missing := c.missingEvidence(); {
-	case missing == "" && !c.openedAt.IsZero() && now.Sub(c.openedAt) >= c.set.BakeTime:
+	missing := cmp.Or(c.missingEvidence(), c.doubt())
+	switch left := c.TimeLeft(now); {
+	case missing != "":
+		return c.rollBackLate(now, missing)
+	case c.openedAt.IsZero() && c.mayOpen() && left <= c.set.FinishReserve && left > c.set.BakeTime+c.set.RollbackReserve:
+		c.openedAt, c.openedRound, c.comparedOpen = now, c.round, 0
+		c.openings++
+	case c.openedAt.IsZero():
+		return c.rollBackLate(now, "not all servers were in service")
+	case now.Sub(c.openedAt) >= c.set.BakeTime:
+		if float64(c.comparedOpen) < min(minCanaryCalls, c.rate()*c.set.Share*c.set.BakeTime.Seconds()/4) {
+			return c.rollBackLate(now, fmt.Sprintf("%d calls compared while all servers were in service", c.comparedOpen))
+		}
 		return c.transition(Draining, "no worse than the baseline"), true
-	case missing == "" && c.openedAt.IsZero() && left <= c.set.FinishReserve:
-		c.openedAt = now
-	case left <= c.set.RollbackReserve && (missing != "" || c.openedAt.IsZero()):
-		return c.transition(RolledBack, "no evidence in time: "+cmp.Or(missing, "not all servers were in service")), true
 	}
 	return c.record, false
 }
 
+// mayOpen reports whether all servers of the target version may be opened. Once they were closed
+// again, only a long rollout has enough calls left.
+func (c *Coordinator) mayOpen() bool {
+	open := time.Duration(c.openings) * (c.set.BakeTime + 2*c.set.GrantTTL)
+	exposed := c.set.Share*c.order.TimeLimit.Seconds() + (open+c.set.BakeTime).Seconds()/2
+	return c.openings == 0 || exposed <= maxShare*c.order.TimeLimit.Seconds()
+}
+
+// rollBackLate returns the record of a rollback once there is no time left to wait for evidence.
+func (c *Coordinator) rollBackLate(now time.Time, missing string) (Record, bool) {
+	if c.TimeLeft(now) > c.set.RollbackReserve {
+		return c.record, false
+	}
+	return c.transition(RolledBack, "no evidence in time: "+missing), true
+}
+
 func (c *Coordinator) transition(p Phase, reason string) Record {
 	r := c.record
 	r.Phase, r.Reason = p, reason
@@ -216,25 +294,34 @@
 	if float64(target) < minServerRatio*float64(baseline) || target == 0 {
 		return fmt.Sprintf("%d servers of version %s beside %d others", target, c.order.Target, baseline)
 	}
-	var n uint32
-	for _, h := range c.counts {
-		if h.version == c.order.Target {
-			n += totalCalls(h.last)
-		}
+	due := c.rate() * c.set.Share / 4
+	if wanted := min(minCanaryCalls, max(minCanaryCallsLowRate, due*c.order.TimeLimit.Seconds())); float64(c.comparedCalls) < wanted {
+		return fmt.Sprintf("%d calls answered by version %s were compared", c.comparedCalls, c.order.Target)
 	}
-	due := c.rate() * c.set.Share * c.order.TimeLimit.Seconds() / 4
-	if float64(n) < min(minCanaryCalls, max(minCanaryCallsLowRate, due)) {
-		return fmt.Sprintf("%d calls answered by version %s", n, c.order.Target)
+	recent := min(minRecentCalls, due*c.set.Tick.Seconds()*recentTicks)
+	if n := c.recentCalls(); float64(n) < recent {
+		return fmt.Sprintf("%d calls answered by version %s were compared lately", n, c.order.Target)
 	}
 	return ""
 }
 
-// baselineDrained reports whether no reachable node runs a call at the baseline.
-func (c *Coordinator) baselineDrained() bool {
+// baselineDrained reports whether no call runs at the baseline, as far as the nodes can be asked.
+//
+// A node whose reports are lost is drained by what it publishes of its server: once that takes no
+// calls, those in flight end within CallTimeout. One that is suspected for a while is mostly gone, and
+// nothing more can be learned of it.
+func (c *Coordinator) baselineDrained(now time.Time) bool {
 	for _, s := range c.servers {
-		if s.Version != c.order.Target && s.Reachable && !c.idle[s.key()] {
-			return false
+		if s.Version == c.order.Target || c.idle[s.key()] {
+			continue
+		}
+		if at, unreachable := c.unreachableAt[s.key()]; unreachable && now.Sub(at) >= unreachableWait {
+			continue
+		}
+		if at, closed := c.closedAt[s.key()]; closed && now.Sub(at) >= c.set.CallTimeout {
+			continue
 		}
+		return false
 	}
 	return true
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -2,34 +2,65 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
 const (
-	// disturbedFraction is the fraction of sampled nodes whose loss disturbs a comparison, and
-	// disturbanceTime how long the disturbance lasts.
+	// lostRounds is the number of rounds without a report after which a node counts as lost. Until
+	// then it is late, and says nothing about the version.
+	lostRounds = 4
+	// disturbedFraction is the fraction of sampled nodes that are lost or restart within
+	// disturbingRounds and disturb the comparison, and disturbanceTime how long a disturbance by restarts lasts. That
+	// by losses is over when they are noticed.
 	disturbedFraction = 0.15
+	disturbingRounds  = 2
 	disturbanceTime   = 1500 * time.Millisecond
+	// proofCalls is the number of further compared calls after which a version that is not rejected
+	// counts as examined again, and maxUnprovenCalls the number of calls that it may get before the
+	// time to examine them, maxUnprovenTime, starts.
+	proofCalls       = 30
+	maxUnprovenCalls = 50
+	maxUnprovenTime  = 3500 * time.Millisecond
 )
 
-// history holds the counts of a server by tick.
+// history holds the reports on a server. Reports are running totals, so one that is lost costs
+// nothing but time: the next one includes its calls.
 type history struct {
 	version    string
-	base       map[string]Counts // counts at the start of the whole period
-	prev       map[string]Counts // of the report before last
-	last       map[string]Counts
-	recent     []map[string]Counts // oldest first, at most recentTicks
-	rate       float64             // calls per second
-	round      int                 // round of the last report
-	reset      bool                // its node has restarted since the previous report
+	last       map[string]Counts // the last report
+	round      int               // its round
 	answeredAt time.Time
+	rate       float64 // calls per second
+	restarted  bool    // its node has restarted since the previous report
+	lost       bool
+
+	// counted is the part of last that was compared or discarded, up to countedRound.
+	counted      map[string]Counts
+	countedRound int
+	// compared holds the counts of all rounds that were compared.
+	compared map[string]Counts
+}
+
+// roundCounts holds the calls reported in one round.
+type roundCounts struct {
+	number   int
+	servers  map[string]map[string]Counts // by server and class
+	baseline map[string]Counts            // sum over the baseline's servers, by class
+	failures map[string]Failures          // of the canaries, by class
+	calls    uint32                       // of the canaries
 }
 
 // Status describes the comparison in the last step, for logs.
 type Status struct {
-	// Sampled is the number of servers whose reports were expected, Silent the number of those
-	// without one, and Restarted the number of those whose node has restarted.
-	Sampled, Silent, Restarted int
+	// Sampled is the number of servers whose reports were expected, Late the number of those without
+	// one, Lost the number of those without one for some time, and Restarted the number of those
+	// whose node has restarted.
+	Sampled, Late, Lost, Restarted int
+	// Compared is the number of calls of the target version that were compared so far, and Unproven
+	// the number of those since it was last examined.
+	Compared, Unproven uint32
 	// Disturbed means that nothing was compared.
 	Disturbed bool
 }
@@ -41,30 +72,124 @@
 // current phase.
 func (c *Coordinator) RecordReports(now time.Time, vm string, reports []ServerReport) {
 	c.acknowledged[vm] = true
+	granted := c.unreported[vm].calls
+	delete(c.unreported, vm)
 	for _, report := range reports {
 		key := Server{VM: vm, Instance: report.Instance}.key()
 		c.idle[key] = c.record.Phase == Draining && report.Held && report.InFlight == 0
 		h := c.counts[key]
 		if h == nil {
-			h = &history{version: report.Version, answeredAt: now}
+			h = &history{version: report.Version, answeredAt: now, countedRound: c.round - 1}
 			c.counts[key] = h
 		} else if passed := now.Sub(h.answeredAt); passed > 0 {
-			h.reset = totalCalls(report.Counts) < totalCalls(h.last)
+			h.restarted = totalCalls(report.Counts) < totalCalls(h.last)
 			h.rate = float64(totalCalls(sinceAll(report.Counts, h.last))) / passed.Seconds()
 		}
-		h.prev, h.last, h.answeredAt, h.round = h.last, report.Counts, now, c.round
-		h.recent = append(h.recent, report.Counts)
-		h.recent = h.recent[max(0, len(h.recent)-recentTicks):]
+		if h.restarted && h.version == c.order.Target {
+			c.unprovenCalls += uint32(granted) // what it counted of them is gone
+		}
+		if h.lost && h.version != c.order.Target {
+			// Its calls since the last report belong to a longer period than those of the others.
+			h.counted, h.countedRound = report.Counts, c.round
+		}
+		h.last, h.answeredAt, h.round, h.lost = report.Counts, now, c.round, false
 	}
 }
 
-// disturbed reports whether many nodes were lost or restarted between two rounds, now or recently.
+// collect takes in the reports of the last round, and reports whether the comparison is disturbed.
 //
-// It guards a good version. The loss of many nodes at once makes calls fail for a moment, in
-// numbers that differ from server to server, and the counts of the lost nodes are gone. Neither the
-// earlier counts nor those of the moment itself say anything about the version.
-func (c *Coordinator) disturbed(now time.Time) bool {
+// The loss of many nodes at once makes calls fail for a moment, in numbers that differ from server to
+// server. What they say of that moment is discarded. A report that is merely late defers the
+// comparison of its round instead, by less than lostRounds.
+func (c *Coordinator) collect(now time.Time) bool {
+	c.pending = append(c.pending, c.newRound())
+	if c.observeLosses() {
+		c.losses, c.pending, c.openedAt, c.discardedRound = nil, nil, time.Time{}, c.round
+		if c.status.Restarted > 0 {
+			c.undisturbedAt = now.Add(disturbanceTime)
+		}
+	}
+	c.status.Disturbed = now.Before(c.undisturbedAt)
+	if c.status.Disturbed {
+		c.pending, c.openedAt = nil, time.Time{}
+	} else {
+		c.compareUpTo(c.lastCompleteRound())
+	}
+	c.updateUnproven(now)
+	c.status.Compared, c.status.Unproven = c.comparedCalls, c.unprovenCalls
+	return c.status.Disturbed
+}
+
+// newRound returns the calls that were reported in the last round for the first time.
+func (c *Coordinator) newRound() roundCounts {
+	r := roundCounts{
+		number: c.round, servers: make(map[string]map[string]Counts),
+		baseline: make(map[string]Counts), failures: make(map[string]Failures),
+	}
+	sampled := c.sampled()
+	for _, s := range sampled {
+		if h := c.counts[s.key()]; h != nil && h.countedRound < c.discardedRound {
+			// Its calls since then include those of the disturbed time.
+			if s.Version == c.order.Target {
+				c.unprovenCalls += totalCalls(sinceAll(h.last, h.counted))
+			}
+			h.counted, h.countedRound = h.last, c.round
+		}
+	}
+	for _, s := range sampled {
+		if h := c.counts[s.key()]; h != nil && h.round == c.round && s.Version != c.order.Target {
+			addAll(r.baseline, r.take(s, h))
+		}
+	}
+	if totalCalls(r.baseline) == 0 {
+		return r // nothing to compare with yet; later reports include these calls
+	}
+	for _, s := range sampled {
+		h := c.counts[s.key()]
+		if h == nil || h.round != c.round || s.Version != c.order.Target {
+			continue
+		}
+		baseline := c.baselineSince(h.countedRound, r)
+		counts := r.take(s, h)
+		r.calls += totalCalls(counts)
+		for class, n := range counts {
+			f := r.failures[class]
+			f.Add(n, baseline[class])
+			r.failures[class] = f
+		}
+	}
+	c.unprovenCalls += r.calls
+	return r
+}
+
+// take adds the calls of a server that were not counted yet to the round.
+func (r *roundCounts) take(s Server, h *history) map[string]Counts {
+	counts := sinceAll(h.last, h.counted)
+	r.servers[s.key()] = counts
+	h.counted, h.countedRound = h.last, r.number
+	return counts
+}
+
+// baselineSince returns the baseline's calls in r and the rounds before it that follow the given
+// round, as far as they are kept.
+func (c *Coordinator) baselineSince(round int, r roundCounts) map[string]Counts {
+	sum := make(map[string]Counts)
+	addAll(sum, r.baseline)
+	for _, list := range [][]roundCounts{c.recent, c.pending} {
+		for _, earlier := range list {
+			if earlier.number > round {
+				addAll(sum, earlier.baseline)
+			}
+		}
+	}
+	return sum
+}
+
+// observeLosses reports whether so many nodes were lost or restarted lately that the comparison is
+// disturbed. Nodes that stay lost disturb it once; the others are compared without them.
+func (c *Coordinator) observeLosses() bool {
 	c.status = Status{}
+	events := 0
 	for _, s := range c.sampled() {
 		h := c.counts[s.key()]
 		if h == nil || !c.messaged[s.VM] {
@@ -72,49 +197,110 @@
 		}
 		c.status.Sampled++
 		switch {
-		case h.reset:
+		case h.round == c.round && h.restarted:
 			c.status.Restarted++
+			events++
+		case h.lost:
+			c.status.Lost++
+		case c.round-h.round >= lostRounds:
+			h.lost = true
+			c.status.Lost++
+			events++
 		case h.round != c.round:
-			c.status.Silent++
+			c.status.Late++
 		}
 	}
-	if float64(c.status.Restarted+c.status.Silent) > disturbedFraction*float64(c.status.Sampled) {
-		c.undisturbedAt = now.Add(disturbanceTime)
-	}
-	if !now.Before(c.undisturbedAt) {
-		return false
+	c.losses = append(c.losses, events)
+	c.losses = c.losses[max(0, len(c.losses)-disturbingRounds):]
+	sum := 0
+	for _, n := range c.losses {
+		sum += n
 	}
-	c.status.Disturbed = true
-	for _, h := range c.counts {
-		h.base, h.recent = h.last, h.recent[len(h.recent)-1:]
+	return float64(sum) > disturbedFraction*float64(c.status.Sampled)
+}
+
+// lastCompleteRound returns the last round that enough servers have reported on, in that round or
+// later.
+func (c *Coordinator) lastCompleteRound() int {
+	for round := c.round; round > c.round-lostRounds; round-- {
+		missing, known := 0, 0
+		for _, s := range c.sampled() {
+			h := c.counts[s.key()]
+			if h == nil || !c.messaged[s.VM] || h.lost {
+				continue
+			}
+			known++
+			if h.round < round {
+				missing++
+			}
+		}
+		if float64(missing) <= disturbedFraction*float64(known) {
+			return round
+		}
 	}
-	c.rounds, c.failures = nil, make(map[string]Failures)
-	return true
+	return c.round - lostRounds
 }
 
-// collectFailures adds the failures of the last round.
-func (c *Coordinator) collectFailures() {
-	canaries, baseline := make(map[string]Counts), make(map[string]Counts)
-	for _, s := range c.sampled() {
-		h := c.counts[s.key()]
-		if h == nil || h.round != c.round {
-			continue
+// compareUpTo adds the pending rounds up to the given one to the evidence.
+func (c *Coordinator) compareUpTo(round int) {
+	for len(c.pending) > 0 && c.pending[0].number <= round {
+		r := c.pending[0]
+		c.pending = c.pending[1:]
+		c.recent = append(c.recent, r)
+		mergeAll(c.failures, r.failures)
+		for key, counts := range r.servers {
+			h := c.counts[key]
+			if h.compared == nil {
+				h.compared = make(map[string]Counts)
+			}
+			addAll(h.compared, counts)
+		}
+		c.comparedCalls += r.calls
+		c.comparedSinceProof += r.calls
+		if !c.openedAt.IsZero() && r.number > c.openedRound+1 {
+			c.comparedOpen += r.calls
 		}
-		to := baseline
-		if s.Version == c.order.Target {
-			to = canaries
+	}
+	for len(c.recent) > 0 && c.recent[0].number <= c.round-recentTicks {
+		c.recent = c.recent[1:]
+	}
+}
+
+// updateUnproven keeps the number of the target version's calls since it was last examined, and the
+// time since when there are too many of them.
+func (c *Coordinator) updateUnproven(now time.Time) {
+	if c.comparedSinceProof >= proofCalls && float64(c.comparedCalls) >= c.firstProofCalls() {
+		c.comparedSinceProof, c.unprovenCalls, c.unprovenSince = 0, c.pendingCalls(), time.Time{}
+	}
+	if c.unprovenCalls+c.unreportedCalls() >= maxUnprovenCalls && c.unprovenSince.IsZero() {
+		c.unprovenSince = now
+	}
+}
+
+// unreportedCalls returns the number of calls granted to canaries that have not reported on them yet.
+func (c *Coordinator) unreportedCalls() uint32 {
+	var n uint32
+	for _, s := range c.canaries() {
+		if h := c.counts[s.key()]; h != nil && !h.lost {
+			n += uint32(c.unreported[s.VM].calls)
 		}
-		addAll(to, sinceAll(h.last, h.prev))
 	}
-	round := make(map[string]Failures)
-	for class, counts := range canaries {
-		var f Failures
-		f.Add(counts, baseline[class])
-		round[class] = f
+	return n
+}
+
+// firstProofCalls returns the number of compared calls after which the version is examined for the
+// first time: enough to compare the variance of its times, or as many as it gets in time.
+func (c *Coordinator) firstProofCalls() float64 {
+	return min(minVarianceAnswers, maxUnprovenCalls+c.rate()*c.set.Share*maxUnprovenTime.Seconds()/2)
+}
+
+// pendingCalls returns the number of the target version's calls in pending rounds.
+func (c *Coordinator) pendingCalls() uint32 {
+	var n uint32
+	for _, r := range c.pending {
+		n += r.calls
 	}
-	c.rounds = append(c.rounds, round)
-	c.rounds = c.rounds[max(0, len(c.rounds)-recentTicks):]
-	mergeAll(c.failures, round)
+	return n
 }
 
 func mergeAll(to, from map[string]Failures) {
@@ -125,25 +311,79 @@
 	}
 }
 
-// rejectReason returns the reason why the target version is worse than the baseline, over the whole
-// period or recently, or "". Servers whose nodes did not reply to the last messages are left out:
-// when many nodes are lost, the remaining ones would be compared with an earlier period.
+// recentCalls returns the number of the target version's calls that were compared in the last rounds.
+func (c *Coordinator) recentCalls() uint32 {
+	var n uint32
+	for _, r := range c.recent {
+		n += r.calls
+	}
+	return n
+}
+
+// rejectReason returns the reason why the target version is worse than the baseline, or "": over the
+// whole period, over the last rounds, or since all of its servers were opened.
 func (c *Coordinator) rejectReason() string {
-	whole, recent := Evidence{Failures: c.failures}, Evidence{Failures: make(map[string]Failures)}
-	for _, round := range c.rounds {
-		mergeAll(recent.Failures, round)
+	recent := c.evidenceOf(c.recent)
+	reason := cmp.Or(Compare(c.wholeEvidence()), Compare(recent))
+	if reason == "" && !c.openedAt.IsZero() {
+		reason = Compare(c.evidenceOf(c.openRounds(c.recent)))
+	}
+	return reason
+}
+
+// doubt returns the reason why the target version should not get more calls yet, or "": it has failed
+// more often than the baseline, or would be rejected if the pending rounds counted.
+func (c *Coordinator) doubt() string {
+	for _, class := range slices.Sorted(maps.Keys(c.failures)) {
+		if reason := failureReason(c.failures[class], minFailuresDoubt); reason != "" {
+			return reason
+		}
 	}
+	return Compare(c.evidenceOf(c.openRounds(append(slices.Clone(c.recent), c.pending...))))
+}
+
+// openRounds returns the rounds whose calls ran while all servers of the target version were open.
+func (c *Coordinator) openRounds(rounds []roundCounts) []roundCounts {
+	return slices.DeleteFunc(slices.Clone(rounds), func(r roundCounts) bool { return r.number <= c.openedRound+1 })
+}
+
+// wholeEvidence returns the evidence of all rounds that were compared. Lost servers are left out: the
+// remaining ones would be compared with an earlier period.
+func (c *Coordinator) wholeEvidence() Evidence {
+	e := Evidence{Failures: c.failures}
 	for _, s := range c.sampled() {
-		h := c.counts[s.key()]
-		if h == nil || h.round != c.round {
-			continue
+		if h := c.counts[s.key()]; h != nil && !h.lost {
+			e.add(s.Version == c.order.Target, h.compared)
 		}
-		all, recentCounts := sinceAll(h.last, h.base), sinceAll(h.last, h.recent[0])
-		if s.Version == c.order.Target {
-			whole.Canaries, recent.Canaries = append(whole.Canaries, all), append(recent.Canaries, recentCounts)
-		} else {
-			whole.Baseline, recent.Baseline = append(whole.Baseline, all), append(recent.Baseline, recentCounts)
+	}
+	return e
+}
+
+// evidenceOf returns the evidence of some rounds.
+func (c *Coordinator) evidenceOf(rounds []roundCounts) Evidence {
+	e := Evidence{Failures: make(map[string]Failures)}
+	servers := make(map[string]map[string]Counts)
+	for _, r := range rounds {
+		mergeAll(e.Failures, r.failures)
+		for key, counts := range r.servers {
+			if servers[key] == nil {
+				servers[key] = make(map[string]Counts)
+			}
+			addAll(servers[key], counts)
 		}
 	}
-	return cmp.Or(Compare(whole), Compare(recent))
+	for _, s := range c.sampled() {
+		if h := c.counts[s.key()]; h != nil && !h.lost {
+			e.add(s.Version == c.order.Target, servers[s.key()])
+		}
+	}
+	return e
+}
+
+func (e *Evidence) add(canary bool, counts map[string]Counts) {
+	if canary {
+		e.Canaries = append(e.Canaries, counts)
+	} else {
+		e.Baseline = append(e.Baseline, counts)
+	}
 }
--- a/internal/rollout/grants.go
+++ b/internal/rollout/grants.go
@@ -2,6 +2,20 @@
 
 import "slices"
 
+// openCanaryRatio is the number of servers of the target version for each that remains a canary while
+// the others are open.
+const openCanaryRatio = 4
+
+// maxUnknown bounds the nodes in a round of messages that have not acknowledged the rollout and are
+// not sampled.
+const maxUnknown = 16
+
+// maxPending is the number of rounds without a comparison after which the canaries get no calls.
+const maxPending = 3
+
+// maxUnreported is the number of grants to a node that are not followed by a report.
+const maxUnreported = 3
+
 // canaries returns the servers of the target version that take calls while the rollout runs. There
 // are enough for their speeds to be as mixed as the baseline's, but each gets a call per tick.
 func (c *Coordinator) canaries() []Server {
@@ -10,13 +24,27 @@
 	return evenlySpaced(target, min(max(n, minCanaries), maxCanaries))
 }
 
+// openCanaries returns the servers of the target version that remain canaries while all others are
+// open. Entry nodes offer calls to canaries wherever they are; open servers may get none as long as
+// those nearby have free slots, and nothing could be compared.
+func (c *Coordinator) openCanaries() []Server {
+	target := slices.DeleteFunc(c.serversOf(true), func(s Server) bool { return !s.Reachable })
+	return evenlySpaced(target, (len(target)+2)/openCanaryRatio)
+}
+
 // sampled returns the servers whose counts are compared.
 func (c *Coordinator) sampled() []Server {
 	canaries := c.canaries()
 	if !c.openedAt.IsZero() || c.record.Phase != Running {
 		canaries = evenlySpaced(c.serversOf(true), maxCanaries)
+		for _, s := range c.openCanaries() {
+			if !slices.Contains(canaries, s) {
+				canaries = append(canaries, s)
+			}
+		}
 	}
-	return append(slices.Clone(canaries), evenlySpaced(c.serversOf(false), maxBaseline)...)
+	baseline := slices.DeleteFunc(c.serversOf(false), func(s Server) bool { return !s.Reachable })
+	return append(slices.Clone(canaries), evenlySpaced(baseline, maxBaseline)...)
 }
 
 // evenlySpaced returns n servers at even distances in the given order, so that they cover several
@@ -44,8 +72,15 @@
 			}
 		}
 	case c.record.Phase == Draining || !c.openedAt.IsZero():
+		var canaries []Server
+		if c.record.Phase == Running {
+			canaries = c.openCanaries()
+		}
 		for _, s := range c.serversOf(true) {
-			grants[s.VM] = Grant{Kind: GrantOpen, TTL: c.set.GrantTTL}
+			if slices.Contains(canaries, s) {
+				continue
+			}
+			grants[s.VM] = c.reportedGrant(s.VM, Grant{Kind: GrantOpen, TTL: c.set.GrantTTL})
 		}
 		for _, s := range c.serversOf(false) {
 			if c.record.Phase == Draining && !c.idle[s.key()] {
@@ -67,11 +102,43 @@
 			grants[s.VM] = Grant{}
 		}
 	}
-	if c.record.Phase == Running && c.openedAt.IsZero() {
+	if c.record.Phase != Running {
+		return
+	}
+	c.addUnknown(grants)
+	if !c.openedAt.IsZero() {
+		c.grantCanaries(c.openCanaries(), grants)
+	} else if !c.status.Disturbed && len(c.pending) < maxPending {
 		c.grantCanaries(c.canaries(), grants)
 	}
 }
 
+// addUnknown adds servers of the target version whose nodes have not acknowledged the rollout yet: one
+// of them may have been open before.
+func (c *Coordinator) addUnknown(grants map[string]Grant) {
+	n := 0
+	for _, s := range c.serversOf(true) {
+		if _, present := grants[s.VM]; !present && !c.acknowledged[s.VM] && n < maxUnknown {
+			grants[s.VM] = Grant{}
+			n++
+		}
+	}
+}
+
+// unreportedGrants are the grants to a node since its last report.
+type unreportedGrants struct{ rounds, calls int }
+
+// reportedGrant returns the grant for a node, or none if the node has not reported on its last
+// grants: what its servers answer would stay unknown.
+func (c *Coordinator) reportedGrant(vm string, g Grant) Grant {
+	u := c.unreported[vm]
+	if c.record.Phase == Running && u.rounds >= maxUnreported {
+		return Grant{}
+	}
+	c.unreported[vm] = unreportedGrants{u.rounds + 1, u.calls + g.Calls}
+	return g
+}
+
 // grantCanaries grants the canaries their calls until the next tick. The remainder of the division
 // goes to different canaries each time.
 func (c *Coordinator) grantCanaries(canaries []Server, grants map[string]Grant) {
@@ -90,7 +157,7 @@
 		if (i+c.grantTicks)%n < whole%n {
 			calls++
 		}
-		grants[s.VM] = Grant{Kind: GrantLimited, Calls: calls, TTL: c.set.GrantTTL}
+		grants[s.VM] = c.reportedGrant(s.VM, Grant{Kind: GrantLimited, Calls: calls, TTL: c.set.GrantTTL})
 	}
 	c.grantTicks++
 }
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -41,6 +42,8 @@
 	callEnds   []time.Time // end of each recent call
 	callsLeft  int
 	admitted   Admission
+	silent     bool // instructions and reports are lost
+	mute       bool // reports are lost
 }
 
 // model is a service whose calls go to random servers among those that take calls. Time is virtual,
@@ -55,6 +58,8 @@
 	rate      float64 // calls per second of the whole service
 	failing   float64 // fraction of failed answers at any version
 	bad       *fault
+	// lostReplies is the fraction of reports that are lost; the instructions arrive.
+	lostReplies float64
 
 	record      Record // in the table
 	token       uint64
@@ -64,6 +69,8 @@
 	badAnswers     int
 	fiftiethBadAt  time.Time     // time of the 50th bad answer
 	lateCalls      int           // calls of the new version more than rollbackBound after fiftiethBadAt
+	badAnsweredAt  []time.Time   // ends of the bad answers
+	startsAfterBad []time.Time   // starts of the new version's calls, once fiftiethBadAt is set
 	cutCalls       int           // calls that ran at the baseline when it was stopped
 	verdictAfter   time.Duration // time from the order until the final phase
 }
@@ -114,9 +121,10 @@
 func (m *model) step() {
 	var seen []Server
 	for _, s := range m.servers {
+		s.Closed = !s.admission(m.now).Open
 		seen = append(seen, s.Server)
 	}
-	m.coordinator.SetServers(seen)
+	m.coordinator.SetServers(m.now, seen)
 	if next, changed := m.coordinator.Step(m.now); changed {
 		m.record = next
 		m.coordinator.RecordWritten(next)
@@ -127,8 +135,11 @@
 	}
 	for _, message := range m.coordinator.Messages() {
 		for _, s := range m.servers {
-			if s.VM == message.VM && s.Reachable {
+			if s.VM == message.VM && s.Reachable && !s.silent {
 				s.controller.Apply(m.now, message.Instruction)
+				if s.mute || m.lostReplies > 0 && m.rng.Float64() < m.lostReplies {
+					continue
+				}
 				m.coordinator.RecordReports(m.now, s.VM, []ServerReport{m.report(s)})
 			}
 		}
@@ -150,6 +161,17 @@
 	}
 }
 
+// killSome kills and restarts the nodes of every nth server.
+func (m *model) killSome(n int) {
+	first := m.rng.IntN(n)
+	for i, s := range m.servers {
+		if i%n == first {
+			s.controller, s.tally = AdmissionController{}, new(Tally)
+			s.controller.ApplyTable(m.now, m.order, m.record)
+		}
+	}
+}
+
 // countCutCalls counts the calls that the end of the baseline interrupts.
 func (m *model) countCutCalls() {
 	if m.record.Phase != Completed {
@@ -214,6 +236,9 @@
 		if !m.fiftiethBadAt.IsZero() && now.Sub(m.fiftiethBadAt) > rollbackBound {
 			m.lateCalls++
 		}
+		if !m.fiftiethBadAt.IsZero() {
+			m.startsAfterBad = append(m.startsAfterBad, now)
+		}
 		if f := m.bad; f != nil && now.Sub(m.startedAt) >= f.after && m.targetShare() >= f.underLoad {
 			wrong := m.rng.Float64() < f.failed
 			failed = failed || wrong
@@ -222,6 +247,7 @@
 			}
 			if wrong {
 				m.badAnswers++
+				m.badAnsweredAt = append(m.badAnsweredAt, now.Add(min(took, longestCall)))
 			}
 			if m.badAnswers == 50 && m.fiftiethBadAt.IsZero() {
 				m.fiftiethBadAt = now
@@ -231,6 +257,22 @@
 	s.tally.Add(modelClass, min(took, longestCall), true, failed)
 }
 
+// lateStarts returns the number of calls that started more than rollbackBound after the fiftieth bad
+// answer had ended.
+func (m *model) lateStarts() int {
+	if len(m.badAnsweredAt) < 50 {
+		return 0
+	}
+	slices.SortFunc(m.badAnsweredAt, time.Time.Compare)
+	bound, n := m.badAnsweredAt[49].Add(rollbackBound), 0
+	for _, at := range m.startsAfterBad {
+		if at.After(bound) {
+			n++
+		}
+	}
+	return n
+}
+
 // targetShare returns the servers of the new version as a fraction of all servers that take any
 // number of calls.
 func (m *model) targetShare() float64 {
