rollout, node: a server takes no calls until its standing in a rollout is known

Callers would see a version that was rolled back, or one on trial, take all the calls that its VMs can get after a restart of their nodes (EXPOSURE). A node that starts asks its backend server who it is, and the answer holds no version; a server without a version was admitted at once, whatever the record said, until its next announcement, up to 1.5 s later. Three more ways stood open: a view that is empty since the node has just started, or is cut off from all others, counted as 'no other version'; one read of the table without an order, which may be stale, opened a new version for good; and a node that remembered the record of an earlier rollout admitted the target of the next.

Now a server whose version is not announced is admitted only once a read has found no order; one whose version is known, by a record that names it, a read that covers its start, or a complete view without another version. A node reads when it starts: one read more at each start, at most two a second while the table refuses. Beside another version in service, 'no order' counts once a second read, 3 s later, confirms it.

TestUnannouncedVersionTakesNoCallsDuringARollout, TestLaterOrderIsReadForANewServer and the changed TestUnknownVersionWaitsForTheTable, which now asks for a complete view and for the second read, each fail with the conditions before (by hand: the empty version and the remembered record were admitted).

--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -44,6 +44,8 @@
 	Service  string
 	Address  netip.AddrPort
 	Version  string // of its software; empty if not reported
+	// VersionUnknown means that the backend server was asked for its identity, but not for its version.
+	VersionUnknown bool
 	Slots    int
 	State    membership.BackendState
 	Load     int // calls running or queued
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -57,7 +57,7 @@
 			Msg("announce: the probe of the backend server failed, waiting for its announcement")
 		return false
 	}
-	a.Service = n.set.VM.Service
+	a.Service, a.VersionUnknown = n.set.VM.Service, a.Version == ""
 	changes, err := n.registry.Put(time.Now(), a)
 	if err != nil {
 		n.log.Info().Err(err).Str("instance", a.Instance).Msg("announce: the identity that the backend server reported is refused")
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -29,6 +29,9 @@
 	settleTime = 3 * time.Second
 	// lapseCheckInterval is the time between two checks for expired grants.
 	lapseCheckInterval = 100 * time.Millisecond
+	// fetchInterval is the minimum time between two reads of the order of a service, so that a table
+	// that refuses them is not asked more often.
+	fetchInterval = 500 * time.Millisecond
 	// rolloutReadTimeout bounds a read or write of orders and records.
 	rolloutReadTimeout = 2 * time.Second
 )
@@ -47,7 +50,8 @@
 
 	mu          sync.Mutex // guards controllers, fetching, and server fields that calls do not use
 	controllers map[string]*rollout.AdmissionController
-	fetching    map[string]bool // services whose order is being fetched
+	fetching    map[string]bool      // services whose order is being fetched
+	fetchedAt   map[string]time.Time // when the last fetch began, by service
 
 	servers atomic.Pointer[map[string]*versionedServer] // by instance
 	wake    chan struct{}
@@ -56,6 +60,7 @@
 // versionedServer is a backend server of one version with its current admission.
 type versionedServer struct {
 	service, version string
+	versionUnknown   bool
 	warmAt           time.Time
 	// tally counts calls for the rollout of an order; nil before the first instruction.
 	tally     atomic.Pointer[rollout.Tally]
@@ -86,6 +91,7 @@
 	r := &rollouts{
 		n: n, log: telemetry.Part(n.log, "rollout"), started: time.Now(),
 		controllers: make(map[string]*rollout.AdmissionController), fetching: make(map[string]bool),
+		fetchedAt: make(map[string]time.Time),
 		wake: make(chan struct{}, 1),
 	}
 	r.servers.Store(&map[string]*versionedServer{})
@@ -147,8 +153,11 @@
 	out := slices.Clone(list)
 	for i, b := range list {
 		s := old[b.Instance]
-		if s == nil || s.version != b.Version || s.service != b.Service {
-			s = &versionedServer{service: b.Service, version: b.Version, firstSeen: now, warmAt: b.LoadAt.Add(b.WarmupRemaining)}
+		if s == nil || s.version != b.Version || s.versionUnknown != b.VersionUnknown || s.service != b.Service {
+			s = &versionedServer{
+				service: b.Service, version: b.Version, versionUnknown: b.VersionUnknown,
+				firstSeen: now, warmAt: b.LoadAt.Add(b.WarmupRemaining),
+			}
 		}
 		next[b.Instance] = s
 		r.updateAdmission(now, s)
@@ -216,11 +225,15 @@
 // observeVersions looks for servers of other versions in the view. A server that took calls
 // before they appeared is of the version that they replace.
 func (r *rollouts) observeVersions(s *versionedServer) rollout.OtherVersions {
-	others := rollout.OtherVersions{FirstSeen: s.firstSeen}
+	v := r.n.views.Load()
+	others := rollout.OtherVersions{
+		FirstSeen: s.firstSeen, Unannounced: s.versionUnknown,
+		// A node that found no other may be cut off from the servers of another version.
+		Complete: s.settled || len(v.Records) > 1 && r.n.control.members.Joined(),
+	}
 	if s.settled || s.version == "" {
 		return others
 	}
-	v := r.n.views.Load()
 	for id, record := range v.Records {
 		if id == v.Self {
 			continue
@@ -237,6 +250,11 @@
 
 // run updates the backend servers when grants expire or closed servers may open, until ctx ends.
 func (r *rollouts) run(ctx context.Context) {
+	if service := r.n.set.VM.Service; service != "" && r.n.o.Orders != nil {
+		r.mu.Lock()
+		r.fetchOrder(service) // a server that is probed is not admitted before
+		r.mu.Unlock()
+	}
 	ticker := time.NewTicker(lapseCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -259,7 +277,7 @@
 	for _, s := range *r.servers.Load() {
 		a := s.admission.Load()
 		lapsed := !a.Until.IsZero() && !now.Before(a.Until)
-		if s.version != "" && (starting || lapsed || !a.Open) {
+		if (s.version != "" || s.versionUnknown) && (starting || lapsed || !a.Open) {
 			return true
 		}
 	}
@@ -276,10 +294,11 @@
 
 // fetchOrder reads the order and the record of a service in a goroutine. The caller holds r.mu.
 func (r *rollouts) fetchOrder(service string) {
-	if r.fetching[service] {
+	begin := time.Now()
+	if r.fetching[service] || begin.Sub(r.fetchedAt[service]) < fetchInterval {
 		return
 	}
-	r.fetching[service] = true
+	r.fetching[service], r.fetchedAt[service] = true, begin
 	go func() {
 		ctx, cancel := context.WithTimeout(r.n.parts.ctx, rolloutReadTimeout)
 		defer cancel()
@@ -291,7 +310,7 @@
 			r.log.Warn().Str("service", service).Err(err).Msg("rollout: the order is not known")
 			return
 		}
-		r.controllerFor(service).ApplyTable(time.Now(), order, record)
+		r.controllerFor(service).ApplyTable(begin, order, record)
 		r.requestUpdate()
 	}()
 }
--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -53,11 +53,11 @@
 	grant  Grant
 	until  time.Time // expiry of the grant
 
-	// updatedAt is when the state was last updated by a coordinator or from the table.
+	// updatedAt is when the state was last updated: the time of an instruction, or of the start of the
+	// read of the table.
 	updatedAt time.Time
-	// tableRead is set once the table was read, or an instruction was applied, after a server was
-	// seen whose version differs from that of another server of the service.
-	tableRead bool
+	// noOrderSince is the time of the first of the reads in a row that found no order.
+	noOrderSince time.Time
 }
 
 // Times of an AdmissionController without an update.
@@ -67,6 +67,12 @@
 	// maxUnknownWait is how long a server waits for the first read to succeed, if no other version
 	// is in service that could take the calls instead.
 	maxUnknownWait = 3 * time.Second
+	// maxStaleness is how old the answer to a read may be. A server beside those of another version
+	// waits for as long after a read that found no order, and for another read.
+	maxStaleness = 3 * time.Second
+	// readAhead is how long before a server is first seen a read may have started and still cover it:
+	// a node reads when it starts, before it has heard of its server.
+	readAhead = time.Second
 )
 
 // Apply applies an instruction of a coordinator. It returns false for an outdated one, such as that
@@ -84,14 +90,16 @@
 	}
 	c.record, c.token, c.grant, c.updatedAt = next, i.Token, i.Grant, now
 	c.until = now.Add(i.Grant.TTL)
-	c.tableRead = true
 	return true
 }
 
-// ApplyTable applies the contents of the table: the newest order, and the record, which may be that
-// of an earlier order or empty.
+// ApplyTable applies the contents of the table, the read of which started at now: the newest order,
+// and the record, which may be that of an earlier order or empty.
 func (c *AdmissionController) ApplyTable(now time.Time, o Order, r Record) {
-	c.tableRead, c.updatedAt = true, now
+	c.updatedAt = now
+	if o.Revision == 0 && c.noOrderSince.IsZero() {
+		c.noOrderSince = now
+	}
 	if o.Revision > r.Order {
 		r = r.nextOrder(o, now)
 	}
@@ -110,39 +118,58 @@
 // OrderKnown reports whether a coordinator or the table has told whether there is an order.
 func (c *AdmissionController) OrderKnown() bool { return !c.updatedAt.IsZero() }
 
-// OtherVersions describes the servers of other versions of the service that a node sees.
+// OtherVersions describes what a node sees beside a server.
 type OtherVersions struct {
-	// Present is set if there are any.
-	Present bool
-	// Ready is set if some of them take calls.
-	Ready bool
-	// FirstSeen is when the server was first seen before the table was read.
+	// Present is set if there are servers of other versions, Ready if some of them take calls.
+	Present, Ready bool
+	// Complete is set if the node sees all nodes of the mesh.
+	Complete bool
+	// Unannounced is set if the server's own version is not known yet.
+	Unannounced bool
+	// FirstSeen is when the server was first seen.
 	FirstSeen time.Time
 }
 
 // Admit returns which calls a server takes.
 //
-// If other servers of the service have another version, the server waits until the table was read.
-// It may belong to a rollout that this node does not know of, for example because it has just
-// started.
+// A server whose standing is not known takes none: it may belong to a rollout that this node does not
+// know of, for example because it has just started. Its standing is known from a record that names its
+// version, from a read of the table, or from a complete view without another version.
 func (c *AdmissionController) Admit(now time.Time, version string, others OtherVersions) Admission {
 	open := Admission{Open: true}
 	switch {
+	case others.Unannounced:
+		return Admission{Open: c.record.Order == 0 && c.covers(others)}
 	case version == "":
 		return open
-	case c.record.Order == 0:
-		if c.tableRead || !others.Present || !others.Ready && now.Sub(others.FirstSeen) >= maxUnknownWait {
-			return open
-		}
-		return Admission{}
 	case version == c.record.Target:
 		return c.admitTarget(now)
 	case slices.Contains(c.record.Rejected, version):
 		return Admission{}
-	case c.record.Phase == Draining || c.record.Phase == Completed:
-		return Admission{Open: !slices.Contains(c.record.Replaced, version)}
+	case (c.record.Phase == Draining || c.record.Phase == Completed) && slices.Contains(c.record.Replaced, version):
+		return Admission{}
 	}
-	return open
+	return Admission{Open: c.standingKnown(now, others)}
+}
+
+// covers reports whether the last update tells of all orders that there were when a server was first
+// seen.
+func (c *AdmissionController) covers(others OtherVersions) bool {
+	return !c.updatedAt.IsZero() && !c.updatedAt.Add(readAhead).Before(others.FirstSeen)
+}
+
+// standingKnown reports whether it is known that no rollout concerns a server, or no other server
+// could take its calls.
+func (c *AdmissionController) standingKnown(now time.Time, others OtherVersions) bool {
+	switch {
+	case !others.Present && others.Complete:
+		return true
+	case !others.Ready && now.Sub(others.FirstSeen) >= maxUnknownWait:
+		return true
+	case !c.covers(others):
+		return false
+	}
+	return c.record.Order != 0 || !others.Ready || c.updatedAt.Sub(c.noOrderSince) >= maxStaleness
 }
 
 func (c *AdmissionController) admitTarget(now time.Time) Admission {
@@ -166,10 +193,14 @@
 // if no read is needed.
 func (c *AdmissionController) NextTableRead(version string, others OtherVersions) (time.Time, bool) {
 	switch {
-	case version == "" || c.record.Phase.Final() || c.record.Order == 0 && (c.tableRead || !others.Present):
+	case version == "" && !others.Unannounced:
 		return time.Time{}, false
-	case c.updatedAt.IsZero():
+	case !c.covers(others):
 		return others.FirstSeen, true
+	case c.record.Order == 0:
+		return c.noOrderSince.Add(maxStaleness), true
+	case c.record.Phase.Final():
+		return time.Time{}, false
 	}
 	return c.updatedAt.Add(tableReadInterval), true
 }
--- a/internal/rollout/admission_test.go
+++ b/internal/rollout/admission_test.go
@@ -22,18 +22,73 @@
 	if c.Admit(testStart, newVersion, mixed(true)).Open {
 		t.Error("a server beside those of another version was admitted before the table was read")
 	}
-	if !c.Admit(testStart, newVersion, OtherVersions{FirstSeen: testStart}).Open {
+	if c.Admit(testStart, newVersion, OtherVersions{FirstSeen: testStart}).Open {
+		t.Error("a server was admitted though this node may not see those of another version")
+	}
+	if !c.Admit(testStart, newVersion, OtherVersions{FirstSeen: testStart, Complete: true}).Open {
 		t.Error("a server whose version is the only one was not admitted")
 	}
 	if _, ask := c.NextTableRead(newVersion, mixed(true)); !ask {
 		t.Error("no read of the table is due")
 	}
 	c.ApplyTable(testStart, Order{}, Record{})
-	if !c.Admit(testStart, newVersion, mixed(true)).Open {
+	if c.Admit(testStart, newVersion, mixed(true)).Open {
+		t.Error("a server was admitted by one read, which may be stale")
+	}
+	due, ask := c.NextTableRead(newVersion, mixed(true))
+	if !ask || due.Sub(testStart) != maxStaleness {
+		t.Errorf("the next read is due after %s, %v", due.Sub(testStart), ask)
+	}
+	c.ApplyTable(due, Order{}, Record{})
+	if !c.Admit(due, newVersion, mixed(true)).Open {
 		t.Error("a server was not admitted though no rollout is ordered")
 	}
 }
 
+// Guards against a server of a bad version that takes calls after a restart of its node, until its
+// announcement tells which version it is.
+func TestUnannouncedVersionTakesNoCallsDuringARollout(t *testing.T) {
+	probed := OtherVersions{FirstSeen: testStart, Complete: true, Unannounced: true}
+	var c AdmissionController
+	if c.Admit(testStart, "", probed).Open {
+		t.Error("admitted before the table was read")
+	}
+	if due, ask := c.NextTableRead("", probed); !ask || due.After(testStart) {
+		t.Error("no read of the table is due")
+	}
+	for _, phase := range []Phase{Running, Draining, Completed, RolledBack} {
+		var c AdmissionController
+		c.ApplyTable(testStart, Order{Target: newVersion, Revision: 7}, Record{Order: 7, Target: newVersion, Phase: phase})
+		if c.Admit(testStart, "", probed).Open {
+			t.Errorf("%s: admitted though it may be of either version", phase)
+		}
+	}
+	c.ApplyTable(testStart, Order{}, Record{})
+	if !c.Admit(testStart, "", probed).Open {
+		t.Error("not admitted though no rollout was ever ordered")
+	}
+}
+
+// Guards against a server of a new version that takes calls because its node remembers the rollout
+// before.
+func TestLaterOrderIsReadForANewServer(t *testing.T) {
+	var c AdmissionController
+	first := Record{Order: 7, Target: newVersion, Phase: Completed, Replaced: []string{oldVersion}}
+	c.ApplyTable(testStart, Order{Service: "s", Target: newVersion, Revision: 7}, first)
+	later := testStart.Add(time.Minute)
+	seen := OtherVersions{Present: true, Ready: true, Complete: true, FirstSeen: later}
+	if c.Admit(later, "v3", seen).Open {
+		t.Error("admitted before the table was read for it")
+	}
+	if due, ask := c.NextTableRead("v3", seen); !ask || due.After(later) {
+		t.Error("no read of the table is due")
+	}
+	c.ApplyTable(later, Order{Service: "s", Target: "v3", Revision: 9}, first)
+	if c.Admit(later, "v3", seen).Open {
+		t.Error("admitted without a grant")
+	}
+}
+
 // Guards against a service without any server, when all have restarted and the table is
 // unavailable.
 func TestServerAdmittedWhenNoOtherServes(t *testing.T) {
