announce, node: acknowledged departures outlive the process that acknowledged them

Callers saw requests reach a backend server for up to 11 s after its node had acknowledged that it leaves, and 502 when it ended (DRAIN). Cause: what has left was remembered by the process alone. After a restart a heartbeat that was sent before the departure, and came late, made the backend server ready again; where all nodes had restarted no entry node remembered either.

A node that starts reads the rows of its VM, one read.

Weighed: other nodes forget when all restart; the probe alone trusts a health check that may be wrong, and costs a request at a loaded server; the number of a heartbeat says nothing to a process that has none to compare with.

--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -33,6 +33,9 @@
 	// later start or under a new name. A withdrawal is then remembered even if no announcement
 	// of the instance was received before.
 	NoInstanceReuse bool
+	// RestoreDepartures means that ready announcements put no backend server into service before the
+	// departures recorded by earlier processes are restored, or the backend server is confirmed.
+	RestoreDepartures bool
 }
 
 // RenewEvery returns the interval at which a backend server should renew its lease.
@@ -46,9 +49,9 @@
 	Version  string // of its software; empty if not reported
 	// VersionUnknown means that the backend server was asked for its identity, but not for its version.
 	VersionUnknown bool
-	Slots    int
-	State    membership.BackendState
-	Load     int // calls running or queued
+	Slots          int
+	State          membership.BackendState
+	Load           int // calls running or queued
 	// Started is the start of this incarnation of the instance, in Unix milliseconds;
 	// zero where an instance gets a new name with each start.
 	Started int64
@@ -72,6 +75,8 @@
 	Expires    time.Time
 	// Leaving means that it said, other than by an announcement, that it leaves.
 	Leaving bool
+	// Held means that it announced itself as ready and is not in service, since it may have left.
+	Held bool
 }
 
 // ChangeKind is the kind of a change to a backend server.
@@ -137,6 +142,11 @@
 	departed  departedInstances
 	// leaving holds the incarnations that said, other than by an announcement, that they leave.
 	leaving departedInstances
+	// restored is set once the departures of earlier processes are known, confirmed is the instance
+	// that is in service whatever they are, and heldSince when the hold on an instance began.
+	restored  bool
+	confirmed string
+	heldSince time.Time
 
 	refused atomic.Uint64
 }
@@ -176,8 +186,12 @@
 	if leaving {
 		a.State = membership.BackendDraining
 	}
+	held := r.hold(now, a)
+	if held {
+		a.State = membership.BackendStarting
+	}
 	list, changes := r.evictAtAddress(a.Address, a.Instance)
-	b := Backend{Announcement: a, Addr: a.Address.String(), LoadAt: now, Expires: now.Add(r.limits.TTL), Leaving: leaving}
+	b := Backend{Announcement: a, Addr: a.Address.String(), LoadAt: now, Expires: now.Add(r.limits.TTL), Leaving: leaving, Held: held}
 	at, known := find(list, a.Instance)
 	if !known {
 		if len(list) >= r.limits.MaxBackends {
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -35,6 +35,8 @@
 	IgnoreRetryBudget Name = "ignore-retry-budget"
 	// IgnoreQuota admits calls of workspaces that have used up their quota.
 	IgnoreQuota Name = "ignore-quota"
+	// ForgetDepartures ignores, after a restart, that backend servers have said that they leave.
+	ForgetDepartures Name = "forget-departures"
 	// KeepKey passes on the key of a call, and the workspace that its caller names.
 	KeepKey Name = "keep-key"
 )
@@ -43,5 +45,5 @@
 var All = []Name{
 	ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce,
 	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer, IgnoreRetryBudget,
-	IgnoreQuota, KeepKey,
+	IgnoreQuota, ForgetDepartures, KeepKey,
 }
--- a/internal/node/advertisements.go
+++ b/internal/node/advertisements.go
@@ -17,7 +17,9 @@
 	gates    *gates
 	registry *announce.Registry
 	// onChange is called after a change of the registry.
-	onChange  func([]announce.Change)
+	onChange func([]announce.Change)
+	// departed is called for an incarnation that leaves.
+	departed  func(announce.Departure)
 	decisions *decisions.Log
 }
 
@@ -45,6 +47,7 @@
 	if changes := a.registry.MarkLeaving(b.Instance, started); len(changes) > 0 {
 		a.line(now, b).Msg(message)
 		a.onChange(changes)
+		a.departed(announce.Departure{Instance: b.Instance, Started: started, At: now})
 	}
 }
 
--- a/internal/node/advertisements_test.go
+++ b/internal/node/advertisements_test.go
@@ -23,7 +23,7 @@
 	g := newGates()
 	g.update(now, r.Load(), &program{}, func(string) int { return 1 })
 	b, _ := backends{r}.Find("s", "i-1")
-	return &advertisements{gates: g, registry: r, onChange: func([]announce.Change) {}}, r, b
+	return &advertisements{gates: g, registry: r, onChange: func([]announce.Change) {}, departed: func(announce.Departure) {}}, r, b
 }
 
 // Guards against a node that restarts, gets an announcement from before its backend server announced
--- a/internal/node/callpath.go
+++ b/internal/node/callpath.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/decisions"
@@ -63,7 +64,9 @@
 		lineage:         lineage.NewTracker(rand.Uint64()),
 		shutdownTracing: shutdownTracing,
 	}
-	c.advertisements = &advertisements{gates: c.gates, registry: n.registry, onChange: n.backendsChanged, decisions: c.decisions}
+	c.advertisements = &advertisements{gates: c.gates, registry: n.registry, onChange: n.backendsChanged, decisions: c.decisions,
+		departed: func(d announce.Departure) { n.departures.store(d) },
+	}
 	c.pickers.onEject = c.logEjection
 	c.suspects = &suspects{
 		list:          quarantine.New(time.Now(), quarantine.Options{Self: n.self.ID}),
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -29,7 +29,7 @@
 		return
 	}
 	until := time.Now().Add(discoverTimeout)
-	for ctx.Err() == nil && len(n.registry.Load()) == 0 {
+	for ctx.Err() == nil && n.registry.AwaitsConfirmation() {
 		service := n.store.Load().Snapshot.Service(n.set.VM.Service)
 		switch {
 		case service == nil:
@@ -58,6 +58,7 @@
 		return false
 	}
 	a.Service, a.VersionUnknown = n.set.VM.Service, a.Version == ""
+	n.registry.Confirm(a.Instance)
 	changes, err := n.registry.Put(time.Now(), a)
 	if err != nil {
 		n.log.Info().Err(err).Str("instance", a.Instance).Msg("announce: the identity that the backend server reported is refused")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	store *config.Store[*program]
 
 	registry   *announce.Registry
+	departures *departures
 	calls      *callPath
 	rollouts   *rollouts
 	workspaces *workspaces
@@ -127,7 +128,7 @@
 	rows := n.set.Platform.Form == settings.FormRows
 	n.registry = announce.NewRegistry(announce.Limits{
 		TTL: n.set.Announce.TTLOr(announce.DefaultTTL), MaxBackends: announce.DefaultMaxBackends,
-		AllowNonLoopback: rows, NoInstanceReuse: rows,
+		AllowNonLoopback: rows, NoInstanceReuse: rows, RestoreDepartures: rows,
 	})
 	n.rollouts = newRollouts(n)
 	n.workspaces = newWorkspaces(n)
@@ -135,6 +136,7 @@
 	if n.control, err = newControl(n); err != nil {
 		return err
 	}
+	n.departures = newDepartures(n)
 	if n.calls, err = newCallPath(n); err != nil {
 		return err
 	}
@@ -183,6 +185,7 @@
 	n.servers.start(n.parts)
 	n.parts.run("refresh", func(ctx context.Context) error { n.refresh(ctx); return nil })
 	n.parts.run("quiet", func(ctx context.Context) error { n.controlCPU.run(ctx); return nil })
+	n.parts.run("departures", func(ctx context.Context) error { n.departures.restore(ctx); <-ctx.Done(); return nil })
 	n.parts.run("discover", func(ctx context.Context) error { n.discover(ctx); <-ctx.Done(); return nil })
 	n.parts.run("once", func(ctx context.Context) error { n.calls.runBackground(ctx); return nil })
 	n.parts.run("rollouts", func(ctx context.Context) error { n.rollouts.run(ctx); return nil })
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -92,7 +92,7 @@
 		n: n, log: telemetry.Part(n.log, "rollout"), started: time.Now(),
 		controllers: make(map[string]*rollout.AdmissionController), fetching: make(map[string]bool),
 		fetchedAt: make(map[string]time.Time),
-		wake: make(chan struct{}, 1),
+		wake:      make(chan struct{}, 1),
 	}
 	r.servers.Store(&map[string]*versionedServer{})
 	return r
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -107,7 +107,7 @@
 // announceHandler returns the handler for announcements of backend servers.
 func (n *Node) announceHandler(own *announce.Server) (http.Handler, error) {
 	if n.o.Announce != nil {
-		return n.o.Announce(AnnounceDeps{Registry: n.registry, KnowsService: n.knowsService, OnChange: n.backendsChanged}), nil
+		return n.o.Announce(AnnounceDeps{Registry: n.registry, KnowsService: n.knowsService, OnChange: n.backendsChanged, Departures: n.departures}), nil
 	}
 	return own.Handler()
 }
@@ -120,6 +120,8 @@
 	KnowsService func(service string) bool
 	// OnChange must be called after every change of the registry.
 	OnChange func([]announce.Change)
+	// Departures must have recorded a departure before it is acknowledged.
+	Departures announce.Departures
 }
 
 // knowsService keeps an announcement under an unknown service name from replacing the backend
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -10,17 +10,19 @@
 //	lease/NAME           a lease with its fencing token
 //	once/CLASS/KEY       the claim and outcome of a keyed request
 //	contact/DC/VM        an address to make first contact with
+//	departure/VM/NAME    a backend server that has said that it leaves
 //	rollout/SERVICE      how the rollout of a service's version stands
 //	status/NAME          what operators read of the mesh
 const (
-	HeadKey       = "head"
-	LogPrefix     = "log/"
-	CommandPrefix = "command/"
-	LeasePrefix   = "lease/"
-	OncePrefix    = "once/"
-	ContactPrefix = "contact/"
-	RolloutPrefix = "rollout/"
-	StatusPrefix  = "status/"
+	HeadKey         = "head"
+	LogPrefix       = "log/"
+	CommandPrefix   = "command/"
+	LeasePrefix     = "lease/"
+	OncePrefix      = "once/"
+	ContactPrefix   = "contact/"
+	DeparturePrefix = "departure/"
+	RolloutPrefix   = "rollout/"
+	StatusPrefix    = "status/"
 )
 
 // SnapshotPrefix begins the object names of snapshots; the hash follows.
