announce: a late heartbeat of a crashed backend server doesn't shut out its successor

Callers would lose a backend server for good: a heartbeat of its predecessor at the same address, delayed by a partition, that arrived at a node which had restarted or dropped the lease, replaced the successor and put it among those that have left. All its heartbeats were acknowledged and dropped from then on. Cause: where neither tells its start, the announcement that arrived last was taken for the newer one, for good.

A replaced instance now returns by two announcements in a row without one of the other instance between them. The crashed one sends nothing more, the successor goes on: it is back within two heartbeats.

--- a/internal/announce/departure_test.go
+++ b/internal/announce/departure_test.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -86,6 +87,29 @@
 	}
 }
 
+// Guards against a late announcement of a backend server that has crashed, which keeps its successor
+// at the same address out of service for good.
+func TestLateAnnouncementOfACrashedBackendServer(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := restarted()
+	r.RestoreDepartures(now, nil)
+	_, _ = r.Put(now, announcement("new", 3, membership.BackendReady))
+	_, _ = r.Put(now, announcement("crashed", 9, membership.BackendReady))
+	for i := range 2 {
+		now = now.Add(1500 * time.Millisecond)
+		_, _ = r.Put(now, announcement("new", uint64(4+i), membership.BackendReady))
+	}
+	if s := stateOf(r, "new"); s != membership.BackendReady {
+		t.Errorf("the successor is %v after two further announcements", s)
+	}
+	if _, err := r.Put(now, announcement("crashed", 10, membership.BackendReady)); !errors.Is(err, ErrStale) {
+		t.Errorf("another late announcement: got %v", err)
+	}
+	if s := stateOf(r, "new"); s != membership.BackendReady {
+		t.Errorf("the successor is %v after another late announcement", s)
+	}
+}
+
 // Guards against any order of announcements, late ones among them, departures, restarts and lost
 // answers of the table in which an acknowledged departure is forgotten, or another incarnation is kept
 // out of service.
@@ -103,7 +127,7 @@
 			if !now.Before(restoreAt) {
 				r.RestoreDepartures(now, stored)
 			}
-			switch rapid.SampledFrom([]string{"announce", "announce", "late", "leave", "restart", "expire"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"announce", "announce", "late", "leave", "crash", "restart", "expire"}).Draw(t, "event") {
 			case "announce":
 				sequence++
 				a := announcement(name, sequence, membership.BackendReady)
@@ -130,6 +154,9 @@
 					starts++
 					name, sequence = fmt.Sprintf("i-%d", starts), 0
 				}
+			case "crash":
+				starts++
+				name, sequence = fmt.Sprintf("i-%d", starts), 0
 			case "restart":
 				r = restarted()
 				restoreAt = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "silent")) * time.Millisecond)
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -141,7 +141,8 @@
 	lastSweep time.Time
 	departed  departedInstances
 	// leaving holds the incarnations that said, other than by an announcement, that they leave.
-	leaving departedInstances
+	leaving  departedInstances
+	replaced replacedInstances
 	// restored is set once the departures of earlier processes are known, confirmed is the instance
 	// that is in service whatever they are, and heldSince when the hold on an instance began.
 	restored  bool
@@ -186,6 +187,9 @@
 	if leaving {
 		a.State = membership.BackendDraining
 	}
+	if !r.mayReturn(a) {
+		return nil, ErrStale
+	}
 	held := r.hold(now, a)
 	if held {
 		a.State = membership.BackendStarting
@@ -216,13 +220,18 @@
 //
 // It guards against a backend server that crashes and returns under another instance name before
 // its old lease expires. Both entries would lead to the same process, and its slots would count
-// twice. Only one process can listen on an address, so the newer announcement is the valid one.
+// twice. Only one process can listen on an address, so the newer announcement is the valid one,
+// as far as is known (see replacedInstances).
 func (r *Registry) evictAtAddress(address netip.AddrPort, instance string) ([]Backend, []Change) {
 	list := make([]Backend, 0, len(r.Load())+1)
 	var gone []Change
 	for _, b := range r.Load() {
 		if b.Address == address && b.Instance != instance {
-			r.departed.add(b.Announcement)
+			if b.Started != 0 || b.Sequence == 0 {
+				r.departed.add(b.Announcement)
+			} else {
+				r.replaced.add(b.Announcement)
+			}
 			gone = append(gone, Change{Kind: Replaced, Backend: b, PreviousState: b.State})
 			continue
 		}
