proxy: an answer without an end is cut off once its caller has left

A backend server whose answer's body goes on without end held its slot, two connections and a relay at two nodes for as long as the caller kept reading: only silence ended an answer that had begun. The caller got bytes past the deadline that it had named, and other callers were refused since the slots were taken. A rejection whose body comes byte by byte held the attempt in the same way.

A caller's deadline now also bounds the body of its answer, with 0.2 s for what is under way; that of the class doesn't, and a caller that names none gets the answer as long as it reads. The body of a rejection gets 0.2 s. Keyed calls, whose outcome is kept for others, are left out. Not cut: an answer whose head came in time and whose body is whole by then.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -228,6 +228,13 @@
 	a.resp.Body.Close()
 }
 
+// endBodyAt bounds the time in which the answer's body is read.
+func (a *answer) endBodyAt(t time.Time) {
+	if b, ok := a.resp.Body.(*answerBody); ok {
+		b.endsAt = t
+	}
+}
+
 // outcome returns whether the attempt ran, did not run, or may have run.
 func (a *answer) outcome() call.Outcome {
 	switch {
@@ -274,6 +281,7 @@
 	}))
 	if err == nil && a.timer.Stop() {
 		a.answer.ReadCloser, a.answer.timerStopped, a.answer.stallTimeout = resp.Body, true, o.stallTimeout
+		a.answer.endsAt = time.Time{}
 		resp.Body = &a.answer
 		return answer{resp: resp}
 	}
@@ -337,6 +345,7 @@
 	attempt      *attempt
 	timerStopped bool // the attempt's timer isn't running
 	stallTimeout time.Duration
+	endsAt       time.Time // when the rest is cut off, or zero
 }
 
 // Limits of the stall timeout. The minimum allows for the retransmission of a lost packet.
@@ -358,7 +367,11 @@
 // Read reads the next part, within the stall timeout.
 func (b *answerBody) Read(p []byte) (int, error) {
 	b.timerStopped = false
-	b.attempt.timer.Reset(b.stallTimeout)
+	timeout := b.stallTimeout
+	if !b.endsAt.IsZero() {
+		timeout = min(timeout, time.Until(b.endsAt))
+	}
+	b.attempt.timer.Reset(timeout)
 	n, err := b.ReadCloser.Read(p)
 	b.timerStopped = b.attempt.timer.Stop()
 	if err != nil && err != io.EOF && b.attempt.expired() {
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -15,9 +15,9 @@
 type Dialect interface {
 	// CallID returns the ID of a call in the logs of all nodes, or "".
 	CallID(h http.Header) string
-	// AcceptCall returns how long the call may take, and sets the headers in h about the call's
+	// AcceptCall returns the time bounds of the call, and sets the headers in h about the call's
 	// origin that only this node may set. ok is false if the caller's deadline is malformed.
-	AcceptCall(h http.Header, t *config.Target) (left time.Duration, ok bool)
+	AcceptCall(h http.Header, t *config.Target) (bounds TimeBounds, ok bool)
 	// TakeKey returns the caller's API key, or "". It removes a workspace header set by the
 	// caller, and the key itself if hide is set.
 	TakeKey(h http.Header, hide bool) string
@@ -57,6 +57,14 @@
 	CallID, Instance string
 }
 
+// TimeBounds are the time bounds of a call.
+type TimeBounds struct {
+	// Left is how long the call may take until its answer begins.
+	Left time.Duration
+	// CallerWaits is how long the caller waits for the whole answer; zero if it doesn't say.
+	CallerWaits time.Duration
+}
+
 // ownDialect is the native dialect of marlpass.
 type ownDialect struct{}
 
@@ -67,12 +75,16 @@
 func (ownDialect) CallID(h http.Header) string { return first(h, headerRequestID) }
 
 // AcceptCall implements Dialect.
-func (ownDialect) AcceptCall(h http.Header, t *config.Target) (time.Duration, bool) {
+func (ownDialect) AcceptCall(h http.Header, t *config.Target) (TimeBounds, bool) {
 	left, ok := timeLeft(h, t.Deadline())
+	b := TimeBounds{Left: left}
+	if first(h, call.HeaderDeadline) != "" {
+		b.CallerWaits = left
+	}
 	if t.TimeoutMS > 0 {
-		left = min(left, t.Timeout())
+		b.Left = min(b.Left, t.Timeout())
 	}
-	return left, ok
+	return b, ok
 }
 
 const (
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -87,8 +87,9 @@
 	// caller is retrying; otherwise start.
 	firstAttempt time.Time
 	deadline     time.Time
-	version      uint64 // of the configuration that matched it
-	maxBody      int64  // bytes; zero means no limit
+	callerLeaves time.Time // when the caller stops waiting; zero if it didn't say
+	version      uint64    // of the configuration that matched it
+	maxBody      int64     // bytes; zero means no limit
 	tried        []string
 	search       slotSearch // for a free slot
 	// unavailable are the tried endpoints that currently accept no calls.
@@ -227,14 +228,17 @@
 			return refusal
 		}
 	}
-	left, ok := e.Dialect.AcceptCall(c.r.Header, t)
+	bounds, ok := e.Dialect.AcceptCall(c.r.Header, t)
 	if !ok {
 		return refuse(call.ReasonBadRequest, 0, "the deadline is not a number of milliseconds")
 	}
-	if left <= 0 {
+	if bounds.Left <= 0 {
 		return refuse(call.ReasonExpired, 0, "")
 	}
-	c.deadline = c.start.Add(left)
+	c.deadline = c.start.Add(bounds.Left)
+	if bounds.CallerWaits > 0 {
+		c.callerLeaves = c.start.Add(bounds.CallerWaits)
+	}
 	c.hasWorkspaces = p.Keys != nil
 	return e.authenticate(c, p.Keys)
 }
--- a/internal/proxy/entry_answer.go
+++ b/internal/proxy/entry_answer.go
@@ -10,6 +10,10 @@
 	"github.com/marlpass/marlpass/internal/retry"
 )
 
+// lateBodyGrace is how long after its caller stops waiting an answer is still relayed. A body may go on
+// without end, and holds a slot.
+const lateBodyGrace = 200 * time.Millisecond
+
 // answer relays the answer to the caller and records its outcome.
 func (e *Entry) answer(w http.ResponseWriter, c *entryCall, choice Choice, a *answer, sent time.Time) {
 	latency := e.Now().Sub(sent)
@@ -29,6 +33,9 @@
 		}
 	}()
 	c.body.closeUnlessRead(c.r, w.Header())
+	if !c.callerLeaves.IsZero() && (a.held == nil || a.held.claim == nil) {
+		a.endBodyAt(c.callerLeaves.Add(lateBodyGrace))
+	}
 	if a.held != nil {
 		p = e.Local.relayAnswer(w, a)
 	} else {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -127,10 +127,17 @@
 	return a
 }
 
-// discard reads the short body of a problem document, so that the connection can be reused.
+// discard reads the short body of a problem document, so that the connection can be reused. One that
+// is neither short nor sent at once is cut off.
 func discard(resp *http.Response) {
+	if b, ok := resp.Body.(*answerBody); ok {
+		b.endsAt = time.Now().Add(discardTimeout)
+	}
 	_, _ = io.CopyN(io.Discard, resp.Body, maxProblemBody)
 	resp.Body.Close()
 }
 
-const maxProblemBody = 4 << 10
+const (
+	maxProblemBody = 4 << 10
+	discardTimeout = 200 * time.Millisecond
+)
