--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -37,6 +37,8 @@
 	IgnoreQuota Name = "ignore-quota"
 	// ForgetDepartures ignores, after a restart, that backend servers have said that they leave.
 	ForgetDepartures Name = "forget-departures"
+	// PromoteUncompared moves calls to a version without comparing it with the one before.
+	PromoteUncompared Name = "promote-uncompared"
 	// KeepKey passes on the key of a call, and the workspace that its caller names.
 	KeepKey Name = "keep-key"
 )
@@ -45,5 +47,5 @@
 var All = []Name{
 	ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce,
 	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer, IgnoreRetryBudget,
-	IgnoreQuota, ForgetDepartures, KeepKey,
+	IgnoreQuota, ForgetDepartures, PromoteUncompared, KeepKey,
 }
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/defect"
 )
 
 // Server is a backend server of the service, as the coordinator's node sees it.
@@ -219,6 +221,9 @@
 // reject the version.
 func (c *Coordinator) stepRunning(now time.Time) (Record, bool) {
 	disturbed := c.collect(now)
+	if defect.On(defect.PromoteUncompared) {
+		return c.stepUncompared(now)
+	}
 	if reason := c.rejectReason(); reason != "" {
 		return c.transition(RolledBack, reason), true
 	}
@@ -251,6 +256,17 @@
 	return c.record, false
 }
 
+// stepUncompared is stepRunning with defect.PromoteUncompared.
+func (c *Coordinator) stepUncompared(now time.Time) (Record, bool) {
+	if c.openedAt.IsZero() && c.TimeLeft(now) <= c.set.FinishReserve {
+		c.openedAt = now
+	}
+	if !c.openedAt.IsZero() && now.Sub(c.openedAt) >= c.set.BakeTime {
+		return c.transition(Draining, "not compared"), true
+	}
+	return c.record, false
+}
+
 // mayOpen reports whether all servers of the target version may be opened. Once they were closed
 // again, only a long rollout has enough calls left.
 func (c *Coordinator) mayOpen() bool {
