rollout: canary calls without anything to compare with count as not examined

With no report of the baseline, which a coordinator on the wrong side of a partition sees, the calls of the canaries were left to the next comparison and counted nowhere, so the time in which a version has to be examined never began. A service with a single server of the target version keeps it as a canary until the end, or nothing would be compared at the last step.

--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -272,16 +272,22 @@
 	if c.comparedSinceProof >= proofCalls && float64(c.comparedCalls) >= c.firstProofCalls() {
 		c.comparedSinceProof, c.unprovenCalls, c.unprovenSince = 0, c.pendingCalls(), time.Time{}
 	}
-	if c.unprovenCalls+c.unreportedCalls() >= maxUnprovenCalls && c.unprovenSince.IsZero() {
+	if c.unprovenCalls+c.uncountedCalls() >= maxUnprovenCalls && c.unprovenSince.IsZero() {
 		c.unprovenSince = now
 	}
 }
 
-// unreportedCalls returns the number of calls granted to canaries that have not reported on them yet.
-func (c *Coordinator) unreportedCalls() uint32 {
+// uncountedCalls returns the number of calls granted to canaries that have not reported on them yet, and
+// of those reported that there was nothing to compare with.
+func (c *Coordinator) uncountedCalls() uint32 {
 	var n uint32
 	for _, s := range c.canaries() {
-		if h := c.counts[s.key()]; h != nil && !h.lost {
+		h := c.counts[s.key()]
+		if h == nil {
+			continue
+		}
+		n += totalCalls(sinceAll(h.last, h.counted))
+		if !h.lost {
 			n += uint32(c.unreported[s.VM].calls)
 		}
 	}
--- a/internal/rollout/grants.go
+++ b/internal/rollout/grants.go
@@ -29,7 +29,7 @@
 // those nearby have free slots, and nothing could be compared.
 func (c *Coordinator) openCanaries() []Server {
 	target := slices.DeleteFunc(c.serversOf(true), func(s Server) bool { return !s.Reachable })
-	return evenlySpaced(target, (len(target)+2)/openCanaryRatio)
+	return evenlySpaced(target, max(1, (len(target)+2)/openCanaryRatio))
 }
 
 // sampled returns the servers whose counts are compared.
