rollout, announce: reads cover the time of a server, and a held one is confirmed at once

A read that found no order long before a server of another version appeared counted for it, though the last read may be stale: it has to begin 3 s after the server was first seen. A server whose version became known was taken for a new one, with its counts at zero, and closed for another read. A probe that confirmed a held backend server had no effect until its next heartbeat.

--- a/internal/announce/departure.go
+++ b/internal/announce/departure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marlpass/marlpass/internal/membership"
@@ -93,11 +94,22 @@
 	return changes
 }
 
-// Confirm ends the hold on an instance that has said, when asked, that it is in service.
-func (r *Registry) Confirm(instance string) {
+// Confirm ends the hold on an instance that has said, when asked, that it is in service, and returns the
+// change, if any.
+func (r *Registry) Confirm(now time.Time, instance string) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirmed = instance
+	list := slices.Clone(r.Load())
+	at, known := find(list, instance)
+	if !known || !list[at].Held {
+		return nil
+	}
+	b := &list[at]
+	previous := b.State
+	b.Held, b.State, b.ReadySince = false, membership.BackendReady, now
+	r.publish(list)
+	return []Change{{Kind: Changed, Backend: *b, PreviousState: previous}}
 }
 
 // AwaitsConfirmation reports whether no backend server is known whose announcement is not held.
--- a/internal/announce/departure_test.go
+++ b/internal/announce/departure_test.go
@@ -66,7 +66,12 @@
 	}{
 		{"departures restored", func(r *Registry) { r.RestoreDepartures(now, []Departure{{Instance: "i-0", Withdrawn: true}}) }},
 		{"confirmed by a probe", func(r *Registry) {
-			r.Confirm("i-1")
+			r.Confirm(now, "i-1")
+		}},
+		{"confirmed before it announces itself", func(r *Registry) {
+			r.Expire(now.Add(time.Minute))
+			r.Expire(now.Add(2 * time.Minute))
+			r.Confirm(now, "i-1")
 			_, _ = r.Put(now, announcement("i-1", 2, membership.BackendReady))
 		}},
 		{"announced for some time", func(r *Registry) {
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -58,7 +58,10 @@
 		return false
 	}
 	a.Service, a.VersionUnknown = n.set.VM.Service, a.Version == ""
-	n.registry.Confirm(a.Instance)
+	if changes := n.registry.Confirm(time.Now(), a.Instance); len(changes) > 0 {
+		n.backendsChanged(changes) // it has announced itself meanwhile
+		return true
+	}
 	changes, err := n.registry.Put(time.Now(), a)
 	if err != nil {
 		n.log.Info().Err(err).Str("instance", a.Instance).Msg("announce: the identity that the backend server reported is refused")
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -154,10 +154,7 @@
 	for i, b := range list {
 		s := old[b.Instance]
 		if s == nil || s.version != b.Version || s.versionUnknown != b.VersionUnknown || s.service != b.Service {
-			s = &versionedServer{
-				service: b.Service, version: b.Version, versionUnknown: b.VersionUnknown,
-				firstSeen: now, warmAt: b.LoadAt.Add(b.WarmupRemaining),
-			}
+			s = s.successor(now, b)
 		}
 		next[b.Instance] = s
 		r.updateAdmission(now, s)
@@ -171,6 +168,20 @@
 	return out
 }
 
+// successor returns the server that takes the place of s, or the same one once its version is known. s
+// may be nil.
+func (s *versionedServer) successor(now time.Time, b announce.Backend) *versionedServer {
+	next := &versionedServer{
+		service: b.Service, version: b.Version, versionUnknown: b.VersionUnknown,
+		firstSeen: now, warmAt: b.LoadAt.Add(b.WarmupRemaining),
+	}
+	if s != nil && s.versionUnknown && s.service == b.Service {
+		next.firstSeen, next.order = s.firstSeen, s.order
+		next.tally.Store(s.tally.Load())
+	}
+	return next
+}
+
 // updateAdmission updates the admission of a server. The caller holds r.mu.
 func (r *rollouts) updateAdmission(now time.Time, s *versionedServer) {
 	previous := s.admission.Load()
--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -56,8 +56,6 @@
 	// updatedAt is when the state was last updated: the time of an instruction, or of the start of the
 	// read of the table.
 	updatedAt time.Time
-	// noOrderSince is the time of the first of the reads in a row that found no order.
-	noOrderSince time.Time
 }
 
 // Times of an AdmissionController without an update.
@@ -68,7 +66,7 @@
 	// is in service that could take the calls instead.
 	maxUnknownWait = 3 * time.Second
 	// maxStaleness is how old the answer to a read may be. A server beside those of another version
-	// waits for as long after a read that found no order, and for another read.
+	// needs a read without an order that began so long after it was first seen.
 	maxStaleness = 3 * time.Second
 	// readAhead is how long before a server is first seen a read may have started and still cover it:
 	// a node reads when it starts, before it has heard of its server.
@@ -97,9 +95,6 @@
 // and the record, which may be that of an earlier order or empty.
 func (c *AdmissionController) ApplyTable(now time.Time, o Order, r Record) {
 	c.updatedAt = now
-	if o.Revision == 0 && c.noOrderSince.IsZero() {
-		c.noOrderSince = now
-	}
 	if o.Revision > r.Order {
 		r = r.nextOrder(o, now)
 	}
@@ -169,7 +164,7 @@
 	case !c.covers(others):
 		return false
 	}
-	return c.record.Order != 0 || !others.Ready || c.updatedAt.Sub(c.noOrderSince) >= maxStaleness
+	return c.record.Order != 0 || !others.Ready || c.updatedAt.Sub(others.FirstSeen) >= maxStaleness
 }
 
 func (c *AdmissionController) admitTarget(now time.Time) Admission {
@@ -198,7 +193,7 @@
 	case !c.covers(others):
 		return others.FirstSeen, true
 	case c.record.Order == 0:
-		return c.noOrderSince.Add(maxStaleness), true
+		return others.FirstSeen.Add(maxStaleness), true
 	case c.record.Phase.Final():
 		return time.Time{}, false
 	}
