--- a/internal/node/coordinate.go
+++ b/internal/node/coordinate.go
@@ -261,7 +261,7 @@
 	r.disturbed = s.Disturbed
 	r.log.Info().Str("service", r.order.Service).Str("target", r.order.Target).Bool("disturbed", s.Disturbed).
 		Int("sampled", s.Sampled).Int("late", s.Late).Int("lost", s.Lost).Int("restarted", s.Restarted).
-		Uint32("compared", s.Compared).Uint32("unproven", s.Unproven).Uint64("token", r.lease.Token()).
+		Uint32("compared", s.Compared).Uint32("unexamined", s.Unexamined).Uint64("token", r.lease.Token()).
 		Msg("rollout: whether the versions are compared has changed")
 }
 
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -119,19 +119,19 @@
 	idle          map[string]bool      // baseline servers that take and run no calls
 	acknowledged  map[string]bool      // nodes that acknowledged the current phase
 
-	counts             map[string]*history // by server
-	losses             []int               // nodes lost or restarted in each of the last rounds
-	discardedRound     int                 // the last round in which rounds were discarded as disturbed
-	undisturbedAt      time.Time           // end of the disturbance of the comparison
-	pending            []roundCounts       // rounds that too many nodes have not reported on, oldest first
-	recent             []roundCounts       // the last rounds that were compared, oldest first
-	failures           map[string]Failures // by class, of all rounds that were compared
-	comparedCalls      uint32              // of the target version
-	comparedOpen       uint32              // those since openedAt
-	comparedSinceProof uint32
-	unprovenCalls      uint32
-	unprovenSince      time.Time
-	status             Status
+	counts                map[string]*history // by server
+	losses                []int               // nodes lost or restarted in each of the last rounds
+	discardedRound        int                 // the last round in which rounds were discarded as disturbed
+	undisturbedAt         time.Time           // end of the disturbance of the comparison
+	pending               []roundCounts       // rounds that too many nodes have not reported on, oldest first
+	recent                []roundCounts       // the last rounds that were compared, oldest first
+	failures              map[string]Failures // by class, of all rounds that were compared
+	comparedCalls         uint32              // of the target version
+	comparedOpen          uint32              // those since openedAt
+	comparedSinceExamined uint32
+	unexaminedCalls       uint32
+	unexaminedSince       time.Time
+	status                Status
 }
 
 // NewCoordinator returns the coordinator of an order. r is the stored record of the service, and
@@ -227,8 +227,8 @@
 	if reason := c.rejectReason(); reason != "" {
 		return c.transition(RolledBack, reason), true
 	}
-	if !c.unprovenSince.IsZero() && now.Sub(c.unprovenSince) >= maxUnprovenTime {
-		reason := fmt.Sprintf("%d calls could not be compared for %s", c.unprovenCalls, now.Sub(c.unprovenSince).Round(time.Millisecond))
+	if !c.unexaminedSince.IsZero() && now.Sub(c.unexaminedSince) >= maxUnexaminedTime {
+		reason := fmt.Sprintf("%d calls could not be compared for %s", c.unexaminedCalls, now.Sub(c.unexaminedSince).Round(time.Millisecond))
 		return c.transition(RolledBack, reason), true
 	}
 	if disturbed {
--- a/internal/rollout/doc.go
+++ b/internal/rollout/doc.go
@@ -19,5 +19,10 @@
 // grant. Entry nodes do not know of rollouts; they see servers that take calls and servers that
 // don't.
 //
+// The reports of servers are running totals. The coordinator compares the calls between two reports of
+// each canary with the baseline's calls of the same time, so a report that is late or lost costs time and
+// no evidence. It grants calls, opens servers and promotes the version on calls that were compared; a
+// version that gets calls which can't be compared in time is rolled back.
+//
 // Coordinator, AdmissionController and Compare take the clock as an argument and do no I/O.
 package rollout
