--- a/internal/announce/departure.go
+++ b/internal/announce/departure.go
@@ -81,6 +81,9 @@
 			continue
 		case r.isLeaving(b.Announcement):
 			b.State, b.ReadySince, b.Leaving = membership.BackendDraining, time.Time{}, true
+		case b.Held && b.Instance == r.denied:
+			kept = append(kept, b)
+			continue
 		case b.Held:
 			b.State, b.ReadySince = membership.BackendReady, now
 		}
@@ -112,6 +115,25 @@
 	return []Change{{Kind: Changed, Backend: *b, PreviousState: previous}}
 }
 
+// Deny records that an instance has said, when asked, that it is not in service. It may have left while
+// the table didn't answer, so that its departure is not recorded; it stays on hold until it is confirmed
+// or has announced itself for maxHold. It returns the change, if any.
+func (r *Registry) Deny(now time.Time, instance string) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.denied = instance
+	list := slices.Clone(r.Load())
+	at, known := find(list, instance)
+	if !known || list[at].State != membership.BackendReady {
+		return nil
+	}
+	b := &list[at]
+	b.Held, b.State, b.ReadySince = true, membership.BackendStarting, time.Time{}
+	r.heldSince = now
+	r.publish(list)
+	return []Change{{Kind: Changed, Backend: *b, PreviousState: membership.BackendReady}}
+}
+
 // AwaitsConfirmation reports whether no backend server is known whose announcement is not held.
 func (r *Registry) AwaitsConfirmation() bool {
 	for _, b := range r.Load() {
@@ -125,7 +147,7 @@
 // hold reports whether a ready announcement must not put its backend server into service yet: it may
 // have been sent before a departure that an earlier process on this VM acknowledged.
 func (r *Registry) hold(now time.Time, a Announcement) bool {
-	if !r.limits.RestoreDepartures || r.restored || a.State != membership.BackendReady || a.Instance == r.confirmed {
+	if !r.limits.RestoreDepartures || r.restored && a.Instance != r.denied || a.State != membership.BackendReady || a.Instance == r.confirmed {
 		return false
 	}
 	list := r.Load()
--- a/internal/announce/departure_test.go
+++ b/internal/announce/departure_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against a late announcement that brings back a backend server whose departure was acknowledged
+// while the table was away, although it says itself that it is not in service.
+func TestUnrecordedDepartureIsToldByTheBackendServer(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, restored := range []bool{false, true} { // whether the table answers, and the announcement comes, before the probe
+		r := restarted()
+		if !restored {
+			r.Deny(now, "i-1")
+		} else {
+			r.RestoreDepartures(now, nil)
+		}
+		_, _ = r.Put(now, announcement("i-1", 4, membership.BackendReady))
+		if restored {
+			r.Deny(now, "i-1")
+		}
+		r.RestoreDepartures(now, nil)
+		if s := stateOf(r, "i-1"); s != membership.BackendStarting {
+			t.Errorf("restored before %v: %v", restored, s)
+		}
+		for i := range 4 {
+			_, _ = r.Put(now.Add(time.Duration(i)*maxHold/3), announcement("i-1", uint64(i+5), membership.BackendReady))
+		}
+		if s := stateOf(r, "i-1"); s != membership.BackendReady {
+			t.Errorf("restored before %v: %v after it has announced itself for some time", restored, s)
+		}
+	}
+}
+
 // Guards against a backend server that stays out of service although nothing says that it leaves.
 func TestReadyBackendServerIsHeldForABoundedTime(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -147,6 +147,7 @@
 	// that is in service whatever they are, and heldSince when the hold on an instance began.
 	restored  bool
 	confirmed string
+	denied    string // the instance that has said, when asked, that it is not in service
 	heldSince time.Time
 
 	refused atomic.Uint64
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -53,6 +53,11 @@
 	defer cancel()
 	a, advertised, err := n.o.Probe(ctx, n.set.VM.Backend, path)
 	if err != nil {
+		if a.Instance != "" {
+			if changes := n.registry.Deny(time.Now(), a.Instance); len(changes) > 0 {
+				n.backendsChanged(changes)
+			}
+		}
 		n.log.Info().Err(err).Str("backend", n.set.VM.Backend).
 			Msg("announce: the probe of the backend server failed, waiting for its announcement")
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,7 @@
 	Orders rollout.Orders
 	Inbox  *rollout.Inbox
 	// Probe, if set, requests the identity of the backend server at an address, and what it
-	// advertises.
+	// advertises. An error may come with the instance of one that says that it is not in service.
 	Probe func(ctx context.Context, address, path string) (announce.Announcement, proxy.Advertised, error)
 	// Metrics, if set, are served with the node's own.
 	Metrics *metrics.Set
