review: show that a mesh whose machines were replaced does not recover

The machines are replaced one after the other by planned releases. Then all processes are killed and start again in place. No node finds another one, and each serves its own endpoint only, for up to ten minutes (RECOVER).

Cause: a node does not write its contact row while four others of its data centre wrote theirs in the last ten minutes, whether they still exist or not.

--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -34,7 +34,9 @@
 	mu   sync.Mutex
 	runs []run
 	stop chan struct{}
-	acks atomic.Int64
+
+	sequence atomic.Int64
+	draining atomic.Bool
 }
 
 func startEndpoint(ln net.Listener, id, service, control string, rec *record) *endpoint {
@@ -57,27 +59,44 @@
 
 // beat sends heartbeats until the endpoint is closed; the first ones often, until one is taken.
 func (e *endpoint) beat() {
-	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; ; sequence++ {
-		body, _ := json.Marshal(map[string]any{ // strings and numbers always encode
-			"service": e.service, "address": e.address, "zone": "z1", "version": "v1", "slots": e.slots,
-			"state": "ready", "cold-left": "0ms", "sequence": sequence,
-		})
+	for {
 		wait := 100 * time.Millisecond
-		resp, err := client.Post("http://"+e.control+"/v1/instances/"+e.id+"/heartbeat", "application/json", bytes.NewReader(body))
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				e.acks.Add(1)
-				wait = beatInterval
-			}
+		if e.say("heartbeat", "ready") {
+			wait = beatInterval
 		}
 		select {
 		case <-e.stop:
 			return
 		case <-time.After(wait):
 		}
+		if e.draining.Load() {
+			return
+		}
+	}
+}
+
+// say sends a heartbeat or the word that the endpoint leaves, and reports whether it was acknowledged.
+func (e *endpoint) say(what, state string) bool {
+	body, _ := json.Marshal(map[string]any{ // strings and numbers always encode
+		"service": e.service, "address": e.address, "zone": "z1", "version": "v1", "slots": e.slots,
+		"state": state, "cold-left": "0ms", "sequence": e.sequence.Add(1),
+	})
+	resp, err := (&http.Client{Timeout: time.Second}).Post("http://"+e.control+"/v1/instances/"+e.id+"/"+what, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
 	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// drain takes the endpoint out of service as before a planned shutdown, and returns once it may exit.
+func (e *endpoint) drain() {
+	const drainBound = 2 * time.Second
+	e.draining.Store(true)
+	acknowledged := e.say("heartbeat", "draining")
+	e.rec.note("endpoint %s says that it drains, acknowledged %v", e.id, acknowledged)
+	time.Sleep(drainBound + 500*time.Millisecond)
+	e.say("leave", "draining")
 }
 
 // ServeHTTP implements http.Handler.
@@ -86,6 +105,9 @@
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", e.running.Load(), e.slots))
 	h.Set("Instance-Id", e.id)
 	if r.URL.Path == "/healthz" {
+		if e.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
--- a/review/standin-2/mesh.go
+++ b/review/standin-2/mesh.go
@@ -50,6 +50,8 @@
 	url      string
 	machines []*machine
 	version  int
+	added    int            // machines so far
+	leaving  sync.WaitGroup // machines that are taken away
 }
 
 // machine runs a node and the endpoint beside it.
@@ -85,20 +87,29 @@
 	m.server = &http.Server{Handler: m.store}
 	go func() { _ = m.server.Serve(ln) }() // ends with Close
 	m.url = "http://" + ln.Addr().String()
-	for i, service := range o.services {
-		v := &machine{name: fmt.Sprintf("sidecar-z1-%d", i+1), service: service}
-		if err := v.reserve(loopback(i + 1)); err != nil {
+	for _, service := range o.services {
+		if err := m.add(service, o); err != nil {
 			return m, err
 		}
-		if err := m.start(v, o); err != nil {
-			return m, err
-		}
-		v.endpoint = startEndpoint(v.backend, fmt.Sprintf("i-%08x", i+1), service, v.announce, rec)
-		m.machines = append(m.machines, v)
 	}
 	return m, nil
 }
 
+// add starts a machine at a new address, with a new name.
+func (m *mesh) add(service string, o options) error {
+	m.added++
+	v := &machine{name: fmt.Sprintf("sidecar-z1-%d", m.added), service: service}
+	if err := v.reserve(loopback(m.added)); err != nil {
+		return err
+	}
+	if err := m.start(v, o); err != nil {
+		return err
+	}
+	v.endpoint = startEndpoint(v.backend, fmt.Sprintf("i-%08x", m.added), service, v.announce, m.rec)
+	m.machines = append(m.machines, v)
+	return nil
+}
+
 // reserve picks free addresses. All are held until all are known.
 func (v *machine) reserve(ip string) error {
 	var held []net.Listener
