--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -132,7 +132,7 @@
 // prefix: endpoints lose answers to requests of an unsafe route, to a path that begins with no longer
 // prefix than that route's.
 func prefix(rec *record, trouble bool) error {
-	m, err := newMesh(rec, options{services: []string{"desk-svc", "desk-svc", "look-svc", "look-svc", "look-svc"}})
+	m, err := newMesh(rec, options{services: []string{"desk-svc", "desk-svc", "look-svc", "look-svc", "look-svc", "look-svc", "look-svc"}})
 	if m != nil {
 		defer m.close()
 	}
@@ -151,10 +151,11 @@
 		return err
 	}
 	if trouble {
-		m.machines[0].endpoint.work = loseAnswers(rec)
-		m.machines[2].endpoint.work = loseAnswers(rec)
+		for _, i := range []int{0, 2, 3, 4} {
+			m.machines[i].endpoint.work = loseAnswers(rec)
+		}
 	}
-	for i := range 60 {
+	for i := range 100 {
 		for _, target := range []string{"/berth", "/look"} {
 			q := &request{method: http.MethodPost, target: target, host: host, body: fmt.Sprintf("hull %d", i)}
 			m.send(m.machines[i%len(m.machines)], q)
