--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -174,12 +174,18 @@
 	return nil
 }
 
-// loseAnswers returns the work of an endpoint that loses the answers of two requests in five.
+// lossTime is how long endpoints lose answers.
+const lossTime = 3800 * time.Millisecond
+
+// loseAnswers returns the work of an endpoint that loses the answers of two requests in five, never of
+// more than that so far, for lossTime.
 func loseAnswers(rec *record) func(http.ResponseWriter, *http.Request, run) {
-	var count atomic.Int64
+	var count, lost atomic.Int64
+	end := time.Now().Add(lossTime)
 	return func(w http.ResponseWriter, _ *http.Request, ran run) {
-		if n := count.Add(1); n%5 == 2 || n%5 == 4 {
-			rec.note("endpoint %s has run %s, and its answer is lost", ran.endpoint, ran.id)
+		n := count.Add(1)
+		if (n%5 == 3 || n%5 == 0) && time.Now().Before(end) {
+			rec.note("endpoint %s has run %s, and its answer is lost: %d of %d", ran.endpoint, ran.id, lost.Add(1), n)
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "%s ran %s\n", ran.endpoint, ran.id)
