config: match paths as sent, by the prefix as written

Cause: prefixes lost the slash at their end, so /look/ also took /look; paths were decoded before they were matched, so /look%2F7 counted as /look/7; paths with empty or dot segments belonged to no class and were answered 404. On the way out net/http encoded bytes anew that it would have encoded itself: /a|b reached its backend server as /a%7Cb.

Change: config.Match.MatchesPath is the one rule, on the bytes of the request line. A prefix that ends with a slash must begin the path, one without matches whole segments. The matcher, the judge of commands and the fingerprints of suspect requests use it, and the path is forwarded byte for byte. A path that a backend server could resolve to an internal class still belongs to that class.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -114,7 +114,7 @@
 	var more map[place][]*Target // where several classes share a place
 	var ps []Problem
 	for _, t := range s.Targets() {
-		at := place{t.Match.Host, t.Match.Prefix()}
+		at := place{t.Match.Host, t.Match.PathPrefix}
 		o := first[at]
 		if o == nil {
 			first[at] = t
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -129,10 +129,6 @@
 
 // CleanPath reports whether p begins with '/' and holds no empty, "." or ".."
 // segment, save an empty one at its end.
-//
-// A path that is not clean must not be matched by its prefix: a backend server
-// that resolves "/prices/../index" would run a call of another class, perhaps
-// an internal one, than the class it was admitted under.
 func CleanPath(p string) bool {
 	if p == "" || p[0] != '/' {
 		return false
--- a/internal/config/match/match.go
+++ b/internal/config/match/match.go
@@ -2,13 +2,16 @@
 // class of work of a call.
 //
 // A look-up walks from the longest prefix of the call's path that ends at a
-// segment border to the shortest, and asks one hash table at each. Its cost
+// segment border to the shortest, with one hash table look-up at each. Its cost
 // follows the depth of the path, not the number of targets, and it allocates
-// nothing. The rule is that of config.Match.
+// nothing. The rule is that of config.Match; the path is the one in the request
+// line, neither decoded nor cleaned.
 package match
 
 import (
 	"fmt"
+	"net/url"
+	"path"
 	"slices"
 	"strings"
 
@@ -27,16 +30,24 @@
 	methods uint16
 }
 
-// place is where classes are looked up. Host is the empty string for classes
-// of every host, and Prefix has no slash at its end.
+// place is where classes are looked up. host is the empty string for classes
+// of every host, and prefix has no slash at its end.
 type place struct{ host, prefix string }
 
+// classesAt are the classes of a place. Those that name methods come first.
+type classesAt struct {
+	slash []*Class // with a prefix that ends with a slash
+	bare  []*Class // with a prefix that does not
+}
+
 // Matcher finds classes. It is immutable.
 type Matcher struct {
-	places  map[place][]*Class // those that name methods come first
-	hosts   map[string]string  // the hosts that some class names, by themselves
-	classes []*Class           // by name
-	longest int                // the length of the longest prefix
+	places  map[place]classesAt
+	hosts   map[string]string // the hosts that some class names, by themselves
+	classes []*Class          // by name
+	longest int               // the length of the longest prefix
+	// anyHost is set if some class matches every host, and internal if some class is internal.
+	anyHost, internal bool
 }
 
 // Compile returns the matcher of s. It fails when s has not passed Check.
@@ -44,24 +55,35 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("match: %w", err)
 	}
-	m := &Matcher{places: make(map[place][]*Class), hosts: make(map[string]string)}
+	m := &Matcher{places: make(map[place]classesAt), hosts: make(map[string]string)}
 	for i, t := range s.Targets() {
 		m.add(&Class{Target: t, Service: s.Service(t.Service), Index: i, methods: bits(t.Match.Methods)})
 	}
 	for _, cs := range m.places {
-		slices.SortStableFunc(cs, methodsFirst)
+		slices.SortStableFunc(cs.slash, methodsFirst)
+		slices.SortStableFunc(cs.bare, methodsFirst)
 	}
 	return m, nil
 }
 
 func (m *Matcher) add(c *Class) {
-	at := place{c.Target.Match.Host, c.Target.Match.Prefix()}
-	m.places[at] = append(m.places[at], c)
 	m.classes = append(m.classes, c)
-	m.longest = max(m.longest, len(at.prefix))
-	if at.host != "" {
-		m.hosts[at.host] = at.host
-	}
+	m.internal = m.internal || c.Target.Internal()
+	prefix, slash := strings.CutSuffix(c.Target.Match.PathPrefix, "/")
+	at := place{c.Target.Match.Host, prefix}
+	cs := m.places[at]
+	if slash {
+		cs.slash = append(cs.slash, c)
+	} else {
+		cs.bare = append(cs.bare, c)
+	}
+	m.places[at] = cs
+	m.longest = max(m.longest, len(prefix))
+	if at.host == "" {
+		m.anyHost = true
+		return
+	}
+	m.hosts[at.host] = at.host
 }
 
 func methodsFirst(a, b *Class) int {
@@ -88,51 +110,86 @@
 	return m.classes[i]
 }
 
-// Match returns the class of a call, or nil. Host may carry a port. Path is
-// the decoded path of the URL; one that is not clean (config.CleanPath) belongs
-// to no class.
+// Match returns the class of a call, or nil. Host may carry a port. Path is the
+// path in the request line, as the caller sent it.
 func (m *Matcher) Match(host, path, method string) *Class {
-	if !config.CleanPath(path) {
-		return nil
-	}
 	host = m.known(host)
 	bit := bitOf(method)
-	for end := m.firstCut(path); ; end = strings.LastIndexByte(path[:end], '/') {
-		if c := m.at(host, path[:end], bit); c != nil {
+	if resolved := m.resolve(path); resolved != path {
+		if c := m.byPrefix(host, resolved, bit); c != nil && c.Target.Internal() {
 			return c
 		}
-		if end == 0 {
-			return nil
+	}
+	return m.byPrefix(host, path, bit)
+}
+
+// resolve returns the path that a backend server may get by decoding p and resolving its "." and
+// ".." segments, or p if no class is internal.
+func (m *Matcher) resolve(p string) string {
+	if !m.internal {
+		return p
+	}
+	if decoded, err := url.PathUnescape(p); err == nil {
+		p = decoded
+	}
+	if config.CleanPath(p) {
+		return p
+	}
+	cleaned := path.Clean("/" + p)
+	if strings.HasSuffix(p, "/") && cleaned != "/" {
+		cleaned += "/"
+	}
+	return cleaned
+}
+
+// byPrefix returns the class with the longest prefix that begins p, or nil.
+func (m *Matcher) byPrefix(host, p string, bit uint16) *Class {
+	if p == "" || p[0] != '/' {
+		return nil
+	}
+	for end := m.firstCut(p); end >= 0; end = strings.LastIndexByte(p[:end], '/') {
+		if c := m.at(host, p[:end], end < len(p), bit); c != nil {
+			return c
 		}
 	}
+	return nil
 }
 
-// firstCut returns the end of the longest prefix of path that ends at a
-// segment border and is no longer than any that a class has. Without that
-// bound a caller could make one call cost a look-up for each of the thousands
-// of segments that fit into a path.
-func (m *Matcher) firstCut(path string) int {
-	path = strings.TrimSuffix(path, "/")
-	if len(path) <= m.longest {
-		return len(path)
+// firstCut returns the end of the longest prefix of p that ends at a segment border and is no longer
+// than any that a class has. Without that bound a caller could make one call cost a look-up for each
+// of the thousands of segments that fit into a path.
+func (m *Matcher) firstCut(p string) int {
+	if len(p) <= m.longest {
+		return len(p)
 	}
-	return max(0, strings.LastIndexByte(path[:m.longest+1], '/'))
+	return strings.LastIndexByte(p[:m.longest+1], '/')
 }
 
-// at returns the class at a prefix: of the host first, then of every host.
-func (m *Matcher) at(host, prefix string, bit uint16) *Class {
+// at returns the class at a prefix, which a slash follows in the path if slash is set. The longer
+// prefixes, those with a slash, come before the others, and then the host before every host.
+func (m *Matcher) at(host, prefix string, slash bool, bit uint16) *Class {
+	var named, unnamed classesAt
 	if host != "" {
-		if c := pick(m.places[place{host, prefix}], bit); c != nil {
+		named = m.places[place{host, prefix}]
+	}
+	if m.anyHost {
+		unnamed = m.places[place{"", prefix}]
+	}
+	if slash {
+		if c := pick(named.slash, unnamed.slash, bit); c != nil {
 			return c
 		}
 	}
-	return pick(m.places[place{"", prefix}], bit)
+	return pick(named.bare, unnamed.bare, bit)
 }
 
-func pick(cs []*Class, bit uint16) *Class {
-	for _, c := range cs {
-		if c.methods == 0 || c.methods&bit != 0 {
-			return c
+// pick returns the first class of named, or else of unnamed, that takes the method.
+func pick(named, unnamed []*Class, bit uint16) *Class {
+	for _, cs := range [...][]*Class{named, unnamed} {
+		for _, c := range cs {
+			if c.methods == 0 || c.methods&bit != 0 {
+				return c
+			}
 		}
 	}
 	return nil
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -103,21 +103,32 @@
 )
 
 // Match selects the calls of a class of work. An empty Host matches every
-// host; an empty Methods matches every method. PathPrefix matches whole path
-// segments: "/berths" matches "/berths" and "/berths/7" but not "/berths2"; a
-// slash at its end makes no difference.
+// host, and hosts are compared without regard to case; an empty Methods matches
+// every method. MatchesPath says which paths PathPrefix matches.
 //
 // Of the classes that match a call, the one with the longest PathPrefix is
 // taken, then one with a Host over one without, then one with Methods over one
 // without. Check refuses two classes that this rule can't tell apart.
+//
+// A backend server may decode a path and resolve its "." and ".." segments. If
+// the result belongs to a class of AudienceInternal, so does the call, whatever
+// its path matches as sent.
 type Match struct {
 	Host       string   `json:"host,omitempty"`
 	PathPrefix string   `json:"path_prefix"`
 	Methods    []string `json:"methods,omitempty"`
 }
 
-// Prefix returns PathPrefix without a slash at its end; the root is "".
-func (m Match) Prefix() string { return strings.TrimSuffix(m.PathPrefix, "/") }
+// MatchesPath reports whether a path begins with PathPrefix. The path is compared
+// byte for byte as it stands in the request line, without decoding or cleaning.
+//
+// A prefix that ends with a slash matches every path that begins with it, and
+// "/berths/" does not match "/berths". A prefix without one matches whole
+// segments: "/berths" matches "/berths" and "/berths/7" but not "/berths2".
+func (m Match) MatchesPath(path string) bool {
+	rest, ok := strings.CutPrefix(path, m.PathPrefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(m.PathPrefix, "/"))
+}
 
 // Target is what an operator states for one class of work. The target's name
 // is the name of the class. It holds aims and bounds, never weights or
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -304,6 +304,7 @@
 		Path: o.in.URL.Path, RawPath: o.in.URL.RawPath,
 		RawQuery: o.in.URL.RawQuery, ForceQuery: o.in.URL.ForceQuery,
 	}
+	setOpaque(&s.url, o.in)
 	out.URL = &s.url
 	out.RequestURI = ""
 	for i, x := range o.extra {
--- a/internal/proxy/destination_admit.go
+++ b/internal/proxy/destination_admit.go
@@ -79,7 +79,7 @@
 				return r, nil
 			}
 		}
-		request := quarantine.Request{Method: in.r.Method, Host: in.r.Host, Path: in.r.URL.Path}
+		request := quarantine.Request{Method: in.r.Method, Host: in.r.Host, Path: rawPath(in.r.URL)}
 		suspectToken, err := d.Suspects.Start(now, h.backend, fp, request)
 		if err != nil {
 			return asRefusal(err)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -188,7 +188,7 @@
 
 // fingerprintOf returns a fingerprint that is equal for retries of the same request.
 func fingerprintOf(r *http.Request, h http.Header, b *body) quarantine.Fingerprint {
-	return quarantine.NewFingerprint(r.Method, r.Host, r.URL.Path, r.URL.RawQuery, h, b.length, b.buffered)
+	return quarantine.NewFingerprint(r.Method, r.Host, rawPath(r.URL), r.URL.RawQuery, h, b.length, b.buffered)
 }
 
 // setExpect sets "Expect: 100-continue" for the destination node if the body is streamed. A refusal
@@ -210,7 +210,7 @@
 	}
 	p := e.Programs.Program()
 	c.version = p.Version.Number
-	t, ok := p.Matcher.Match(c.r.Host, c.r.URL.Path, c.r.Method)
+	t, ok := p.Matcher.Match(c.r.Host, rawPath(c.r.URL), c.r.Method)
 	if !ok {
 		return e.unmatched(c)
 	}
@@ -246,7 +246,7 @@
 // MayRunAhead reports whether a pipelined call may run before earlier calls on the same connection
 // are answered. Only idempotent calls may.
 func (e *Entry) MayRunAhead(r *http.Request) bool {
-	t, ok := e.Programs.Program().Matcher.Match(r.Host, r.URL.Path, r.Method)
+	t, ok := e.Programs.Program().Matcher.Match(r.Host, rawPath(r.URL), r.Method)
 	return ok && t.Idempotent
 }
 
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -13,7 +13,8 @@
 	"github.com/marlpass/marlpass/internal/retry"
 )
 
-// Matcher finds the class of a call. It is immutable.
+// Matcher finds the class of a call. It is immutable. The path is the one in the request line, as
+// rawPath returns it.
 type Matcher interface {
 	Match(host, path, method string) (*config.Target, bool)
 }
