proxy: a call read ahead waits its turn if it must run only once

What callers would see: a booking that runs twice. A client that sends ahead treats the requests behind an answer that breaks off as not read, and sends them again.

Cause: whether a call may run ahead of earlier ones on its connection is asked when it is read, and its class is matched again when it runs. A version that comes into force between the two can turn it into one that must run only once.

Change: such a call waits until the calls before it are answered, or ends with its connection (pipeline.exchange.AwaitTurn). A call that was not read ahead has its turn already.

--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -90,6 +90,11 @@
 	return true
 }
 
+// AwaitTurn waits until all requests before this one are answered, and reports false when the client
+// left or a response before this one closed the connection. A handler calls it to run a request that
+// CanPipeline let through and that must not run ahead after all.
+func (e *exchange) AwaitTurn() bool { return e.awaitTurn() }
+
 // awaitTurn waits for the response's turn, and reports false when the client left.
 func (e *exchange) awaitTurn() bool {
 	select {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -141,6 +141,9 @@
 		e.refuse(w, c, refusal)
 		return
 	}
+	if !c.target.Idempotent && !awaitTurn(w) {
+		panic(http.ErrAbortHandler)
+	}
 	var err error
 	if c.body, err = prepareBody(w, r, &e.bodies, c.deadline, c.maxBody); err != nil {
 		e.refuse(w, c, refuseIncompleteBody(err))
@@ -250,6 +253,15 @@
 	return ok && t.Idempotent
 }
 
+// awaitTurn waits until the calls before a pipelined one are answered, and reports false if the call
+// must not run any more because its connection ends. The configuration may have changed since
+// MayRunAhead: a call that runs ahead and must run only once would run again when the caller, whose
+// connection was closed by an earlier answer, sends it again as not read.
+func awaitTurn(w http.ResponseWriter) bool {
+	p, ok := w.(interface{ AwaitTurn() bool })
+	return !ok || p.AwaitTurn()
+}
+
 // unmatched refuses a call that matches no class. A node that has just started has no classes yet:
 // the Admitter then refuses the call as retryable, so that the caller isn't told that the route
 // doesn't exist.
