config: take versions that were accepted elsewhere as they are

What callers saw: a tenant gets its 65th key, the store accepts the version, and the key is answered 401 at every node. Nodes refused the whole version, and with it whatever else it changed: routes added, keys taken away. The same with names in capitals, long or beyond ASCII, hosts in capitals or with a port, times over an hour, more than 16 parts or 64 attempts, small or large header limits.

Cause: versions from a source went through config.Check, the policy for operators who write through marlpass's own interface.

Change: that policy is asked of commands alone. It refuses those calls as not run at once, logs and counts them, and the handover names them.

Test: TestUnusualVersionsComeIntoForce, 47 kinds of change that the users' pages don't forbid, each with a new route and a revocation, at three nodes. TestMatcherFollowsTheRule no longer leaves out targets that match the same calls; it states which one gets them.

Weighed: higher bounds (another bound that nobody stated); leaving out objects that can't be decoded (their calls would run by a shorter prefix, at another service).

--- a/internal/announce/check.go
+++ b/internal/announce/check.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"regexp"
+	"unicode/utf8"
 
 	"github.com/marlpass/marlpass/internal/membership"
 )
@@ -10,6 +11,7 @@
 // Limits of an announcement's fields.
 const (
 	MaxNameLength    = 63
+	MaxServiceLength = 255
 	MaxVersionLength = 63
 	MaxSlots         = 10000
 	MaxLoad          = 1000000
@@ -47,8 +49,8 @@
 	switch {
 	case !validName(a.Instance):
 		return &FieldError{"instance", "must be lower-case letters, digits and hyphens, at most 63"}
-	case !validName(a.Service):
-		return &FieldError{"service", "must be lower-case letters, digits and hyphens, at most 63"}
+	case a.Service == "" || len(a.Service) > MaxServiceLength || !utf8.ValidString(a.Service):
+		return &FieldError{"service", "must have 1 to 255 bytes of UTF-8"}
 	case a.Slots < 1 || a.Slots > MaxSlots:
 		return &FieldError{"slots", "must be between 1 and 10000"}
 	case len(a.Version) > MaxVersionLength:
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -66,6 +66,7 @@
 	ReasonBadRequest  Reason = "bad-request"        // the request cannot be forwarded at all
 	ReasonTooLarge    Reason = "too-large"          // the body is longer than callers may send
 	ReasonNoKey       Reason = "no-key"             // no workspace holds the call's API key
+	ReasonUnusableKey Reason = "key-unusable"       // the configuration holds the call's API key, but not for one workspace alone
 	ReasonOverQuota   Reason = "over-quota"         // the workspace is over its quota
 	ReasonUnconfirmed Reason = "keys-unconfirmed"   // it is too long ago that the keys held here were the newest
 )
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -85,6 +85,8 @@
 	// problems returns all that Check finds. It is looked for once, since a version is checked
 	// before it is compiled and again by whoever compiles it.
 	problems func() []Problem
+	// omissions returns what Omitted, Shadowed and Keyring tell of.
+	omissions func() *omissions
 }
 
 // Empty returns version zero, which every history starts from.
@@ -125,6 +127,7 @@
 		unsound:    make(map[Key][]Problem),
 	}
 	s.problems = sync.OnceValue(s.findProblems)
+	s.omissions = sync.OnceValue(s.findOmissions)
 	sort.Slice(s.objects, func(i, j int) bool { return s.objects[i].Key.Less(s.objects[j].Key) })
 	for i, o := range s.objects {
 		if i > 0 && s.objects[i-1].Key == o.Key {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -125,8 +125,5 @@
 	if err := n.DecodeError(); err != nil {
 		return none, err
 	}
-	if err := n.Check(); err != nil {
-		return none, err
-	}
 	return s.compile(n)
 }
--- a/internal/config/workspaces.go
+++ b/internal/config/workspaces.go
@@ -93,19 +93,52 @@
 type Keyring struct {
 	holders map[KeyDigest]*Workspace
 	named   map[string]*Workspace
+	// unusable are the keys whose workspace can't be told or named to backend servers.
+	unusable map[KeyDigest]struct{}
 }
 
-// NewKeyring returns the keyring of s, or nil if s has no workspaces: its calls need no key.
-func NewKeyring(s *Snapshot) *Keyring {
+// newKeyring returns the keyring of s, or nil if s has no workspaces, and adds to o the keys and
+// workspaces that it leaves out.
+func newKeyring(s *Snapshot, o *omissions) *Keyring {
 	if len(s.workspaces) == 0 {
 		return nil
 	}
-	r := &Keyring{make(map[KeyDigest]*Workspace, len(s.workspaces)), s.workspaces}
+	n := 0
 	for _, w := range s.workspaces {
+		n += len(w.Keys)
+	}
+	r := &Keyring{make(map[KeyDigest]*Workspace, n), s.workspaces, make(map[KeyDigest]struct{})}
+	shared := make(map[string]int) // keys of a workspace that an earlier one holds as well
+	for _, w := range s.Workspaces() {
+		nameless := !headerValue(w.Name)
+		if nameless {
+			o.problems = append(o.problems, Problem{
+				Key: Key{KindWorkspace, w.Name}, Field: "name", Reason: "cannot stand in a header, so its keys serve no calls",
+			})
+		}
 		for _, k := range w.Keys {
+			first, taken := r.holders[k]
+			switch {
+			case taken && first == w:
+				continue
+			case taken:
+				shared[w.Name]++
+				fallthrough
+			case nameless:
+				r.unusable[k] = struct{}{}
+			}
 			r.holders[k] = w
 		}
 	}
+	for k := range r.unusable {
+		delete(r.holders, k)
+	}
+	for name, keys := range shared {
+		o.problems = append(o.problems, Problem{
+			Key: Key{KindWorkspace, name}, Field: "keys",
+			Reason: fmt.Sprintf("holds keys that another workspace holds as well, which serve no calls: %d", keys),
+		})
+	}
 	return r
 }
 
@@ -119,3 +152,13 @@
 	}
 	return r.holders[DigestOf(key)]
 }
+
+// Unusable reports whether some workspace holds a key without a Holder, because several workspaces
+// hold it or its workspace can't be named to backend servers.
+func (r *Keyring) Unusable(key string) bool {
+	if len(r.unusable) == 0 {
+		return false
+	}
+	_, ok := r.unusable[DigestOf(key)]
+	return ok
+}
--- a/internal/load/control/baseline.go
+++ b/internal/load/control/baseline.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := config.NewStore(match.Compile)
+	s, err := config.NewStore(func(s *config.Snapshot) (*match.Matcher, error) { return match.Compile(s), nil })
 	return &poller{p: p, client: c, store: s}, err
 }
 
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -23,6 +23,9 @@
 // maxHeaderBytes bounds the size of a request's header.
 const maxHeaderBytes = 64 << 10
 
+// maxStatedHeaderBytes bounds what operators may allow callers, whatever the configuration says.
+const maxStatedHeaderBytes = 4 << 20
+
 // listeners are the sockets of one node. All are opened before any is served, so a node starts
 // with all of them or not at all.
 type listeners struct {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
 // metricsHandler serves /metrics, /healthz and /readyz.
@@ -72,7 +74,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, "%s=%q", l[i], l[i+1])
+		fmt.Fprintf(&b, `%s="%s"`, l[i], telemetry.LabelValue(l[i+1]))
 	}
 	return "{" + b.String() + "}"
 }
--- a/internal/node/metrics_control.go
+++ b/internal/node/metrics_control.go
@@ -26,6 +26,7 @@
 		p.gauge("marlpass_config_confirmed_age_seconds", (time.Duration(c.AgeMs) * time.Millisecond).Seconds())
 	}
 	p.flag("marlpass_config_refused", c.n.store.Refused() != nil)
+	p.gauge("marlpass_config_omitted_objects", float64(len(c.n.snapshot().Omitted())))
 	p.flag("marlpass_config_feeder", c.distributor.Feeder())
 	for kind, n := range c.findings.values() {
 		p.counter("marlpass_config_findings_total", n, "kind", kind)
--- a/internal/node/program.go
+++ b/internal/node/program.go
@@ -14,18 +14,14 @@
 	limits map[string][]limit.Class
 }
 
-// compile builds the program that calls run by. It returns an error when any part of the snapshot
-// is invalid.
+// compile builds the program that calls run by, without what s omits. It returns no error.
 func compile(s *config.Snapshot) (*program, error) {
-	m, err := match.Compile(s)
-	if err != nil {
-		return nil, err
-	}
+	m := match.Compile(s)
 	splits := newSplits(s)
 	p := &program{
 		Program: proxy.Program{
 			Matcher: matcher{m, splits}, Targets: targets{s, splits}, Version: s.Version(),
-			MaxBody: s.Callers().BodyBytes, Keys: config.NewKeyring(s),
+			MaxBody: s.Callers().BodyBytes, Keys: s.Keyring(),
 		},
 		limits: make(map[string][]limit.Class),
 	}
--- a/internal/node/refresh.go
+++ b/internal/node/refresh.go
@@ -7,6 +7,7 @@
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/config"
 	"github.com/marlpass/marlpass/internal/membership"
+	"github.com/marlpass/marlpass/internal/telemetry"
 	"github.com/marlpass/marlpass/internal/wait"
 )
 
@@ -89,10 +90,32 @@
 	inForce, err := s.n.store.Offer(snap)
 	if inForce {
 		s.n.updateGates(time.Now())
+		s.n.logOmitted(snap)
 	}
 	return inForce, err
 }
 
+// logOmitted logs and counts a version of which objects are left out.
+func (n *Node) logOmitted(s *config.Snapshot) {
+	omitted := s.Omitted()
+	if len(omitted) == 0 {
+		return
+	}
+	n.control.findings.increment(findingOmitted)
+	named := make([]string, min(len(omitted), maxOmittedLogged))
+	for i := range named {
+		named[i] = telemetry.Label(omitted[i].String())
+	}
+	n.log.Error().Uint64("version", s.Version().Number).Int("objects", len(omitted)).Strs("omitted", named).
+		Msg("node: objects of the version in force are left out, their calls are refused")
+}
+
+// findingOmitted counts versions of which objects are left out.
+const findingOmitted = "omitted"
+
+// maxOmittedLogged bounds the objects that one line names.
+const maxOmittedLogged = 8
+
 // checkSuperseded stops the traffic of a node when another process runs under its VM's ID.
 //
 // This happens when a VM is replaced while its old machine is cut off or paused, and the old
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -59,6 +59,7 @@
 	log := telemetry.Part(n.log, "listener")
 	s.conns = telemetry.NewConns(log, "calls")
 	callsServer := newServer(s.calls.Handler(n.calls.dest), log)
+	callsServer.MaxHeaderBytes = maxStatedHeaderBytes + maxHeaderBytes // callers' headers and those between nodes
 	callsServer.ConnState = s.conns.Note
 	side := func(ln net.Listener, h http.Handler, t *tls.Config) boundServer {
 		return boundServer{server: newSideServer(h, log), ln: ln, tls: t}
@@ -98,7 +99,7 @@
 func (n *Node) callerLimits() pipeline.Limits {
 	stated := n.store.Load().Snapshot.Callers()
 	return pipeline.Limits{
-		HeaderBytes:   cmp.Or(int(stated.HeaderBytes), maxHeaderBytes),
+		HeaderBytes:   cmp.Or(int(min(stated.HeaderBytes, maxStatedHeaderBytes)), maxHeaderBytes),
 		HeaderTimeout: cmp.Or(stated.HeaderTimeout(), headerTimeout),
 		IdleTimeout:   cmp.Or(stated.IdleTimeout(), proxy.ServerIdleTimeout),
 	}
--- a/internal/proxy/destination_log.go
+++ b/internal/proxy/destination_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/decisions"
+	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
 // loggedWaitDivisor sets when a wait for a slot is logged: from this fraction of the class's target
@@ -23,9 +24,9 @@
 		l.Bool("once", true)
 	}
 	if in.root.known {
-		l.Str("root", in.root.Class)
+		l.Str("root", telemetry.Label(in.root.Class))
 	}
-	return l.Str("class", in.hop.class).Str("service", in.hop.service).Str("instance", in.hop.instance).
+	return l.Str("class", telemetry.Label(in.hop.class)).Str("service", telemetry.Label(in.hop.service)).Str("instance", in.hop.instance).
 		Stringer("state", b.State).Int64("left_ms", in.deadline.Sub(now).Milliseconds())
 }
 
--- a/internal/proxy/entry_key.go
+++ b/internal/proxy/entry_key.go
@@ -29,8 +29,11 @@
 	}
 	w := keys.Holder(key)
 	if w == nil {
-		if c.target.Keyless {
+		switch {
+		case c.target.Keyless:
 			return nil
+		case keys.Unusable(key):
+			return refuse(call.ReasonUnusableKey, 0, "")
 		}
 		return refuse(call.ReasonNoKey, 0, "")
 	}
--- a/internal/proxy/entry_log.go
+++ b/internal/proxy/entry_log.go
@@ -9,6 +9,7 @@
 	"github.com/marlpass/marlpass/internal/call"
 	"github.com/marlpass/marlpass/internal/decisions"
 	"github.com/marlpass/marlpass/internal/retry"
+	"github.com/marlpass/marlpass/internal/telemetry"
 )
 
 // logLine begins a log line about c with the common fields. It returns nil if the decision isn't
@@ -19,7 +20,7 @@
 		return nil
 	}
 	if c.target != nil {
-		l.Str("class", c.target.Name).Str("service", c.target.Service)
+		l.Str("class", telemetry.Label(c.target.Name)).Str("service", telemetry.Label(c.target.Service))
 	}
 	if before := c.start.Sub(c.firstAttempt); before > 0 {
 		l.Int64("before_ms", before.Milliseconds()) // since the caller's first, refused attempt
@@ -28,7 +29,7 @@
 		l.Int("looks", n)
 	}
 	if c.root.known {
-		l.Str("root", c.root.Class)
+		l.Str("root", telemetry.Label(c.root.Class))
 	}
 	return l.Uint64("version", c.version).Int("attempts", c.attempts).Int("reached", c.reached).
 		Int64("after_ms", now.Sub(c.start).Milliseconds())
--- a/internal/proxy/headers_test.go
+++ b/internal/proxy/headers_test.go
@@ -93,6 +93,8 @@
 		{left: 1500 * time.Millisecond, class: "bookings", service: "berths", instance: "a"},
 		{left: 0, class: "x", service: "y", instance: ""},
 		{left: -time.Second, class: "x", service: "y", instance: "z"},
+		{left: time.Second, class: "Boat Spot\n", service: "Håfen/%20", instance: "z"},
+		{left: time.Second, class: "", service: "%", instance: "z"},
 	} {
 		got, ok := parseHop(h.String())
 		if !ok || got != h {
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -85,14 +86,14 @@
 
 var settledValue = []string{"1"}
 
-// String encodes h. config.Check ensures that names contain no spaces.
+// String encodes h.
 func (h hop) String() string {
 	b := make([]byte, 0, 64)
 	b = strconv.AppendInt(b, int64(h.left/time.Millisecond), 10)
 	b = append(b, ' ')
-	b = append(b, h.class...)
+	b = append(b, escapeName(h.class)...)
 	b = append(b, ' ')
-	b = append(b, h.service...)
+	b = append(b, escapeName(h.service)...)
 	b = append(b, ' ')
 	b = append(b, h.instance...)
 	return string(b)
@@ -104,7 +105,9 @@
 	class, rest, ok2 := strings.Cut(rest, " ")
 	service, instance, ok3 := strings.Cut(rest, " ")
 	n, err := strconv.ParseInt(ms, 10, 64)
-	if !ok1 || !ok2 || !ok3 || err != nil || class == "" || service == "" {
+	class, ok4 := unescapeName(class)
+	service, ok5 := unescapeName(service)
+	if !ok1 || !ok2 || !ok3 || !ok4 || !ok5 || err != nil {
 		return hop{}, false
 	}
 	// The lower bound matters too: the product of a large negative number overflows to a
@@ -113,3 +116,27 @@
 	n = min(max(n, -most), most)
 	return hop{left: time.Duration(n) * time.Millisecond, class: class, service: service, instance: instance}, true
 }
+
+// emptyName stands for an empty name in a list separated by spaces.
+const emptyName = "%"
+
+// escapeName encodes the name of a class, a service or a workspace, which may be any text, for a list
+// separated by spaces in a header. Letters, digits, '.', '_' and '-' are unchanged.
+func escapeName(s string) string {
+	if s == "" {
+		return emptyName
+	}
+	return url.PathEscape(s)
+}
+
+// unescapeName decodes the result of escapeName; ok is false if s is malformed.
+func unescapeName(s string) (name string, ok bool) {
+	switch s {
+	case "":
+		return "", false
+	case emptyName:
+		return "", true
+	}
+	name, err := url.PathUnescape(s)
+	return name, err == nil
+}
--- a/internal/proxy/lineage.go
+++ b/internal/proxy/lineage.go
@@ -24,7 +24,7 @@
 	known bool
 }
 
-// encode encodes r for another node. config.Check ensures that names contain no spaces.
+// encode encodes r for another node.
 func (r *callRoot) encode(now time.Time) string {
 	retried := int64(0)
 	if r.Retried {
@@ -34,8 +34,11 @@
 	for _, n := range []int64{int64(r.Priority), int64(r.ClassPriority), retried, r.Deadline.Sub(now).Milliseconds()} {
 		b = append(strconv.AppendInt(b, n, 10), ' ')
 	}
-	b = append(append(b, r.Class...), ' ')
-	return string(append(b, r.Workspace...))
+	b = append(append(b, escapeName(r.Class)...), ' ')
+	if r.Workspace != "" {
+		b = append(b, escapeName(r.Workspace)...)
+	}
+	return string(b)
 }
 
 // parseRoot decodes the result of encode. The root is not known if s is malformed: the call then has
@@ -45,7 +48,12 @@
 		return callRoot{}
 	}
 	fields := strings.Split(s, " ")
-	if len(fields) != 6 || fields[4] == "" {
+	if len(fields) != 6 {
+		return callRoot{}
+	}
+	class, ok1 := unescapeName(fields[4])
+	workspace, ok2 := unescapeName(fields[5])
+	if !ok1 || !ok2 && fields[5] != "" {
 		return callRoot{}
 	}
 	priority, err1 := strconv.Atoi(fields[0])
@@ -58,7 +66,7 @@
 	const most = int64(maxDeadline / time.Millisecond)
 	left = min(max(left, -most), most)
 	return callRoot{known: true, Root: lineage.Root{
-		Class: fields[4], Workspace: fields[5], Priority: priority, ClassPriority: classPriority,
+		Class: class, Workspace: workspace, Priority: priority, ClassPriority: classPriority,
 		Deadline: now.Add(time.Duration(left) * time.Millisecond), Retried: retried,
 	}}
 }
--- a/internal/query/handover.go
+++ b/internal/query/handover.go
@@ -69,6 +69,8 @@
 	Spread       []VersionTime   `json:"spread,omitempty"`
 	RefusedHere  *VersionProblem `json:"refused_here,omitempty"`
 	ForeignHere  *VersionProblem `json:"foreign_here,omitempty"`
+	// OmittedHere is what this node leaves out of the version in force.
+	OmittedHere []config.Problem `json:"omitted_here,omitempty"`
 }
 
 // NodeBehind is a node that runs an older version than the accepted one.
@@ -188,6 +190,7 @@
 		Spread:      in.Spread,
 		RefusedHere: problemOf(in.Config.Refused),
 		ForeignHere: problemOf(in.Config.OtherHistory),
+		OmittedHere: in.Config.Omitted,
 	}
 	for _, r := range sortedRecords(in.View) {
 		if r.State == membership.VMDead || r.State == membership.VMLeaving {
@@ -265,6 +268,9 @@
 	return out
 }
 
+// maxOmittedNamed bounds the objects left out that are named one by one.
+const maxOmittedNamed = 8
+
 // attention says in plain lines what somebody has to look at, worst first.
 func attention(h *Handover) []string {
 	out := []string{}
@@ -284,6 +290,13 @@
 	add(len(b.CutOff), "%d data centres are cut off from here", len(b.CutOff))
 	add(len(v.Refusing), "%d nodes refuse a version", len(v.Refusing))
 	add(len(v.Behind), "%d of %d nodes are behind version %d", len(v.Behind), v.Nodes, v.Accepted.Number)
+	for i, p := range v.OmittedHere {
+		if i == maxOmittedNamed {
+			out = append(out, fmt.Sprintf("the version in force leaves out %d more objects", len(v.OmittedHere)-i))
+			break
+		}
+		out = append(out, "the version in force leaves out "+p.String())
+	}
 	missed := countWhere(h.Classes, func(c ClassReport) bool { return c.State == ClassMissed })
 	add(missed, "%d classes miss their target", missed)
 	ejected := countWhere(h.Endpoints, func(e Endpoint) bool { return e.State == EndpointEjected })
--- a/internal/query/status.go
+++ b/internal/query/status.go
@@ -12,12 +12,15 @@
 	InForce      config.Version
 	Refused      *config.Refused
 	OtherHistory *config.Refused
+	// Omitted is what of the version in force is left out; see config.Snapshot.Omitted.
+	Omitted []config.Problem
 }
 
 // ConfigStateOf reads the state of a store.
 func ConfigStateOf[P any](s *config.Store[P]) ConfigState {
+	inForce := s.Load().Snapshot
 	return ConfigState{
-		InForce: s.Load().Snapshot.Version(),
+		InForce: inForce.Version(), Omitted: inForce.Omitted(),
 		Refused: s.Refused(), OtherHistory: s.OtherHistory(),
 	}
 }
@@ -44,18 +47,19 @@
 
 // Status is what one node says of itself.
 type Status struct {
-	At           time.Time       `json:"at"`
-	VM           string          `json:"vm"`
-	Region       string          `json:"region"`
-	DataCentre   string          `json:"data_centre"`
-	Ready        bool            `json:"ready"`
-	Draining     bool            `json:"draining"`
-	InForce      config.Version  `json:"in_force"`
-	Accepted     config.Version  `json:"accepted"`
-	Refused      *VersionProblem `json:"refused,omitempty"`
-	OtherHistory *VersionProblem `json:"other_history,omitempty"`
-	Members      MemberCounts    `json:"members"`
-	Blind        Blind           `json:"cannot_see"`
+	At           time.Time        `json:"at"`
+	VM           string           `json:"vm"`
+	Region       string           `json:"region"`
+	DataCentre   string           `json:"data_centre"`
+	Ready        bool             `json:"ready"`
+	Draining     bool             `json:"draining"`
+	InForce      config.Version   `json:"in_force"`
+	Accepted     config.Version   `json:"accepted"`
+	Refused      *VersionProblem  `json:"refused,omitempty"`
+	OtherHistory *VersionProblem  `json:"other_history,omitempty"`
+	Omitted      []config.Problem `json:"omitted,omitempty"`
+	Members      MemberCounts     `json:"members"`
+	Blind        Blind            `json:"cannot_see"`
 }
 
 // MemberCounts counts the nodes in a view by state.
@@ -83,6 +87,7 @@
 		InForce: in.Config.InForce, Accepted: newest(in.Platform.Accepted, in.Config.InForce),
 		Refused:      problemOf(in.Config.Refused),
 		OtherHistory: problemOf(in.Config.OtherHistory),
+		Omitted:      in.Config.Omitted,
 		Members:      countMembers(in.View),
 		Blind:        blindOf(in.Platform, in.View, now),
 	}
