follow: vouch only for the version in force

Cause: a version counted as held before it was known whether it came into force, and each answer of the store as an assurance that the version held is the newest. CheckKeys goes by it, while the keys are those of the version in force. A row that can't be decoded told its error once; the silence of the feed after it counted as an assurance as well.

Change: an assurance names the newest version that it speaks of, and counts only where the version in force is as new. Findings not_in_force and undecodable count both.

--- a/internal/follow/assurance.go
+++ b/internal/follow/assurance.go
@@ -15,15 +15,16 @@
 // VM. Data that must not be trusted for too long, such as API keys that operators may have revoked,
 // depends on the assurance.
 
-// RecordAssurance records that the version held was certainly the newest at a time since boot.
-func (s *State) RecordAssurance(at time.Duration) {
-	if !s.assured || at > s.assuredAt {
+// RecordAssurance records that no version after newest was accepted at a time since boot. It is of no
+// use while the version in force is older than that: its keys may have been revoked since.
+func (s *State) RecordAssurance(at time.Duration, newest uint64) {
+	if newest <= s.inForce && (!s.assured || at > s.assuredAt) {
 		s.assured, s.assuredAt = true, at
 	}
 }
 
-// AssuredAge returns the maximum time for which the version held may have been superseded. known is
-// false if the version may never have been the newest.
+// AssuredAge returns the maximum time for which the version in force may have been superseded. known
+// is false if the version may never have been the newest.
 func (s *State) AssuredAge(boot time.Duration) (age time.Duration, known bool) {
 	return boot - s.assuredAt, s.assured
 }
@@ -60,7 +61,7 @@
 	return max(0, s.contact.nextQuery.Sub(now))
 }
 
-// AssuredAge returns the maximum time for which the version held may have been superseded; see
+// AssuredAge returns the maximum time for which the version in force may have been superseded; see
 // State.AssuredAge.
 func (r *Runner) AssuredAge(now time.Time) (age time.Duration, known bool) {
 	boot := r.clock.At(now)
@@ -72,18 +73,18 @@
 // recordAssurance records the assurance in the answer to a request of this node. sentAt is when the
 // request was sent, since boot.
 func (r *Runner) recordAssurance(sentAt time.Duration, c *peerpb.Confirmation, number uint64) {
-	if c == nil || c.AssuredAgeMs == nil || number > r.held.Load().Version().Number {
+	if c == nil || c.AssuredAgeMs == nil {
 		return
 	}
 	age := min(time.Duration(*c.AssuredAgeMs)*time.Millisecond, distribute.MaxConfirmedAge)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.RecordAssurance(sentAt - age)
+	r.state.RecordAssurance(sentAt-age, number)
 }
 
 // recordSourceAssurance records that the source answered a request sent at sentAt, since boot.
 func (r *Runner) recordSourceAssurance(sentAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.RecordAssurance(sentAt)
+	r.state.RecordAssurance(sentAt, r.state.Held().Number)
 }
--- a/internal/follow/finding.go
+++ b/internal/follow/finding.go
@@ -17,6 +17,10 @@
 	FindingPullFailed Finding = "not_given"
 	// FindingNoFeeder is a period in which no feeder confirmed the version held.
 	FindingNoFeeder Finding = "no_feeder"
+	// FindingUndecodable is a newest version of the source that cannot be decoded.
+	FindingUndecodable Finding = "undecodable"
+	// FindingNotInForce is a version that was received and cannot be put in force.
+	FindingNotInForce Finding = "not_in_force"
 )
 
 // maxPeerErrorLines is the maximum number of log lines per second about peers that were not
--- a/internal/follow/mesh_test.go
+++ b/internal/follow/mesh_test.go
@@ -48,6 +48,8 @@
 	refuses  bool          // the source rejects every request at once
 	given    int           // versions that the source returned, each whole
 	within   time.Duration // in which a version has to be in force
+	// undecodable are versions that the source returns as such.
+	undecodable map[uint64]bool
 }
 
 type acceptedAt struct {
@@ -67,7 +69,11 @@
 	reachableSince time.Time // since when the source answers it again
 	partition      int       // nodes of different partitions don't reach each other
 	given          config.Version
-	reads          int // requests of this node to the source
+	reads          int             // requests of this node to the source
+	refuses        map[uint64]bool // versions that can't be put in force
+
+	store   *config.Store[int]
+	lastErr error // of the newest version that the source returned; used by its caller alone
 }
 
 // withMesh runs test in virtual time with nodes in data centres of the given sizes that hold the
@@ -105,6 +111,7 @@
 func newTestMesh(t *testing.T, ctx context.Context, b bounds, sizes []int) *testMesh {
 	m := &testMesh{
 		t: t, nodes: make(map[string]*meshNode), newest: config.Empty(), changed: make(chan struct{}), delay: sourceAnswer, within: b.inForce,
+		undecodable: make(map[uint64]bool),
 	}
 	records := make(map[string]*membership.ObservedRecord)
 	for dc, size := range sizes {
@@ -118,17 +125,18 @@
 	}
 	m.accept()
 	for _, id := range m.ids {
-		n := &meshNode{m: m, id: id, reachableSince: time.Now()}
+		n := &meshNode{m: m, id: id, reachableSince: time.Now(), refuses: make(map[uint64]bool)}
 		m.nodes[id] = n
 		n.views.Store(&membership.View{Self: id, Records: records})
 		store, err := config.NewStore(func(*config.Snapshot) (int, error) { return 0, nil })
 		if err != nil {
 			t.Fatal(err)
 		}
+		n.store = store
 		set := Defaults(id, records[id].VM.DataCentre, 100).WithInForceBound(b.inForce)
 		set.MaxAssuranceAge = b.assured
 		n.runner = NewRunner(set,
-			Deps{Source: n, Views: &n.views, Client: n, Store: store, Log: zerolog.Nop()})
+			Deps{Source: n, Views: &n.views, Client: n, Store: notInForce{store, n}, Log: zerolog.Nop()})
 	}
 	for _, n := range m.nodes {
 		go n.runner.Run(ctx)
@@ -234,6 +242,7 @@
 	for {
 		n.m.mu.Lock()
 		silent, newest, changed, refuses := n.silent, n.m.newest, n.m.changed, n.m.refuses
+		undecodable := n.m.undecodable[newest.Version().Number]
 		n.m.mu.Unlock()
 		switch {
 		case refuses:
@@ -246,6 +255,11 @@
 			time.Sleep(delay)
 			n.given = newest.Version()
 			n.m.countGiven()
+			n.lastErr = nil
+			if undecodable {
+				n.lastErr = ErrUndecodable
+				return nil, n.lastErr
+			}
 			return newest, nil
 		}
 		select {
@@ -253,7 +267,7 @@
 		case <-held.Done():
 			if n.sourceAnswers() {
 				time.Sleep(delay)
-				return nil, nil
+				return nil, n.lastErr
 			}
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/follow/runner.go
+++ b/internal/follow/runner.go
@@ -51,6 +51,7 @@
 	offerMu     sync.Mutex // serializes offer
 	held        atomic.Pointer[config.Snapshot]
 	inForce     atomic.Uint64
+	undecodable atomic.Bool // the newest version of the source cannot be decoded
 	packed      atomic.Pointer[packedVersion]
 	pendingPoll atomic.Pointer[sourcePoll] // long poll in progress, or nil
 	burstLog    zerolog.Logger
@@ -82,10 +83,11 @@
 	return nil
 }
 
-// offer puts a version in force if it is newer than all versions seen.
+// offer puts a version in force if it is newer than all versions seen, and passes it on.
 //
-// A version that does not compile counts as seen: the running version stays in force, and the same
-// version is not fetched again and again.
+// A version that cannot be put in force here counts as seen: the running version stays in force, and
+// the same version is not fetched again and again. It is passed on, as other nodes may be of a later
+// release, but this node no longer vouches that the version in force is the newest.
 func (r *Runner) offer(snap *config.Snapshot, from string) {
 	r.offerMu.Lock()
 	defer r.offerMu.Unlock()
@@ -105,12 +107,14 @@
 	}
 	r.pushVersion(snap, before, from)
 	if err != nil || !inForce {
+		r.countFinding(FindingNotInForce)
 		r.deps.Log.Error().Uint64("version", v.Number).Str("from", from).Err(err).
 			Msg("follow: the version cannot be put in force, the previous one stays")
 		return
 	}
 	r.inForce.Store(v.Number)
 	r.mu.Lock()
+	r.state.RecordInForce(v)
 	r.timeline = append(r.timeline, distribute.Timing{Version: v, Accepted: start, InForce: time.Now()})
 	if len(r.timeline) > maxTimeline {
 		r.timeline = r.timeline[1:]
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -13,7 +13,8 @@
 // Source returns the versions that were accepted elsewhere.
 type Source interface {
 	// Next waits up to hold for a version newer than the last one that it returned, and returns the
-	// newest version. It returns nil without an error if there was none.
+	// newest version. It returns nil without an error if there was none. With ErrUndecodable it
+	// may return the newest version that can be decoded.
 	Next(ctx context.Context, hold time.Duration) (*config.Snapshot, error)
 }
 
@@ -24,6 +25,9 @@
 // request. The next request returns the newest version whole.
 var ErrCompacted = errors.New("follow: the changes since the last read were compacted away")
 
+// ErrUndecodable is returned by a Source that answers, but whose newest version cannot be decoded.
+var ErrUndecodable = errors.New("follow: the newest version cannot be decoded")
+
 // fromSource is the value of the log field "from" for a version read from the source.
 const fromSource = "source"
 
@@ -81,6 +85,9 @@
 			// Other nodes have read the source meanwhile.
 			continue
 		}
+		if snap != nil {
+			r.offer(snap, fromSource)
+		}
 		r.recordSourceResult(err)
 		if err != nil {
 			failures++
@@ -89,9 +96,6 @@
 			continue
 		}
 		failures = 0
-		if snap != nil {
-			r.offer(snap, fromSource)
-		}
 		r.recordRead(answered)
 		r.recordSourceAssurance(sentBoot)
 		r.pushConfirmation()
@@ -176,10 +180,17 @@
 
 // recordSourceResult records whether the source answered, and logs when that changes.
 func (r *Runner) recordSourceResult(err error) {
+	undecodable := errors.Is(err, ErrUndecodable)
 	r.mu.Lock()
 	wasFailing := r.state.Failing()
 	r.state.RecordSourceResult(time.Now(), err == nil)
 	r.mu.Unlock()
+	if wasUndecodable := r.undecodable.Swap(undecodable); undecodable && !wasUndecodable {
+		r.countFinding(FindingUndecodable)
+		r.deps.Log.Error().Err(err).Uint64("in_force", r.inForce.Load()).
+			Msg("follow: the newest version of the source can't be decoded, the one in force stays and ages")
+		return
+	}
 	switch {
 	case err != nil && !wasFailing:
 		age, reader := r.ConfirmedAge()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -96,6 +96,7 @@
 	started      time.Time
 	noVersion    bool // the source reported that there is no version yet
 	held         config.Version
+	inForce      uint64 // the number of the version in force, at most that of held
 	claims       map[string]claim
 	failing      bool      // the last read of the source failed
 	nextPeerPull time.Time // while the source fails
@@ -105,7 +106,7 @@
 	// confirmed is the newest confirmation that the version held is the newest.
 	confirmed  distribute.Confirmation
 	answeredAt time.Time // when the source last answered this node
-	// assuredAt is the last time, since boot, at which the version held was certainly the newest.
+	// assuredAt is the last time, since boot, at which the version in force was certainly the newest.
 	assured   bool
 	assuredAt time.Duration
 	// position is that of this node in positionView.
@@ -202,7 +203,10 @@
 	return true
 }
 
-// RecordSourceResult records whether the source answered.
+// RecordInForce records the version that was put in force.
+func (s *State) RecordInForce(v config.Version) { s.inForce = max(s.inForce, v.Number) }
+
+// RecordSourceResult records whether the source answered with a version that can be decoded.
 func (s *State) RecordSourceResult(now time.Time, ok bool) {
 	if !ok && !s.failing {
 		s.nextPeerPull = now
