pipeline: notice clients that leave while their bytes are unread

What callers saw: nothing.

Cause: a read returns the end of a connection only after all bytes before it. A node noticed a client's close only where it was reading at that moment. It did not read behind a last request with a body, while a body waited unread for a slot, behind bytes that followed the last request, while a further request had to wait behind the one in progress, and, at the node before the backend server, while a body waited for 100 Continue.

Change: while nothing reads from a connection with calls in progress, internal/hangup polls the kernel for the peer's close or reset, every 0.1 s, in one system call for all connections. It serves the callers' side and the streams of other nodes, and ends the contexts of all calls of the connection.

Test: TestCallsOfClientsThatLeaveDoNotRun, 18 shapes, closed and reset, at the node that took the call and at the one before it. TestCloseBehindUnreadBytesIsDetected, TestContextEndsWithUnreadBody (plain and TLS).

Weighed: reading bodies ahead (memory for each waiting call, 100 Continue before the call can run, nothing seen behind the bound); a deadline on the wait (too late).

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -14,6 +14,7 @@
 	"github.com/marlpass/marlpass/internal/admin"
 	"github.com/marlpass/marlpass/internal/announce"
 	"github.com/marlpass/marlpass/internal/drain"
+	"github.com/marlpass/marlpass/internal/hangup"
 	"github.com/marlpass/marlpass/internal/pipeline"
 	"github.com/marlpass/marlpass/internal/proxy"
 	"github.com/marlpass/marlpass/internal/telemetry"
@@ -61,6 +62,7 @@
 	callsServer := newServer(s.calls.Handler(n.calls.dest), log)
 	callsServer.MaxHeaderBytes = maxStatedHeaderBytes + maxHeaderBytes // callers' headers and those between nodes
 	callsServer.ConnState = s.conns.Note
+	callsServer.ConnContext = hangup.ConnContext
 	side := func(ln net.Listener, h http.Handler, t *tls.Config) boundServer {
 		return boundServer{server: newSideServer(h, log), ln: ln, tls: t}
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -93,8 +93,9 @@
 
 // serve reads requests until the client leaves or a response closes the connection.
 //
-// It keeps reading while requests are handled, which also detects that the client has left. The
-// contexts of all its requests end then, and with them work whose result cannot be delivered.
+// It keeps reading while requests are handled, which also detects that the client has left. Where it
+// cannot read on, because a body is unread or the next request has to wait, watchHangup detects it.
+// The contexts of all its requests end then, and with them work whose result cannot be delivered.
 func (c *conn) serve() {
 	defer c.s.removeConn(c)
 	for {
@@ -244,16 +245,28 @@
 		return !r.Close || c.watchForClose()
 	}
 	// The bytes behind the body can be read only after the body.
+	if !c.awaitBody(e) {
+		return false
+	}
+	return !r.Close || c.watchForClose()
+}
+
+// awaitBody waits until the body of a request was read, and reports whether another request may be
+// read.
+func (c *conn) awaitBody(e *exchange) bool {
+	defer c.watchHangup()()
 	select {
 	case <-e.body.done:
+		return true
 	case <-e.finished:
-		if !e.body.drain() {
-			return false
-		}
+		return e.body.drain()
 	}
-	return !r.Close
 }
 
+// watchHangup ends the requests of the connection if the client closes it, until stop is called. It is
+// for times in which nothing reads from the connection.
+func (c *conn) watchHangup() (stop func()) { return c.s.hangups.Watch(c.nc, c.clientLeft) }
+
 // watchForClose reads from the connection while its last request is handled, to detect that the
 // client leaves. It always reports false.
 func (c *conn) watchForClose() bool {
@@ -289,6 +302,9 @@
 	if canPipeline {
 		limit = MaxPipelined
 	}
+	if len(c.pending) >= limit {
+		defer c.watchHangup()()
+	}
 	for len(c.pending) >= limit && !c.clientGone {
 		c.pendingShrank.Wait()
 	}
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -70,11 +70,7 @@
 // linger waits for the last response and then for the client to close, so that bytes the client
 // still sends do not reset the connection before it has read the response.
 func (c *conn) linger() {
-	c.mu.Lock()
-	for len(c.pending) > 0 && !c.clientGone {
-		c.pendingShrank.Wait()
-	}
-	c.mu.Unlock()
+	c.awaitResponses()
 	if t, ok := c.nc.(*net.TCPConn); ok {
 		_ = t.CloseWrite() // an error means that the client has left
 	}
@@ -83,6 +79,16 @@
 	c.abort()
 }
 
+// awaitResponses waits until all responses are complete or the client has left.
+func (c *conn) awaitResponses() {
+	defer c.watchHangup()()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.pending) > 0 && !c.clientGone {
+		c.pendingShrank.Wait()
+	}
+}
+
 // abort closes the connection at once and cancels its requests.
 func (c *conn) abort() {
 	c.cancel()
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marlpass/marlpass/internal/drain"
+	"github.com/marlpass/marlpass/internal/hangup"
 )
 
 // Limits of a Server.
@@ -50,6 +51,7 @@
 	stopping, closed bool
 	// draining makes connections close as soon as no request is pending on them.
 	draining atomic.Bool
+	hangups  hangup.Watcher
 }
 
 // Serve accepts connections until StopAccepting, Shutdown or Close, and then returns
