config: keep the keys of a large workspace in groups

What callers would see: a new key of a workspace with tens of thousands of keys is answered 401 for seconds. The bound of 64 keys hid it.

Cause: all keys of a workspace were one object, sent whole between nodes for each change: 1.27 MB for 36,666 keys, over the 256 KB of a push, so that every node pulled it from its feeder's link.

Change: more than MaxKeys keys are in objects of KindKeys, by their leading bits, some 48 each. Workspaces with fewer keys are encoded as before, so that nodes of an earlier version come to the same hash.

--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -37,7 +37,7 @@
 type Object struct {
 	Key Key
 	Raw []byte
-	// typed is the *Service, *Target or *Workspace that Raw was encoded from, or nil. It must not be
+	// typed is the *Service, *Target, *Workspace or *KeyGroup that Raw was encoded from, or nil. It must not be
 	// changed either: snapshots share it.
 	typed any
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -77,7 +77,11 @@
 	targets  map[string]*Target
 	// workspaces is empty where callers need no key.
 	workspaces map[string]*Workspace
-	callers    Callers
+	// keyGroups holds the groups of keys of each workspace, in the order of their objects, and
+	// groupOf the group of each object.
+	keyGroups map[string][]*KeyGroup
+	groupOf   map[string]*KeyGroup
+	callers   Callers
 	// undecoded is why some object could not be decoded, or nil.
 	undecoded error
 	// unsound holds what is wrong with single objects, whatever the others say.
@@ -124,6 +128,8 @@
 		services:   make(map[string]*Service),
 		targets:    make(map[string]*Target),
 		workspaces: make(map[string]*Workspace),
+		keyGroups:  make(map[string][]*KeyGroup),
+		groupOf:    make(map[string]*KeyGroup),
 		unsound:    make(map[Key][]Problem),
 	}
 	s.problems = sync.OnceValue(s.findProblems)
@@ -163,6 +169,8 @@
 		s.targets[o.Key.Name] = t
 	case o.Key.Kind == KindWorkspace && w != nil:
 		s.workspaces[o.Key.Name] = w
+	case o.Key.Kind == KindKeys && from.groupOf[o.Key.Name] != nil:
+		s.addGroup(o.Key.Name, from.groupOf[o.Key.Name])
 	default:
 		return false
 	}
@@ -206,6 +214,12 @@
 		}
 		s.workspaces[o.Key.Name] = v
 		s.noteUnsound(o.Key, v.check(o.Key.Name))
+	case KindKeys:
+		v, err := typedOf[KeyGroup](o)
+		if err != nil {
+			return err
+		}
+		s.addGroup(o.Key.Name, v)
 	case KindCallers:
 		return s.decodeCallers(o)
 	default:
@@ -214,6 +228,11 @@
 	return nil
 }
 
+func (s *Snapshot) addGroup(object string, g *KeyGroup) {
+	s.groupOf[object] = g
+	s.keyGroups[g.Workspace] = append(s.keyGroups[g.Workspace], g)
+}
+
 // typedOf returns the typed form of o: what it was encoded from, where that happened in
 // this process, or else what its bytes say.
 func typedOf[T any](o Object) (*T, error) {
--- a/internal/config/workspaces.go
+++ b/internal/config/workspaces.go
@@ -9,7 +9,7 @@
 // KindWorkspace is the kind of objects that state a workspace.
 const KindWorkspace Kind = "workspace"
 
-// MaxKeys bounds the API keys of one workspace.
+// MaxKeys bounds the API keys in the object of one workspace.
 const MaxKeys = 64
 
 // Workspace is a group of callers that share API keys, a priority and a quota.
@@ -17,7 +17,8 @@
 	Name string `json:"name"`
 	Team string `json:"team"`
 	// Keys are the digests of the workspace's API keys. The keys themselves are kept out of
-	// snapshots, which nodes send to each other and operators read.
+	// snapshots, which nodes send to each other and operators read. A workspace with more than
+	// MaxKeys has them in objects of KindKeys.
 	Keys []KeyDigest `json:"keys,omitempty"`
 	// Priority goes before that of the calls' classes under overload, MinPriority to
 	// MaxPriority; zero leaves it to the classes.
@@ -75,7 +76,7 @@
 	var ps []Problem
 	holders := make(map[KeyDigest]string)
 	for _, w := range s.Workspaces() {
-		for _, k := range w.Keys {
+		for k := range s.keysOf(w) {
 			if first, ok := holders[k]; ok {
 				ps = append(ps, Problem{
 					Key: Key{KindWorkspace, w.Name}, Field: "keys",
@@ -105,7 +106,7 @@
 	}
 	n := 0
 	for _, w := range s.workspaces {
-		n += len(w.Keys)
+		n += s.keyCount(w)
 	}
 	r := &Keyring{make(map[KeyDigest]*Workspace, n), s.workspaces, make(map[KeyDigest]struct{})}
 	shared := make(map[string]int) // keys of a workspace that an earlier one holds as well
@@ -116,7 +117,7 @@
 				Key: Key{KindWorkspace, w.Name}, Field: "name", Reason: "cannot stand in a header, so its keys serve no calls",
 			})
 		}
-		for _, k := range w.Keys {
+		for k := range s.keysOf(w) {
 			first, taken := r.holders[k]
 			switch {
 			case taken && first == w:
