--- a/internal/config/match/match.go
+++ b/internal/config/match/match.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/defect"
 )
 
 // Class is one class of work, ready for use on the path of a call.
@@ -172,7 +173,7 @@
 	if m.anyHost {
 		unnamed = m.places[place{"", prefix}]
 	}
-	if slash {
+	if slash || defect.On(defect.LoosePrefix) {
 		if c := pick(named.slash, unnamed.slash, bit); c != nil {
 			return c
 		}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+
+	"github.com/marlpass/marlpass/internal/defect"
 )
 
 // InForce is a snapshot together with what it was compiled into. Readers on
@@ -125,5 +127,10 @@
 	if err := n.DecodeError(); err != nil {
 		return none, err
 	}
+	if defect.On(defect.RefuseUnusual) {
+		if err := n.Check(); err != nil {
+			return none, err
+		}
+	}
 	return s.compile(n)
 }
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -41,6 +41,14 @@
 	PromoteUncompared Name = "promote-uncompared"
 	// KeepKey passes on the key of a call, and the workspace that its caller names.
 	KeepKey Name = "keep-key"
+	// LoosePrefix takes a path for one that begins with a prefix that has a slash more.
+	LoosePrefix Name = "loose-prefix"
+	// RefuseUnusual refuses versions that operators could not write through marlpass.
+	RefuseUnusual Name = "refuse-unusual"
+	// VouchForHeld vouches for the version in force by what is known of the newest one.
+	VouchForHeld Name = "vouch-for-held"
+	// MissLeavers does not notice clients that leave while nothing reads from their connections.
+	MissLeavers Name = "miss-leavers"
 )
 
 // All lists the defects.
@@ -48,4 +56,5 @@
 	ResendUnknown, RefuseUnknown, KeepCaller, ForgetLeaving, StopAtOnce,
 	IgnoreLimit, ForgetLimitAtRestart, IgnoreLeavingAnswer, IgnoreRetryBudget,
 	IgnoreQuota, ForgetDepartures, PromoteUncompared, KeepKey,
+	LoosePrefix, RefuseUnusual, VouchForHeld, MissLeavers,
 }
--- a/internal/follow/assurance.go
+++ b/internal/follow/assurance.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/distribute"
 	"github.com/marlpass/marlpass/internal/gen/peerpb"
 	"github.com/marlpass/marlpass/internal/membership"
@@ -18,7 +19,7 @@
 // RecordAssurance records that no version after newest was accepted at a time since boot. It is of no
 // use while the version in force is older than that: its keys may have been revoked since.
 func (s *State) RecordAssurance(at time.Duration, newest uint64) {
-	if newest <= s.inForce && (!s.assured || at > s.assuredAt) {
+	if (newest <= s.inForce || defect.On(defect.VouchForHeld)) && (!s.assured || at > s.assuredAt) {
 		s.assured, s.assuredAt = true, at
 	}
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marlpass/marlpass/internal/config"
+	"github.com/marlpass/marlpass/internal/defect"
 	"github.com/marlpass/marlpass/internal/wait"
 )
 
@@ -89,6 +90,9 @@
 			r.offer(snap, fromSource)
 		}
 		r.recordSourceResult(err)
+		if defect.On(defect.VouchForHeld) {
+			r.recordSourceAssurance(sentBoot)
+		}
 		if err != nil {
 			failures++
 			// The time of a request that timed out counts towards the delay.
--- a/internal/hangup/watcher.go
+++ b/internal/hangup/watcher.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/marlpass/marlpass/internal/defect"
 )
 
 // Interval is the time between two polls, and so the longest until a close is detected.
@@ -37,7 +39,7 @@
 // is under way may outlast stop. Connections other than TCP, or TLS over TCP, are not watched.
 func (w *Watcher) Watch(c net.Conn, closed func()) (stop func()) {
 	fd, ok := descriptor(c)
-	if !ok {
+	if !ok || defect.On(defect.MissLeavers) {
 		return func() {}
 	}
 	x := &watch{fd, closed}
