config: ask for keys when the last workspace is removed

What callers saw: once a version removes the last tenant, its keys stay good, and calls with any key or none run.

--- a/internal/config/callers.go
+++ b/internal/config/callers.go
@@ -28,6 +28,9 @@
 	HeaderTimeoutMS int64 `json:"header_timeout_ms,omitempty"`
 	// IdleTimeoutMS is how long a connection may lie idle, in milliseconds.
 	IdleTimeoutMS int64 `json:"idle_timeout_ms,omitempty"`
+	// KeysRequired says that calls need an API key although there is no workspace: every workspace
+	// was removed, and with them their keys.
+	KeysRequired bool `json:"keys_required,omitempty"`
 }
 
 // HeaderTimeout returns the time that a header may take, or zero for none.
--- a/internal/config/omitted.go
+++ b/internal/config/omitted.go
@@ -32,7 +32,8 @@
 // Shadowed reports whether a target gets no calls because another one matches the same.
 func (s *Snapshot) Shadowed(target string) bool { return s.omissions().shadowed[target] }
 
-// Keyring returns the keyring of s, or nil if s has no workspaces: its calls need no key.
+// Keyring returns the keyring of s, or nil if its calls need no key: it has no workspaces, and
+// Callers.KeysRequired is not set.
 func (s *Snapshot) Keyring() *Keyring { return s.omissions().keyring }
 
 func (s *Snapshot) findOmissions() *omissions {
--- a/internal/config/workspaces.go
+++ b/internal/config/workspaces.go
@@ -98,10 +98,10 @@
 	unusable map[KeyDigest]struct{}
 }
 
-// newKeyring returns the keyring of s, or nil if s has no workspaces, and adds to o the keys and
+// newKeyring returns the keyring of s, or nil if its calls need no key, and adds to o the keys and
 // workspaces that it leaves out.
 func newKeyring(s *Snapshot, o *omissions) *Keyring {
-	if len(s.workspaces) == 0 {
+	if len(s.workspaces) == 0 && !s.callers.KeysRequired {
 		return nil
 	}
 	n := 0
