--- a/internal/config/omitted.go
+++ b/internal/config/omitted.go
@@ -55,29 +55,46 @@
 // shadow finds the targets that get no calls because another one matches the same.
 func (o *omissions) shadow(s *Snapshot) {
 	type place struct{ host, prefix string }
-	var taken map[place][]*Target
-	order := func(a, b *Target) int {
-		if a.Idempotent != b.Idempotent && b.Idempotent {
-			return -1
-		}
-		if a.Idempotent != b.Idempotent {
-			return 1
+	first := make(map[place]*Target, len(s.targets))
+	shared := make(map[place][]*Target) // places of several targets
+	for _, t := range s.Targets() {
+		at := place{NormalHost(t.Match.Host), t.Match.PathPrefix}
+		switch {
+		case first[at] == nil:
+			first[at] = t
+		case shared[at] == nil:
+			shared[at] = []*Target{first[at], t}
+		default:
+			shared[at] = append(shared[at], t)
 		}
-		return strings.Compare(a.Name, b.Name)
 	}
-	targets := slices.SortedFunc(slices.Values(s.Targets()), order)
-	taken = make(map[place][]*Target, len(targets))
+	for _, targets := range shared {
+		o.shadowAt(targets)
+	}
+}
+
+// shadowAt finds the targets of one place that get no calls. They are ordered by name.
+func (o *omissions) shadowAt(targets []*Target) {
+	slices.SortStableFunc(targets, func(a, b *Target) int {
+		switch {
+		case a.Idempotent == b.Idempotent:
+			return 0
+		case b.Idempotent:
+			return -1
+		}
+		return 1
+	})
+	var served []*Target
 	for _, t := range targets {
-		at := place{NormalHost(t.Match.Host), t.Match.PathPrefix}
-		i := slices.IndexFunc(taken[at], func(other *Target) bool { return methodsClash(other.Match.Methods, t.Match.Methods) })
+		i := slices.IndexFunc(served, func(other *Target) bool { return methodsClash(other.Match.Methods, t.Match.Methods) })
 		if i < 0 {
-			taken[at] = append(taken[at], t)
+			served = append(served, t)
 			continue
 		}
 		o.shadowed[t.Name] = true
 		o.problems = append(o.problems, Problem{
 			Key: Key{KindTarget, t.Name}, Field: "match",
-			Reason: fmt.Sprintf("matches the same calls as the target %q, which gets them", taken[at][i].Name),
+			Reason: fmt.Sprintf("matches the same calls as the target %q, which gets them", served[i].Name),
 		})
 	}
 }
